Base: Lay down the shape, the core types, HTTP and JSON-RPC

The folders are the packages, one per peer. Ids and units are types that do not convert; the time scale has no now(); outcomes of attempts are types. HTTP by Beast and JSON-RPC by libjsonrpccpp carry all that crosses a process.

--- /dev/null
+++ b/Base/Http/HttpClient.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpMessage.h"
+#include "Base/Units.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sardinefold::base {
+
+/// Why an exchange with a server gave no complete answer.
+struct HttpFailure
+{
+  enum class Kind
+  {
+    ConnectFailed,
+    TimedOut,
+    ConnectionClosed,
+    MalformedResponse,
+    TooLarge,
+    /// The answer named another request.
+    CrossedResponse
+  };
+
+  Kind m_kind;
+  /// False only if no byte of the request was given to a connection.
+  bool m_mayHaveBeenSent;
+  std::string m_detail;
+};
+
+std::string_view ToText(HttpFailure::Kind aKind);
+
+struct HttpClientLimits
+{
+  Duration m_connectTime = std::chrono::seconds(1);
+  /// An idle connection older than this is closed and not used again. Shorter
+  /// than the servers' idle time, so that the two ends seldom race.
+  Duration m_idleTime = std::chrono::seconds(20);
+  std::size_t m_idlePerEndpoint = 64;
+  Bytes m_headerBytes{ 32 * 1024 };
+};
+
+class HttpClient;
+struct HttpConnection;
+
+/// A response that is arriving. Destroying it before its end closes its
+/// connection, which tells the server to stop.
+class HttpReply
+{
+public:
+  HttpReply(HttpReply&&) noexcept;
+  HttpReply& operator=(HttpReply&&) noexcept;
+  ~HttpReply();
+
+  unsigned Status() const { return m_status; }
+  HttpHeaders const& Headers() const { return m_headers; }
+
+  /// The next bytes of the body as they arrive; empty at its end. Fails with
+  /// TimedOut if nothing arrives for the given time.
+  boost::asio::awaitable<tl::expected<std::string, HttpFailure>> Read(Duration aSilenceLimit);
+  /// Whether the body has been read to its end.
+  bool IsComplete() const { return m_complete; }
+
+private:
+  friend class HttpClient;
+  HttpReply(HttpClient& aClient, std::unique_ptr<HttpConnection> aConnection);
+  void Finish();
+
+  HttpClient* m_client;
+  std::unique_ptr<HttpConnection> m_connection;
+  unsigned m_status = 0;
+  HttpHeaders m_headers;
+  bool m_complete = false;
+};
+
+/// Sends HTTP/1.1 requests over pooled connections, one request at a time on
+/// each. It never repeats a request by itself.
+class HttpClient
+{
+public:
+  HttpClient(EventLoop& aLoop, HttpClientLimits aLimits);
+  ~HttpClient();
+
+  /// Sends a request and waits for the head of its response. Fails with
+  /// TimedOut if the head does not arrive in the given time.
+  boost::asio::awaitable<tl::expected<HttpReply, HttpFailure>> Send(Endpoint aEndpoint,
+                                                                    HttpRequest aRequest,
+                                                                    Duration aHeadLimit);
+
+  /// Sends a request and reads its whole response, of at most the given size,
+  /// within the given time.
+  boost::asio::awaitable<tl::expected<HttpResponse, HttpFailure>> Fetch(
+    Endpoint aEndpoint, HttpRequest aRequest, Duration aLimit,
+    Bytes aBodyLimit = Bytes(8 * 1024 * 1024));
+
+  /// Closes the idle connections to an endpoint, for when one of them was
+  /// found silent.
+  void CloseIdle(Endpoint const& aEndpoint);
+  std::size_t IdleConnections(Endpoint const& aEndpoint) const;
+
+private:
+  friend class HttpReply;
+  std::unique_ptr<HttpConnection> TakeIdle(Endpoint const& aEndpoint);
+  void Return(std::unique_ptr<HttpConnection> aConnection);
+
+  EventLoop& m_loop;
+  HttpClientLimits m_limits;
+  std::map<Endpoint, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
+};
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Base/Http/HttpExchange.cpp
@@ -0,0 +1,167 @@
+#include "Base/Http/HttpExchange.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+#include <sstream>
+
+namespace sardinefold::base {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+std::string RenderHead(http::response<http::empty_body> const& aHead)
+{
+  std::ostringstream text;
+  text << aHead.base();
+  return text.str();
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(AnyStream aStream, HttpRequest aRequest, bool aKeepAlive, bool aMayChunk,
+                           Duration aWriteTime)
+  : m_stream(aStream)
+  , m_request(std::move(aRequest))
+  , m_writeTime(aWriteTime)
+  , m_keepAlive(aKeepAlive)
+  , m_mayChunk(aMayChunk)
+  , m_isHead(m_request.m_method == "HEAD")
+{
+}
+
+boost::beast::tcp_stream& HttpExchange::Lowest()
+{
+  return std::visit(
+    [](auto* aStream) -> boost::beast::tcp_stream& {
+      return boost::beast::get_lowest_layer(*aStream);
+    },
+    m_stream);
+}
+
+std::string HttpExchange::PeerAddress() const
+{
+  auto& lowest = const_cast<HttpExchange*>(this)->Lowest();
+  boost::system::error_code error;
+  auto const endpoint = lowest.socket().remote_endpoint(error);
+  return error ? std::string() : endpoint.address().to_string();
+}
+
+void HttpExchange::PrepareHead(http::response<http::empty_body>& aHead, unsigned aStatus,
+                               HttpHeaders const& aHeaders) const
+{
+  aHead.version(11);
+  aHead.result(aStatus);
+  for (auto const& field : aHeaders.Fields()) {
+    aHead.insert(field.m_name, field.m_value);
+  }
+  aHead.keep_alive(m_keepAlive);
+}
+
+HttpExchange::Result HttpExchange::Check(boost::system::error_code aError)
+{
+  if (!aError) {
+    return {};
+  }
+  m_keepAlive = false;
+  m_peerGone = true;
+  return tl::make_unexpected(HttpPeerGone{ aError.message() });
+}
+
+asio::awaitable<HttpExchange::Result> HttpExchange::WriteBuffers(Buffers aBuffers)
+{
+  Lowest().expires_after(m_writeTime);
+  boost::system::error_code error;
+  if (auto* const* plain = std::get_if<boost::beast::tcp_stream*>(&m_stream)) {
+    auto const [writeError, size] = co_await asio::async_write(**plain, aBuffers, kAwait);
+    error = writeError;
+  } else {
+    auto& tls = **std::get_if<TlsStream*>(&m_stream);
+    auto const [writeError, size] = co_await asio::async_write(tls, aBuffers, kAwait);
+    error = writeError;
+  }
+  co_return Check(error);
+}
+
+asio::awaitable<HttpExchange::Result> HttpExchange::Respond(HttpResponse aResponse)
+{
+  http::response<http::empty_body> head;
+  PrepareHead(head, aResponse.m_status, aResponse.m_headers);
+  head.content_length(aResponse.m_body.size());
+  auto const text = RenderHead(head);
+  auto const body = m_isHead ? asio::const_buffer() : asio::buffer(aResponse.m_body);
+  m_started = true;
+  Buffers const buffers{ asio::buffer(text), body, asio::const_buffer() };
+  auto const result = co_await WriteBuffers(buffers);
+  m_finished = result.has_value();
+  co_return result;
+}
+
+asio::awaitable<HttpExchange::Result> HttpExchange::StartStream(unsigned aStatus,
+                                                                HttpHeaders aHeaders)
+{
+  if (!m_mayChunk) {
+    m_keepAlive = false;
+  }
+  http::response<http::empty_body> head;
+  PrepareHead(head, aStatus, aHeaders);
+  if (m_mayChunk) {
+    head.chunked(true);
+  }
+  auto const text = RenderHead(head);
+  m_started = true;
+  Buffers const buffers{ asio::buffer(text), asio::const_buffer(), asio::const_buffer() };
+  co_return co_await WriteBuffers(buffers);
+}
+
+asio::awaitable<HttpExchange::Result> HttpExchange::Write(std::string_view aData)
+{
+  if (aData.empty() || m_isHead) {
+    co_return Result{};
+  }
+  auto const data = asio::buffer(aData.data(), aData.size());
+  if (!m_mayChunk) {
+    Buffers const buffers{ data, asio::const_buffer(), asio::const_buffer() };
+    co_return co_await WriteBuffers(buffers);
+  }
+  std::array<char, 2 * sizeof(std::size_t) + kLineEnd.size()> size;
+  auto const digits = std::to_chars(size.data(), size.data() + size.size(), aData.size(), 16);
+  auto* const end = std::copy(kLineEnd.begin(), kLineEnd.end(), digits.ptr);
+  auto const sizeBytes = static_cast<std::size_t>(end - size.data());
+  Buffers const buffers{ asio::buffer(size.data(), sizeBytes), data, asio::buffer(kLineEnd) };
+  co_return co_await WriteBuffers(buffers);
+}
+
+asio::awaitable<HttpExchange::Result> HttpExchange::Finish()
+{
+  if (!m_mayChunk || m_isHead) {
+    m_finished = true;
+    co_return Result{};
+  }
+  Buffers const buffers{ asio::buffer(kLastChunk), asio::const_buffer(), asio::const_buffer() };
+  auto const result = co_await WriteBuffers(buffers);
+  m_finished = result.has_value();
+  co_return result;
+}
+
+void HttpExchange::NotePeerGone()
+{
+  m_peerGone = true;
+  m_keepAlive = false;
+  if (m_onPeerGone && !m_finished) {
+    auto const callback = std::exchange(m_onPeerGone, nullptr);
+    callback();
+  }
+}
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Base/Http/HttpExchange.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Base/Http/HttpMessage.h"
+#include "Base/Time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <tl/expected.hpp>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace sardinefold::base {
+
+/// The peer closed the connection or stopped reading.
+struct HttpPeerGone
+{
+  std::string m_detail;
+};
+
+/// One request and the response to it, on a connection of an HttpServer.
+class HttpExchange
+{
+public:
+  using TlsStream = boost::asio::ssl::stream<boost::beast::tcp_stream>;
+  using AnyStream = std::variant<boost::beast::tcp_stream*, TlsStream*>;
+  using Result = tl::expected<void, HttpPeerGone>;
+
+  HttpExchange(AnyStream aStream, HttpRequest aRequest, bool aKeepAlive, bool aMayChunk,
+               Duration aWriteTime);
+
+  HttpRequest& Request() { return m_request; }
+  /// IP address of the peer.
+  std::string PeerAddress() const;
+
+  /// Sends a whole response.
+  boost::asio::awaitable<Result> Respond(HttpResponse aResponse);
+  /// Sends the head of a response whose body follows by Write().
+  boost::asio::awaitable<Result> StartStream(unsigned aStatus, HttpHeaders aHeaders);
+  /// Sends a piece of the body; completes when the system has taken it, so
+  /// that a slow reader slows the writer.
+  boost::asio::awaitable<Result> Write(std::string_view aData);
+  /// Ends a streamed body.
+  boost::asio::awaitable<Result> Finish();
+
+  /// Calls back once if the peer closes while the request is being served. It
+  /// is not called after the response has ended.
+  void OnPeerGone(std::function<void()> aCallback) { m_onPeerGone = std::move(aCallback); }
+  bool IsPeerGone() const { return m_peerGone; }
+  void NotePeerGone();
+
+  bool HasStarted() const { return m_started; }
+  bool HasFinished() const { return m_finished; }
+  /// Whether the connection may carry another request.
+  bool IsReusable() const { return m_keepAlive && m_finished && !m_peerGone; }
+  /// Closes the connection after this exchange.
+  void CloseAfterwards() { m_keepAlive = false; }
+
+private:
+  using Buffers = std::array<boost::asio::const_buffer, 3>;
+  using Head = boost::beast::http::response<boost::beast::http::empty_body>;
+
+  void PrepareHead(Head& aHead, unsigned aStatus, HttpHeaders const& aHeaders) const;
+  boost::asio::awaitable<Result> WriteBuffers(Buffers aBuffers);
+  boost::beast::tcp_stream& Lowest();
+  Result Check(boost::system::error_code aError);
+
+  AnyStream m_stream;
+  HttpRequest m_request;
+  Duration m_writeTime;
+  std::function<void()> m_onPeerGone;
+  bool m_keepAlive;
+  bool m_mayChunk;
+  bool m_isHead;
+  bool m_started = false;
+  bool m_finished = false;
+  bool m_peerGone = false;
+};
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Base/Http/HttpMessage.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sardinefold::base {
+
+/// An IP address and a TCP port.
+struct Endpoint
+{
+  std::string m_address;
+  std::uint16_t m_port = 0;
+
+  /// Parses "address:port"; IPv6 addresses stand in brackets. The error says
+  /// what is wrong with the text.
+  static tl::expected<Endpoint, std::string> Parse(std::string_view aText);
+  std::string Text() const;
+
+  friend bool operator==(Endpoint const&, Endpoint const&) = default;
+  friend auto operator<=>(Endpoint const&, Endpoint const&) = default;
+};
+
+/// The header fields of an HTTP message, in order; names compare without case.
+class HttpHeaders
+{
+public:
+  struct Field
+  {
+    std::string m_name;
+    std::string m_value;
+  };
+
+  void Add(std::string aName, std::string aValue);
+  /// Replaces every field of this name by one.
+  void Set(std::string aName, std::string aValue);
+  void Remove(std::string_view aName);
+  /// The first value of this name.
+  std::optional<std::string_view> Find(std::string_view aName) const;
+  std::size_t Count(std::string_view aName) const;
+  std::vector<Field> const& Fields() const { return m_fields; }
+
+private:
+  std::vector<Field> m_fields;
+};
+
+/// Removes the fields that RFC 9110, section 7.6.1, keeps to one connection:
+/// Connection and all that it names, Keep-Alive, Proxy-*, TE, Trailer,
+/// Transfer-Encoding and Upgrade.
+void RemoveHopByHopHeaders(HttpHeaders& aHeaders);
+
+struct HttpRequest
+{
+  std::string m_method = "GET";
+  std::string m_target = "/";
+  HttpHeaders m_headers;
+  std::string m_body;
+
+  /// The target without its query.
+  std::string_view Path() const;
+  /// The value of one parameter of the query, undecoded.
+  std::optional<std::string_view> Query(std::string_view aName) const;
+};
+
+struct HttpResponse
+{
+  unsigned m_status = 200;
+  HttpHeaders m_headers;
+  std::string m_body;
+};
+
+/// A response whose body is JSON text.
+HttpResponse JsonResponse(unsigned aStatus, std::string aBody);
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Base/Http/HttpServer.cpp
@@ -0,0 +1,166 @@
+#include "Base/Http/HttpServer.h"
+
+#include "Base/Http/HttpSession.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+
+#include <optional>
+
+namespace sardinefold::base {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
+
+} // namespace
+
+namespace detail {
+
+HttpRequestError ToRequestError(boost::system::error_code aError)
+{
+  if (aError == http::error::header_limit) {
+    return { 431, "the headers are larger than the limit" };
+  }
+  if (aError == http::error::body_limit) {
+    return { 413, "the body is larger than the limit" };
+  }
+  if (aError == boost::beast::error::timeout) {
+    return { 408, "the request did not arrive in time" };
+  }
+  return { 400, "the request is malformed: " + aError.message() };
+}
+
+bool IsPeerClosed(tcp::socket& aSocket)
+{
+  char byte = 0;
+  auto const received =
+    ::recv(aSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return received == 0 ||
+         (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+bool HasInput(tcp::socket& aSocket)
+{
+  char byte = 0;
+  return ::recv(aSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+HttpRequest ToRequest(http::request<http::string_body>& aMessage)
+{
+  HttpRequest request;
+  request.m_method = std::string(aMessage.method_string());
+  request.m_target = std::string(aMessage.target());
+  for (auto const& field : aMessage) {
+    request.m_headers.Add(std::string(field.name_string()), std::string(field.value()));
+  }
+  request.m_body = std::move(aMessage.body());
+  return request;
+}
+
+} // namespace detail
+
+HttpServer::HttpServer(EventLoop& aLoop, HttpServerLimits aLimits, Handler aHandler,
+                       ErrorRenderer aErrorRenderer)
+  : m_loop(aLoop)
+  , m_limits(aLimits)
+  , m_handler(std::move(aHandler))
+  , m_errorRenderer(std::move(aErrorRenderer))
+  , m_acceptor(aLoop.Context())
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::UseTls(std::shared_ptr<asio::ssl::context> aContext)
+{
+  m_tls = std::move(aContext);
+}
+
+tl::expected<void, std::string> HttpServer::Listen(Endpoint const& aEndpoint)
+{
+  boost::system::error_code error;
+  tcp::endpoint const endpoint(asio::ip::make_address(aEndpoint.m_address, error),
+                               aEndpoint.m_port);
+  if (!error) {
+    m_acceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    m_acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return tl::make_unexpected("cannot listen on " + aEndpoint.Text() + ": " + error.message());
+  }
+  m_loop.Start(Accept());
+  return {};
+}
+
+std::uint16_t HttpServer::Port() const
+{
+  boost::system::error_code error;
+  return m_acceptor.local_endpoint(error).port();
+}
+
+asio::awaitable<void> HttpServer::Accept()
+{
+  while (!m_draining) {
+    auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
+    if (error == asio::error::operation_aborted || m_draining) {
+      co_return;
+    }
+    if (error || m_connections >= m_limits.m_connections) {
+      // Out of descriptors or over the limit: the connection is closed and the
+      // acceptor rests, so that it does not spin.
+      boost::system::error_code ignored;
+      socket.close(ignored);
+      co_await m_loop.Sleep(std::chrono::milliseconds(5));
+      continue;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    if (m_tls) {
+      m_loop.Start(ServeTls(std::move(socket), m_tls));
+    } else {
+      m_loop.Start(ServePlain(std::move(socket)));
+    }
+  }
+}
+
+asio::awaitable<void> HttpServer::ServePlain(tcp::socket aSocket)
+{
+  detail::CountGuard const guard(m_connections);
+  boost::beast::tcp_stream stream(std::move(aSocket));
+  Session<boost::beast::tcp_stream> session(*this, stream);
+  co_await session.Run();
+}
+
+asio::awaitable<std::size_t> HttpServer::Drain(Duration aLimit)
+{
+  m_draining = true;
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  for (auto* const socket : m_idle) {
+    socket->close(ignored);
+  }
+  auto const end = m_loop.Now() + aLimit;
+  while (m_exchanges > 0 && m_loop.Now() < end) {
+    co_await m_loop.Sleep(kDrainPoll);
+  }
+  co_return m_exchanges;
+}
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Base/Http/HttpServerTls.cpp
@@ -0,0 +1,27 @@
+#include "Base/Http/HttpSession.h"
+
+#include <boost/beast/ssl.hpp>
+
+namespace sardinefold::base {
+
+namespace asio = boost::asio;
+using boost::asio::ip::tcp;
+using detail::kAwait;
+
+asio::awaitable<void> HttpServer::ServeTls(tcp::socket aSocket,
+                                           std::shared_ptr<asio::ssl::context> aContext)
+{
+  detail::CountGuard const guard(m_connections);
+  HttpExchange::TlsStream stream(boost::beast::tcp_stream(std::move(aSocket)), *aContext);
+  stream.next_layer().expires_after(m_limits.m_headerTime);
+  auto const [error] = co_await stream.async_handshake(asio::ssl::stream_base::server, kAwait);
+  if (error) {
+    co_return;
+  }
+  Session<HttpExchange::TlsStream> session(*this, stream);
+  co_await session.Run();
+  stream.next_layer().expires_after(std::chrono::seconds(1));
+  co_await stream.async_shutdown(kAwait);
+}
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Base/Http/HttpSession.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include "Base/Http/HttpServer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+
+namespace sardinefold::base {
+
+namespace detail {
+
+inline constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+HttpRequestError ToRequestError(boost::system::error_code aError);
+bool IsPeerClosed(boost::asio::ip::tcp::socket& aSocket);
+bool HasInput(boost::asio::ip::tcp::socket& aSocket);
+HttpRequest ToRequest(boost::beast::http::request<boost::beast::http::string_body>& aMessage);
+
+/// Counts one more of something for as long as it lives.
+class CountGuard
+{
+public:
+  explicit CountGuard(std::size_t& aCount)
+    : m_count(aCount)
+  {
+    ++m_count;
+  }
+  CountGuard(CountGuard const&) = delete;
+  CountGuard& operator=(CountGuard const&) = delete;
+  ~CountGuard() { --m_count; }
+
+private:
+  std::size_t& m_count;
+};
+
+} // namespace detail
+
+/// Reads and serves the requests of one connection in turn.
+template<typename Stream>
+class HttpServer::Session
+{
+public:
+  Session(HttpServer& aServer, Stream& aStream)
+    : m_server(aServer)
+    , m_stream(aStream)
+  {
+  }
+
+  boost::asio::awaitable<void> Run()
+  {
+    co_await ServeAll();
+    co_await StopWatching();
+  }
+
+private:
+  boost::asio::awaitable<void> ServeAll()
+  {
+    while (!m_server.m_draining) {
+      if (m_buffer.size() == 0 && !co_await WaitForRequest()) {
+        co_return;
+      }
+      auto request = co_await ReadRequest();
+      if (!request || !co_await Serve(std::move(*request))) {
+        co_return;
+      }
+    }
+  }
+
+  boost::asio::ip::tcp::socket& Socket()
+  {
+    return boost::beast::get_lowest_layer(m_stream).socket();
+  }
+
+  /// Waits between requests, where the connection may be closed at any time.
+  boost::asio::awaitable<bool> WaitForRequest()
+  {
+    boost::beast::get_lowest_layer(m_stream).expires_after(m_server.m_limits.m_idleTime);
+    auto const position = m_server.m_idle.insert(m_server.m_idle.end(), &Socket());
+    auto const prepared = m_buffer.prepare(4096);
+    auto const [error, size] = co_await m_stream.async_read_some(prepared, detail::kAwait);
+    m_server.m_idle.erase(position);
+    m_buffer.commit(size);
+    co_return !error;
+  }
+
+  boost::asio::awaitable<std::optional<HttpRequest>> ReadRequest()
+  {
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.m_headerBytes.Value()));
+    m_parser->body_limit(static_cast<std::uint64_t>(m_server.m_limits.m_bodyBytes.Value()));
+    boost::beast::get_lowest_layer(m_stream).expires_after(m_server.m_limits.m_headerTime);
+    auto const [headerError, headerSize] =
+      co_await boost::beast::http::async_read_header(m_stream, m_buffer, *m_parser, detail::kAwait);
+    if (headerError) {
+      co_await Reject(headerError);
+      co_return std::nullopt;
+    }
+    if (boost::beast::iequals(m_parser->get()[boost::beast::http::field::expect], "100-continue")) {
+      boost::beast::http::response<boost::beast::http::empty_body> goOn{
+        boost::beast::http::status::continue_, 11
+      };
+      auto const [writeError, written] =
+        co_await boost::beast::http::async_write(m_stream, goOn, detail::kAwait);
+      if (writeError) {
+        co_return std::nullopt;
+      }
+    }
+    boost::beast::get_lowest_layer(m_stream).expires_after(m_server.m_limits.m_bodyTime);
+    auto const [bodyError, bodySize] =
+      co_await boost::beast::http::async_read(m_stream, m_buffer, *m_parser, detail::kAwait);
+    if (bodyError) {
+      co_await Reject(bodyError);
+      co_return std::nullopt;
+    }
+    m_keepAlive = m_parser->get().keep_alive();
+    m_mayChunk = m_parser->get().version() >= 11;
+    std::optional<HttpRequest> request(detail::ToRequest(m_parser->get()));
+    m_parser.reset();
+    co_return request;
+  }
+
+  boost::asio::awaitable<void> Reject(boost::system::error_code aError)
+  {
+    if (aError == boost::beast::http::error::end_of_stream ||
+        aError == boost::asio::error::connection_reset ||
+        aError == boost::asio::error::operation_aborted || aError == boost::asio::error::eof) {
+      co_return;
+    }
+    auto response = m_server.m_errorRenderer(detail::ToRequestError(aError));
+    HttpRequest noRequest;
+    HttpExchange exchange(&m_stream, std::move(noRequest), false, true,
+                          m_server.m_limits.m_writeTime);
+    co_await exchange.Respond(std::move(response));
+    co_await Linger();
+  }
+
+  /// Reads on for a moment before closing, so that a peer that is still
+  /// sending gets the answer and not a reset.
+  boost::asio::awaitable<void> Linger()
+  {
+    auto& lowest = boost::beast::get_lowest_layer(m_stream);
+    boost::system::error_code ignored;
+    lowest.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    lowest.expires_after(std::chrono::seconds(1));
+    for (int reads = 0; reads < 64; ++reads) {
+      m_buffer.clear();
+      auto const prepared = m_buffer.prepare(4096);
+      auto const [error, size] = co_await lowest.async_read_some(prepared, detail::kAwait);
+      if (error) {
+        co_return;
+      }
+    }
+  }
+
+  boost::asio::awaitable<bool> Serve(HttpRequest aRequest)
+  {
+    detail::CountGuard const guard(m_server.m_exchanges);
+    HttpExchange exchange(&m_stream, std::move(aRequest), m_keepAlive && !m_server.m_draining,
+                          m_mayChunk, m_server.m_limits.m_writeTime);
+    m_current = &exchange;
+    WatchPeer();
+    co_await m_server.m_handler(exchange);
+    m_current = nullptr;
+    if (m_server.m_draining) {
+      exchange.CloseAfterwards();
+    }
+    co_return exchange.IsReusable();
+  }
+
+  /// Keeps one wait for input armed while a request is served, to see the peer
+  /// close. The wait may outlast the request; it then ends with the next input.
+  void WatchPeer()
+  {
+    if (m_watching) {
+      return;
+    }
+    m_watching = true;
+    Socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [this](boost::system::error_code aError) {
+                          m_watching = false;
+                          m_watchEnded.cancel();
+                          if (aError || !m_current) {
+                            return;
+                          }
+                          if (detail::IsPeerClosed(Socket())) {
+                            m_current->NotePeerGone();
+                          } else if (!detail::HasInput(Socket())) {
+                            WatchPeer();
+                          }
+                          // NOTE: a pipelined request hides a later close from this check; the
+                          // close is then seen at the next write.
+                        });
+  }
+
+  /// The armed wait refers to the session, so it has to end first.
+  boost::asio::awaitable<void> StopWatching()
+  {
+    while (m_watching) {
+      boost::system::error_code ignored;
+      Socket().cancel(ignored);
+      m_watchEnded.expires_after(std::chrono::seconds(1));
+      co_await m_watchEnded.async_wait(detail::kAwait);
+    }
+  }
+
+  HttpServer& m_server;
+  Stream& m_stream;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+  boost::asio::steady_timer m_watchEnded{ m_server.m_loop.Context() };
+  bool m_keepAlive = false;
+  bool m_mayChunk = true;
+  HttpExchange* m_current = nullptr;
+  bool m_watching = false;
+};
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Base/Log.cpp
@@ -0,0 +1,79 @@
+#include "Base/Log.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/mdc.h>
+
+namespace sardinefold::base::log {
+
+namespace {
+
+log4cxx::LoggerPtr& ProgramLogger()
+{
+  static log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("sardinefold");
+  return logger;
+}
+
+log4cxx::LevelPtr ToLevel(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+      return log4cxx::Level::getInfo();
+    case LogLevel::Warning:
+      return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+      return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getInfo();
+}
+
+} // namespace
+
+tl::expected<void, std::string> Configure(std::string_view aProgram, std::string_view aLevel)
+{
+  log4cxx::LevelPtr level;
+  if (aLevel == "debug") {
+    level = log4cxx::Level::getDebug();
+  } else if (aLevel == "info") {
+    level = log4cxx::Level::getInfo();
+  } else if (aLevel == "warning") {
+    level = log4cxx::Level::getWarn();
+  } else if (aLevel == "error") {
+    level = log4cxx::Level::getError();
+  } else {
+    return tl::make_unexpected("\"" + std::string(aLevel) +
+                               "\" is not one of debug, info, warning, error");
+  }
+  auto layout = std::make_shared<log4cxx::JSONLayout>();
+  layout->setLocationInfo(false);
+  auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
+  appender->setTarget(LOG4CXX_STR("System.err"));
+  log4cxx::helpers::Pool pool;
+  appender->activateOptions(pool);
+  log4cxx::BasicConfigurator::resetConfiguration();
+  log4cxx::BasicConfigurator::configure(appender);
+  ProgramLogger() = log4cxx::Logger::getLogger(std::string(aProgram));
+  ProgramLogger()->setLevel(level);
+  return {};
+}
+
+void Write(LogLevel aLevel, std::string_view aMessage, std::initializer_list<LogField> aFields)
+{
+  auto const& logger = ProgramLogger();
+  auto const level = ToLevel(aLevel);
+  if (!logger->isEnabledFor(level)) {
+    return;
+  }
+  for (auto const& field : aFields) {
+    log4cxx::MDC::put(std::string(field.m_name), field.m_value);
+  }
+  logger->forcedLog(level, std::string(aMessage),
+                    log4cxx::spi::LocationInfo::getLocationUnavailable());
+  log4cxx::MDC::clear();
+}
+
+} // namespace sardinefold::base::log
--- /dev/null
+++ b/Base/Log.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <tl/expected.hpp>
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace sardinefold::base {
+
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warning,
+  Error
+};
+
+/// A named value of a log line. Keys of callers never go into one.
+struct LogField
+{
+  std::string_view m_name;
+  std::string m_value;
+};
+
+/// Writes log lines as JSON objects to standard error. The fields stand in
+/// "context_map", beside "timestamp", "level", "logger" and "message".
+namespace log {
+
+/// Sets the program's name and the lowest level written. The error says which
+/// levels exist.
+tl::expected<void, std::string> Configure(std::string_view aProgram, std::string_view aLevel);
+
+void Write(LogLevel aLevel, std::string_view aMessage,
+           std::initializer_list<LogField> aFields = {});
+
+inline void Debug(std::string_view aMessage, std::initializer_list<LogField> aFields = {})
+{
+  Write(LogLevel::Debug, aMessage, aFields);
+}
+inline void Info(std::string_view aMessage, std::initializer_list<LogField> aFields = {})
+{
+  Write(LogLevel::Info, aMessage, aFields);
+}
+inline void Warning(std::string_view aMessage, std::initializer_list<LogField> aFields = {})
+{
+  Write(LogLevel::Warning, aMessage, aFields);
+}
+inline void Error(std::string_view aMessage, std::initializer_list<LogField> aFields = {})
+{
+  Write(LogLevel::Error, aMessage, aFields);
+}
+
+} // namespace log
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Base/Rpc/PeerAuthentication.cpp
@@ -0,0 +1,47 @@
+#include "Base/Rpc/PeerAuthentication.h"
+
+#include "Base/Digest.h"
+
+namespace sardinefold::base {
+
+namespace {
+
+constexpr std::size_t kCorrelationBytes = 12;
+
+} // namespace
+
+std::string PeerAuthentication::Signature(HttpRequest const& aRequest,
+                                          std::string_view aCorrelation) const
+{
+  std::string text;
+  text.reserve(aRequest.m_body.size() + aRequest.m_target.size() + 64);
+  text.append(aRequest.m_method).append("\n");
+  text.append(aRequest.m_target).append("\n");
+  text.append(aCorrelation).append("\n");
+  text.append(aRequest.m_body);
+  return ToHex(HmacSha256(m_secret, text));
+}
+
+void PeerAuthentication::Sign(HttpRequest& aRequest) const
+{
+  if (!aRequest.m_headers.Find(kCorrelationHeader)) {
+    aRequest.m_headers.Add(kCorrelationHeader, RandomHex(kCorrelationBytes));
+  }
+  std::string const correlation(*aRequest.m_headers.Find(kCorrelationHeader));
+  aRequest.m_headers.Set(kSignatureHeader, Signature(aRequest, correlation));
+}
+
+bool PeerAuthentication::Verify(HttpRequest const& aRequest) const
+{
+  auto const correlation = aRequest.m_headers.Find(kCorrelationHeader);
+  auto const signature = aRequest.m_headers.Find(kSignatureHeader);
+  Sha256Value given{};
+  Sha256Value expected{};
+  if (!correlation || !signature || !FromHex(*signature, given)) {
+    return false;
+  }
+  FromHex(Signature(aRequest, *correlation), expected);
+  return EqualInConstantTime(given, expected);
+}
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Base/Rpc/PeerAuthentication.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Base/Http/HttpMessage.h"
+
+#include <string>
+#include <string_view>
+
+namespace sardinefold::base {
+
+/// Names the exchange in both directions, so that a crossed answer is seen.
+inline constexpr char kCorrelationHeader[] = "Sardinefold-Correlation";
+/// HMAC-SHA256 of the message under the fleet's secret, in hexadecimal.
+inline constexpr char kSignatureHeader[] = "Sardinefold-Signature";
+
+/// Signs and checks the messages between the system's own processes, so that
+/// no stranger on the network can give an order.
+class PeerAuthentication
+{
+public:
+  explicit PeerAuthentication(std::string aFleetSecret)
+    : m_secret(std::move(aFleetSecret))
+  {
+  }
+
+  /// Adds a fresh correlation id, unless the request has one, and the
+  /// signature over method, target, correlation id and body.
+  void Sign(HttpRequest& aRequest) const;
+  bool Verify(HttpRequest const& aRequest) const;
+
+private:
+  std::string Signature(HttpRequest const& aRequest, std::string_view aCorrelation) const;
+
+  std::string m_secret;
+};
+
+} // namespace sardinefold::base
--- /dev/null
+++ b/Meta/test.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Does all that CI does: installs, checks format, shape and lint, builds, tests.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+passed=0
+failed=0
+step() {
+  local name=$1
+  shift
+  local start=$SECONDS
+  if "$@"; then
+    passed=$((passed + 1))
+    echo "ok: $name ($((SECONDS - start)) s)"
+  else
+    failed=$((failed + 1))
+    echo "FAILED: $name ($((SECONDS - start)) s)"
+  fi
+}
+step install Meta/install.sh
+step format Meta/format.sh --check
+step shape Meta/check-shape.sh
+step build Meta/build.sh
+step lint Meta/lint.py
+step tests ctest --test-dir Build -j 4 --output-on-failure
+if [ -s KNOWN-RED.txt ]; then
+  echo "Known faults (not counted):"
+  cat KNOWN-RED.txt
+fi
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/Operator/Document.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "Base/Digest.h"
+#include "Base/Identifiers.h"
+#include "Base/Units.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sardinefold::operators {
+
+/// Order of service under load: a class yields to those before it.
+enum class RequestClass
+{
+  Interactive,
+  Standard,
+  Batch
+};
+
+std::string_view ToText(RequestClass aClass);
+
+/// A base model that the environment serves.
+struct ModelSpec
+{
+  base::ModelId m_id;
+  base::DeploymentId m_deployment;
+  /// Accelerator memory of one replica's weights.
+  base::Bytes m_weights;
+  /// Accelerator memory that one replica keeps for its KV cache.
+  base::Bytes m_cache;
+  /// Longest prompt plus answer.
+  base::Tokens m_contextTokens;
+  unsigned m_minimumReplicas = 0;
+  unsigned m_maximumReplicas = 1;
+};
+
+/// A fine-tuned adapter; a request may name it in place of its model.
+struct AdapterSpec
+{
+  base::AdapterId m_id;
+  base::ModelId m_model;
+  base::Bytes m_weights;
+};
+
+/// A customer with its allowance, which holds for the whole fleet.
+struct WorkspaceSpec
+{
+  base::WorkspaceId m_id;
+  base::TokensPerSecond m_rate;
+  base::Tokens m_burst;
+};
+
+/// A key of a workspace; the document holds only its hash.
+struct KeySpec
+{
+  base::KeyId m_id;
+  base::WorkspaceId m_workspace;
+  base::Sha256Value m_hash;
+};
+
+enum class UpstreamKind
+{
+  Engine,
+  Service
+};
+
+/// A back end beside one agent.
+struct UpstreamSpec
+{
+  base::UpstreamId m_id;
+  base::DeploymentId m_deployment;
+  base::HostId m_host;
+  UpstreamKind m_kind = UpstreamKind::Engine;
+  /// Accelerator memory of an engine; 0 for a service.
+  base::Bytes m_memory;
+  /// Requests that it runs at once.
+  unsigned m_concurrency = 1;
+  /// Whether the engine refuses orders with an old fencing number.
+  bool m_checksFencing = false;
+};
+
+/// Where requests of a path prefix go and how they are treated. The routes of
+/// the model API have the path prefix "/v1/".
+struct RouteSpec
+{
+  base::RouteId m_id;
+  std::string m_pathPrefix;
+  base::DeploymentId m_deployment;
+  /// Open routes need no key.
+  bool m_isOpen = false;
+  /// Whether running a request twice does no harm.
+  bool m_isRepeatable = true;
+  RequestClass m_class = RequestClass::Standard;
+  /// From the request's arrival to the first byte of its answer.
+  base::Duration m_deadline{};
+};
+
+/// One environment's document, checked.
+struct Document
+{
+  base::EnvironmentId m_environment;
+  base::DocumentVersion m_version;
+  std::map<base::ModelId, ModelSpec> m_models;
+  std::map<base::AdapterId, AdapterSpec> m_adapters;
+  std::map<base::WorkspaceId, WorkspaceSpec> m_workspaces;
+  std::map<base::KeyId, KeySpec> m_keys;
+  std::map<base::UpstreamId, UpstreamSpec> m_upstreams;
+  std::map<base::RouteId, RouteSpec> m_routes;
+};
+
+} // namespace sardinefold::operators
--- /dev/null
+++ b/Tests/HttpTest.cpp
@@ -0,0 +1,187 @@
+#define BOOST_TEST_MODULE Http
+#include "Base/Http/HttpClient.h"
+#include "Base/Http/HttpServer.h"
+#include "Base/Json.h"
+#include "Base/Rpc/RpcClient.h"
+#include "Base/Rpc/RpcServer.h"
+#include "Programs/SystemClock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using base::HttpExchange;
+using boost::asio::awaitable;
+
+namespace {
+
+base::HttpResponse RenderError(base::HttpRequestError const& aError)
+{
+  return base::JsonResponse(aError.m_status, "{}");
+}
+
+/// Runs one coroutine against a server on a port that the system chooses.
+template<typename Body>
+void RunWithServer(base::HttpServer::Handler aHandler, base::HttpServerLimits aLimits, Body aBody)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  base::HttpServer server(loop, aLimits, std::move(aHandler), RenderError);
+  BOOST_REQUIRE(server.Listen({ "127.0.0.1", 0 }));
+  base::HttpClient client(loop, {});
+  base::Endpoint const endpoint{ "127.0.0.1", server.Port() };
+  auto run = [&]() -> awaitable<void> {
+    co_await aBody(loop, client, endpoint, server);
+    client.CloseIdle(endpoint);
+    co_await server.Drain(std::chrono::seconds(2));
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+}
+
+awaitable<void> Echo(HttpExchange& aExchange)
+{
+  base::HttpResponse response;
+  response.m_body = aExchange.Request().m_body;
+  co_await aExchange.Respond(std::move(response));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(KeepsConnectionForTheNextRequest)
+{
+  auto body = [](base::EventLoop&, base::HttpClient& aClient, base::Endpoint aEndpoint,
+                 base::HttpServer& aServer) -> awaitable<void> {
+    for (int round = 0; round < 3; ++round) {
+      base::HttpRequest request;
+      request.m_method = "POST";
+      request.m_body = "hello";
+      auto response =
+        co_await aClient.Fetch(aEndpoint, std::move(request), std::chrono::seconds(2));
+      BOOST_REQUIRE(response);
+      BOOST_TEST(response->m_body == "hello");
+    }
+    BOOST_TEST(aServer.OpenConnections() == 1U);
+    BOOST_TEST(aClient.IdleConnections(aEndpoint) == 1U);
+  };
+  RunWithServer(Echo, {}, body);
+}
+
+BOOST_AUTO_TEST_CASE(StreamsPiecesAsTheyAreWritten)
+{
+  auto handler = [](HttpExchange& aExchange) -> awaitable<void> {
+    base::HttpHeaders headers;
+    co_await aExchange.StartStream(200, headers);
+    co_await aExchange.Write("one");
+    co_await aExchange.Write("two");
+    co_await aExchange.Finish();
+  };
+  auto body = [](base::EventLoop&, base::HttpClient& aClient, base::Endpoint aEndpoint,
+                 base::HttpServer&) -> awaitable<void> {
+    base::HttpRequest request;
+    auto reply = co_await aClient.Send(aEndpoint, std::move(request), std::chrono::seconds(2));
+    BOOST_REQUIRE(reply);
+    std::string all;
+    while (!reply->IsComplete()) {
+      auto piece = co_await reply->Read(std::chrono::seconds(2));
+      BOOST_REQUIRE(piece);
+      all += *piece;
+    }
+    BOOST_TEST(all == "onetwo");
+  };
+  RunWithServer(handler, {}, body);
+}
+
+BOOST_AUTO_TEST_CASE(TellsTheHandlerThatThePeerHasGone)
+{
+  bool gone = false;
+  auto handler = [&gone](HttpExchange& aExchange) -> awaitable<void> {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_after(std::chrono::seconds(5));
+    aExchange.OnPeerGone([&] {
+      gone = true;
+      timer.cancel();
+    });
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  };
+  auto body = [](base::EventLoop&, base::HttpClient& aClient, base::Endpoint aEndpoint,
+                 base::HttpServer&) -> awaitable<void> {
+    base::HttpRequest request;
+    auto reply =
+      co_await aClient.Send(aEndpoint, std::move(request), std::chrono::milliseconds(50));
+    BOOST_REQUIRE(!reply);
+    BOOST_TEST((reply.error().m_kind == base::HttpFailure::Kind::TimedOut));
+    BOOST_TEST(reply.error().m_mayHaveBeenSent);
+  };
+  RunWithServer(handler, {}, body);
+  BOOST_TEST(gone);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesABodyOverTheLimit)
+{
+  base::HttpServerLimits limits;
+  limits.m_bodyBytes = base::Bytes(10);
+  auto body = [](base::EventLoop&, base::HttpClient& aClient, base::Endpoint aEndpoint,
+                 base::HttpServer&) -> awaitable<void> {
+    base::HttpRequest request;
+    request.m_method = "POST";
+    request.m_body = std::string(11, 'x');
+    auto response = co_await aClient.Fetch(aEndpoint, std::move(request), std::chrono::seconds(2));
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->m_status == 413U);
+  };
+  RunWithServer(Echo, limits, body);
+}
+
+BOOST_AUTO_TEST_CASE(ConnectFailureSendsNothing)
+{
+  auto body = [](base::EventLoop&, base::HttpClient& aClient, base::Endpoint,
+                 base::HttpServer&) -> awaitable<void> {
+    base::Endpoint const nobody{ "127.0.0.1", 1 };
+    base::HttpRequest request;
+    auto reply = co_await aClient.Send(nobody, std::move(request), std::chrono::seconds(1));
+    BOOST_REQUIRE(!reply);
+    BOOST_TEST(!reply.error().m_mayHaveBeenSent);
+  };
+  RunWithServer(Echo, {}, body);
+}
+
+BOOST_AUTO_TEST_CASE(RemoteCallsNeedTheFleetSecret)
+{
+  base::PeerAuthentication const fleet("secret");
+  base::PeerAuthentication const stranger("guess");
+  base::RpcServer rpc(fleet);
+  rpc.Register("add", [](Json::Value const& aInput) -> tl::expected<Json::Value, base::RpcError> {
+    if (!aInput["left"].isInt()) {
+      return tl::make_unexpected(base::RpcError{ base::kRpcInvalidParameters, "left" });
+    }
+    Json::Value result;
+    result["sum"] = aInput["left"].asInt() + aInput["right"].asInt();
+    return result;
+  });
+  auto handler = [&rpc](HttpExchange& aExchange) -> awaitable<void> {
+    auto answer = rpc.Answer(aExchange.Request());
+    co_await aExchange.Respond(std::move(answer));
+  };
+  auto body = [&](base::EventLoop&, base::HttpClient& aClient, base::Endpoint aEndpoint,
+                  base::HttpServer&) -> awaitable<void> {
+    Json::Value parameters;
+    parameters["left"] = 1;
+    parameters["right"] = 2;
+    base::RpcClient member(aClient, fleet);
+    auto sum = co_await member.Call(aEndpoint, "add", parameters, std::chrono::seconds(2));
+    BOOST_REQUIRE(sum);
+    BOOST_TEST((*sum)["sum"].asInt() == 3);
+    base::RpcClient other(aClient, stranger);
+    auto refused = co_await other.Call(aEndpoint, "add", parameters, std::chrono::seconds(2));
+    BOOST_REQUIRE(!refused);
+    BOOST_TEST((refused.error().m_kind == base::RpcFailure::Kind::Unauthenticated));
+    parameters["left"] = "x";
+    auto invalid = co_await member.Call(aEndpoint, "add", parameters, std::chrono::seconds(2));
+    BOOST_REQUIRE(!invalid);
+    BOOST_TEST(invalid.error().m_code == base::kRpcInvalidParameters);
+  };
+  RunWithServer(handler, {}, body);
+}
