--- /dev/null
+++ b/Agent/DispatchError.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Base/Outcome.h"
+#include "Base/Time.h"
+
+#include <optional>
+#include <variant>
+
+namespace sardinefold::agent {
+
+/// Why a request got no answer from any upstream.
+enum class DispatchErrorCode
+{
+  NoUpstream,
+  Overloaded,
+  DeadlineUnreachable,
+  UpstreamFailed,
+  IdempotencyKeyReused,
+  SuspectRequest,
+  PlatformUnavailable,
+  /// The caller went away before an answer.
+  Cancelled
+};
+
+struct DispatchError
+{
+  DispatchErrorCode m_code;
+  std::variant<base::NotRun, base::Unknown> m_outcome;
+  std::optional<base::Duration> m_retryAfter;
+};
+
+} // namespace sardinefold::agent
--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -110,6 +110,21 @@
   }
 }
 
+/// Makes a cancellation close the connection.
+void CancelWith(Cancellation* aCancellation, HttpConnection& aConnection)
+{
+  if (aCancellation) {
+    aCancellation->SetAction([&aConnection] { aConnection.m_stream.close(); });
+  }
+}
+
+void StopCancelling(Cancellation* aCancellation)
+{
+  if (aCancellation) {
+    aCancellation->ClearAction();
+  }
+}
+
 } // namespace
 
 std::string_view ToText(HttpFailure::Kind aKind)
@@ -131,8 +146,10 @@
   return "failed";
 }
 
-HttpReply::HttpReply(HttpClient& aClient, std::unique_ptr<HttpConnection> aConnection)
+HttpReply::HttpReply(HttpClient& aClient, std::unique_ptr<HttpConnection> aConnection,
+                     Cancellation* aCancellation)
   : m_client(&aClient)
+  , m_cancellation(aCancellation)
   , m_connection(std::move(aConnection))
 {
   auto const& head = m_connection->m_parser->get();
@@ -147,11 +164,21 @@
 
 HttpReply::HttpReply(HttpReply&&) noexcept = default;
 HttpReply& HttpReply::operator=(HttpReply&&) noexcept = default;
-HttpReply::~HttpReply() = default;
+
+HttpReply::~HttpReply()
+{
+  // The cancellation's action refers to the connection.
+  if (m_connection && m_cancellation) {
+    m_cancellation->ClearAction();
+  }
+}
 
 void HttpReply::Finish()
 {
   m_complete = true;
+  if (m_cancellation) {
+    m_cancellation->ClearAction();
+  }
   bool const keepAlive = m_connection->m_parser->keep_alive();
   m_connection->m_parser.reset();
   if (keepAlive) {
@@ -173,6 +200,9 @@
     auto const [error, size] =
       co_await http::async_read_some(connection.m_stream, connection.m_buffer, parser, kAwait);
     if (error && error != http::error::need_buffer) {
+      if (m_cancellation) {
+        m_cancellation->ClearAction();
+      }
       m_connection.reset();
       m_complete = true;
       co_return tl::make_unexpected(ToFailure(error, true));
@@ -234,11 +264,13 @@
 
 asio::awaitable<tl::expected<HttpReply, HttpFailure>> HttpClient::Send(Endpoint aEndpoint,
                                                                        HttpRequest aRequest,
-                                                                       Duration aHeadLimit)
+                                                                       Duration aHeadLimit,
+                                                                       Cancellation* aCancellation)
 {
   auto connection = TakeIdle(aEndpoint);
   if (!connection) {
     connection = std::make_unique<HttpConnection>(m_loop.Context(), aEndpoint);
+    CancelWith(aCancellation, *connection);
     auto const connectLimit = std::min(m_limits.m_connectTime, aHeadLimit);
     auto const error = co_await Connect(*connection, connectLimit);
     if (error) {
@@ -247,19 +279,26 @@
       co_return tl::make_unexpected(std::move(failure));
     }
   }
+  if (aCancellation && aCancellation->IsCancelled()) {
+    HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false, "cancelled" };
+    co_return tl::make_unexpected(std::move(failure));
+  }
+  CancelWith(aCancellation, *connection);
   auto message = ToMessage(aEndpoint, aRequest);
   connection->m_stream.expires_after(aHeadLimit);
   auto const [writeError, written] =
     co_await http::async_write(connection->m_stream, message, kAwait);
   if (writeError) {
+    StopCancelling(aCancellation);
     co_return tl::make_unexpected(ToFailure(writeError, true));
   }
   bool const isHead = aRequest.m_method == "HEAD";
   auto const readError = co_await ReadHead(*connection, isHead, m_limits.m_headerBytes);
   if (readError) {
+    StopCancelling(aCancellation);
     co_return tl::make_unexpected(ToFailure(readError, true));
   }
-  co_return HttpReply(*this, std::move(connection));
+  co_return HttpReply(*this, std::move(connection), aCancellation);
 }
 
 asio::awaitable<tl::expected<HttpResponse, HttpFailure>> HttpClient::Fetch(Endpoint aEndpoint,
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Cancellation.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpMessage.h"
 #include "Base/Units.h"
@@ -71,10 +72,12 @@
 
 private:
   friend class HttpClient;
-  HttpReply(HttpClient& aClient, std::unique_ptr<HttpConnection> aConnection);
+  HttpReply(HttpClient& aClient, std::unique_ptr<HttpConnection> aConnection,
+            Cancellation* aCancellation);
   void Finish();
 
   HttpClient* m_client;
+  Cancellation* m_cancellation;
   std::unique_ptr<HttpConnection> m_connection;
   unsigned m_status = 0;
   HttpHeaders m_headers;
@@ -90,10 +93,12 @@
   ~HttpClient();
 
   /// Sends a request and waits for the head of its response. Fails with
-  /// TimedOut if the head does not arrive in the given time.
-  boost::asio::awaitable<tl::expected<HttpReply, HttpFailure>> Send(Endpoint aEndpoint,
-                                                                    HttpRequest aRequest,
-                                                                    Duration aHeadLimit);
+  /// TimedOut if the head does not arrive in the given time. A cancellation,
+  /// if given, closes the connection until the response has ended; it has to
+  /// outlive the reply.
+  boost::asio::awaitable<tl::expected<HttpReply, HttpFailure>> Send(
+    Endpoint aEndpoint, HttpRequest aRequest, Duration aHeadLimit,
+    Cancellation* aCancellation = nullptr);
 
   /// Sends a request and reads its whole response, of at most the given size,
   /// within the given time.
--- /dev/null
+++ b/Caller/Admission.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Time.h"
+#include "Caller/Refusal.h"
+#include "Caller/RouteTable.h"
+
+#include <tl/expected.hpp>
+
+#include <concepts>
+#include <optional>
+#include <string_view>
+
+namespace sardinefold::caller {
+
+/// Why a key is not honoured.
+enum class KeyError
+{
+  Invalid,
+  /// The verifier cannot tell whether the key has been withdrawn.
+  NotVerifiable
+};
+
+/// Tells which workspace a secret key belongs to at the present time.
+template<typename T>
+concept KeyVerifier = requires(T const& aVerifier, std::string_view aSecret, base::Instant aNow)
+{
+  {
+    aVerifier.Verify(aSecret, aNow)
+    } -> std::same_as<tl::expected<base::WorkspaceId, KeyError>>;
+};
+
+/// Workspace of requests on routes open to all.
+base::WorkspaceId OpenWorkspace();
+
+/// A request that may be served, and on whose account.
+struct Admitted
+{
+  operators::RouteSpec m_route;
+  base::WorkspaceId m_workspace;
+  /// When the first byte of the answer is due.
+  base::Instant m_deadline;
+};
+
+/// The secret in an "Authorization: Bearer" value, if it is one.
+std::optional<std::string_view> BearerSecret(std::optional<std::string_view> aAuthorization);
+
+/// Decides by path and key whether a request may be served.
+template<KeyVerifier Keys>
+tl::expected<Admitted, Refusal> Admit(RouteTable const& aRoutes, Keys const& aKeys,
+                                      std::string_view aPath,
+                                      std::optional<std::string_view> aAuthorization,
+                                      base::Instant aNow)
+{
+  auto const* const route = aRoutes.Find(aPath);
+  if (!route) {
+    return tl::make_unexpected(
+      RefuseAtDoor(RefusalCode::UnknownRoute, "no route matches this path"));
+  }
+  if (route->m_isOpen) {
+    return Admitted{ *route, OpenWorkspace(), aNow + route->m_deadline };
+  }
+  auto const secret = BearerSecret(aAuthorization);
+  if (!secret) {
+    return tl::make_unexpected(RefuseAtDoor(
+      RefusalCode::MissingKey, "this route needs a key in \"Authorization: Bearer KEY\""));
+  }
+  auto const workspace = aKeys.Verify(*secret, aNow);
+  if (workspace) {
+    return Admitted{ *route, *workspace, aNow + route->m_deadline };
+  }
+  if (workspace.error() == KeyError::NotVerifiable) {
+    return tl::make_unexpected(RefuseAtDoor(RefusalCode::KeysNotVerifiable,
+                                            "this process has no fresh news of withdrawn keys",
+                                            std::chrono::seconds(1)));
+  }
+  return tl::make_unexpected(
+    RefuseAtDoor(RefusalCode::InvalidKey, "the key is not valid or has been withdrawn"));
+}
+
+} // namespace sardinefold::caller
