Operator: Read, check and render the document

A mistake in the document must be found before it is accepted, and all mistakes at once. The codec reads every field, reports each problem with its JSON Pointer, and refuses unknown fields; DocumentCheck, which knows no JSON, checks references, capacity and allowances.

--- a/Operator/Document.h
+++ b/Operator/Document.h
@@ -6,7 +6,7 @@
 
 #include <map>
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace sardinefold::operators {
 
@@ -65,6 +65,8 @@
   Service
 };
 
+std::string_view ToText(UpstreamKind aKind);
+
 /// A back end beside one agent.
 struct UpstreamSpec
 {
@@ -100,6 +102,7 @@
 struct Document
 {
   base::EnvironmentId m_environment;
+  /// In a file: the version that the file was made from; 0 for none.
   base::DocumentVersion m_version;
   std::map<base::ModelId, ModelSpec> m_models;
   std::map<base::AdapterId, AdapterSpec> m_adapters;
--- /dev/null
+++ b/Operator/DocumentCodec.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Operator/Document.h"
+#include "Operator/DocumentProblem.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace sardinefold::operators {
+
+/// Longest document text that is read: 52,000 adapters take about 6 MB.
+inline constexpr std::size_t kMaxDocumentBytes = std::size_t(32) * 1024 * 1024;
+
+/// Reads a document from JSON and checks it, cross references included. The
+/// error names every problem, not only the first.
+tl::expected<Document, DocumentProblems> ParseDocument(std::string_view aText);
+
+/// Renders a document as JSON for people. Parsing the result gives an equal
+/// document.
+std::string RenderDocument(Document const& aDocument);
+
+} // namespace sardinefold::operators
--- /dev/null
+++ b/Operator/ObjectReaderCodec.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Base/Digest.h"
+#include "Base/Identifier.h"
+#include "Operator/DocumentProblem.h"
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace sardinefold::operators {
+
+/// Bounds of a whole number, both included.
+struct IntegerRange
+{
+  std::int64_t m_least;
+  std::int64_t m_most;
+};
+
+/// Reads the fields of one JSON object, notes what is wrong with each, and at
+/// Finish() which fields nobody asked for. A field that is wrong reads as the
+/// type's empty value, so that reading goes on and finds every problem.
+class ObjectReader
+{
+public:
+  ObjectReader(Json::Value const& aValue, std::string aPath, DocumentProblems& aProblems);
+
+  template<typename Id>
+  Id ReadId(std::string const& aName)
+  {
+    auto const text = ReadText(aName);
+    return text ? CheckId<Id>(*text, FieldPath(aName)) : Id();
+  }
+
+  /// Checks a name that is itself the name of a member of this object.
+  template<typename Id>
+  Id MemberId(std::string const& aMember)
+  {
+    return CheckId<Id>(aMember, FieldPath(aMember));
+  }
+
+  /// A field without a default is required.
+  std::int64_t ReadInteger(std::string const& aName, IntegerRange aRange,
+                           std::optional<std::int64_t> aDefault = std::nullopt);
+  double ReadPositiveNumber(std::string const& aName, double aMost);
+  bool ReadFlag(std::string const& aName, bool aDefault);
+  std::optional<std::string> ReadText(std::string const& aName);
+  base::Sha256Value ReadSha256(std::string const& aName);
+  /// The position among the names given; 0 if the field is wrong.
+  std::size_t ReadChoice(std::string const& aName, std::span<std::string_view const> aChoices,
+                         std::optional<std::size_t> aDefault = std::nullopt);
+  /// The object of this name, or an empty one if it is absent.
+  Json::Value const& ReadObject(std::string const& aName);
+
+  std::string FieldPath(std::string const& aName) const;
+  void Report(std::string const& aName, std::string aMessage);
+  /// Reports the fields that were not read.
+  void Finish();
+
+private:
+  template<typename Id>
+  Id CheckId(std::string const& aText, std::string const& aPath)
+  {
+    auto id = Id::Create(aText);
+    if (!id) {
+      m_problems.push_back({ aPath, "the name " + std::string(ToText(id.error())) });
+      return Id();
+    }
+    return *id;
+  }
+
+  /// Null if the field is absent, which is reported if it is required.
+  Json::Value const* Find(std::string const& aName, bool aIsRequired);
+  void ReportType(std::string const& aName, std::string const& aExpected,
+                  Json::Value const& aFound);
+
+  Json::Value const& m_value;
+  std::string m_path;
+  DocumentProblems& m_problems;
+  std::set<std::string> m_read;
+};
+
+} // namespace sardinefold::operators
