Caller: Serve the model API; Programs: Add sardinefold-load

The callers' endpoint is a template over what it needs of its process, so that tests and another front end can drive it. sardinefold-load sends seeded open-loop load and reports percentiles for each workspace and class.

--- /dev/null
+++ b/Agent/DispatchAnswer.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Agent/DispatchError.h"
+#include "Base/Identifiers.h"
+#include "Base/Units.h"
+
+#include <cstdint>
+
+namespace sardinefold::agent {
+
+/// Names a reservation of tokens until it is settled. Zero names none.
+using ReservationId = base::Ordinal<struct ReservationTag>;
+
+/// An upstream runs the request; its answer arrives by the reply.
+template<typename Reply>
+struct DispatchAnswer
+{
+  base::UpstreamId m_upstream;
+  /// Tokens held for the request, settled when its answer has ended.
+  ReservationId m_reservation;
+  base::Tokens m_reserved;
+  Reply m_reply;
+};
+
+} // namespace sardinefold::agent
--- a/Agent/DispatchError.h
+++ b/Agent/DispatchError.h
@@ -12,6 +12,8 @@
 enum class DispatchErrorCode
 {
   NoUpstream,
+  /// The workspace has no tokens left before the deadline.
+  AllowanceExceeded,
   Overloaded,
   DeadlineUnreachable,
   UpstreamFailed,
--- a/Base/Http/HttpMessage.h
+++ b/Base/Http/HttpMessage.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <tl/expected.hpp>
+#include "Base/Endpoint.h"
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,21 +9,6 @@
 
 namespace sardinefold::base {
 
-/// An IP address and a TCP port.
-struct Endpoint
-{
-  std::string m_address;
-  std::uint16_t m_port = 0;
-
-  /// Parses "address:port"; IPv6 addresses stand in brackets. The error says
-  /// what is wrong with the text.
-  static tl::expected<Endpoint, std::string> Parse(std::string_view aText);
-  std::string Text() const;
-
-  friend bool operator==(Endpoint const&, Endpoint const&) = default;
-  friend auto operator<=>(Endpoint const&, Endpoint const&) = default;
-};
-
 /// The header fields of an HTTP message, in order; names compare without case.
 class HttpHeaders
 {
--- /dev/null
+++ b/Caller/CallerMetrics.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Metrics.h"
+#include "Base/Units.h"
+#include "Caller/Refusal.h"
+#include "Operator/Document.h"
+
+#include <map>
+#include <utility>
+
+namespace sardinefold::caller {
+
+/// What the entry measures of its callers' requests, for each workspace and
+/// class.
+class CallerMetrics
+{
+public:
+  explicit CallerMetrics(base::Metrics& aMetrics)
+    : m_metrics(aMetrics)
+  {
+  }
+
+  void NoteRefused(base::WorkspaceId const& aWorkspace, operators::RequestClass aClass,
+                   RefusalCode aCode);
+  /// Times count from the request's arrival.
+  void NoteFirstByte(base::WorkspaceId const& aWorkspace, operators::RequestClass aClass,
+                     base::Duration aTime);
+  void NoteServed(base::WorkspaceId const& aWorkspace, operators::RequestClass aClass,
+                  base::Duration aTime, base::Tokens aTokens, bool aIsWhole);
+
+private:
+  using Series = std::pair<base::WorkspaceId, operators::RequestClass>;
+
+  struct Handles
+  {
+    prometheus::Histogram* m_firstByte;
+    prometheus::Histogram* m_whole;
+    prometheus::Histogram* m_tokens;
+    prometheus::Counter* m_served;
+    prometheus::Counter* m_cut;
+  };
+
+  Handles& HandlesOf(base::WorkspaceId const& aWorkspace, operators::RequestClass aClass);
+
+  base::Metrics& m_metrics;
+  std::map<Series, Handles> m_handles;
+};
+
+} // namespace sardinefold::caller
