Operator: Publish versions as chunks under a manifest

52,000 adapters do not fit a value of 1 MB, and racing operators must not overwrite one another unseen. A document is cut into chunks named by hash, where the cuts depend on the names alone; a version is put in force by one conditional update of the manifest, and a lost answer is resolved by reading it back.

--- /dev/null
+++ b/Operator/Version.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Time.h"
+#include "Base/Units.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sardinefold::operators {
+
+/// Name of a chunk: the first 128 bits of its text's SHA-256 value, in
+/// hexadecimal digits.
+using ChunkHash = base::Identifier<struct ChunkTag>;
+/// One attempt to publish a version, drawn at random, so that its maker can
+/// find out whether it took effect.
+using PublicationId = base::Identifier<struct PublicationTag>;
+/// Who made a version, as the operator interface knows them.
+using AuthorId = base::Identifier<struct AuthorTag>;
+
+/// An immutable part of a document, with the chunks that it refers to.
+struct Chunk
+{
+  ChunkHash m_hash;
+  std::string m_text;
+  std::vector<ChunkHash> m_children;
+};
+
+/// A version of another environment.
+struct VersionSource
+{
+  base::EnvironmentId m_environment;
+  base::DocumentVersion m_version;
+
+  friend bool operator==(VersionSource const&, VersionSource const&) = default;
+};
+
+/// One accepted version of a document. The chunks under its root are its whole
+/// content.
+struct VersionRecord
+{
+  base::DocumentVersion m_version;
+  ChunkHash m_root;
+  PublicationId m_publication;
+  AuthorId m_author;
+  base::WallTime m_time;
+  /// The version it was promoted from, if it was.
+  std::optional<VersionSource> m_source;
+};
+
+/// Versions that a manifest remembers. At 7,000 changes a day they span 20
+/// minutes, and take about 25 KB.
+inline constexpr std::size_t kMaxHistory = 100;
+
+/// The versions of one environment: one object of the platform, changed only
+/// by conditional update.
+struct Manifest
+{
+  base::EnvironmentId m_environment;
+  /// Oldest first; the last is the one in force. Never empty.
+  std::vector<VersionRecord> m_history;
+
+  VersionRecord const& Current() const { return m_history.back(); }
+  /// Null if the version is not among those remembered.
+  VersionRecord const* Find(base::DocumentVersion aVersion) const;
+  VersionRecord const* Find(PublicationId const& aPublication) const;
+  /// Adds a version and forgets the oldest over kMaxHistory.
+  void Append(VersionRecord aRecord);
+};
+
+} // namespace sardinefold::operators
