--- a/Base/Identifiers.h
+++ b/Base/Identifiers.h
@@ -26,6 +26,13 @@
 using KeyId = Identifier<struct KeyTag>;
 /// One request of a caller, unique in the fleet.
 using RequestId = Identifier<struct RequestTag>;
+/// One exchange between an entry and an agent; a retry is another exchange.
+using CorrelationId = Identifier<struct CorrelationTag>;
+/// Hash of workspace, route and Idempotency-Key: names the claim of a request
+/// that may not run twice.
+using ClaimId = Identifier<struct ClaimTag>;
+/// Hash of a request's body, the same for each time that its caller sends it.
+using FingerprintId = Identifier<struct FingerprintTag>;
 /// A caller's Idempotency-Key.
 using IdempotencyKey = Identifier<struct IdempotencyKeyTag>;
 /// A conversation whose requests share a prompt prefix.
--- a/Base/Outcome.h
+++ b/Base/Outcome.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -39,6 +40,39 @@
   std::string m_reason;
 };
 
+/// Proof that running a request twice does no harm, by the rule of its route.
+class Repeatable
+{
+public:
+  /// Empty unless the route says that its requests may be repeated.
+  static std::optional<Repeatable> FromRoute(bool aRouteIsRepeatable)
+  {
+    if (!aRouteIsRepeatable) {
+      return std::nullopt;
+    }
+    return Repeatable();
+  }
+
+private:
+  Repeatable() = default;
+};
+
+/// Leave to send a request once more. It comes from proof that the earlier
+/// attempt did not run or that a second run does no harm, and from nothing
+/// else; a function that sends again takes one by value.
+class RetryPermit
+{
+public:
+  explicit RetryPermit(NotRun const&) {}
+  RetryPermit(Unknown const&, Repeatable) {}
+
+  RetryPermit(RetryPermit&&) = default;
+  RetryPermit& operator=(RetryPermit&&) = default;
+  RetryPermit(RetryPermit const&) = delete;
+  RetryPermit& operator=(RetryPermit const&) = delete;
+  ~RetryPermit() = default;
+};
+
 /// How one attempt at a request ended.
 template<typename Answer>
 using Outcome = std::variant<NotRun, Answer, Unknown>;
--- a/Base/Rpc/PeerAuthentication.cpp
+++ b/Base/Rpc/PeerAuthentication.cpp
@@ -2,12 +2,22 @@
 
 #include "Base/Digest.h"
 
+#include <boost/algorithm/string/case_conv.hpp>
+#include <boost/algorithm/string/predicate.hpp>
+
 namespace sardinefold::base {
 
 namespace {
 
 constexpr std::size_t kCorrelationBytes = 12;
 
+bool IsSignedField(HttpHeaders::Field const& aField)
+{
+  using boost::algorithm::iequals;
+  return boost::algorithm::istarts_with(aField.m_name, kPeerHeaderPrefix) &&
+         !iequals(aField.m_name, kCorrelationHeader) && !iequals(aField.m_name, kSignatureHeader);
+}
+
 } // namespace
 
 std::string PeerAuthentication::Signature(HttpRequest const& aRequest,
@@ -18,6 +28,13 @@
   text.append(aRequest.m_method).append("\n");
   text.append(aRequest.m_target).append("\n");
   text.append(aCorrelation).append("\n");
+  for (auto const& field : aRequest.m_headers.Fields()) {
+    if (IsSignedField(field)) {
+      text.append(boost::algorithm::to_lower_copy(field.m_name)).append(":");
+      text.append(field.m_value).append("\n");
+    }
+  }
+  text.append("\n");
   text.append(aRequest.m_body);
   return ToHex(HmacSha256(m_secret, text));
 }
--- a/Base/Rpc/PeerAuthentication.h
+++ b/Base/Rpc/PeerAuthentication.h
@@ -9,6 +9,8 @@
 
 /// Names the exchange in both directions, so that a crossed answer is seen.
 inline constexpr char kCorrelationHeader[] = "Sardinefold-Correlation";
+/// Prefix of the header fields that only processes of the system may set.
+inline constexpr char kPeerHeaderPrefix[] = "Sardinefold-";
 /// HMAC-SHA256 of the message under the fleet's secret, in hexadecimal.
 inline constexpr char kSignatureHeader[] = "Sardinefold-Signature";
 
@@ -23,7 +25,8 @@
   }
 
   /// Adds a fresh correlation id, unless the request has one, and the
-  /// signature over method, target, correlation id and body.
+  /// signature over method, target, correlation id, the other fields whose
+  /// names start with kPeerHeaderPrefix, in their order, and the body.
   void Sign(HttpRequest& aRequest) const;
   bool Verify(HttpRequest const& aRequest) const;
 
