--- /dev/null
+++ b/Agent/AgentClient.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "Agent/AgentClockEstimate.h"
+#include "Agent/ConnectionMachine.h"
+#include "Agent/ExchangeHead.h"
+#include "Base/Cancellation.h"
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpClient.h"
+#include "Base/Outcome.h"
+#include "Base/Rpc/RpcClient.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sardinefold::agent {
+
+/// A request as an entry gives it to an agent. The client fills in the
+/// correlation, the incarnation and the start-by time of the head.
+struct ForwardRequest
+{
+  ExchangeHead m_head;
+  /// The caller's message without the fields that agents must not see.
+  base::HttpRequest m_message;
+};
+
+/// The answer of an upstream, arriving through its agent. Destroying it before
+/// its end gives the exchange up.
+class AgentReply
+{
+public:
+  AgentReply(AgentReply&&) noexcept;
+  AgentReply& operator=(AgentReply&&) = delete;
+  ~AgentReply();
+
+  unsigned Status() const { return m_reply.Status(); }
+  /// The upstream's header fields, without those of the system.
+  base::HttpHeaders const& Headers() const { return m_headers; }
+
+  /// The next bytes of the body as they arrive; empty at its end. Unknown if
+  /// the connection broke or went silent for good.
+  boost::asio::awaitable<tl::expected<std::string, base::Unknown>> Read();
+  bool IsComplete() const { return m_reply.IsComplete(); }
+
+private:
+  friend class AgentClient;
+  class Watch;
+  AgentReply(base::EventLoop& aLoop, base::HttpReply aReply, std::shared_ptr<Watch> aWatch);
+
+  base::EventLoop* m_loop;
+  // Shared with the coroutine that looks for silence, which may be waiting for
+  // a probe's answer when the reply is destroyed. It holds the cancellation of
+  // the reply, so it is declared first and destroyed last.
+  std::shared_ptr<Watch> m_watch;
+  base::HttpReply m_reply;
+  base::HttpHeaders m_headers;
+};
+
+using ForwardOutcome = base::Outcome<AgentReply>;
+
+/// Gives requests to agents and tells truthfully how each attempt ended. An
+/// attempt whose connection broke is resolved by asking the agent over a new
+/// connection: a request that has not started there is excluded from starting,
+/// which makes its outcome NotRun.
+class AgentClient
+{
+public:
+  AgentClient(base::EventLoop& aLoop, base::HttpClient& aHttp,
+              base::PeerAuthentication const& aAuthentication, ConnectionLimits aLimits);
+
+  /// Sends a request and waits for the head of its answer, at most for the
+  /// head's m_firstByteLimit. Cancelling gives up the wait or the reply;
+  /// aCancellation must outlive the reply.
+  boost::asio::awaitable<ForwardOutcome> Forward(ForwardRequest aRequest, base::Endpoint aEndpoint,
+                                                 base::Cancellation& aCancellation);
+
+  /// Calls a method of an agent, such as agent.status.
+  boost::asio::awaitable<tl::expected<Json::Value, base::RpcFailure>> Call(base::Endpoint aEndpoint,
+                                                                           std::string aMethod,
+                                                                           Json::Value aParameters,
+                                                                           base::Duration aLimit);
+
+private:
+  using Watch = AgentReply::Watch;
+
+  boost::asio::awaitable<bool> LearnClock(base::Endpoint aEndpoint, base::Duration aLimit);
+  boost::asio::awaitable<ForwardOutcome> Attempt(ForwardRequest aRequest, base::Endpoint aEndpoint,
+                                                 base::Cancellation& aCancellation);
+  boost::asio::awaitable<ForwardOutcome> Resolve(std::shared_ptr<Watch> aWatch,
+                                                 std::string aReason);
+  boost::asio::awaitable<tl::expected<ExchangeReport, base::RpcFailure>> Ask(
+    std::shared_ptr<Watch> aWatch, bool aDeny);
+  boost::asio::awaitable<void> LookForSilence(std::shared_ptr<Watch> aWatch);
+  void NoteClock(base::Endpoint const& aEndpoint, base::IncarnationId const& aIncarnation,
+                 AgentClock aClock);
+
+  base::EventLoop& m_loop;
+  base::HttpClient& m_http;
+  base::RpcClient m_rpc;
+  base::PeerAuthentication const& m_authentication;
+  ConnectionLimits m_limits;
+  std::map<base::Endpoint, AgentClockEstimate> m_clocks;
+};
+
+} // namespace sardinefold::agent
--- /dev/null
+++ b/Agent/ExchangeCodec.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Agent/ExchangeHead.h"
+#include "Agent/Refusal.h"
+#include "Base/Http/HttpMessage.h"
+
+#include <json/value.h>
+#include <tl/expected.hpp>
+
+#include <string>
+
+namespace sardinefold::agent {
+
+inline constexpr char kOutcomeHeader[] = "Sardinefold-Outcome";
+inline constexpr char kReasonHeader[] = "Sardinefold-Reason";
+inline constexpr char kClockHeader[] = "Sardinefold-Clock";
+inline constexpr char kIncarnationHeader[] = "Sardinefold-Incarnation";
+
+/// The outcome that an agent states in its answer.
+enum class StatedOutcome
+{
+  Ran,
+  NotRun,
+  Unknown
+};
+
+/// What an agent's answer says of its exchange.
+struct AnswerHead
+{
+  StatedOutcome m_outcome = StatedOutcome::Unknown;
+  /// Stable code; empty if the request ran.
+  std::string m_reason;
+  std::string m_correlation;
+  base::IncarnationId m_incarnation;
+  AgentClock m_clock;
+};
+
+/// A header field that is missing or malformed.
+struct ExchangeError
+{
+  std::string m_field;
+  std::string m_message;
+};
+
+/// Adds the fields of the head to a message.
+void EncodeExchangeHead(ExchangeHead const& aHead, base::HttpHeaders& aHeaders);
+/// Reads them; the error names the field.
+tl::expected<ExchangeHead, ExchangeError> DecodeExchangeHead(base::HttpHeaders const& aHeaders);
+/// Removes every field that only the system's processes exchange, except the
+/// names of request and workspace, which upstreams may log.
+void RemoveExchangeFields(base::HttpHeaders& aHeaders);
+
+void EncodeAnswerHead(AnswerHead const& aHead, base::HttpHeaders& aHeaders);
+tl::expected<AnswerHead, ExchangeError> DecodeAnswerHead(base::HttpHeaders const& aHeaders);
+
+/// Parameters and result of the method agent.exchange.
+struct ExchangeQuery
+{
+  base::CorrelationId m_correlation;
+  /// The one that the exchange was sent with.
+  AgentClock m_startBy;
+  /// Asks that the exchange not start if it has not yet.
+  bool m_deny = false;
+};
+Json::Value EncodeExchangeQuery(ExchangeQuery const& aQuery);
+tl::expected<ExchangeQuery, ExchangeError> DecodeExchangeQuery(Json::Value const& aValue);
+Json::Value EncodeExchangeReport(ExchangeReport const& aReport);
+tl::expected<ExchangeReport, ExchangeError> DecodeExchangeReport(Json::Value const& aValue);
+
+} // namespace sardinefold::agent
--- /dev/null
+++ b/Tests/ConnectionMachineTest.cpp
@@ -0,0 +1,152 @@
+#define BOOST_TEST_MODULE ConnectionMachine
+#include "Agent/ConnectionMachine.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using agent::ConnectionMachine;
+using agent::ConnectionState;
+using agent::ExchangeReport;
+using agent::ExchangeState;
+using namespace std::chrono_literals;
+
+BOOST_TEST_DONT_PRINT_LOG_VALUE(agent::ConnectionState)
+
+namespace {
+
+constexpr base::Instant kStart{ 1000s };
+constexpr agent::ConnectionLimits kLimits{};
+
+ExchangeReport Report(ExchangeState aState, std::int64_t aWritten = 0, bool aHasHead = false)
+{
+  ExchangeReport report;
+  report.m_state = aState;
+  report.m_written = base::Bytes(aWritten);
+  report.m_hasHead = aHasHead;
+  return report;
+}
+
+ConnectionMachine Probing()
+{
+  ConnectionMachine machine(kLimits, kStart);
+  BOOST_REQUIRE(machine.ShouldProbe(kStart + kLimits.m_silence));
+  return machine;
+}
+
+ConnectionMachine Doubted()
+{
+  auto machine = Probing();
+  machine.OnReport(Report(ExchangeState::Running, 5, true), kStart + kLimits.m_silence);
+  return machine;
+}
+
+ConnectionMachine Lost()
+{
+  auto machine = Probing();
+  machine.OnReport(Report(ExchangeState::Unseen), kStart + kLimits.m_silence);
+  return machine;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ActiveTransitions)
+{
+  ConnectionMachine machine(kLimits, kStart);
+  BOOST_TEST(machine.State() == ConnectionState::Active);
+  BOOST_TEST(!machine.ShouldProbe(kStart + kLimits.m_silence - 1ns));
+  machine.OnBytes(base::Bytes(1), kStart + 100ms);
+  BOOST_TEST(machine.State() == ConnectionState::Active);
+  machine.OnReadStarted(kStart + 100ms);
+  BOOST_TEST(!machine.ShouldProbe(kStart + kLimits.m_silence));
+  BOOST_TEST(machine.ShouldProbe(kStart + 100ms + kLimits.m_silence));
+  BOOST_TEST(machine.State() == ConnectionState::Probing);
+  ConnectionMachine closed(kLimits, kStart);
+  closed.OnClosed();
+  BOOST_TEST(closed.State() == ConnectionState::Closed);
+  BOOST_TEST(!closed.NextCheck().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ActiveIgnoresProbeAnswersThatComeLate)
+{
+  ConnectionMachine machine(kLimits, kStart);
+  machine.OnReport(Report(ExchangeState::Unseen), kStart);
+  BOOST_TEST(machine.State() == ConnectionState::Active);
+  machine.OnProbeFailed(kStart);
+  BOOST_TEST(machine.State() == ConnectionState::Active);
+}
+
+BOOST_AUTO_TEST_CASE(ProbingTransitions)
+{
+  auto progressed = Probing();
+  progressed.OnHead(kStart + 2s);
+  BOOST_TEST(progressed.State() == ConnectionState::Active);
+  auto explained = Probing();
+  explained.OnReport(Report(ExchangeState::Running), kStart + 2s);
+  BOOST_TEST(explained.State() == ConnectionState::Active);
+  BOOST_TEST((explained.NextCheck() == kStart + 2s + kLimits.m_silence));
+  auto behind = Probing();
+  behind.OnReport(Report(ExchangeState::Running, 5, true), kStart + 2s);
+  BOOST_TEST(behind.State() == ConnectionState::Doubted);
+  auto ended = Probing();
+  ended.OnReport(Report(ExchangeState::Ended, 0, false), kStart + 2s);
+  BOOST_TEST(ended.State() == ConnectionState::Doubted);
+  auto failed = Probing();
+  failed.OnProbeFailed(kStart + 2s);
+  BOOST_TEST(failed.State() == ConnectionState::Doubted);
+  BOOST_TEST(!failed.HasReachedAgent());
+  BOOST_TEST(Lost().State() == ConnectionState::Lost);
+  BOOST_TEST(Lost().HasReachedAgent());
+  auto closed = Probing();
+  closed.OnClosed();
+  BOOST_TEST(closed.State() == ConnectionState::Closed);
+}
+
+BOOST_AUTO_TEST_CASE(DoubtedTransitions)
+{
+  auto const now = kStart + kLimits.m_silence + kLimits.m_doubt;
+  auto machine = Doubted();
+  BOOST_TEST((machine.NextCheck() == now));
+  BOOST_TEST(machine.ShouldProbe(now));
+  BOOST_TEST(machine.State() == ConnectionState::Doubted);
+  machine.OnReport(Report(ExchangeState::Running, 5, true), now);
+  BOOST_TEST(machine.State() == ConnectionState::Lost);
+  auto progressed = Doubted();
+  progressed.OnHead(now);
+  BOOST_TEST(progressed.State() == ConnectionState::Active);
+  auto explained = Doubted();
+  explained.OnReport(Report(ExchangeState::Running), now);
+  BOOST_TEST(explained.State() == ConnectionState::Active);
+  auto excluded = Doubted();
+  excluded.OnReport(Report(ExchangeState::Denied), now);
+  BOOST_TEST(excluded.State() == ConnectionState::Lost);
+  auto failed = Doubted();
+  failed.OnProbeFailed(now);
+  BOOST_TEST(failed.State() == ConnectionState::Lost);
+  auto closed = Doubted();
+  closed.OnClosed();
+  BOOST_TEST(closed.State() == ConnectionState::Closed);
+}
+
+BOOST_AUTO_TEST_CASE(LostEndsOnlyByClosing)
+{
+  auto machine = Lost();
+  machine.OnBytes(base::Bytes(1), kStart + 3s);
+  BOOST_TEST(machine.State() == ConnectionState::Lost);
+  machine.OnReport(Report(ExchangeState::Running), kStart + 3s);
+  BOOST_TEST(machine.State() == ConnectionState::Lost);
+  BOOST_TEST(!machine.ShouldProbe(kStart + 60s));
+  machine.OnClosed();
+  BOOST_TEST(machine.State() == ConnectionState::Closed);
+  machine.OnBytes(base::Bytes(1), kStart + 4s);
+  BOOST_TEST(machine.State() == ConnectionState::Closed);
+}
+
+BOOST_AUTO_TEST_CASE(SlowReaderIsNotSilence)
+{
+  ConnectionMachine machine(kLimits, kStart);
+  machine.OnHead(kStart + 10ms);
+  BOOST_TEST(!machine.ShouldProbe(kStart + 20s));
+  machine.OnReadStarted(kStart + 20s);
+  BOOST_TEST(!machine.ShouldProbe(kStart + 20s + kLimits.m_silence - 1ns));
+  BOOST_TEST(machine.ShouldProbe(kStart + 20s + kLimits.m_silence));
+}
