Engine: Decide loads and unloads within memory and permissions

Cause: a cold start must not need a platform call, and neither a lost answer nor a second agent may overcommit an engine's memory.

Change: MemoryLedger, ReplicaMachine and LoadOrderMachine (Boost.MSM), WriterLease, EvictionPolicy and ReplicaManager, all without I/O.

Conclusion: a fencing number alone protects no engine; the successor must show it or wait before it reads the engine's state.

--- /dev/null
+++ b/Engine/LoadOrderMachine.cpp
@@ -0,0 +1,153 @@
+#include "Engine/LoadOrderMachine.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+#include <boost/msm/front/states.hpp>
+
+#include <array>
+
+namespace sardinefold::engine {
+
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::Row;
+
+/// A state that notes in the machine that it has been entered.
+template<LoadOrderState Kind>
+struct State : msm::front::state<>
+{
+  template<typename Event, typename Machine>
+  void on_entry(Event const&, Machine& aMachine)
+  {
+    aMachine.m_state = Kind;
+  }
+};
+
+template<LoadOrderEvent Kind>
+struct On
+{
+};
+
+using Waiting = State<LoadOrderState::Waiting>;
+using Granted = State<LoadOrderState::Granted>;
+using InFlight = State<LoadOrderState::InFlight>;
+using Unknown = State<LoadOrderState::Unknown>;
+using Done = State<LoadOrderState::Done>;
+using Failed = State<LoadOrderState::Failed>;
+using Cancelled = State<LoadOrderState::Cancelled>;
+
+using Grant = On<LoadOrderEvent::Grant>;
+using LoseSlot = On<LoadOrderEvent::LoseSlot>;
+using Send = On<LoadOrderEvent::Send>;
+using Confirm = On<LoadOrderEvent::Confirm>;
+using Refuse = On<LoadOrderEvent::Refuse>;
+using LoseAnswer = On<LoadOrderEvent::LoseAnswer>;
+using Cancel = On<LoadOrderEvent::Cancel>;
+using ObserveDone = On<LoadOrderEvent::ObserveDone>;
+using ObserveNotDone = On<LoadOrderEvent::ObserveNotDone>;
+
+struct Definition : msm::front::state_machine_def<Definition>
+{
+  using initial_state = Waiting;
+  using no_exception_thrown = int;
+  using no_message_queue = int;
+
+  // clang-format off
+  using transition_table = boost::mpl::vector<
+    Row<Waiting,  Grant,          Granted>,
+    Row<Waiting,  Cancel,         Cancelled>,
+    Row<Granted,  Send,           InFlight>,
+    Row<Granted,  LoseSlot,       Waiting>,
+    Row<Granted,  Cancel,         Cancelled>,
+    Row<InFlight, Confirm,        Done>,
+    Row<InFlight, Refuse,         Failed>,
+    Row<InFlight, LoseAnswer,     Unknown>,
+    Row<Unknown,  ObserveDone,    Done>,
+    Row<Unknown,  ObserveNotDone, Failed>>;
+  // clang-format on
+
+  /// A refused event leaves the state as it is; Apply() reports it.
+  template<typename Event, typename Machine>
+  void no_transition(Event const&, Machine&, int)
+  {
+  }
+
+  LoadOrderState m_state = LoadOrderState::Waiting;
+};
+
+using Backend = msm::back::state_machine<Definition>;
+
+template<typename Event>
+bool Process(Backend& aBackend)
+{
+  return aBackend.process_event(Event()) == msm::back::HANDLED_TRUE;
+}
+
+bool Dispatch(Backend& aBackend, LoadOrderEvent aEvent)
+{
+  switch (aEvent) {
+    case LoadOrderEvent::Grant:
+      return Process<Grant>(aBackend);
+    case LoadOrderEvent::LoseSlot:
+      return Process<LoseSlot>(aBackend);
+    case LoadOrderEvent::Send:
+      return Process<Send>(aBackend);
+    case LoadOrderEvent::Confirm:
+      return Process<Confirm>(aBackend);
+    case LoadOrderEvent::Refuse:
+      return Process<Refuse>(aBackend);
+    case LoadOrderEvent::LoseAnswer:
+      return Process<LoseAnswer>(aBackend);
+    case LoadOrderEvent::Cancel:
+      return Process<Cancel>(aBackend);
+    case LoadOrderEvent::ObserveDone:
+      return Process<ObserveDone>(aBackend);
+    case LoadOrderEvent::ObserveNotDone:
+      return Process<ObserveNotDone>(aBackend);
+  }
+  return false;
+}
+
+} // namespace
+
+class LoadOrderMachine::Machine
+{
+public:
+  Machine() { m_backend.start(); }
+
+  Backend m_backend;
+};
+
+LoadOrderMachine::LoadOrderMachine()
+  : m_machine(std::make_unique<Machine>())
+{
+}
+
+LoadOrderMachine::~LoadOrderMachine() = default;
+LoadOrderMachine::LoadOrderMachine(LoadOrderMachine&&) noexcept = default;
+LoadOrderMachine& LoadOrderMachine::operator=(LoadOrderMachine&&) noexcept = default;
+
+LoadOrderState LoadOrderMachine::State() const
+{
+  return m_machine->m_backend.m_state;
+}
+
+tl::expected<LoadOrderState, RefusedLoadOrderEvent> LoadOrderMachine::Apply(LoadOrderEvent aEvent)
+{
+  if (!Dispatch(m_machine->m_backend, aEvent)) {
+    return tl::make_unexpected(RefusedLoadOrderEvent{ State(), aEvent });
+  }
+  return State();
+}
+
+std::string_view ToText(LoadOrderState aState)
+{
+  static constexpr std::array<std::string_view, 7> kTexts{ "waiting",  "granted", "in-flight",
+                                                           "unknown",  "done",    "failed",
+                                                           "cancelled" };
+  return kTexts.at(static_cast<std::size_t>(aState));
+}
+
+} // namespace sardinefold::engine
--- /dev/null
+++ b/Engine/ReplicaManager.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "Engine/EvictionPolicy.h"
+#include "Engine/LoadTimeEstimate.h"
+#include "Engine/MemoryLedger.h"
+#include "Engine/ReplicaActions.h"
+#include "Engine/ReplicaTable.h"
+#include "Engine/WriterLease.h"
+
+#include <map>
+
+namespace sardinefold::engine {
+
+/// What the document says about the replicas that this engine may be asked for.
+using ReplicaCatalog = std::map<ReplicaKey, ReplicaMemory>;
+
+/// Whether this upstream may hold a replica of a model.
+struct Permission
+{
+  enum class State
+  {
+    Granted,
+    /// The model is to go; ConfirmRevoked tells when it has gone.
+    Revoking
+  };
+
+  State m_state = State::Granted;
+  /// Whether to load the replica ahead of requests and keep it while idle.
+  bool m_isKeptWarm = false;
+
+  friend bool operator==(Permission const&, Permission const&) = default;
+};
+
+/// The permissions of one upstream, from the placement objects.
+using Permissions = std::map<base::ModelId, Permission>;
+
+struct ReplicaManagerSettings
+{
+  /// Accelerator memory of the engine.
+  base::Bytes m_memory;
+  /// How long an idle replica is kept when nobody else needs its memory.
+  base::Duration m_keepIdle = std::chrono::minutes(10);
+  /// A replica used within this time is not evicted for a batch request.
+  base::Duration m_batchYield = std::chrono::seconds(30);
+  /// Pause after an order that the engine refused.
+  base::Duration m_retryPause = std::chrono::milliseconds(500);
+};
+
+/// Decides for one engine what is loaded and unloaded and which requests run
+/// when. Loads on demand within the permissions and the memory, joins the
+/// requests that wait for one replica, and drops loads that nobody awaits.
+/// Does no I/O: each call returns the actions to carry out, in order.
+class ReplicaManager
+{
+public:
+  ReplicaManager(ReplicaManagerSettings aSettings, WriterLease aLease);
+
+  ReplicaActions SetCatalog(ReplicaCatalog aCatalog, base::Instant aNow);
+  ReplicaActions SetPermissions(Permissions aPermissions, base::Instant aNow);
+
+  /// A request that needs a replica. It gets exactly one of StartRequest and
+  /// RefuseRequest, at once or later, unless End() comes first.
+  ReplicaActions Request(base::RequestId const& aRequest, ReplicaKey const& aReplica,
+                         Urgency aUrgency, base::Instant aNow);
+  /// The request has ended, or its caller has gone.
+  ReplicaActions End(base::RequestId const& aRequest, base::Instant aNow);
+
+  /// The gate gave a slot, to be used before aLeaseEnd.
+  ReplicaActions OnSlotGranted(OrderId aOrder, base::Instant aLeaseEnd, base::Instant aNow);
+  ReplicaActions OnOrderAnswer(OrderId aOrder, OrderAnswer aAnswer, base::Instant aNow);
+  ReplicaActions OnFenceAnswer(OrderAnswer aAnswer, base::Instant aNow);
+  /// What the engine said to a read begun at aAskedAt.
+  ReplicaActions OnEngineState(EngineState const& aState, base::Instant aAskedAt,
+                               base::Instant aNow);
+  /// Time passed: deadlines, idle replicas, missing answers.
+  ReplicaActions Tick(base::Instant aNow);
+
+  WriterLease& Lease() { return m_lease; }
+  MemoryLedger const& Ledger() const { return m_ledger; }
+  ReplicaTable const& Replicas() const { return m_replicas; }
+  /// False until the engine's own account has been taken over.
+  bool IsReconciled() const { return m_isReconciled; }
+  /// Expected time until the replica is ready, if asked for now.
+  base::Duration ExpectReady(ReplicaKey const& aReplica, base::Instant aNow) const;
+
+private:
+  bool IsGranted(base::ModelId const& aModel) const;
+  bool MayStay(base::ModelId const& aModel) const;
+  bool IsKeptWarm(ReplicaKey const& aKey) const;
+  std::optional<ReplicaRefusal> FindRefusal(ReplicaKey const& aKey, Urgency aUrgency,
+                                            base::Instant aNow) const;
+  Replica& Find(ReplicaKey const& aKey);
+  std::optional<Urgency> Want(ReplicaKey const& aKey, base::Instant aNow) const;
+  bool IsEvictable(ReplicaKey const& aKey, Replica const& aReplica, ReplicaKey const& aFor,
+                   Urgency aUrgency, base::Instant aNow) const;
+  std::vector<EvictionCandidate> FindEvictable(ReplicaKey const& aFor, Urgency aUrgency,
+                                               base::Instant aNow) const;
+
+  void Advance(base::Instant aNow, ReplicaActions& aActions);
+  void RefuseWaiting(ReplicaKey const& aKey, ReplicaRefusal aReason, ReplicaActions& aActions);
+  void ExpireWaiting(base::Instant aNow, ReplicaActions& aActions);
+  void DropUnwantedLoads(base::Instant aNow, ReplicaActions& aActions);
+  void StartWantedLoads(base::Instant aNow, ReplicaActions& aActions);
+  bool StartLoad(ReplicaKey const& aKey, Urgency aUrgency, base::Instant aNow,
+                 ReplicaActions& aActions);
+  void UpdateSlotWish(Replica& aReplica, ReplicaKey const& aKey, Urgency aUrgency,
+                      ReplicaActions& aActions);
+  void MakeRoom(ReplicaKey const& aReplica, base::Bytes aNeeded, Urgency aUrgency,
+                base::Instant aNow);
+  void MarkForUnload(ReplicaKey const& aKey);
+  void MarkIdleReplicas(base::Instant aNow);
+  void StartWantedUnloads(base::Instant aNow, ReplicaActions& aActions);
+  void ConfirmRevocations(base::Instant aNow, ReplicaActions& aActions);
+  void RaiseFenceIfNeeded(base::Instant aNow, ReplicaActions& aActions);
+  void ReadIfUncertain(base::Instant aNow, ReplicaActions& aActions);
+  void StartWaiting(Replica& aReplica, base::Instant aNow, ReplicaActions& aActions);
+
+  void OnLoadAnswer(ReplicaKey const& aKey, Replica& aReplica, OrderAnswer aAnswer,
+                    base::Instant aNow, ReplicaActions& aActions);
+  void OnUnloadAnswer(ReplicaKey const& aKey, Replica& aReplica, OrderAnswer aAnswer,
+                      base::Instant aNow);
+  void Observe(ReplicaKey const& aKey, bool aIsPresent, base::Instant aAskedAt, base::Instant aNow,
+               ReplicaActions& aActions);
+  void EndLoadOrder(Replica& aReplica, LoadOrderEvent aEvent, ReplicaActions& aActions);
+
+  ReplicaManagerSettings m_settings;
+  WriterLease m_lease;
+  MemoryLedger m_ledger;
+  LoadTimeEstimate m_loadTimes;
+  ReplicaCatalog m_catalog;
+  Permissions m_permissions;
+  ReplicaTable m_replicas;
+  std::map<base::RequestId, ReplicaKey> m_requests;
+  OrderId m_lastOrder;
+  bool m_arePermissionsKnown = false;
+  bool m_isReconciled = false;
+  std::optional<base::Instant> m_fenceAskedAt;
+  /// When the engine was last asked for its state.
+  std::optional<base::Instant> m_readAt;
+  std::map<base::ModelId, base::Instant> m_revocationToldAt;
+};
+
+} // namespace sardinefold::engine
--- /dev/null
+++ b/Engine/WriterLease.cpp
@@ -0,0 +1,63 @@
+#include "Engine/WriterLease.h"
+
+#include <algorithm>
+
+namespace sardinefold::engine {
+
+void WriterLease::Take(base::FencingNumber aNumber, base::Instant aAskedAt, base::Instant aNow)
+{
+  if (m_isLost || (m_number && aNumber <= *m_number)) {
+    return;
+  }
+  m_number = aNumber;
+  m_end = aAskedAt + m_limits.m_duration;
+  if (m_support == FencingSupport::Checked) {
+    m_firstOrder.reset();
+    return;
+  }
+  // The predecessor may order until its last proof ends, and that order may
+  // run for its bound; its proof is older than this update.
+  bool const isFirst = aNumber == base::FencingNumber(1);
+  m_firstOrder = isFirst ? aNow : aNow + m_limits.m_duration + m_limits.m_orderBound;
+}
+
+void WriterLease::Renew(base::FencingNumber aNumberInForce, base::Instant aAskedAt)
+{
+  if (!m_number) {
+    return;
+  }
+  if (aNumberInForce != *m_number) {
+    m_isLost = true;
+    return;
+  }
+  m_end = std::max(m_end, aAskedAt + m_limits.m_duration);
+}
+
+void WriterLease::RenewBySlot(base::Instant aNow)
+{
+  if (m_number) {
+    m_end = std::max(m_end, aNow + m_limits.m_duration);
+  }
+}
+
+void WriterLease::ConfirmFence(base::Instant aNow)
+{
+  if (MustRaiseFence()) {
+    m_firstOrder = aNow;
+  }
+}
+
+bool WriterLease::MustRaiseFence() const
+{
+  return m_support == FencingSupport::Checked && m_number && !m_isLost && !m_firstOrder;
+}
+
+bool WriterLease::MayOrder(base::Instant aNow) const
+{
+  if (m_isLost || !m_number || !m_firstOrder || aNow < *m_firstOrder) {
+    return false;
+  }
+  return m_support == FencingSupport::Checked || aNow < m_end;
+}
+
+} // namespace sardinefold::engine
--- /dev/null
+++ b/Tests/ReplicaManagerTest.cpp
@@ -0,0 +1,336 @@
+#define BOOST_TEST_MODULE ReplicaManager
+#include "Engine/ReplicaManager.h"
+
+#include "Tests/Fakes/FakeEngine.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+#include <vector>
+
+using namespace sardinefold;
+using namespace std::chrono_literals;
+using engine::OrderAnswer;
+using engine::ReplicaKey;
+using operators::RequestClass;
+
+namespace {
+
+constexpr base::Duration kBound = 5s;
+constexpr base::Duration kLease = 10s;
+
+ReplicaKey Model(std::string const& aName)
+{
+  return { base::ModelId::FromValidated(aName), std::nullopt };
+}
+
+ReplicaKey Adapter(std::string const& aModel, std::string const& aName)
+{
+  return { base::ModelId::FromValidated(aModel), base::AdapterId::FromValidated(aName) };
+}
+
+base::RequestId RequestNamed(int aNumber)
+{
+  return base::RequestId::FromValidated("r" + std::to_string(aNumber));
+}
+
+template<typename Action>
+std::vector<Action> Only(engine::ReplicaActions const& aActions)
+{
+  std::vector<Action> found;
+  for (auto const& action : aActions) {
+    if (auto const* match = std::get_if<Action>(&action)) {
+      found.push_back(*match);
+    }
+  }
+  return found;
+}
+
+engine::ReplicaCatalog SmallCatalog()
+{
+  return {
+    { Model("a"), { base::Bytes(40), base::Bytes(10) } },
+    { Model("b"), { base::Bytes(40), base::Bytes(10) } },
+    { Model("c"), { base::Bytes(60), base::Bytes(10) } },
+    { Adapter("a", "x"), { base::Bytes(5), base::Bytes(0) } },
+    { Model("huge"), { base::Bytes(200), base::Bytes(0) } },
+  };
+}
+
+engine::Permissions GrantAll()
+{
+  engine::Permissions permissions;
+  for (auto const& [key, memory] : SmallCatalog()) {
+    permissions[key.m_model] = {};
+  }
+  return permissions;
+}
+
+/// A manager of an empty engine with 100 bytes, ready for requests.
+struct Ready
+{
+  explicit Ready(engine::FencingSupport aSupport = engine::FencingSupport::Checked)
+    : m_manager({ base::Bytes(100) }, engine::WriterLease(aSupport, { kLease, kBound }))
+  {
+    m_manager.Lease().Take(base::FencingNumber(1), m_now, m_now);
+    m_manager.OnFenceAnswer(OrderAnswer::Done, m_now);
+    m_manager.SetCatalog(SmallCatalog(), m_now);
+    m_manager.SetPermissions(GrantAll(), m_now);
+    m_manager.OnEngineState({}, m_now, m_now);
+  }
+
+  engine::ReplicaActions Request(int aNumber, ReplicaKey const& aKey,
+                                 RequestClass aClass = RequestClass::Interactive,
+                                 base::Duration aLimit = 20s)
+  {
+    return m_manager.Request(RequestNamed(aNumber), aKey, { aClass, m_now + aLimit }, m_now);
+  }
+
+  /// Grants the slot and lets the load succeed after the given time.
+  engine::ReplicaActions Load(engine::OrderId aOrder, base::Duration aTime = 1s)
+  {
+    auto const sent = m_manager.OnSlotGranted(aOrder, m_now + 1s, m_now);
+    BOOST_REQUIRE_EQUAL(Only<engine::OrderLoad>(sent).size(), 1);
+    m_now += aTime;
+    return m_manager.OnOrderAnswer(aOrder, OrderAnswer::Done, m_now);
+  }
+
+  engine::OrderId AskedOrder(engine::ReplicaActions const& aActions)
+  {
+    auto const asked = Only<engine::AskForSlot>(aActions);
+    BOOST_REQUIRE_EQUAL(asked.size(), 1);
+    return asked.front().m_order;
+  }
+
+  base::Instant m_now{ 1h };
+  engine::ReplicaManager m_manager;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LedgerReservesWholeReplicasWithinItsCapacity)
+{
+  engine::MemoryLedger ledger(base::Bytes(100));
+  BOOST_TEST(ledger.Reserve(Model("a"), { base::Bytes(60), base::Bytes(20) }).has_value());
+  auto const refused = ledger.Reserve(Model("b"), { base::Bytes(21), base::Bytes(0) });
+  BOOST_REQUIRE(!refused);
+  BOOST_TEST((refused.error().m_kind == engine::MemoryError::Kind::Insufficient));
+  BOOST_TEST(refused.error().m_free == base::Bytes(20));
+  BOOST_TEST(
+    (ledger.Reserve(Model("a"), {}).error().m_kind == engine::MemoryError::Kind::AlreadyReserved));
+  BOOST_TEST((ledger.Reserve(Model("b"), { base::Bytes(-1), base::Bytes(0) }).error().m_kind ==
+              engine::MemoryError::Kind::InvalidSize));
+  BOOST_TEST(ledger.Release(Model("a")));
+  BOOST_TEST(!ledger.Release(Model("a")));
+  BOOST_TEST(ledger.Free() == base::Bytes(100));
+}
+
+BOOST_AUTO_TEST_CASE(LedgerWithMoreAdoptedThanItHasReservesNothing)
+{
+  engine::MemoryLedger ledger(base::Bytes(100));
+  ledger.Adopt({ Model("a"), { base::Bytes(120), base::Bytes(0) } });
+  BOOST_TEST(ledger.Free() == base::Bytes(0));
+  BOOST_TEST(!ledger.Reserve(Model("b"), { base::Bytes(1), base::Bytes(0) }));
+}
+
+BOOST_AUTO_TEST_CASE(SuccessorWaitsOutThePredecessorOfAnEngineThatIgnoresFencing)
+{
+  base::Instant const now{ 1h };
+  engine::WriterLease lease(engine::FencingSupport::Ignored, { kLease, kBound });
+  lease.Take(base::FencingNumber(2), now, now);
+  BOOST_TEST(!lease.MayOrder(now + kLease + kBound - 1ms));
+  lease.Renew(base::FencingNumber(2), now + kLease);
+  BOOST_TEST(lease.MayOrder(now + kLease + kBound));
+  BOOST_TEST(!lease.MayOrder(now + kLease + kLease));
+}
+
+BOOST_AUTO_TEST_CASE(PausedWriterGivesNoOrderWhenItWakes)
+{
+  base::Instant const now{ 1h };
+  engine::WriterLease lease(engine::FencingSupport::Ignored, { kLease, kBound });
+  lease.Take(base::FencingNumber(1), now, now);
+  BOOST_TEST(lease.MayOrder(now));
+  BOOST_TEST(!lease.MayOrder(now + kLease));
+  lease.Renew(base::FencingNumber(2), now + kLease);
+  lease.RenewBySlot(now + kLease);
+  BOOST_TEST(!lease.MayOrder(now + kLease));
+}
+
+BOOST_AUTO_TEST_CASE(RequestsForOneReplicaJoinOneLoad)
+{
+  Ready ready;
+  auto const order = ready.AskedOrder(ready.Request(1, Model("a")));
+  for (int number = 2; number < 10; ++number) {
+    BOOST_TEST(Only<engine::AskForSlot>(ready.Request(number, Model("a"))).empty());
+  }
+  auto const loaded = ready.Load(order);
+  BOOST_TEST(Only<engine::StartRequest>(loaded).size() == 9);
+  BOOST_TEST(Only<engine::ReleaseSlot>(loaded).size() == 1);
+  BOOST_TEST(Only<engine::StartRequest>(ready.Request(10, Model("a"))).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(MoreUrgentWaiterRaisesTheSlotWish)
+{
+  Ready ready;
+  auto const order = ready.AskedOrder(ready.Request(1, Model("a"), RequestClass::Batch));
+  auto const again = Only<engine::AskForSlot>(ready.Request(2, Model("a")));
+  BOOST_REQUIRE_EQUAL(again.size(), 1);
+  BOOST_TEST(again.front().m_order == order);
+  BOOST_TEST((again.front().m_class == RequestClass::Interactive));
+}
+
+BOOST_AUTO_TEST_CASE(LoadThatNobodyAwaitsIsDropped)
+{
+  Ready ready;
+  auto const order = ready.AskedOrder(ready.Request(1, Model("a")));
+  auto const ended = ready.m_manager.End(RequestNamed(1), ready.m_now);
+  BOOST_TEST(Only<engine::ReleaseSlot>(ended).size() == 1);
+  BOOST_TEST(ready.m_manager.Ledger().Used() == base::Bytes(0));
+  auto const late = ready.m_manager.OnSlotGranted(order, ready.m_now + 1s, ready.m_now);
+  BOOST_TEST(Only<engine::OrderLoad>(late).empty());
+  BOOST_TEST(Only<engine::ReleaseSlot>(late).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AdapterLoadsAfterItsBaseModel)
+{
+  Ready ready;
+  auto const first = Only<engine::AskForSlot>(ready.Request(1, Adapter("a", "x")));
+  BOOST_REQUIRE(first.empty() || first.front().m_replica == Model("a"));
+  auto const base =
+    first.empty() ? Only<engine::AskForSlot>(ready.m_manager.Tick(ready.m_now)) : first;
+  BOOST_REQUIRE_EQUAL(base.size(), 1);
+  auto const loaded = ready.Load(base.front().m_order);
+  BOOST_TEST(Only<engine::StartRequest>(loaded).empty());
+  auto const adapter = Only<engine::AskForSlot>(loaded);
+  BOOST_REQUIRE_EQUAL(adapter.size(), 1);
+  BOOST_TEST(adapter.front().m_replica == Adapter("a", "x"));
+  BOOST_TEST(Only<engine::StartRequest>(ready.Load(adapter.front().m_order)).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(IdleReplicaIsEvictedAndABusyOneIsNot)
+{
+  Ready ready;
+  ready.Load(ready.AskedOrder(ready.Request(1, Model("a"))));
+  ready.Load(ready.AskedOrder(ready.Request(2, Model("b"))));
+  auto const blocked = ready.Request(3, Model("c"));
+  BOOST_TEST(Only<engine::OrderUnload>(blocked).empty());
+  ready.m_manager.End(RequestNamed(1), ready.m_now);
+  auto const freed = ready.m_manager.End(RequestNamed(2), ready.m_now);
+  auto const unloads = Only<engine::OrderUnload>(freed);
+  BOOST_REQUIRE_EQUAL(unloads.size(), 2);
+  BOOST_TEST(Only<engine::AskForSlot>(freed).empty());
+  ready.m_manager.OnOrderAnswer(unloads[0].m_order, OrderAnswer::Done, ready.m_now);
+  auto const last =
+    ready.m_manager.OnOrderAnswer(unloads[1].m_order, OrderAnswer::Done, ready.m_now);
+  BOOST_TEST(Only<engine::AskForSlot>(last).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(BatchDoesNotEvictWhatWasJustUsed)
+{
+  Ready ready;
+  ready.Load(ready.AskedOrder(ready.Request(1, Model("c"))));
+  ready.m_manager.End(RequestNamed(1), ready.m_now);
+  auto const batch = ready.Request(2, Model("a"), RequestClass::Batch, 10min);
+  BOOST_TEST(Only<engine::OrderUnload>(batch).empty());
+  ready.m_now += 31s;
+  BOOST_TEST(Only<engine::OrderUnload>(ready.m_manager.Tick(ready.m_now)).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWhatCannotBeServed)
+{
+  Ready ready;
+  auto const reason = [&ready](ReplicaKey const& aKey, base::Duration aLimit) {
+    auto const refused =
+      Only<engine::RefuseRequest>(ready.Request(1, aKey, RequestClass::Interactive, aLimit));
+    BOOST_REQUIRE_EQUAL(refused.size(), 1);
+    return ToText(refused.front().m_reason);
+  };
+  BOOST_TEST(reason(Model("nothing"), 10s) == "unknown-replica");
+  BOOST_TEST(reason(Model("huge"), 10s) == "too-large");
+  BOOST_TEST(reason(Model("a"), 0s) == "not-in-time");
+  ready.Load(ready.AskedOrder(ready.Request(2, Model("a"))), 4s);
+  BOOST_TEST(reason(Model("b"), 3s) == "not-in-time");
+  ready.m_manager.SetPermissions({}, ready.m_now);
+  BOOST_TEST(reason(Model("a"), 10s) == "not-permitted");
+}
+
+BOOST_AUTO_TEST_CASE(WaitingRequestIsRefusedAtItsDeadline)
+{
+  Ready ready;
+  ready.Request(1, Model("a"), RequestClass::Interactive, 2s);
+  BOOST_TEST(Only<engine::RefuseRequest>(ready.m_manager.Tick(ready.m_now + 1999ms)).empty());
+  auto const late = ready.m_manager.Tick(ready.m_now + 2s);
+  BOOST_TEST(Only<engine::RefuseRequest>(late).size() == 1);
+  BOOST_TEST(ready.m_manager.Ledger().Used() == base::Bytes(0));
+}
+
+BOOST_AUTO_TEST_CASE(RevokedModelIsConfirmedOnlyAfterItsUnload)
+{
+  Ready ready;
+  ready.Load(ready.AskedOrder(ready.Request(1, Model("a"))));
+  auto permissions = GrantAll();
+  permissions[Model("a").m_model].m_state = engine::Permission::State::Revoking;
+  BOOST_TEST(
+    Only<engine::OrderUnload>(ready.m_manager.SetPermissions(permissions, ready.m_now)).empty());
+  BOOST_TEST(Only<engine::ConfirmRevoked>(ready.m_manager.Tick(ready.m_now)).empty());
+  auto const ended = Only<engine::OrderUnload>(ready.m_manager.End(RequestNamed(1), ready.m_now));
+  BOOST_REQUIRE_EQUAL(ended.size(), 1);
+  ready.m_manager.OnOrderAnswer(ended.front().m_order, OrderAnswer::Lost, ready.m_now + kBound);
+  BOOST_TEST(Only<engine::ConfirmRevoked>(ready.m_manager.Tick(ready.m_now + kBound)).empty());
+  ready.m_now += 2 * kBound;
+  ready.m_manager.OnEngineState({}, ready.m_now, ready.m_now);
+  auto const confirmed = Only<engine::ConfirmRevoked>(ready.m_manager.Tick(ready.m_now));
+  BOOST_REQUIRE_EQUAL(confirmed.size(), 1);
+  BOOST_TEST(confirmed.front().m_model == Model("a").m_model);
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswerIsResolvedOnlyByAReadAfterTheBound)
+{
+  Ready ready;
+  auto const order = ready.AskedOrder(ready.Request(1, Model("a"), RequestClass::Standard, 1min));
+  ready.m_manager.OnSlotGranted(order, ready.m_now + 1s, ready.m_now);
+  base::Instant const sent = ready.m_now;
+  ready.m_manager.OnOrderAnswer(order, OrderAnswer::Lost, sent + 1s);
+  ready.m_manager.OnEngineState({}, sent + 2s, sent + 2s);
+  BOOST_TEST(ready.m_manager.Ledger().Used() == base::Bytes(50));
+  engine::EngineState const holds{ { { Model("a"), { base::Bytes(40), base::Bytes(10) } } } };
+  auto const resolved = ready.m_manager.OnEngineState(holds, sent + kBound, sent + kBound);
+  BOOST_TEST(Only<engine::StartRequest>(resolved).size() == 1);
+  BOOST_TEST(Only<engine::ReleaseSlot>(resolved).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(FencedOffAgentRefusesItsWaitingRequests)
+{
+  Ready ready;
+  auto const order = ready.AskedOrder(ready.Request(1, Model("a")));
+  ready.m_manager.OnSlotGranted(order, ready.m_now + 1s, ready.m_now);
+  ready.m_manager.OnOrderAnswer(order, OrderAnswer::FencedOff, ready.m_now);
+  auto const refused = Only<engine::RefuseRequest>(ready.m_manager.Tick(ready.m_now));
+  BOOST_REQUIRE_EQUAL(refused.size(), 1);
+  BOOST_TEST((refused.front().m_reason == engine::ReplicaRefusal::LostWriter));
+}
+
+BOOST_AUTO_TEST_CASE(NewIncarnationTakesOverWhatTheEngineHolds)
+{
+  base::Instant const now{ 1h };
+  engine::ReplicaManager manager(
+    { base::Bytes(100) }, engine::WriterLease(engine::FencingSupport::Checked, { kLease, kBound }));
+  manager.Lease().Take(base::FencingNumber(2), now, now);
+  manager.SetCatalog(SmallCatalog(), now);
+  manager.SetPermissions(GrantAll(), now);
+  BOOST_TEST(manager.OnEngineState({}, now, now).empty());
+  BOOST_TEST(!manager.IsReconciled());
+  BOOST_TEST(Only<engine::RaiseFence>(manager.Tick(now)).size() == 1);
+  auto const fenced = manager.OnFenceAnswer(OrderAnswer::Done, now);
+  BOOST_TEST(Only<engine::ReadEngineState>(fenced).size() == 1);
+  auto const early =
+    manager.Request(RequestNamed(1), Model("a"), { RequestClass::Standard, now + 10s }, now);
+  BOOST_TEST(early.empty());
+  engine::EngineState changing;
+  changing.m_isChanging = true;
+  BOOST_TEST(manager.OnEngineState(changing, now, now).empty());
+  engine::EngineState const holds{ { { Model("a"), { base::Bytes(40), base::Bytes(10) } } } };
+  auto const actions = manager.OnEngineState(holds, now, now);
+  BOOST_TEST(Only<engine::StartRequest>(actions).size() == 1);
+  BOOST_TEST(manager.Ledger().Used() == base::Bytes(50));
+}
