--- a/Base/Http/HttpExchange.h
+++ b/Base/Http/HttpExchange.h
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -37,6 +38,9 @@
                Duration aWriteTime);
 
   HttpRequest& Request() { return m_request; }
+  /// Number of the connection among all that its server accepted, from 1 on.
+  std::uint64_t ConnectionNumber() const { return m_connectionNumber; }
+  void SetConnectionNumber(std::uint64_t aNumber) { m_connectionNumber = aNumber; }
   /// IP address of the peer.
   std::string PeerAddress() const;
 
@@ -76,6 +80,7 @@
   HttpRequest m_request;
   Duration m_writeTime;
   std::function<void()> m_onPeerGone;
+  std::uint64_t m_connectionNumber = 0;
   bool m_keepAlive;
   bool m_mayChunk;
   bool m_isHead;
--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -10,6 +10,7 @@
 #include <tl/expected.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -66,6 +67,8 @@
 
   std::size_t OpenConnections() const { return m_connections; }
   std::size_t OpenExchanges() const { return m_exchanges; }
+  /// Connections accepted so far; the number of the latest one.
+  std::uint64_t AcceptedConnections() const { return m_accepted; }
 
 private:
   template<typename Stream>
@@ -86,6 +89,7 @@
   std::list<boost::asio::ip::tcp::socket*> m_idle;
   std::size_t m_connections = 0;
   std::size_t m_exchanges = 0;
+  std::uint64_t m_accepted = 0;
   bool m_draining = false;
 };
 
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -48,6 +48,7 @@
   Session(HttpServer& aServer, Stream& aStream)
     : m_server(aServer)
     , m_stream(aStream)
+    , m_number(++aServer.m_accepted)
   {
   }
 
@@ -162,6 +163,7 @@
     detail::CountGuard const guard(m_server.m_exchanges);
     HttpExchange exchange(&m_stream, std::move(aRequest), m_keepAlive && !m_server.m_draining,
                           m_mayChunk, m_server.m_limits.m_writeTime);
+    exchange.SetConnectionNumber(m_number);
     m_current = &exchange;
     WatchPeer();
     co_await m_server.m_handler(exchange);
@@ -210,6 +212,7 @@
 
   HttpServer& m_server;
   Stream& m_stream;
+  std::uint64_t m_number;
   boost::beast::flat_buffer m_buffer;
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
   boost::asio::steady_timer m_watchEnded{ m_server.m_loop.Context() };
