StandIns: Add the engine, service, weight store and platform

The other parts are built against these: each is a class that a test can run in its process and a program over it, with its faults set by PUT /admin/faults. docs/STANDINS.md describes calls, timing and faults.

Run by hand over loopback: conditional write and its conflict, a watch that sees the next write, a load by fencing number 3 and a refused order by 2, a streamed and a whole answer, a booking, an outage answered 503.

--- /dev/null
+++ b/StandIns/Common/RateMeter.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Base/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace sardinefold::standins {
+
+/// Admits a number of calls a second, with one second's worth at once.
+class RateMeter
+{
+public:
+  explicit RateMeter(double aCallsPerSecond)
+    : m_callsPerSecond(aCallsPerSecond)
+    , m_level(aCallsPerSecond)
+  {
+  }
+
+  bool Admit(base::Instant aNow)
+  {
+    auto const refilled = m_level + m_callsPerSecond * base::ToSeconds(aNow - m_since);
+    m_level = std::min(m_callsPerSecond, refilled);
+    m_since = aNow;
+    if (m_level < 1.0) {
+      ++m_refused;
+      return false;
+    }
+    m_level -= 1.0;
+    ++m_admitted;
+    return true;
+  }
+
+  std::uint64_t Admitted() const { return m_admitted; }
+  std::uint64_t Refused() const { return m_refused; }
+
+private:
+  double m_callsPerSecond;
+  double m_level;
+  base::Instant m_since{};
+  std::uint64_t m_admitted = 0;
+  std::uint64_t m_refused = 0;
+};
+
+} // namespace sardinefold::standins
--- /dev/null
+++ b/StandIns/Engine/CompletionCodec.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Base/Http/HttpMessage.h"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace sardinefold::standins {
+
+/// A request for a completion, read from OpenAI's format.
+struct CompletionRequest
+{
+  bool m_isChat = true;
+  std::string m_model;
+  /// The prompt, or all messages as "role: content" lines.
+  std::string m_prompt;
+  std::optional<std::uint64_t> m_maximumTokens;
+  bool m_ignoreEnd = false;
+  bool m_stream = false;
+  bool m_includeUsage = false;
+  /// Lower goes first.
+  std::int64_t m_priority = 0;
+};
+
+/// What an answer's messages have in common.
+struct CompletionAnswer
+{
+  bool m_isChat = true;
+  std::string m_id;
+  std::string m_model;
+  std::int64_t m_createdSeconds = 0;
+  std::uint64_t m_promptTokens = 0;
+  std::uint64_t m_cachedTokens = 0;
+  std::uint64_t m_generatedTokens = 0;
+  /// "stop" or "length".
+  std::string m_finishReason;
+};
+
+/// The error names the field.
+tl::expected<CompletionRequest, std::string> ParseCompletionRequest(
+  base::HttpRequest const& aRequest);
+
+std::string RenderCompletion(CompletionAnswer const& aAnswer, std::string const& aText);
+/// Events of a stream, each with its "data: " and blank line.
+std::string RenderTokenEvent(CompletionAnswer const& aAnswer, std::string const& aToken,
+                             bool aIsFirst);
+std::string RenderFinishEvent(CompletionAnswer const& aAnswer);
+std::string RenderUsageEvent(CompletionAnswer const& aAnswer);
+std::string RenderDoneEvent();
+
+} // namespace sardinefold::standins
--- /dev/null
+++ b/StandIns/Engine/EngineStandIn.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpClient.h"
+#include "Base/Http/HttpExchange.h"
+#include "Base/Settings.h"
+#include "StandIns/Common/RanLog.h"
+#include "StandIns/Common/StandInFront.h"
+#include "StandIns/Engine/Batch.h"
+#include "StandIns/Engine/OrderCodec.h"
+#include "StandIns/Engine/PrefixCache.h"
+#include "StandIns/Engine/Replicas.h"
+
+#include <tl/expected.hpp>
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace sardinefold::standins {
+
+struct EngineConfiguration
+{
+  base::Bytes m_memory{ 80'000'000'000 };
+  /// Sizes of what an order gives no size for.
+  base::Bytes m_modelBytes{ 16'000'000'000 };
+  base::Bytes m_adapterBytes{ 100'000'000 };
+  bool m_checksFencing = false;
+  base::Duration m_loadLag = std::chrono::milliseconds(500);
+  base::Duration m_eventLag = std::chrono::milliseconds(200);
+  /// Every such event is lost; 0 for none.
+  std::uint64_t m_eventGap = 10;
+  /// How long a stream without reader can be resumed.
+  base::Duration m_resumeTime = std::chrono::seconds(2);
+  base::Duration m_unloadTime = std::chrono::milliseconds(50);
+  base::Endpoint m_weightStore;
+  BatchLimits m_batch;
+  std::uint64_t m_cacheBlocks = 4096;
+};
+
+/// A model engine: completions in OpenAI's format, orders, state and events.
+class EngineStandIn
+{
+public:
+  static base::SettingsTable Table();
+  static tl::expected<std::unique_ptr<EngineStandIn>, std::string> Create(
+    base::EventLoop& aLoop, base::Settings const& aSettings);
+
+  EngineStandIn(base::EventLoop& aLoop, EngineConfiguration aConfiguration);
+
+  void Attach(base::HttpServer const& aServer) { m_front.Attach(aServer); }
+  boost::asio::awaitable<void> Serve(base::HttpExchange& aExchange);
+
+  FaultSwitches& Faults() { return m_front.Faults(); }
+  RanLog const& Ran() const { return m_ran; }
+  Replicas const& Held() const { return m_replicas; }
+
+private:
+  struct LoadReport
+  {
+    base::Instant m_at{};
+    std::uint64_t m_running = 0;
+    std::uint64_t m_waiting = 0;
+    std::uint64_t m_waitingTokens = 0;
+    std::uint64_t m_cacheBlocks = 0;
+  };
+
+  // Completions: EngineCompletions.cpp.
+  boost::asio::awaitable<void> ServeCompletion(base::HttpExchange& aExchange);
+  boost::asio::awaitable<void> ServeStream(base::HttpExchange& aExchange, std::string aId,
+                                           std::uint64_t aAfter);
+  boost::asio::awaitable<bool> WriteStream(base::HttpExchange& aExchange, std::string aId,
+                                           std::uint64_t aAfter);
+  boost::asio::awaitable<void> ServeWhole(base::HttpExchange& aExchange, std::string aId);
+  boost::asio::awaitable<void> ServeResume(base::HttpExchange& aExchange);
+  tl::expected<std::string, base::HttpResponse> Start(base::HttpRequest const& aRequest);
+  void Cancel(std::string const& aId);
+  void EndInLog(Sequence const& aSequence, std::string const& aOutcome);
+
+  // Orders: EngineOrders.cpp.
+  boost::asio::awaitable<void> ServeOrder(base::HttpExchange& aExchange);
+  boost::asio::awaitable<base::HttpResponse> Load(HeldReplica aReplica);
+  boost::asio::awaitable<base::HttpResponse> Unload(std::string aName);
+  boost::asio::awaitable<bool> FetchWeights(std::string aName, bool aIsAdapter);
+  base::HttpResponse ImportCache(base::HttpRequest const& aRequest);
+
+  // What it tells of itself: EngineReports.cpp.
+  base::HttpResponse RenderModels() const;
+  base::HttpResponse RenderState() const;
+  base::HttpResponse RenderLoad() const;
+  base::HttpResponse RenderEvents(std::uint64_t aAfter) const;
+  base::HttpResponse RenderCache(std::string const& aModel) const;
+  LoadReport TakeReport() const;
+
+  boost::asio::awaitable<void> ServeAdmin(base::HttpExchange& aExchange);
+  boost::asio::awaitable<void> ServeReport(base::HttpExchange& aExchange, std::string aPath);
+  boost::asio::awaitable<void> KeepReports();
+  void DropExpired();
+  void PublishEvents();
+
+  base::EventLoop& m_loop;
+  EngineConfiguration m_configuration;
+  StandInFront m_front;
+  base::HttpClient m_client;
+  PrefixCache m_cache;
+  Replicas m_replicas;
+  Batch m_batch;
+  RanLog m_ran;
+  LoadReport m_report;
+  base::FencingNumber m_fencing;
+  std::string m_role = "both";
+  std::uint64_t m_nextStream = 1;
+  std::uint64_t m_staleOrders = 0;
+  std::uint64_t m_outOfMemory = 0;
+  std::uint64_t m_visibleEvents = 0;
+  std::deque<std::pair<base::Instant, std::uint64_t>> m_pendingEvents;
+
+  std::string m_poison;
+  bool m_dieInLoad = false;
+  std::uint64_t m_cutStreamsAfter = 0;
+};
+
+} // namespace sardinefold::standins
--- /dev/null
+++ b/StandIns/Platform/HostList.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Base/Time.h"
+
+#include <json/value.h>
+#include <tl/expected.hpp>
+
+#include <deque>
+#include <string>
+
+namespace sardinefold::standins {
+
+/// The list of hosts, which shows each change only after a lag.
+class HostList
+{
+public:
+  /// Takes {"hosts":[...]}; the error names the entry and its field.
+  tl::expected<void, std::string> Set(Json::Value const& aList, base::Instant aNow);
+  Json::Value Visible(base::Instant aNow);
+
+  base::Duration& Lag() { return m_lag; }
+  bool& IsFrozen() { return m_frozen; }
+
+private:
+  struct Pending
+  {
+    base::Instant m_since;
+    Json::Value m_list;
+  };
+
+  std::deque<Pending> m_pending;
+  Json::Value m_visible;
+  base::Duration m_lag{};
+  bool m_frozen = false;
+};
+
+} // namespace sardinefold::standins
--- /dev/null
+++ b/StandIns/Platform/ObjectTable.cpp
@@ -0,0 +1,99 @@
+#include "StandIns/Platform/ObjectTable.h"
+
+namespace sardinefold::standins {
+
+namespace {
+
+constexpr std::size_t kMaxChanges = 20'000;
+
+} // namespace
+
+std::optional<StoredObject> ObjectTable::Get(std::string const& aKind,
+                                             std::string const& aName) const
+{
+  auto const found = m_objects.find({ aKind, aName });
+  return found == m_objects.end() ? std::nullopt : std::optional<StoredObject>(found->second);
+}
+
+std::vector<StoredObject> ObjectTable::List(std::string const& aKind,
+                                            std::string_view aPrefix) const
+{
+  std::vector<StoredObject> objects;
+  for (auto at = m_objects.lower_bound({ aKind, std::string(aPrefix) }); at != m_objects.end();
+       ++at) {
+    auto const& object = at->second;
+    if (object.m_kind != aKind || !object.m_name.starts_with(aPrefix)) {
+      break;
+    }
+    objects.push_back(object);
+  }
+  return objects;
+}
+
+ObjectTable::WriteResult ObjectTable::Put(std::string const& aKind, std::string const& aName,
+                                          std::string aValue, base::ObjectVersion aExpected)
+{
+  auto const found = m_objects.find({ aKind, aName });
+  auto const current = found == m_objects.end() ? base::ObjectVersion() : found->second.m_version;
+  if (current != aExpected) {
+    return tl::make_unexpected(TableError::ConditionFailed);
+  }
+  m_latest = m_latest.Next();
+  StoredObject object{ aKind, aName, m_latest, std::move(aValue) };
+  Record(false, object);
+  m_objects.insert_or_assign({ aKind, aName }, std::move(object));
+  return m_latest;
+}
+
+ObjectTable::WriteResult ObjectTable::Delete(std::string const& aKind, std::string const& aName,
+                                             base::ObjectVersion aExpected)
+{
+  auto const found = m_objects.find({ aKind, aName });
+  if (found == m_objects.end()) {
+    return tl::make_unexpected(TableError::NotFound);
+  }
+  if (found->second.m_version != aExpected) {
+    return tl::make_unexpected(TableError::ConditionFailed);
+  }
+  m_latest = m_latest.Next();
+  auto object = std::move(found->second);
+  object.m_version = m_latest;
+  m_objects.erase(found);
+  Record(true, object);
+  return m_latest;
+}
+
+tl::expected<std::vector<StoredChange>, TableError> ObjectTable::ChangesAfter(
+  std::string const& aKind, std::string_view aPrefix, base::ObjectVersion aAfter) const
+{
+  if (aAfter < m_compacted) {
+    return tl::make_unexpected(TableError::Compacted);
+  }
+  std::vector<StoredChange> changes;
+  for (auto at = m_changes.rbegin(); at != m_changes.rend(); ++at) {
+    if (at->m_object.m_version <= aAfter) {
+      break;
+    }
+    if (at->m_object.m_kind == aKind && at->m_object.m_name.starts_with(aPrefix)) {
+      changes.push_back(*at);
+    }
+  }
+  return std::vector<StoredChange>(changes.rbegin(), changes.rend());
+}
+
+void ObjectTable::Compact()
+{
+  m_compacted = m_latest;
+  m_changes.clear();
+}
+
+void ObjectTable::Record(bool aIsDelete, StoredObject const& aObject)
+{
+  m_changes.push_back({ aIsDelete, aObject });
+  if (m_changes.size() > kMaxChanges) {
+    m_compacted = m_changes.front().m_object.m_version;
+    m_changes.pop_front();
+  }
+}
+
+} // namespace sardinefold::standins
--- /dev/null
+++ b/StandIns/Platform/PlatformStandIn.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpExchange.h"
+#include "Base/Settings.h"
+#include "Base/Signal.h"
+#include "StandIns/Common/RateMeter.h"
+#include "StandIns/Common/StandInFront.h"
+#include "StandIns/Platform/HostList.h"
+#include "StandIns/Platform/ObjectTable.h"
+
+#include <tl/expected.hpp>
+
+#include <memory>
+#include <string>
+
+namespace sardinefold::standins {
+
+/// The object API and the host list of docs/INTERFACES.md.
+class PlatformStandIn
+{
+public:
+  static base::SettingsTable Table();
+  static tl::expected<std::unique_ptr<PlatformStandIn>, std::string> Create(
+    base::EventLoop& aLoop, base::Settings const& aSettings);
+
+  PlatformStandIn(base::EventLoop& aLoop, double aWritesPerSecond, double aReadsPerSecond);
+
+  void Attach(base::HttpServer const& aServer) { m_front.Attach(aServer); }
+  boost::asio::awaitable<void> Serve(base::HttpExchange& aExchange);
+
+  FaultSwitches& Faults() { return m_front.Faults(); }
+  ObjectTable& Objects() { return m_objects; }
+  HostList& Hosts() { return m_hosts; }
+  RateMeter const& Writes() const { return m_writes; }
+  RateMeter const& Reads() const { return m_reads; }
+
+private:
+  /// A path of /v1/objects or /v1/watch, decoded.
+  struct ObjectPath
+  {
+    std::string m_kind;
+    std::string m_name;
+  };
+
+  boost::asio::awaitable<void> ServeAdmin(base::HttpExchange& aExchange);
+  boost::asio::awaitable<void> ServeObjects(base::HttpExchange& aExchange, ObjectPath aPath);
+  boost::asio::awaitable<void> ServeWatch(base::HttpExchange& aExchange, ObjectPath aPath);
+  base::HttpResponse Get(ObjectPath const& aPath) const;
+  base::HttpResponse List(std::string const& aKind, std::string const& aPrefix) const;
+  base::HttpResponse Put(ObjectPath const& aPath, base::HttpRequest const& aRequest);
+  base::HttpResponse Delete(ObjectPath const& aPath, base::HttpRequest const& aRequest);
+  Json::Value Calls() const;
+
+  base::EventLoop& m_loop;
+  StandInFront m_front;
+  ObjectTable m_objects;
+  HostList m_hosts;
+  RateMeter m_writes;
+  RateMeter m_reads;
+  base::Signal m_changed;
+  std::uint64_t m_waitingWatches = 0;
+};
+
+} // namespace sardinefold::standins
--- /dev/null
+++ b/StandIns/Service/ServiceStandIn.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpExchange.h"
+#include "Base/Settings.h"
+#include "StandIns/Common/RanLog.h"
+#include "StandIns/Common/StandInFront.h"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sardinefold::standins {
+
+/// A plain service: POST books or dispatches and answers with a number that is
+/// new each time, GET echoes.
+class ServiceStandIn
+{
+public:
+  static base::SettingsTable Table();
+  static tl::expected<std::unique_ptr<ServiceStandIn>, std::string> Create(
+    base::EventLoop& aLoop, base::Settings const& aSettings);
+
+  ServiceStandIn(base::EventLoop& aLoop, base::Duration aWorkTime);
+
+  void Attach(base::HttpServer const& aServer) { m_front.Attach(aServer); }
+  boost::asio::awaitable<void> Serve(base::HttpExchange& aExchange);
+
+  FaultSwitches& Faults() { return m_front.Faults(); }
+  RanLog const& Ran() const { return m_ran; }
+
+private:
+  boost::asio::awaitable<void> ServeAdmin(base::HttpExchange& aExchange);
+  base::HttpResponse Execute(base::HttpRequest const& aRequest);
+  Json::Value RenderCounts() const;
+
+  base::EventLoop& m_loop;
+  StandInFront m_front;
+  RanLog m_ran;
+  base::Duration m_workTime;
+  std::string m_poison;
+  std::uint64_t m_running = 0;
+  std::uint64_t m_nextBooking = 1;
+  // Executions by the hash of the request's content.
+  std::map<std::string, std::uint64_t> m_executions;
+};
+
+} // namespace sardinefold::standins
