Entry: Decide allowances with shares, slices and proven ownership

No workspace may receive more than rate and burst over all hosts, whatever dies, pauses or is cut off. Each workspace's bucket is cut into equal shares. An owner's level, the slices not known to be spent and what an earlier owner handed out never exceed the share's burst together; slices end by the holder's clock from before it asked; ownership ends only by proof.

Messages carry totals per slice and numbered refunds, so that lost, repeated and late ones lose tokens at worst. An unused reservation that is known before its tokens count as spent goes back to its slice; later ones are refunded up to the highest potential since, which keeps long streams from blocking refills.

--- /dev/null
+++ b/Entry/Allowance/BucketShare.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "Base/Time.h"
+#include "Entry/Allowance/AllowanceMessages.h"
+#include "Entry/Allowance/PeakHistory.h"
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace sardinefold::entry {
+
+/// What a new owner knows of the share that it takes over.
+struct ShareStart
+{
+  /// Tokens that the previous owner handed over; 0 when it died.
+  base::Tokens m_level;
+  /// Whether slices of an earlier epoch may still be out.
+  bool m_hasPredecessor = true;
+  /// Slices are numbered from after this, so that numbers of a share that was
+  /// forgotten while idle do not return in the same epoch.
+  GrantNumber m_lastGrant;
+};
+
+/// The owner's side of one share: a token bucket that hands out slices.
+///
+/// Level, slices not known to be spent, and what an earlier owner may have
+/// handed out never exceed the share's burst together; a refill or refund that
+/// would break this is forgone. Hence no window of length T sees more than
+/// burst plus rate times T reach the upstreams.
+class BucketShare
+{
+public:
+  BucketShare(ShareKey aShare, base::Epoch aEpoch, Allowance aAllowance, ShareStart aStart,
+              base::Instant aNow);
+
+  /// Takes a holder's reports, and answers its ask now or queues it.
+  std::vector<TokenGrant> Ask(TokenAsk const& aAsk, base::Instant aNow);
+  /// Refills and serves queued asks.
+  std::vector<TokenGrant> Advance(base::Instant aNow);
+  /// Takes an operator's change. A smaller burst applies to the level at once
+  /// and to slices as they end.
+  void SetAllowance(Allowance aAllowance, base::Instant aNow);
+  /// Ends granting and returns the level for the next owner.
+  base::Tokens Close(base::Instant aNow);
+
+  base::Epoch OwnedEpoch() const { return m_epoch; }
+  base::Tokens Level() const { return m_level; }
+  base::Tokens Outstanding() const { return m_outstanding; }
+  bool HasQueue() const { return !m_queue.empty(); }
+  /// Whether the share is full, nothing is out and no holder is remembered, so
+  /// that one made afresh for the same epoch would be no fuller.
+  bool IsIdle() const;
+
+private:
+  struct OpenGrant
+  {
+    base::Tokens m_left;
+    base::Tokens m_spent;
+    base::Tokens m_returned;
+  };
+  struct Account
+  {
+    std::map<GrantNumber, OpenGrant> m_grants;
+    AskNumber m_lastAsk;
+    RefundNumber m_refundsApplied;
+    base::Instant m_heard;
+  };
+  struct Expiry
+  {
+    base::Instant m_at;
+    HolderKey m_holder;
+    GrantNumber m_grant;
+  };
+  struct Queued
+  {
+    TokenAsk m_ask;
+    base::Instant m_until;
+  };
+
+  void Refill(base::Instant aNow);
+  void Expire(base::Instant aNow);
+  void ApplyReports(TokenAsk const& aAsk, Account& aAccount);
+  void ApplyRefunds(RefundBatch const& aBatch, Account& aAccount);
+  void Answer(TokenAsk const& aAsk, std::vector<TokenGrant>& aGrants, base::Instant aNow);
+  bool UpdateQueued(TokenAsk const& aAsk, base::Instant aNow);
+  void Enqueue(TokenAsk const& aAsk, base::Tokens aGranted, base::Instant aNow);
+  void ForgetSilentAccounts(base::Instant aNow);
+  base::Tokens Grantable(TokenAsk const& aAsk) const;
+  TokenGrant Grant(TokenAsk const& aAsk, base::Tokens aTokens, base::Instant aNow);
+  void ServeQueue(std::vector<TokenGrant>& aGrants, base::Instant aNow);
+  base::Duration ExpectedWait() const;
+  base::Tokens Potential() const { return m_level + m_outstanding + m_predecessor; }
+  base::Duration Age(base::Instant aNow) const { return aNow - m_start; }
+
+  ShareKey m_share;
+  base::Epoch m_epoch;
+  Allowance m_allowance;
+  base::Instant m_start;
+  base::Instant m_refillStart;
+  base::Tokens m_refilled;
+  base::Tokens m_level;
+  base::Tokens m_outstanding;
+  /// Tokens that slices of earlier epochs may still spend.
+  base::Tokens m_predecessor;
+  base::Instant m_predecessorEnd;
+  base::Instant m_nextForget;
+  GrantNumber m_lastGrant;
+  std::map<HolderKey, Account> m_accounts;
+  std::deque<Expiry> m_expiries;
+  std::deque<Queued> m_queue;
+  base::Tokens m_queued;
+  PeakHistory m_history;
+  bool m_closed = false;
+};
+
+} // namespace sardinefold::entry
--- /dev/null
+++ b/Entry/Allowance/PeakHistory.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Base/Units.h"
+
+#include <array>
+#include <cstdint>
+
+namespace sardinefold::entry {
+
+/// The highest value of a varying amount in each quarter second of the last
+/// 64 seconds. Answers never understate an amount that was noted.
+class PeakHistory
+{
+public:
+  /// Notes the amount at a time; times do not go back.
+  void Note(base::Duration aTime, base::Tokens aAmount);
+  bool Covers(base::Duration aTime) const;
+  /// Highest amount at or after a covered time.
+  base::Tokens PeakSince(base::Duration aTime) const;
+  /// Adds to every amount at or after a covered time.
+  void Raise(base::Duration aTime, base::Tokens aIncrease);
+
+private:
+  static constexpr std::int64_t kCells = 256;
+  static constexpr base::Duration kCell = std::chrono::milliseconds(250);
+
+  static std::int64_t CellOf(base::Duration aTime) { return aTime / kCell; }
+  base::Tokens& At(std::int64_t aCell) { return m_peaks[static_cast<std::size_t>(aCell % kCells)]; }
+  base::Tokens At(std::int64_t aCell) const
+  {
+    return m_peaks[static_cast<std::size_t>(aCell % kCells)];
+  }
+
+  std::array<base::Tokens, kCells> m_peaks{};
+  std::int64_t m_oldest = -1;
+  std::int64_t m_newest = -1;
+  base::Tokens m_last;
+};
+
+} // namespace sardinefold::entry
--- /dev/null
+++ b/Entry/Allowance/SliceHolder.cpp
@@ -0,0 +1,311 @@
+#include "Entry/Allowance/SliceHolder.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace sardinefold::entry {
+
+namespace {
+
+/// Time constant of the smoothed demand.
+constexpr base::Duration kDemandSmoothing = 1s;
+/// Demand that yields fewer tokens than this within the prefetch horizon is
+/// served by an ask for each request.
+constexpr base::Tokens kSmallestPrefetch{ 256 };
+/// How many other shares are asked at a time when the home share is short.
+constexpr std::int64_t kSharesInTurn = 2;
+/// Shortest advice to a refused caller.
+constexpr base::Duration kShortestRetry = 1s;
+
+template<typename Item>
+void MoveTo(std::vector<Item>& aTarget, std::vector<Item>& aSource)
+{
+  std::move(aSource.begin(), aSource.end(), std::back_inserter(aTarget));
+}
+
+} // namespace
+
+void HolderActions::Append(HolderActions&& aOther)
+{
+  MoveTo(m_granted, aOther.m_granted);
+  MoveTo(m_refused, aOther.m_refused);
+  MoveTo(m_asks, aOther.m_asks);
+}
+
+SliceHolder::SliceHolder(base::WorkspaceId const& aWorkspace, HolderKey const& aHolder,
+                         std::uint64_t aShares, ShareIndex aHome, Allowance aAllowance,
+                         AskNumber aLastNumber)
+  : m_home(aHome)
+  , m_allowance(aAllowance)
+{
+  for (std::uint64_t index = 0; index < aShares; ++index) {
+    m_links.emplace_back(ShareKey{ aWorkspace, ShareIndex(index) }, aHolder, aLastNumber);
+  }
+}
+
+HolderActions SliceHolder::Reserve(ReservationId aId, base::Tokens aTokens, base::Instant aDeadline,
+                                   base::Instant aNow)
+{
+  HolderActions actions;
+  auto const shares = static_cast<std::int64_t>(m_links.size());
+  bool const fitsNever = aTokens > m_allowance.Part(m_links.size()).m_burst * shares;
+  if (fitsNever || (aTokens > Available() && aNow + EstimatedWait(aNow) > aDeadline)) {
+    base::Duration const wait = std::max(EstimatedWait(aNow), RefillTime(aTokens));
+    actions.m_refused.push_back({ aId, std::max(kShortestRetry, wait) });
+    return actions;
+  }
+  m_waiting.push_back({ aId, aTokens, aDeadline });
+  m_waitingTokens += aTokens;
+  return Run(aNow);
+}
+
+HolderActions SliceHolder::Settle(ReservationId aId, base::Tokens aUsed, base::Instant aNow)
+{
+  auto const waiting = std::ranges::find(m_waiting, aId, &Waiting::m_id);
+  if (waiting != m_waiting.end()) {
+    m_waitingTokens -= waiting->m_tokens;
+    m_waiting.erase(waiting);
+    return Run(aNow);
+  }
+  auto const found = m_reservations.find(aId);
+  if (found == m_reservations.end()) {
+    return {};
+  }
+  Reservation const reservation = std::move(found->second);
+  m_reservations.erase(found);
+  base::Tokens unused = std::max(base::Tokens(), reservation.m_tokens - aUsed);
+  for (ReservationPart part : reservation.m_parts) {
+    base::Tokens const back = std::min(part.m_tokens, unused);
+    unused -= back;
+    ShareLink& link = Link(part.m_share);
+    if (reservation.m_isSpent) {
+      if (back > base::Tokens()) {
+        link.Refund(part, back, reservation.m_dispatched + kStartLimit);
+      }
+      continue;
+    }
+    link.Restore(part, back);
+    part.m_tokens -= back;
+    link.Spend(part);
+  }
+  return Run(aNow);
+}
+
+HolderActions SliceHolder::Receive(TokenGrant const& aGrant, base::Instant aNow)
+{
+  if (aGrant.m_share.m_share.Value() >= m_links.size()) {
+    return {};
+  }
+  Link(aGrant.m_share.m_share).Receive(aGrant, aNow);
+  return Run(aNow);
+}
+
+HolderActions SliceHolder::Advance(base::Instant aNow)
+{
+  return Run(aNow);
+}
+
+HolderActions SliceHolder::Drain(base::Instant aNow)
+{
+  HolderActions actions;
+  for (ShareLink& link : m_links) {
+    link.GiveBack(link.Available());
+    if (!link.IsIdle()) {
+      actions.m_asks.push_back(link.MakeAsk({}, aNow));
+    }
+  }
+  return actions;
+}
+
+HolderActions SliceHolder::Run(base::Instant aNow)
+{
+  HolderActions actions;
+  for (ShareLink& link : m_links) {
+    link.Advance(aNow);
+  }
+  SpendDue(aNow);
+  ServeWaiting(actions, aNow);
+  RefuseLate(actions, aNow);
+  ReturnIdle(aNow);
+  AskShares(actions, aNow);
+  return actions;
+}
+
+void SliceHolder::SpendDue(base::Instant aNow)
+{
+  while (!m_due.empty() && m_due.front().m_at <= aNow) {
+    auto const found = m_reservations.find(m_due.front().m_id);
+    m_due.pop_front();
+    if (found == m_reservations.end()) {
+      continue;
+    }
+    found->second.m_isSpent = true;
+    for (ReservationPart const& part : found->second.m_parts) {
+      Link(part.m_share).Spend(part);
+    }
+  }
+}
+
+void SliceHolder::ServeWaiting(HolderActions& aActions, base::Instant aNow)
+{
+  while (!m_waiting.empty() && m_waiting.front().m_tokens <= Available()) {
+    Waiting const waiting = m_waiting.front();
+    m_waiting.pop_front();
+    m_waitingTokens -= waiting.m_tokens;
+    Dispatch(waiting, aActions, aNow);
+  }
+}
+
+void SliceHolder::Dispatch(Waiting const& aWaiting, HolderActions& aActions, base::Instant aNow)
+{
+  Reservation reservation{ aWaiting.m_tokens, aNow, false, {} };
+  base::Tokens missing = aWaiting.m_tokens;
+  missing -= Link(m_home).Take(missing, reservation.m_parts);
+  for (ShareLink& link : m_links) {
+    missing -= link.Take(missing, reservation.m_parts);
+  }
+  double const decay =
+    std::exp(-base::ToSeconds(aNow - m_demandAt) / base::ToSeconds(kDemandSmoothing));
+  m_demand = m_demand * decay +
+             static_cast<double>(aWaiting.m_tokens.Value()) / base::ToSeconds(kDemandSmoothing);
+  m_demandAt = aNow;
+  m_reservations.emplace(aWaiting.m_id, std::move(reservation));
+  m_due.push_back({ aNow + kStartLimit, aWaiting.m_id });
+  aActions.m_granted.push_back({ aWaiting.m_id, aNow + kStartLimit });
+}
+
+void SliceHolder::RefuseLate(HolderActions& aActions, base::Instant aNow)
+{
+  auto const isLate = [&](Waiting const& aWaiting) { return aWaiting.m_deadline <= aNow; };
+  for (Waiting const& waiting : m_waiting) {
+    if (!isLate(waiting)) {
+      continue;
+    }
+    m_waitingTokens -= waiting.m_tokens;
+    base::Duration const wait = std::max(EstimatedWait(aNow), RefillTime(waiting.m_tokens));
+    aActions.m_refused.push_back({ waiting.m_id, std::max(kShortestRetry, wait) });
+  }
+  std::erase_if(m_waiting, isLate);
+}
+
+void SliceHolder::ReturnIdle(base::Instant aNow)
+{
+  for (ShareLink& link : m_links) {
+    link.GiveBackEnding(aNow);
+  }
+  base::Tokens const available = Available();
+  m_lowWater = std::min(m_lowWater, available);
+  if (aNow < m_lowWaterStart + kIdleSlice) {
+    return;
+  }
+  base::Tokens excess = m_waiting.empty() ? m_lowWater - PrefetchTarget(aNow) : base::Tokens();
+  m_lowWater = available;
+  m_lowWaterStart = aNow;
+  for (ShareLink& link : m_links) {
+    base::Tokens const part = std::min(excess, link.Available());
+    if (part > base::Tokens()) {
+      link.GiveBack(part);
+      excess -= part;
+      m_lowWater -= part;
+    }
+  }
+}
+
+void SliceHolder::AskShares(HolderActions& aActions, base::Instant aNow)
+{
+  base::Tokens const missing = std::max(base::Tokens(), m_waitingTokens - Available());
+  for (ShareLink& link : m_links) {
+    ShareNeed const need = NeedOf(link, missing, aNow);
+    if (link.ShouldAsk(need, aNow)) {
+      aActions.m_asks.push_back(link.MakeAsk(need, aNow));
+    }
+  }
+}
+
+ShareNeed SliceHolder::NeedOf(ShareLink const& aLink, base::Tokens aMissing,
+                              base::Instant aNow) const
+{
+  ShareNeed need;
+  if (aMissing == base::Tokens()) {
+    base::Tokens const target = PrefetchTarget(aNow);
+    if (IsHome(aLink) && Available() * 2 < target) {
+      need.m_prefetch = target - Available();
+    }
+    return need;
+  }
+  base::Tokens const first =
+    std::clamp(m_waiting.front().m_tokens - Available(), base::Tokens(1), aMissing);
+  ShareLink const& home = m_links[m_home.Value()];
+  auto const shares = static_cast<std::int64_t>(m_links.size());
+  bool const isLarge = first.Value() > m_allowance.m_burst.Value() / shares / 2;
+  if (IsHome(aLink)) {
+    need = { isLarge ? base::Tokens(1) : first, aMissing, PrefetchTarget(aNow) };
+    return need;
+  }
+  if (!isLarge && !home.IsShort(aNow) && !home.IsSilent(aNow)) {
+    return need;
+  }
+  if (!isLarge && !IsInTurn(aLink, aNow)) {
+    return need;
+  }
+  std::int64_t const others =
+    std::max<std::int64_t>(1, isLarge ? shares - 1 : std::min(shares - 1, kSharesInTurn));
+  base::Tokens const part((aMissing.Value() + others - 1) / others);
+  // NOTE: Parts of a request's tokens from several shares would mostly end
+  // unused, unless the request is too large for one share.
+  need.m_first = isLarge ? base::Tokens(1) : first;
+  need.m_want = isLarge ? part : std::max(first, part);
+  return need;
+}
+
+bool SliceHolder::IsInTurn(ShareLink const& aLink, base::Instant aNow) const
+{
+  auto const others = static_cast<std::int64_t>(m_links.size()) - 1;
+  auto const home = static_cast<std::int64_t>(m_home.Value());
+  auto const share = static_cast<std::int64_t>(aLink.Key().m_share.Value());
+  std::int64_t const position = (share - home + others) % (others + 1);
+  std::int64_t const turn = (aNow.time_since_epoch() / kAskLife) * kSharesInTurn % others;
+  return (position - turn + others) % others < kSharesInTurn;
+}
+
+base::Tokens SliceHolder::PrefetchTarget(base::Instant aNow) const
+{
+  double const decay =
+    std::exp(-base::ToSeconds(aNow - m_demandAt) / base::ToSeconds(kDemandSmoothing));
+  base::Tokens const target = base::TokensPerSecond(m_demand * decay) * kPrefetchHorizon;
+  return target < kSmallestPrefetch ? base::Tokens() : target;
+}
+
+base::Duration SliceHolder::EstimatedWait(base::Instant aNow) const
+{
+  base::Duration shortest = base::Duration::max();
+  for (ShareLink const& link : m_links) {
+    shortest = std::min(shortest, link.ExpectedWait(aNow));
+  }
+  return shortest;
+}
+
+base::Duration SliceHolder::RefillTime(base::Tokens aTokens) const
+{
+  double const rate = m_allowance.m_rate.Value();
+  return rate <= 0 ? kRefundLimit : base::FromSeconds(static_cast<double>(aTokens.Value()) / rate);
+}
+
+base::Tokens SliceHolder::Available() const
+{
+  base::Tokens available;
+  for (ShareLink const& link : m_links) {
+    available += link.Available();
+  }
+  return available;
+}
+
+bool SliceHolder::IsIdle() const
+{
+  return m_waiting.empty() && m_reservations.empty() &&
+         std::ranges::all_of(m_links, &ShareLink::IsIdle);
+}
+
+} // namespace sardinefold::entry
--- /dev/null
+++ b/Entry/Allowance/SliceHolder.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "Base/Time.h"
+#include "Entry/Allowance/Reservation.h"
+#include "Entry/Allowance/ShareLink.h"
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace sardinefold::entry {
+
+/// A request may be dispatched.
+struct ReservationGranted
+{
+  ReservationId m_id;
+  /// The agent must not start the request after this time.
+  base::Instant m_startBy;
+};
+
+/// A request got no tokens in time; nothing of it has been sent.
+struct ReservationRefused
+{
+  ReservationId m_id;
+  /// After which a new attempt may succeed.
+  base::Duration m_retryAfter{};
+};
+
+/// What a holder wants done.
+struct HolderActions
+{
+  std::vector<ReservationGranted> m_granted;
+  std::vector<ReservationRefused> m_refused;
+  std::vector<TokenAsk> m_asks;
+
+  void Append(HolderActions&& aOther);
+};
+
+/// One process's reservations for one workspace, backed by slices of the
+/// workspace's shares. Requests wait for tokens, first come first served, until
+/// their deadline.
+class SliceHolder
+{
+public:
+  /// The holder asks aHome first and the other shares when that one is short.
+  SliceHolder(base::WorkspaceId const& aWorkspace, HolderKey const& aHolder, std::uint64_t aShares,
+              ShareIndex aHome, Allowance aAllowance, AskNumber aLastNumber);
+
+  void SetAllowance(Allowance aAllowance) { m_allowance = aAllowance; }
+
+  /// Asks for the tokens of a request that is ready for dispatch, which makes
+  /// sense until the deadline.
+  HolderActions Reserve(ReservationId aId, base::Tokens aTokens, base::Instant aDeadline,
+                        base::Instant aNow);
+  /// The use of a granted reservation is known; zero if the request did not
+  /// run. Also withdraws a reservation that still waits.
+  HolderActions Settle(ReservationId aId, base::Tokens aUsed, base::Instant aNow);
+  HolderActions Receive(TokenGrant const& aGrant, base::Instant aNow);
+  HolderActions Advance(base::Instant aNow);
+  /// Gives back all that no request has taken, for a process that ends.
+  HolderActions Drain(base::Instant aNow);
+
+  bool IsIdle() const;
+  bool IsWaiting() const { return !m_waiting.empty(); }
+  base::Tokens Available() const;
+
+private:
+  struct Waiting
+  {
+    ReservationId m_id;
+    base::Tokens m_tokens;
+    base::Instant m_deadline;
+  };
+  struct Due
+  {
+    base::Instant m_at;
+    ReservationId m_id;
+  };
+
+  HolderActions Run(base::Instant aNow);
+  void SpendDue(base::Instant aNow);
+  void ServeWaiting(HolderActions& aActions, base::Instant aNow);
+  void RefuseLate(HolderActions& aActions, base::Instant aNow);
+  void Dispatch(Waiting const& aWaiting, HolderActions& aActions, base::Instant aNow);
+  void ReturnIdle(base::Instant aNow);
+  void AskShares(HolderActions& aActions, base::Instant aNow);
+  ShareNeed NeedOf(ShareLink const& aLink, base::Tokens aMissing, base::Instant aNow) const;
+  /// Whether it is the share's turn to help out when the home share is short.
+  bool IsInTurn(ShareLink const& aLink, base::Instant aNow) const;
+  base::Tokens PrefetchTarget(base::Instant aNow) const;
+  base::Duration EstimatedWait(base::Instant aNow) const;
+  bool IsHome(ShareLink const& aLink) const { return aLink.Key().m_share == m_home; }
+  ShareLink& Link(ShareIndex aShare) { return m_links[aShare.Value()]; }
+  base::Duration RefillTime(base::Tokens aTokens) const;
+
+  ShareIndex m_home;
+  Allowance m_allowance;
+  std::vector<ShareLink> m_links;
+  std::deque<Waiting> m_waiting;
+  base::Tokens m_waitingTokens;
+  std::map<ReservationId, Reservation> m_reservations;
+  std::deque<Due> m_due;
+  /// Dispatched tokens per second, smoothed.
+  double m_demand = 0;
+  base::Instant m_demandAt;
+  /// Fewest available tokens since m_lowWaterStart.
+  base::Tokens m_lowWater;
+  base::Instant m_lowWaterStart;
+};
+
+} // namespace sardinefold::entry
