Tests: Run whole fleets of allowances in virtual time

A checker that knows only receipts finds the window that exceeds the allowance most; an oracle bucket without latency says what was within the rate.

--- /dev/null
+++ b/Bench/Workload/AllowanceFaults.cpp
@@ -0,0 +1,189 @@
+#include "Bench/Workload/AllowanceFleetParts.h"
+
+#include <algorithm>
+
+namespace sardinefold::bench {
+
+namespace {
+
+constexpr base::Duration kListInterval = 1s;
+constexpr base::Duration kPlatformTime = 5ms;
+/// From a change on the hosts until the platform's list shows it.
+constexpr base::Duration kShortestListLag = 2s;
+constexpr base::Duration kLongestListLag = 5s;
+/// From a dead host's end to the start of the one that takes its place.
+constexpr base::Duration kReplacementTime = 3s;
+constexpr base::Duration kLongestPause = 3s;
+/// From an update of an object until all processes have heard of it.
+constexpr base::Duration kLongestNews = 1s;
+
+} // namespace
+
+bool AllowanceFleet::IsPlatformDown() const
+{
+  return m_scenario.m_platformDown && m_now >= m_warmUp &&
+         m_scenario.m_platformDown->Contains(m_now);
+}
+
+void AllowanceFleet::PublishList()
+{
+  m_list.clear();
+  for (auto const& process : m_processes) {
+    if (process->m_isAlive) {
+      auto const domain = "domain-" + std::to_string(process->m_domain);
+      m_list.push_back(
+        { process->m_key.m_host, base::FailureDomainId::FromValidated(domain), false });
+    }
+  }
+}
+
+void AllowanceFleet::ReadList(Process& aProcess)
+{
+  OnProcess(aProcess.m_index, aProcess.m_life, [this](Process& aSelf) {
+    if (!IsPlatformDown()) {
+      aSelf.m_plan.SetEntries(m_list, aSelf.Clock(m_now));
+    }
+    After(kListInterval, [this, index = aSelf.m_index] { ReadList(*m_processes[index]); });
+  });
+}
+
+void AllowanceFleet::TryClaims(Process& aProcess)
+{
+  if (aProcess.m_nextClaims > m_now || IsPlatformDown()) {
+    return;
+  }
+  aProcess.m_nextClaims = m_now + 250ms;
+  for (entry::OwnershipClaim const& claim : aProcess.m_plan.Claims(aProcess.Clock(m_now))) {
+    ++m_platformCalls;
+    base::Duration const began = m_now;
+    After(kPlatformTime, [this, claim, began, index = aProcess.m_index, life = aProcess.m_life] {
+      bool const isWritten = ApplyClaim(claim);
+      After(kPlatformTime, [this, claim, began, index, life, isWritten] {
+        OnProcess(index, life, [this, claim, began, isWritten](Process& aSelf) {
+          aSelf.m_plan.SetRecord(claim.m_slot, m_store.at(claim.m_slot), aSelf.Clock(m_now));
+          if (isWritten) {
+            entry::OwnedSlot owned{
+              claim.m_slot, claim.m_record.m_epoch, claim.m_record.m_epoch > base::Epoch(1), {}
+            };
+            aSelf.m_node.Own(std::move(owned), aSelf.Clock(began), aSelf.Clock(m_now));
+          }
+        });
+      });
+    });
+  }
+}
+
+bool AllowanceFleet::ApplyClaim(entry::OwnershipClaim const& aClaim)
+{
+  auto const stored = m_store.find(aClaim.m_slot);
+  bool const matches = stored == m_store.end() ? !aClaim.m_expected.has_value()
+                                               : aClaim.m_expected == stored->second.m_version;
+  if (!matches || IsPlatformDown()) {
+    return false;
+  }
+  m_storeVersion = m_storeVersion.Next();
+  m_store[aClaim.m_slot] = { aClaim.m_record, m_storeVersion };
+  Announce(aClaim.m_slot);
+  return true;
+}
+
+void AllowanceFleet::Announce(entry::ShareSlot aSlot)
+{
+  entry::StoredBucket const stored = m_store.at(aSlot);
+  for (auto const& process : m_processes) {
+    After(RandomTime(0s, kLongestNews),
+          [this, aSlot, stored, index = process->m_index, life = process->m_life] {
+            OnProcess(index, life, [this, aSlot, stored](Process& aSelf) {
+              entry::BucketRecord const& record = stored.m_record;
+              aSelf.m_plan.SetRecord(aSlot, stored, aSelf.Clock(m_now));
+              aSelf.m_node.Follow(aSlot, record.m_owner.m_host, record.m_epoch);
+            });
+          });
+  }
+}
+
+void AllowanceFleet::ReadBack(Process& aProcess)
+{
+  if (IsPlatformDown() || aProcess.m_nextReadBack > m_now) {
+    return;
+  }
+  aProcess.m_nextReadBack = m_now + 250ms;
+  for (entry::ShareSlot const slot : aProcess.m_node.Unconfirmed()) {
+    ++m_platformCalls;
+    base::Duration const began = m_now;
+    After(2 * kPlatformTime, [this, slot, began, index = aProcess.m_index, life = aProcess.m_life] {
+      OnProcess(index, life, [this, slot, began](Process& aSelf) {
+        entry::BucketRecord const& record = m_store.at(slot).m_record;
+        if (record.m_owner == aSelf.m_key) {
+          aSelf.m_node.Confirm(slot, record.m_epoch, aSelf.Clock(began), aSelf.Clock(m_now));
+          return;
+        }
+        aSelf.m_node.Follow(slot, record.m_owner.m_host, record.m_epoch);
+      });
+    });
+  }
+}
+
+void AllowanceFleet::ScheduleFaults()
+{
+  if (m_scenario.m_deathEvery) {
+    After(*m_scenario.m_deathEvery / 2, [this] { KillOne(); });
+  }
+  if (m_scenario.m_pauseEvery) {
+    After(*m_scenario.m_pauseEvery / 2, [this] { PauseOne(); });
+  }
+  for (AllowanceChange const& change : m_scenario.m_changes) {
+    After(change.m_at, [this, change] { Change(change); });
+  }
+}
+
+void AllowanceFleet::KillOne()
+{
+  Process& victim = *m_processes[PickProcess()];
+  victim.m_isAlive = false;
+  ++victim.m_life;
+  for (auto const& [id, request] : victim.m_requests) {
+    if (!request->m_isDispatched) {
+      Lose(*request);
+    }
+  }
+  victim.m_requests.clear();
+  After(RandomTime(kShortestListLag, kLongestListLag), [this] { PublishList(); });
+  After(kReplacementTime, [this, domain = victim.m_domain] {
+    StartProcess("entry-" + std::to_string(m_hostsStarted++), domain);
+    After(RandomTime(kShortestListLag, kLongestListLag), [this] { PublishList(); });
+  });
+  After(*m_scenario.m_deathEvery, [this] { KillOne(); });
+}
+
+void AllowanceFleet::PauseOne()
+{
+  m_processes[PickProcess()]->m_pausedUntil = m_now + RandomTime(0s, kLongestPause);
+  After(*m_scenario.m_pauseEvery, [this] { PauseOne(); });
+}
+
+void AllowanceFleet::Change(AllowanceChange const& aChange)
+{
+  Workspace& workspace = m_workspaces[aChange.m_workspace];
+  workspace.m_load.m_allowance = aChange.m_allowance;
+  // A rate counts from the time at which the first process may know it, or the
+  // last, whichever allows more.
+  bool const isRaise = workspace.m_rate < aChange.m_allowance.m_rate.Value();
+  workspace.m_rate = aChange.m_allowance.m_rate.Value();
+  After(isRaise ? 0s : kLongestNews, [this, aChange] {
+    m_workspaces[aChange.m_workspace].m_checker.SetAllowance(aChange.m_allowance,
+                                                             base::Instant(m_now));
+  });
+  workspace.m_oracle.SetAllowance(aChange.m_allowance, base::Instant(m_now));
+  for (auto const& process : m_processes) {
+    After(RandomTime(0s, kLongestNews),
+          [this, aChange, index = process->m_index, life = process->m_life] {
+            OnProcess(index, life, [this, aChange](Process& aSelf) {
+              aSelf.m_node.SetWorkspace(m_workspaces[aChange.m_workspace].m_load.m_id,
+                                        aChange.m_allowance, aSelf.Clock(m_now));
+            });
+          });
+  }
+}
+
+} // namespace sardinefold::bench
--- /dev/null
+++ b/Bench/Workload/AllowanceFleetParts.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Bench/Workload/AllowanceFleet.h"
+
+#include <map>
+#include <memory>
+
+namespace sardinefold::bench {
+
+/// A caller's request.
+struct AllowanceFleet::Request
+{
+  std::size_t m_workspace;
+  std::size_t m_process;
+  base::Tokens m_reserved;
+  base::Tokens m_used;
+  base::Duration m_deadline{};
+  base::Duration m_runs{};
+  bool m_isWithin = false;
+  bool m_isDispatched = false;
+};
+
+/// An entry process with its decisions, its clock and its requests.
+struct AllowanceFleet::Process
+{
+  Process(entry::HolderKey const& aKey, entry::AllowanceLayout aLayout, entry::ShareIndex aHome,
+          base::Instant aNow)
+    : m_key(aKey)
+    , m_node(aKey, aLayout, aHome, aNow)
+    , m_plan(aKey, aLayout)
+  {
+  }
+
+  entry::HolderKey m_key;
+  entry::AllowanceNode m_node;
+  entry::OwnershipPlan m_plan;
+  std::size_t m_index = 0;
+  std::size_t m_domain = 0;
+  std::uint64_t m_life = 1;
+  bool m_isAlive = true;
+  base::Duration m_pausedUntil{};
+  base::Duration m_nextClaims{};
+  base::Duration m_nextReadBack{};
+  /// The process's clock is its own: shifted and a little fast or slow.
+  base::Duration m_clockShift{};
+  double m_clockSpeed = 1;
+  std::map<entry::ReservationId, std::shared_ptr<Request>> m_requests;
+
+  base::Instant Clock(base::Duration aTime) const
+  {
+    return base::Instant(m_clockShift + base::FromSeconds(base::ToSeconds(aTime) * m_clockSpeed));
+  }
+};
+
+/// A workspace with its load, its judges and its counts.
+struct AllowanceFleet::Workspace
+{
+  WorkspaceLoad m_load;
+  AllowanceChecker m_checker;
+  OracleBucket m_oracle;
+  double m_rate = 0;
+  std::int64_t m_requests = 0;
+  std::int64_t m_within = 0;
+  std::int64_t m_withinRefused = 0;
+  std::int64_t m_served = 0;
+  std::int64_t m_lost = 0;
+  std::int64_t m_withinTokens = 0;
+  std::int64_t m_servedTokens = 0;
+};
+
+} // namespace sardinefold::bench
--- /dev/null
+++ b/Bench/Workload/OracleBucket.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Base/Time.h"
+#include "Entry/Allowance/ShareKey.h"
+
+#include <algorithm>
+
+namespace sardinefold::bench {
+
+/// One token bucket for the whole fleet that every request reaches without
+/// delay: what it admits counts as within the rate.
+class OracleBucket
+{
+public:
+  explicit OracleBucket(entry::Allowance aAllowance)
+    : m_rate(aAllowance.m_rate.Value())
+    , m_burst(static_cast<double>(aAllowance.m_burst.Value()))
+    , m_level(m_burst)
+  {
+  }
+
+  void SetAllowance(entry::Allowance aAllowance, base::Instant aNow)
+  {
+    Refill(aNow);
+    m_rate = aAllowance.m_rate.Value();
+    m_burst = static_cast<double>(aAllowance.m_burst.Value());
+    m_level = std::min(m_level, m_burst);
+  }
+
+  bool Reserve(base::Tokens aTokens, base::Instant aNow)
+  {
+    Refill(aNow);
+    auto const tokens = static_cast<double>(aTokens.Value());
+    if (m_level < tokens) {
+      return false;
+    }
+    m_level -= tokens;
+    return true;
+  }
+
+  void Refund(base::Tokens aTokens, base::Instant aNow)
+  {
+    Refill(aNow);
+    m_level = std::min(m_burst, m_level + static_cast<double>(aTokens.Value()));
+  }
+
+private:
+  void Refill(base::Instant aNow)
+  {
+    m_level = std::min(m_burst, m_level + m_rate * base::ToSeconds(aNow - m_last));
+    m_last = aNow;
+  }
+
+  double m_rate;
+  double m_burst;
+  double m_level;
+  base::Instant m_last;
+};
+
+} // namespace sardinefold::bench
