Entry: Add sardinefold-entry, from the caller's request to an agent and back

The callers' endpoint admits a request, prepares what the upstream may see and gives it to a dispatch session, which chooses an agent, holds tokens, forwards and decides by the outcome's type what may follow.

--- /dev/null
+++ b/Agent/DispatchSession.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "Agent/AgentClient.h"
+#include "Agent/AgentDirectory.h"
+#include "Agent/DispatchAnswer.h"
+#include "Agent/DispatchError.h"
+#include "Agent/DispatchPolicy.h"
+#include "Agent/DispatchRequest.h"
+
+#include <concepts>
+#include <set>
+#include <utility>
+
+namespace sardinefold::agent {
+
+/// Chooses the agent of each attempt and hears how the attempts end.
+template<typename T>
+concept AgentChooser = requires(T& aChooser, DispatchRequest const& aRequest,
+                                std::set<base::UpstreamId> const& aExcluded,
+                                base::UpstreamId const& aUpstream, AttemptEnd aEnd,
+                                base::Instant aNow)
+{
+  {
+    aChooser.Choose(aRequest, aExcluded, aNow)
+    } -> std::same_as<std::optional<KnownAgent>>;
+  { aChooser.NoteSent(aRequest, aUpstream, aNow) };
+  { aChooser.NoteEnded(aRequest, aUpstream, aEnd, aNow) };
+};
+
+/// Holds tokens of the workspace's allowance for a request about to be sent.
+template<typename T>
+concept TokenReserver = requires(T& aReserver, DispatchRequest const& aRequest,
+                                 ReservationId aReservation, base::Tokens aUsed)
+{
+  {
+    aReserver.Reserve(aRequest)
+    } -> std::same_as<boost::asio::awaitable<tl::expected<ReservationId, DispatchError>>>;
+  { aReserver.Settle(aReservation, aUsed) };
+};
+
+/// Bounds how many retries may be added to the requests.
+template<typename T>
+concept RetryLimiter = requires(T& aLimiter, base::Instant aNow)
+{
+  { aLimiter.NoteRequest(aNow) };
+  {
+    aLimiter.TryTake(aNow)
+    } -> std::same_as<bool>;
+};
+
+/// Sends one request to agents until one runs it or it has to be refused.
+template<AgentChooser Chooser, TokenReserver Reserver, RetryLimiter Retries>
+class DispatchSession
+{
+public:
+  using Answer = DispatchAnswer<AgentReply>;
+  using Result = tl::expected<Answer, DispatchError>;
+
+  DispatchSession(base::EventLoop& aLoop, AgentClient& aClient, Chooser& aChooser,
+                  Reserver& aReserver, Retries& aRetries)
+    : m_loop(aLoop)
+    , m_client(aClient)
+    , m_chooser(aChooser)
+    , m_reserver(aReserver)
+    , m_retries(aRetries)
+  {
+  }
+
+  boost::asio::awaitable<Result> Run(DispatchRequest const& aRequest, base::HttpRequest aMessage,
+                                     base::Cancellation& aCancellation)
+  {
+    std::optional<DispatchError> last;
+    m_retries.NoteRequest(m_loop.Now());
+    while (true) {
+      auto const now = m_loop.Now();
+      auto const agent = m_chooser.Choose(aRequest, m_excluded, now);
+      if (!agent) {
+        co_return tl::make_unexpected(last ? *last : NoUpstream());
+      }
+      auto const reservation = co_await m_reserver.Reserve(aRequest);
+      if (!reservation) {
+        co_return tl::make_unexpected(reservation.error());
+      }
+      auto outcome = co_await Attempt(aRequest, aMessage, *agent, aCancellation);
+      if (auto* const reply = std::get_if<AgentReply>(&outcome)) {
+        co_return Answer{ agent->m_upstream, *reservation, ReservedTokens(aRequest),
+                          std::move(*reply) };
+      }
+      auto const step = NextStep(aRequest, outcome, aCancellation.IsCancelled(), m_loop.Now());
+      m_reserver.Settle(*reservation,
+                        step.m_mayHaveRun ? ReservedTokens(aRequest) : base::Tokens(0));
+      m_chooser.NoteEnded(aRequest, agent->m_upstream, step.m_end, m_loop.Now());
+      last = step.m_error;
+      if (!step.m_permit || !m_retries.TryTake(m_loop.Now())) {
+        co_return tl::make_unexpected(std::move(*last));
+      }
+      m_excluded.insert(agent->m_upstream);
+    }
+  }
+
+private:
+  boost::asio::awaitable<ForwardOutcome> Attempt(DispatchRequest const& aRequest,
+                                                 base::HttpRequest const& aMessage,
+                                                 KnownAgent const& aAgent,
+                                                 base::Cancellation& aCancellation)
+  {
+    m_chooser.NoteSent(aRequest, aAgent.m_upstream, m_loop.Now());
+    ForwardRequest forward{ MakeExchangeHead(aRequest, m_loop.Now()), aMessage };
+    auto outcome = co_await m_client.Forward(std::move(forward), aAgent.m_endpoint, aCancellation);
+    co_return outcome;
+  }
+
+  base::EventLoop& m_loop;
+  AgentClient& m_client;
+  Chooser& m_chooser;
+  Reserver& m_reserver;
+  Retries& m_retries;
+  std::set<base::UpstreamId> m_excluded;
+};
+
+} // namespace sardinefold::agent
--- a/Caller/CallerEndpoint.h
+++ b/Caller/CallerEndpoint.h
@@ -2,9 +2,9 @@
 
 #include "Agent/DispatchAnswer.h"
 #include "Agent/DispatchRequest.h"
-#include "Base/Cancellation.h"
 #include "Base/Digest.h"
 #include "Base/EventLoop.h"
+#include "Base/Http/HttpClient.h"
 #include "Base/Http/HttpExchange.h"
 #include "Base/Log.h"
 #include "Caller/Admission.h"
@@ -22,6 +22,7 @@
 template<typename T>
 concept CallerBackend = requires(T& aBackend, agent::DispatchRequest const& aRequest,
                                  base::HttpRequest aMessage, base::Cancellation& aCancellation,
+                                 base::UpstreamId const& aUpstream,
                                  agent::ReservationId aReservation, base::Tokens aTokens)
 {
   typename T::Reply;
@@ -41,13 +42,12 @@
     } -> std::same_as<boost::asio::awaitable<
       tl::expected<agent::DispatchAnswer<typename T::Reply>, agent::DispatchError>>>;
   { aBackend.Settle(aReservation, aTokens) };
+  { aBackend.NoteAnswered(aRequest, aUpstream, true) };
 };
 
 struct CallerSettings
 {
   ModelRequestLimits m_modelLimits;
-  /// Longest silence of an upstream in the middle of an answer.
-  base::Duration m_silenceLimit = std::chrono::seconds(30);
 };
 
 /// Serves the callers' requests: admits, dispatches, and passes the answer on
@@ -152,6 +152,7 @@
     // Without a stated usage the whole reservation counts as used.
     auto const used = usage.Total().value_or(answer->m_reserved);
     m_backend.Settle(answer->m_reservation, used);
+    m_backend.NoteAnswered(aPrepared.m_dispatch, answer->m_upstream, isWhole);
     auto const time = m_loop.Now() - aRecord.m_arrival;
     m_metrics.NoteServed(aRecord.m_workspace, aRecord.m_class, time, used, isWhole);
     base::log::Info("request served",
@@ -180,7 +181,7 @@
   {
     auto& reply = aAnswer.m_reply;
     auto headers = AnswerHeaders(reply.Headers(), aRecord);
-    auto first = co_await reply.Read(m_settings.m_silenceLimit);
+    auto first = co_await reply.Read();
     if (!first) {
       base::Unknown const unknown{ "the upstream stopped before its answer began" };
       auto const refusal = Refusal::OutcomeUnknown(unknown);
@@ -199,9 +200,9 @@
       sent = co_await aExchange.Write(*first);
     }
     while (sent && !reply.IsComplete()) {
-      auto piece = co_await reply.Read(m_settings.m_silenceLimit);
+      auto piece = co_await reply.Read();
       if (!piece) {
-        co_await EndCutAnswer(aExchange, aRecord, isEventStream);
+        co_await EndCutAnswer(aExchange, aRecord, isEventStream, piece.error());
         co_return false;
       }
       aUsage.Feed(*piece);
@@ -217,14 +218,14 @@
   /// Tells the caller that the answer is not whole: by an error event where the
   /// format has one, and by closing without the end of the body.
   boost::asio::awaitable<void> EndCutAnswer(base::HttpExchange& aExchange,
-                                            RequestRecord const& aRecord, bool aIsEventStream)
+                                            RequestRecord const& aRecord, bool aIsEventStream,
+                                            base::Unknown const& aUnknown)
   {
     aExchange.CloseAfterwards();
     if (!aIsEventStream) {
       co_return;
     }
-    base::Unknown const unknown{ "the upstream stopped in the middle of its answer" };
-    auto const refusal = Refusal::OutcomeUnknown(unknown);
+    auto const refusal = Refusal::OutcomeUnknown(aUnknown);
     auto const event = "data: " + RenderRefusal(refusal, aRecord.m_id).m_body + "\n\n";
     co_await aExchange.Write(event);
   }
--- /dev/null
+++ b/Programs/Entry/EntryBackend.cpp
@@ -0,0 +1,52 @@
+#include "Programs/Entry/EntryBackend.h"
+
+#include "Base/Log.h"
+
+namespace sardinefold::programs {
+
+namespace asio = boost::asio;
+
+EntryBackend::EntryBackend(base::EventLoop& aLoop, base::HttpClient& aHttp,
+                           base::PeerAuthentication const& aAuthentication)
+  : m_loop(aLoop)
+  , m_agents(aLoop, aHttp, aAuthentication, {})
+  , m_chooser(m_directory)
+{
+}
+
+void EntryBackend::Apply(std::unique_ptr<operators::Document const> aDocument)
+{
+  m_document = std::move(aDocument);
+  m_routes = std::make_unique<caller::RouteTable const>(*m_document);
+  m_keys = std::make_unique<DocumentKeys const>(*m_document);
+  m_directory.SetDocument(*m_document);
+  base::log::Info("document in force",
+                  { { "environment", m_document->m_environment.Text() },
+                    { "version", std::to_string(m_document->m_version.Value()) } });
+}
+
+asio::awaitable<tl::expected<agent::DispatchAnswer<EntryBackend::Reply>, agent::DispatchError>>
+EntryBackend::Dispatch(agent::DispatchRequest const& aRequest, base::HttpRequest aMessage,
+                       base::Cancellation& aCancellation)
+{
+  agent::DispatchSession session(m_loop, m_agents, m_chooser, *this, m_retries);
+  auto result = co_await session.Run(aRequest, std::move(aMessage), aCancellation);
+  co_return result;
+}
+
+void EntryBackend::NoteAnswered(agent::DispatchRequest const& aRequest,
+                                base::UpstreamId const& aUpstream, bool aIsWhole)
+{
+  auto const end = aIsWhole ? agent::AttemptEnd::Served : agent::AttemptEnd::Failed;
+  m_chooser.NoteEnded(aRequest, aUpstream, end, m_loop.Now());
+}
+
+asio::awaitable<tl::expected<agent::ReservationId, agent::DispatchError>> EntryBackend::Reserve(
+  agent::DispatchRequest const&)
+{
+  co_return agent::ReservationId();
+}
+
+void EntryBackend::Settle(agent::ReservationId, base::Tokens) {}
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Entry/EntryBackend.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Agent/AgentClient.h"
+#include "Agent/AgentDirectory.h"
+#include "Agent/DispatchSession.h"
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpClient.h"
+#include "Base/Rpc/PeerAuthentication.h"
+#include "Caller/RouteTable.h"
+#include "Operator/Document.h"
+#include "Programs/Entry/DocumentKeys.h"
+#include "Programs/Entry/LeastLoadedChooser.h"
+#include "Programs/Entry/RetryShare.h"
+
+#include <memory>
+
+namespace sardinefold::programs {
+
+/// What stands behind the callers' interface of an entry: the document in
+/// force, the agents and the allowances.
+class EntryBackend
+{
+public:
+  using Reply = agent::AgentReply;
+
+  EntryBackend(base::EventLoop& aLoop, base::HttpClient& aHttp,
+               base::PeerAuthentication const& aAuthentication);
+
+  /// Puts a document in force.
+  void Apply(std::unique_ptr<operators::Document const> aDocument);
+  agent::AgentDirectory& Directory() { return m_directory; }
+  void StartDraining() { m_isDraining = true; }
+
+  // What the callers' endpoint needs (caller::CallerBackend).
+  operators::Document const* CurrentDocument() const { return m_document.get(); }
+  caller::RouteTable const& Routes() const { return *m_routes; }
+  DocumentKeys const& Keys() const { return *m_keys; }
+  bool IsDraining() const { return m_isDraining; }
+  boost::asio::awaitable<tl::expected<agent::DispatchAnswer<Reply>, agent::DispatchError>> Dispatch(
+    agent::DispatchRequest const& aRequest, base::HttpRequest aMessage,
+    base::Cancellation& aCancellation);
+  void Settle(agent::ReservationId aReservation, base::Tokens aUsed);
+  /// The answer of an upstream has ended.
+  void NoteAnswered(agent::DispatchRequest const& aRequest, base::UpstreamId const& aUpstream,
+                    bool aIsWhole);
+
+  // What a dispatch needs (agent::TokenReserver).
+  boost::asio::awaitable<tl::expected<agent::ReservationId, agent::DispatchError>> Reserve(
+    agent::DispatchRequest const& aRequest);
+
+private:
+  base::EventLoop& m_loop;
+  agent::AgentDirectory m_directory;
+  agent::AgentClient m_agents;
+  RetryShare m_retries;
+  LeastLoadedChooser m_chooser;
+  std::unique_ptr<operators::Document const> m_document;
+  std::unique_ptr<caller::RouteTable const> m_routes;
+  std::unique_ptr<DocumentKeys const> m_keys;
+  bool m_isDraining = false;
+};
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Entry/EntryProgram.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpClient.h"
+#include "Base/Http/HttpServer.h"
+#include "Base/Metrics.h"
+#include "Base/Rpc/PeerAuthentication.h"
+#include "Base/Rpc/RpcServer.h"
+#include "Base/Settings.h"
+#include "Caller/CallerEndpoint.h"
+#include "Caller/CallerMetrics.h"
+#include "Programs/Entry/EntryBackend.h"
+
+#include <string>
+
+namespace sardinefold::programs {
+
+/// Joins the parts of sardinefold-entry.
+class EntryProgram
+{
+public:
+  EntryProgram(base::EventLoop& aLoop, base::Settings const& aSettings);
+
+  /// Starts to serve; the error says what cannot be used.
+  tl::expected<void, std::string> Start();
+  /// Reads the certificate files again; open connections keep theirs.
+  void ReloadCertificate();
+  /// Ends open requests, for at most the set time, and stops the loop.
+  boost::asio::awaitable<void> Shutdown();
+
+private:
+  boost::asio::awaitable<void> Handle(base::HttpExchange& aExchange);
+  base::HttpResponse ReadyResponse() const;
+  tl::expected<void, std::string> LoadDocument(std::string const& aPath);
+  tl::expected<void, std::string> LoadCertificate();
+  boost::asio::awaitable<void> FollowHosts();
+
+  base::EventLoop& m_loop;
+  base::Settings const& m_settings;
+  base::Metrics m_metrics;
+  base::PeerAuthentication m_authentication;
+  base::HttpClient m_http;
+  base::RpcServer m_rpc;
+  EntryBackend m_backend;
+  caller::CallerMetrics m_callerMetrics;
+  caller::CallerEndpoint<EntryBackend> m_callers;
+  base::HttpServer m_server;
+  bool m_hasHosts = false;
+};
+
+} // namespace sardinefold::programs
