--- /dev/null
+++ b/Meta/bench.py
@@ -0,0 +1,62 @@
+#!/usr/bin/env python3
+"""Runs the benchmarks and prints one JSON line a figure.
+
+Arguments: --only NAME (a benchmark's name), --seed N, --deterministic (only
+figures that do not depend on the clock). Ends with status 1 if a figure is
+outside its bound and KNOWN-RED.txt does not name it.
+"""
+import argparse
+import json
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Figures taken from the clock; they are the same-run ratios of Meta/bench.sh.
+CLOCK = {"decide", "speed"}
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--only")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--deterministic", action="store_true")
+    options = parser.parse_args()
+    known = (ROOT / "KNOWN-RED.txt").read_text() if (ROOT / "KNOWN-RED.txt").exists() else ""
+    commands = [[str(path)] for path in sorted((ROOT / "Build").glob("*Bench"))]
+    if not options.deterministic and options.only in (None, "speed"):
+        commands.append([sys.executable, str(ROOT / "Meta/speed.py")])
+    red = 0
+    seen = 0
+    for command in commands:
+        arguments = command + ["--seed", str(options.seed)]
+        if options.only:
+            arguments += ["--only", options.only]
+        result = subprocess.run(arguments, capture_output=True, text=True, cwd=ROOT)
+        if result.returncode not in (0, 1):
+            print(f"{command[-1]} ended with status {result.returncode}: {result.stderr[-500:]}", file=sys.stderr)
+            red += 1
+        for line in result.stdout.splitlines():
+            if not line.startswith("{"):
+                continue
+            figure = json.loads(line)
+            if options.only and figure["bench"] != options.only:
+                continue
+            if options.deterministic and figure["bench"] in CLOCK:
+                continue
+            seen += 1
+            name = f'{figure["bench"]} {figure["metric"]}'
+            if not figure.get("ok", True):
+                if name in known:
+                    figure["known_red"] = True
+                else:
+                    red += 1
+            print(json.dumps(figure), flush=True)
+    if seen == 0:
+        print("no benchmark ran", file=sys.stderr)
+        return 1
+    return 1 if red else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
