Platform: Add the client of the object API, its budget, watches and writes

Agents and entries need claims, fencing numbers, placements and configuration from the platform. ObjectStore is the concept that their drivers are written against; ObjectClient is the HTTP client, Tests/Fakes/FakeObjectStore a store in memory. WriteResolution settles lost answers by reading back and comparing nonces, ObjectWatch survives compaction and outages, CallBudget rations calls by purpose within the share of FleetShare, CircuitBreaker (Boost.MSM) stops calls in an outage.

--- /dev/null
+++ b/Platform/Backoff.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Platform/RandomSource.h"
+
+#include <algorithm>
+
+namespace sardinefold::platform {
+
+struct BackoffLimits
+{
+  base::Duration m_first = std::chrono::milliseconds(100);
+  base::Duration m_most = std::chrono::seconds(5);
+};
+
+/// Exponential backoff with full jitter: the n-th wait is random between zero
+/// and the first limit doubled n times.
+class Backoff
+{
+public:
+  Backoff(BackoffLimits aLimits, std::uint64_t aSeed)
+    : m_limits(aLimits)
+    , m_current(aLimits.m_first)
+    , m_random(aSeed)
+  {
+  }
+
+  base::Duration Next()
+  {
+    auto const wait = m_random.Below(m_current);
+    m_current = std::min(m_current * 2, m_limits.m_most);
+    return wait;
+  }
+
+  void Reset() { m_current = m_limits.m_first; }
+
+private:
+  BackoffLimits m_limits;
+  base::Duration m_current;
+  RandomSource m_random;
+};
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/CallBudget.cpp
@@ -0,0 +1,128 @@
+#include "Platform/CallBudget.h"
+
+#include <algorithm>
+
+namespace sardinefold::platform {
+
+namespace {
+
+constexpr double kLowestFactor = 1.0 / 64;
+constexpr double kFactorRegainedPerSecond = 1.0 / 60;
+constexpr base::Duration kBetweenHalvings = std::chrono::seconds(1);
+constexpr base::Duration kLongestWait = std::chrono::minutes(10);
+/// How long a call waits behind a more important one before it asks again.
+constexpr base::Duration kBehindOther = std::chrono::milliseconds(50);
+
+/// The part of a full bucket that a purpose leaves to those before it.
+constexpr std::array<double, kCallPurposes.size()> kReserves = {
+  0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6
+};
+
+} // namespace
+
+double CallBudget::Bucket::Capacity() const
+{
+  return std::max(1.0, m_rate.Value());
+}
+
+CallBudget::CallBudget(CallRates aRates, std::uint64_t aSeed, base::Instant aNow)
+  : m_random(aSeed)
+  , m_factorSince(aNow)
+{
+  m_reads.m_since = aNow;
+  m_writes.m_since = aNow;
+  SetRates(aRates, aNow);
+  // Processes that start together do not call together.
+  m_reads.m_level = m_reads.Capacity() * m_random.Fraction();
+  m_writes.m_level = m_writes.Capacity() * m_random.Fraction();
+}
+
+void CallBudget::SetRates(CallRates aRates, base::Instant aNow)
+{
+  Refill(m_reads, aNow);
+  Refill(m_writes, aNow);
+  m_reads.m_rate = aRates.m_reads;
+  m_writes.m_rate = aRates.m_writes;
+  m_reads.m_level = std::min(m_reads.m_level, m_reads.Capacity());
+  m_writes.m_level = std::min(m_writes.m_level, m_writes.Capacity());
+}
+
+double CallBudget::Factor(base::Instant aNow) const
+{
+  auto const regained = base::ToSeconds(aNow - m_factorSince) * kFactorRegainedPerSecond;
+  return std::min(1.0, m_factor + regained);
+}
+
+void CallBudget::Refill(Bucket& aBucket, base::Instant aNow) const
+{
+  // The factor now is not less than it was on the way, so the mean of the two
+  // ends bounds what a straight rise yields.
+  auto const factor = (Factor(aBucket.m_since) + Factor(aNow)) / 2;
+  auto const yield = aBucket.m_rate.Value() * factor * base::ToSeconds(aNow - aBucket.m_since);
+  aBucket.m_level = std::min(aBucket.Capacity(), aBucket.m_level + yield);
+  aBucket.m_since = aNow;
+}
+
+base::Instant CallBudget::Admit(CallKind aKind, CallPurpose aPurpose, base::Instant aNow)
+{
+  auto& bucket = BucketOf(aKind);
+  Refill(bucket, aNow);
+  auto const index = IndexOf(aPurpose);
+  auto const mine = bucket.m_waiting.begin() + static_cast<std::ptrdiff_t>(index);
+  bool const isBehind =
+    std::any_of(bucket.m_waiting.begin(), mine, [](auto aCount) { return aCount > 0; });
+  if (isBehind) {
+    return aNow + kBehindOther;
+  }
+  auto const needed = 1.0 + (bucket.Capacity() - 1.0) * kReserves[index];
+  if (bucket.m_level >= needed) {
+    bucket.m_level -= 1.0;
+    ++bucket.m_admitted[index];
+    return aNow;
+  }
+  auto const rate = bucket.m_rate.Value() * Factor(aNow);
+  if (rate <= 0) {
+    return aNow + kLongestWait;
+  }
+  auto const wait =
+    base::FromSeconds(std::min((needed - bucket.m_level) / rate, base::ToSeconds(kLongestWait)));
+  return aNow + std::max<base::Duration>(wait, std::chrono::milliseconds(1));
+}
+
+void CallBudget::NoteWaiting(CallKind aKind, CallPurpose aPurpose)
+{
+  ++BucketOf(aKind).m_waiting[IndexOf(aPurpose)];
+}
+
+void CallBudget::NoteWaitingEnded(CallKind aKind, CallPurpose aPurpose)
+{
+  --BucketOf(aKind).m_waiting[IndexOf(aPurpose)];
+}
+
+void CallBudget::NoteThrottled(base::Instant aNow)
+{
+  Refill(m_reads, aNow);
+  Refill(m_writes, aNow);
+  bool const isFirst = m_factor >= 1.0;
+  if (!isFirst && aNow - m_factorSince < kBetweenHalvings) {
+    return;
+  }
+  m_factor = std::max(kLowestFactor, Factor(aNow) / 2);
+  m_factorSince = aNow;
+}
+
+void CallBudget::NoteOutage(base::Instant aNow)
+{
+  for (auto* const bucket : { &m_reads, &m_writes }) {
+    Refill(*bucket, aNow);
+    bucket->m_level = std::min(bucket->m_level, m_random.Fraction());
+  }
+}
+
+std::uint64_t CallBudget::Admitted(CallKind aKind, CallPurpose aPurpose) const
+{
+  auto const& bucket = aKind == CallKind::Read ? m_reads : m_writes;
+  return bucket.m_admitted[IndexOf(aPurpose)];
+}
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/CircuitBreaker.cpp
@@ -0,0 +1,183 @@
+#include "Platform/CircuitBreaker.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/euml/operator.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace sardinefold::platform {
+
+namespace {
+
+namespace msm = boost::msm;
+namespace mpl = boost::mpl;
+using msm::front::none;
+using msm::front::Row;
+
+struct CallWanted
+{
+  base::Instant m_now;
+};
+
+struct CallFailed
+{
+  base::Instant m_now;
+};
+
+struct CallSucceeded
+{};
+
+struct CircuitDefinition : public msm::front::state_machine_def<CircuitDefinition>
+{
+  CircuitDefinition(CircuitLimits aLimits, std::uint64_t aSeed)
+    : m_limits(aLimits)
+    , m_backoff(aLimits.m_backoff, aSeed)
+  {
+  }
+
+  // The order of the states is the order in which the table names them.
+  struct Closed : public msm::front::state<>
+  {};
+  struct Open : public msm::front::state<>
+  {};
+  struct HalfOpen : public msm::front::state<>
+  {};
+  using initial_state = Closed; // NOLINT(readability-identifier-naming)
+
+  struct IsLastFailure
+  {
+    template<typename Machine, typename Source, typename Target>
+    bool operator()(CallFailed const&, Machine& aMachine, Source&, Target&) const
+    {
+      return aMachine.m_failures + 1 >= aMachine.m_limits.m_failures;
+    }
+  };
+
+  struct IsProbeDue
+  {
+    template<typename Machine, typename Source, typename Target>
+    bool operator()(CallWanted const& aEvent, Machine& aMachine, Source&, Target&) const
+    {
+      return aEvent.m_now >= aMachine.m_probeAt;
+    }
+  };
+
+  struct CountFailure
+  {
+    template<typename Machine, typename Source, typename Target>
+    void operator()(CallFailed const&, Machine& aMachine, Source&, Target&) const
+    {
+      ++aMachine.m_failures;
+    }
+  };
+
+  struct ScheduleProbe
+  {
+    template<typename Machine, typename Source, typename Target>
+    void operator()(CallFailed const& aEvent, Machine& aMachine, Source&, Target&) const
+    {
+      aMachine.m_probeAt = aEvent.m_now + aMachine.m_backoff.Next();
+    }
+  };
+
+  struct StartProbe
+  {
+    template<typename Machine, typename Source, typename Target>
+    void operator()(CallWanted const& aEvent, Machine& aMachine, Source&, Target&) const
+    {
+      // A next probe is due only once this one counts as lost.
+      aMachine.m_probeAt = aEvent.m_now + aMachine.m_limits.m_probeTime;
+      aMachine.m_isAllowed = true;
+    }
+  };
+
+  struct AllowCall
+  {
+    template<typename Machine, typename Source, typename Target>
+    void operator()(CallWanted const&, Machine& aMachine, Source&, Target&) const
+    {
+      aMachine.m_isAllowed = true;
+    }
+  };
+
+  struct Reset
+  {
+    template<typename Machine, typename Source, typename Target>
+    void operator()(CallSucceeded const&, Machine& aMachine, Source&, Target&) const
+    {
+      aMachine.m_failures = 0;
+      aMachine.m_backoff.Reset();
+    }
+  };
+
+  // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  struct transition_table : public mpl::vector<
+    //  state     event          next      action         guard
+    Row<Closed,   CallWanted,    none,     AllowCall,     none>,
+    Row<Closed,   CallSucceeded, none,     Reset,         none>,
+    Row<Closed,   CallFailed,    none,     CountFailure,  none>,
+    Row<Closed,   CallFailed,    Open,     ScheduleProbe, IsLastFailure>,
+    Row<Open,     CallWanted,    HalfOpen, StartProbe,    IsProbeDue>,
+    Row<Open,     CallSucceeded, Closed,   Reset,         none>,
+    Row<HalfOpen, CallWanted,    none,     StartProbe,    IsProbeDue>,
+    Row<HalfOpen, CallFailed,    Open,     ScheduleProbe, none>,
+    Row<HalfOpen, CallSucceeded, Closed,   Reset,         none>
+  > {};
+  // clang-format on
+
+  template<typename Machine, typename Event>
+  void no_transition(Event const&, Machine&, int) // NOLINT(readability-identifier-naming)
+  {
+    // Calls made before the circuit opened may still fail; a refused call
+    // changes nothing.
+  }
+
+  CircuitLimits m_limits;
+  Backoff m_backoff;
+  std::uint32_t m_failures = 0;
+  base::Instant m_probeAt{};
+  bool m_isAllowed = false;
+};
+
+} // namespace
+
+class CircuitBreaker::Machine : public msm::back::state_machine<CircuitDefinition>
+{
+public:
+  using msm::back::state_machine<CircuitDefinition>::state_machine;
+};
+
+CircuitBreaker::CircuitBreaker(CircuitLimits aLimits, std::uint64_t aSeed)
+  : m_machine(std::make_unique<Machine>(aLimits, aSeed))
+{
+  m_machine->start();
+}
+
+CircuitBreaker::~CircuitBreaker() = default;
+CircuitBreaker::CircuitBreaker(CircuitBreaker&&) noexcept = default;
+CircuitBreaker& CircuitBreaker::operator=(CircuitBreaker&&) noexcept = default;
+
+bool CircuitBreaker::Allow(base::Instant aNow)
+{
+  m_machine->m_isAllowed = false;
+  m_machine->process_event(CallWanted{ aNow });
+  return m_machine->m_isAllowed;
+}
+
+void CircuitBreaker::NoteSuccess(base::Instant)
+{
+  m_machine->process_event(CallSucceeded{});
+}
+
+void CircuitBreaker::NoteFailure(base::Instant aNow)
+{
+  m_machine->process_event(CallFailed{ aNow });
+}
+
+CircuitState CircuitBreaker::State() const
+{
+  return static_cast<CircuitState>(m_machine->current_state()[0]);
+}
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/HostTable.cpp
@@ -0,0 +1,45 @@
+#include "Platform/HostTable.h"
+
+namespace sardinefold::platform {
+
+namespace {
+
+bool IsSameProcess(HostEntry aLeft, HostEntry const& aRight)
+{
+  aLeft.m_state = aRight.m_state;
+  return aLeft == aRight;
+}
+
+} // namespace
+
+std::vector<HostChange> HostTable::Apply(HostList const& aList)
+{
+  std::vector<HostChange> changes;
+  std::map<base::HostId, HostEntry> hosts;
+  for (auto const& entry : aList) {
+    hosts.insert_or_assign(entry.m_host, entry);
+  }
+  for (auto const& [host, entry] : m_hosts) {
+    if (!hosts.contains(host)) {
+      changes.emplace_back(HostGone{ host });
+    }
+  }
+  for (auto const& [host, entry] : hosts) {
+    auto const before = m_hosts.find(host);
+    bool const isNew = before == m_hosts.end() || !IsSameProcess(before->second, entry);
+    // A host that was leaving and is live again takes work again.
+    bool const hasReturned =
+      !isNew && before->second.m_state == HostState::Leaving && entry.m_state == HostState::Live;
+    if (isNew || hasReturned) {
+      changes.emplace_back(HostAppeared{ entry });
+    }
+    bool const wasLeaving = !isNew && before->second.m_state == HostState::Leaving;
+    if (entry.m_state == HostState::Leaving && !wasLeaving) {
+      changes.emplace_back(HostIsLeaving{ host });
+    }
+  }
+  m_hosts = std::move(hosts);
+  return changes;
+}
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/HostTable.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Platform/HostEntry.h"
+
+#include <map>
+#include <variant>
+#include <vector>
+
+namespace sardinefold::platform {
+
+/// The host is new, or any of its fields but its state has changed.
+struct HostAppeared
+{
+  HostEntry m_entry;
+};
+/// The host will go away; it must get no new work.
+struct HostIsLeaving
+{
+  base::HostId m_host;
+};
+/// The host is no longer listed.
+struct HostGone
+{
+  base::HostId m_host;
+};
+using HostChange = std::variant<HostAppeared, HostIsLeaving, HostGone>;
+
+/// The hosts as the latest list shows them.
+class HostTable
+{
+public:
+  /// Takes over a list; the changes against the one before.
+  std::vector<HostChange> Apply(HostList const& aList);
+  std::map<base::HostId, HostEntry> const& Hosts() const { return m_hosts; }
+
+private:
+  std::map<base::HostId, HostEntry> m_hosts;
+};
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/ObjectClient.cpp
@@ -0,0 +1,231 @@
+#include "Platform/ObjectClient.h"
+
+#include "Platform/ObjectCodec.h"
+
+#include <algorithm>
+
+namespace sardinefold::platform {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A list of all of a kind's objects may be long.
+constexpr base::Bytes kMaxAnswerBytes{ 256 * 1024 * 1024 };
+/// A watch that has been silent for this much longer than it asked for is lost.
+constexpr std::chrono::seconds kWatchGrace{ 2 };
+
+WriteError ToWriteError(ReadError const& aError, bool aMayHaveBeenSent)
+{
+  using Kind = WriteError::Kind;
+  if (aMayHaveBeenSent) {
+    return { Kind::Unknown, aError.m_detail };
+  }
+  switch (aError.m_kind) {
+    case ReadError::Kind::OverBudget:
+      return { Kind::OverBudget, aError.m_detail };
+    case ReadError::Kind::CircuitOpen:
+      return { Kind::CircuitOpen, aError.m_detail };
+    default:
+      return { Kind::NotApplied, aError.m_detail };
+  }
+}
+
+std::string_view ResultLabel(unsigned aStatus)
+{
+  if (aStatus < 300) {
+    return "ok";
+  }
+  switch (aStatus) {
+    case 404:
+      return "not_found";
+    case 410:
+      return "compacted";
+    case 412:
+      return "conflict";
+    case 429:
+      return "throttled";
+    default:
+      return aStatus >= 500 ? "unavailable" : "rejected";
+  }
+}
+
+} // namespace
+
+ObjectClient::ObjectClient(base::EventLoop& aLoop, base::HttpClient& aHttp,
+                           base::Endpoint aPlatform, CallBudget& aBudget, CircuitBreaker& aBreaker,
+                           base::Metrics& aMetrics)
+  : m_loop(aLoop)
+  , m_http(aHttp)
+  , m_platform(std::move(aPlatform))
+  , m_budget(aBudget)
+  , m_breaker(aBreaker)
+  , m_metrics(aMetrics)
+{
+}
+
+asio::awaitable<tl::expected<void, ReadError>> ObjectClient::Admit(CallKind aKind,
+                                                                   base::Instant aEnd,
+                                                                   CallPurpose aPurpose)
+{
+  while (true) {
+    auto const now = m_loop.Now();
+    auto const next = m_budget.Admit(aKind, aPurpose, now);
+    if (next <= now) {
+      co_return tl::expected<void, ReadError>{};
+    }
+    if (next > aEnd) {
+      CountBudget("refused", aPurpose);
+      ReadError error{ ReadError::Kind::OverBudget, "no call left before the time limit" };
+      co_return tl::make_unexpected(std::move(error));
+    }
+    CountBudget("waited", aPurpose);
+    m_budget.NoteWaiting(aKind, aPurpose);
+    co_await m_loop.Sleep(next - now);
+    m_budget.NoteWaitingEnded(aKind, aPurpose);
+  }
+}
+
+void ObjectClient::CountBudget(std::string aResult, CallPurpose aPurpose)
+{
+  base::MetricLabels const labels{ { "purpose", std::string(ToText(aPurpose)) },
+                                   { "result", std::move(aResult) } };
+  m_metrics
+    .Counter("sardinefold_platform_budget_total", "Calls that the call budget held up.", labels)
+    .Increment();
+}
+
+asio::awaitable<ObjectClient::Answer> ObjectClient::Call(base::HttpRequest aRequest, CallKind aKind,
+                                                         base::Duration aLimit,
+                                                         base::Duration aExtraWait,
+                                                         CallPurpose aPurpose)
+{
+  auto const end = m_loop.Now() + aLimit;
+  auto const admitted = co_await Admit(aKind, end, aPurpose);
+  if (!admitted) {
+    NoAnswer error{ admitted.error(), false };
+    co_return tl::make_unexpected(std::move(error));
+  }
+  auto const start = m_loop.Now();
+  if (!m_breaker.Allow(start)) {
+    ReadError refused{ ReadError::Kind::CircuitOpen, "the platform failed lately" };
+    NoAnswer error{ std::move(refused), false };
+    co_return tl::make_unexpected(std::move(error));
+  }
+  auto const limit = std::max<base::Duration>(end - start, std::chrono::milliseconds(1));
+  auto response =
+    co_await m_http.Fetch(m_platform, std::move(aRequest), limit + aExtraWait, kMaxAnswerBytes);
+  Answer answer;
+  if (response) {
+    answer = std::move(*response);
+  } else {
+    ReadError lost{ ReadError::Kind::Unavailable, response.error().m_detail };
+    answer = tl::make_unexpected(NoAnswer{ std::move(lost), response.error().m_mayHaveBeenSent });
+    // The other idle connections may be as dead as this one.
+    m_http.CloseIdle(m_platform);
+  }
+  NoteResult(answer, start, aPurpose);
+  co_return answer;
+}
+
+void ObjectClient::NoteResult(Answer const& aAnswer, base::Instant aStart, CallPurpose aPurpose)
+{
+  auto const now = m_loop.Now();
+  bool const isOutage = !aAnswer || aAnswer->m_status >= 500;
+  if (isOutage) {
+    m_breaker.NoteFailure(now);
+    m_budget.NoteOutage(now);
+  } else {
+    m_breaker.NoteSuccess(now);
+  }
+  if (aAnswer && aAnswer->m_status == 429) {
+    m_budget.NoteThrottled(now);
+  }
+  m_metrics.Gauge("sardinefold_platform_budget_factor", "Part of the call budget in use, up to 1.")
+    .Set(m_budget.Factor(now));
+  m_metrics
+    .Gauge("sardinefold_platform_circuit_open", "1 unless calls to the platform may be made.")
+    .Set(m_breaker.State() == CircuitState::Closed ? 0 : 1);
+  base::MetricLabels labels{ { "purpose", std::string(ToText(aPurpose)) } };
+  base::Observe(m_metrics.Seconds("sardinefold_platform_call_seconds",
+                                  "Time of calls to the platform.", labels),
+                now - aStart);
+  labels["result"] =
+    aAnswer ? std::string(ResultLabel(aAnswer->m_status)) : std::string("no_answer");
+  m_metrics.Counter("sardinefold_platform_calls_total", "Calls to the platform.", labels)
+    .Increment();
+}
+
+ReadTask<Object> ObjectClient::Get(ObjectKey aKey, base::Duration aLimit, CallPurpose aPurpose)
+{
+  auto request = EncodeGet(aKey);
+  auto const answer = co_await Call(std::move(request), CallKind::Read, aLimit, {}, aPurpose);
+  if (!answer) {
+    co_return tl::make_unexpected(answer.error().m_error);
+  }
+  co_return DecodeObject(*answer);
+}
+
+ReadTask<ObjectList> ObjectClient::List(ObjectKind aKind, ObjectName aPrefix, base::Duration aLimit,
+                                        CallPurpose aPurpose)
+{
+  auto request = EncodeList(aKind, aPrefix);
+  auto const answer = co_await Call(std::move(request), CallKind::Read, aLimit, {}, aPurpose);
+  if (!answer) {
+    co_return tl::make_unexpected(answer.error().m_error);
+  }
+  co_return DecodeList(*answer);
+}
+
+ReadTask<ObjectChanges> ObjectClient::Watch(ObjectKind aKind, ObjectName aPrefix,
+                                            base::ObjectVersion aAfter, base::Duration aLimit,
+                                            CallPurpose aPurpose)
+{
+  auto request = EncodeWatch(aKind, aPrefix, aAfter, aLimit);
+  base::Duration const grace = kWatchGrace;
+  auto const answer = co_await Call(std::move(request), CallKind::Read, aLimit, grace, aPurpose);
+  if (!answer) {
+    co_return tl::make_unexpected(answer.error().m_error);
+  }
+  co_return DecodeChanges(*answer);
+}
+
+WriteTask ObjectClient::CallToWrite(base::HttpRequest aRequest, base::Duration aLimit,
+                                    CallPurpose aPurpose)
+{
+  auto const answer = co_await Call(std::move(aRequest), CallKind::Write, aLimit, {}, aPurpose);
+  if (!answer) {
+    auto error = ToWriteError(answer.error().m_error, answer.error().m_mayHaveBeenSent);
+    co_return tl::make_unexpected(std::move(error));
+  }
+  co_return DecodeWrite(*answer);
+}
+
+WriteTask ObjectClient::Write(ObjectWrite aWrite, base::Duration aLimit, CallPurpose aPurpose)
+{
+  auto request = EncodeWrite(aWrite);
+  if (static_cast<std::int64_t>(request.m_body.size()) > kMaxValueBytes.Value()) {
+    WriteError error{ WriteError::Kind::TooLarge, "the value is over 1 MB" };
+    co_return tl::make_unexpected(std::move(error));
+  }
+  co_return co_await CallToWrite(std::move(request), aLimit, aPurpose);
+}
+
+WriteTask ObjectClient::Delete(ObjectKey aKey, base::ObjectVersion aVersion, base::Duration aLimit,
+                               CallPurpose aPurpose)
+{
+  auto request = EncodeDelete(aKey, aVersion);
+  co_return co_await CallToWrite(std::move(request), aLimit, aPurpose);
+}
+
+ReadTask<HostList> ObjectClient::Hosts(base::Duration aLimit, CallPurpose aPurpose)
+{
+  auto request = EncodeHosts();
+  auto const answer = co_await Call(std::move(request), CallKind::Read, aLimit, {}, aPurpose);
+  if (!answer) {
+    co_return tl::make_unexpected(answer.error().m_error);
+  }
+  co_return DecodeHosts(*answer);
+}
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/ObjectKey.cpp
@@ -0,0 +1,38 @@
+#include "Platform/ObjectKey.h"
+
+#include <array>
+
+namespace sardinefold::platform {
+
+std::string_view ToText(ObjectKind aKind)
+{
+  switch (aKind) {
+    case ObjectKind::Document:
+      return "document";
+    case ObjectKind::Chunk:
+      return "chunk";
+    case ObjectKind::Placement:
+      return "placement";
+    case ObjectKind::Agent:
+      return "agent";
+    case ObjectKind::Bucket:
+      return "bucket";
+    case ObjectKind::Claim:
+      return "claim";
+  }
+  return "";
+}
+
+std::optional<ObjectKind> ParseObjectKind(std::string_view aText)
+{
+  constexpr std::array kKinds = { ObjectKind::Document, ObjectKind::Chunk,  ObjectKind::Placement,
+                                  ObjectKind::Agent,    ObjectKind::Bucket, ObjectKind::Claim };
+  for (auto const kind : kKinds) {
+    if (ToText(kind) == aText) {
+      return kind;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/ObjectStoreClient.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Platform/CallPurpose.h"
+#include "Platform/HostEntry.h"
+#include "Platform/PlatformError.h"
+#include "Platform/PlatformObject.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <tl/expected.hpp>
+
+#include <concepts>
+
+namespace sardinefold::platform {
+
+template<typename Value>
+using ReadResult = tl::expected<Value, ReadError>;
+using WriteResult = tl::expected<base::ObjectVersion, WriteError>;
+
+template<typename Value>
+using ReadTask = boost::asio::awaitable<ReadResult<Value>>;
+using WriteTask = boost::asio::awaitable<WriteResult>;
+
+/// A client of the platform's object API. Each function makes at most one
+/// call. Drivers of decisions are templates over it, so that they run over a
+/// store in memory too. Arguments with destructors are named before the call.
+template<typename Client>
+concept ObjectStore = requires(Client& aClient, ObjectKey aKey, ObjectKind aKind,
+                               ObjectName aPrefix, ObjectWrite aWrite, base::ObjectVersion aVersion,
+                               base::Duration aLimit, CallPurpose aPurpose)
+{
+  {
+    aClient.Get(aKey, aLimit, aPurpose)
+    } -> std::same_as<ReadTask<Object>>;
+  /// An empty prefix lists the whole kind.
+  {
+    aClient.List(aKind, aPrefix, aLimit, aPurpose)
+    } -> std::same_as<ReadTask<ObjectList>>;
+  /// Waits at most aLimit for changes after a version; no changes is no error.
+  {
+    aClient.Watch(aKind, aPrefix, aVersion, aLimit, aPurpose)
+    } -> std::same_as<ReadTask<ObjectChanges>>;
+  {
+    aClient.Write(aWrite, aLimit, aPurpose)
+    } -> std::same_as<WriteTask>;
+  /// Gives the version of the deletion, if the platform tells it, or 0.
+  {
+    aClient.Delete(aKey, aVersion, aLimit, aPurpose)
+    } -> std::same_as<WriteTask>;
+  {
+    aClient.Hosts(aLimit, aPurpose)
+    } -> std::same_as<ReadTask<HostList>>;
+};
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/ObjectWatch.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Base/Time.h"
+#include "Platform/Backoff.h"
+#include "Platform/PlatformError.h"
+#include "Platform/PlatformObject.h"
+
+#include <tl/expected.hpp>
+
+#include <map>
+#include <variant>
+
+namespace sardinefold::platform {
+
+struct ListObjects
+{};
+struct WatchAfter
+{
+  base::ObjectVersion m_version;
+};
+struct WatchAgainAt
+{
+  base::Instant m_time;
+};
+using WatchStep = std::variant<ListObjects, WatchAfter, WatchAgainAt>;
+
+/// Follows the objects of one kind: lists them, then watches from that version
+/// on. It lists again when the platform has compacted the version, waits with
+/// growing random pauses while calls fail, and hands out each change once, in
+/// the order of versions, with deletions that were missed meanwhile.
+class ObjectWatch
+{
+public:
+  ObjectWatch(BackoffLimits aBackoff, std::uint64_t aSeed);
+
+  WatchStep Next(base::Instant aNow);
+  /// The changes against what is known; empty on an error or a list older than
+  /// what is known.
+  ObjectChanges OnList(tl::expected<ObjectList, ReadError> const& aAnswer, base::Instant aNow);
+  ObjectChanges OnChanges(tl::expected<ObjectChanges, ReadError> const& aAnswer,
+                          base::Instant aNow);
+
+  /// Everything up to this version has been handed out.
+  base::ObjectVersion Version() const { return m_version; }
+  /// When the platform last answered.
+  base::Instant LastHeard() const { return m_lastHeard; }
+  bool HasListed() const { return m_hasListed; }
+
+private:
+  void Heard(base::Instant aNow);
+  void PauseAfterFailure(base::Instant aNow) { m_next = aNow + m_backoff.Next(); }
+  bool Apply(ObjectChange const& aChange);
+
+  Backoff m_backoff;
+  bool m_mustList = true;
+  bool m_hasListed = false;
+  base::ObjectVersion m_version;
+  std::map<ObjectKey, base::ObjectVersion> m_known;
+  base::Instant m_next{};
+  base::Instant m_asked{};
+  base::Instant m_lastHeard{};
+};
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/PlatformError.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "Base/Time.h"
+
+#include <string>
+#include <string_view>
+
+namespace sardinefold::platform {
+
+/// Why a read or a watch gave nothing.
+struct ReadError
+{
+  enum class Kind
+  {
+    NotFound,
+    /// The platform could not be reached or did not answer in time.
+    Unavailable,
+    /// The platform's rate is exceeded.
+    Throttled,
+    /// The process's own share of the platform's rate is spent; nothing was
+    /// sent.
+    OverBudget,
+    /// Too many calls failed lately; nothing was sent.
+    CircuitOpen,
+    /// Changes since the given version are no longer known: list again.
+    Compacted,
+    Malformed
+  };
+
+  Kind m_kind = Kind::Unavailable;
+  std::string m_detail;
+};
+
+/// Why a write is not known to have been applied. Only Unknown and Superseded
+/// leave open whether it was.
+struct WriteError
+{
+  enum class Kind
+  {
+    /// The object has another version; the write was not applied.
+    Conflict,
+    /// The write was not applied and never will be.
+    NotApplied,
+    /// The write may have been applied, or may yet be.
+    Unknown,
+    /// Another writer's value is there now; the write may have been applied
+    /// before it.
+    Superseded,
+    TooLarge,
+    /// The platform's rate is exceeded; not applied.
+    Throttled,
+    /// The process's own share of the platform's rate is spent; not sent.
+    OverBudget,
+    /// Too many calls failed lately; not sent.
+    CircuitOpen
+  };
+
+  Kind m_kind = Kind::Unknown;
+  std::string m_detail;
+};
+
+std::string_view ToText(ReadError::Kind aKind);
+std::string_view ToText(WriteError::Kind aKind);
+
+/// Whether the error proves that the write had and will have no effect.
+constexpr bool IsCertainlyNotApplied(WriteError::Kind aKind)
+{
+  return aKind != WriteError::Kind::Unknown && aKind != WriteError::Kind::Superseded;
+}
+
+/// Whether the failure speaks against the platform's health.
+constexpr bool IsOutageSign(ReadError::Kind aKind)
+{
+  return aKind == ReadError::Kind::Unavailable;
+}
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/PlatformObject.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Platform/ObjectKey.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace sardinefold::platform {
+
+/// Largest value of an object, its nonce line included.
+inline constexpr base::Bytes kMaxValueBytes{ 1024 * 1024 };
+
+struct Object
+{
+  ObjectKey m_key;
+  base::ObjectVersion m_version;
+  std::string m_value;
+  /// Empty if the value was not written by this system.
+  WriteNonce m_nonce;
+};
+
+/// Objects of one kind as they were at one version of the store.
+struct ObjectList
+{
+  base::ObjectVersion m_version;
+  std::vector<Object> m_objects;
+};
+
+struct ObjectPut
+{
+  Object m_object;
+};
+
+struct ObjectDeleted
+{
+  ObjectKey m_key;
+  base::ObjectVersion m_version;
+};
+
+using ObjectChange = std::variant<ObjectPut, ObjectDeleted>;
+
+/// Changes in the order of their versions, complete up to m_version.
+struct ObjectChanges
+{
+  base::ObjectVersion m_version;
+  std::vector<ObjectChange> m_changes;
+};
+
+/// The object must not exist yet.
+struct IfAbsent
+{};
+
+/// The object must have this version.
+struct IfVersion
+{
+  base::ObjectVersion m_version;
+};
+
+using WriteCondition = std::variant<IfAbsent, IfVersion>;
+
+/// One logical write; repeating it with the same nonce applies it once.
+struct ObjectWrite
+{
+  ObjectKey m_key;
+  WriteCondition m_condition;
+  std::string m_value;
+  WriteNonce m_nonce;
+};
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/WriteResolution.cpp
@@ -0,0 +1,108 @@
+#include "Platform/WriteResolution.h"
+
+namespace sardinefold::platform {
+
+WriteResolution::WriteResolution(ObjectWrite const& aWrite, base::Instant aEnd,
+                                 BackoffLimits aBackoff, std::uint64_t aSeed)
+  : m_nonce(aWrite.m_nonce)
+  , m_condition(aWrite.m_condition)
+  , m_end(aEnd)
+  , m_backoff(aBackoff, aSeed)
+{
+}
+
+WriteStep WriteResolution::Next(base::Instant aNow) const
+{
+  if (m_result) {
+    return WriteEnded{ *m_result };
+  }
+  if (aNow >= m_end || m_next >= m_end) {
+    WriteError error{ WriteError::Kind::NotApplied, "the time limit passed before an attempt" };
+    if (m_lastError) {
+      error = *m_lastError;
+    }
+    if (m_mayBeApplied) {
+      error.m_kind = WriteError::Kind::Unknown;
+    }
+    return WriteEnded{ tl::make_unexpected(error) };
+  }
+  if (m_next > aNow) {
+    return WaitUntil{ m_next };
+  }
+  if (m_mustRead) {
+    return ReadBack{};
+  }
+  return SendWrite{};
+}
+
+void WriteResolution::EndWith(WriteError::Kind aKind, std::string aDetail)
+{
+  m_result = tl::make_unexpected(WriteError{ aKind, std::move(aDetail) });
+}
+
+void WriteResolution::OnWriteAnswer(tl::expected<base::ObjectVersion, WriteError> const& aAnswer,
+                                    base::Instant aNow)
+{
+  if (aAnswer) {
+    m_result = *aAnswer;
+    return;
+  }
+  OnWriteError(aAnswer.error(), aNow);
+}
+
+void WriteResolution::OnWriteError(WriteError const& aError, base::Instant aNow)
+{
+  using Kind = WriteError::Kind;
+  if (aError.m_kind == Kind::TooLarge) {
+    EndWith(Kind::TooLarge, aError.m_detail);
+    return;
+  }
+  if (aError.m_kind == Kind::Conflict) {
+    if (!m_mayBeApplied) {
+      EndWith(Kind::Conflict, aError.m_detail);
+      return;
+    }
+    // The version may have been changed by the earlier attempt itself.
+    m_mustRead = true;
+    m_next = aNow;
+    return;
+  }
+  if (!IsCertainlyNotApplied(aError.m_kind)) {
+    m_mayBeApplied = true;
+    m_mustRead = true;
+  }
+  m_lastError = aError;
+  m_next = aNow + m_backoff.Next();
+}
+
+bool WriteResolution::IsUnchanged(Object const& aObject) const
+{
+  auto const* const expected = std::get_if<IfVersion>(&m_condition);
+  return expected && aObject.m_version == expected->m_version;
+}
+
+void WriteResolution::OnReadAnswer(tl::expected<Object, ReadError> const& aAnswer,
+                                   base::Instant aNow)
+{
+  if (aAnswer && aAnswer->m_nonce == m_nonce) {
+    m_result = aAnswer->m_version;
+    return;
+  }
+  bool const isAbsent = !aAnswer && aAnswer.error().m_kind == ReadError::Kind::NotFound;
+  if (!aAnswer && !isAbsent) {
+    m_next = aNow + m_backoff.Next();
+    return;
+  }
+  bool const expectsAbsent = std::holds_alternative<IfAbsent>(m_condition);
+  bool const isUnchanged = isAbsent ? expectsAbsent : IsUnchanged(*aAnswer);
+  if (!isUnchanged) {
+    EndWith(WriteError::Kind::Superseded, "another value is there now");
+    return;
+  }
+  // An attempt on its way may still arrive; it or the next one is applied, not
+  // both.
+  m_mustRead = false;
+  m_next = aNow;
+}
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Platform/WriteResolution.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Base/Time.h"
+#include "Platform/Backoff.h"
+#include "Platform/PlatformError.h"
+#include "Platform/PlatformObject.h"
+
+#include <tl/expected.hpp>
+
+#include <optional>
+#include <variant>
+
+namespace sardinefold::platform {
+
+/// Send the write, with the nonce it has had from the start.
+struct SendWrite
+{};
+/// Read the object, to see whether an earlier attempt was applied.
+struct ReadBack
+{};
+struct WaitUntil
+{
+  base::Instant m_time;
+};
+struct WriteEnded
+{
+  tl::expected<base::ObjectVersion, WriteError> m_result;
+};
+using WriteStep = std::variant<SendWrite, ReadBack, WaitUntil, WriteEnded>;
+
+/// Decides how one write goes on until it is known to have been applied or not,
+/// or its time is over. An attempt without answer is resolved by reading the
+/// object back and comparing nonces. Repeating is safe while the object has
+/// the version that the write is conditional on: of two attempts at most one
+/// is applied.
+class WriteResolution
+{
+public:
+  /// After aEnd the write ends with what is known then.
+  WriteResolution(ObjectWrite const& aWrite, base::Instant aEnd, BackoffLimits aBackoff,
+                  std::uint64_t aSeed);
+
+  WriteStep Next(base::Instant aNow) const;
+  void OnWriteAnswer(tl::expected<base::ObjectVersion, WriteError> const& aAnswer,
+                     base::Instant aNow);
+  void OnReadAnswer(tl::expected<Object, ReadError> const& aAnswer, base::Instant aNow);
+
+private:
+  void OnWriteError(WriteError const& aError, base::Instant aNow);
+  void EndWith(WriteError::Kind aKind, std::string aDetail);
+  bool IsUnchanged(Object const& aObject) const;
+
+  WriteNonce m_nonce;
+  WriteCondition m_condition;
+  base::Instant m_end;
+  Backoff m_backoff;
+  base::Instant m_next{};
+  bool m_mayBeApplied = false;
+  bool m_mustRead = false;
+  std::optional<WriteError> m_lastError;
+  std::optional<tl::expected<base::ObjectVersion, WriteError>> m_result;
+};
+
+} // namespace sardinefold::platform
--- /dev/null
+++ b/Tests/Fakes/FakeObjectStore.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Base/EventLoop.h"
+#include "Base/Signal.h"
+#include "Platform/ObjectStoreClient.h"
+#include "StandIns/Platform/ObjectTable.h"
+
+#include <deque>
+
+namespace sardinefold::tests {
+
+/// What happens to one call of a FakeObjectStore.
+enum class CallFault
+{
+  None,
+  /// Nothing is sent.
+  Unreachable,
+  /// The call takes effect and its answer is lost.
+  AnswerLost,
+  /// The call never arrives, and that can't be told.
+  RequestLost,
+  Throttled
+};
+
+/// An object store in memory whose calls fail as a test says.
+class FakeObjectStore
+{
+public:
+  explicit FakeObjectStore(base::EventLoop& aLoop);
+
+  /// The faults of the next calls, in order; calls after them succeed.
+  void Script(std::deque<CallFault> aFaults) { m_faults = std::move(aFaults); }
+  /// While it is down every call is Unreachable.
+  void SetDown(bool aIsDown) { m_isDown = aIsDown; }
+  void SetHosts(platform::HostList aHosts) { m_hosts = std::move(aHosts); }
+  standins::ObjectTable& Objects() { return m_objects; }
+  std::size_t Calls() const { return m_calls; }
+
+  platform::ReadTask<platform::Object> Get(platform::ObjectKey aKey, base::Duration aLimit,
+                                           platform::CallPurpose aPurpose);
+  platform::ReadTask<platform::ObjectList> List(platform::ObjectKind aKind,
+                                                platform::ObjectName aPrefix, base::Duration aLimit,
+                                                platform::CallPurpose aPurpose);
+  platform::ReadTask<platform::ObjectChanges> Watch(platform::ObjectKind aKind,
+                                                    platform::ObjectName aPrefix,
+                                                    base::ObjectVersion aAfter,
+                                                    base::Duration aLimit,
+                                                    platform::CallPurpose aPurpose);
+  platform::WriteTask Write(platform::ObjectWrite aWrite, base::Duration aLimit,
+                            platform::CallPurpose aPurpose);
+  platform::WriteTask Delete(platform::ObjectKey aKey, base::ObjectVersion aVersion,
+                             base::Duration aLimit, platform::CallPurpose aPurpose);
+  platform::ReadTask<platform::HostList> Hosts(base::Duration aLimit,
+                                               platform::CallPurpose aPurpose);
+
+private:
+  CallFault NextFault();
+  platform::WriteResult Finish(standins::ObjectTable::WriteResult const& aResult, CallFault aFault);
+
+  base::EventLoop& m_loop;
+  base::Signal m_changed;
+  standins::ObjectTable m_objects;
+  platform::HostList m_hosts;
+  std::deque<CallFault> m_faults;
+  bool m_isDown = false;
+  std::size_t m_calls = 0;
+};
+
+static_assert(platform::ObjectStore<FakeObjectStore>);
+
+} // namespace sardinefold::tests
