Programs: Add sardinefold-agent

Cause: nothing stood beside the upstreams. Change: sardinefold-agent checks signatures, waits for model and turn, checks its own clock before the first byte, forwards with backpressure, cancels only what may repeat, answers with its outcome and drains on SIGTERM. Program folders are libraries, so that tests can run them on their own loop.

--- a/Agent/ConnectionMachine.cpp
+++ b/Agent/ConnectionMachine.cpp
@@ -43,7 +43,7 @@
   using initial_state = Active;
 
   // clang-format off
-  struct transition_table : boost::mpl::vector<
+  using transition_table = boost::mpl::vector<
     Row<Active,  Progress,       Active,  none, none>,
     Row<Active,  SilenceElapsed, Probing, none, none>,
     Row<Active,  Close,          Closed,  none, none>,
@@ -58,7 +58,7 @@
     Row<Doubted, ProbeExcludes,  Lost,    none, none>,
     Row<Doubted, Close,          Closed,  none, none>,
     Row<Lost,    Close,          Closed,  none, none>
-  > {};
+  >;
   // clang-format on
 
   /// What no row names changes nothing: a late probe or byte comes too late.
@@ -174,11 +174,9 @@
     aReport.m_state == ExchangeState::Running || aReport.m_state == ExchangeState::Ended;
   bool const hasMore = aReport.m_written > m_received || (aReport.m_hasHead && !m_hasHead) ||
                        aReport.m_state == ExchangeState::Ended;
-  if (!m_isReading) {
-    m_machine->process_event(ProbeExplains{});
-  } else if (!isHere) {
+  if (m_isReading && !isHere) {
     m_machine->process_event(ProbeExcludes{});
-  } else if (hasMore) {
+  } else if (m_isReading && hasMore) {
     m_machine->process_event(ProbeDoubts{});
   } else {
     m_machine->process_event(ProbeExplains{});
--- /dev/null
+++ b/Agent/DispatchQueue.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Time.h"
+#include "Operator/Document.h"
+
+#include <compare>
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace sardinefold::agent {
+
+/// Orders the requests that wait for an upstream: by class, then by the time
+/// by which they must start. An exchange has one place, by its correlation id.
+class DispatchQueue
+{
+public:
+  enum class Admission
+  {
+    /// It runs from now on, until Leave().
+    Running,
+    Waiting,
+    /// Too many wait already.
+    Full
+  };
+
+  explicit DispatchQueue(std::size_t aMaximumWaiting)
+    : m_maximumWaiting(aMaximumWaiting)
+  {
+  }
+
+  /// aStartBy is on the agent's own clock.
+  Admission Enter(base::CorrelationId const& aExchange, operators::RequestClass aClass,
+                  base::Instant aStartBy, std::size_t aLimit);
+  /// The exchange ended, or no longer wants its place.
+  void Leave(base::CorrelationId const& aExchange);
+  /// The waiting exchange that runs next, if there is room; it runs from now
+  /// on. Those whose time has passed are left for their owners to withdraw.
+  std::optional<base::CorrelationId> TakeNext(std::size_t aLimit, base::Instant aNow);
+
+  std::size_t Running() const { return m_running; }
+  std::size_t Waiting() const { return m_waiting.size(); }
+
+private:
+  struct Place
+  {
+    operators::RequestClass m_class;
+    base::Instant m_startBy;
+    std::uint64_t m_arrival;
+    base::CorrelationId m_exchange;
+
+    friend bool operator==(Place const&, Place const&) = default;
+    friend auto operator<=>(Place const&, Place const&) = default;
+  };
+
+  void Remove(Place const& aPlace);
+
+  std::size_t m_maximumWaiting;
+  std::size_t m_running = 0;
+  std::uint64_t m_arrivals = 0;
+  std::set<Place> m_waiting;
+  std::unordered_map<base::CorrelationId, Place> m_places;
+};
+
+} // namespace sardinefold::agent
--- /dev/null
+++ b/Engine/EngineClient.cpp
@@ -0,0 +1,49 @@
+#include "Engine/EngineClient.h"
+
+#include "Engine/EngineCodec.h"
+
+namespace sardinefold::engine {
+
+using boost::asio::awaitable;
+using OrderResult = tl::expected<void, EngineOrderFailure>;
+
+awaitable<OrderResult> EngineClient::Give(base::HttpRequest aRequest, base::Duration aBound)
+{
+  auto const response = co_await m_http.Fetch(m_engine, std::move(aRequest), aBound);
+  if (!response) {
+    using Kind = EngineOrderFailure::Kind;
+    auto const& failure = response.error();
+    EngineOrderFailure mapped{ failure.m_mayHaveBeenSent ? Kind::Lost : Kind::NotSent,
+                               failure.m_detail };
+    co_return tl::make_unexpected(std::move(mapped));
+  }
+  co_return DecodeOrderAnswer(*response);
+}
+
+awaitable<OrderResult> EngineClient::Load(EngineOrder aOrder, base::Duration aBound)
+{
+  auto request = EncodeLoadOrder(aOrder);
+  co_return co_await Give(std::move(request), aBound);
+}
+
+awaitable<OrderResult> EngineClient::Unload(EngineOrder aOrder, base::Duration aBound)
+{
+  auto request = EncodeUnloadOrder(aOrder);
+  co_return co_await Give(std::move(request), aBound);
+}
+
+awaitable<tl::expected<EngineAccount, std::string>> EngineClient::ReadAccount(base::Duration aLimit)
+{
+  base::HttpRequest request;
+  request.m_target = "/state";
+  auto const response = co_await m_http.Fetch(m_engine, std::move(request), aLimit);
+  if (!response) {
+    co_return tl::make_unexpected(response.error().m_detail);
+  }
+  if (response->m_status != 200) {
+    co_return tl::make_unexpected("HTTP status " + std::to_string(response->m_status));
+  }
+  co_return DecodeEngineAccount(response->m_body);
+}
+
+} // namespace sardinefold::engine
--- /dev/null
+++ b/Engine/EngineCodec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Base/Http/HttpMessage.h"
+#include "Engine/EngineOrder.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+
+namespace sardinefold::engine {
+
+base::HttpRequest EncodeLoadOrder(EngineOrder const& aOrder);
+base::HttpRequest EncodeUnloadOrder(EngineOrder const& aOrder);
+tl::expected<void, EngineOrderFailure> DecodeOrderAnswer(base::HttpResponse const& aResponse);
+
+/// Reads the answer to GET /state; the error names the field.
+tl::expected<EngineAccount, std::string> DecodeEngineAccount(std::string_view aBody);
+
+} // namespace sardinefold::engine
--- /dev/null
+++ b/Programs/Agent/AgentConfiguration.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Base/Http/HttpMessage.h"
+#include "Base/Identifiers.h"
+#include "Base/Settings.h"
+#include "Operator/Document.h"
+
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace sardinefold::programs {
+
+/// The settings of sardinefold-agent, typed.
+struct AgentConfiguration
+{
+  base::Endpoint m_listen;
+  base::Endpoint m_upstreamAddress;
+  operators::UpstreamKind m_upstreamKind = operators::UpstreamKind::Engine;
+  base::UpstreamId m_upstream;
+  base::HostId m_host;
+  base::FailureDomainId m_failureDomain;
+  std::vector<base::Endpoint> m_platform;
+  std::string m_fleetSecret;
+  std::size_t m_concurrency = 1;
+  std::size_t m_maximumWaiting = 0;
+  base::Duration m_drainLimit{};
+
+  static base::SettingsTable Table();
+  /// The error names the setting.
+  static tl::expected<AgentConfiguration, base::SettingsError> Create(
+    base::Settings const& aSettings);
+};
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Agent/ExchangeSession.cpp
@@ -0,0 +1,310 @@
+#include "Programs/Agent/ExchangeSession.h"
+
+#include "Base/Log.h"
+#include "Base/Rpc/PeerAuthentication.h"
+
+#include <charconv>
+
+namespace sardinefold::programs {
+
+using agent::Refusal;
+using agent::StatedOutcome;
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+
+/// For the whole answer to a request that must not repeat, so that it isn't
+/// cut off because its entry has lost patience.
+constexpr base::Duration kUnrepeatableAnswerLimit = std::chrono::minutes(2);
+/// Between two pieces of a streamed answer.
+constexpr base::Duration kPieceLimit = std::chrono::seconds(60);
+/// Answers up to this size are passed on in one write.
+constexpr std::int64_t kWholeAnswerBytes = 64LL * 1024;
+
+std::optional<std::int64_t> ContentLength(base::HttpHeaders const& aHeaders)
+{
+  auto const text = aHeaders.Find("Content-Length");
+  if (!text) {
+    return std::nullopt;
+  }
+  std::int64_t length = 0;
+  auto const parsed = std::from_chars(text->data(), text->data() + text->size(), length);
+  if (parsed.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return length;
+}
+
+unsigned StatusOf(Refusal aRefusal)
+{
+  switch (aRefusal) {
+    case Refusal::BadExchange:
+      return kBadRequest;
+    case Refusal::DuplicateExchange:
+    case Refusal::OtherIncarnation:
+      return kConflict;
+    case Refusal::QueueFull:
+      return kTooManyRequests;
+    default:
+      return kUnavailable;
+  }
+}
+
+} // namespace
+
+ExchangeSession::ExchangeSession(AgentParts& aParts, base::HttpExchange& aExchange)
+  : m_parts(aParts)
+  , m_exchange(aExchange)
+  , m_arrival(aParts.m_loop.Now())
+{
+}
+
+agent::AnswerHead ExchangeSession::Answer(StatedOutcome aOutcome, std::string aReason) const
+{
+  auto const now = agent::ToAgentClock(m_parts.m_loop.Now());
+  return { aOutcome, std::move(aReason), m_head.m_correlation.Text(), m_parts.m_incarnation, now };
+}
+
+awaitable<void> ExchangeSession::Respond(unsigned aStatus, StatedOutcome aOutcome, Refusal aRefusal)
+{
+  std::string const code(ToText(aRefusal));
+  auto response = base::JsonResponse(aStatus, R"({"error":{"code":")" + code + R"("}})");
+  agent::EncodeAnswerHead(Answer(aOutcome, code), response.m_headers);
+  Record(aOutcome);
+  co_await m_exchange.Respond(std::move(response));
+}
+
+awaitable<void> ExchangeSession::Refuse(Refusal aRefusal)
+{
+  co_await Respond(StatusOf(aRefusal), StatedOutcome::NotRun, aRefusal);
+}
+
+void ExchangeSession::Record(StatedOutcome aOutcome)
+{
+  auto const* const outcome = aOutcome == StatedOutcome::Ran      ? "ran"
+                              : aOutcome == StatedOutcome::NotRun ? "not-run"
+                                                                  : "unknown";
+  base::MetricLabels const labels{ { "workspace", m_head.m_workspace.Text() },
+                                   { "class", std::string(ToText(m_head.m_class)) },
+                                   { "outcome", outcome } };
+  auto& histogram = m_parts.m_metrics.Seconds(
+    "sardinefold_agent_head_seconds", "From a request's arrival to the head of its answer", labels);
+  base::Observe(histogram, m_parts.m_loop.Now() - m_arrival);
+}
+
+awaitable<void> ExchangeSession::Run()
+{
+  auto head = agent::DecodeExchangeHead(m_exchange.Request().m_headers);
+  if (!head) {
+    base::log::Warning("malformed exchange",
+                       { { "field", head.error().m_field }, { "error", head.error().m_message } });
+    auto const correlation = m_exchange.Request().m_headers.Find(base::kCorrelationHeader);
+    m_head.m_correlation =
+      base::CorrelationId::FromValidated(std::string(correlation.value_or("")));
+    co_await Refuse(Refusal::BadExchange);
+    co_return;
+  }
+  m_head = std::move(*head);
+  if (m_head.m_incarnation != m_parts.m_incarnation) {
+    co_await Refuse(Refusal::OtherIncarnation);
+    co_return;
+  }
+  using Admission = agent::ExchangeRegistry::Admission;
+  auto const admission = m_parts.m_registry.Begin(m_head, m_arrival);
+  if (admission == Admission::Duplicate) {
+    // The first request of this name may run, so this one can't say not run.
+    co_await Respond(kConflict, StatedOutcome::Unknown, Refusal::DuplicateExchange);
+    co_return;
+  }
+  if (admission == Admission::Denied) {
+    co_await Refuse(Refusal::DeniedByEntry);
+    co_return;
+  }
+  m_exchange.OnPeerGone([this] {
+    bool const mayStop = m_head.m_isRepeatable || !m_hasStarted;
+    if (mayStop) {
+      m_entryGone.Cancel();
+    }
+  });
+  co_await RunAdmitted();
+  m_parts.m_registry.End(m_head.m_correlation, m_parts.m_loop.Now());
+}
+
+bool ExchangeSession::IsStartByPassed() const
+{
+  return agent::ToAgentClock(m_parts.m_loop.Now()) > m_head.m_startBy;
+}
+
+base::Instant ExchangeSession::LatestStart() const
+{
+  auto const firstByte = m_arrival + m_head.m_firstByteLimit;
+  auto const left = m_head.m_startBy - agent::ToAgentClock(m_arrival);
+  auto const bounded =
+    std::clamp<std::int64_t>(left.Value(), 0, base::ToMilliseconds(m_head.m_firstByteLimit));
+  return std::min(firstByte, m_arrival + std::chrono::milliseconds(bounded));
+}
+
+awaitable<void> ExchangeSession::RunAdmitted()
+{
+  if (m_parts.m_isDraining) {
+    co_await Refuse(Refusal::Draining);
+    co_return;
+  }
+  if (IsStartByPassed()) {
+    co_await Refuse(Refusal::StartByPassed);
+    co_return;
+  }
+  auto const end = LatestStart();
+  if (m_parts.m_loader && !m_head.m_model.IsEmpty()) {
+    auto const loaded = co_await m_parts.m_loader->EnsureLoaded(m_head, end, m_entryGone);
+    if (!loaded) {
+      co_await Refuse(loaded.error());
+      co_return;
+    }
+  }
+  auto const entered = co_await m_parts.m_gate.Enter(m_head, end, m_entryGone);
+  if (!entered) {
+    co_await Refuse(entered.error());
+    co_return;
+  }
+  auto const started = m_parts.m_loop.Now();
+  auto ending = Ending{ StatedOutcome::NotRun };
+  if (auto const refusal = CheckStart()) {
+    co_await Refuse(*refusal);
+  } else {
+    ending = co_await Relay();
+  }
+  auto const now = m_parts.m_loop.Now();
+  m_parts.m_gate.Leave(m_head.m_correlation, ending.m_signal, now - started);
+}
+
+std::optional<Refusal> ExchangeSession::CheckStart()
+{
+  if (IsStartByPassed()) {
+    return Refusal::StartByPassed;
+  }
+  if (m_entryGone.IsCancelled() || !m_parts.m_registry.Start(m_head.m_correlation)) {
+    return Refusal::DeniedByEntry;
+  }
+  m_hasStarted = true;
+  return std::nullopt;
+}
+
+base::HttpRequest ExchangeSession::UpstreamRequest()
+{
+  auto request = std::move(m_exchange.Request());
+  base::RemoveHopByHopHeaders(request.m_headers);
+  agent::RemoveExchangeFields(request.m_headers);
+  for (auto const* const name :
+       { "Authorization", "Cookie", "Idempotency-Key", "Host", "Content-Length", "Expect" }) {
+    request.m_headers.Remove(name);
+  }
+  return request;
+}
+
+awaitable<ExchangeSession::Ending> ExchangeSession::Relay()
+{
+  auto request = UpstreamRequest();
+  auto const deadline = m_arrival + m_head.m_firstByteLimit - m_parts.m_loop.Now();
+  auto const limit =
+    m_head.m_isRepeatable ? deadline : std::max(deadline, kUnrepeatableAnswerLimit);
+  // Once it has started, a request that may not repeat runs to its end.
+  auto* const cancellation = m_head.m_isRepeatable ? &m_entryGone : nullptr;
+  auto const& upstream = m_parts.m_configuration.m_upstreamAddress;
+  auto reply = co_await m_parts.m_http.Send(upstream, std::move(request), limit, cancellation);
+  if (!reply) {
+    auto failure = reply.error();
+    co_return co_await ReportFailure(std::move(failure));
+  }
+  m_parts.m_registry.NoteHead(m_head.m_correlation);
+  co_return co_await PassOn(std::move(*reply));
+}
+
+awaitable<ExchangeSession::Ending> ExchangeSession::ReportFailure(base::HttpFailure aFailure)
+{
+  bool const wasCancelled = m_entryGone.IsCancelled();
+  auto const signal = wasCancelled ? agent::LoadSignal::Served : agent::LoadSignal::Overloaded;
+  if (!aFailure.m_mayHaveBeenSent) {
+    co_await Refuse(Refusal::UpstreamUnreachable);
+    co_return Ending{ StatedOutcome::NotRun, signal };
+  }
+  bool const timedOut = aFailure.m_kind == base::HttpFailure::Kind::TimedOut;
+  auto const refusal = timedOut ? Refusal::UpstreamTimedOut : Refusal::UpstreamLost;
+  co_await Respond(kBadGateway, StatedOutcome::Unknown, refusal);
+  co_return Ending{ StatedOutcome::Unknown, signal };
+}
+
+base::HttpHeaders ExchangeSession::AnswerHeaders(base::HttpReply const& aReply) const
+{
+  auto headers = aReply.Headers();
+  base::RemoveHopByHopHeaders(headers);
+  agent::RemoveExchangeFields(headers);
+  headers.Remove("Content-Length");
+  agent::EncodeAnswerHead(Answer(StatedOutcome::Ran, {}), headers);
+  return headers;
+}
+
+awaitable<ExchangeSession::Ending> ExchangeSession::PassOn(base::HttpReply aReply)
+{
+  Record(StatedOutcome::Ran);
+  auto const signal = aReply.Status() == kTooManyRequests || aReply.Status() == kUnavailable
+                        ? agent::LoadSignal::Overloaded
+                        : agent::LoadSignal::Served;
+  auto const length = ContentLength(aReply.Headers());
+  auto headers = AnswerHeaders(aReply);
+  if (!length || *length > kWholeAnswerBytes) {
+    auto ending = co_await PassOnPieces(std::move(aReply), std::move(headers));
+    ending.m_signal = signal;
+    co_return ending;
+  }
+  base::HttpResponse response;
+  response.m_status = aReply.Status();
+  while (!aReply.IsComplete()) {
+    auto piece = co_await aReply.Read(kPieceLimit);
+    if (!piece) {
+      auto failure = piece.error();
+      co_return co_await ReportFailure(std::move(failure));
+    }
+    response.m_body += *piece;
+  }
+  response.m_headers = std::move(headers);
+  base::Bytes const size(static_cast<std::int64_t>(response.m_body.size()));
+  m_parts.m_registry.NoteWritten(m_head.m_correlation, size);
+  co_await m_exchange.Respond(std::move(response));
+  co_return Ending{ StatedOutcome::Ran, signal };
+}
+
+awaitable<ExchangeSession::Ending> ExchangeSession::PassOnPieces(base::HttpReply aReply,
+                                                                 base::HttpHeaders aHeaders)
+{
+  auto written = co_await m_exchange.StartStream(aReply.Status(), std::move(aHeaders));
+  while (!aReply.IsComplete()) {
+    auto piece = co_await aReply.Read(kPieceLimit);
+    if (!piece) {
+      // Without its end the entry sees that the answer is cut.
+      m_exchange.CloseAfterwards();
+      co_return Ending{ StatedOutcome::Unknown };
+    }
+    base::Bytes const size(static_cast<std::int64_t>(piece->size()));
+    m_parts.m_registry.NoteWritten(m_head.m_correlation, size);
+    if (written) {
+      written = co_await m_exchange.Write(*piece);
+    }
+    bool const mayStop = m_head.m_isRepeatable;
+    if (!written && mayStop) {
+      co_return Ending{ StatedOutcome::Ran };
+    }
+  }
+  if (written) {
+    co_await m_exchange.Finish();
+  }
+  co_return Ending{ StatedOutcome::Ran };
+}
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Tests/AgentTest.cpp
@@ -0,0 +1,422 @@
+#define BOOST_TEST_MODULE Agent
+#include "Agent/AgentClient.h"
+#include "Programs/Agent/AgentProgram.h"
+#include "Programs/SystemClock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using namespace std::chrono_literals;
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr char kSecret[] = "fleet-secret-of-the-test";
+
+base::HttpResponse RenderError(base::HttpRequestError const& aError)
+{
+  return base::JsonResponse(aError.m_status, "{}");
+}
+
+/// An upstream, its agent and an entry's client, each on the same loop.
+struct Site
+{
+  explicit Site(base::HttpServer::Handler aUpstream)
+    : m_upstream(m_loop, {}, std::move(aUpstream), RenderError)
+    , m_http(m_loop, {})
+    , m_authentication(kSecret)
+    , m_client(m_loop, m_http, m_authentication, {})
+  {
+    BOOST_REQUIRE(m_upstream.Listen({ "127.0.0.1", 0 }));
+    m_agent = MakeAgent({ "127.0.0.1", 0 }, m_upstream.Port());
+    m_endpoint = { "127.0.0.1", m_agent->Port() };
+  }
+
+  std::unique_ptr<programs::AgentProgram> MakeAgent(base::Endpoint aListen, std::uint16_t aUpstream)
+  {
+    programs::AgentConfiguration configuration;
+    configuration.m_listen = std::move(aListen);
+    configuration.m_upstreamAddress = { "127.0.0.1", aUpstream };
+    configuration.m_upstreamKind = operators::UpstreamKind::Service;
+    configuration.m_upstream = base::UpstreamId::FromValidated("u1");
+    configuration.m_fleetSecret = kSecret;
+    configuration.m_concurrency = 1;
+    configuration.m_maximumWaiting = 2;
+    configuration.m_drainLimit = 2s;
+    auto agent = std::make_unique<programs::AgentProgram>(m_loop, std::move(configuration));
+    BOOST_REQUIRE(agent->Start());
+    return agent;
+  }
+
+  template<typename Body>
+  void Run(Body aBody)
+  {
+    auto run = [&]() -> awaitable<void> {
+      co_await aBody(*this);
+      m_loop.Stop();
+    };
+    m_loop.Start(run());
+    m_loop.Run();
+  }
+
+  base::EventLoop m_loop{ programs::SystemClock::Monotonic, programs::SystemClock::Wall };
+  base::HttpServer m_upstream;
+  base::HttpClient m_http;
+  base::PeerAuthentication m_authentication;
+  agent::AgentClient m_client;
+  std::unique_ptr<programs::AgentProgram> m_agent;
+  std::unique_ptr<programs::AgentProgram> m_later;
+  base::Endpoint m_endpoint;
+};
+
+/// Something between entry and agent that can lose track of a connection.
+class Middle
+{
+public:
+  enum class Fault
+  {
+    None,
+    HoldRequest,
+    HoldAnswer
+  };
+
+  Middle(Site& aSite, base::Endpoint aAgent)
+    : m_agent(std::move(aAgent))
+    , m_site(aSite)
+    , m_http(aSite.m_loop, {})
+    , m_server(
+        aSite.m_loop, {}, [this](base::HttpExchange& aExchange) { return Relay(aExchange); },
+        RenderError)
+  {
+    BOOST_REQUIRE(m_server.Listen({ "127.0.0.1", 0 }));
+  }
+
+  base::Endpoint Address() const { return { "127.0.0.1", m_server.Port() }; }
+
+  base::Endpoint m_agent;
+  Fault m_fault = Fault::None;
+  std::optional<base::HttpRequest> m_held;
+
+private:
+  awaitable<void> Relay(base::HttpExchange& aExchange)
+  {
+    auto request = aExchange.Request();
+    bool const isFaulty = request.m_target != "/rpc" && m_fault != Fault::None;
+    if (isFaulty && m_fault == Fault::HoldRequest) {
+      m_held = request;
+      co_await m_site.m_loop.Sleep(60s);
+      co_return;
+    }
+    auto answer = co_await m_http.Fetch(m_agent, std::move(request), 5s);
+    if (isFaulty) {
+      co_await m_site.m_loop.Sleep(60s);
+    }
+    if (answer) {
+      answer->m_headers.Remove("Content-Length");
+      co_await aExchange.Respond(std::move(*answer));
+    }
+  }
+
+  Site& m_site;
+  base::HttpClient m_http;
+  base::HttpServer m_server;
+};
+
+agent::ForwardRequest Request(bool aIsRepeatable = true, base::Duration aLimit = 5s)
+{
+  agent::ForwardRequest request;
+  request.m_head.m_request = base::RequestId::FromValidated("r1");
+  request.m_head.m_workspace = base::WorkspaceId::FromValidated("w1");
+  request.m_head.m_route = base::RouteId::FromValidated("bookings");
+  request.m_head.m_firstByteLimit = aLimit;
+  request.m_head.m_isRepeatable = aIsRepeatable;
+  request.m_message.m_method = "POST";
+  request.m_message.m_target = "/bookings";
+  request.m_message.m_headers.Add("Authorization", "Bearer of-the-caller");
+  request.m_message.m_body = "curtain";
+  return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ForwardsAndStreamsWithoutTheCallersKey)
+{
+  bool hasKey = true;
+  std::string body;
+  Site site([&](base::HttpExchange& aExchange) -> awaitable<void> {
+    hasKey = aExchange.Request().m_headers.Find("Authorization").has_value() ||
+             aExchange.Request().m_headers.Find("Sardinefold-Signature").has_value();
+    body = aExchange.Request().m_body;
+    base::HttpHeaders headers;
+    co_await aExchange.StartStream(201, headers);
+    co_await aExchange.Write("one ");
+    co_await aExchange.Write("two");
+    co_await aExchange.Finish();
+  });
+  site.Run([&](Site& aSite) -> awaitable<void> {
+    base::Cancellation cancellation;
+    auto request = Request();
+    auto outcome =
+      co_await aSite.m_client.Forward(std::move(request), aSite.m_endpoint, cancellation);
+    auto* const reply = std::get_if<agent::AgentReply>(&outcome);
+    BOOST_REQUIRE(reply);
+    BOOST_TEST(reply->Status() == 201U);
+    BOOST_TEST(!reply->Headers().Find("Sardinefold-Outcome").has_value());
+    std::string all;
+    while (!reply->IsComplete()) {
+      auto piece = co_await reply->Read();
+      BOOST_REQUIRE(piece);
+      all += *piece;
+    }
+    BOOST_TEST(all == "one two");
+  });
+  BOOST_TEST(!hasKey);
+  BOOST_TEST(body == "curtain");
+}
+
+BOOST_AUTO_TEST_CASE(CutAnswerIsNotPassedAsWhole)
+{
+  Site site([](base::HttpExchange& aExchange) -> awaitable<void> {
+    base::HttpHeaders headers;
+    co_await aExchange.StartStream(200, headers);
+    co_await aExchange.Write("half");
+    aExchange.CloseAfterwards();
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    base::Cancellation cancellation;
+    auto request = Request();
+    auto outcome =
+      co_await aSite.m_client.Forward(std::move(request), aSite.m_endpoint, cancellation);
+    auto* const reply = std::get_if<agent::AgentReply>(&outcome);
+    BOOST_REQUIRE(reply);
+    auto piece = co_await reply->Read();
+    while (piece && !reply->IsComplete()) {
+      piece = co_await reply->Read();
+    }
+    BOOST_TEST(!piece.has_value());
+  });
+}
+
+BOOST_AUTO_TEST_CASE(UnreachableUpstreamIsNotRun)
+{
+  Site site([](base::HttpExchange&) -> awaitable<void> { co_return; });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    auto agent = aSite.MakeAgent({ "127.0.0.1", 0 }, 1);
+    base::Endpoint const endpoint{ "127.0.0.1", agent->Port() };
+    base::Cancellation cancellation;
+    auto request = Request();
+    auto outcome = co_await aSite.m_client.Forward(std::move(request), endpoint, cancellation);
+    auto* const notRun = std::get_if<base::NotRun>(&outcome);
+    BOOST_REQUIRE(notRun);
+    BOOST_TEST(notRun->Reason() == "upstream_unreachable");
+    co_await agent->Shutdown();
+  });
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamThatDiesIsUnknown)
+{
+  Site site([](base::HttpExchange& aExchange) -> awaitable<void> {
+    // Ends without an answer, so the connection closes.
+    aExchange.CloseAfterwards();
+    co_return;
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    base::Cancellation cancellation;
+    auto request = Request();
+    auto outcome =
+      co_await aSite.m_client.Forward(std::move(request), aSite.m_endpoint, cancellation);
+    auto* const unknown = std::get_if<base::Unknown>(&outcome);
+    BOOST_REQUIRE(unknown);
+    BOOST_TEST(unknown->m_reason == "upstream_lost");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(NoAgentIsNotRun)
+{
+  Site site([](base::HttpExchange&) -> awaitable<void> { co_return; });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    base::Cancellation cancellation;
+    base::Endpoint const nobody{ "127.0.0.1", 1 };
+    auto request = Request();
+    auto outcome = co_await aSite.m_client.Forward(std::move(request), nobody, cancellation);
+    BOOST_TEST(std::holds_alternative<base::NotRun>(outcome));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(RestartedAgentGetsTheRequestUnderItsOwnClock)
+{
+  int ran = 0;
+  Site site([&ran](base::HttpExchange& aExchange) -> awaitable<void> {
+    ++ran;
+    base::HttpResponse response;
+    co_await aExchange.Respond(std::move(response));
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    Middle middle(aSite, aSite.m_endpoint);
+    base::Cancellation cancellation;
+    auto first = Request();
+    auto before = co_await aSite.m_client.Forward(std::move(first), middle.Address(), cancellation);
+    BOOST_TEST(std::holds_alternative<agent::AgentReply>(before));
+    auto successor = aSite.MakeAgent({ "127.0.0.1", 0 }, aSite.m_upstream.Port());
+    middle.m_agent.m_port = successor->Port();
+    auto second = Request();
+    auto after = co_await aSite.m_client.Forward(std::move(second), middle.Address(), cancellation);
+    BOOST_TEST(std::holds_alternative<agent::AgentReply>(after));
+    aSite.m_later = std::move(successor);
+  });
+  BOOST_TEST(ran == 2);
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatNeverArrivedIsExcludedAndNotRun)
+{
+  int ran = 0;
+  Site site([&ran](base::HttpExchange& aExchange) -> awaitable<void> {
+    ++ran;
+    base::HttpResponse response;
+    co_await aExchange.Respond(std::move(response));
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    Middle middle(aSite, aSite.m_endpoint);
+    middle.m_fault = Middle::Fault::HoldRequest;
+    base::Cancellation cancellation;
+    auto request = Request(false, 20s);
+    auto const begin = aSite.m_loop.Now();
+    auto outcome =
+      co_await aSite.m_client.Forward(std::move(request), middle.Address(), cancellation);
+    auto* const notRun = std::get_if<base::NotRun>(&outcome);
+    BOOST_REQUIRE(notRun);
+    BOOST_TEST(notRun->Reason() == "connection_silent");
+    BOOST_TEST((aSite.m_loop.Now() - begin < 10s));
+    // The request comes after all, and must not run any more.
+    auto late = *middle.m_held;
+    auto const answer = co_await aSite.m_http.Fetch(aSite.m_endpoint, std::move(late), 2s);
+    BOOST_REQUIRE(answer);
+    BOOST_TEST((answer->m_headers.Find("Sardinefold-Outcome") == std::string_view("not-run")));
+    BOOST_TEST(
+      (answer->m_headers.Find("Sardinefold-Reason") == std::string_view("denied_by_entry")));
+  });
+  BOOST_TEST(ran == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AnswerThatNeverArrivesIsUnknownWithinTheStatedTime)
+{
+  int ran = 0;
+  Site site([&ran](base::HttpExchange& aExchange) -> awaitable<void> {
+    ++ran;
+    base::HttpResponse response;
+    co_await aExchange.Respond(std::move(response));
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    Middle middle(aSite, aSite.m_endpoint);
+    middle.m_fault = Middle::Fault::HoldAnswer;
+    base::Cancellation cancellation;
+    auto request = Request(false, 20s);
+    auto const begin = aSite.m_loop.Now();
+    auto outcome =
+      co_await aSite.m_client.Forward(std::move(request), middle.Address(), cancellation);
+    auto* const unknown = std::get_if<base::Unknown>(&outcome);
+    BOOST_REQUIRE(unknown);
+    BOOST_TEST(unknown->m_reason == "connection_silent");
+    BOOST_TEST((aSite.m_loop.Now() - begin < 10s));
+  });
+  BOOST_TEST(ran == 1);
+}
+
+BOOST_AUTO_TEST_CASE(SlowAnswerIsNotTakenForSilence)
+{
+  Site site([](base::HttpExchange& aExchange) -> awaitable<void> {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_after(2500ms);
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    base::HttpResponse response;
+    co_await aExchange.Respond(std::move(response));
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    base::Cancellation cancellation;
+    auto request = Request(false, 20s);
+    auto outcome =
+      co_await aSite.m_client.Forward(std::move(request), aSite.m_endpoint, cancellation);
+    BOOST_TEST(std::holds_alternative<agent::AgentReply>(outcome));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(EntryThatGoesAwayCancelsOnlyWhatMayRepeat)
+{
+  for (bool const isRepeatable : { true, false }) {
+    bool wasCancelled = false;
+    bool hasEnded = false;
+    Site site([&](base::HttpExchange& aExchange) -> awaitable<void> {
+      boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+      timer.expires_after(400ms);
+      aExchange.OnPeerGone([&] {
+        wasCancelled = true;
+        timer.cancel();
+      });
+      co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+      hasEnded = true;
+      base::HttpResponse response;
+      co_await aExchange.Respond(std::move(response));
+    });
+    site.Run([&](Site& aSite) -> awaitable<void> {
+      base::Cancellation cancellation;
+      boost::asio::steady_timer timer(aSite.m_loop.Context());
+      timer.expires_after(100ms);
+      timer.async_wait([&](boost::system::error_code) { cancellation.Cancel(); });
+      auto request = Request(isRepeatable);
+      auto outcome =
+        co_await aSite.m_client.Forward(std::move(request), aSite.m_endpoint, cancellation);
+      BOOST_TEST(std::holds_alternative<base::Unknown>(outcome));
+      while (!hasEnded) {
+        co_await aSite.m_loop.Sleep(10ms);
+      }
+    });
+    BOOST_TEST(wasCancelled == isRepeatable);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DrainRefusesNewAndFinishesOpenRequests)
+{
+  bool hasBegun = false;
+  Site site([&](base::HttpExchange& aExchange) -> awaitable<void> {
+    hasBegun = true;
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_after(300ms);
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    base::HttpResponse response;
+    response.m_body = "whole";
+    co_await aExchange.Respond(std::move(response));
+  });
+  site.Run([&](Site& aSite) -> awaitable<void> {
+    auto agent = aSite.MakeAgent({ "127.0.0.1", 0 }, aSite.m_upstream.Port());
+    base::Endpoint const endpoint{ "127.0.0.1", agent->Port() };
+    bool isDone = false;
+    auto open = [&]() -> awaitable<void> {
+      base::Cancellation cancellation;
+      auto request = Request();
+      auto outcome = co_await aSite.m_client.Forward(std::move(request), endpoint, cancellation);
+      auto* const reply = std::get_if<agent::AgentReply>(&outcome);
+      BOOST_REQUIRE(reply);
+      auto piece = co_await reply->Read();
+      BOOST_TEST((piece.has_value() && *piece == "whole"));
+      isDone = true;
+    };
+    aSite.m_loop.Start(open());
+    while (!hasBegun) {
+      co_await aSite.m_loop.Sleep(5ms);
+    }
+    aSite.m_loop.Start(agent->Shutdown());
+    co_await aSite.m_loop.Sleep(1ms);
+    base::Cancellation cancellation;
+    auto late = Request();
+    auto refused = co_await aSite.m_client.Forward(std::move(late), endpoint, cancellation);
+    auto* const notRun = std::get_if<base::NotRun>(&refused);
+    BOOST_REQUIRE(notRun);
+    BOOST_TEST(notRun->Reason() == "draining");
+    while (!isDone) {
+      co_await aSite.m_loop.Sleep(5ms);
+    }
+    // Shutdown() stops the loop; the site's own run ends with it.
+    co_await aSite.m_loop.Sleep(5s);
+  });
+  BOOST_TEST(hasBegun);
+}
