Entry: Spread configuration through relays

A version must be in force everywhere within 4 s while the platform sees only a few watches. By rendezvous a few entries of each failure domain watch the manifest; they announce to the others, entries announce to agents, and each answer says what is in force there, so that the count and the laggards come back the same way. Versions only go up; a version that can't be applied is reported, not applied. A process that hears nothing asks its peers, also while the platform is down.

--- /dev/null
+++ b/Entry/Configuration/Follower.cpp
@@ -0,0 +1,162 @@
+#include "Entry/Configuration/Follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinefold::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Within it a fetch is answered or lost.
+constexpr base::Duration kFetchTime = 400ms;
+constexpr base::Duration kPauseAfterFailure = 50ms;
+/// Reads of one batch from the platform, within its rate for one process.
+constexpr std::size_t kChunksAtOnce = 16;
+constexpr std::size_t kMaxSources = 4;
+/// Versions whose chunks are kept, so that a process that has one of them gets
+/// only the difference.
+constexpr std::size_t kVersionsKept = 16;
+
+} // namespace
+
+bool Follower::OnNews(operators::VersionRecord const& aRecord, ChunkSource const& aSource)
+{
+  auto const newest = m_newest ? m_newest->m_version : base::DocumentVersion(0);
+  if (aRecord.m_version < newest) {
+    return false;
+  }
+  if (aRecord.m_version == newest) {
+    bool const isKnown = std::ranges::find(m_sources, aSource) != m_sources.end();
+    if (!isKnown && m_sources.size() < kMaxSources) {
+      m_sources.push_back(aSource);
+    }
+    return false;
+  }
+  m_newest = aRecord;
+  m_sources = { aSource };
+  m_source = 0;
+  m_received = 0;
+  m_fetchUntil.reset();
+  m_notBefore = {};
+  m_isApplying = false;
+  m_isComplete = m_chunks.IsComplete(aRecord.m_root);
+  return true;
+}
+
+void Follower::Collect(base::Instant aNow, NewsActions& aActions)
+{
+  if (!m_newest || IsSettled() || m_isApplying) {
+    return;
+  }
+  if (m_isComplete) {
+    m_isApplying = true;
+    aActions.push_back(ApplyAction{ *m_newest });
+    return;
+  }
+  if (m_fetchUntil && aNow >= *m_fetchUntil) {
+    m_fetchUntil.reset();
+    NextSource();
+  }
+  if (!m_fetchUntil && aNow >= m_notBefore) {
+    Fetch(aNow, aActions);
+  }
+}
+
+void Follower::OnChunks(ChunkSource const& aSource, std::vector<operators::Chunk> aChunks,
+                        base::Instant aNow)
+{
+  if (!m_newest || IsSettled()) {
+    return;
+  }
+  bool const isAwaited = m_fetchUntil && m_sources[m_source] == aSource;
+  if (aChunks.empty() && isAwaited) {
+    OnFetchFailed(aSource, aNow);
+    return;
+  }
+  m_received += aChunks.size();
+  for (auto& chunk : aChunks) {
+    m_chunks.Insert(std::move(chunk));
+  }
+  m_isComplete = m_chunks.IsComplete(m_newest->m_root);
+  if (isAwaited) {
+    m_fetchUntil.reset();
+  }
+}
+
+void Follower::OnFetchFailed(ChunkSource const& aSource, base::Instant aNow)
+{
+  bool const isAwaited = m_fetchUntil && m_sources[m_source] == aSource;
+  if (!isAwaited) {
+    return;
+  }
+  m_fetchUntil.reset();
+  m_notBefore = aNow + kPauseAfterFailure;
+  NextSource();
+}
+
+void Follower::OnApplied(base::DocumentVersion aVersion)
+{
+  if (!m_newest || m_newest->m_version != aVersion) {
+    return;
+  }
+  m_inForce = m_newest;
+  m_isApplying = false;
+  m_rejection.reset();
+  m_kept.push_back(m_inForce->m_root);
+  if (m_kept.size() > kVersionsKept) {
+    m_kept.pop_front();
+  }
+  m_chunks.Retain({ m_kept.begin(), m_kept.end() });
+}
+
+void Follower::OnRejected(base::DocumentVersion aVersion, std::string aProblem)
+{
+  if (!m_newest || m_newest->m_version != aVersion) {
+    return;
+  }
+  m_isApplying = false;
+  m_rejection = Rejection{ aVersion, std::move(aProblem) };
+}
+
+base::DocumentVersion Follower::InForce() const
+{
+  return m_inForce ? m_inForce->m_version : base::DocumentVersion(0);
+}
+
+std::optional<operators::VersionRecord> const& Follower::Servable() const
+{
+  return m_newest && m_isComplete ? m_newest : m_inForce;
+}
+
+bool Follower::IsSettled() const
+{
+  bool const isRejected = m_rejection && m_rejection->m_version == m_newest->m_version;
+  return isRejected || InForce() == m_newest->m_version;
+}
+
+void Follower::Fetch(base::Instant aNow, NewsActions& aActions)
+{
+  m_fetchUntil = aNow + kFetchTime;
+  auto const& source = m_sources[m_source];
+  if (auto const* peer = std::get_if<base::HostId>(&source)) {
+    ChunkRequest request;
+    request.m_wanted = m_newest->m_root;
+    request.m_held = m_inForce ? m_inForce->m_root : operators::ChunkHash();
+    request.m_skip = m_received;
+    aActions.push_back(FetchFromPeerAction{ *peer, std::move(request) });
+    return;
+  }
+  aActions.push_back(FetchFromPlatformAction{ m_chunks.Missing(m_newest->m_root, kChunksAtOnce) });
+}
+
+void Follower::NextSource()
+{
+  // NOTE: Sources send the chunks in an order of their own, so that counting
+  // starts anew with each.
+  m_received = 0;
+  m_source = (m_source + 1) % m_sources.size();
+}
+
+} // namespace sardinefold::entry
--- /dev/null
+++ b/Entry/Configuration/Follower.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Entry/Configuration/ChunkStore.h"
+#include "Entry/Configuration/NewsMessages.h"
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace sardinefold::entry {
+
+/// Brings this process to the newest version it has heard of: fetches what it
+/// lacks, has it applied, and never goes back to an older one.
+class Follower
+{
+public:
+  /// Whether the version is newer than all heard of before.
+  bool OnNews(operators::VersionRecord const& aRecord, ChunkSource const& aSource);
+  /// Fetches and applications that are due.
+  void Collect(base::Instant aNow, NewsActions& aActions);
+
+  void OnChunks(ChunkSource const& aSource, std::vector<operators::Chunk> aChunks,
+                base::Instant aNow);
+  void OnFetchFailed(ChunkSource const& aSource, base::Instant aNow);
+  void OnApplied(base::DocumentVersion aVersion);
+  void OnRejected(base::DocumentVersion aVersion, std::string aProblem);
+
+  base::DocumentVersion InForce() const;
+  std::optional<operators::VersionRecord> const& Newest() const { return m_newest; }
+  std::optional<Rejection> const& Rejected() const { return m_rejection; }
+  /// The newest version whose chunks are all here.
+  std::optional<operators::VersionRecord> const& Servable() const;
+  ChunkStore const& Chunks() const { return m_chunks; }
+
+private:
+  bool IsSettled() const;
+  void Fetch(base::Instant aNow, NewsActions& aActions);
+  void NextSource();
+
+  std::optional<operators::VersionRecord> m_newest;
+  std::optional<operators::VersionRecord> m_inForce;
+  std::optional<Rejection> m_rejection;
+  ChunkStore m_chunks;
+  std::deque<operators::ChunkHash> m_kept;
+  /// Who has the newest version, best first.
+  std::vector<ChunkSource> m_sources;
+  std::size_t m_source = 0;
+  /// Chunks of the newest version taken in from peers.
+  std::size_t m_received = 0;
+  std::optional<base::Instant> m_fetchUntil;
+  base::Instant m_notBefore{};
+  bool m_isApplying = false;
+  /// Whether all chunks of the newest version are here.
+  bool m_isComplete = false;
+};
+
+} // namespace sardinefold::entry
--- /dev/null
+++ b/Entry/Configuration/RelayChoice.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Base/Identifiers.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace sardinefold::entry {
+
+/// A process as far as configuration and membership are concerned.
+struct ProcessPlace
+{
+  base::HostId m_host;
+  base::FailureDomainId m_failureDomain;
+};
+
+/// The live processes that a process knows of.
+struct FleetView
+{
+  std::vector<ProcessPlace> m_entries;
+  std::vector<ProcessPlace> m_agents;
+};
+
+/// The entries of a failure domain that watch the platform for all others
+/// there: the highest by rendezvous hashing, so that a lost one changes no
+/// other's place. At least kLeastRelays, and one for each kEntriesPerRelay.
+std::vector<base::HostId> ChooseRelays(FleetView const& aView,
+                                       base::FailureDomainId const& aDomain);
+
+/// The entries that announce to an agent, first choice first. Entries of its
+/// own failure domain if there are any.
+std::vector<base::HostId> ChooseEntriesOf(FleetView const& aView, ProcessPlace const& aAgent);
+
+/// The place that Rank() gives a candidate, without ordering the others.
+std::size_t PlaceOf(base::HostId const& aCandidate, std::vector<base::HostId> const& aCandidates,
+                    std::string const& aKey);
+
+/// The entries among which ChooseEntriesOf() chooses.
+std::vector<base::HostId> EntriesFor(FleetView const& aView, base::FailureDomainId const& aDomain);
+
+/// Orders candidates by rendezvous hashing for a key, best first, and keeps
+/// the first so many.
+std::vector<base::HostId> Rank(std::vector<base::HostId> aCandidates, std::string const& aKey,
+                               std::size_t aMost);
+
+inline constexpr std::size_t kLeastRelays = 3;
+inline constexpr std::size_t kEntriesPerRelay = 27;
+inline constexpr std::size_t kEntriesPerAgent = 2;
+
+} // namespace sardinefold::entry
--- /dev/null
+++ b/Tests/ConfigurationTest.cpp
@@ -0,0 +1,190 @@
+#define BOOST_TEST_MODULE Configuration
+#include "Entry/Configuration/NewsCodec.h"
+#include "Tests/Fakes/FakeNewsFleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using namespace std::chrono_literals;
+using fakes::FakeNewsFleet;
+using fakes::MakeDocument;
+
+namespace {
+
+constexpr std::uint64_t kSeeds = 20;
+constexpr base::Duration kBound = 4s;
+
+/// Runs in steps until a version is in force everywhere; false after kBound.
+bool ComesInForce(FakeNewsFleet& aFleet)
+{
+  auto const end = aFleet.Time().Now() + kBound;
+  while (aFleet.Time().Now() < end) {
+    aFleet.RunFor(50ms);
+    if (aFleet.IsInForce(aFleet.Published())) {
+      return true;
+    }
+  }
+  return false;
+}
+
+FakeNewsFleet MakeFleet(std::uint64_t aSeed)
+{
+  return FakeNewsFleet({ 4, 23, 14, 0.05, aSeed });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(EveryVersionComesInForceEverywhereUnderLoss)
+{
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    auto fleet = MakeFleet(seed);
+    for (std::size_t round = 1; round <= 5; ++round) {
+      fleet.Publish(MakeDocument(40 + round));
+      BOOST_TEST(ComesInForce(fleet));
+    }
+    BOOST_TEST(fleet.Reversions() == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARelayThatDiesWhileItTellsIsReplaced)
+{
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    auto fleet = MakeFleet(seed);
+    fleet.Publish(MakeDocument(40));
+    BOOST_TEST(ComesInForce(fleet));
+    fleet.Publish(MakeDocument(41));
+    fleet.RunFor(std::chrono::milliseconds(4 + seed));
+    auto const relays = fleet.Relays(seed % 4);
+    BOOST_REQUIRE(relays.size() == 3U);
+    fleet.Kill(relays[0]);
+    fleet.Kill(relays[1]);
+    BOOST_TEST(ComesInForce(fleet));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AllRelaysOfADomainDyingAtOnceAreReplaced)
+{
+  auto fleet = MakeFleet(7);
+  fleet.Publish(MakeDocument(40));
+  BOOST_TEST(ComesInForce(fleet));
+  fleet.Publish(MakeDocument(41));
+  for (auto const& relay : fleet.Relays(2)) {
+    fleet.Kill(relay);
+  }
+  BOOST_TEST(ComesInForce(fleet));
+}
+
+BOOST_AUTO_TEST_CASE(ANewProcessLearnsFromItsPeersWhileThePlatformIsDown)
+{
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    auto fleet = MakeFleet(seed);
+    fleet.Publish(MakeDocument(500));
+    BOOST_TEST(ComesInForce(fleet));
+    fleet.SetPlatformUp(false);
+    for (auto const& host : fleet.Hosts()) {
+      if (host.Text().ends_with("1")) {
+        fleet.Kill(host);
+      }
+    }
+    fleet.RunFor(5s);
+    for (auto const& host : fleet.Hosts()) {
+      if (host.Text().ends_with("1")) {
+        fleet.Restart(host);
+      }
+    }
+    BOOST_TEST(ComesInForce(fleet));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AVersionAcceptedBeforeACompactionOrAnOutageArrivesAfterIt)
+{
+  auto fleet = MakeFleet(11);
+  fleet.Publish(MakeDocument(40));
+  BOOST_TEST(ComesInForce(fleet));
+  fleet.SetPlatformUp(false);
+  fleet.RunFor(60s);
+  fleet.Publish(MakeDocument(41));
+  fleet.Compact();
+  fleet.SetPlatformUp(true);
+  BOOST_TEST(ComesInForce(fleet));
+}
+
+BOOST_AUTO_TEST_CASE(FreshnessEndsWithTheOutageAndReturnsAfterIt)
+{
+  auto fleet = MakeFleet(5);
+  fleet.Publish(MakeDocument(40));
+  BOOST_TEST(ComesInForce(fleet));
+  fleet.RunFor(10s);
+  auto const isFresh = [&fleet](base::Duration aAge) {
+    auto const hosts = fleet.Hosts();
+    return std::ranges::all_of(hosts, [&](base::HostId const& aHost) {
+      auto const freshAt = fleet.Node(aHost).FreshAt();
+      return freshAt && fleet.Time().Now() - *freshAt <= aAge;
+    });
+  };
+  BOOST_TEST(isFresh(12s));
+  fleet.SetPlatformUp(false);
+  auto const down = fleet.Time().Now();
+  fleet.RunFor(30s);
+  for (auto const& host : fleet.Hosts()) {
+    BOOST_TEST((fleet.Node(host).FreshAt() <= down));
+  }
+  fleet.SetPlatformUp(true);
+  fleet.RunFor(20s);
+  BOOST_TEST(isFresh(12s));
+}
+
+BOOST_AUTO_TEST_CASE(TheCountNamesThoseBehindAndWhy)
+{
+  auto fleet = MakeFleet(3);
+  fleet.Publish(MakeDocument(40));
+  BOOST_TEST(ComesInForce(fleet));
+  auto const spoilt = base::HostId::FromValidated("engine-5");
+  fleet.Spoil(spoilt);
+  fleet.Publish(MakeDocument(41));
+  fleet.RunFor(10s);
+  auto const tally = fleet.Count(fleet.Published());
+  BOOST_TEST(tally.m_processes == 37U);
+  BOOST_TEST(tally.m_applied == 36U);
+  BOOST_REQUIRE(tally.m_laggards.size() == 1U);
+  BOOST_TEST(tally.m_laggards[0].m_host == spoilt);
+  BOOST_TEST(tally.m_laggards[0].m_inForce.Value() == 1U);
+  BOOST_TEST(tally.m_laggards[0].m_problem == "no room");
+}
+
+BOOST_AUTO_TEST_CASE(ALargeVersionIsFetchedInPieces)
+{
+  FakeNewsFleet fleet({ 1, 4, 1, 0.05, 9 });
+  fleet.Publish(MakeDocument(20'000));
+  BOOST_TEST(ComesInForce(fleet));
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderVersionIsNeverTakenUp)
+{
+  entry::Follower follower;
+  operators::VersionRecord record;
+  record.m_version = base::DocumentVersion(5);
+  BOOST_TEST(follower.OnNews(record, entry::PlatformSource{}));
+  record.m_version = base::DocumentVersion(4);
+  BOOST_TEST(!follower.OnNews(record, entry::PlatformSource{}));
+  BOOST_TEST(follower.Newest()->m_version.Value() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(MessagesSurviveTheCodecAndBadOnesAreRefused)
+{
+  entry::Acknowledgement acknowledgement;
+  acknowledgement.m_inForce = base::DocumentVersion(3);
+  acknowledgement.m_rejection = entry::Rejection{ base::DocumentVersion(4), "no room" };
+  acknowledgement.m_below.m_version = base::DocumentVersion(4);
+  acknowledgement.m_below.AddProcess({ base::HostId::FromValidated("h"), {}, "why" });
+  auto const written = entry::WriteAcknowledgement(acknowledgement);
+  auto const read = entry::ReadAcknowledgement(written);
+  BOOST_REQUIRE(read);
+  BOOST_TEST((entry::WriteAcknowledgement(*read) == written));
+  BOOST_TEST(!entry::ReadAcknowledgement(Json::Value(3)));
+  BOOST_TEST(!entry::ReadAnnouncement(Json::Value(Json::objectValue)));
+  BOOST_TEST(!entry::ReadChunks(Json::Value(Json::objectValue)));
+  Json::Value chunks;
+  chunks["chunks"].append("{\"children\":[\"../x\"]}");
+  BOOST_TEST(!entry::ReadChunks(chunks));
+}
--- /dev/null
+++ b/Tests/Fakes/FakeNewsFleet.cpp
@@ -0,0 +1,424 @@
+#include "Tests/Fakes/FakeNewsFleet.h"
+
+#include "Base/Json.h"
+#include "Entry/Configuration/NewsCodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinefold::fakes {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Of an HTTP request and response with the fleet's signature, the JSON-RPC
+/// envelope and the headers of TCP and IP.
+constexpr std::size_t kRequestOverheadBytes = 480;
+constexpr std::size_t kAnswerOverheadBytes = 360;
+/// After it a caller gives up.
+constexpr base::Duration kCallTime = 250ms;
+constexpr base::Duration kPlatformTime = 4ms;
+constexpr base::Duration kApplyTime = 5ms;
+/// Between a process's death or start and the others' knowing.
+constexpr base::Duration kMembershipTime = 2s;
+
+std::size_t SizeOf(Json::Value const& aValue)
+{
+  return base::RenderJson(aValue).size();
+}
+
+} // namespace
+
+FakeNewsFleet::FakeNewsFleet(FleetShape aShape)
+  : m_shape(aShape)
+  , m_link(aShape.m_seed, aShape.m_loss)
+{
+  auto const add = [this](std::string const& aPrefix, std::size_t aIndex,
+                          entry::ProcessRole aRole) {
+    auto const host = base::HostId::FromValidated(aPrefix + std::to_string(aIndex));
+    auto const domain = base::FailureDomainId::FromValidated(
+      "fd-" + std::to_string(aIndex % m_shape.m_failureDomains));
+    Process process;
+    process.m_place = { host, domain };
+    process.m_role = aRole;
+    m_processes.emplace(host, std::move(process));
+  };
+  for (std::size_t index = 0; index < m_shape.m_entries; ++index) {
+    add("entry-", index, entry::ProcessRole::Entry);
+  }
+  for (std::size_t index = 0; index < m_shape.m_agents; ++index) {
+    add("engine-", index, entry::ProcessRole::Agent);
+  }
+  for (auto& [host, process] : m_processes) {
+    StartProcess(process);
+  }
+  RefreshViews();
+}
+
+void FakeNewsFleet::StartProcess(Process& aProcess)
+{
+  aProcess.m_isLive = true;
+  ++aProcess.m_life;
+  aProcess.m_highest = 0;
+  aProcess.m_node =
+    std::make_unique<entry::ConfigurationNode>(aProcess.m_place, aProcess.m_role, m_link.Draw());
+  auto const host = aProcess.m_place.m_host;
+  auto const life = aProcess.m_life;
+  auto const phase = std::chrono::microseconds(m_link.Draw() % 50'000);
+  m_time.After(phase, [this, host, life] { Tick(host, life); });
+}
+
+void FakeNewsFleet::Tick(base::HostId const& aHost, unsigned aLife)
+{
+  auto const& process = m_processes.at(aHost);
+  if (!process.m_isLive || process.m_life != aLife) {
+    return;
+  }
+  Drive(aHost);
+  m_time.After(entry::ConfigurationNode::kTick, [this, aHost, aLife] { Tick(aHost, aLife); });
+}
+
+void FakeNewsFleet::Drive(base::HostId const& aHost)
+{
+  auto actions = m_processes.at(aHost).m_node->Collect(m_time.Now());
+  for (auto& action : actions) {
+    Perform(aHost, std::move(action));
+  }
+}
+
+void FakeNewsFleet::Perform(base::HostId const& aHost, entry::NewsAction aAction)
+{
+  if (auto* announce = std::get_if<entry::AnnounceAction>(&aAction)) {
+    Announce(aHost, *announce);
+  } else if (auto* ask = std::get_if<entry::AskAction>(&aAction)) {
+    Ask(aHost, ask->m_from);
+  } else if (auto* peer = std::get_if<entry::FetchFromPeerAction>(&aAction)) {
+    FetchFromPeer(aHost, *peer);
+  } else if (auto* platform = std::get_if<entry::FetchFromPlatformAction>(&aAction)) {
+    FetchFromPlatform(aHost, platform->m_chunks);
+  } else if (std::holds_alternative<entry::ReadManifestAction>(aAction)) {
+    ReadManifest(aHost);
+  } else if (auto* watch = std::get_if<entry::WatchManifestAction>(&aAction)) {
+    WatchManifest(aHost, *watch);
+  } else {
+    Apply(aHost, std::get<entry::ApplyAction>(aAction).m_record);
+  }
+}
+
+void FakeNewsFleet::Announce(base::HostId const& aFrom, entry::AnnounceAction const& aAction)
+{
+  auto const size = SizeOf(entry::WriteAnnouncement(aAction.m_announcement, aFrom));
+  auto const answer = std::make_shared<entry::Acknowledgement>();
+  auto const to = aAction.m_to;
+  auto serve = [this, aFrom, aAction, answer](Process& aProcess) {
+    aProcess.m_node->OnAnnouncement(aFrom, aAction.m_announcement, m_time.Now());
+    Drive(aProcess.m_place.m_host);
+    *answer = aProcess.m_node->Acknowledge(aAction.m_announcement.m_record.m_version);
+    return SizeOf(entry::WriteAcknowledgement(*answer));
+  };
+  auto hear = [this, to, answer](Process& aProcess) {
+    aProcess.m_node->OnAcknowledgement(to, *answer, m_time.Now());
+  };
+  auto silence = [this, to](Process& aProcess) { aProcess.m_node->OnSilence(to, m_time.Now()); };
+  Exchange(aFrom, to, size, serve, hear, silence);
+}
+
+void FakeNewsFleet::Ask(base::HostId const& aFrom, base::HostId const& aTo)
+{
+  auto const answer = std::make_shared<std::optional<entry::Announcement>>();
+  auto serve = [this, answer](Process& aProcess) {
+    *answer = aProcess.m_node->Newest(m_time.Now());
+    return *answer ? SizeOf(entry::WriteAnnouncement(**answer, aProcess.m_place.m_host)) : 2;
+  };
+  auto hear = [this, aTo, answer](Process& aProcess) {
+    if (*answer) {
+      aProcess.m_node->OnAnnouncement(aTo, **answer, m_time.Now());
+      Drive(aProcess.m_place.m_host);
+    }
+  };
+  Exchange(aFrom, aTo, 2, serve, hear, [](Process&) {});
+}
+
+void FakeNewsFleet::FetchFromPeer(base::HostId const& aFrom,
+                                  entry::FetchFromPeerAction const& aAction)
+{
+  auto const answer = std::make_shared<std::vector<operators::Chunk>>();
+  auto const source = aAction.m_from;
+  auto serve = [answer, request = aAction.m_request](Process& aProcess) {
+    *answer = aProcess.m_node->Serve(request);
+    return SizeOf(entry::WriteChunks(*answer));
+  };
+  auto hear = [this, source, answer](Process& aProcess) {
+    aProcess.m_node->OnChunks(source, *answer, m_time.Now());
+    Drive(aProcess.m_place.m_host);
+  };
+  auto silence = [this, source](Process& aProcess) {
+    aProcess.m_node->OnFetchFailed(source, m_time.Now());
+  };
+  Exchange(aFrom, source, SizeOf(entry::WriteChunkRequest(aAction.m_request)), serve, hear,
+           silence);
+}
+
+void FakeNewsFleet::FetchFromPlatform(base::HostId const& aFrom,
+                                      std::vector<operators::ChunkHash> const& aChunks)
+{
+  m_platformCalls += aChunks.size();
+  Later(aFrom, kPlatformTime, [this, aChunks](Process& aProcess) {
+    if (!m_isPlatformUp) {
+      aProcess.m_node->OnFetchFailed(entry::PlatformSource{}, m_time.Now());
+      return;
+    }
+    std::vector<operators::Chunk> chunks;
+    for (auto const& hash : aChunks) {
+      chunks.push_back(m_chunks.at(hash));
+      aProcess.m_bytes += chunks.back().m_text.size() + kAnswerOverheadBytes;
+    }
+    aProcess.m_node->OnChunks(entry::PlatformSource{}, std::move(chunks), m_time.Now());
+    Drive(aProcess.m_place.m_host);
+  });
+}
+
+void FakeNewsFleet::ReadManifest(base::HostId const& aHost)
+{
+  ++m_platformCalls;
+  TellManifest(aHost, m_time.Now());
+}
+
+void FakeNewsFleet::WatchManifest(base::HostId const& aHost, entry::WatchManifestAction aAction)
+{
+  ++m_platformCalls;
+  auto const sent = m_time.Now();
+  if (m_isPlatformUp && aAction.m_after < m_compacted) {
+    Later(aHost, kPlatformTime, [](Process& aProcess) { aProcess.m_node->OnCompacted(); });
+    return;
+  }
+  if (!m_isPlatformUp || aAction.m_after < m_objectVersion) {
+    TellManifest(aHost, sent);
+    return;
+  }
+  if (m_link.IsLost()) {
+    // The watch is lost without a sign; the caller notices after its timeout.
+    Later(aHost, aAction.m_timeout + kCallTime,
+          [this](Process& aProcess) { aProcess.m_node->OnPlatformFailure(m_time.Now()); });
+    return;
+  }
+  m_watchers.emplace_back(aHost, sent);
+  Later(aHost, aAction.m_timeout, [this, aHost, sent](Process& aProcess) {
+    auto const watcher = std::ranges::find(m_watchers, std::pair(aHost, sent));
+    if (watcher == m_watchers.end()) {
+      return;
+    }
+    m_watchers.erase(watcher);
+    aProcess.m_bytes += kRequestOverheadBytes + kAnswerOverheadBytes;
+    aProcess.m_node->OnWatchQuiet(m_time.Now() - kPlatformTime);
+  });
+}
+
+void FakeNewsFleet::TellManifest(base::HostId const& aHost, base::Instant aSent)
+{
+  Later(aHost, kPlatformTime, [this, aSent](Process& aProcess) {
+    if (!m_isPlatformUp || m_record.m_version == base::DocumentVersion(0)) {
+      aProcess.m_node->OnPlatformFailure(m_time.Now());
+      return;
+    }
+    aProcess.m_node->OnManifest(m_record, m_objectVersion, aSent, m_time.Now());
+    Drive(aProcess.m_place.m_host);
+  });
+}
+
+void FakeNewsFleet::Apply(base::HostId const& aHost, operators::VersionRecord const& aRecord)
+{
+  Later(aHost, kApplyTime, [this, aRecord](Process& aProcess) {
+    if (m_spoilt.contains(aProcess.m_place.m_host)) {
+      aProcess.m_node->OnRejected(aRecord.m_version, "no room");
+      return;
+    }
+    aProcess.m_node->OnApplied(aRecord.m_version);
+    auto const now = aProcess.m_node->Versions().InForce().Value();
+    m_reversions += now < aProcess.m_highest ? 1 : 0;
+    aProcess.m_highest = std::max(aProcess.m_highest, now);
+    Drive(aProcess.m_place.m_host);
+  });
+}
+
+void FakeNewsFleet::Publish(operators::Document const& aDocument)
+{
+  auto chunked = operators::SplitDocument(aDocument);
+  for (auto& chunk : chunked.m_chunks) {
+    m_chunks.emplace(chunk.m_hash, chunk);
+  }
+  m_record.m_version = m_record.m_version.Next();
+  m_record.m_root = chunked.m_root;
+  m_record.m_author = operators::AuthorId::FromValidated("operator");
+  auto const id = "publication-" + std::to_string(m_record.m_version.Value());
+  m_record.m_publication = operators::PublicationId::FromValidated(id);
+  m_objectVersion = m_objectVersion.Next();
+  auto const watchers = std::exchange(m_watchers, {});
+  for (auto const& [host, sent] : watchers) {
+    TellManifest(host, m_time.Now());
+  }
+}
+
+void FakeNewsFleet::SetPlatformUp(bool aIsUp)
+{
+  m_isPlatformUp = aIsUp;
+  auto const watchers = std::exchange(m_watchers, {});
+  for (auto const& [host, sent] : watchers) {
+    TellManifest(host, sent);
+  }
+}
+
+void FakeNewsFleet::Kill(base::HostId const& aHost)
+{
+  m_processes.at(aHost).m_isLive = false;
+  m_time.After(kMembershipTime, [this] { RefreshViews(); });
+}
+
+void FakeNewsFleet::Restart(base::HostId const& aHost)
+{
+  StartProcess(m_processes.at(aHost));
+  RefreshViews();
+}
+
+void FakeNewsFleet::RefreshViews()
+{
+  entry::FleetView view;
+  for (auto const& [host, process] : m_processes) {
+    if (process.m_isLive) {
+      bool const isEntry = process.m_role == entry::ProcessRole::Entry;
+      (isEntry ? view.m_entries : view.m_agents).push_back(process.m_place);
+    }
+  }
+  for (auto& [host, process] : m_processes) {
+    if (process.m_isLive) {
+      process.m_node->SetView(view, m_time.Now());
+    }
+  }
+}
+
+void FakeNewsFleet::Later(base::HostId const& aHost, base::Duration aDelay,
+                          std::function<void(Process&)> aRun)
+{
+  auto const life = m_processes.at(aHost).m_life;
+  m_time.After(aDelay, [this, aHost, life, run = std::move(aRun)] {
+    auto& process = m_processes.at(aHost);
+    if (process.m_isLive && process.m_life == life) {
+      run(process);
+    }
+  });
+}
+
+void FakeNewsFleet::Exchange(base::HostId const& aFrom, base::HostId const& aTo,
+                             std::size_t aRequestBytes, std::function<std::size_t(Process&)> aServe,
+                             std::function<void(Process&)> const& aAnswer,
+                             std::function<void(Process&)> aSilence)
+{
+  auto const requestBytes = aRequestBytes + kRequestOverheadBytes;
+  m_processes.at(aFrom).m_bytes += requestBytes;
+  bool const isAnswered = !m_link.IsLost();
+  auto const back = m_link.Delay();
+  Later(aFrom, kCallTime, [silence = std::move(aSilence), isAnswered](Process& aProcess) {
+    if (!isAnswered) {
+      silence(aProcess);
+    }
+  });
+  if (m_link.IsLost()) {
+    return;
+  }
+  Later(aTo, m_link.Delay(), [=, this, serve = std::move(aServe)](Process& aProcess) {
+    auto const answerBytes = serve(aProcess) + kAnswerOverheadBytes;
+    aProcess.m_bytes += requestBytes + answerBytes;
+    if (!isAnswered) {
+      return;
+    }
+    Later(aFrom, back, [answerBytes, aAnswer](Process& aCaller) {
+      aCaller.m_bytes += answerBytes;
+      aAnswer(aCaller);
+    });
+  });
+}
+
+std::vector<base::HostId> FakeNewsFleet::Hosts() const
+{
+  std::vector<base::HostId> hosts;
+  for (auto const& [host, process] : m_processes) {
+    hosts.push_back(host);
+  }
+  return hosts;
+}
+
+std::vector<base::HostId> FakeNewsFleet::Relays(std::size_t aDomain) const
+{
+  auto const domain = base::FailureDomainId::FromValidated("fd-" + std::to_string(aDomain));
+  std::vector<base::HostId> relays;
+  for (auto const& [host, process] : m_processes) {
+    bool const isHere = process.m_place.m_failureDomain == domain;
+    if (isHere && process.m_isLive && process.m_node->IsRelay()) {
+      relays.push_back(host);
+    }
+  }
+  return relays;
+}
+
+entry::ConfigurationNode const& FakeNewsFleet::Node(base::HostId const& aHost) const
+{
+  return *m_processes.at(aHost).m_node;
+}
+
+bool FakeNewsFleet::IsInForce(base::DocumentVersion aVersion) const
+{
+  return std::ranges::all_of(m_processes, [aVersion](auto const& aEntry) {
+    auto const& process = aEntry.second;
+    return !process.m_isLive || process.m_node->Versions().InForce() >= aVersion;
+  });
+}
+
+entry::Tally FakeNewsFleet::Count(base::DocumentVersion aVersion) const
+{
+  entry::Tally tally;
+  tally.m_version = aVersion;
+  for (std::size_t domain = 0; domain < m_shape.m_failureDomains; ++domain) {
+    auto const relays = Relays(domain);
+    if (!relays.empty()) {
+      tally.Add(Node(relays.front()).Count(aVersion));
+    }
+  }
+  return tally;
+}
+
+std::size_t FakeNewsFleet::TakeMaxBytes()
+{
+  std::size_t most = 0;
+  for (auto& [host, process] : m_processes) {
+    most = std::max(most, std::exchange(process.m_bytes, 0));
+  }
+  return most;
+}
+
+operators::Document MakeDocument(std::size_t aAdapters)
+{
+  operators::Document document;
+  auto const model = base::ModelId::FromValidated("model");
+  auto const deployment = base::DeploymentId::FromValidated("deployment");
+  document.m_environment = base::EnvironmentId::FromValidated("test");
+  auto& spec = document.m_models[model];
+  spec.m_id = model;
+  spec.m_deployment = deployment;
+  spec.m_weights = base::Bytes(1'000'000'000);
+  spec.m_cache = base::Bytes(1'000'000'000);
+  spec.m_contextTokens = base::Tokens(8192);
+  auto const engine = base::UpstreamId::FromValidated("engine");
+  auto& upstream = document.m_upstreams[engine];
+  upstream.m_id = engine;
+  upstream.m_deployment = deployment;
+  upstream.m_host = base::HostId::FromValidated("engine-0");
+  upstream.m_memory = base::Bytes(80'000'000'000);
+  for (std::size_t index = 0; index < aAdapters; ++index) {
+    auto const id = base::AdapterId::FromValidated("adapter-" + std::to_string(index));
+    document.m_adapters[id] = { id, model, base::Bytes(50'000'000) };
+  }
+  return document;
+}
+
+} // namespace sardinefold::fakes
--- /dev/null
+++ b/Tests/Fakes/FakeNewsFleet.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "Entry/Configuration/ConfigurationNode.h"
+#include "Operator/ChunkCodec.h"
+#include "Tests/Fakes/VirtualNetwork.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sardinefold::fakes {
+
+struct FleetShape
+{
+  std::size_t m_failureDomains;
+  std::size_t m_entries;
+  std::size_t m_agents;
+  /// Share of messages lost, each way.
+  double m_loss;
+  std::uint64_t m_seed;
+};
+
+/// Processes that spread configuration among themselves in virtual time, and
+/// a platform that they read. Messages are counted with the size that the real
+/// codec gives them.
+class FakeNewsFleet
+{
+public:
+  explicit FakeNewsFleet(FleetShape aShape);
+
+  VirtualTime& Time() { return m_time; }
+  void RunFor(base::Duration aTime) { m_time.RunUntil(m_time.Now() + aTime); }
+
+  /// Puts a document in force in the platform; the version goes up by one.
+  void Publish(operators::Document const& aDocument);
+  base::DocumentVersion Published() const { return m_record.m_version; }
+  void SetPlatformUp(bool aIsUp);
+  /// The platform forgets what watches before the present version would need.
+  void Compact() { m_compacted = m_objectVersion; }
+
+  void Kill(base::HostId const& aHost);
+  /// Starts a killed process anew, knowing nothing.
+  void Restart(base::HostId const& aHost);
+  /// The process refuses every version from now on.
+  void Spoil(base::HostId const& aHost) { m_spoilt.insert(aHost); }
+
+  std::vector<base::HostId> Hosts() const;
+  std::vector<base::HostId> Relays(std::size_t aDomain) const;
+  entry::ConfigurationNode const& Node(base::HostId const& aHost) const;
+  /// Whether every live process has the version in force.
+  bool IsInForce(base::DocumentVersion aVersion) const;
+  /// Counts by one relay of each failure domain.
+  entry::Tally Count(base::DocumentVersion aVersion) const;
+  /// Times when a process put a lower version in force than before.
+  std::size_t Reversions() const { return m_reversions; }
+  /// The most that one process sent and received since the last call.
+  std::size_t TakeMaxBytes();
+  std::size_t PlatformCalls() const { return m_platformCalls; }
+
+private:
+  struct Process
+  {
+    entry::ProcessPlace m_place;
+    entry::ProcessRole m_role;
+    std::unique_ptr<entry::ConfigurationNode> m_node;
+    bool m_isLive = true;
+    unsigned m_life = 0;
+    std::uint64_t m_highest = 0;
+    std::size_t m_bytes = 0;
+  };
+
+  void StartProcess(Process& aProcess);
+  void Tick(base::HostId const& aHost, unsigned aLife);
+  void Drive(base::HostId const& aHost);
+  void Perform(base::HostId const& aHost, entry::NewsAction aAction);
+  void Announce(base::HostId const& aFrom, entry::AnnounceAction const& aAction);
+  void Ask(base::HostId const& aFrom, base::HostId const& aTo);
+  void FetchFromPeer(base::HostId const& aFrom, entry::FetchFromPeerAction const& aAction);
+  void FetchFromPlatform(base::HostId const& aFrom,
+                         std::vector<operators::ChunkHash> const& aChunks);
+  void ReadManifest(base::HostId const& aHost);
+  void WatchManifest(base::HostId const& aHost, entry::WatchManifestAction aAction);
+  void Apply(base::HostId const& aHost, operators::VersionRecord const& aRecord);
+  void TellManifest(base::HostId const& aHost, base::Instant aSent);
+  void RefreshViews();
+  /// Runs something on a process after a delay, if it still lives then.
+  void Later(base::HostId const& aHost, base::Duration aDelay, std::function<void(Process&)> aRun);
+  /// Runs a request at one process and its answer at another. Counts bytes.
+  void Exchange(base::HostId const& aFrom, base::HostId const& aTo, std::size_t aRequestBytes,
+                std::function<std::size_t(Process&)> aServe,
+                std::function<void(Process&)> const& aAnswer,
+                std::function<void(Process&)> aSilence);
+
+  FleetShape m_shape;
+  VirtualTime m_time;
+  LossyLink m_link;
+  std::map<base::HostId, Process> m_processes;
+  bool m_isPlatformUp = true;
+  operators::VersionRecord m_record;
+  base::ObjectVersion m_objectVersion;
+  base::ObjectVersion m_compacted;
+  std::map<operators::ChunkHash, operators::Chunk> m_chunks;
+  std::vector<std::pair<base::HostId, base::Instant>> m_watchers;
+  std::set<base::HostId> m_spoilt;
+  std::size_t m_reversions = 0;
+  std::size_t m_platformCalls = 0;
+};
+
+/// A document with so many adapters, for tests of its spreading.
+operators::Document MakeDocument(std::size_t aAdapters);
+
+} // namespace sardinefold::fakes
