Service: Decide claims of requests that may not repeat

Cause: a resend through another entry could run an order twice. Change: ClaimAttempt decides from the claim's creation to the record of its answer, sans I/O; a claim changes hands only by a conditional update of a released one. ClaimRetention deletes by one process's own clock. Conclusion: the programs do not use it yet.

--- /dev/null
+++ b/Service/ClaimRetention.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Base/Time.h"
+#include "Platform/PlatformObject.h"
+#include "Service/Claim.h"
+
+#include <map>
+#include <vector>
+
+namespace sardinefold::service {
+
+struct ClaimRetentionLimits
+{
+  /// A claim is deleted when one process has known it unchanged for this time
+  /// by its own clock, so that no two clocks are compared.
+  base::Duration m_ended = std::chrono::hours(1);
+  /// The same for a claim whose owner may be running, which may be paused.
+  base::Duration m_running = std::chrono::hours(24);
+};
+
+/// A claim to delete if it still has this version.
+struct ClaimDeletion
+{
+  platform::ObjectName m_name;
+  base::ObjectVersion m_version;
+};
+
+/// Decides when claims are deleted. The agent that recorded a claim's end
+/// deletes it; what dead agents left behind is found by lists.
+class ClaimRetention
+{
+public:
+  explicit ClaimRetention(ClaimRetentionLimits aLimits)
+    : m_limits(aLimits)
+  {
+  }
+
+  /// A claim was written here, or seen in a list.
+  void Note(platform::ObjectName const& aName, base::ObjectVersion aVersion, ClaimState aState,
+            base::Instant aNow);
+  /// The claims whose time has come; they are forgotten here.
+  std::vector<ClaimDeletion> TakeDue(base::Instant aNow);
+
+  std::size_t Size() const { return m_claims.size(); }
+
+private:
+  struct Known
+  {
+    base::ObjectVersion m_version;
+    base::Instant m_due;
+  };
+
+  ClaimRetentionLimits m_limits;
+  std::map<platform::ObjectName, Known> m_claims;
+  std::multimap<base::Instant, platform::ObjectName> m_due;
+};
+
+} // namespace sardinefold::service
--- a/Tests/AgentTest.cpp
+++ b/Tests/AgentTest.cpp
@@ -3,6 +3,9 @@
 #include "Programs/Agent/AgentProgram.h"
 #include "Programs/SystemClock.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace sardinefold;
--- /dev/null
+++ b/Tests/Support/OnceSimulation.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "Platform/RandomSource.h"
+#include "Platform/WriteResolution.h"
+#include "Service/ClaimAttempt.h"
+#include "Service/ClaimRetention.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sardinefold::tests {
+
+/// What goes wrong at one step of one sending of an order.
+enum class OnceFault
+{
+  /// The agent dies; what it sent upstream runs on.
+  AgentDies,
+  /// The next answer, of the platform or the upstream, is lost after taking
+  /// effect.
+  AnswerLost,
+  /// The agent stands still for longer than the request may wait.
+  Pause,
+  /// The platform is down for a few seconds.
+  PlatformDown
+};
+
+inline constexpr std::array kOnceFaults{ OnceFault::AgentDies, OnceFault::AnswerLost,
+                                         OnceFault::Pause, OnceFault::PlatformDown };
+
+/// One sending of an order by its caller, through some agent.
+struct OnceSending
+{
+  std::size_t m_order = 0;
+  std::size_t m_agent = 0;
+  base::Duration m_at{};
+};
+
+/// A fault at one step of one sending; the steps of a sending count from 1.
+struct OnceFaultAt
+{
+  std::size_t m_sending = 0;
+  int m_step = 0;
+  OnceFault m_fault = OnceFault::AgentDies;
+};
+
+struct OncePlan
+{
+  std::vector<OnceSending> m_sendings;
+  std::vector<OnceFaultAt> m_faults;
+  /// Of any fault at any step, beside those planned.
+  double m_faultChance = 0.0;
+  /// False for the baseline: each sending runs at once.
+  bool m_usesClaims = true;
+  std::uint64_t m_seed = 1;
+};
+
+/// What the upstream really ran and what callers were told, compared.
+struct OnceResult
+{
+  std::size_t m_orders = 0;
+  /// Runs of an order beyond its first.
+  std::size_t m_duplicates = 0;
+  /// Sendings that were told "not run" and ran.
+  std::size_t m_falseNotRun = 0;
+  /// Sendings that got another answer than the order's first run gave.
+  std::size_t m_wrongAnswers = 0;
+  std::size_t m_answered = 0;
+  std::size_t m_notRun = 0;
+  std::size_t m_unknown = 0;
+  std::size_t m_platformWrites = 0;
+  std::size_t m_platformReads = 0;
+  /// Most steps that one sending took.
+  int m_mostSteps = 0;
+};
+
+/// Drives ClaimAttempt and WriteResolution in virtual time over a store and an
+/// upstream in memory.
+class OnceSimulation
+{
+public:
+  explicit OnceSimulation(OncePlan aPlan);
+
+  OnceResult Run();
+
+private:
+  struct Stored
+  {
+    base::ObjectVersion m_version;
+    platform::WriteNonce m_nonce;
+    service::Claim m_claim;
+  };
+  struct Write
+  {
+    platform::WriteCondition m_condition;
+    service::Claim m_claim;
+    platform::WriteNonce m_nonce;
+    platform::WriteResolution m_resolution;
+  };
+  struct Sender
+  {
+    std::size_t m_index;
+    OnceSending m_sending;
+    service::ClaimOwnerId m_owner;
+    service::ClaimAttempt m_attempt;
+    base::Instant m_startBy;
+    base::Instant m_wake;
+    int m_steps = 0;
+    bool m_isOver = false;
+    bool m_losesNextAnswer = false;
+    bool m_hasRun = false;
+    std::optional<Write> m_write;
+    std::optional<service::RunEnd> m_runEnd;
+  };
+
+  Sender* FindNext();
+  bool ApplyFault(Sender& aSender);
+  std::optional<OnceFault> FaultFor(Sender const& aSender);
+  void Step(Sender& aSender);
+  void StepClaimed(Sender& aSender);
+  void StepWrite(Sender& aSender);
+  void StartWrite(Sender& aSender, service::WriteClaim const& aStep);
+  void Send(Sender& aSender);
+  void Read(Sender& aSender);
+  void EndWrite(Sender& aSender, tl::expected<base::ObjectVersion, platform::WriteError> aResult);
+  tl::expected<base::ObjectVersion, platform::WriteError> Apply(Sender& aSender);
+  tl::expected<platform::Object, platform::ReadError> ReadBack(Sender& aSender);
+  void Tell(Sender& aSender, std::variant<base::NotRun, service::KeptAnswer, base::Unknown> aEnd);
+  bool IsDown() const { return m_now < m_downUntil; }
+
+  OncePlan m_plan;
+  platform::RandomSource m_random;
+  base::Instant m_now;
+  base::Instant m_downUntil{};
+  std::vector<Sender> m_senders;
+  std::map<std::size_t, Stored> m_store;
+  base::ObjectVersion m_latest;
+  std::uint64_t m_nonces = 0;
+  std::map<std::size_t, std::size_t> m_runs;
+  std::set<service::ClaimOwnerId> m_gaveUp;
+  service::ClaimRetention m_retention{ service::ClaimRetentionLimits{} };
+  OnceResult m_result;
+};
+
+/// Sendings of a number of orders, each repeated through other agents: soon,
+/// while the first may be running, and minutes later.
+std::vector<OnceSending> PlanResends(std::size_t aOrders, std::size_t aResends,
+                                     std::uint64_t aSeed);
+
+} // namespace sardinefold::tests
