WeightStore: Order loads by class, novelty and deadline

Cause: agents that race for the store's bandwidth slow one another, and a marshal's briefing waits behind a shift report.

Change: LoadGate gives leased slots; ShareOf is an agent's part when no gate can be reached.

Conclusion: slots are scheduled; a lost gate costs speed, not safety.

--- /dev/null
+++ b/Tests/LoadGateTest.cpp
@@ -0,0 +1,175 @@
+#define BOOST_TEST_MODULE LoadGate
+#include "WeightStore/LoadGate.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace sardinefold;
+using namespace std::chrono_literals;
+using operators::RequestClass;
+using weightstore::LoadGate;
+using weightstore::SlotKey;
+
+namespace {
+
+base::Instant const kStart{ 1h };
+
+SlotKey Key(int aNumber)
+{
+  return { base::UpstreamId::FromValidated("u" + std::to_string(aNumber)),
+           base::IncarnationId::FromValidated("i"), engine::OrderId(1) };
+}
+
+weightstore::SlotRequest Wish(int aNumber, std::string const& aModel,
+                              RequestClass aClass = RequestClass::Standard,
+                              base::Duration aDeadline = 1min)
+{
+  return { Key(aNumber), { base::ModelId::FromValidated(aModel), {} }, aClass, kStart + aDeadline };
+}
+
+weightstore::SlotRequest AdapterWish(int aNumber)
+{
+  auto wish = Wish(aNumber, "m");
+  wish.m_replica.m_adapter = base::AdapterId::FromValidated("a" + std::to_string(aNumber));
+  return wish;
+}
+
+bool IsGranted(weightstore::SlotAnswer const& aAnswer)
+{
+  return aAnswer.m_lease.has_value();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(GrantsFourAtOnceAndTheNextWhenOneIsGivenBack)
+{
+  LoadGate gate({}, kStart);
+  for (int number = 0; number < 4; ++number) {
+    BOOST_TEST(IsGranted(gate.Ask(Wish(number, "m" + std::to_string(number)), kStart)));
+  }
+  BOOST_TEST(!IsGranted(gate.Ask(Wish(4, "m4"), kStart)));
+  gate.Release(Key(0), kStart + 1s);
+  BOOST_TEST(IsGranted(gate.Ask(Wish(4, "m4"), kStart + 1s)));
+  BOOST_TEST(!IsGranted(gate.Ask(Wish(5, "m5"), kStart + 1s)));
+}
+
+BOOST_AUTO_TEST_CASE(KeepsToTheRateOfTheStore)
+{
+  LoadGate gate({}, kStart);
+  int granted = 0;
+  for (base::Duration time{}; time < 20s; time += 10ms) {
+    if (IsGranted(gate.Ask(Wish(1, "m"), kStart + time))) {
+      ++granted;
+      gate.Release(Key(1), kStart + time);
+    }
+  }
+  BOOST_TEST(granted <= 4 + 90);
+  BOOST_TEST(granted >= 90);
+}
+
+BOOST_AUTO_TEST_CASE(OrdersByClassThenFirstReplicaThenDeadline)
+{
+  weightstore::StoreLimits limits;
+  limits.m_concurrentLoads = 2;
+  LoadGate gate(limits, kStart);
+  gate.Ask(Wish(0, "held"), kStart);
+  gate.Ask(Wish(1, "other"), kStart);
+  gate.Ask(Wish(2, "report", RequestClass::Batch, 4s), kStart);
+  gate.Ask(Wish(3, "held", RequestClass::Interactive, 4s), kStart);
+  gate.Ask(Wish(4, "late", RequestClass::Interactive, 20s), kStart);
+  gate.Ask(Wish(5, "soon", RequestClass::Interactive, 10s), kStart);
+  std::vector<int> order;
+  std::vector<weightstore::SlotRequest> const wishes{
+    Wish(2, "report", RequestClass::Batch, 4s), Wish(3, "held", RequestClass::Interactive, 4s),
+    Wish(4, "late", RequestClass::Interactive, 20s), Wish(5, "soon", RequestClass::Interactive, 10s)
+  };
+  int freed = 1;
+  for (int round = 1; round <= 4; ++round) {
+    base::Instant const now = kStart + round * 500ms;
+    gate.Release(Key(freed), now);
+    for (auto const& wish : wishes) {
+      int const number = wish.m_key.m_upstream.Text().back() - '0';
+      bool const isNew = std::ranges::find(order, number) == order.end();
+      if (isNew && IsGranted(gate.Ask(wish, now))) {
+        order.push_back(number);
+        freed = number;
+      }
+    }
+  }
+  std::vector<int> const expected{ 5, 4, 3, 2 };
+  BOOST_TEST(order == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(AdaptersHaveSlotsOfTheirOwn)
+{
+  LoadGate gate({}, kStart);
+  int granted = 0;
+  for (int number = 0; number < 40; ++number) {
+    granted += IsGranted(gate.Ask(AdapterWish(number), kStart)) ? 1 : 0;
+  }
+  BOOST_TEST(granted == 30);
+  BOOST_TEST(IsGranted(gate.Ask(Wish(50, "m"), kStart)));
+}
+
+BOOST_AUTO_TEST_CASE(SlotOfADeadAgentEndsWithItsLease)
+{
+  LoadGate gate({}, kStart);
+  for (int number = 0; number < 4; ++number) {
+    gate.Ask(Wish(number, "m" + std::to_string(number)), kStart);
+  }
+  BOOST_TEST(!IsGranted(gate.Ask(Wish(4, "m4", RequestClass::Batch), kStart + 29s)));
+  BOOST_TEST(IsGranted(gate.Ask(Wish(4, "m4", RequestClass::Batch), kStart + 30s)));
+}
+
+BOOST_AUTO_TEST_CASE(WishThatIsNotRepeatedIsForgotten)
+{
+  LoadGate gate({}, kStart);
+  for (int number = 0; number < 5; ++number) {
+    gate.Ask(Wish(number, "m" + std::to_string(number)), kStart);
+  }
+  BOOST_TEST(gate.Waiting() == 1);
+  gate.Release(Key(0), kStart + 4s);
+  BOOST_TEST(gate.Waiting() == 0);
+  BOOST_TEST(gate.Held() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(LeastUrgentIsNotStarved)
+{
+  weightstore::StoreLimits limits;
+  limits.m_concurrentLoads = 1;
+  LoadGate gate(limits, kStart);
+  base::Duration grantedAt = 1h;
+  auto const batch = Wish(99, "report", RequestClass::Batch, 1h);
+  for (int round = 0; round < 200 && grantedAt == 1h; ++round) {
+    base::Duration const time = round * 250ms;
+    auto const urgent = Wish(round % 90, "m", RequestClass::Interactive, 1h);
+    gate.Ask(urgent, kStart + time);
+    if (IsGranted(gate.Ask(batch, kStart + time))) {
+      grantedAt = time;
+    }
+    gate.Release(urgent.m_key, kStart + time + 100ms);
+  }
+  BOOST_TEST(grantedAt >= 10s);
+  BOOST_TEST(grantedAt <= 15s);
+}
+
+BOOST_AUTO_TEST_CASE(LocalSharesTogetherKeepToTheRate)
+{
+  constexpr unsigned kAgents = 12;
+  std::vector<LoadGate> gates;
+  for (unsigned rank = 0; rank < kAgents; ++rank) {
+    gates.emplace_back(weightstore::ShareOf({}, kAgents, rank), kStart);
+  }
+  int granted = 0;
+  for (base::Duration time{}; time < 20s; time += 10ms) {
+    for (LoadGate& gate : gates) {
+      if (IsGranted(gate.Ask(Wish(1, "m"), kStart + time))) {
+        ++granted;
+        gate.Release(Key(1), kStart + time);
+      }
+    }
+  }
+  BOOST_TEST(granted <= 4 + 90 + static_cast<int>(kAgents));
+  BOOST_TEST(granted >= 80);
+}
