--- /dev/null
+++ b/Agent/Routing/UpstreamLoad.cpp
@@ -0,0 +1,73 @@
+#include "Agent/Routing/UpstreamLoad.h"
+
+#include <algorithm>
+
+namespace sardinefold::agent {
+
+void UpstreamLoad::OnReport(LoadReport const& aReport, base::Instant aMadeAt)
+{
+  if (aMadeAt < m_reportMadeAt) {
+    return;
+  }
+  m_report = aReport;
+  m_reportMadeAt = aMadeAt;
+  m_sentSince.fill(0);
+  m_endedSince = 0;
+  m_coldSince.clear();
+  for (auto const& [ticket, sent] : m_sent) {
+    if (sent.m_at > aMadeAt) {
+      ++m_sentSince.at(static_cast<std::size_t>(sent.m_class));
+    }
+  }
+}
+
+void UpstreamLoad::OnSent(RouteTicket aTicket, operators::RequestClass aClass, base::Instant aNow)
+{
+  m_sent.emplace(aTicket, Sent{ aNow, aClass });
+  ++m_sentSince.at(static_cast<std::size_t>(aClass));
+}
+
+void UpstreamLoad::OnDone(RouteTicket aTicket)
+{
+  auto const sent = m_sent.find(aTicket);
+  if (sent == m_sent.end()) {
+    return;
+  }
+  if (sent->second.m_at > m_reportMadeAt) {
+    --m_sentSince.at(static_cast<std::size_t>(sent->second.m_class));
+  } else {
+    ++m_endedSince;
+  }
+  m_sent.erase(sent);
+}
+
+void UpstreamLoad::OnColdSent(engine::ReplicaKey const& aReplica, base::Bytes aMemory)
+{
+  m_coldSince.insert_or_assign(aReplica, aMemory);
+}
+
+bool UpstreamLoad::HasRoomFor(engine::ReplicaKey const& aReplica, base::Bytes aMemory) const
+{
+  if (!m_report.m_loadable || m_coldSince.contains(aReplica)) {
+    return true;
+  }
+  base::Bytes taken = aMemory;
+  for (auto const& [replica, memory] : m_coldSince) {
+    taken += memory;
+  }
+  return taken <= *m_report.m_loadable;
+}
+
+base::Duration UpstreamLoad::ExpectedWait(operators::RequestClass aClass, unsigned aConcurrency,
+                                          base::Duration aServiceTime) const
+{
+  int ahead = static_cast<int>(m_report.m_running) - m_endedSince;
+  for (std::size_t index = 0; index <= static_cast<std::size_t>(aClass); ++index) {
+    ahead += static_cast<int>(m_report.m_waiting.at(index)) + m_sentSince.at(index);
+  }
+  int const places = static_cast<int>(std::max(aConcurrency, 1U));
+  int const rounds = std::max(ahead - places + 1, 0);
+  return aServiceTime * rounds / places;
+}
+
+} // namespace sardinefold::agent
