Engine: Keep idle replicas while their burst may go on

Change: BurstEstimate learns gaps and odds; Loadable() tells what memory a further replica would find.

--- /dev/null
+++ b/Engine/BurstEstimate.cpp
@@ -0,0 +1,67 @@
+#include "Engine/BurstEstimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sardinefold::engine {
+
+namespace {
+
+/// Weight that a sample keeps when the next one comes.
+constexpr double kAgeing = 0.99;
+/// What is believed before the first sample: bursts with eight gaps.
+constexpr double kPriorGaps = 8;
+constexpr double kPriorEnds = 1;
+constexpr double kPriorGapShare = 0.1;
+/// A burst's own mean gap weighs as much as the usual one after this many gaps.
+constexpr double kGapsOfUsual = 2;
+
+} // namespace
+
+BurstEstimate::BurstEstimate(base::Duration aBreakEven)
+  : m_breakEvenSeconds(base::ToSeconds(aBreakEven))
+  , m_gaps(kPriorGaps)
+  , m_ends(kPriorEnds)
+  , m_gapSeconds(kPriorGaps * kPriorGapShare * m_breakEvenSeconds)
+{
+}
+
+void BurstEstimate::OnGapWithinBurst(base::Duration aGap)
+{
+  Age();
+  m_gaps += 1;
+  m_gapSeconds += base::ToSeconds(aGap);
+}
+
+void BurstEstimate::OnBurstEnd()
+{
+  Age();
+  m_ends += 1;
+}
+
+void BurstEstimate::Age()
+{
+  m_gaps *= kAgeing;
+  m_ends *= kAgeing;
+  m_gapSeconds *= kAgeing;
+}
+
+base::Duration BurstEstimate::KeepTime(Burst const& aBurst) const
+{
+  // With mean gap m and odds o that a gap lies within the burst, the odds
+  // after a silence t are o * exp(-t / m). Waiting costs one second a second
+  // and saves the break-even time B at the rate p / m, where p is the chance
+  // that the burst goes on; so it pays while p > m / B.
+  double const usual = m_gapSeconds / std::max(m_gaps, 1e-9);
+  double const mean =
+    (usual * kGapsOfUsual + base::ToSeconds(aBurst.m_length)) / (kGapsOfUsual + aBurst.m_gaps);
+  if (mean >= m_breakEvenSeconds || mean <= 0) {
+    return base::Duration::zero();
+  }
+  double const odds = m_gaps / std::max(m_ends, 1e-9);
+  double const gain = odds * (m_breakEvenSeconds - mean) / mean;
+  double const seconds = gain > 1 ? mean * std::log(gain) : 0;
+  return base::FromSeconds(std::min(seconds, m_breakEvenSeconds));
+}
+
+} // namespace sardinefold::engine
--- a/Engine/Replica.h
+++ b/Engine/Replica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Time.h"
+#include "Engine/BurstEstimate.h"
 #include "Engine/LoadOrderMachine.h"
 #include "Engine/ReplicaKey.h"
 #include "Engine/ReplicaMachine.h"
@@ -65,6 +66,11 @@
   std::map<base::RequestId, Urgency> m_waiting;
   std::set<base::RequestId> m_running;
   UsageEstimate m_usage;
+  /// The burst that it is in, and the most urgent class of it.
+  Burst m_burst;
+  operators::RequestClass m_burstClass = operators::RequestClass::Batch;
+  /// Whether the end of its latest burst has been counted.
+  bool m_isBurstOver = true;
 };
 
 } // namespace sardinefold::engine
--- a/Engine/ReplicaManager.cpp
+++ b/Engine/ReplicaManager.cpp
@@ -34,6 +34,8 @@
   : m_settings(aSettings)
   , m_lease(aLease)
   , m_ledger(aSettings.m_memory)
+  , m_bursts(aSettings.m_breakEvenIdle)
+  , m_batchBursts(aSettings.m_breakEvenIdle)
 {
 }
 
@@ -69,11 +71,9 @@
   }
   Replica& replica = Find(aReplica);
   m_requests.insert_or_assign(aRequest, aReplica);
-  replica.m_usage.Use(aNow);
-  replica.m_isUnloadWanted = false;
+  NoteUse(replica, aUrgency.m_class, aNow);
   if (aReplica.IsAdapter()) {
-    Find(aReplica.Base()).m_usage.Use(aNow);
-    Find(aReplica.Base()).m_isUnloadWanted = false;
+    NoteUse(Find(aReplica.Base()), aUrgency.m_class, aNow);
   }
   if (replica.IsLoaded()) {
     replica.m_running.insert(aRequest);
@@ -95,9 +95,6 @@
   Replica& replica = Find(found->second);
   replica.m_waiting.erase(aRequest);
   replica.m_running.erase(aRequest);
-  if (replica.IsLoaded()) {
-    replica.m_usage.Use(aNow);
-  }
   m_requests.erase(found);
   if (replica.IsIdle()) {
     Advance(aNow, actions);
@@ -232,7 +229,7 @@
       m_loadTimes.Observe(aReplica.m_memory.m_weights, aNow - aReplica.m_changedAt);
       aReplica.Apply(ReplicaEvent::Confirm, aNow);
       EndLoadOrder(aReplica, LoadOrderEvent::Confirm, aActions);
-      StartWaiting(aReplica, aNow, aActions);
+      StartWaiting(aReplica, aActions);
       return;
     case OrderAnswer::Refused:
     case OrderAnswer::FencedOff:
@@ -327,14 +324,11 @@
   bool const wasInDoubt = wasUncertain && replica.m_load;
   EndLoadOrder(replica, wasInDoubt ? LoadOrderEvent::ObserveDone : LoadOrderEvent::Cancel,
                aActions);
-  StartWaiting(replica, aNow, aActions);
+  StartWaiting(replica, aActions);
 }
 
-void ReplicaManager::StartWaiting(Replica& aReplica, base::Instant aNow, ReplicaActions& aActions)
+void ReplicaManager::StartWaiting(Replica& aReplica, ReplicaActions& aActions)
 {
-  if (!aReplica.m_waiting.empty()) {
-    aReplica.m_usage.Use(aNow);
-  }
   std::vector<std::pair<Urgency, base::RequestId>> byUrgency;
   for (auto const& [request, urgency] : aReplica.m_waiting) {
     byUrgency.emplace_back(urgency, request);
@@ -351,6 +345,7 @@
 {
   ReplicaActions actions;
   ExpireWaiting(aNow, actions);
+  NoteBurstEnds(aNow);
   MarkIdleReplicas(aNow);
   Advance(aNow, actions);
   ConfirmRevocations(aNow, actions);
--- a/Engine/ReplicaManager.h
+++ b/Engine/ReplicaManager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Engine/BurstEstimate.h"
 #include "Engine/EvictionPolicy.h"
 #include "Engine/LoadTimeEstimate.h"
 #include "Engine/MemoryLedger.h"
@@ -38,8 +39,8 @@
 {
   /// Accelerator memory of the engine.
   base::Bytes m_memory;
-  /// How long an idle replica is kept when nobody else needs its memory.
-  base::Duration m_keepIdle = std::chrono::minutes(10);
+  /// Idle time that costs as much as a reload: no idle replica is kept longer.
+  base::Duration m_breakEvenIdle = std::chrono::seconds(20);
   /// A replica used within this time is not evicted for a batch request.
   base::Duration m_batchYield = std::chrono::seconds(30);
   /// Pause after an order that the engine refused.
@@ -83,6 +84,9 @@
   /// Expected time until the replica is ready, if asked for now.
   base::Duration ExpectReady(ReplicaKey const& aReplica, base::Instant aNow) const;
 
+  /// Memory for new replicas that needs no running request to end first.
+  base::Bytes Loadable(base::Instant aNow) const;
+
 private:
   bool IsGranted(base::ModelId const& aModel) const;
   bool MayStay(base::ModelId const& aModel) const;
@@ -108,12 +112,15 @@
   void MakeRoom(ReplicaKey const& aReplica, base::Bytes aNeeded, Urgency aUrgency,
                 base::Instant aNow);
   void MarkForUnload(ReplicaKey const& aKey);
+  BurstEstimate& BurstsOf(operators::RequestClass aClass);
+  void NoteUse(Replica& aReplica, operators::RequestClass aClass, base::Instant aNow);
+  void NoteBurstEnds(base::Instant aNow);
   void MarkIdleReplicas(base::Instant aNow);
   void StartWantedUnloads(base::Instant aNow, ReplicaActions& aActions);
   void ConfirmRevocations(base::Instant aNow, ReplicaActions& aActions);
   void RaiseFenceIfNeeded(base::Instant aNow, ReplicaActions& aActions);
   void ReadIfUncertain(base::Instant aNow, ReplicaActions& aActions);
-  void StartWaiting(Replica& aReplica, base::Instant aNow, ReplicaActions& aActions);
+  void StartWaiting(Replica& aReplica, ReplicaActions& aActions);
 
   void OnLoadAnswer(ReplicaKey const& aKey, Replica& aReplica, OrderAnswer aAnswer,
                     base::Instant aNow, ReplicaActions& aActions);
@@ -127,6 +134,9 @@
   WriterLease m_lease;
   MemoryLedger m_ledger;
   LoadTimeEstimate m_loadTimes;
+  /// Batch work comes in other patterns than the rest.
+  BurstEstimate m_bursts;
+  BurstEstimate m_batchBursts;
   ReplicaCatalog m_catalog;
   Permissions m_permissions;
   ReplicaTable m_replicas;
--- a/Engine/ReplicaManagerAdvance.cpp
+++ b/Engine/ReplicaManagerAdvance.cpp
@@ -210,17 +210,61 @@
   }
 }
 
+BurstEstimate& ReplicaManager::BurstsOf(operators::RequestClass aClass)
+{
+  return aClass == operators::RequestClass::Batch ? m_batchBursts : m_bursts;
+}
+
+void ReplicaManager::NoteUse(Replica& aReplica, operators::RequestClass aClass, base::Instant aNow)
+{
+  if (aReplica.m_isBurstOver) {
+    aReplica.m_burst = {};
+    aReplica.m_burstClass = aClass;
+  } else {
+    base::Duration const gap = aNow - aReplica.m_usage.LastUse();
+    ++aReplica.m_burst.m_gaps;
+    aReplica.m_burst.m_length += gap;
+    BurstsOf(aReplica.m_burstClass).OnGapWithinBurst(gap);
+    aReplica.m_burstClass = std::min(aReplica.m_burstClass, aClass);
+  }
+  aReplica.m_isBurstOver = false;
+  aReplica.m_isUnloadWanted = false;
+  aReplica.m_usage.Use(aNow);
+}
+
+void ReplicaManager::NoteBurstEnds(base::Instant aNow)
+{
+  for (auto& [key, replica] : m_replicas.All()) {
+    bool const isSilent = aNow >= replica.m_usage.LastUse() + m_settings.m_breakEvenIdle;
+    if (!replica.m_isBurstOver && isSilent && !m_replicas.IsInUse(key)) {
+      replica.m_isBurstOver = true;
+      BurstsOf(replica.m_burstClass).OnBurstEnd();
+    }
+  }
+}
+
 void ReplicaManager::MarkIdleReplicas(base::Instant aNow)
 {
   for (auto const& [key, replica] : m_replicas.All()) {
-    bool const isLongIdle = aNow >= replica.m_usage.LastUse() + m_settings.m_keepIdle &&
-                            aNow >= replica.m_changedAt + m_settings.m_keepIdle;
-    if (replica.IsLoaded() && isLongIdle && !IsKeptWarm(key) && !m_replicas.IsInUse(key)) {
+    base::Duration const keep = BurstsOf(replica.m_burstClass).KeepTime(replica.m_burst);
+    base::Instant const since = std::max(replica.m_usage.LastUse(), replica.m_changedAt);
+    bool const isWorthKeeping = aNow < since + keep;
+    if (replica.IsLoaded() && !isWorthKeeping && !IsKeptWarm(key) && !m_replicas.IsInUse(key)) {
       MarkForUnload(key);
     }
   }
 }
 
+base::Bytes ReplicaManager::Loadable(base::Instant aNow) const
+{
+  base::Bytes loadable = m_ledger.Free() + m_replicas.ComingFree();
+  Urgency const urgent{ operators::RequestClass::Interactive, aNow };
+  for (EvictionCandidate const& candidate : FindEvictable({}, urgent, aNow)) {
+    loadable += candidate.m_memory;
+  }
+  return loadable;
+}
+
 void ReplicaManager::StartWantedUnloads(base::Instant aNow, ReplicaActions& aActions)
 {
   if (!m_lease.MayOrder(aNow)) {
