--- /dev/null
+++ b/Bench/Workload/EngineModel.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Bench/Workload/EventQueue.h"
+#include "Bench/Workload/Trace.h"
+
+#include <map>
+
+namespace sardinefold::bench {
+
+/// The running part of a model engine: a number of places, given by class
+/// and then by arrival. An engine that honours priorities pauses batch work,
+/// so batch requests take no place from others.
+class EngineModel
+{
+public:
+  static constexpr unsigned kPlaces = 16;
+  static constexpr unsigned kBatchPlaces = 4;
+
+  struct Callbacks
+  {
+    std::function<void()> m_onFirstToken;
+    std::function<void()> m_onEnd;
+  };
+
+  explicit EngineModel(EventQueue& aEvents)
+    : m_events(aEvents)
+  {
+  }
+
+  void Run(TraceRequest const& aRequest, Callbacks aCallbacks);
+  std::size_t Running() const { return m_running[0] + m_running[1]; }
+  std::size_t Waiting() const { return m_waiting.size(); }
+
+private:
+  struct Wait
+  {
+    TraceRequest const* m_request;
+    Callbacks m_callbacks;
+  };
+
+  void StartNext();
+
+  EventQueue& m_events;
+  unsigned m_running[2] = {};
+  std::uint64_t m_arrivals = 0;
+  std::map<std::pair<operators::RequestClass, std::uint64_t>, Wait> m_waiting;
+};
+
+} // namespace sardinefold::bench
