--- a/Platform/CallBudget.h
+++ b/Platform/CallBudget.h
@@ -37,6 +37,8 @@
   /// returns.
   void NoteOutage(base::Instant aNow);
 
+  /// The process's share of the fleet's rates.
+  CallRates Rates() const { return { m_writes.m_rate, m_reads.m_rate }; }
   /// The part of its share that the process uses now, up to 1.
   double Factor(base::Instant aNow) const;
   std::uint64_t Admitted(CallKind aKind, CallPurpose aPurpose) const;
--- a/Platform/ObjectClient.cpp
+++ b/Platform/ObjectClient.cpp
@@ -141,11 +141,7 @@
   if (aAnswer && aAnswer->m_status == 429) {
     m_budget.NoteThrottled(now);
   }
-  m_metrics.Gauge("sardinefold_platform_budget_factor", "Part of the call budget in use, up to 1.")
-    .Set(m_budget.Factor(now));
-  m_metrics
-    .Gauge("sardinefold_platform_circuit_open", "1 unless calls to the platform may be made.")
-    .Set(m_breaker.State() == CircuitState::Closed ? 0 : 1);
+  ShowState(now);
   base::MetricLabels labels{ { "purpose", std::string(ToText(aPurpose)) } };
   base::Observe(m_metrics.Seconds("sardinefold_platform_call_seconds",
                                   "Time of calls to the platform.", labels),
@@ -156,6 +152,20 @@
     .Increment();
 }
 
+void ObjectClient::ShowState(base::Instant aNow)
+{
+  auto const rates = m_budget.Rates();
+  std::string const rateName = "sardinefold_platform_budget_calls_per_second";
+  std::string const rateHelp = "The process's share of the fleet's rates of calls.";
+  m_metrics.Gauge(rateName, rateHelp, { { "kind", "write" } }).Set(rates.m_writes.Value());
+  m_metrics.Gauge(rateName, rateHelp, { { "kind", "read" } }).Set(rates.m_reads.Value());
+  m_metrics.Gauge("sardinefold_platform_budget_factor", "Part of the share in use, up to 1.")
+    .Set(m_budget.Factor(aNow));
+  m_metrics
+    .Gauge("sardinefold_platform_circuit_open", "1 unless calls to the platform may be made.")
+    .Set(m_breaker.State() == CircuitState::Closed ? 0 : 1);
+}
+
 ReadTask<Object> ObjectClient::Get(ObjectKey aKey, base::Duration aLimit, CallPurpose aPurpose)
 {
   auto request = EncodeGet(aKey);
--- /dev/null
+++ b/Tests/PlatformDecisionsTest.cpp
@@ -0,0 +1,463 @@
+#define BOOST_TEST_MODULE PlatformDecisions
+#include "Platform/CallBudget.h"
+#include "Platform/CircuitBreaker.h"
+#include "Platform/HostTable.h"
+#include "Platform/ObjectWatch.h"
+#include "Platform/WriteResolution.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <set>
+
+using namespace sardinefold;
+using namespace sardinefold::platform;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::Instant kStart{ seconds(1000) };
+
+ObjectKey Key(std::string aName)
+{
+  return { ObjectKind::Claim, ObjectName::FromValidated(std::move(aName)) };
+}
+
+Object MakeObject(std::string aName, std::uint64_t aVersion)
+{
+  Object object;
+  object.m_key = Key(std::move(aName));
+  object.m_version = base::ObjectVersion(aVersion);
+  return object;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Writes)
+
+namespace {
+
+/// One object, written by attempts that may arrive late, more than once never,
+/// and by another writer.
+class LateStore
+{
+public:
+  struct Attempt
+  {
+    base::ObjectVersion m_expected;
+    WriteNonce m_nonce;
+  };
+
+  void Deliver(Attempt const& aAttempt, bool& aWasApplied)
+  {
+    aWasApplied = m_object.m_version == aAttempt.m_expected;
+    if (!aWasApplied) {
+      return;
+    }
+    m_object.m_version = m_object.m_version.Next();
+    m_object.m_nonce = aAttempt.m_nonce;
+    m_history.push_back(aAttempt.m_nonce);
+  }
+
+  void DeliverOneLate()
+  {
+    if (m_late.empty()) {
+      return;
+    }
+    bool ignored = false;
+    Deliver(m_late.front(), ignored);
+    m_late.pop_front();
+  }
+
+  tl::expected<Object, ReadError> Read() const
+  {
+    if (m_object.m_version == base::ObjectVersion()) {
+      return tl::make_unexpected(ReadError{ ReadError::Kind::NotFound, "" });
+    }
+    return m_object;
+  }
+
+  Object m_object = MakeObject("one", 0);
+  std::deque<Attempt> m_late;
+  std::vector<WriteNonce> m_history;
+};
+
+tl::expected<base::ObjectVersion, WriteError> Send(LateStore& aStore,
+                                                   LateStore::Attempt const& aAttempt, double aDraw)
+{
+  using Kind = WriteError::Kind;
+  if (aDraw < 0.15) {
+    return tl::make_unexpected(WriteError{ Kind::NotApplied, "never connected" });
+  }
+  if (aDraw < 0.3) {
+    aStore.m_late.push_back(aAttempt);
+    return tl::make_unexpected(WriteError{ Kind::Unknown, "delayed" });
+  }
+  bool wasApplied = false;
+  aStore.Deliver(aAttempt, wasApplied);
+  if (aDraw < 0.6) {
+    return tl::make_unexpected(WriteError{ Kind::Unknown, "answer lost" });
+  }
+  if (!wasApplied) {
+    return tl::make_unexpected(WriteError{ Kind::Conflict, "" });
+  }
+  return aStore.m_object.m_version;
+}
+
+void CheckOneWrite(std::uint64_t aSeed)
+{
+  RandomSource random(aSeed);
+  LateStore store;
+  auto const mine = WriteNonce::FromValidated("mine");
+  auto const other = WriteNonce::FromValidated("other");
+  ObjectWrite write{ Key("one"), IfAbsent{}, "value", mine };
+  WriteResolution resolution(write, kStart + seconds(2), {}, aSeed);
+  auto now = kStart;
+  auto step = resolution.Next(now);
+  while (!std::holds_alternative<WriteEnded>(step)) {
+    now += milliseconds(3);
+    if (random.Fraction() < 0.05) {
+      bool ignored = false;
+      store.Deliver({ store.m_object.m_version, other }, ignored);
+    }
+    if (random.Fraction() < 0.3) {
+      store.DeliverOneLate();
+    }
+    if (auto const* const wait = std::get_if<WaitUntil>(&step)) {
+      now = std::max(now, wait->m_time);
+    } else if (std::holds_alternative<ReadBack>(step)) {
+      bool const isLost = random.Fraction() < 0.2;
+      auto const answer = isLost ? tl::make_unexpected(ReadError{}) : store.Read();
+      resolution.OnReadAnswer(answer, now);
+    } else {
+      resolution.OnWriteAnswer(Send(store, { base::ObjectVersion(), mine }, random.Fraction()),
+                               now);
+    }
+    step = resolution.Next(now);
+  }
+  while (!store.m_late.empty()) {
+    store.DeliverOneLate();
+  }
+  auto const applied = std::ranges::count(store.m_history, mine);
+  auto const& result = std::get<WriteEnded>(step).m_result;
+  BOOST_TEST_INFO("seed " << aSeed);
+  BOOST_TEST(applied <= 1);
+  if (result) {
+    BOOST_TEST(applied == 1);
+  } else if (IsCertainlyNotApplied(result.error().m_kind)) {
+    BOOST_TEST(applied == 0);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(TellsTheTruthWhateverIsLostOrLate)
+{
+  for (std::uint64_t seed = 1; seed <= 20'000; ++seed) {
+    CheckOneWrite(seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswerIsResolvedByTheNonce)
+{
+  ObjectWrite const write{ Key("one"), IfVersion{ base::ObjectVersion(4) }, "value",
+                           WriteNonce::FromValidated("mine") };
+  WriteResolution resolution(write, kStart + seconds(2), {}, 1);
+  BOOST_TEST(std::holds_alternative<SendWrite>(resolution.Next(kStart)));
+  resolution.OnWriteAnswer(tl::make_unexpected(WriteError{}), kStart);
+  auto const later = kStart + milliseconds(200);
+  BOOST_TEST(std::holds_alternative<ReadBack>(resolution.Next(later)));
+  auto object = MakeObject("one", 5);
+  object.m_nonce = write.m_nonce;
+  resolution.OnReadAnswer(object, later);
+  auto const step = resolution.Next(later);
+  BOOST_REQUIRE(std::holds_alternative<WriteEnded>(step));
+  BOOST_TEST((std::get<WriteEnded>(step).m_result == base::ObjectVersion(5)));
+}
+
+BOOST_AUTO_TEST_CASE(UnresolvedAtItsEndIsUnknown)
+{
+  ObjectWrite const write{ Key("one"), IfAbsent{}, "value", WriteNonce::FromValidated("mine") };
+  WriteResolution resolution(write, kStart + seconds(1), {}, 1);
+  resolution.OnWriteAnswer(tl::make_unexpected(WriteError{}), kStart);
+  resolution.OnReadAnswer(tl::make_unexpected(ReadError{}), kStart + milliseconds(500));
+  auto const step = resolution.Next(kStart + seconds(1));
+  BOOST_REQUIRE(std::holds_alternative<WriteEnded>(step));
+  BOOST_TEST((std::get<WriteEnded>(step).m_result.error().m_kind == WriteError::Kind::Unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Watches)
+
+BOOST_AUTO_TEST_CASE(ListsThenWatchesFromThatVersion)
+{
+  ObjectWatch watch({}, 1);
+  BOOST_TEST(std::holds_alternative<ListObjects>(watch.Next(kStart)));
+  ObjectList const list{ base::ObjectVersion(7), { MakeObject("a", 3), MakeObject("b", 7) } };
+  BOOST_TEST(watch.OnList(list, kStart).m_changes.size() == 2U);
+  auto const step = watch.Next(kStart);
+  BOOST_REQUIRE(std::holds_alternative<WatchAfter>(step));
+  BOOST_TEST(std::get<WatchAfter>(step).m_version == base::ObjectVersion(7));
+}
+
+BOOST_AUTO_TEST_CASE(CompactionListsAgainAndFindsMissedDeletions)
+{
+  ObjectWatch watch({}, 1);
+  watch.OnList(ObjectList{ base::ObjectVersion(7), { MakeObject("a", 3), MakeObject("b", 7) } },
+               kStart);
+  watch.OnChanges(tl::make_unexpected(ReadError{ ReadError::Kind::Compacted, "" }), kStart);
+  auto const later = kStart + seconds(1);
+  BOOST_TEST(std::holds_alternative<ListObjects>(watch.Next(later)));
+  auto const changes =
+    watch.OnList(ObjectList{ base::ObjectVersion(9), { MakeObject("b", 7) } }, later);
+  BOOST_REQUIRE(changes.m_changes.size() == 1U);
+  BOOST_TEST((std::get<ObjectDeleted>(changes.m_changes[0]).m_key == Key("a")));
+}
+
+BOOST_AUTO_TEST_CASE(NeverGoesBack)
+{
+  ObjectWatch watch({}, 1);
+  watch.OnList(ObjectList{ base::ObjectVersion(7), { MakeObject("a", 7) } }, kStart);
+  watch.OnChanges(tl::make_unexpected(ReadError{ ReadError::Kind::Compacted, "" }), kStart);
+  auto const stale = watch.OnList(ObjectList{ base::ObjectVersion(5), {} }, kStart + seconds(1));
+  BOOST_TEST(stale.m_changes.empty());
+  BOOST_TEST(watch.Version() == base::ObjectVersion(7));
+  ObjectChanges const behind{ base::ObjectVersion(6), { ObjectPut{ MakeObject("b", 6) } } };
+  BOOST_TEST(watch.OnChanges(behind, kStart + seconds(2)).m_changes.empty());
+  BOOST_TEST(watch.Version() == base::ObjectVersion(7));
+  auto const repeated =
+    watch.OnChanges(ObjectChanges{ base::ObjectVersion(8), { ObjectPut{ MakeObject("a", 7) } } },
+                    kStart + seconds(2));
+  BOOST_TEST(repeated.m_changes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(CallsSeldomInAnOutageAndWhenCutOff)
+{
+  ObjectWatch watch({}, 7);
+  auto now = kStart;
+  std::size_t calls = 0;
+  while (now < kStart + seconds(60) && calls < 1000) {
+    auto const step = watch.Next(now);
+    if (auto const* const wait = std::get_if<WatchAgainAt>(&step)) {
+      now = std::max(wait->m_time, now + milliseconds(1));
+      continue;
+    }
+    ++calls;
+    if (now < kStart + seconds(30)) {
+      watch.OnList(tl::make_unexpected(ReadError{}), now);
+    } else if (std::holds_alternative<ListObjects>(step)) {
+      watch.OnList(ObjectList{ base::ObjectVersion(1), {} }, now);
+    } else {
+      watch.OnChanges(ObjectChanges{ base::ObjectVersion(1), {} }, now);
+    }
+  }
+  // With waits of 2.5 s in the mean, after about a dozen shorter ones in each
+  // half; without pauses there would be tens of thousands.
+  BOOST_TEST(calls < 100U);
+  BOOST_TEST(calls > 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Budgets)
+
+namespace {
+
+/// Every process of a fleet asks for writes all the time; the most that all
+/// were admitted, over all windows of so many seconds.
+std::uint64_t CountAdmitted(FleetSize aSize, seconds aTime)
+{
+  std::uint64_t admitted = 0;
+  std::uint64_t seed = 1;
+  auto const run = [&](std::uint32_t aCount, ProcessRole aRole) {
+    for (std::uint32_t i = 0; i < aCount; ++i) {
+      CallBudget budget(ShareOf(kPlatformRates, aSize, aRole), ++seed, kStart);
+      auto now = kStart;
+      while (now < kStart + aTime) {
+        auto const next = budget.Admit(CallKind::Write, CallPurpose::Claim, now);
+        admitted += next <= now ? 1U : 0U;
+        now = std::max(next, now);
+      }
+    }
+  };
+  run(aSize.m_entries, ProcessRole::Entry);
+  run(aSize.m_engineAgents, ProcessRole::EngineAgent);
+  run(aSize.m_serviceAgents, ProcessRole::ServiceAgent);
+  return admitted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(FleetStaysWithinThePlatformsRateFromFourToFourteenHundredEntries)
+{
+  constexpr seconds kTime{ 60 };
+  auto const most = static_cast<std::uint64_t>(kPlatformRates.m_writes.Value()) * 60;
+  for (FleetSize const size :
+       { FleetSize{ 4, 10, 4 }, FleetSize{ 100, 700, 20 }, FleetSize{ 1400, 10'000, 100 } }) {
+    auto const processes = size.m_entries + size.m_engineAgents + size.m_serviceAgents;
+    auto const admitted = CountAdmitted(size, kTime);
+    BOOST_TEST_INFO(processes << " processes");
+    // A full bucket is at least one call of each process.
+    BOOST_TEST(admitted <= std::max<std::uint64_t>(most, most * 9 / 10 + processes));
+    BOOST_TEST(admitted >= most * 8 / 10);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ClaimsGoBeforeStatus)
+{
+  CallBudget budget({ CallsPerSecond(10), CallsPerSecond(10) }, 1, kStart);
+  auto now = kStart + seconds(10);
+  std::size_t statusCalls = 0;
+  while (budget.Admit(CallKind::Write, CallPurpose::Status, now) <= now) {
+    ++statusCalls;
+  }
+  std::size_t claims = 0;
+  while (budget.Admit(CallKind::Write, CallPurpose::Claim, now) <= now) {
+    ++claims;
+  }
+  BOOST_TEST(statusCalls > 0U);
+  BOOST_TEST(claims >= 5U);
+  budget.NoteWaiting(CallKind::Write, CallPurpose::Claim);
+  now += seconds(10);
+  BOOST_TEST((budget.Admit(CallKind::Write, CallPurpose::Status, now) > now));
+  BOOST_TEST((budget.Admit(CallKind::Write, CallPurpose::Claim, now) == now));
+  budget.NoteWaitingEnded(CallKind::Write, CallPurpose::Claim);
+  BOOST_TEST((budget.Admit(CallKind::Write, CallPurpose::Status, now) == now));
+}
+
+BOOST_AUTO_TEST_CASE(NothingSavedUpIsSpentAtThePlatformsReturn)
+{
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    CallBudget budget({ CallsPerSecond(50), CallsPerSecond(50) }, seed, kStart);
+    auto const now = kStart + seconds(10);
+    budget.NoteOutage(now);
+    BOOST_TEST((budget.Admit(CallKind::Write, CallPurpose::Claim, now) > now));
+    BOOST_TEST((budget.Admit(CallKind::Read, CallPurpose::Claim, now) > now));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ThrottlingHalvesTheShareForAWhile)
+{
+  CallBudget budget({ CallsPerSecond(50), CallsPerSecond(50) }, 1, kStart);
+  budget.NoteThrottled(kStart);
+  budget.NoteThrottled(kStart + milliseconds(10));
+  BOOST_TEST(budget.Factor(kStart + milliseconds(10)) < 0.51);
+  BOOST_TEST(budget.Factor(kStart + milliseconds(10)) > 0.49);
+  BOOST_TEST(budget.Factor(kStart + seconds(60)) == 1.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Circuit)
+
+BOOST_AUTO_TEST_CASE(OpensAfterFailuresInARow)
+{
+  CircuitBreaker breaker({}, 1);
+  for (int round = 0; round < 5; ++round) {
+    breaker.NoteFailure(kStart);
+    breaker.NoteFailure(kStart);
+    BOOST_TEST(breaker.Allow(kStart));
+    breaker.NoteSuccess(kStart);
+  }
+  breaker.NoteFailure(kStart);
+  breaker.NoteFailure(kStart);
+  BOOST_TEST((breaker.State() == CircuitState::Closed));
+  breaker.NoteFailure(kStart);
+  BOOST_TEST((breaker.State() == CircuitState::Open));
+}
+
+namespace {
+
+CircuitBreaker MakeOpen(base::Instant aNow)
+{
+  CircuitBreaker breaker({}, 1);
+  for (int failure = 0; failure < 3; ++failure) {
+    breaker.NoteFailure(aNow);
+  }
+  return breaker;
+}
+
+/// When the circuit lets its probe through.
+base::Instant WaitForProbe(CircuitBreaker& aBreaker, base::Instant aNow)
+{
+  while (!aBreaker.Allow(aNow)) {
+    aNow += milliseconds(1);
+  }
+  return aNow;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LetsOneProbeThroughAndClosesWhenItSucceeds)
+{
+  auto breaker = MakeOpen(kStart);
+  breaker.NoteFailure(kStart);
+  BOOST_TEST((breaker.State() == CircuitState::Open));
+  auto const now = WaitForProbe(breaker, kStart);
+  BOOST_TEST((now - kStart <= milliseconds(200)));
+  BOOST_TEST((breaker.State() == CircuitState::HalfOpen));
+  BOOST_TEST(!breaker.Allow(now + milliseconds(1)));
+  breaker.NoteSuccess(now);
+  BOOST_TEST((breaker.State() == CircuitState::Closed));
+  BOOST_TEST(breaker.Allow(now));
+}
+
+BOOST_AUTO_TEST_CASE(WaitsLongerAfterEachFailedProbeUpToALimit)
+{
+  auto breaker = MakeOpen(kStart);
+  auto now = kStart;
+  base::Duration longest{};
+  for (int probe = 0; probe < 50; ++probe) {
+    auto const next = WaitForProbe(breaker, now);
+    longest = std::max(longest, next - now);
+    now = next;
+    breaker.NoteFailure(now);
+    BOOST_TEST((breaker.State() == CircuitState::Open));
+  }
+  BOOST_TEST((longest <= seconds(5) + milliseconds(1)));
+  BOOST_TEST((longest > seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(ALostProbeIsReplaced)
+{
+  auto breaker = MakeOpen(kStart);
+  auto const now = WaitForProbe(breaker, kStart);
+  BOOST_TEST(!breaker.Allow(now + seconds(9)));
+  BOOST_TEST(breaker.Allow(now + seconds(10)));
+  BOOST_TEST((breaker.State() == CircuitState::HalfOpen));
+}
+
+BOOST_AUTO_TEST_CASE(ALateSuccessClosesAnOpenCircuit)
+{
+  auto breaker = MakeOpen(kStart);
+  breaker.NoteSuccess(kStart);
+  BOOST_TEST((breaker.State() == CircuitState::Closed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(HostTableTellsNewLeavingReturnedAndGoneHosts)
+{
+  HostTable table;
+  HostEntry entry;
+  entry.m_host = base::HostId::FromValidated("h1");
+  entry.m_address = "127.0.0.1:1";
+  auto changes = table.Apply({ entry });
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST(std::holds_alternative<HostAppeared>(changes[0]));
+  BOOST_TEST(table.Apply({ entry }).empty());
+  entry.m_state = HostState::Leaving;
+  changes = table.Apply({ entry });
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST(std::holds_alternative<HostIsLeaving>(changes[0]));
+  BOOST_TEST(table.Apply({ entry }).empty());
+  entry.m_state = HostState::Live;
+  changes = table.Apply({ entry });
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST(std::holds_alternative<HostAppeared>(changes[0]));
+  changes = table.Apply({});
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST(std::holds_alternative<HostGone>(changes[0]));
+}
