Entry: Check keys and decide when they may be honoured

NewsTrust tells an outage that all entries share from being cut off alone: without fresh news of the platform, keys stay in force only while every listed entry that is not confirmed gone has lately said that it has nothing newer.

--- /dev/null
+++ b/Tests/KeysTest.cpp
@@ -0,0 +1,165 @@
+#define BOOST_TEST_MODULE Keys
+#include "Entry/Keys/KeyRing.h"
+#include "Entry/Keys/NewsTrust.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using namespace sardinefold::entry;
+using namespace std::chrono_literals;
+using base::DocumentVersion;
+
+namespace {
+
+base::Instant At(base::Duration aTime)
+{
+  return base::Instant(aTime);
+}
+
+base::HostId Host(std::string const& aName)
+{
+  return base::HostId::FromValidated(aName);
+}
+
+IssuedKey Key(std::string const& aId, std::string const& aWorkspace, std::string const& aSecret)
+{
+  return { base::KeyId::FromValidated(aId), base::WorkspaceId::FromValidated(aWorkspace),
+           base::Sha256(aSecret) };
+}
+
+NewsTrust Trust()
+{
+  NewsTrust trust(Host("self"), {});
+  trust.SetListed({ Host("self"), Host("a"), Host("b") });
+  trust.SetInForce(DocumentVersion(7));
+  trust.HeardPlatform(DocumentVersion(7), At(0s));
+  return trust;
+}
+
+NewsStatement Says(std::string const& aHost, std::uint64_t aVersion, base::Duration aPlatformAge,
+                   base::Duration aAge = {})
+{
+  return { Host(aHost), DocumentVersion(aVersion), aPlatformAge, aAge };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(KeyRings)
+
+BOOST_AUTO_TEST_CASE(AKeyOpensOnlyItsOwnWorkspaceUntilItIsWithdrawn)
+{
+  KeyRing ring("index");
+  BOOST_REQUIRE(
+    ring.Replace({ Key("k1", "w1", "s1"), Key("k2", "w2", "s2") }, DocumentVersion(1)).has_value());
+  auto const holder = ring.Check("s1");
+  BOOST_REQUIRE(holder.has_value());
+  BOOST_TEST(holder->m_workspace.Text() == "w1");
+  BOOST_TEST(!ring.Check("s3").has_value());
+  BOOST_TEST(!ring.Check("").has_value());
+  auto const withdrawn = ring.Replace({ Key("k2", "w2", "s2") }, DocumentVersion(2));
+  BOOST_REQUIRE(withdrawn->size() == 1);
+  BOOST_TEST(withdrawn->front().Text() == "k1");
+  BOOST_TEST(!ring.Check("s1").has_value());
+  BOOST_TEST(!ring.IsInForce(*holder));
+  BOOST_TEST(ring.Check("s2").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderVersionBringsNoKeyBack)
+{
+  KeyRing ring("index");
+  BOOST_REQUIRE(ring.Replace({}, DocumentVersion(5)).has_value());
+  auto const refused = ring.Replace({ Key("k1", "w1", "s1") }, DocumentVersion(4));
+  BOOST_REQUIRE(!refused.has_value());
+  BOOST_TEST((refused.error() == KeyRingError::OlderVersion));
+  BOOST_TEST(!ring.Check("s1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AChangedSecretOrWorkspaceIsAWithdrawal)
+{
+  KeyRing ring("index");
+  BOOST_REQUIRE(
+    ring.Replace({ Key("k1", "w1", "s1"), Key("k2", "w1", "s2") }, DocumentVersion(1)).has_value());
+  auto const withdrawn =
+    ring.Replace({ Key("k1", "w1", "other"), Key("k2", "w2", "s2") }, DocumentVersion(2));
+  BOOST_TEST(withdrawn->size() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(News)
+
+BOOST_AUTO_TEST_CASE(FreshNewsIsTrustedAndAges)
+{
+  NewsTrust trust = Trust();
+  BOOST_TEST((trust.Verdict(At(1500ms)) == NewsVerdict::Fresh));
+  BOOST_TEST((trust.Verdict(At(1501ms)) == NewsVerdict::Grace));
+  BOOST_TEST((trust.Verdict(At(4500ms)) == NewsVerdict::Grace));
+  BOOST_TEST((trust.Verdict(At(4501ms)) == NewsVerdict::CutOff));
+}
+
+BOOST_AUTO_TEST_CASE(AnOutageThatAllShareLeavesKeysInForce)
+{
+  NewsTrust trust = Trust();
+  for (auto time = 1s; time < 3600s; time += 1s) {
+    trust.Heard(Says("a", 7, time), At(time));
+    trust.Heard(Says("b", 7, time, 100ms), At(time));
+    BOOST_TEST_REQUIRE(IsTrusted(trust.Verdict(At(time + 1s))));
+  }
+  BOOST_TEST((trust.Verdict(At(3600s)) == NewsVerdict::SharedOutage));
+}
+
+BOOST_AUTO_TEST_CASE(AProcessCutOffAloneStops)
+{
+  NewsTrust trust = Trust();
+  trust.Heard(Says("a", 7, 10s), At(10s));
+  BOOST_TEST((trust.Verdict(At(10s)) == NewsVerdict::CutOff));
+}
+
+BOOST_AUTO_TEST_CASE(APeerWithThePlatformMakesNewsFresh)
+{
+  NewsTrust trust = Trust();
+  trust.Heard(Says("a", 7, 200ms), At(10s));
+  BOOST_TEST((trust.Verdict(At(11s)) == NewsVerdict::Fresh));
+}
+
+BOOST_AUTO_TEST_CASE(ANewerVersionElsewhereStopsKeysUntilItIsInForce)
+{
+  NewsTrust trust = Trust();
+  trust.Heard(Says("a", 8, 200ms), At(1s));
+  BOOST_TEST((trust.Verdict(At(1s)) == NewsVerdict::Behind));
+  trust.SetInForce(DocumentVersion(8));
+  BOOST_TEST((trust.Verdict(At(1s)) == NewsVerdict::Fresh));
+}
+
+BOOST_AUTO_TEST_CASE(AHostThatIsConfirmedGoneIsNotWaitedFor)
+{
+  NewsTrust trust = Trust();
+  trust.Heard(Says("a", 7, 10s), At(10s));
+  trust.ConfirmGone(Host("b"));
+  BOOST_TEST((trust.Verdict(At(10s)) == NewsVerdict::SharedOutage));
+  trust.Heard(Says("b", 7, 10s, 9s), At(10s));
+  BOOST_TEST((trust.Verdict(At(10s)) != NewsVerdict::SharedOutage));
+}
+
+BOOST_AUTO_TEST_CASE(AStatementPassedOnKeepsItsAge)
+{
+  NewsTrust other(Host("a"), {});
+  other.SetListed({ Host("self"), Host("a"), Host("b") });
+  other.SetInForce(DocumentVersion(7));
+  other.HeardPlatform(DocumentVersion(7), At(100s));
+  other.Heard(Says("b", 7, 110s), At(110s));
+  NewsTrust trust = Trust();
+  for (NewsStatement const& statement : other.Statements(At(111s))) {
+    trust.Heard(statement, At(20s));
+  }
+  BOOST_TEST((trust.Verdict(At(20500ms)) == NewsVerdict::SharedOutage));
+  BOOST_TEST((trust.Verdict(At(20501ms)) != NewsVerdict::SharedOutage));
+}
+
+BOOST_AUTO_TEST_CASE(AProcessWithoutAnyNewsHonoursNothing)
+{
+  NewsTrust trust(Host("self"), {});
+  BOOST_TEST((trust.Verdict(At(0s)) == NewsVerdict::CutOff));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
