Programs: Route at the entry by the expected time to the first token

Cause: the entry chose by rendezvous and its own requests alone, knew nothing of replicas or memory, and kept to full or cold engines.

Change: RoutingChooser puts agent::Router behind the dispatch in place of LeastLoadedChooser; StatusFollower asks each agent twice a second. Router chooses and counts apart, since a reservation may fail in between. The router's ReplicaStatus is now ReplicaOutlook: the agents' status has a type of the former name in the same namespace.

--- a/Agent/Routing/RouteTypes.h
+++ b/Agent/Routing/RouteTypes.h
@@ -43,8 +43,8 @@
   std::optional<base::Bytes> m_loadable;
 };
 
-/// State of one replica as its agent told it.
-struct ReplicaStatus
+/// State of one replica as its agent told it, and when it can be used.
+struct ReplicaOutlook
 {
   engine::ReplicaState m_state = engine::ReplicaState::Absent;
   /// Where its weights lie when it isn't loaded.
--- a/Agent/Routing/Router.cpp
+++ b/Agent/Routing/Router.cpp
@@ -28,7 +28,7 @@
 /// Time until the replica is loaded. A further load of a model that is being
 /// loaded elsewhere costs as much again for each, so that requests join the
 /// load under way unless the queue there is longer than a load.
-base::Duration TimeToReady(ReplicaStatus const& aStatus, RouteCosts const& aCosts,
+base::Duration TimeToReady(ReplicaOutlook const& aStatus, RouteCosts const& aCosts,
                            std::size_t aColdBefore, base::Instant aNow)
 {
   auto const factor = static_cast<std::int64_t>(1 + aColdBefore);
@@ -106,7 +106,7 @@
 }
 
 void Router::SetReplica(base::UpstreamId const& aUpstream, engine::ReplicaKey const& aReplica,
-                        ReplicaStatus aStatus)
+                        ReplicaOutlook aStatus)
 {
   auto const index = m_indexes.find(aUpstream);
   auto const model = m_models.find(aReplica.m_model);
@@ -227,7 +227,7 @@
   return upstream.m_facts.m_distance + std::max(ready + adapter, queue) + expectedPrefill;
 }
 
-tl::expected<RouteDecision, RouteError> Router::Choose(RouteQuery const& aQuery, base::Instant aNow)
+tl::expected<RouteDecision, RouteError> Router::Find(RouteQuery const& aQuery, base::Instant aNow)
 {
   auto const model = m_models.find(aQuery.m_replica.m_model);
   if (model == m_models.end()) {
@@ -249,17 +249,45 @@
     auto const state = model->second.m_members[position].m_status.m_state;
     coldBefore += state == engine::ReplicaState::Loaded ? 0 : 1;
   }
-  Upstream& upstream = m_upstreams[model->second.m_members[best].m_upstream];
-  m_lastTicket = m_lastTicket.Next();
-  m_tickets.emplace(m_lastTicket.Value(), model->second.m_members[best].m_upstream);
-  upstream.m_load.OnSent(m_lastTicket, aQuery.m_class, aNow);
-  if (model->second.m_members[best].m_status.m_state == engine::ReplicaState::Absent) {
-    upstream.m_load.OnColdSent(aQuery.m_replica.Base(), model->second.m_costs.m_memory);
+  Upstream const& upstream = m_upstreams[model->second.m_members[best].m_upstream];
+  return RouteDecision{ upstream.m_facts.m_id, {}, least };
+}
+
+RouteTicket Router::OnSent(RouteQuery const& aQuery, base::UpstreamId const& aUpstream,
+                           base::Instant aNow)
+{
+  auto const index = m_indexes.find(aUpstream);
+  if (index == m_indexes.end()) {
+    return {};
   }
+  m_lastTicket = m_lastTicket.Next();
+  m_tickets.emplace(m_lastTicket.Value(), index->second);
+  UpstreamLoad& load = m_upstreams[index->second].m_load;
+  load.OnSent(m_lastTicket, aQuery.m_class, aNow);
   if (auto const prefix = PrefixOf(aQuery)) {
-    m_prefixes.OnSent(upstream.m_facts.m_id, *prefix, aNow);
+    m_prefixes.OnSent(aUpstream, *prefix, aNow);
+  }
+  auto const model = m_models.find(aQuery.m_replica.m_model);
+  if (model == m_models.end()) {
+    return m_lastTicket;
+  }
+  auto const position = model->second.m_position.find(index->second);
+  bool const isAbsent =
+    position != model->second.m_position.end() &&
+    model->second.m_members[position->second].m_status.m_state == engine::ReplicaState::Absent;
+  if (isAbsent) {
+    load.OnColdSent(aQuery.m_replica.Base(), model->second.m_costs.m_memory);
+  }
+  return m_lastTicket;
+}
+
+tl::expected<RouteDecision, RouteError> Router::Choose(RouteQuery const& aQuery, base::Instant aNow)
+{
+  auto decision = Find(aQuery, aNow);
+  if (decision) {
+    decision->m_ticket = OnSent(aQuery, decision->m_upstream, aNow);
   }
-  return RouteDecision{ upstream.m_facts.m_id, m_lastTicket, least };
+  return decision;
 }
 
 void Router::OnDone(RouteTicket aTicket)
--- a/Agent/Routing/Router.h
+++ b/Agent/Routing/Router.h
@@ -38,13 +38,18 @@
   void SetAvailable(base::UpstreamId const& aUpstream, bool aIsAvailable);
   void SetPlacement(Placement const& aPlacement);
   void SetReplica(base::UpstreamId const& aUpstream, engine::ReplicaKey const& aReplica,
-                  ReplicaStatus aStatus);
+                  ReplicaOutlook aStatus);
   void SetCosts(base::ModelId const& aModel, RouteCosts aCosts);
   void OnLoadReport(base::UpstreamId const& aUpstream, LoadReport const& aReport,
                     base::Instant aMadeAt);
   PrefixBelief& Prefixes() { return m_prefixes; }
 
-  /// Chooses, and counts the request as in flight there until OnDone().
+  /// Chooses without counting the request; the decision has no ticket.
+  tl::expected<RouteDecision, RouteError> Find(RouteQuery const& aQuery, base::Instant aNow);
+  /// Counts a request as in flight at the upstream until OnDone().
+  RouteTicket OnSent(RouteQuery const& aQuery, base::UpstreamId const& aUpstream,
+                     base::Instant aNow);
+  /// Find() and OnSent() in one.
   tl::expected<RouteDecision, RouteError> Choose(RouteQuery const& aQuery, base::Instant aNow);
   void OnDone(RouteTicket aTicket);
 
@@ -60,8 +65,8 @@
   struct Member
   {
     UpstreamIndex m_upstream;
-    ReplicaStatus m_status;
-    std::map<base::AdapterId, ReplicaStatus> m_adapters;
+    ReplicaOutlook m_status;
+    std::map<base::AdapterId, ReplicaOutlook> m_adapters;
   };
   /// The upstreams that may hold a model, in an order that every router makes
   /// alike, so that all send a cold model's first requests to one upstream.
--- a/Programs/Entry/EntryBackend.cpp
+++ b/Programs/Entry/EntryBackend.cpp
@@ -1,16 +1,24 @@
 #include "Programs/Entry/EntryBackend.h"
 
+#include "Base/Digest.h"
 #include "Base/Log.h"
 
 namespace sardinefold::programs {
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr std::size_t kSeedBytes = 8;
+
+} // namespace
+
 EntryBackend::EntryBackend(base::EventLoop& aLoop, base::HttpClient& aHttp,
                            base::PeerAuthentication const& aAuthentication)
   : m_loop(aLoop)
   , m_agents(aLoop, aHttp, aAuthentication, {})
-  , m_chooser(m_directory)
+  , m_chooser(m_directory, base::FastHash(base::RandomHex(kSeedBytes)))
+  , m_status(aLoop, aHttp, aAuthentication, m_directory, m_chooser)
 {
 }
 
@@ -20,11 +28,18 @@
   m_routes = std::make_unique<caller::RouteTable const>(*m_document);
   m_keys = std::make_unique<DocumentKeys const>(*m_document);
   m_directory.SetDocument(*m_document);
+  m_chooser.SetDocument(*m_document);
   base::log::Info("document in force",
                   { { "environment", m_document->m_environment.Text() },
                     { "version", std::to_string(m_document->m_version.Value()) } });
 }
 
+void EntryBackend::SetHosts(std::vector<agent::AgentHost> aHosts)
+{
+  m_directory.SetHosts(std::move(aHosts));
+  m_chooser.FollowDirectory();
+}
+
 asio::awaitable<tl::expected<agent::DispatchAnswer<EntryBackend::Reply>, agent::DispatchError>>
 EntryBackend::Dispatch(agent::DispatchRequest const& aRequest, base::HttpRequest aMessage,
                        base::Cancellation& aCancellation)
--- a/Programs/Entry/EntryBackend.h
+++ b/Programs/Entry/EntryBackend.h
@@ -9,8 +9,9 @@
 #include "Caller/RouteTable.h"
 #include "Operator/Document.h"
 #include "Programs/Entry/DocumentKeys.h"
-#include "Programs/Entry/LeastLoadedChooser.h"
 #include "Programs/Entry/RetryShare.h"
+#include "Programs/Entry/RoutingChooser.h"
+#include "Programs/Entry/StatusFollower.h"
 
 #include <memory>
 
@@ -28,7 +29,10 @@
 
   /// Puts a document in force.
   void Apply(std::unique_ptr<operators::Document const> aDocument);
-  agent::AgentDirectory& Directory() { return m_directory; }
+  /// Takes over the platform's list of hosts.
+  void SetHosts(std::vector<agent::AgentHost> aHosts);
+  /// Follows the agents' status for as long as the program runs.
+  boost::asio::awaitable<void> FollowAgents() { return m_status.Run(); }
   void StartDraining() { m_isDraining = true; }
 
   // What the callers' endpoint needs (caller::CallerBackend).
@@ -53,7 +57,8 @@
   agent::AgentDirectory m_directory;
   agent::AgentClient m_agents;
   RetryShare m_retries;
-  LeastLoadedChooser m_chooser;
+  RoutingChooser m_chooser;
+  StatusFollower m_status;
   std::unique_ptr<operators::Document const> m_document;
   std::unique_ptr<caller::RouteTable const> m_routes;
   std::unique_ptr<DocumentKeys const> m_keys;
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -93,6 +93,7 @@
     return listening;
   }
   m_loop.Start(FollowHosts());
+  m_loop.Start(m_backend.FollowAgents());
   base::log::Info("ready", { { "listen", m_settings.Text("listen") } });
   return {};
 }
@@ -157,7 +158,7 @@
       co_await m_http.Fetch(m_settings.Address("platform"), std::move(request), kHostPollLimit);
     if (response && response->m_status == 200) {
       if (auto const list = base::ParseJson(response->m_body)) {
-        m_backend.Directory().SetHosts(ReadHosts(*list));
+        m_backend.SetHosts(ReadHosts(*list));
         m_hasHosts = true;
       }
     }
--- /dev/null
+++ b/Programs/Entry/RoutingChooser.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Agent/AgentDirectory.h"
+#include "Agent/AgentStatus.h"
+#include "Agent/DispatchPolicy.h"
+#include "Agent/Routing/Router.h"
+
+#include <map>
+#include <set>
+
+namespace sardinefold::programs {
+
+/// Chooses the agent of each attempt by the expected time to the first token.
+/// Any upstream of a model's deployment may be asked; its agent decides what
+/// it loads.
+class RoutingChooser
+{
+public:
+  RoutingChooser(agent::AgentDirectory const& aDirectory, std::uint64_t aSeed);
+
+  /// Takes over which agents there are; to be called after each change of the
+  /// directory.
+  void FollowDirectory();
+  void SetDocument(operators::Document const& aDocument);
+  /// An agent's answer to a question asked at aAskedAt.
+  void OnStatus(agent::AgentStatus const& aStatus, base::Instant aAskedAt);
+
+  // What a dispatch needs (agent::AgentChooser).
+  std::optional<agent::KnownAgent> Choose(agent::DispatchRequest const& aRequest,
+                                          std::set<base::UpstreamId> const& aExcluded,
+                                          base::Instant aNow);
+  void NoteSent(agent::DispatchRequest const& aRequest, base::UpstreamId const& aUpstream,
+                base::Instant aNow);
+  void NoteEnded(agent::DispatchRequest const& aRequest, base::UpstreamId const& aUpstream,
+                 agent::AttemptEnd aEnd, base::Instant aNow);
+
+private:
+  /// The models of a deployment; one that stands for all calls if it is a
+  /// plain service.
+  struct Deployment
+  {
+    std::vector<base::ModelId> m_models;
+    bool m_isService = false;
+  };
+
+  agent::RouteQuery QueryFor(agent::DispatchRequest const& aRequest) const;
+  void PlaceEverywhere(base::DeploymentId const& aDeployment);
+
+  agent::AgentDirectory const& m_directory;
+  agent::Router m_router;
+  std::map<base::DeploymentId, Deployment> m_deployments;
+  /// What each agent told to hold, to see what it holds no more.
+  std::map<base::UpstreamId, std::set<engine::ReplicaKey>> m_held;
+  std::set<base::UpstreamId> m_listed;
+  std::map<base::RequestId, agent::RouteTicket> m_tickets;
+};
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Entry/StatusFollower.cpp
@@ -0,0 +1,63 @@
+#include "Programs/Entry/StatusFollower.h"
+
+#include "Agent/AgentStatusCodec.h"
+#include "Base/Log.h"
+
+namespace sardinefold::programs {
+
+namespace {
+
+constexpr base::Duration kPause = std::chrono::milliseconds(500);
+constexpr base::Duration kAnswerLimit = std::chrono::seconds(1);
+
+} // namespace
+
+StatusFollower::StatusFollower(base::EventLoop& aLoop, base::HttpClient& aHttp,
+                               base::PeerAuthentication const& aAuthentication,
+                               agent::AgentDirectory const& aDirectory, RoutingChooser& aChooser)
+  : m_loop(aLoop)
+  , m_rpc(aHttp, aAuthentication)
+  , m_directory(aDirectory)
+  , m_chooser(aChooser)
+{
+}
+
+boost::asio::awaitable<void> StatusFollower::Run()
+{
+  while (true) {
+    for (auto const& deployment : m_directory.Deployments()) {
+      for (auto const& agent : m_directory.AgentsOf(deployment)) {
+        // An agent that is slow to answer is not asked twice at once.
+        if (m_asked.insert(agent.m_upstream).second) {
+          m_loop.Start(Ask(agent.m_upstream, agent.m_endpoint));
+        }
+      }
+    }
+    co_await m_loop.Sleep(kPause);
+  }
+}
+
+boost::asio::awaitable<void> StatusFollower::Ask(base::UpstreamId aUpstream,
+                                                 base::Endpoint aEndpoint)
+{
+  auto const askedAt = m_loop.Now();
+  std::string method = "agent.status";
+  Json::Value parameters(Json::objectValue);
+  auto const answer = co_await m_rpc.Call(std::move(aEndpoint), std::move(method),
+                                          std::move(parameters), kAnswerLimit);
+  m_asked.erase(aUpstream);
+  if (!answer) {
+    co_return;
+  }
+  auto const status = agent::DecodeAgentStatus(*answer);
+  if (!status) {
+    base::log::Warning("status not understood",
+                       { { "upstream", aUpstream.Text() }, { "error", status.error() } });
+    co_return;
+  }
+  if (status->m_upstream == aUpstream) {
+    m_chooser.OnStatus(*status, askedAt);
+  }
+}
+
+} // namespace sardinefold::programs
