Service: Run orders under claims in the agent

Cause: the claim decisions were not used by any program. Change: ClaimSession carries them out over any ObjectStore; the agent opens a claim before a request with an idempotency key runs, gives resends the first answer with its header, refuses a reused key with 422 and records the end after the caller has its answer. What dead agents left is found by lists of 1/256 of the names. The agent now reports an answer's head when it writes it, so that a body that is still being collected isn't taken for a lost answer.

--- a/Programs/Agent/AgentConfiguration.cpp
+++ b/Programs/Agent/AgentConfiguration.cpp
@@ -37,6 +37,9 @@
         std::nullopt },
       { "fleet-secret", SettingKind::Secret, "Secret that the system's processes sign with",
         std::nullopt },
+      { "fleet-entries", SettingKind::Count, "Entries that share the platform's rates", "4" },
+      { "fleet-engine-agents", SettingKind::Count, "Agents of engines that share them", "20" },
+      { "fleet-service-agents", SettingKind::Count, "Agents of services that share them", "4" },
       { "concurrency", SettingKind::Count, "Most requests that the upstream is given at once",
         "64" },
       { "maximum-waiting", SettingKind::Count, "Most requests that wait for the upstream", "1024" },
@@ -75,6 +78,15 @@
   configuration.m_host = std::move(*host);
   configuration.m_failureDomain = std::move(*failureDomain);
   configuration.m_platform = aSettings.Addresses("platform");
+  if (configuration.m_platform.empty()) {
+    return tl::make_unexpected(
+      base::SettingsError{ "--platform (SARDINEFOLD_PLATFORM): names no address" });
+  }
+  auto const count = [&](char const* aFlag) {
+    return static_cast<std::uint32_t>(aSettings.Count(aFlag));
+  };
+  configuration.m_fleetSize = { count("fleet-entries"), count("fleet-engine-agents"),
+                                count("fleet-service-agents") };
   configuration.m_fleetSecret = aSettings.Text("fleet-secret");
   configuration.m_concurrency = static_cast<std::size_t>(aSettings.Count("concurrency"));
   configuration.m_maximumWaiting = static_cast<std::size_t>(aSettings.Count("maximum-waiting"));
--- a/Programs/Agent/AgentProgram.cpp
+++ b/Programs/Agent/AgentProgram.cpp
@@ -29,6 +29,19 @@
   return base::JsonResponse(aError.m_status, R"({"error":{"code":"bad_request"}})");
 }
 
+platform::CallRates PlatformRates(AgentConfiguration const& aConfiguration)
+{
+  auto const role = aConfiguration.m_upstreamKind == operators::UpstreamKind::Engine
+                      ? platform::ProcessRole::EngineAgent
+                      : platform::ProcessRole::ServiceAgent;
+  return platform::ShareOf(platform::kPlatformRates, aConfiguration.m_fleetSize, role);
+}
+
+std::uint64_t SeedOf(base::IncarnationId const& aIncarnation)
+{
+  return base::FastHash(aIncarnation.Text());
+}
+
 base::HttpResponse TextResponse(unsigned aStatus, std::string aBody)
 {
   base::HttpResponse response;
@@ -51,8 +64,13 @@
   , m_loader(m_configuration.m_upstreamKind == operators::UpstreamKind::Engine
                ? std::make_unique<ReplicaLoader>(aLoop, m_http, m_configuration.m_upstreamAddress)
                : nullptr)
-  , m_parts{ aLoop,     m_configuration, m_incarnation, m_http,
-             m_metrics, m_registry,      m_gate,        m_loader.get() }
+  , m_platformBudget(PlatformRates(m_configuration), SeedOf(m_incarnation), aLoop.Now())
+  , m_platformBreaker({}, SeedOf(m_incarnation))
+  , m_platform(aLoop, m_http, m_configuration.m_platform.front(), m_platformBudget,
+               m_platformBreaker, m_metrics)
+  , m_claims(m_platform, aLoop, m_incarnation, {})
+  , m_parts{ aLoop,      m_configuration, m_incarnation,  m_http,  m_metrics,
+             m_registry, m_gate,          m_loader.get(), m_claims }
   , m_rpc(m_authentication)
   , m_server(
       aLoop, ServerLimits(), [this](base::HttpExchange& aExchange) { return Handle(aExchange); },
@@ -90,6 +108,8 @@
   }
   if (m_loader) {
     m_loop.Start(m_loader->Follow());
+  } else {
+    m_loop.Start(m_claims.CleanUp());
   }
   base::log::Info("listening", { { "address", m_configuration.m_listen.m_address },
                                  { "port", std::to_string(Port()) },
--- a/Programs/Agent/ExchangeSession.cpp
+++ b/Programs/Agent/ExchangeSession.cpp
@@ -160,14 +160,24 @@
     co_await Refuse(Refusal::StartByPassed);
     co_return;
   }
-  auto const end = LatestStart();
   if (m_parts.m_loader && !m_head.m_model.IsEmpty()) {
-    auto const loaded = co_await m_parts.m_loader->EnsureLoaded(m_head, end, m_entryGone);
+    auto const loaded = co_await m_parts.m_loader->EnsureLoaded(m_head, LatestStart(), m_entryGone);
     if (!loaded) {
       co_await Refuse(loaded.error());
       co_return;
     }
   }
+  bool const needsClaim = !m_head.m_isRepeatable && !m_head.m_claim.IsEmpty();
+  if (needsClaim) {
+    co_await RunClaimed();
+  } else {
+    co_await RunUnclaimed();
+  }
+}
+
+awaitable<void> ExchangeSession::RunUnclaimed()
+{
+  auto const end = LatestStart();
   auto const entered = co_await m_parts.m_gate.Enter(m_head, end, m_entryGone);
   if (!entered) {
     co_await Refuse(entered.error());
@@ -222,7 +232,6 @@
     auto failure = reply.error();
     co_return co_await ReportFailure(std::move(failure));
   }
-  m_parts.m_registry.NoteHead(m_head.m_correlation);
   co_return co_await PassOn(std::move(*reply));
 }
 
@@ -240,12 +249,18 @@
   co_return Ending{ StatedOutcome::Unknown, signal };
 }
 
-base::HttpHeaders ExchangeSession::AnswerHeaders(base::HttpReply const& aReply) const
+base::HttpHeaders ExchangeSession::UpstreamFields(base::HttpReply const& aReply)
 {
   auto headers = aReply.Headers();
   base::RemoveHopByHopHeaders(headers);
   agent::RemoveExchangeFields(headers);
   headers.Remove("Content-Length");
+  return headers;
+}
+
+base::HttpHeaders ExchangeSession::AnswerHeaders(base::HttpReply const& aReply) const
+{
+  auto headers = UpstreamFields(aReply);
   agent::EncodeAnswerHead(Answer(StatedOutcome::Ran, {}), headers);
   return headers;
 }
@@ -274,6 +289,7 @@
     response.m_body += *piece;
   }
   response.m_headers = std::move(headers);
+  m_parts.m_registry.NoteHead(m_head.m_correlation);
   base::Bytes const size(static_cast<std::int64_t>(response.m_body.size()));
   m_parts.m_registry.NoteWritten(m_head.m_correlation, size);
   co_await m_exchange.Respond(std::move(response));
@@ -283,6 +299,7 @@
 awaitable<ExchangeSession::Ending> ExchangeSession::PassOnPieces(base::HttpReply aReply,
                                                                  base::HttpHeaders aHeaders)
 {
+  m_parts.m_registry.NoteHead(m_head.m_correlation);
   auto written = co_await m_exchange.StartStream(aReply.Status(), std::move(aHeaders));
   while (!aReply.IsComplete()) {
     auto piece = co_await aReply.Read(kPieceLimit);
--- a/Programs/Agent/ExchangeSession.h
+++ b/Programs/Agent/ExchangeSession.h
@@ -5,9 +5,11 @@
 #include "Base/Http/HttpClient.h"
 #include "Base/Http/HttpServer.h"
 #include "Base/Metrics.h"
+#include "Platform/ObjectClient.h"
 #include "Programs/Agent/AdmissionGate.h"
 #include "Programs/Agent/AgentConfiguration.h"
 #include "Programs/Agent/ReplicaLoader.h"
+#include "Service/ClaimSession.h"
 
 #include <optional>
 #include <string>
@@ -26,6 +28,7 @@
   AdmissionGate& m_gate;
   /// Null beside a service.
   ReplicaLoader* m_loader;
+  service::ClaimSession<platform::ObjectClient>& m_claims;
   bool m_isDraining = false;
 };
 
@@ -45,6 +48,12 @@
   };
 
   boost::asio::awaitable<void> RunAdmitted();
+  boost::asio::awaitable<void> RunUnclaimed();
+  /// Runs a request that may not repeat, under a claim in the platform.
+  boost::asio::awaitable<void> RunClaimed();
+  boost::asio::awaitable<service::RunEnd> RunInTurn();
+  boost::asio::awaitable<service::RunEnd> RunOnce();
+  boost::asio::awaitable<void> RespondKept(service::KeptAnswer const& aAnswer);
   /// Everything that has to hold in the turn of the loop in which the first
   /// byte goes to the upstream; empty if the request may start.
   std::optional<agent::Refusal> CheckStart();
@@ -54,6 +63,8 @@
   boost::asio::awaitable<Ending> ReportFailure(base::HttpFailure aFailure);
 
   base::HttpRequest UpstreamRequest();
+  /// The upstream's header fields that belong to its answer.
+  static base::HttpHeaders UpstreamFields(base::HttpReply const& aReply);
   base::HttpHeaders AnswerHeaders(base::HttpReply const& aReply) const;
   agent::AnswerHead Answer(agent::StatedOutcome aOutcome, std::string aReason) const;
   boost::asio::awaitable<void> Refuse(agent::Refusal aRefusal);
--- /dev/null
+++ b/Service/ClaimSession.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "Base/EventLoop.h"
+#include "Base/Log.h"
+#include "Platform/WriteSession.h"
+#include "Service/ClaimAttempt.h"
+#include "Service/ClaimCodec.h"
+#include "Service/ClaimRetention.h"
+
+#include <algorithm>
+#include <deque>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace sardinefold::service {
+
+/// A request that may not repeat, with the state of its claim.
+struct ClaimTicket
+{
+  platform::ObjectKey m_key;
+  ClaimOwnerId m_owner;
+  ClaimAttempt m_attempt;
+};
+
+/// Carries out the claims of one agent on the platform, and deletes them when
+/// their time has come.
+template<platform::ObjectStore Store>
+class ClaimSession
+{
+public:
+  ClaimSession(Store& aStore, base::EventLoop& aLoop, base::IncarnationId aIncarnation,
+               ClaimRetentionLimits aLimits)
+    : m_store(aStore)
+    , m_loop(aLoop)
+    , m_incarnation(std::move(aIncarnation))
+    , m_limits(aLimits)
+    , m_retention(aLimits)
+  {
+  }
+
+  /// Until aEnd the request waits for another owner's answer.
+  ClaimTicket Open(base::ClaimId const& aClaim, ContentHash aContent, base::Instant aEnd)
+  {
+    constexpr std::size_t kOwnerBytes = 12;
+    auto owner = ClaimOwnerId::FromValidated(base::RandomHex(kOwnerBytes));
+    ClaimAttempt attempt({ owner, m_incarnation, std::move(aContent) }, aEnd);
+    platform::ObjectKey key{ platform::ObjectKind::Claim,
+                             platform::ObjectName::FromValidated(aClaim.Text()) };
+    return { std::move(key), std::move(owner), std::move(attempt) };
+  }
+
+  /// Goes on until the request has to run (RunRequest) or the claim is done
+  /// with; each write may take the given time to become known.
+  boost::asio::awaitable<ClaimStep> Advance(ClaimTicket& aTicket, base::Duration aWriteLimit)
+  {
+    while (true) {
+      auto const step = aTicket.m_attempt.Next(m_loop.Now());
+      if (auto const* const write = std::get_if<WriteClaim>(&step)) {
+        co_await Write(aTicket, *write, aWriteLimit);
+      } else if (std::holds_alternative<ReadClaim>(step)) {
+        co_await Read(aTicket, aWriteLimit);
+      } else if (auto const* const wait = std::get_if<WaitForOwner>(&step)) {
+        co_await m_loop.Sleep(wait->m_until - m_loop.Now());
+      } else {
+        if (aTicket.m_attempt.HasGivenUp()) {
+          NoteGivenUp(aTicket.m_owner);
+        }
+        co_return step;
+      }
+    }
+  }
+
+  /// Deletes what is due and looks for what dead agents left behind, one part
+  /// of the names at a time, for as long as the program runs.
+  boost::asio::awaitable<void> CleanUp()
+  {
+    for (unsigned part = 0;; part = (part + 1) % kParts) {
+      co_await m_loop.Sleep(m_limits.m_ended / kParts);
+      co_await FindLeftBehind(part);
+      for (auto const& deletion : m_retention.TakeDue(m_loop.Now())) {
+        co_await Delete(deletion);
+      }
+    }
+  }
+
+  std::size_t Known() const { return m_retention.Size(); }
+
+private:
+  /// Names are hexadecimal; a part is all names with the same two digits first.
+  static constexpr unsigned kParts = 256;
+  static constexpr std::size_t kMaxGivenUp = 4096;
+  static constexpr base::Duration kCleanUpLimit = std::chrono::seconds(5);
+
+  boost::asio::awaitable<void> Write(ClaimTicket& aTicket, WriteClaim const& aStep,
+                                     base::Duration aLimit)
+  {
+    platform::ObjectWrite write{ aTicket.m_key, aStep.m_condition, EncodeClaim(aStep.m_claim),
+                                 platform::NewWriteNonce() };
+    auto const result = co_await platform::WriteUntilKnown(m_store, m_loop, std::move(write),
+                                                           aLimit, platform::CallPurpose::Claim);
+    if (result) {
+      m_retention.Note(aTicket.m_key.m_name, *result, aStep.m_claim.m_state, m_loop.Now());
+    } else {
+      base::log::Warning("claim not written",
+                         { { "claim", aTicket.m_key.m_name.Text() },
+                           { "error", std::string(platform::ToText(result.error().m_kind)) } });
+    }
+    aTicket.m_attempt.OnWritten(result);
+  }
+
+  boost::asio::awaitable<void> Read(ClaimTicket& aTicket, base::Duration aLimit)
+  {
+    using Result = tl::expected<VersionedClaim, platform::ReadError>;
+    auto key = aTicket.m_key;
+    auto const object = co_await m_store.Get(std::move(key), aLimit, platform::CallPurpose::Claim);
+    if (!object) {
+      Result const failed = tl::make_unexpected(object.error());
+      aTicket.m_attempt.OnRead(failed, false, m_loop.Now());
+      co_return;
+    }
+    auto claim = DecodeClaim(object->m_value);
+    if (!claim) {
+      Result const malformed = tl::make_unexpected(
+        platform::ReadError{ platform::ReadError::Kind::Malformed, claim.error() });
+      aTicket.m_attempt.OnRead(malformed, false, m_loop.Now());
+      co_return;
+    }
+    bool const gaveUp = m_givenUp.contains(claim->m_owner);
+    Result const read = VersionedClaim{ object->m_version, std::move(*claim) };
+    aTicket.m_attempt.OnRead(read, gaveUp, m_loop.Now());
+  }
+
+  void NoteGivenUp(ClaimOwnerId const& aOwner)
+  {
+    if (!m_givenUp.insert(aOwner).second) {
+      return;
+    }
+    m_givenUpOrder.push_back(aOwner);
+    if (m_givenUpOrder.size() > kMaxGivenUp) {
+      m_givenUp.erase(m_givenUpOrder.front());
+      m_givenUpOrder.pop_front();
+    }
+  }
+
+  boost::asio::awaitable<void> FindLeftBehind(unsigned aPart)
+  {
+    constexpr char kDigits[] = "0123456789abcdef";
+    std::string const text{ kDigits[aPart / 16], kDigits[aPart % 16] };
+    auto prefix = platform::ObjectName::FromValidated(text);
+    auto const list = co_await m_store.List(platform::ObjectKind::Claim, std::move(prefix),
+                                            kCleanUpLimit, platform::CallPurpose::Status);
+    if (!list) {
+      co_return;
+    }
+    for (auto const& object : list->m_objects) {
+      auto const claim = DecodeClaim(object.m_value);
+      // A claim that can't be read may be of a later version of the system.
+      auto const state = claim ? claim->m_state : ClaimState::Running;
+      m_retention.Note(object.m_key.m_name, object.m_version, state, m_loop.Now());
+    }
+  }
+
+  boost::asio::awaitable<void> Delete(ClaimDeletion aDeletion)
+  {
+    platform::ObjectKey key{ platform::ObjectKind::Claim, aDeletion.m_name };
+    // One that fails is found again by FindLeftBehind().
+    co_await m_store.Delete(std::move(key), aDeletion.m_version, kCleanUpLimit,
+                            platform::CallPurpose::Status);
+  }
+
+  Store& m_store;
+  base::EventLoop& m_loop;
+  base::IncarnationId m_incarnation;
+  ClaimRetentionLimits m_limits;
+  ClaimRetention m_retention;
+  std::set<ClaimOwnerId> m_givenUp;
+  std::deque<ClaimOwnerId> m_givenUpOrder;
+};
+
+} // namespace sardinefold::service
--- a/Tests/AgentTest.cpp
+++ b/Tests/AgentTest.cpp
@@ -2,6 +2,7 @@
 #include "Agent/AgentClient.h"
 #include "Programs/Agent/AgentProgram.h"
 #include "Programs/SystemClock.h"
+#include "StandIns/Platform/PlatformStandIn.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +15,7 @@
 
 namespace {
 
+constexpr double kPlatformRate = 1000;
 constexpr char kSecret[] = "fleet-secret-of-the-test";
 
 base::HttpResponse RenderError(base::HttpRequestError const& aError)
@@ -26,11 +28,17 @@
 {
   explicit Site(base::HttpServer::Handler aUpstream)
     : m_upstream(m_loop, {}, std::move(aUpstream), RenderError)
+    , m_platform(m_loop, kPlatformRate, kPlatformRate)
+    , m_platformServer(
+        m_loop, {}, [this](base::HttpExchange& aExchange) { return m_platform.Serve(aExchange); },
+        RenderError)
     , m_http(m_loop, {})
     , m_authentication(kSecret)
     , m_client(m_loop, m_http, m_authentication, {})
   {
     BOOST_REQUIRE(m_upstream.Listen({ "127.0.0.1", 0 }));
+    BOOST_REQUIRE(m_platformServer.Listen({ "127.0.0.1", 0 }));
+    m_platformAddress = { "127.0.0.1", m_platformServer.Port() };
     m_agent = MakeAgent({ "127.0.0.1", 0 }, m_upstream.Port());
     m_endpoint = { "127.0.0.1", m_agent->Port() };
   }
@@ -43,6 +51,7 @@
     configuration.m_upstreamKind = operators::UpstreamKind::Service;
     configuration.m_upstream = base::UpstreamId::FromValidated("u1");
     configuration.m_fleetSecret = kSecret;
+    configuration.m_platform = { m_platformAddress };
     configuration.m_concurrency = 1;
     configuration.m_maximumWaiting = 2;
     configuration.m_drainLimit = 2s;
@@ -64,6 +73,9 @@
 
   base::EventLoop m_loop{ programs::SystemClock::Monotonic, programs::SystemClock::Wall };
   base::HttpServer m_upstream;
+  standins::PlatformStandIn m_platform;
+  base::HttpServer m_platformServer;
+  base::Endpoint m_platformAddress;
   base::HttpClient m_http;
   base::PeerAuthentication m_authentication;
   agent::AgentClient m_client;
@@ -140,6 +152,34 @@
   return request;
 }
 
+/// Sends an order with an idempotency key and renders how it ended.
+awaitable<std::string> Order(Site& aSite, base::Endpoint aEndpoint, std::string aBody)
+{
+  auto request = Request(false);
+  request.m_head.m_claim = base::ClaimId::FromValidated("0a1b2c");
+  request.m_message.m_body = std::move(aBody);
+  base::Cancellation cancellation;
+  auto outcome =
+    co_await aSite.m_client.Forward(std::move(request), std::move(aEndpoint), cancellation);
+  if (auto const* const notRun = std::get_if<base::NotRun>(&outcome)) {
+    co_return "not run: " + notRun->Reason();
+  }
+  if (auto const* const unknown = std::get_if<base::Unknown>(&outcome)) {
+    co_return "unknown: " + unknown->m_reason;
+  }
+  auto& reply = std::get<agent::AgentReply>(outcome);
+  auto text = std::to_string(reply.Status()) + " ";
+  text += std::string(reply.Headers().Find("X-Booking").value_or("")) + " ";
+  while (!reply.IsComplete()) {
+    auto piece = co_await reply.Read();
+    if (!piece) {
+      co_return "cut";
+    }
+    text += *piece;
+  }
+  co_return text;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(ForwardsAndStreamsWithoutTheCallersKey)
@@ -377,6 +417,88 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ResendThroughAnotherAgentGetsTheFirstAnswer)
+{
+  int ran = 0;
+  Site site([&ran](base::HttpExchange& aExchange) -> awaitable<void> {
+    base::HttpResponse response;
+    response.m_status = 201;
+    response.m_headers.Add("X-Booking", "42");
+    response.m_body = "booking " + std::to_string(++ran);
+    co_await aExchange.Respond(std::move(response));
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    aSite.m_later = aSite.MakeAgent({ "127.0.0.1", 0 }, aSite.m_upstream.Port());
+    base::Endpoint const other{ "127.0.0.1", aSite.m_later->Port() };
+    auto const first = co_await Order(aSite, aSite.m_endpoint, "curtain");
+    BOOST_TEST(first == "201 42 booking 1");
+    // The answer is recorded after the caller has it; the resend waits for it.
+    auto const second = co_await Order(aSite, other, "curtain");
+    BOOST_TEST(second == "201 42 booking 1");
+    auto const third = co_await Order(aSite, aSite.m_endpoint, "curtain");
+    BOOST_TEST(third == "201 42 booking 1");
+    auto const reused = co_await Order(aSite, other, "another curtain");
+    BOOST_TEST(reused == "not run: idempotency_key_reused");
+  });
+  BOOST_TEST(ran == 1);
+}
+
+BOOST_AUTO_TEST_CASE(OrderDoesNotRunWithoutThePlatform)
+{
+  int ran = 0;
+  Site site([&ran](base::HttpExchange& aExchange) -> awaitable<void> {
+    ++ran;
+    base::HttpResponse response;
+    co_await aExchange.Respond(std::move(response));
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    Json::Value outage;
+    outage["outage"] = true;
+    BOOST_REQUIRE(aSite.m_platform.Faults().Apply(outage).has_value());
+    auto const refused = co_await Order(aSite, aSite.m_endpoint, "curtain");
+    BOOST_TEST(refused == "not run: claim_not_written");
+  });
+  BOOST_TEST(ran == 0);
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswerOfThePlatformIsReadBack)
+{
+  int ran = 0;
+  Site site([&ran](base::HttpExchange& aExchange) -> awaitable<void> {
+    base::HttpResponse response;
+    response.m_headers.Add("X-Booking", "42");
+    response.m_body = "booking " + std::to_string(++ran);
+    co_await aExchange.Respond(std::move(response));
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    Json::Value lost;
+    lost["lose_answers"] = 1;
+    BOOST_REQUIRE(aSite.m_platform.Faults().Apply(lost).has_value());
+    auto const first = co_await Order(aSite, aSite.m_endpoint, "curtain");
+    BOOST_TEST(first == "200 42 booking 1");
+    auto const second = co_await Order(aSite, aSite.m_endpoint, "curtain");
+    BOOST_TEST(second == "200 42 booking 1");
+  });
+  BOOST_TEST(ran == 1);
+}
+
+BOOST_AUTO_TEST_CASE(OrderWhoseUpstreamDiedIsUnknownToEachResend)
+{
+  int ran = 0;
+  Site site([&ran](base::HttpExchange& aExchange) -> awaitable<void> {
+    ++ran;
+    aExchange.CloseAfterwards();
+    co_return;
+  });
+  site.Run([](Site& aSite) -> awaitable<void> {
+    auto const first = co_await Order(aSite, aSite.m_endpoint, "curtain");
+    BOOST_TEST(first == "unknown: upstream_lost");
+    auto const second = co_await Order(aSite, aSite.m_endpoint, "curtain");
+    BOOST_TEST(second == "unknown: earlier_outcome_unknown");
+  });
+  BOOST_TEST(ran == 1);
+}
+
 BOOST_AUTO_TEST_CASE(DrainRefusesNewAndFinishesOpenRequests)
 {
   bool hasBegun = false;
