Agent: Decide health, ejection and suspects

Cause: nothing kept a request that crashes its upstreams from coming back, and nothing bounded how many upstreams are taken out at once. Change: UpstreamHealth (Boost.MSM) with DeploymentHealth, which ejects no more than a share; SuspectRegistry with typed news for the other entries. Result: UpstreamHealthTest, 10 cases, passes: each event in each state, the share over 50 rounds of failures of ten upstreams, a crasher stopped after two upstreams at both entries. The entry does not call them yet.

--- /dev/null
+++ b/Agent/UpstreamHealth.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Time.h"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace sardinefold::agent {
+
+/// Where one upstream stands, as an entry sees it through its agent.
+enum class HealthState
+{
+  Healthy,
+  /// It failed lately; it gets requests still.
+  Suspected,
+  /// It gets no requests until its time is over.
+  Ejected,
+  /// One request is let through to see whether it has recovered.
+  Probing,
+  /// The platform lists its host as leaving.
+  Leaving
+};
+
+std::string_view ToText(HealthState aState);
+
+struct HealthLimits
+{
+  /// Failures in a row after which an upstream is to be ejected.
+  unsigned m_failures = 3;
+  /// First time of ejection; doubles with each that follows without recovery.
+  base::Duration m_ejection = std::chrono::seconds(1);
+  base::Duration m_longestEjection = std::chrono::seconds(30);
+  /// A probe whose end was never told counts as failed after this.
+  base::Duration m_probe = std::chrono::seconds(30);
+};
+
+/// The health of one upstream.
+class UpstreamHealth
+{
+public:
+  explicit UpstreamHealth(HealthLimits aLimits);
+  ~UpstreamHealth();
+  UpstreamHealth(UpstreamHealth&&) noexcept;
+  UpstreamHealth& operator=(UpstreamHealth&&) noexcept;
+
+  void OnServed(base::Instant aNow);
+  /// aMayEject is false while too many others are ejected: the upstream then
+  /// stays suspected.
+  void OnFailed(bool aMayEject, base::Instant aNow);
+  /// Time passed.
+  void Tick(base::Instant aNow);
+  void OnLeaving();
+  /// The host is listed as live again.
+  void OnReturned();
+
+  /// Whether a request may go to it. In the state Probing that is true once,
+  /// until the probe's end; the caller that takes it must send.
+  bool TakeRequest(base::Instant aNow);
+  HealthState State() const;
+  bool IsOut() const;
+
+private:
+  class Machine;
+
+  HealthLimits m_limits;
+  std::unique_ptr<Machine> m_machine;
+  unsigned m_failures = 0;
+  base::Duration m_ejection;
+  base::Instant m_until{};
+  std::optional<base::Instant> m_probeEnd;
+};
+
+/// The health of all upstreams of one deployment. Never more than a share of
+/// them is out at once, since failures of many have most likely one cause that
+/// ejection does not cure.
+class DeploymentHealth
+{
+public:
+  /// aLargestShare is from 0 to 1; one upstream of several may always be out.
+  DeploymentHealth(HealthLimits aLimits, double aLargestShare);
+
+  void Add(base::UpstreamId const& aUpstream);
+  void Remove(base::UpstreamId const& aUpstream);
+  void OnServed(base::UpstreamId const& aUpstream, base::Instant aNow);
+  void OnFailed(base::UpstreamId const& aUpstream, base::Instant aNow);
+  void SetLeaving(base::UpstreamId const& aUpstream, bool aIsLeaving);
+  /// False for an upstream that was not added.
+  bool TakeRequest(base::UpstreamId const& aUpstream, base::Instant aNow);
+
+  std::size_t Ejected() const;
+  std::optional<HealthState> StateOf(base::UpstreamId const& aUpstream) const;
+
+private:
+  bool MayEject(base::UpstreamId const& aUpstream) const;
+
+  HealthLimits m_limits;
+  double m_largestShare;
+  std::map<base::UpstreamId, UpstreamHealth> m_upstreams;
+};
+
+} // namespace sardinefold::agent
--- /dev/null
+++ b/Tests/UpstreamHealthTest.cpp
@@ -0,0 +1,233 @@
+#define BOOST_TEST_MODULE UpstreamHealth
+#include "Agent/UpstreamHealth.h"
+
+#include "Agent/SuspectRegistry.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using namespace std::chrono_literals;
+using agent::DeploymentHealth;
+using agent::HealthState;
+using agent::SuspectRegistry;
+using agent::UpstreamHealth;
+
+BOOST_TEST_DONT_PRINT_LOG_VALUE(agent::HealthState)
+
+namespace {
+
+constexpr base::Instant kStart{ 1000s };
+constexpr agent::HealthLimits kLimits{};
+
+base::UpstreamId Upstream(std::size_t aNumber)
+{
+  return base::UpstreamId::FromValidated("u" + std::to_string(aNumber));
+}
+
+base::FingerprintId Fingerprint(std::string aName)
+{
+  return base::FingerprintId::FromValidated(std::move(aName));
+}
+
+UpstreamHealth InState(HealthState aState)
+{
+  UpstreamHealth health(kLimits);
+  if (aState == HealthState::Healthy) {
+    return health;
+  }
+  if (aState == HealthState::Leaving) {
+    health.OnLeaving();
+    return health;
+  }
+  health.OnFailed(true, kStart);
+  if (aState == HealthState::Suspected) {
+    return health;
+  }
+  health.OnFailed(true, kStart);
+  health.OnFailed(true, kStart);
+  if (aState == HealthState::Probing) {
+    health.Tick(kStart + kLimits.m_ejection);
+  }
+  BOOST_REQUIRE(health.State() == aState);
+  return health;
+}
+
+constexpr std::array kStates{ HealthState::Healthy, HealthState::Suspected, HealthState::Ejected,
+                              HealthState::Probing, HealthState::Leaving };
+
+/// The state after an event, from each of kStates.
+template<typename Event>
+void CheckEach(Event aEvent, std::array<HealthState, kStates.size()> aExpected)
+{
+  for (std::size_t index = 0; index < kStates.size(); ++index) {
+    auto health = InState(kStates.at(index));
+    aEvent(health);
+    BOOST_TEST_CONTEXT("from " << ToText(kStates.at(index)))
+    {
+      BOOST_TEST(health.State() == aExpected.at(index));
+    }
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(EachEventInEachState)
+{
+  using S = HealthState;
+  CheckEach([](UpstreamHealth& aHealth) { aHealth.OnServed(kStart); },
+            { S::Healthy, S::Healthy, S::Ejected, S::Healthy, S::Leaving });
+  CheckEach([](UpstreamHealth& aHealth) { aHealth.OnFailed(false, kStart); },
+            { S::Suspected, S::Suspected, S::Ejected, S::Ejected, S::Leaving });
+  CheckEach(
+    [](UpstreamHealth& aHealth) {
+      aHealth.OnFailed(true, kStart);
+      aHealth.OnFailed(true, kStart);
+      aHealth.OnFailed(true, kStart);
+    },
+    { S::Ejected, S::Ejected, S::Ejected, S::Ejected, S::Leaving });
+  CheckEach([](UpstreamHealth& aHealth) { aHealth.Tick(kStart + 1h); },
+            { S::Healthy, S::Suspected, S::Probing, S::Probing, S::Leaving });
+  CheckEach([](UpstreamHealth& aHealth) { aHealth.OnLeaving(); },
+            { S::Leaving, S::Leaving, S::Leaving, S::Leaving, S::Leaving });
+  CheckEach([](UpstreamHealth& aHealth) { aHealth.OnReturned(); },
+            { S::Healthy, S::Suspected, S::Ejected, S::Probing, S::Suspected });
+}
+
+BOOST_AUTO_TEST_CASE(ProbingTakesOneRequestAtATime)
+{
+  auto health = InState(HealthState::Probing);
+  auto const now = kStart + kLimits.m_ejection;
+  BOOST_TEST(health.TakeRequest(now));
+  BOOST_TEST(!health.TakeRequest(now));
+  BOOST_TEST(!health.TakeRequest(now + kLimits.m_probe - 1ns));
+  BOOST_TEST(health.TakeRequest(now + kLimits.m_probe));
+  health.OnServed(now + kLimits.m_probe);
+  BOOST_TEST(health.TakeRequest(now + kLimits.m_probe));
+  BOOST_TEST(health.TakeRequest(now + kLimits.m_probe));
+}
+
+BOOST_AUTO_TEST_CASE(EjectionsGrowUntilRecovery)
+{
+  auto health = InState(HealthState::Ejected);
+  auto now = kStart + kLimits.m_ejection;
+  BOOST_TEST(!health.TakeRequest(now - 1ns));
+  BOOST_TEST(health.TakeRequest(now));
+  health.OnFailed(true, now);
+  BOOST_TEST(!health.TakeRequest(now + 2 * kLimits.m_ejection - 1ns));
+  BOOST_TEST(health.TakeRequest(now + 2 * kLimits.m_ejection));
+  now += 2 * kLimits.m_ejection;
+  for (int round = 0; round < 10; ++round) {
+    health.OnFailed(true, now);
+    now += kLimits.m_longestEjection;
+    BOOST_TEST(health.TakeRequest(now));
+  }
+  health.OnServed(now);
+  BOOST_TEST(health.State() == HealthState::Healthy);
+}
+
+BOOST_AUTO_TEST_CASE(NeverMoreThanTheShareIsOut)
+{
+  constexpr std::size_t kUpstreams = 10;
+  DeploymentHealth deployment(kLimits, 0.3);
+  for (std::size_t number = 0; number < kUpstreams; ++number) {
+    deployment.Add(Upstream(number));
+  }
+  for (int round = 0; round < 50; ++round) {
+    auto const now = kStart + 100ms * round;
+    for (std::size_t number = 0; number < kUpstreams; ++number) {
+      if (deployment.TakeRequest(Upstream(number), now)) {
+        deployment.OnFailed(Upstream(number), now);
+      }
+      BOOST_TEST(deployment.Ejected() <= 3U);
+    }
+  }
+  BOOST_TEST(deployment.Ejected() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(TheOnlyUpstreamIsNeverEjected)
+{
+  DeploymentHealth deployment(kLimits, 0.5);
+  deployment.Add(Upstream(1));
+  for (int round = 0; round < 10; ++round) {
+    deployment.OnFailed(Upstream(1), kStart);
+  }
+  BOOST_TEST(deployment.TakeRequest(Upstream(1), kStart));
+  BOOST_TEST(!deployment.TakeRequest(Upstream(2), kStart));
+}
+
+BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNothing)
+{
+  DeploymentHealth deployment(kLimits, 0.5);
+  deployment.Add(Upstream(1));
+  deployment.SetLeaving(Upstream(1), true);
+  deployment.OnServed(Upstream(1), kStart);
+  BOOST_TEST(!deployment.TakeRequest(Upstream(1), kStart));
+  deployment.SetLeaving(Upstream(1), false);
+  BOOST_TEST(deployment.TakeRequest(Upstream(1), kStart));
+}
+
+BOOST_AUTO_TEST_CASE(CrasherIsStoppedAfterTwoUpstreamsWhereverItComes)
+{
+  SuspectRegistry first(agent::SuspectLimits{});
+  SuspectRegistry second(agent::SuspectLimits{});
+  auto const crasher = Fingerprint("crasher");
+  auto const neighbour = Fingerprint("neighbour");
+  first.NoteSent(crasher, Upstream(1));
+  first.NoteSent(neighbour, Upstream(1));
+  auto news = first.NoteDeath(Upstream(1), kStart);
+  BOOST_TEST(news.size() == 2U);
+  BOOST_TEST(first.IsSuspect(crasher, kStart));
+  BOOST_TEST(!first.RefusedFor(crasher, kStart).has_value());
+  for (auto const& one : news) {
+    BOOST_TEST(second.OnNews(one, kStart));
+  }
+  second.NoteSent(crasher, Upstream(2));
+  second.NoteSent(neighbour, Upstream(3));
+  second.NoteEnded(neighbour, Upstream(3));
+  news = second.NoteDeath(Upstream(2), kStart + 1s);
+  BOOST_REQUIRE(news.size() == 1U);
+  BOOST_TEST(first.OnNews(news.front(), kStart + 1s));
+  for (auto const* const registry : { &first, &second }) {
+    BOOST_TEST(registry->RefusedFor(crasher, kStart + 2s).has_value());
+    BOOST_TEST(!registry->RefusedFor(neighbour, kStart + 2s).has_value());
+  }
+  BOOST_TEST(!first.RefusedFor(crasher, kStart + 11min).has_value());
+  first.Forget(kStart + 11min);
+  BOOST_TEST(first.All(kStart + 11min).empty());
+}
+
+BOOST_AUTO_TEST_CASE(SameUpstreamDyingTwiceCondemnsNobody)
+{
+  SuspectRegistry registry(agent::SuspectLimits{});
+  for (auto const at : { 0s, 60s }) {
+    registry.NoteSent(Fingerprint("f"), Upstream(1));
+    registry.NoteDeath(Upstream(1), kStart + at);
+  }
+  BOOST_TEST(!registry.RefusedFor(Fingerprint("f"), kStart + 61s).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NewsEndsItsRound)
+{
+  SuspectRegistry registry(agent::SuspectLimits{});
+  agent::SuspectNews const news{ Fingerprint("f"), Upstream(1), 100ms };
+  BOOST_TEST(registry.OnNews(news, kStart));
+  // The same death by a longer way, with its age rounded down.
+  BOOST_TEST(!registry.OnNews(news, kStart + 50ms));
+  agent::SuspectNews const old{ Fingerprint("g"), Upstream(1), 1h };
+  BOOST_TEST(!registry.OnNews(old, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(MemoryIsBounded)
+{
+  agent::SuspectLimits limits;
+  limits.m_maximum = 10;
+  SuspectRegistry registry(limits);
+  for (int number = 0; number < 100; ++number) {
+    auto const at = kStart + 1ms * number;
+    registry.OnNews({ Fingerprint("f" + std::to_string(number)), Upstream(1), 0s }, at);
+  }
+  auto const all = registry.All(kStart + 1s);
+  BOOST_TEST(all.size() == 10U);
+  BOOST_TEST(registry.IsSuspect(Fingerprint("f99"), kStart + 1s));
+  BOOST_TEST(!registry.IsSuspect(Fingerprint("f0"), kStart + 1s));
+}
