--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -160,6 +160,10 @@
                    platform=self.address("platform"), fleet_secret=SECRET, **settings)
         self.add_host(name, "entry", domain, self.address(name))
 
+    def wait_listening(self, names, seconds=20):
+        for name in names:
+            wait_until(lambda: is_ready(self.ports[name], "/healthz"), seconds, f"{name} listening")
+
     def wait_ready(self, names, seconds=20):
         for name in names:
             wait_until(lambda: is_ready(self.ports[name]), seconds, f"{name} ready")
--- a/Programs/Entry.cpp
+++ b/Programs/Entry.cpp
@@ -40,7 +40,7 @@
         "Bytes of prompt text that are reserved as one token; above 1, text that the tokenizer "
         "splits more finely can exceed an allowance",
         "1" },
-      { "drain-milliseconds", SettingKind::Milliseconds,
+      { "drain-ms", SettingKind::Milliseconds,
         "Longest wait for open requests at shutdown", "600000" },
       { "log-level", SettingKind::Text, "Lowest level logged: debug, info, warning, error",
         "info" },
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -197,7 +197,7 @@
 {
   m_backend.StartDraining();
   base::log::Info("draining", { { "open", std::to_string(m_server.OpenExchanges()) } });
-  auto const left = co_await m_server.Drain(m_settings.Milliseconds("drain-milliseconds"));
+  auto const left = co_await m_server.Drain(m_settings.Milliseconds("drain-ms"));
   base::log::Info("stopped", { { "cut", std::to_string(left) } });
   m_loop.Stop();
 }
