Bench: Relay chunked answers whole

An empty chunk, sent when only a chunk's size had arrived, ended the body: the baseline passed no streamed bytes on, and the ratio had no meaning.

--- a/Bench/Relay.cpp
+++ b/Bench/Relay.cpp
@@ -74,6 +74,10 @@
         body.size = piece.size() - body.size;
         body.data = piece.data();
         body.more = !response.is_done();
+        if (body.size == 0 && body.more) {
+          // An empty chunk would end the body.
+          continue;
+        }
       } else {
         body.data = nullptr;
         body.size = 0;
