--- a/Base/CaseInsensitive.h
+++ b/Base/CaseInsensitive.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 
 namespace sardinefold::base {
 
 /// Compares ASCII text without regard to case, independent of any locale.
 bool EqualIgnoringCase(std::string_view aLeft, std::string_view aRight);
+void AppendLowerCase(std::string_view aText, std::string& aTo);
 bool StartsWithIgnoringCase(std::string_view aText, std::string_view aPrefix);
 
 } // namespace sardinefold::base
--- a/Base/Digest.h
+++ b/Base/Digest.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <openssl/types.h>
+
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -11,6 +14,22 @@
 using Sha256Value = std::array<std::uint8_t, 32>;
 
 Sha256Value Sha256(std::string_view aData);
+/// A secret made ready to sign many messages with HMAC-SHA256.
+class HmacKey
+{
+public:
+  explicit HmacKey(std::string_view aSecret);
+  Sha256Value Sign(std::string_view aData) const;
+
+private:
+  struct ContextDeleter
+  {
+    void operator()(EVP_MAC_CTX* aContext) const;
+  };
+
+  std::unique_ptr<EVP_MAC_CTX, ContextDeleter> m_keyed;
+};
+
 Sha256Value HmacSha256(std::string_view aSecret, std::string_view aData);
 
 /// Lower-case hexadecimal.
--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -1,7 +1,10 @@
 #include "Base/Http/HttpClient.h"
 
+#include "Base/Http/HttpHead.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -59,21 +62,15 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-http::request<http::string_body> ToMessage(Endpoint const& aEndpoint, HttpRequest& aRequest)
+/// Requests without a body state no length unless their method expects one.
+HttpFraming FramingOf(HttpRequest const& aRequest)
 {
-  http::request<http::string_body> message;
-  message.version(11);
-  message.method_string(aRequest.m_method);
-  message.target(aRequest.m_target);
-  for (auto const& field : aRequest.m_headers.Fields()) {
-    message.insert(field.m_name, field.m_value);
-  }
-  if (message.find(http::field::host) == message.end()) {
-    message.set(http::field::host, aEndpoint.Text());
+  bool const expectsBody =
+    aRequest.m_method == "POST" || aRequest.m_method == "PUT" || aRequest.m_method == "PATCH";
+  if (aRequest.m_body.empty() && !expectsBody) {
+    return {};
   }
-  message.body() = std::move(aRequest.m_body);
-  message.prepare_payload();
-  return message;
+  return { aRequest.m_body.size(), false };
 }
 
 asio::awaitable<boost::system::error_code> Connect(HttpConnection& aConnection, Duration aLimit)
@@ -284,10 +281,12 @@
     co_return tl::make_unexpected(std::move(failure));
   }
   CancelWith(aCancellation, *connection);
-  auto message = ToMessage(aEndpoint, aRequest);
+  auto const head = RenderRequestHead(aRequest, aEndpoint, FramingOf(aRequest));
+  std::array<asio::const_buffer, 2> const message = { asio::buffer(head),
+                                                      asio::buffer(aRequest.m_body) };
   connection->m_stream.expires_after(aHeadLimit);
   auto const [writeError, written] =
-    co_await http::async_write(connection->m_stream, message, kAwait);
+    co_await asio::async_write(connection->m_stream, message, kAwait);
   if (writeError) {
     StopCancelling(aCancellation);
     co_return tl::make_unexpected(ToFailure(writeError, true));
--- a/Base/Http/HttpExchange.cpp
+++ b/Base/Http/HttpExchange.cpp
@@ -1,32 +1,24 @@
 #include "Base/Http/HttpExchange.h"
 
+#include "Base/Http/HttpHead.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http.hpp>
 
 #include <charconv>
-#include <sstream>
 
 namespace sardinefold::base {
 
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
-std::string RenderHead(http::response<http::empty_body> const& aHead)
-{
-  std::ostringstream text;
-  text << aHead.base();
-  return text.str();
-}
-
 } // namespace
 
 HttpExchange::HttpExchange(AnyStream aStream, HttpRequest aRequest, bool aKeepAlive, bool aMayChunk,
@@ -57,17 +49,6 @@
   return error ? std::string() : endpoint.address().to_string();
 }
 
-void HttpExchange::PrepareHead(http::response<http::empty_body>& aHead, unsigned aStatus,
-                               HttpHeaders const& aHeaders) const
-{
-  aHead.version(11);
-  aHead.result(aStatus);
-  for (auto const& field : aHeaders.Fields()) {
-    aHead.insert(field.m_name, field.m_value);
-  }
-  aHead.keep_alive(m_keepAlive);
-}
-
 HttpExchange::Result HttpExchange::Check(boost::system::error_code aError)
 {
   if (!aError) {
@@ -95,10 +76,9 @@
 
 asio::awaitable<HttpExchange::Result> HttpExchange::Respond(HttpResponse aResponse)
 {
-  http::response<http::empty_body> head;
-  PrepareHead(head, aResponse.m_status, aResponse.m_headers);
-  head.content_length(aResponse.m_body.size());
-  auto const text = RenderHead(head);
+  HttpFraming const framing{ aResponse.m_body.size(), false };
+  auto const text =
+    RenderResponseHead(aResponse.m_status, aResponse.m_headers, framing, m_keepAlive);
   auto const body = m_isHead ? asio::const_buffer() : asio::buffer(aResponse.m_body);
   m_started = true;
   Buffers const buffers{ asio::buffer(text), body, asio::const_buffer() };
@@ -113,12 +93,8 @@
   if (!m_mayChunk) {
     m_keepAlive = false;
   }
-  http::response<http::empty_body> head;
-  PrepareHead(head, aStatus, aHeaders);
-  if (m_mayChunk) {
-    head.chunked(true);
-  }
-  auto const text = RenderHead(head);
+  HttpFraming const framing{ std::nullopt, m_mayChunk };
+  auto const text = RenderResponseHead(aStatus, aHeaders, framing, m_keepAlive);
   m_started = true;
   Buffers const buffers{ asio::buffer(text), asio::const_buffer(), asio::const_buffer() };
   co_return co_await WriteBuffers(buffers);
--- a/Base/Http/HttpExchange.h
+++ b/Base/Http/HttpExchange.h
@@ -7,8 +7,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/message.hpp>
 #include <tl/expected.hpp>
 
 #include <array>
@@ -69,9 +67,7 @@
 
 private:
   using Buffers = std::array<boost::asio::const_buffer, 3>;
-  using Head = boost::beast::http::response<boost::beast::http::empty_body>;
 
-  void PrepareHead(Head& aHead, unsigned aStatus, HttpHeaders const& aHeaders) const;
   boost::asio::awaitable<Result> WriteBuffers(Buffers aBuffers);
   boost::beast::tcp_stream& Lowest();
   Result Check(boost::system::error_code aError);
--- a/Base/Rpc/PeerAuthentication.cpp
+++ b/Base/Rpc/PeerAuthentication.cpp
@@ -1,9 +1,6 @@
 #include "Base/Rpc/PeerAuthentication.h"
 
 #include "Base/CaseInsensitive.h"
-#include "Base/Digest.h"
-
-#include <boost/algorithm/string/case_conv.hpp>
 
 namespace sardinefold::base {
 
@@ -30,13 +27,14 @@
   text.append(aCorrelation).append("\n");
   for (auto const& field : aRequest.m_headers.Fields()) {
     if (IsSignedField(field)) {
-      text.append(boost::algorithm::to_lower_copy(field.m_name)).append(":");
+      AppendLowerCase(field.m_name, text);
+      text.append(":");
       text.append(field.m_value).append("\n");
     }
   }
   text.append("\n");
   text.append(aRequest.m_body);
-  return ToHex(HmacSha256(m_secret, text));
+  return ToHex(m_key.Sign(text));
 }
 
 void PeerAuthentication::Sign(HttpRequest& aRequest) const
--- a/Base/Rpc/PeerAuthentication.h
+++ b/Base/Rpc/PeerAuthentication.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Digest.h"
 #include "Base/Http/HttpMessage.h"
 
 #include <string>
@@ -19,8 +20,8 @@
 class PeerAuthentication
 {
 public:
-  explicit PeerAuthentication(std::string aFleetSecret)
-    : m_secret(std::move(aFleetSecret))
+  explicit PeerAuthentication(std::string_view aFleetSecret)
+    : m_key(aFleetSecret)
   {
   }
 
@@ -33,7 +34,7 @@
 private:
   std::string Signature(HttpRequest const& aRequest, std::string_view aCorrelation) const;
 
-  std::string m_secret;
+  HmacKey m_key;
 };
 
 } // namespace sardinefold::base
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -14,6 +14,7 @@
 
 namespace asio = boost::asio;
 
+constexpr std::size_t kRequestIdBytes = 12;
 constexpr base::Duration kHostPollInterval = std::chrono::seconds(1);
 constexpr base::Duration kHostPollLimit = std::chrono::seconds(2);
 
@@ -22,7 +23,7 @@
   auto const code = aError.m_status == 413 ? caller::RefusalCode::BodyTooLarge
                                            : caller::RefusalCode::InvalidRequest;
   auto const refusal = caller::RefuseAtDoor(code, aError.m_message);
-  auto const request = base::RequestId::FromValidated(base::RandomHex(12));
+  auto const request = base::RequestId::FromValidated(base::RandomHex(kRequestIdBytes));
   auto response = caller::RenderRefusal(refusal, request);
   response.m_status = aError.m_status;
   return response;
