--- a/Entry/Configuration/ConfigurationNode.cpp
+++ b/Entry/Configuration/ConfigurationNode.cpp
@@ -203,9 +203,12 @@
       continue;
     }
     auto const place = PlaceOf(m_self.m_host, aRelays, entry.m_host.Text());
-    // Each relay counts all entries of its failure domain, so that any one of
-    // them can be asked.
-    listeners.push_back({ entry.m_host, place, true });
+    if (place >= kRelaysPerEntry) {
+      continue;
+    }
+    // A relay counts itself.
+    bool const isRelay = std::ranges::find(aRelays, entry.m_host) != aRelays.end();
+    listeners.push_back({ entry.m_host, place, place == 0 && !isRelay });
   }
   return listeners;
 }
--- a/Entry/Configuration/ConfigurationNode.h
+++ b/Entry/Configuration/ConfigurationNode.h
@@ -57,7 +57,8 @@
   /// Answers a request for chunks with a piece of at most kPiece.
   std::vector<operators::Chunk> Serve(ChunkRequest const& aRequest) const;
 
-  /// Counts this process and those it announces to.
+  /// Counts this process, the entries that it tells as their first relay, and
+  /// the agents below them. The relays of a domain together count all of it.
   Tally Count(base::DocumentVersion aVersion) const;
   Follower const& Versions() const { return m_follower; }
   bool IsRelay() const { return m_isRelay; }
--- a/Entry/Configuration/RelayChoice.h
+++ b/Entry/Configuration/RelayChoice.h
@@ -44,7 +44,9 @@
                                std::size_t aMost);
 
 inline constexpr std::size_t kLeastRelays = 3;
-inline constexpr std::size_t kEntriesPerRelay = 27;
+inline constexpr std::size_t kEntriesPerRelay = 18;
+/// Relays that announce to an entry; the first also counts it.
+inline constexpr std::size_t kRelaysPerEntry = 2;
 inline constexpr std::size_t kEntriesPerAgent = 2;
 
 } // namespace sardinefold::entry
--- a/Operator/Document.h
+++ b/Operator/Document.h
@@ -33,6 +33,8 @@
   base::Tokens m_contextTokens;
   unsigned m_minimumReplicas = 0;
   unsigned m_maximumReplicas = 1;
+
+  friend bool operator==(ModelSpec const&, ModelSpec const&) = default;
 };
 
 /// A fine-tuned adapter; a request may name it in place of its model.
@@ -41,6 +43,8 @@
   base::AdapterId m_id;
   base::ModelId m_model;
   base::Bytes m_weights;
+
+  friend bool operator==(AdapterSpec const&, AdapterSpec const&) = default;
 };
 
 /// A customer with its allowance, which holds for the whole fleet.
@@ -49,6 +53,8 @@
   base::WorkspaceId m_id;
   base::TokensPerSecond m_rate;
   base::Tokens m_burst;
+
+  friend bool operator==(WorkspaceSpec const&, WorkspaceSpec const&) = default;
 };
 
 /// A key of a workspace; the document holds only its hash.
@@ -57,6 +63,8 @@
   base::KeyId m_id;
   base::WorkspaceId m_workspace;
   base::Sha256Value m_hash;
+
+  friend bool operator==(KeySpec const&, KeySpec const&) = default;
 };
 
 enum class UpstreamKind
@@ -80,6 +88,8 @@
   unsigned m_concurrency = 1;
   /// Whether the engine refuses orders with an old fencing number.
   bool m_checksFencing = false;
+
+  friend bool operator==(UpstreamSpec const&, UpstreamSpec const&) = default;
 };
 
 /// Where requests of a path prefix go and how they are treated. The routes of
@@ -96,6 +106,8 @@
   RequestClass m_class = RequestClass::Standard;
   /// From the request's arrival to the first byte of its answer.
   base::Duration m_deadline{};
+
+  friend bool operator==(RouteSpec const&, RouteSpec const&) = default;
 };
 
 /// One environment's document, checked.
--- /dev/null
+++ b/Operator/DocumentDifference.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Operator/Document.h"
+
+#include <string>
+#include <vector>
+
+namespace sardinefold::operators {
+
+enum class ChangeKind
+{
+  Added,
+  Removed,
+  Changed
+};
+
+std::string_view ToText(ChangeKind aKind);
+
+/// One entry in which two documents differ.
+struct DocumentChange
+{
+  ChangeKind m_kind;
+  /// The entry as a JSON Pointer.
+  std::string m_path;
+};
+
+/// What changes from one document to another, section by section.
+std::vector<DocumentChange> CompareDocuments(Document const& aBefore, Document const& aAfter);
+
+} // namespace sardinefold::operators
--- /dev/null
+++ b/Operator/DocumentStoreClient.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "Base/Digest.h"
+#include "Base/EventLoop.h"
+#include "Operator/ChunkCodec.h"
+#include "Operator/ManifestCodec.h"
+#include "Operator/Publication.h"
+#include "Platform/ObjectStoreClient.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace sardinefold::operators {
+
+/// Why documents could not be read from the platform.
+struct DocumentStoreError
+{
+  std::string m_message;
+};
+
+/// Reads and publishes documents in the platform's object API.
+template<platform::ObjectStore Store>
+class DocumentStoreClient
+{
+public:
+  template<typename Value>
+  using Result = tl::expected<Value, DocumentStoreError>;
+  template<typename Value>
+  using Task = boost::asio::awaitable<Result<Value>>;
+
+  DocumentStoreClient(base::EventLoop& aLoop, Store& aStore)
+    : m_loop(aLoop)
+    , m_store(aStore)
+  {
+  }
+
+  /// None if the environment has no document.
+  Task<std::optional<StoredManifest>> ReadManifest(base::EnvironmentId aEnvironment)
+  {
+    platform::ObjectKey key{ platform::ObjectKind::Document,
+                             platform::ObjectName::FromValidated(aEnvironment.Text()) };
+    auto const object =
+      co_await m_store.Get(std::move(key), kCallTime, platform::CallPurpose::Configuration);
+    if (!object) {
+      if (object.error().m_kind == platform::ReadError::Kind::NotFound) {
+        co_return std::optional<StoredManifest>();
+      }
+      co_return Fail("the manifest cannot be read: " + object.error().m_detail);
+    }
+    auto manifest = ParseManifest(object->m_value);
+    if (!manifest) {
+      co_return Fail("the manifest is malformed: " + ToText(manifest.error()));
+    }
+    co_return StoredManifest{ std::move(*manifest), object->m_version };
+  }
+
+  Task<Chunk> ReadChunk(ChunkHash aHash)
+  {
+    platform::ObjectKey key{ platform::ObjectKind::Chunk,
+                             platform::ObjectName::FromValidated(aHash.Text()) };
+    auto const object =
+      co_await m_store.Get(std::move(key), kCallTime, platform::CallPurpose::Configuration);
+    if (!object) {
+      co_return Fail("chunk " + aHash.Text() + " cannot be read: " + object.error().m_detail);
+    }
+    auto chunk = ParseChunk(object->m_value);
+    if (!chunk || chunk->m_hash != aHash) {
+      co_return Fail("chunk " + aHash.Text() + " does not have the content of its name");
+    }
+    co_return std::move(*chunk);
+  }
+
+  /// Reads a version whole. Chunks read before are not read again.
+  Task<Document> ReadDocument(base::EnvironmentId aEnvironment, VersionRecord aRecord)
+  {
+    std::vector<ChunkHash> open{ aRecord.m_root };
+    std::map<ChunkHash, Chunk> chunks;
+    while (!open.empty()) {
+      auto const hash = open.back();
+      open.pop_back();
+      auto known = m_chunks.find(hash);
+      if (known == m_chunks.end()) {
+        auto read = co_await ReadChunk(hash);
+        if (!read) {
+          co_return tl::make_unexpected(read.error());
+        }
+        known = m_chunks.emplace(hash, std::move(*read)).first;
+      }
+      auto const& chunk = chunks.emplace(hash, known->second).first->second;
+      open.insert(open.end(), chunk.m_children.begin(), chunk.m_children.end());
+    }
+    auto const find = [&chunks](ChunkHash const& aHash) -> Chunk const* {
+      auto const chunk = chunks.find(aHash);
+      return chunk == chunks.end() ? nullptr : &chunk->second;
+    };
+    auto document = JoinDocument(aEnvironment, aRecord, find);
+    m_chunks = std::move(chunks);
+    if (!document) {
+      co_return Fail("the document in the platform is not valid: " + ToText(document.error()));
+    }
+    co_return std::move(*document);
+  }
+
+  /// Carries out a publication to its end. Chunks known to be in the platform
+  /// are not written again.
+  boost::asio::awaitable<tl::expected<PublishedStep, PublicationFailure>> Publish(
+    PublicationRequest aRequest, base::Duration aLimit)
+  {
+    std::erase_if(aRequest.m_chunks,
+                  [this](Chunk const& aChunk) { return m_chunks.contains(aChunk.m_hash); });
+    auto const environment = aRequest.m_environment;
+    Publication publication(std::move(aRequest), m_loop.Now() + aLimit);
+    auto step = publication.Start(m_loop.Now());
+    while (true) {
+      if (auto const* published = std::get_if<PublishedStep>(&step)) {
+        co_return *published;
+      }
+      if (auto const* failure = std::get_if<PublicationFailure>(&step)) {
+        co_return tl::make_unexpected(*failure);
+      }
+      if (auto const* wait = std::get_if<WaitStep>(&step)) {
+        co_await m_loop.Sleep(wait->m_until - m_loop.Now());
+        step = publication.Resume(m_loop.Now());
+      } else if (auto const* chunk = std::get_if<WriteChunkStep>(&step)) {
+        auto write = ChunkWrite(chunk->m_chunk);
+        auto const result = co_await Write(std::move(write));
+        step = publication.OnChunkWritten(result, m_loop.Now());
+      } else if (auto const* manifest = std::get_if<WriteManifestStep>(&step)) {
+        auto write = ManifestWrite(*manifest);
+        auto const result = co_await Write(std::move(write));
+        step = publication.OnManifestWritten(result, m_loop.Now());
+      } else {
+        auto read = co_await ReadManifest(environment);
+        step = read ? publication.OnManifest(std::move(*read), m_loop.Now())
+                    : publication.OnReadFailed(m_loop.Now());
+      }
+    }
+  }
+
+private:
+  static constexpr base::Duration kCallTime = std::chrono::seconds(2);
+  static constexpr std::size_t kNonceBytes = 12;
+
+  static tl::unexpected<DocumentStoreError> Fail(std::string aMessage)
+  {
+    return tl::make_unexpected(DocumentStoreError{ std::move(aMessage) });
+  }
+
+  static platform::ObjectWrite ChunkWrite(Chunk const& aChunk)
+  {
+    platform::ObjectWrite write;
+    write.m_key = { platform::ObjectKind::Chunk,
+                    platform::ObjectName::FromValidated(aChunk.m_hash.Text()) };
+    write.m_condition = platform::IfAbsent{};
+    write.m_value = aChunk.m_text;
+    return write;
+  }
+
+  static platform::ObjectWrite ManifestWrite(WriteManifestStep const& aStep)
+  {
+    platform::ObjectWrite write;
+    auto const& name = aStep.m_manifest.m_environment.Text();
+    write.m_key = { platform::ObjectKind::Document, platform::ObjectName::FromValidated(name) };
+    write.m_condition = platform::IfAbsent{};
+    if (aStep.m_expected) {
+      write.m_condition = platform::IfVersion{ *aStep.m_expected };
+    }
+    write.m_value = RenderManifest(aStep.m_manifest);
+    return write;
+  }
+
+  /// One attempt; a publication resolves what stays open.
+  boost::asio::awaitable<WriteResult> Write(platform::ObjectWrite aWrite)
+  {
+    aWrite.m_nonce = platform::WriteNonce::FromValidated(base::RandomHex(kNonceBytes));
+    auto const written =
+      co_await m_store.Write(std::move(aWrite), kCallTime, platform::CallPurpose::Configuration);
+    if (written) {
+      co_return WriteResult::Written;
+    }
+    auto const kind = written.error().m_kind;
+    if (kind == platform::WriteError::Kind::Conflict) {
+      co_return WriteResult::ConditionFailed;
+    }
+    co_return platform::IsCertainlyNotApplied(kind) ? WriteResult::Refused : WriteResult::Unknown;
+  }
+
+  base::EventLoop& m_loop;
+  Store& m_store;
+  /// Of the version read last, known to be in the platform.
+  std::map<ChunkHash, Chunk> m_chunks;
+};
+
+} // namespace sardinefold::operators
--- a/Programs/Entry.cpp
+++ b/Programs/Entry.cpp
@@ -27,6 +27,8 @@
       { "fleet-secret", SettingKind::Secret,
         "Secret that all processes of the fleet share; signs what they send one another",
         std::nullopt },
+      { "operator-token", SettingKind::Secret,
+        "Token that operators present; empty refuses all operators", "" },
       { "document", SettingKind::Text,
         "File with a document to serve until the platform has given one", "" },
       { "tls-certificate", SettingKind::Text,
--- a/Programs/Entry/EntryBackend.h
+++ b/Programs/Entry/EntryBackend.h
@@ -33,6 +33,14 @@
   void SetHosts(std::vector<agent::AgentHost> aHosts);
   /// Follows the agents' status for as long as the program runs.
   boost::asio::awaitable<void> FollowAgents() { return m_status.Run(); }
+  /// The same for the configuration relay (entry::DocumentApplier); every valid
+  /// document can be put in force.
+  tl::expected<void, std::string> ApplyDocument(
+    std::unique_ptr<operators::Document const> aDocument)
+  {
+    Apply(std::move(aDocument));
+    return {};
+  }
   void StartDraining() { m_isDraining = true; }
 
   // What the callers' endpoint needs (caller::CallerBackend).
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -18,6 +18,48 @@
 constexpr base::Duration kHostPollInterval = std::chrono::seconds(1);
 constexpr base::Duration kHostPollLimit = std::chrono::seconds(2);
 
+/// The share of one entry in the calls that the platform admits.
+platform::CallRates RatesOf(entry::FleetView const& aEntries, std::size_t aAgents)
+{
+  platform::FleetSize size;
+  size.m_entries = std::max(1U, static_cast<std::uint32_t>(aEntries.m_entries.size()));
+  size.m_engineAgents = static_cast<std::uint32_t>(aAgents);
+  return platform::ShareOf(platform::kPlatformRates, size, platform::ProcessRole::Entry);
+}
+
+/// Differs from one start of a process to the next.
+std::uint64_t RandomSeed()
+{
+  return base::FastHash(base::RandomHex(8));
+}
+
+/// The entries of the platform's answer.
+entry::FleetView ReadEntries(Json::Value const& aList)
+{
+  entry::FleetView view;
+  for (auto const& row : aList["hosts"]) {
+    if (row["role"].asString() != "entry") {
+      continue;
+    }
+    view.m_entries.push_back(
+      { base::HostId::FromValidated(row["host"].asString()),
+        base::FailureDomainId::FromValidated(row["failure_domain"].asString()) });
+  }
+  return view;
+}
+
+std::map<base::HostId, base::Endpoint> ReadAddresses(Json::Value const& aList)
+{
+  std::map<base::HostId, base::Endpoint> addresses;
+  for (auto const& row : aList["hosts"]) {
+    if (auto endpoint = base::Endpoint::Parse(row["address"].asString())) {
+      auto const host = base::HostId::FromValidated(row["host"].asString());
+      addresses.insert_or_assign(host, std::move(*endpoint));
+    }
+  }
+  return addresses;
+}
+
 base::HttpResponse RenderProtocolError(base::HttpRequestError const& aError)
 {
   auto const code = aError.m_status == 413 ? caller::RefusalCode::BodyTooLarge
@@ -74,6 +116,17 @@
   , m_backend(aLoop, m_http, m_authentication)
   , m_callerMetrics(m_metrics)
   , m_callers(aLoop, m_backend, m_callerMetrics, CallerSettingsOf(aSettings))
+  , m_budget(RatesOf({}, 0), RandomSeed(), aLoop.Now())
+  , m_breaker({}, RandomSeed())
+  , m_platform(aLoop, m_http, aSettings.Address("platform"), m_budget, m_breaker, m_metrics)
+  , m_news(aLoop,
+           { { base::HostId::FromValidated(aSettings.Text("host")),
+               base::FailureDomainId::FromValidated(aSettings.Text("failure-domain")) },
+             entry::ProcessRole::Entry,
+             base::EnvironmentId::FromValidated(aSettings.Text("environment")) },
+           m_platform, base::RpcClient(m_http, m_authentication), m_backend, RandomSeed())
+  , m_operators(aLoop, m_platform, aSettings.Text("operator-token"),
+                [this] { return RenderStatus(); })
   , m_server(
       aLoop, ServerLimits(aSettings),
       [this](base::HttpExchange& aExchange) { return Handle(aExchange); }, RenderProtocolError)
@@ -93,6 +146,8 @@
   if (auto const listening = m_server.Listen(m_settings.Address("listen")); !listening) {
     return listening;
   }
+  m_news.Register(m_rpc);
+  m_loop.Start(m_news.Run());
   m_loop.Start(FollowHosts());
   m_loop.Start(m_backend.FollowAgents());
   base::log::Info("ready", { { "listen", m_settings.Text("listen") } });
@@ -159,7 +214,11 @@
       co_await m_http.Fetch(m_settings.Address("platform"), std::move(request), kHostPollLimit);
     if (response && response->m_status == 200) {
       if (auto const list = base::ParseJson(response->m_body)) {
-        m_backend.SetHosts(ReadHosts(*list));
+        auto const agents = ReadHosts(*list);
+        auto entries = ReadEntries(*list);
+        m_budget.SetRates(RatesOf(entries, agents.size()), m_loop.Now());
+        m_backend.SetHosts(agents);
+        m_news.SetView(std::move(entries), ReadAddresses(*list));
         m_hasHosts = true;
       }
     }
@@ -173,6 +232,8 @@
   base::HttpResponse response;
   if (path == base::kRpcTarget) {
     response = m_rpc.Answer(aExchange.Request());
+  } else if (path.starts_with(operators::kOperatorPrefix)) {
+    response = co_await m_operators.Answer(aExchange.Request());
   } else if (path == "/healthz") {
     response = base::JsonResponse(200, R"({"status":"ok"})");
   } else if (path == "/readyz") {
@@ -187,6 +248,15 @@
   co_await aExchange.Respond(std::move(response));
 }
 
+asio::awaitable<std::string> EntryProgram::RenderStatus()
+{
+  auto const tally = co_await m_news.CountFleet();
+  auto status = entry::WriteTally(tally);
+  status["environment"] = m_settings.Text("environment");
+  status["host"] = m_settings.Text("host");
+  co_return base::RenderJson(status);
+}
+
 base::HttpResponse EntryProgram::ReadyResponse() const
 {
   bool const isReady = m_backend.CurrentDocument() && m_hasHosts && !m_backend.IsDraining();
@@ -197,6 +267,7 @@
 asio::awaitable<void> EntryProgram::Shutdown()
 {
   m_backend.StartDraining();
+  m_news.Stop();
   base::log::Info("draining", { { "open", std::to_string(m_server.OpenExchanges()) } });
   auto const left = co_await m_server.Drain(m_settings.Milliseconds("drain-ms"));
   base::log::Info("stopped", { { "cut", std::to_string(left) } });
--- a/Programs/Entry/EntryProgram.h
+++ b/Programs/Entry/EntryProgram.h
@@ -9,6 +9,9 @@
 #include "Base/Settings.h"
 #include "Caller/CallerEndpoint.h"
 #include "Caller/CallerMetrics.h"
+#include "Entry/Configuration/NewsEndpoint.h"
+#include "Operator/OperatorEndpoint.h"
+#include "Platform/ObjectClient.h"
 #include "Programs/Entry/EntryBackend.h"
 
 #include <string>
@@ -34,6 +37,8 @@
   tl::expected<void, std::string> LoadDocument(std::string const& aPath);
   tl::expected<void, std::string> LoadCertificate();
   boost::asio::awaitable<void> FollowHosts();
+  /// The fleet's configuration for operators, as JSON text.
+  boost::asio::awaitable<std::string> RenderStatus();
 
   base::EventLoop& m_loop;
   base::Settings const& m_settings;
@@ -44,6 +49,11 @@
   EntryBackend m_backend;
   caller::CallerMetrics m_callerMetrics;
   caller::CallerEndpoint<EntryBackend> m_callers;
+  platform::CallBudget m_budget;
+  platform::CircuitBreaker m_breaker;
+  platform::ObjectClient m_platform;
+  entry::NewsEndpoint<platform::ObjectClient, EntryBackend> m_news;
+  operators::OperatorEndpoint<platform::ObjectClient> m_operators;
   base::HttpServer m_server;
   bool m_hasHosts = false;
 };
--- a/Tests/Fakes/FakeNewsFleet.cpp
+++ b/Tests/Fakes/FakeNewsFleet.cpp
@@ -379,9 +379,8 @@
   entry::Tally tally;
   tally.m_version = aVersion;
   for (std::size_t domain = 0; domain < m_shape.m_failureDomains; ++domain) {
-    auto const relays = Relays(domain);
-    if (!relays.empty()) {
-      tally.Add(Node(relays.front()).Count(aVersion));
+    for (auto const& relay : Relays(domain)) {
+      tally.Add(Node(relay).Count(aVersion));
     }
   }
   return tally;
--- a/Tests/Fakes/FakeNewsFleet.h
+++ b/Tests/Fakes/FakeNewsFleet.h
@@ -52,7 +52,7 @@
   entry::ConfigurationNode const& Node(base::HostId const& aHost) const;
   /// Whether every live process has the version in force.
   bool IsInForce(base::DocumentVersion aVersion) const;
-  /// Counts by one relay of each failure domain.
+  /// Counts by all relays together.
   entry::Tally Count(base::DocumentVersion aVersion) const;
   /// Times when a process put a lower version in force than before.
   std::size_t Reversions() const { return m_reversions; }
