--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -20,6 +20,7 @@
 step format Meta/format.sh --check
 step shape Meta/check-shape.sh
 step build Meta/build.sh
+step settings Meta/settings.sh --check
 step lint Meta/lint.py
 step tests ctest --test-dir Build -j 4 --output-on-failure
 if [ -s KNOWN-RED.txt ]; then
