--- a/Meta/demo.py
+++ b/Meta/demo.py
@@ -29,10 +29,19 @@
     return status, answer_headers, data.decode(), time.monotonic() - start
 
 
+def order_body(text):
+    return json.dumps({"pickup": text})
+
+
+def order_hash(text):
+    """The content hash under which the service's log shows an order."""
+    return hashlib.sha256(order_body(text).encode()).hexdigest()
+
+
 def order(fleet, entry, key, text):
     headers = {"Authorization": "Bearer " + KEYS["curtains-demo"], "Content-Type": "application/json",
                "Idempotency-Key": key}
-    return call(fleet.ports[entry], "POST", "/booking/orders", {"pickup": text}, headers)
+    return call(fleet.ports[entry], "POST", "/booking/orders", order_body(text), headers)
 
 
 def ran(fleet, upstream):
@@ -43,7 +52,7 @@
 
 def control(fleet, *arguments, expect=0):
     command = [str(BUILD / "sardinefoldctl"), *arguments, f"--entry={fleet.address('entry-1')}",
-               f"--token={OPERATOR_TOKEN}"]
+               f"--operator-token={OPERATOR_TOKEN}"]
     result = subprocess.run(command, capture_output=True, text=True, timeout=30)
     if result.returncode != expect:
         raise RuntimeError(f"{' '.join(arguments)}: status {result.returncode}\n{result.stdout}{result.stderr}")
