Bench: Name the allowances' figures by benchmark

--only takes limit, fairness and keys as Meta/bench.sh passes them; the fleet of 1,400 entries takes minutes and runs as scale, by name only.

--- a/Bench/AllowanceBench.cpp
+++ b/Bench/AllowanceBench.cpp
@@ -34,13 +34,21 @@
   AtLeast
 };
 
-/// Prints results and remembers whether all held.
+/// Prints the wanted results and remembers whether all of them held.
 class Report
 {
 public:
+  explicit Report(std::string aOnly)
+    : m_only(std::move(aOnly))
+  {
+  }
+
   void Add(std::string_view aBench, std::string const& aMetric, double aValue, double aBound,
            BoundKind aKind)
   {
+    if (!IsWanted(aBench)) {
+      return;
+    }
     bool const isOk = aKind == BoundKind::AtMost ? aValue <= aBound : aValue >= aBound;
     m_isOk = m_isOk && isOk;
     Begin(aBench, aMetric, aValue);
@@ -50,6 +58,9 @@
 
   void AddBaseline(std::string_view aBench, std::string const& aMetric, double aValue)
   {
+    if (!IsWanted(aBench)) {
+      return;
+    }
     Begin(aBench, aMetric, aValue);
     std::cout << ",\"baseline\":true}" << std::endl;
   }
@@ -63,6 +74,9 @@
               << "\",\"value\":" << aValue;
   }
 
+  bool IsWanted(std::string_view aBench) const { return m_only.empty() || m_only == aBench; }
+
+  std::string m_only;
   bool m_isOk = true;
 };
 
@@ -190,32 +204,41 @@
   Service
 };
 
-void Judge(Report& aReport, AllowanceScenario const& aScenario, Promise aPromise)
+/// The names under which a scenario's figures are printed.
+struct FigureNames
+{
+  std::string_view m_limit = "limit";
+  std::string_view m_fairness = "fairness";
+};
+
+void Judge(Report& aReport, AllowanceScenario const& aScenario, Promise aPromise,
+           FigureNames aNames = {})
 {
   AllowanceResult const result = AllowanceFleet(aScenario).Run();
   std::string const& name = aScenario.m_name;
-  aReport.Add("limit", "max_over_allowance." + name, result.m_maxOverAllowance, 1.0,
+  std::string_view const limit = aNames.m_limit;
+  std::string_view const fairness = aNames.m_fairness;
+  aReport.Add(limit, "max_over_allowance." + name, result.m_maxOverAllowance, 1.0,
               BoundKind::AtMost);
   if (aPromise == Promise::Limit) {
-    aReport.AddBaseline("limit", "served_under_faults." + name,
-                        static_cast<double>(result.m_served));
+    aReport.AddBaseline(limit, "served_under_faults." + name, static_cast<double>(result.m_served));
     return;
   }
-  aReport.Add("limit", "wrong_refusals." + name, WrongPart(result), 0.001, BoundKind::AtMost);
-  aReport.Add("fairness", "worst_workspace." + name, result.m_worstWorkspace, 0.95,
+  aReport.Add(limit, "wrong_refusals." + name, WrongPart(result), 0.001, BoundKind::AtMost);
+  aReport.Add(fairness, "worst_workspace." + name, result.m_worstWorkspace, 0.95,
               BoundKind::AtLeast);
-  aReport.Add("limit", "node_bytes_per_second." + name, result.m_bytesPerSecond, kNodeByteBudget,
+  aReport.Add(limit, "node_bytes_per_second." + name, result.m_bytesPerSecond, kNodeByteBudget,
               BoundKind::AtMost);
-  aReport.Add("limit", "platform_calls_per_second." + name, result.m_platformCallsPerSecond,
+  aReport.Add(limit, "platform_calls_per_second." + name, result.m_platformCallsPerSecond,
               kPlatformCallBudget, BoundKind::AtMost);
   AllowanceScenario oneOwner = aScenario;
   oneOwner.m_layout.m_shares = 1;
   AllowanceResult const single = AllowanceFleet(oneOwner).Run();
   AllowanceResult const fixed = RunStaticShares(aScenario);
-  aReport.AddBaseline("limit", "wrong_refusals_one_owner." + name, WrongPart(single));
-  aReport.AddBaseline("fairness", "worst_workspace_one_owner." + name, single.m_worstWorkspace);
-  aReport.AddBaseline("limit", "wrong_refusals_static_shares." + name, WrongPart(fixed));
-  aReport.AddBaseline("fairness", "worst_workspace_static_shares." + name, fixed.m_worstWorkspace);
+  aReport.AddBaseline(limit, "wrong_refusals_one_owner." + name, WrongPart(single));
+  aReport.AddBaseline(fairness, "worst_workspace_one_owner." + name, single.m_worstWorkspace);
+  aReport.AddBaseline(limit, "wrong_refusals_static_shares." + name, WrongPart(fixed));
+  aReport.AddBaseline(fairness, "worst_workspace_static_shares." + name, fixed.m_worstWorkspace);
 }
 
 void JudgeDeployments(Report& aReport, std::uint64_t aSeed)
@@ -262,24 +285,20 @@
 {
   Options options;
   if (!ParseOptions(aCount, aArguments, options)) {
-    std::cerr
-      << "usage: AllowanceBench [--only deployments|fleet-100|fleet-1400|keys] [--seed N]\n";
+    std::cerr << "usage: AllowanceBench [--only limit|fairness|keys|scale] [--seed N]\n"
+                 "scale, the fleet of 1,400 entries, takes minutes and runs only by name\n";
     return 2;
   }
-  auto const isWanted = [&](std::string_view aName) {
-    return options.m_only.empty() || options.m_only == aName;
-  };
-  Report report;
-  if (isWanted("deployments")) {
+  std::string const& only = options.m_only;
+  Report report(only);
+  if (only.empty() || only == "limit" || only == "fairness") {
     JudgeDeployments(report, options.m_seed);
-  }
-  if (isWanted("fleet-100")) {
     Judge(report, Named(Fleet(100, options.m_seed), "deaths"), Promise::Service);
   }
-  if (isWanted("fleet-1400")) {
-    Judge(report, Fleet(1400, options.m_seed), Promise::Service);
+  if (only == "scale") {
+    Judge(report, Fleet(1400, options.m_seed), Promise::Service, { "scale", "scale" });
   }
-  if (isWanted("keys")) {
+  if (only.empty() || only == "keys") {
     JudgeWithdrawal(report, options.m_seed);
   }
   return report.IsOk() ? 0 : 1;
