Programs: Keep requests from ejected upstreams at the entry

Cause: the router went on choosing upstreams whose attempts failed. Change: RoutingChooser tells DeploymentHealth how attempts end and excludes what is closed, unless nothing else is left; at most 30% of a deployment is ejected. DeploymentHealth keeps the few that are out, so that a choice need not ask all. No run with real processes shows an ejection yet.

--- a/Agent/UpstreamHealth.cpp
+++ b/Agent/UpstreamHealth.cpp
@@ -164,6 +164,22 @@
   m_machine->process_event(Return{});
 }
 
+bool UpstreamHealth::IsOpen(base::Instant aNow) const
+{
+  switch (State()) {
+    case HealthState::Healthy:
+    case HealthState::Suspected:
+      return true;
+    case HealthState::Ejected:
+      return aNow >= m_until;
+    case HealthState::Probing:
+      return !m_probeEnd || aNow >= *m_probeEnd;
+    case HealthState::Leaving:
+      return false;
+  }
+  return false;
+}
+
 bool UpstreamHealth::TakeRequest(base::Instant aNow)
 {
   Tick(aNow);
@@ -198,12 +214,35 @@
 void DeploymentHealth::Remove(base::UpstreamId const& aUpstream)
 {
   m_upstreams.erase(aUpstream);
+  m_out.erase(aUpstream);
 }
 
-std::size_t DeploymentHealth::Ejected() const
+void DeploymentHealth::Follow(base::UpstreamId const& aUpstream, UpstreamHealth const& aHealth)
 {
-  return static_cast<std::size_t>(
-    std::ranges::count_if(m_upstreams, [](auto const& aEntry) { return aEntry.second.IsOut(); }));
+  if (aHealth.IsOut()) {
+    m_out.insert(aUpstream);
+  } else {
+    m_out.erase(aUpstream);
+  }
+}
+
+std::vector<base::UpstreamId> DeploymentHealth::Closed(base::Instant aNow) const
+{
+  std::vector<base::UpstreamId> closed;
+  for (auto const& upstream : m_out) {
+    if (!m_upstreams.at(upstream).IsOpen(aNow)) {
+      closed.push_back(upstream);
+    }
+  }
+  return closed;
+}
+
+void DeploymentHealth::OnInconclusive(base::UpstreamId const& aUpstream)
+{
+  auto const found = m_upstreams.find(aUpstream);
+  if (found != m_upstreams.end()) {
+    found->second.OnInconclusive();
+  }
 }
 
 bool DeploymentHealth::MayEject(base::UpstreamId const& aUpstream) const
@@ -222,6 +261,7 @@
   auto const found = m_upstreams.find(aUpstream);
   if (found != m_upstreams.end()) {
     found->second.OnServed(aNow);
+    Follow(aUpstream, found->second);
   }
 }
 
@@ -230,6 +270,7 @@
   auto const found = m_upstreams.find(aUpstream);
   if (found != m_upstreams.end()) {
     found->second.OnFailed(MayEject(aUpstream), aNow);
+    Follow(aUpstream, found->second);
   }
 }
 
@@ -244,6 +285,7 @@
   } else {
     found->second.OnReturned();
   }
+  Follow(aUpstream, found->second);
 }
 
 bool DeploymentHealth::TakeRequest(base::UpstreamId const& aUpstream, base::Instant aNow)
--- a/Agent/UpstreamHealth.h
+++ b/Agent/UpstreamHealth.h
@@ -7,7 +7,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
+#include <vector>
 
 namespace sardinefold::agent {
 
@@ -51,6 +53,8 @@
   /// aMayEject is false while too many others are ejected: the upstream then
   /// stays suspected.
   void OnFailed(bool aMayEject, base::Instant aNow);
+  /// A request ended in a way that tells nothing of the upstream.
+  void OnInconclusive() { m_probeEnd.reset(); }
   /// Time passed.
   void Tick(base::Instant aNow);
   void OnLeaving();
@@ -60,6 +64,8 @@
   /// Whether a request may go to it. In the state Probing that is true once,
   /// until the probe's end; the caller that takes it must send.
   bool TakeRequest(base::Instant aNow);
+  /// Whether TakeRequest() would be true.
+  bool IsOpen(base::Instant aNow) const;
   HealthState State() const;
   bool IsOut() const;
 
@@ -87,19 +93,25 @@
   void Remove(base::UpstreamId const& aUpstream);
   void OnServed(base::UpstreamId const& aUpstream, base::Instant aNow);
   void OnFailed(base::UpstreamId const& aUpstream, base::Instant aNow);
+  void OnInconclusive(base::UpstreamId const& aUpstream);
   void SetLeaving(base::UpstreamId const& aUpstream, bool aIsLeaving);
   /// False for an upstream that was not added.
   bool TakeRequest(base::UpstreamId const& aUpstream, base::Instant aNow);
 
-  std::size_t Ejected() const;
+  /// The ejected and probing upstreams that may get no request now.
+  std::vector<base::UpstreamId> Closed(base::Instant aNow) const;
+  std::size_t Ejected() const { return m_out.size(); }
   std::optional<HealthState> StateOf(base::UpstreamId const& aUpstream) const;
 
 private:
   bool MayEject(base::UpstreamId const& aUpstream) const;
+  void Follow(base::UpstreamId const& aUpstream, UpstreamHealth const& aHealth);
 
   HealthLimits m_limits;
   double m_largestShare;
   std::map<base::UpstreamId, UpstreamHealth> m_upstreams;
+  /// Those for which IsOut() holds; few, so that a choice need not ask all.
+  std::set<base::UpstreamId> m_out;
 };
 
 } // namespace sardinefold::agent
--- a/Programs/Entry/RoutingChooser.cpp
+++ b/Programs/Entry/RoutingChooser.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Of a deployment's upstreams, the most that are ejected at once.
+constexpr double kLargestEjectedShare = 0.3;
+
 /// Stands in the router for the calls of a deployment of plain services.
 base::ModelId ServiceOf(base::DeploymentId const& aDeployment)
 {
@@ -67,6 +70,7 @@
     for (auto const& agent : m_directory.AgentsOf(deployment)) {
       m_router.SetUpstream({ agent.m_upstream, agent.m_failureDomain, {}, agent.m_concurrency });
       m_router.SetAvailable(agent.m_upstream, !agent.m_isLeaving);
+      HealthOf(deployment).Add(agent.m_upstream);
       listed.insert(agent.m_upstream);
     }
   }
@@ -76,6 +80,9 @@
   for (auto const& upstream : m_listed) {
     if (!listed.contains(upstream)) {
       m_router.SetAvailable(upstream, false);
+      for (auto& [deployment, health] : m_health) {
+        health.Remove(upstream);
+      }
     }
   }
   for (auto const& [deployment, contents] : m_deployments) {
@@ -148,7 +155,15 @@
 {
   auto query = QueryFor(aRequest);
   query.m_excluded.assign(aExcluded.begin(), aExcluded.end());
-  auto const decision = m_router.Find(query, aNow);
+  auto const healthy = query.m_excluded.size();
+  auto const closed = HealthOf(aRequest.m_deployment).Closed(aNow);
+  query.m_excluded.insert(query.m_excluded.end(), closed.begin(), closed.end());
+  auto decision = m_router.Find(query, aNow);
+  if (!decision && !closed.empty()) {
+    // An ejected upstream may have recovered; none at all serves nobody.
+    query.m_excluded.resize(healthy);
+    decision = m_router.Find(query, aNow);
+  }
   if (!decision) {
     return std::nullopt;
   }
@@ -161,13 +176,34 @@
 void RoutingChooser::NoteSent(agent::DispatchRequest const& aRequest,
                               base::UpstreamId const& aUpstream, base::Instant aNow)
 {
+  HealthOf(aRequest.m_deployment).TakeRequest(aUpstream, aNow);
   auto const ticket = m_router.OnSent(QueryFor(aRequest), aUpstream, aNow);
   m_tickets.insert_or_assign(aRequest.m_id, ticket);
 }
 
-void RoutingChooser::NoteEnded(agent::DispatchRequest const& aRequest, base::UpstreamId const&,
-                               agent::AttemptEnd, base::Instant)
+agent::DeploymentHealth& RoutingChooser::HealthOf(base::DeploymentId const& aDeployment)
+{
+  return m_health.try_emplace(aDeployment, agent::HealthLimits{}, kLargestEjectedShare)
+    .first->second;
+}
+
+void RoutingChooser::NoteEnded(agent::DispatchRequest const& aRequest,
+                               base::UpstreamId const& aUpstream, agent::AttemptEnd aEnd,
+                               base::Instant aNow)
 {
+  auto& health = HealthOf(aRequest.m_deployment);
+  switch (aEnd) {
+    case agent::AttemptEnd::Served:
+      health.OnServed(aUpstream, aNow);
+      break;
+    case agent::AttemptEnd::Failed:
+      health.OnFailed(aUpstream, aNow);
+      break;
+    case agent::AttemptEnd::Refused:
+    case agent::AttemptEnd::Cancelled:
+      health.OnInconclusive(aUpstream);
+      break;
+  }
   auto const ticket = m_tickets.extract(aRequest.m_id);
   if (!ticket.empty()) {
     m_router.OnDone(ticket.mapped());
--- a/Programs/Entry/RoutingChooser.h
+++ b/Programs/Entry/RoutingChooser.h
@@ -4,6 +4,7 @@
 #include "Agent/AgentStatus.h"
 #include "Agent/DispatchPolicy.h"
 #include "Agent/Routing/Router.h"
+#include "Agent/UpstreamHealth.h"
 
 #include <map>
 #include <set>
@@ -43,6 +44,8 @@
     bool m_isService = false;
   };
 
+  agent::DeploymentHealth& HealthOf(base::DeploymentId const& aDeployment);
+
   agent::RouteQuery QueryFor(agent::DispatchRequest const& aRequest) const;
   void PlaceEverywhere(base::DeploymentId const& aDeployment);
 
@@ -52,6 +55,7 @@
   /// What each agent told to hold, to see what it holds no more.
   std::map<base::UpstreamId, std::set<engine::ReplicaKey>> m_held;
   std::set<base::UpstreamId> m_listed;
+  std::map<base::DeploymentId, agent::DeploymentHealth> m_health;
   std::map<base::RequestId, agent::RouteTicket> m_tickets;
 };
 
--- a/Tests/UpstreamHealthTest.cpp
+++ b/Tests/UpstreamHealthTest.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace sardinefold;
 using namespace std::chrono_literals;
 using agent::DeploymentHealth;
@@ -135,7 +137,11 @@
   for (int round = 0; round < 50; ++round) {
     auto const now = kStart + 100ms * round;
     for (std::size_t number = 0; number < kUpstreams; ++number) {
-      if (deployment.TakeRequest(Upstream(number), now)) {
+      auto const closed = deployment.Closed(now);
+      bool const isClosed = std::ranges::find(closed, Upstream(number)) != closed.end();
+      bool const mayTake = deployment.TakeRequest(Upstream(number), now);
+      BOOST_TEST(mayTake != isClosed);
+      if (mayTake) {
         deployment.OnFailed(Upstream(number), now);
       }
       BOOST_TEST(deployment.Ejected() <= 3U);
