Platform: Ask the circuit before the budget

Cause: a call that the open circuit refused had been charged to the budget first, so ten claims refused in an outage used up the claims' advance, and an agent with one write in two minutes had none left when the platform returned. Change: the circuit is asked first, by a question that changes nothing. Result: 20 writes refused by an open circuit charge no call (AnOpenCircuitSendsNothingAndSpendsNoBudget).

--- a/Platform/CircuitBreaker.cpp
+++ b/Platform/CircuitBreaker.cpp
@@ -165,6 +165,11 @@
   return m_machine->m_isAllowed;
 }
 
+bool CircuitBreaker::IsRefusing(base::Instant aNow) const
+{
+  return State() != CircuitState::Closed && aNow < m_machine->m_probeAt;
+}
+
 void CircuitBreaker::NoteSuccess(base::Instant)
 {
   m_machine->process_event(CallSucceeded{});
--- a/Platform/CircuitBreaker.h
+++ b/Platform/CircuitBreaker.h
@@ -37,6 +37,8 @@
   /// Whether a call may be made now. A call that was allowed while the circuit
   /// is not closed is the probe.
   bool Allow(base::Instant aNow);
+  /// Whether Allow() would say no; asking changes nothing.
+  bool IsRefusing(base::Instant aNow) const;
   void NoteSuccess(base::Instant aNow);
   void NoteFailure(base::Instant aNow);
 
--- a/Platform/ObjectClient.cpp
+++ b/Platform/ObjectClient.cpp
@@ -86,6 +86,12 @@
   }
 }
 
+ObjectClient::Answer ObjectClient::RefusedByCircuit()
+{
+  ReadError refused{ ReadError::Kind::CircuitOpen, "the platform failed lately" };
+  return tl::make_unexpected(NoAnswer{ std::move(refused), false });
+}
+
 void ObjectClient::CountBudget(std::string aResult, CallPurpose aPurpose)
 {
   base::MetricLabels const labels{ { "purpose", std::string(ToText(aPurpose)) },
@@ -101,6 +107,11 @@
                                                          CallPurpose aPurpose)
 {
   auto const end = m_loop.Now() + aLimit;
+  // What the circuit refuses must not spend the budget, or nothing would be
+  // left of it when the platform returns.
+  if (m_breaker.IsRefusing(m_loop.Now())) {
+    co_return RefusedByCircuit();
+  }
   auto const admitted = co_await Admit(aKind, end, aPurpose);
   if (!admitted) {
     NoAnswer error{ admitted.error(), false };
@@ -108,9 +119,7 @@
   }
   auto const start = m_loop.Now();
   if (!m_breaker.Allow(start)) {
-    ReadError refused{ ReadError::Kind::CircuitOpen, "the platform failed lately" };
-    NoAnswer error{ std::move(refused), false };
-    co_return tl::make_unexpected(std::move(error));
+    co_return RefusedByCircuit();
   }
   auto const limit = std::max<base::Duration>(end - start, std::chrono::milliseconds(1));
   auto response =
--- a/Platform/ObjectClient.h
+++ b/Platform/ObjectClient.h
@@ -45,6 +45,7 @@
   boost::asio::awaitable<tl::expected<void, ReadError>> Admit(CallKind aKind, base::Instant aEnd,
                                                               CallPurpose aPurpose);
   WriteTask CallToWrite(base::HttpRequest aRequest, base::Duration aLimit, CallPurpose aPurpose);
+  static Answer RefusedByCircuit();
   void ShowState(base::Instant aNow);
   void CountBudget(std::string aResult, CallPurpose aPurpose);
   void NoteResult(Answer const& aAnswer, base::Instant aStart, CallPurpose aPurpose);
--- a/Tests/PlatformClientTest.cpp
+++ b/Tests/PlatformClientTest.cpp
@@ -162,18 +162,21 @@
              std::string::npos);
 }
 
-BOOST_FIXTURE_TEST_CASE(AnOpenCircuitSendsNothing, Bench)
+BOOST_FIXTURE_TEST_CASE(AnOpenCircuitSendsNothingAndSpendsNoBudget, Bench)
 {
   for (int failure = 0; failure < 3; ++failure) {
     m_breaker.NoteFailure(m_loop.Now() + seconds(60));
   }
   Run([&]() -> awaitable<void> {
     auto write = MakeWrite("m1", IfAbsent{}, "one");
-    auto const refused = co_await m_client->Write(write, kLimit, CallPurpose::Claim);
-    BOOST_REQUIRE(!refused);
-    BOOST_TEST((refused.error().m_kind == WriteError::Kind::CircuitOpen));
+    for (int call = 0; call < 20; ++call) {
+      auto const refused = co_await m_client->Write(write, kLimit, CallPurpose::Claim);
+      BOOST_REQUIRE(!refused);
+      BOOST_TEST((refused.error().m_kind == WriteError::Kind::CircuitOpen));
+    }
   });
   BOOST_TEST(m_standIn.Writes().Admitted() == 0U);
+  BOOST_TEST(m_budget.Admitted(CallKind::Write, CallPurpose::Claim) == 0U);
 }
 
 BOOST_FIXTURE_TEST_CASE(ThrottlingIsToldAndHalvesTheShare, Bench)
--- a/Tests/PlatformDecisionsTest.cpp
+++ b/Tests/PlatformDecisionsTest.cpp
@@ -420,8 +420,10 @@
   auto const now = WaitForProbe(breaker, kStart);
   BOOST_TEST((now - kStart <= milliseconds(200)));
   BOOST_TEST((breaker.State() == CircuitState::HalfOpen));
+  BOOST_TEST(breaker.IsRefusing(now + milliseconds(1)));
   BOOST_TEST(!breaker.Allow(now + milliseconds(1)));
   breaker.NoteSuccess(now);
+  BOOST_TEST(!breaker.IsRefusing(now));
   BOOST_TEST((breaker.State() == CircuitState::Closed));
   BOOST_TEST(breaker.Allow(now));
 }
