--- /dev/null
+++ b/WeightStore/GateCodec.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "WeightStore/LoadGate.h"
+
+#include <json/value.h>
+#include <tl/expected.hpp>
+
+#include <string>
+
+namespace sardinefold::weightstore {
+
+/// Parameters of the method gate.ask: `{upstream, incarnation, order, model,
+/// adapter?, class, deadline_ms}`; the deadline is the time left.
+Json::Value EncodeSlotRequest(SlotRequest const& aRequest, base::Instant aNow);
+/// The error names the field.
+tl::expected<SlotRequest, std::string> DecodeSlotRequest(Json::Value const& aValue,
+                                                         base::Instant aNow);
+
+/// Result of gate.ask: `{lease_ms}` or `{ask_again_ms}`.
+Json::Value EncodeSlotAnswer(SlotAnswer const& aAnswer);
+tl::expected<SlotAnswer, std::string> DecodeSlotAnswer(Json::Value const& aValue);
+
+/// Parameters of gate.release: `{upstream, incarnation, order}`.
+Json::Value EncodeSlotKey(SlotKey const& aKey);
+tl::expected<SlotKey, std::string> DecodeSlotKey(Json::Value const& aValue);
+
+} // namespace sardinefold::weightstore
