Agent: Let requests follow the first one of a cold model

Cause: between two reports a router could send one burst to two holders, if the preferred one got memory meanwhile.

Change: a cold request sent since the upstream's report counts as a load under way; a report clears only what was sent before it was made.

Measured: RouterTest has a case for it.

--- a/Agent/Routing/Router.cpp
+++ b/Agent/Routing/Router.cpp
@@ -199,13 +199,22 @@
   }
 }
 
+bool Router::IsUnderWay(Member const& aMember, engine::ReplicaKey const& aReplica) const
+{
+  auto const state = aMember.m_status.m_state;
+  return state == engine::ReplicaState::Queued || state == engine::ReplicaState::Loading ||
+         (state == engine::ReplicaState::Absent &&
+          m_upstreams[aMember.m_upstream].m_load.IsColdSent(aReplica.Base()));
+}
+
 base::Duration Router::Estimate(Model const& aModel, std::size_t aPosition, std::size_t aColdBefore,
                                 RouteQuery const& aQuery, base::Instant aNow) const
 {
   Member const& member = aModel.m_members[aPosition];
   Upstream const& upstream = m_upstreams[member.m_upstream];
   RouteCosts const& costs = aModel.m_costs;
-  base::Duration ready = TimeToReady(member.m_status, costs, aColdBefore, aNow);
+  base::Duration ready = TimeToReady(member.m_status, costs,
+                                     IsUnderWay(member, aQuery.m_replica) ? 0 : aColdBefore, aNow);
   bool const isAbsent = member.m_status.m_state == engine::ReplicaState::Absent;
   if (isAbsent && !upstream.m_load.HasRoomFor(aQuery.m_replica.Base(), costs.m_memory)) {
     ready += costs.m_waitForMemory;
@@ -239,7 +248,10 @@
   }
   std::size_t best = candidates.front();
   base::Duration least = base::Duration::max();
-  std::size_t coldBefore = 0;
+  bool const isUnderWay = std::ranges::any_of(candidates, [&](std::size_t aPosition) {
+    return IsUnderWay(model->second.m_members[aPosition], aQuery.m_replica);
+  });
+  std::size_t coldBefore = isUnderWay ? 1 : 0;
   for (std::size_t const position : candidates) {
     base::Duration const time = Estimate(model->second, position, coldBefore, aQuery, aNow);
     if (time < least) {
@@ -276,7 +288,7 @@
     position != model->second.m_position.end() &&
     model->second.m_members[position->second].m_status.m_state == engine::ReplicaState::Absent;
   if (isAbsent) {
-    load.OnColdSent(aQuery.m_replica.Base(), model->second.m_costs.m_memory);
+    load.OnColdSent(aQuery.m_replica.Base(), model->second.m_costs.m_memory, aNow);
   }
   return m_lastTicket;
 }
--- a/Agent/Routing/Router.h
+++ b/Agent/Routing/Router.h
@@ -83,6 +83,7 @@
                         std::vector<std::size_t>& aPositions) const;
   void AddSample(Model const& aModel, RouteQuery const& aQuery,
                  std::vector<std::size_t>& aPositions);
+  bool IsUnderWay(Member const& aMember, engine::ReplicaKey const& aReplica) const;
   base::Duration Estimate(Model const& aModel, std::size_t aPosition, std::size_t aColdBefore,
                           RouteQuery const& aQuery, base::Instant aNow) const;
 
--- a/Agent/Routing/UpstreamLoad.cpp
+++ b/Agent/Routing/UpstreamLoad.cpp
@@ -13,7 +13,8 @@
   m_reportMadeAt = aMadeAt;
   m_sentSince.fill(0);
   m_endedSince = 0;
-  m_coldSince.clear();
+  std::erase_if(m_coldSince,
+                [aMadeAt](auto const& aEntry) { return aEntry.second.m_at <= aMadeAt; });
   for (auto const& [ticket, sent] : m_sent) {
     if (sent.m_at > aMadeAt) {
       ++m_sentSince.at(static_cast<std::size_t>(sent.m_class));
@@ -41,9 +42,10 @@
   m_sent.erase(sent);
 }
 
-void UpstreamLoad::OnColdSent(engine::ReplicaKey const& aReplica, base::Bytes aMemory)
+void UpstreamLoad::OnColdSent(engine::ReplicaKey const& aReplica, base::Bytes aMemory,
+                              base::Instant aNow)
 {
-  m_coldSince.insert_or_assign(aReplica, aMemory);
+  m_coldSince.insert_or_assign(aReplica, ColdSent{ aMemory, aNow });
 }
 
 bool UpstreamLoad::HasRoomFor(engine::ReplicaKey const& aReplica, base::Bytes aMemory) const
@@ -52,8 +54,8 @@
     return true;
   }
   base::Bytes taken = aMemory;
-  for (auto const& [replica, memory] : m_coldSince) {
-    taken += memory;
+  for (auto const& [replica, sent] : m_coldSince) {
+    taken += sent.m_memory;
   }
   return taken <= *m_report.m_loadable;
 }
--- a/Agent/Routing/UpstreamLoad.h
+++ b/Agent/Routing/UpstreamLoad.h
@@ -21,7 +21,12 @@
                               base::Duration aServiceTime) const;
   /// A request for a replica that isn't loaded there was sent, which takes
   /// memory that the latest report does not know of.
-  void OnColdSent(engine::ReplicaKey const& aReplica, base::Bytes aMemory);
+  void OnColdSent(engine::ReplicaKey const& aReplica, base::Bytes aMemory, base::Instant aNow);
+  /// Whether such a request was sent since the latest report was made.
+  bool IsColdSent(engine::ReplicaKey const& aReplica) const
+  {
+    return m_coldSince.contains(aReplica);
+  }
   /// Whether a further replica finds memory without waiting.
   bool HasRoomFor(engine::ReplicaKey const& aReplica, base::Bytes aMemory) const;
   std::size_t InFlight() const { return m_sent.size(); }
@@ -33,12 +38,18 @@
     operators::RequestClass m_class;
   };
 
+  struct ColdSent
+  {
+    base::Bytes m_memory;
+    base::Instant m_at;
+  };
+
   LoadReport m_report;
   base::Instant m_reportMadeAt;
   std::map<RouteTicket, Sent> m_sent;
   std::array<int, kRequestClasses> m_sentSince{};
   int m_endedSince = 0;
-  std::map<engine::ReplicaKey, base::Bytes> m_coldSince;
+  std::map<engine::ReplicaKey, ColdSent> m_coldSince;
 };
 
 } // namespace sardinefold::agent
--- a/Tests/RouterTest.cpp
+++ b/Tests/RouterTest.cpp
@@ -191,13 +191,28 @@
   BOOST_TEST(router.Choose(Query(), kNow + 1s)->m_upstream == other);
 }
 
+BOOST_AUTO_TEST_CASE(RequestsFollowTheFirstOneOfAColdModel)
+{
+  auto router = MakeRouter(2);
+  agent::RouteCosts costs;
+  costs.m_memory = base::Bytes(30);
+  router.SetCosts(kModel, costs);
+  auto const preferred = router.Find(Query(), kNow)->m_upstream;
+  auto const other = preferred == Upstream(0) ? Upstream(1) : Upstream(0);
+  router.OnLoadReport(preferred, { 0, {}, base::Bytes(0) }, kNow);
+  BOOST_TEST(router.Choose(Query(), kNow)->m_upstream == other);
+  router.OnLoadReport(preferred, { 0, {}, base::Bytes(60) }, kNow + 1s);
+  BOOST_TEST(router.Choose(Query(), kNow + 1s)->m_upstream == other);
+}
+
 BOOST_AUTO_TEST_CASE(ColdRequestsSinceTheReportTakeMemory)
 {
   agent::UpstreamLoad load;
   load.OnReport({ 0, {}, base::Bytes(50) }, kNow);
   engine::ReplicaKey const first{ kModel, {} };
   engine::ReplicaKey const second{ base::ModelId::FromValidated("n"), {} };
-  load.OnColdSent(first, base::Bytes(30));
+  load.OnColdSent(first, base::Bytes(30), kNow + 1ms);
+  load.OnReport({ 0, {}, base::Bytes(50) }, kNow);
   BOOST_TEST(load.HasRoomFor(first, base::Bytes(30)));
   BOOST_TEST(!load.HasRoomFor(second, base::Bytes(30)));
   load.OnReport({ 0, {}, base::Bytes(50) }, kNow + 1s);
