Engine: Expect batch requests to come singly

Cause: until an agent had seen batch requests, it kept their replicas as if a burst would follow.

Change: BurstEstimate takes the number of gaps believed of a burst; a quarter for batch, eight for the rest.

--- a/Engine/BurstEstimate.cpp
+++ b/Engine/BurstEstimate.cpp
@@ -18,11 +18,11 @@
 
 } // namespace
 
-BurstEstimate::BurstEstimate(base::Duration aBreakEven)
+BurstEstimate::BurstEstimate(base::Duration aBreakEven, double aGapsInBurst)
   : m_breakEvenSeconds(base::ToSeconds(aBreakEven))
-  , m_gaps(kPriorGaps)
+  , m_gaps(aGapsInBurst * kPriorEnds)
   , m_ends(kPriorEnds)
-  , m_gapSeconds(kPriorGaps * kPriorGapShare * m_breakEvenSeconds)
+  , m_gapSeconds(m_gaps * kPriorGapShare * m_breakEvenSeconds)
 {
 }
 
--- a/Engine/BurstEstimate.h
+++ b/Engine/BurstEstimate.h
@@ -17,8 +17,9 @@
 class BurstEstimate
 {
 public:
-  /// aBreakEven is the idle time that costs as much as a reload.
-  explicit BurstEstimate(base::Duration aBreakEven);
+  /// aBreakEven is the idle time that costs as much as a reload; aGapsInBurst
+  /// is believed of a burst before the first sample.
+  BurstEstimate(base::Duration aBreakEven, double aGapsInBurst);
 
   void OnGapWithinBurst(base::Duration aGap);
   void OnBurstEnd();
--- a/Engine/ReplicaManager.cpp
+++ b/Engine/ReplicaManager.cpp
@@ -9,6 +9,9 @@
 
 /// Least time between two reads of the engine's state.
 constexpr base::Duration kReadPause = std::chrono::milliseconds(200);
+/// Requests that follow one another closely; batch requests come singly.
+constexpr double kGapsInBurst = 8;
+constexpr double kGapsInBatch = 0.25;
 /// Least time between two confirmations of one revocation.
 constexpr base::Duration kConfirmPause = std::chrono::seconds(1);
 } // namespace
@@ -34,8 +37,8 @@
   : m_settings(aSettings)
   , m_lease(aLease)
   , m_ledger(aSettings.m_memory)
-  , m_bursts(aSettings.m_breakEvenIdle)
-  , m_batchBursts(aSettings.m_breakEvenIdle)
+  , m_bursts(aSettings.m_breakEvenIdle, kGapsInBurst)
+  , m_batchBursts(aSettings.m_breakEvenIdle, kGapsInBatch)
 {
 }
 
