Base: Probe idle connections before use; Agent: Try again what did not run

Cause: an engine's connections that had gone silent were reused until the deadline, and with one agent listed, a request that provably did not run was refused while that agent restarted. Idle connections answer a probe first now, and agents that were tried are tried again after a pause, within the retry budget and the deadline.

--- a/Agent/DispatchSession.h
+++ b/Agent/DispatchSession.h
@@ -74,9 +74,16 @@
     while (true) {
       auto const now = m_loop.Now();
       auto const agent = m_chooser.Choose(aRequest, m_excluded, now);
-      if (!agent) {
+      if (!agent && (m_excluded.empty() || now + m_pause >= aRequest.m_deadline)) {
         co_return tl::make_unexpected(last ? *last : NoUpstream());
       }
+      if (!agent) {
+        // Each has been tried once; one that was restarting may serve by now.
+        m_excluded.clear();
+        co_await m_loop.Sleep(m_pause);
+        m_pause *= 2;
+        continue;
+      }
       auto const reservation = co_await m_reserver.Reserve(aRequest);
       if (!reservation) {
         co_return tl::make_unexpected(reservation.error());
@@ -116,6 +123,8 @@
   Reserver& m_reserver;
   Retries& m_retries;
   std::set<base::UpstreamId> m_excluded;
+  /// Before agents that have been tried are tried again.
+  base::Duration m_pause = std::chrono::milliseconds(100);
 };
 
 } // namespace sardinefold::agent
--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -38,6 +38,7 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t kProbeAnswerBytes = std::uint64_t(1024) * 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
 
 HttpFailure ToFailure(boost::system::error_code aError, bool aMayHaveBeenSent)
@@ -107,6 +108,25 @@
   }
 }
 
+/// Whether the connection answers the probe in time.
+asio::awaitable<bool> Probe(HttpConnection& aConnection, HttpProbe const& aProbe)
+{
+  HttpRequest request;
+  request.m_target = aProbe.m_target;
+  auto const head = RenderRequestHead(request, aConnection.m_endpoint, {});
+  aConnection.m_stream.expires_after(aProbe.m_limit);
+  auto const [writeError, written] =
+    co_await asio::async_write(aConnection.m_stream, asio::buffer(head), kAwait);
+  if (writeError) {
+    co_return false;
+  }
+  http::response_parser<http::string_body> answer;
+  answer.body_limit(kProbeAnswerBytes);
+  auto const [readError, size] =
+    co_await http::async_read(aConnection.m_stream, aConnection.m_buffer, answer, kAwait);
+  co_return !readError && answer.keep_alive();
+}
+
 /// Makes a cancellation close the connection.
 void CancelWith(Cancellation* aCancellation, HttpConnection& aConnection)
 {
@@ -238,6 +258,21 @@
   return nullptr;
 }
 
+asio::awaitable<std::unique_ptr<HttpConnection>> HttpClient::TakeWorking(Endpoint const& aEndpoint)
+{
+  auto connection = TakeIdle(aEndpoint);
+  auto const& probe = m_limits.m_probe;
+  if (!connection || !probe || m_loop.Now() - connection->m_idleSince < probe->m_afterIdle) {
+    co_return connection;
+  }
+  bool const isWorking = co_await Probe(*connection, *probe);
+  if (!isWorking) {
+    connection.reset();
+    CloseIdle(aEndpoint);
+  }
+  co_return connection;
+}
+
 void HttpClient::Return(std::unique_ptr<HttpConnection> aConnection)
 {
   auto& connections = m_idle[aConnection->m_endpoint];
@@ -264,13 +299,14 @@
                                                                        Duration aHeadLimit,
                                                                        Cancellation* aCancellation)
 {
-  auto connection = TakeIdle(aEndpoint);
+  auto connection = co_await TakeWorking(aEndpoint);
   if (!connection) {
     connection = std::make_unique<HttpConnection>(m_loop.Context(), aEndpoint);
     CancelWith(aCancellation, *connection);
     auto const connectLimit = std::min(m_limits.m_connectTime, aHeadLimit);
     auto const error = co_await Connect(*connection, connectLimit);
     if (error) {
+      StopCancelling(aCancellation);
       HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false,
                            aEndpoint.Text() + ": " + error.message() };
       co_return tl::make_unexpected(std::move(failure));
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,18 @@
 
 std::string_view ToText(HttpFailure::Kind aKind);
 
+/// A request that tells whether a connection still carries data. Something
+/// between the two ends may have forgotten a connection, and then neither end
+/// hears of it.
+struct HttpProbe
+{
+  /// Any answer to a GET of this target will do.
+  std::string m_target;
+  /// Connections that were idle for longer are probed before they are used.
+  Duration m_afterIdle = std::chrono::seconds(1);
+  Duration m_limit = std::chrono::milliseconds(500);
+};
+
 struct HttpClientLimits
 {
   Duration m_connectTime = std::chrono::seconds(1);
@@ -47,6 +60,7 @@
   Duration m_idleTime = std::chrono::seconds(20);
   std::size_t m_idlePerEndpoint = 64;
   Bytes m_headerBytes{ 32 * 1024 };
+  std::optional<HttpProbe> m_probe;
 };
 
 class HttpClient;
@@ -114,6 +128,9 @@
 private:
   friend class HttpReply;
   std::unique_ptr<HttpConnection> TakeIdle(Endpoint const& aEndpoint);
+  /// An idle connection that is known to carry data. When one does not, all
+  /// idle connections to its endpoint are closed.
+  boost::asio::awaitable<std::unique_ptr<HttpConnection>> TakeWorking(Endpoint const& aEndpoint);
   void Return(std::unique_ptr<HttpConnection> aConnection);
 
   EventLoop& m_loop;
--- a/Meta/demo.py
+++ b/Meta/demo.py
@@ -112,7 +112,7 @@
 
 
 def show_withdrawn_key(fleet):
-    control(fleet, "keys", "withdraw", "marshals-demo")
+    control(fleet, "keys", "withdraw", "demo", "marshals-demo")
     start_time = time.monotonic()
     wait_until(lambda: all(chat(fleet, e, "briefing", tokens=1)[0] == 401 for e in ("entry-1", "entry-2")), 5, "withdrawal")
     row("withdrawn key refused at both entries", f"after {time.monotonic() - start_time:.2f} s", True)
--- a/Programs/Agent/AgentProgram.cpp
+++ b/Programs/Agent/AgentProgram.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t kIncarnationBytes = 8;
+/// Upstreams of both kinds answer it at once.
+constexpr char kProbeTarget[] = "/load";
 /// Largest request that an entry forwards.
 constexpr base::Bytes kRequestBytes{ 8LL * 1024 * 1024 };
 /// Between the refusal of new requests and the closing of the listener, so
@@ -51,6 +53,14 @@
   return response;
 }
 
+base::HttpClientLimits ClientLimits()
+{
+  base::HttpClientLimits limits;
+  limits.m_probe.emplace();
+  limits.m_probe->m_target = kProbeTarget;
+  return limits;
+}
+
 } // namespace
 
 AgentProgram::AgentProgram(base::EventLoop& aLoop, AgentConfiguration aConfiguration)
@@ -58,7 +68,7 @@
   , m_configuration(std::move(aConfiguration))
   , m_incarnation(base::IncarnationId::FromValidated(base::RandomHex(kIncarnationBytes)))
   , m_authentication(m_configuration.m_fleetSecret)
-  , m_http(aLoop, {})
+  , m_http(aLoop, ClientLimits())
   , m_registry(m_incarnation)
   , m_gate(aLoop, m_configuration.m_concurrency, m_configuration.m_maximumWaiting)
   , m_loader(m_configuration.m_upstreamKind == operators::UpstreamKind::Engine
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -79,6 +79,14 @@
   return limits;
 }
 
+base::HttpClientLimits ClientLimits()
+{
+  base::HttpClientLimits limits;
+  limits.m_probe.emplace();
+  limits.m_probe->m_target = "/healthz";
+  return limits;
+}
+
 caller::CallerSettings CallerSettingsOf(base::Settings const& aSettings)
 {
   caller::CallerSettings settings;
@@ -111,7 +119,7 @@
   : m_loop(aLoop)
   , m_settings(aSettings)
   , m_authentication(aSettings.Text("fleet-secret"))
-  , m_http(aLoop, {})
+  , m_http(aLoop, ClientLimits())
   , m_rpc(m_authentication)
   , m_backend(aLoop, m_http, m_authentication)
   , m_callerMetrics(m_metrics)
--- a/Tests/HttpTest.cpp
+++ b/Tests/HttpTest.cpp
@@ -185,3 +185,44 @@
   };
   RunWithServer(handler, {}, body);
 }
+
+BOOST_AUTO_TEST_CASE(SilentIdleConnectionsAreReplacedBeforeUse)
+{
+  // The server answers nothing on the first connection after its first request.
+  int requests = 0;
+  auto handler = [&requests](HttpExchange& aExchange) -> awaitable<void> {
+    ++requests;
+    if (requests == 2) {
+      boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+      timer.expires_after(std::chrono::seconds(60));
+      aExchange.OnPeerGone([&timer] { timer.cancel(); });
+      co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+      co_return;
+    }
+    base::HttpResponse response;
+    response.m_body = aExchange.Request().m_target;
+    co_await aExchange.Respond(std::move(response));
+  };
+  auto body = [&](base::EventLoop& aLoop, base::HttpClient&, base::Endpoint aEndpoint,
+                  base::HttpServer&) -> awaitable<void> {
+    base::HttpClientLimits limits;
+    base::HttpProbe probe;
+    probe.m_target = "/probe";
+    probe.m_afterIdle = base::Duration::zero();
+    probe.m_limit = std::chrono::milliseconds(50);
+    limits.m_probe = probe;
+    base::HttpClient probing(aLoop, limits);
+    for (int round = 0; round < 2; ++round) {
+      base::HttpRequest request;
+      request.m_target = "/work";
+      auto response =
+        co_await probing.Fetch(aEndpoint, std::move(request), std::chrono::seconds(2));
+      BOOST_REQUIRE(response);
+      BOOST_TEST(response->m_body == "/work");
+    }
+    // First request, unanswered probe, second request on a new connection.
+    BOOST_TEST(requests == 3);
+    probing.CloseIdle(aEndpoint);
+  };
+  RunWithServer(handler, {}, body);
+}
