Entry: Hold tokens of the workspace's allowance for each request

The allowances were decided and measured but not in force: an entry reserved nothing. AllowanceEndpoint joins the node with the other entries (bucket.*), the ownership objects in the platform and the requests. A request reserves when it is dispatched; the agent refuses it as not run once the reservation's start limit has passed, and the entry sends it again with fresh tokens, to the same agent and outside the retry budget, so that a model that was loading costs one more exchange and no second load.

--- a/Agent/AgentClient.cpp
+++ b/Agent/AgentClient.cpp
@@ -187,7 +187,9 @@
   auto& head = aRequest.m_head;
   head.m_correlation = base::CorrelationId::FromValidated(base::RandomHex(kCorrelationBytes));
   head.m_incarnation = clock.Incarnation();
-  head.m_startBy = clock.StartBy(m_loop.Now(), head.m_firstByteLimit);
+  head.m_startBy =
+    clock.StartBy(m_loop.Now(), std::min(head.m_firstByteLimit,
+                                         aRequest.m_startLimit.value_or(head.m_firstByteLimit)));
   EncodeExchangeHead(head, aRequest.m_message.m_headers);
   m_authentication.Sign(aRequest.m_message);
   auto const limit = head.m_firstByteLimit;
--- a/Agent/AgentClient.h
+++ b/Agent/AgentClient.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sardinefold::agent {
@@ -22,6 +23,8 @@
   ExchangeHead m_head;
   /// The caller's message without the fields that agents must not see.
   base::HttpRequest m_message;
+  /// How soon the request has to start; none for the first byte's limit.
+  std::optional<base::Duration> m_startLimit;
 };
 
 /// The answer of an upstream, arriving through its agent. Destroying it before
--- a/Agent/DispatchAnswer.h
+++ b/Agent/DispatchAnswer.h
@@ -5,12 +5,22 @@
 #include "Base/Units.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace sardinefold::agent {
 
 /// Names a reservation of tokens until it is settled. Zero names none.
 using ReservationId = base::Ordinal<struct ReservationTag>;
 
+/// Tokens held for one attempt.
+struct HeldTokens
+{
+  ReservationId m_reservation;
+  base::Tokens m_tokens;
+  /// After which the attempt must not start; none if nothing is held.
+  std::optional<base::Instant> m_startBy;
+};
+
 /// An upstream runs the request; its answer arrives by the reply.
 template<typename Reply>
 struct DispatchAnswer
--- a/Agent/DispatchPolicy.cpp
+++ b/Agent/DispatchPolicy.cpp
@@ -64,6 +64,9 @@
                      isFailure ? AttemptEnd::Failed : AttemptEnd::Refused,
                      false,
                      std::nullopt };
+  if (refusal == Refusal::StartByPassed) {
+    step.m_end = AttemptEnd::Late;
+  }
   if (!IsFinal(code) && aNow < aRequest.m_deadline) {
     step.m_permit.emplace(aProof);
   }
--- a/Agent/DispatchPolicy.h
+++ b/Agent/DispatchPolicy.h
@@ -17,6 +17,8 @@
   Refused,
   /// The agent or its upstream failed.
   Failed,
+  /// The agent did not start the request in time.
+  Late,
   /// The caller went away.
   Cancelled
 };
--- a/Agent/DispatchSession.h
+++ b/Agent/DispatchSession.h
@@ -34,7 +34,7 @@
 {
   {
     aReserver.Reserve(aRequest)
-    } -> std::same_as<boost::asio::awaitable<tl::expected<ReservationId, DispatchError>>>;
+    } -> std::same_as<boost::asio::awaitable<tl::expected<HeldTokens, DispatchError>>>;
   { aReserver.Settle(aReservation, aUsed) };
 };
 
@@ -84,20 +84,24 @@
         m_pause *= 2;
         continue;
       }
-      auto const reservation = co_await m_reserver.Reserve(aRequest);
-      if (!reservation) {
-        co_return tl::make_unexpected(reservation.error());
+      auto const held = co_await m_reserver.Reserve(aRequest);
+      if (!held) {
+        co_return tl::make_unexpected(held.error());
       }
-      auto outcome = co_await Attempt(aRequest, aMessage, *agent, aCancellation);
+      auto outcome = co_await Attempt(aRequest, aMessage, *agent, *held, aCancellation);
       if (auto* const reply = std::get_if<AgentReply>(&outcome)) {
-        co_return Answer{ agent->m_upstream, *reservation, ReservedTokens(aRequest),
+        co_return Answer{ agent->m_upstream, held->m_reservation, held->m_tokens,
                           std::move(*reply) };
       }
       auto const step = NextStep(aRequest, outcome, aCancellation.IsCancelled(), m_loop.Now());
-      m_reserver.Settle(*reservation,
-                        step.m_mayHaveRun ? ReservedTokens(aRequest) : base::Tokens(0));
+      m_reserver.Settle(held->m_reservation, step.m_mayHaveRun ? held->m_tokens : base::Tokens(0));
       m_chooser.NoteEnded(aRequest, agent->m_upstream, step.m_end, m_loop.Now());
       last = step.m_error;
+      if (step.m_permit && step.m_end == AttemptEnd::Late) {
+        // The agent was not ready in time, for instance while it loaded the
+        // model: the same agent gets the request again with fresh tokens.
+        continue;
+      }
       if (!step.m_permit || !m_retries.TryTake(m_loop.Now())) {
         co_return tl::make_unexpected(std::move(*last));
       }
@@ -108,11 +112,14 @@
 private:
   boost::asio::awaitable<ForwardOutcome> Attempt(DispatchRequest const& aRequest,
                                                  base::HttpRequest const& aMessage,
-                                                 KnownAgent const& aAgent,
+                                                 KnownAgent const& aAgent, HeldTokens const& aHeld,
                                                  base::Cancellation& aCancellation)
   {
     m_chooser.NoteSent(aRequest, aAgent.m_upstream, m_loop.Now());
-    ForwardRequest forward{ MakeExchangeHead(aRequest, m_loop.Now()), aMessage };
+    ForwardRequest forward{ MakeExchangeHead(aRequest, m_loop.Now()), aMessage, std::nullopt };
+    if (aHeld.m_startBy) {
+      forward.m_startLimit = *aHeld.m_startBy - m_loop.Now();
+    }
     auto outcome = co_await m_client.Forward(std::move(forward), aAgent.m_endpoint, aCancellation);
     co_return outcome;
   }
--- a/Caller/CallerCodec.cpp
+++ b/Caller/CallerCodec.cpp
@@ -171,6 +171,7 @@
   auto const textTokens = (textBytes + aLimits.m_bytesPerToken - 1) / aLimits.m_bytesPerToken;
   request.m_prompt = base::Tokens(textTokens + prompt->m_messages * kTokensPerMessage);
   request.m_output = base::Tokens(*output * *choices);
+  request.m_outputOfChoice = base::Tokens(*output);
   request.m_isStream = *isStream;
   auto const prefix = std::string_view(prompt->m_text).substr(0, kPrefixCharacters);
   request.m_prefixHash = base::FastHash(prefix);
--- a/Caller/ModelRequest.h
+++ b/Caller/ModelRequest.h
@@ -27,6 +27,8 @@
   base::Tokens m_prompt;
   /// The most tokens that may be generated, over all choices.
   base::Tokens m_output;
+  /// The most for one choice: with the prompt it has to fit the context.
+  base::Tokens m_outputOfChoice;
   bool m_isStream = false;
   /// The body's "user", by which requests of one conversation are found.
   std::optional<base::SessionId> m_session;
--- a/Caller/PreparedRequestCodec.cpp
+++ b/Caller/PreparedRequestCodec.cpp
@@ -92,7 +92,7 @@
     return tl::make_unexpected(RefuseAtDoor(
       RefusalCode::UnknownModel, "model: \"" + request->m_name + "\" is not served by this route"));
   }
-  if (request->m_output > model->m_contextTokens) {
+  if (request->m_outputOfChoice > model->m_contextTokens) {
     return tl::make_unexpected(RefuseAtDoor(
       RefusalCode::ContextTooLong, "max_tokens: the model's context holds " +
                                      std::to_string(model->m_contextTokens.Value()) + " tokens"));
--- /dev/null
+++ b/Entry/Allowance/AllowanceEndpoint.h
@@ -0,0 +1,305 @@
+#pragma once
+
+#include "Base/Cancellation.h"
+#include "Base/EventLoop.h"
+#include "Base/Json.h"
+#include "Base/Log.h"
+#include "Base/Rpc/RpcClient.h"
+#include "Base/Rpc/RpcServer.h"
+#include "Entry/Allowance/AllowanceCodec.h"
+#include "Entry/Allowance/AllowanceNode.h"
+#include "Entry/Allowance/OwnershipPlan.h"
+#include "Operator/Document.h"
+#include "Platform/ObjectStoreClient.h"
+#include "Platform/WriteSession.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace sardinefold::entry {
+
+/// Joins an AllowanceNode and an OwnershipPlan with the other entries, the
+/// platform and the requests of this process.
+template<platform::ObjectStore Store>
+class AllowanceEndpoint
+{
+public:
+  AllowanceEndpoint(base::EventLoop& aLoop, HolderKey aSelf, AllowanceLayout aLayout,
+                    ShareIndex aHome, Store& aStore, base::RpcClient aRpc)
+    : m_loop(aLoop)
+    , m_self(aSelf)
+    , m_layout(aLayout)
+    , m_store(aStore)
+    , m_rpc(std::move(aRpc))
+    , m_node(aSelf, aLayout, aHome, aLoop.Now())
+    , m_plan(std::move(aSelf), aLayout)
+  {
+  }
+
+  void Register(base::RpcServer& aServer)
+  {
+    aServer.Register(kBucketAskMethod,
+                     [this](Json::Value const& aInput) { return Receive(ReadTokenAsk(aInput)); });
+    aServer.Register(kBucketGrantMethod,
+                     [this](Json::Value const& aInput) { return Receive(ReadTokenGrant(aInput)); });
+  }
+
+  /// Takes over the platform's list: the entries and where they are.
+  void SetEntries(std::vector<ListedEntry> aEntries,
+                  std::map<base::HostId, base::Endpoint> aAddresses)
+  {
+    m_addresses = std::move(aAddresses);
+    m_plan.SetEntries(std::move(aEntries), m_loop.Now());
+  }
+
+  /// Takes over the workspaces' allowances from a document.
+  void SetDocument(operators::Document const& aDocument)
+  {
+    for (auto const& id : m_workspaces) {
+      if (!aDocument.m_workspaces.contains(id)) {
+        m_node.RemoveWorkspace(id);
+      }
+    }
+    m_workspaces.clear();
+    for (auto const& [id, workspace] : aDocument.m_workspaces) {
+      m_workspaces.insert(id);
+      m_node.SetWorkspace(id, { workspace.m_rate, workspace.m_burst }, m_loop.Now());
+    }
+  }
+
+  /// Waits for a request's tokens, at most until its deadline.
+  boost::asio::awaitable<tl::expected<ReservationGranted, ReservationRefused>> Reserve(
+    base::WorkspaceId aWorkspace, base::Tokens aTokens, base::Instant aDeadline)
+  {
+    Waiter waiter(m_loop);
+    AllowanceActions actions;
+    auto const id = m_node.Reserve(aWorkspace, aTokens, aDeadline, m_loop.Now(), actions);
+    m_waiters.emplace(id, &waiter);
+    Execute(std::move(actions));
+    while (!waiter.m_granted && !waiter.m_refused) {
+      waiter.m_timer.expires_at(boost::asio::steady_timer::time_point::max());
+      co_await waiter.m_timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    m_waiters.erase(id);
+    if (waiter.m_granted) {
+      co_return *waiter.m_granted;
+    }
+    co_return tl::make_unexpected(*waiter.m_refused);
+  }
+
+  void Settle(ReservationId aId, base::Tokens aUsed)
+  {
+    Execute(m_node.Settle(aId, aUsed, m_loop.Now()));
+  }
+
+  /// Keeps slices, shares and messages going.
+  boost::asio::awaitable<void> Run()
+  {
+    while (!m_isStopped) {
+      Execute(m_node.Advance(m_loop.Now()));
+      co_await m_loop.Sleep(kAdvanceInterval);
+    }
+  }
+
+  /// Follows the ownership objects and takes over what this process should own.
+  boost::asio::awaitable<void> FollowOwnership()
+  {
+    while (!m_isStopped) {
+      if (co_await ReadRecords()) {
+        co_await TryClaims();
+      }
+      bool const isWaiting = !m_node.Unconfirmed().empty() || m_owned.empty();
+      co_await m_loop.Sleep(isWaiting ? kFirstReadInterval : kReadInterval);
+    }
+  }
+
+  /// Gives back slices and hands over what this process owns.
+  boost::asio::awaitable<void> HandOver()
+  {
+    m_isStopped = true;
+    Execute(m_node.Drain(m_loop.Now()));
+    auto const owned = std::exchange(m_owned, {});
+    for (auto const& slot : owned) {
+      auto levels = m_node.Release(slot, m_loop.Now());
+      auto const claim = m_plan.HandOver(slot, std::move(levels));
+      if (claim) {
+        co_await Write(*claim);
+      }
+    }
+  }
+
+private:
+  static constexpr base::Duration kAdvanceInterval = std::chrono::milliseconds(50);
+  static constexpr base::Duration kFirstReadInterval = std::chrono::milliseconds(200);
+  static constexpr base::Duration kReadInterval = std::chrono::seconds(2);
+  static constexpr base::Duration kCallLimit = std::chrono::seconds(2);
+  static constexpr base::Duration kMessageLimit = std::chrono::seconds(1);
+
+  struct Waiter
+  {
+    explicit Waiter(base::EventLoop& aLoop)
+      : m_timer(aLoop.Context())
+    {
+    }
+
+    boost::asio::steady_timer m_timer;
+    std::optional<ReservationGranted> m_granted;
+    std::optional<ReservationRefused> m_refused;
+  };
+
+  template<typename Message>
+  tl::expected<Json::Value, base::RpcError> Receive(DecodedBucket<Message> aMessage)
+  {
+    if (!aMessage) {
+      return tl::make_unexpected(
+        base::RpcError{ base::kRpcInvalidParameters, operators::ToText(aMessage.error()) });
+    }
+    Execute(m_node.Receive(*aMessage, m_loop.Now()));
+    return Json::Value(Json::objectValue);
+  }
+
+  void Execute(AllowanceActions aActions)
+  {
+    for (auto const& granted : aActions.m_granted) {
+      Wake(granted.m_id, [&](Waiter& aWaiter) { aWaiter.m_granted = granted; });
+    }
+    for (auto const& refused : aActions.m_refused) {
+      Wake(refused.m_id, [&](Waiter& aWaiter) { aWaiter.m_refused = refused; });
+    }
+    for (auto& message : aActions.m_messages) {
+      auto const address = m_addresses.find(message.m_to);
+      if (address != m_addresses.end()) {
+        m_loop.Start(Send(address->second, std::move(message)));
+      }
+    }
+  }
+
+  template<typename Note>
+  void Wake(ReservationId aId, Note aNote)
+  {
+    auto const found = m_waiters.find(aId);
+    if (found == m_waiters.end()) {
+      return;
+    }
+    aNote(*found->second);
+    found->second->m_timer.cancel();
+  }
+
+  /// A lost message loses tokens at worst, and the next ask reports them.
+  boost::asio::awaitable<void> Send(base::Endpoint aTo, AllowanceMessage aMessage)
+  {
+    std::string method = kBucketGrantMethod;
+    Json::Value parameters;
+    if (auto const* const ask = std::get_if<TokenAsk>(&aMessage.m_content)) {
+      method = kBucketAskMethod;
+      parameters = WriteTokenAsk(*ask);
+    } else {
+      parameters = WriteTokenGrant(std::get<TokenGrant>(aMessage.m_content));
+    }
+    co_await m_rpc.Call(std::move(aTo), std::move(method), std::move(parameters), kMessageLimit);
+  }
+
+  boost::asio::awaitable<bool> ReadRecords()
+  {
+    auto const began = m_loop.Now();
+    platform::ObjectName prefix;
+    auto const list = co_await m_store.List(platform::ObjectKind::Bucket, std::move(prefix),
+                                            kCallLimit, platform::CallPurpose::Allowance);
+    if (!list) {
+      co_return false;
+    }
+    std::map<std::string, platform::Object const*> byName;
+    for (auto const& object : list->m_objects) {
+      byName.emplace(object.m_key.m_name.Text(), &object);
+    }
+    for (std::uint64_t share = 0; share < m_layout.m_shares; ++share) {
+      for (std::uint64_t slot = 0; slot < m_layout.m_slots; ++slot) {
+        ShareSlot const key{ ShareIndex(share), SlotIndex(slot) };
+        auto const found = byName.find(BucketObjectName(key));
+        NoteRecord(key, found == byName.end() ? nullptr : found->second, began);
+      }
+    }
+    co_return true;
+  }
+
+  void NoteRecord(ShareSlot aSlot, platform::Object const* aObject, base::Instant aReadBegan)
+  {
+    if (!aObject) {
+      m_plan.SetRecord(aSlot, std::nullopt, m_loop.Now());
+      return;
+    }
+    auto const value = base::ParseJson(aObject->m_value);
+    auto const record =
+      value ? ReadBucketRecord(*value) : tl::make_unexpected(operators::DocumentProblems{});
+    if (!record) {
+      base::log::Error("ownership object not understood",
+                       { { "object", BucketObjectName(aSlot) } });
+      return;
+    }
+    m_plan.SetRecord(aSlot, StoredBucket{ *record, aObject->m_version }, m_loop.Now());
+    if (record->m_owner == m_self && m_owned.contains(aSlot)) {
+      m_node.Confirm(aSlot, record->m_epoch, aReadBegan, m_loop.Now());
+    } else if (!record->m_owner.m_host.IsEmpty() && record->m_owner != m_self) {
+      m_owned.erase(aSlot);
+      m_node.Follow(aSlot, record->m_owner.m_host, record->m_epoch);
+    }
+  }
+
+  boost::asio::awaitable<void> TryClaims()
+  {
+    auto const claims = m_plan.Claims(m_loop.Now());
+    for (auto const& claim : claims) {
+      auto const began = m_loop.Now();
+      auto const written = co_await Write(claim);
+      if (m_isStopped) {
+        co_return;
+      }
+      if (!written) {
+        continue;
+      }
+      OwnedSlot owned{ claim.m_slot, claim.m_record.m_epoch, claim.m_expected.has_value(),
+                       claim.m_record.m_levels };
+      m_owned.insert(claim.m_slot);
+      m_plan.SetRecord(claim.m_slot, StoredBucket{ claim.m_record, *written }, m_loop.Now());
+      m_node.Own(std::move(owned), began, m_loop.Now());
+    }
+  }
+
+  platform::WriteTask Write(OwnershipClaim const& aClaim)
+  {
+    platform::ObjectWrite write;
+    write.m_key = { platform::ObjectKind::Bucket,
+                    platform::ObjectName::FromValidated(BucketObjectName(aClaim.m_slot)) };
+    write.m_condition = platform::IfAbsent{};
+    if (aClaim.m_expected) {
+      write.m_condition = platform::IfVersion{ *aClaim.m_expected };
+    }
+    write.m_value = base::RenderJson(WriteBucketRecord(aClaim.m_record));
+    write.m_nonce = platform::NewWriteNonce();
+    auto const result = co_await platform::WriteUntilKnown(
+      m_store, m_loop, std::move(write), kCallLimit, platform::CallPurpose::Allowance);
+    co_return result;
+  }
+
+  base::EventLoop& m_loop;
+  HolderKey m_self;
+  AllowanceLayout m_layout;
+  Store& m_store;
+  base::RpcClient m_rpc;
+  AllowanceNode m_node;
+  OwnershipPlan m_plan;
+  std::map<base::HostId, base::Endpoint> m_addresses;
+  std::set<base::WorkspaceId> m_workspaces;
+  std::set<ShareSlot> m_owned;
+  std::map<ReservationId, Waiter*> m_waiters;
+  bool m_isStopped = false;
+};
+
+} // namespace sardinefold::entry
--- a/Meta/demo.py
+++ b/Meta/demo.py
@@ -20,8 +20,8 @@
     print(f"  {'ok ' if good else 'NO '} {what}: {seen}", flush=True)
 
 
-def chat(fleet, entry, model, key="marshals-demo", tokens=32, timeout=40):
-    body = {"model": model, "stream": True, "max_tokens": tokens,
+def chat(fleet, entry, model, key="marshals-demo", tokens=32, timeout=40, choices=1):
+    body = {"model": model, "stream": True, "max_tokens": tokens, "n": choices,
             "messages": [{"role": "user", "content": f"Summarise tonight's incidents. {uuid.uuid4()}"}]}
     headers = {"Authorization": "Bearer " + KEYS[key], "Content-Type": "application/json"}
     start = time.monotonic()
@@ -91,14 +91,10 @@
     status, _, data = call(fleet.ports["entry-1"], "POST", "/v1/chat/completions", {"model": "briefing"})
     error = json.loads(data)["error"]
     row("no key", f"status {status}, {error['code']}, {error['outcome']}", (status, error["outcome"]) == (401, "not-run"))
-    status, headers, text, _ = chat(fleet, "entry-1", "briefing", tokens=8000)
-    first = status
-    for _ in range(12):
-        if status == 429:
-            break
-        status, headers, text, _ = chat(fleet, "entry-1", "briefing", tokens=8000)
-    good = status == 429 and json.loads(text)["error"]["outcome"] == "not-run" and "Retry-After" in headers
-    row("over the allowance", f"first {first}, then status {status}, Retry-After {headers.get('Retry-After')}", good)
+    status, headers, text, _ = chat(fleet, "entry-1", "briefing", tokens=8000, choices=6)
+    error = json.loads(text)["error"] if status != 200 else {"code": "none", "outcome": "none"}
+    good = (status, error["code"], error["outcome"]) == (429, "allowance_exceeded", "not-run")
+    row("more tokens than the workspace's burst", f"status {status}, {error['code']}, {error['outcome']}", good)
 
 
 def show_booking(fleet):
--- a/Programs/Agent/ExchangeSession.cpp
+++ b/Programs/Agent/ExchangeSession.cpp
@@ -161,7 +161,8 @@
     co_return;
   }
   if (m_parts.m_loader && !m_head.m_model.IsEmpty()) {
-    auto const loaded = co_await m_parts.m_loader->EnsureLoaded(m_head, LatestStart(), m_entryGone);
+    auto const loaded = co_await m_parts.m_loader->EnsureLoaded(
+      m_head, m_arrival + m_head.m_firstByteLimit, m_entryGone);
     if (!loaded) {
       co_await Refuse(loaded.error());
       co_return;
--- a/Programs/Entry/EntryBackend.cpp
+++ b/Programs/Entry/EntryBackend.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Digest.h"
 #include "Base/Log.h"
+#include "Caller/Admission.h"
 
 namespace sardinefold::programs {
 
@@ -14,8 +15,9 @@
 } // namespace
 
 EntryBackend::EntryBackend(base::EventLoop& aLoop, base::HttpClient& aHttp,
-                           base::PeerAuthentication const& aAuthentication)
+                           base::PeerAuthentication const& aAuthentication, Allowances& aAllowances)
   : m_loop(aLoop)
+  , m_allowances(aAllowances)
   , m_agents(aLoop, aHttp, aAuthentication, {})
   , m_chooser(m_directory, base::FastHash(base::RandomHex(kSeedBytes)))
   , m_status(aLoop, aHttp, aAuthentication, m_directory, m_chooser)
@@ -29,6 +31,7 @@
   m_keys = std::make_unique<DocumentKeys const>(*m_document);
   m_directory.SetDocument(*m_document);
   m_chooser.SetDocument(*m_document);
+  m_allowances.SetDocument(*m_document);
   base::log::Info("document in force",
                   { { "environment", m_document->m_environment.Text() },
                     { "version", std::to_string(m_document->m_version.Value()) } });
@@ -56,12 +59,32 @@
   m_chooser.NoteEnded(aRequest, aUpstream, end, m_loop.Now());
 }
 
-asio::awaitable<tl::expected<agent::ReservationId, agent::DispatchError>> EntryBackend::Reserve(
-  agent::DispatchRequest const&)
+asio::awaitable<tl::expected<agent::HeldTokens, agent::DispatchError>> EntryBackend::Reserve(
+  agent::DispatchRequest const& aRequest)
 {
-  co_return agent::ReservationId();
+  auto const tokens = agent::ReservedTokens(aRequest);
+  if (tokens == base::Tokens(0) || aRequest.m_workspace == caller::OpenWorkspace()) {
+    co_return agent::HeldTokens{};
+  }
+  auto workspace = aRequest.m_workspace;
+  auto const granted =
+    co_await m_allowances.Reserve(std::move(workspace), tokens, aRequest.m_deadline);
+  if (!granted) {
+    agent::DispatchError error{ agent::DispatchErrorCode::AllowanceExceeded,
+                                base::NotRun::BeforeSending(
+                                  "the workspace's rate and burst hold no tokens for it in time"),
+                                granted.error().m_retryAfter };
+    co_return tl::make_unexpected(std::move(error));
+  }
+  co_return agent::HeldTokens{ agent::ReservationId(granted->m_id.Value()), tokens,
+                               granted->m_startBy };
 }
 
-void EntryBackend::Settle(agent::ReservationId, base::Tokens) {}
+void EntryBackend::Settle(agent::ReservationId aReservation, base::Tokens aUsed)
+{
+  if (aReservation != agent::ReservationId()) {
+    m_allowances.Settle(entry::ReservationId(aReservation.Value()), aUsed);
+  }
+}
 
 } // namespace sardinefold::programs
--- a/Programs/Entry/EntryBackend.h
+++ b/Programs/Entry/EntryBackend.h
@@ -7,7 +7,9 @@
 #include "Base/Http/HttpClient.h"
 #include "Base/Rpc/PeerAuthentication.h"
 #include "Caller/RouteTable.h"
+#include "Entry/Allowance/AllowanceEndpoint.h"
 #include "Operator/Document.h"
+#include "Platform/ObjectClient.h"
 #include "Programs/Entry/DocumentKeys.h"
 #include "Programs/Entry/RetryShare.h"
 #include "Programs/Entry/RoutingChooser.h"
@@ -22,10 +24,11 @@
 class EntryBackend
 {
 public:
+  using Allowances = entry::AllowanceEndpoint<platform::ObjectClient>;
   using Reply = agent::AgentReply;
 
   EntryBackend(base::EventLoop& aLoop, base::HttpClient& aHttp,
-               base::PeerAuthentication const& aAuthentication);
+               base::PeerAuthentication const& aAuthentication, Allowances& aAllowances);
 
   /// Puts a document in force.
   void Apply(std::unique_ptr<operators::Document const> aDocument);
@@ -57,11 +60,12 @@
                     bool aIsWhole);
 
   // What a dispatch needs (agent::TokenReserver).
-  boost::asio::awaitable<tl::expected<agent::ReservationId, agent::DispatchError>> Reserve(
+  boost::asio::awaitable<tl::expected<agent::HeldTokens, agent::DispatchError>> Reserve(
     agent::DispatchRequest const& aRequest);
 
 private:
   base::EventLoop& m_loop;
+  Allowances& m_allowances;
   agent::AgentDirectory m_directory;
   agent::AgentClient m_agents;
   RetryShare m_retries;
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -15,6 +15,7 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t kRequestIdBytes = 12;
+constexpr std::size_t kIncarnationBytes = 8;
 constexpr base::Duration kHostPollInterval = std::chrono::seconds(1);
 constexpr base::Duration kHostPollLimit = std::chrono::seconds(2);
 
@@ -60,6 +61,33 @@
   return addresses;
 }
 
+/// The entries among the hosts, for the ownership of allowances.
+std::vector<entry::ListedEntry> ReadListedEntries(Json::Value const& aList)
+{
+  std::vector<entry::ListedEntry> entries;
+  for (auto const& row : aList["hosts"]) {
+    if (row["role"].asString() == "entry") {
+      entries.push_back({ base::HostId::FromValidated(row["host"].asString()),
+                          base::FailureDomainId::FromValidated(row["failure_domain"].asString()),
+                          row["state"].asString() == "leaving" });
+    }
+  }
+  return entries;
+}
+
+entry::HolderKey HolderOf(base::Settings const& aSettings)
+{
+  return { base::HostId::FromValidated(aSettings.Text("host")),
+           base::IncarnationId::FromValidated(base::RandomHex(kIncarnationBytes)) };
+}
+
+/// The share that the entries of a failure domain ask first.
+entry::ShareIndex HomeShare(std::string const& aFailureDomain)
+{
+  entry::AllowanceLayout const layout;
+  return entry::ShareIndex(base::FastHash(aFailureDomain) % layout.m_shares);
+}
+
 base::HttpResponse RenderProtocolError(base::HttpRequestError const& aError)
 {
   auto const code = aError.m_status == 413 ? caller::RefusalCode::BodyTooLarge
@@ -121,12 +149,14 @@
   , m_authentication(aSettings.Text("fleet-secret"))
   , m_http(aLoop, ClientLimits())
   , m_rpc(m_authentication)
-  , m_backend(aLoop, m_http, m_authentication)
-  , m_callerMetrics(m_metrics)
-  , m_callers(aLoop, m_backend, m_callerMetrics, CallerSettingsOf(aSettings))
   , m_budget(RatesOf({}, 0), RandomSeed(), aLoop.Now())
   , m_breaker({}, RandomSeed())
   , m_platform(aLoop, m_http, aSettings.Address("platform"), m_budget, m_breaker, m_metrics)
+  , m_allowances(aLoop, HolderOf(aSettings), {}, HomeShare(aSettings.Text("failure-domain")),
+                 m_platform, base::RpcClient(m_http, m_authentication))
+  , m_backend(aLoop, m_http, m_authentication, m_allowances)
+  , m_callerMetrics(m_metrics)
+  , m_callers(aLoop, m_backend, m_callerMetrics, CallerSettingsOf(aSettings))
   , m_news(aLoop,
            { { base::HostId::FromValidated(aSettings.Text("host")),
                base::FailureDomainId::FromValidated(aSettings.Text("failure-domain")) },
@@ -155,7 +185,10 @@
     return listening;
   }
   m_news.Register(m_rpc);
+  m_allowances.Register(m_rpc);
   m_loop.Start(m_news.Run());
+  m_loop.Start(m_allowances.Run());
+  m_loop.Start(m_allowances.FollowOwnership());
   m_loop.Start(FollowHosts());
   m_loop.Start(m_backend.FollowAgents());
   base::log::Info("ready", { { "listen", m_settings.Text("listen") } });
@@ -227,6 +260,7 @@
         m_budget.SetRates(RatesOf(entries, agents.size()), m_loop.Now());
         m_backend.SetHosts(agents);
         m_news.SetView(std::move(entries), ReadAddresses(*list));
+        m_allowances.SetEntries(ReadListedEntries(*list), ReadAddresses(*list));
         m_hasHosts = true;
       }
     }
@@ -278,6 +312,7 @@
   m_news.Stop();
   base::log::Info("draining", { { "open", std::to_string(m_server.OpenExchanges()) } });
   auto const left = co_await m_server.Drain(m_settings.Milliseconds("drain-ms"));
+  co_await m_allowances.HandOver();
   base::log::Info("stopped", { { "cut", std::to_string(left) } });
   m_loop.Stop();
 }
--- a/Programs/Entry/EntryProgram.h
+++ b/Programs/Entry/EntryProgram.h
@@ -46,12 +46,13 @@
   base::PeerAuthentication m_authentication;
   base::HttpClient m_http;
   base::RpcServer m_rpc;
-  EntryBackend m_backend;
-  caller::CallerMetrics m_callerMetrics;
-  caller::CallerEndpoint<EntryBackend> m_callers;
   platform::CallBudget m_budget;
   platform::CircuitBreaker m_breaker;
   platform::ObjectClient m_platform;
+  EntryBackend::Allowances m_allowances;
+  EntryBackend m_backend;
+  caller::CallerMetrics m_callerMetrics;
+  caller::CallerEndpoint<EntryBackend> m_callers;
   entry::NewsEndpoint<platform::ObjectClient, EntryBackend> m_news;
   operators::OperatorEndpoint<platform::ObjectClient> m_operators;
   base::HttpServer m_server;
--- a/Programs/Entry/RoutingChooser.cpp
+++ b/Programs/Entry/RoutingChooser.cpp
@@ -200,6 +200,7 @@
       health.OnFailed(aUpstream, aNow);
       break;
     case agent::AttemptEnd::Refused:
+    case agent::AttemptEnd::Late:
     case agent::AttemptEnd::Cancelled:
       health.OnInconclusive(aUpstream);
       break;
--- a/Tests/CallerTest.cpp
+++ b/Tests/CallerTest.cpp
@@ -153,6 +153,7 @@
   auto const request = caller::ParseModelRequest(ModelApi::Chat, body, RequestClass::Batch, {});
   BOOST_REQUIRE(request);
   BOOST_TEST(request->m_output.Value() == 21);
+  BOOST_TEST(request->m_outputOfChoice.Value() == 7);
   auto const sent = base::ParseJson(request->m_body);
   BOOST_TEST((*sent)["priority"].asInt() == 2);
   BOOST_TEST(!sent->isMember("max_completion_tokens"));
