--- a/Agent/DispatchAnswer.h
+++ b/Agent/DispatchAnswer.h
@@ -10,7 +10,7 @@
 namespace sardinefold::agent {
 
 /// Names a reservation of tokens until it is settled. Zero names none.
-using ReservationId = base::Ordinal<struct ReservationTag>;
+using ReservationId = base::Ordinal<struct HeldTokensTag>;
 
 /// Tokens held for one attempt.
 struct HeldTokens
--- a/Base/CaseInsensitive.cpp
+++ b/Base/CaseInsensitive.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include <ostream>
+
 namespace sardinefold::base {
 
 bool EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -234,7 +234,7 @@
 
 HttpClient::HttpClient(EventLoop& aLoop, HttpClientLimits aLimits)
   : m_loop(aLoop)
-  , m_limits(aLimits)
+  , m_limits(std::move(aLimits))
 {
 }
 
--- a/Bench/CapacityBench.cpp
+++ b/Bench/CapacityBench.cpp
@@ -231,10 +231,11 @@
   auto const document = MakeDocument(kModels, kAdapters, kWorkspaces, kKeys);
   auto const apply = SecondsPerCall(
     [&] {
-      auto const copy = document;
-      caller::RouteTable const routes(copy);
+      // What is put in force is a document of its own.
+      auto const copy = std::make_unique<operators::Document>(document);
+      caller::RouteTable const routes(*copy);
       entry::KeyRing ring("index");
-      (void)ring.Replace(IssuedKeys(copy), base::DocumentVersion(1));
+      (void)ring.Replace(IssuedKeys(*copy), base::DocumentVersion(1));
     },
     3);
   Print("capacity_cpu", "status_call_microseconds", status * 1e6);
--- a/Entry/Allowance/AllowanceEndpoint.h
+++ b/Entry/Allowance/AllowanceEndpoint.h
@@ -37,7 +37,7 @@
     , m_self(aSelf)
     , m_layout(aLayout)
     , m_store(aStore)
-    , m_rpc(std::move(aRpc))
+    , m_rpc(aRpc)
     , m_node(aSelf, aLayout, aHome, aLoop.Now())
     , m_plan(std::move(aSelf), aLayout)
   {
@@ -203,7 +203,7 @@
     } else {
       parameters = WriteTokenGrant(std::get<TokenGrant>(aMessage.m_content));
     }
-    co_await m_rpc.Call(std::move(aTo), std::move(method), std::move(parameters), kMessageLimit);
+    co_await m_rpc.Call(aTo, std::move(method), std::move(parameters), kMessageLimit);
   }
 
   boost::asio::awaitable<bool> ReadRecords()
--- a/Meta/process_faults.py
+++ b/Meta/process_faults.py
@@ -186,6 +186,19 @@
             check(status == 200 and text.rstrip().endswith("[DONE]"), f"{entry}: {status} {text[-300:]}")
 
 
+@case
+def idle_connections_gone_silent():
+    with Trial() as trial:
+        for entry in ("entry-1", "entry-2"):
+            check(demo.chat(trial.fleet, entry, "briefing")[0] == 200, "not served before")
+        time.sleep(1.5)
+        for engine in ("assistant-01", "assistant-02"):
+            trial.fault(f"{engine}-upstream", silence_connections=True)
+        for entry in ("entry-1", "entry-2"):
+            status, _, text, _ = demo.chat(trial.fleet, entry, "briefing", timeout=60)
+            check(status == 200 and text.rstrip().endswith("[DONE]"), f"{entry}: {status} {text[-300:]}")
+
+
 @case
 def drain_cuts_no_stream():
     with Trial() as trial:
@@ -228,11 +241,17 @@
     options = parser.parse_args()
     chosen = [c for c in CASES if options.only in (None, c.__name__)]
     failed = 0
+    red = 0
+    known = demo.ROOT / "KNOWN-RED.txt"
+    known_names = known.read_text() if known.exists() else ""
     with concurrent.futures.ThreadPoolExecutor(3) as pool:
         for name, error, seconds in pool.map(run, chosen):
-            failed += error is not None
-            print(f"{'ok' if error is None else 'FAILED'} {name} ({seconds:.1f} s) {error or ''}", flush=True)
-    print(f"process faults: {len(chosen) - failed} passed, {failed} failed")
+            is_known = f"process_faults {name}:" in known_names
+            failed += error is not None and not is_known
+            red += error is not None and is_known
+            state = "ok" if error is None else "known red" if is_known else "FAILED"
+            print(f"{state} {name} ({seconds:.1f} s) {error or ''}", flush=True)
+    print(f"process faults: {len(chosen) - failed - red} passed, {failed} failed, {red} known red")
     return 1 if failed or not chosen else 0
 
 
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -22,7 +22,9 @@
 step build Meta/build.sh
 step settings Meta/settings.sh --check
 step lint Meta/lint.py
-step tests ctest --test-dir Build -j 4 --output-on-failure
+step tests ctest --test-dir Build -j 8 --output-on-failure
+step 'faults with real processes' Meta/process_faults.py
+step 'bounds that do not depend on the clock' Meta/bench.py --deterministic
 if [ -s KNOWN-RED.txt ]; then
   echo "Known faults (not counted):"
   cat KNOWN-RED.txt
--- a/Programs/Agent/AgentProgram.cpp
+++ b/Programs/Agent/AgentProgram.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t kIncarnationBytes = 8;
 /// Upstreams of both kinds answer it at once.
 constexpr char kProbeTarget[] = "/load";
+/// The upstream is one step away, so a probe costs little where requests are
+/// rare, and where they are frequent connections are seldom idle for so long.
+constexpr base::Duration kProbeAfterIdle = std::chrono::milliseconds(50);
 /// Largest request that an entry forwards.
 constexpr base::Bytes kRequestBytes{ 8LL * 1024 * 1024 };
 /// Between the refusal of new requests and the closing of the listener, so
@@ -58,6 +61,7 @@
   base::HttpClientLimits limits;
   limits.m_probe.emplace();
   limits.m_probe->m_target = kProbeTarget;
+  limits.m_probe->m_afterIdle = kProbeAfterIdle;
   return limits;
 }
 
--- a/Programs/Agent/ExchangeSessionClaims.cpp
+++ b/Programs/Agent/ExchangeSessionClaims.cpp
@@ -14,6 +14,9 @@
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 
+/// A resend that waits for an earlier sending is told that its outcome is
+/// unknown this long before its entry would give up the exchange.
+constexpr base::Duration kAnswerMargin = std::chrono::milliseconds(500);
 /// For the claim's creation, as long as the caller waits for it.
 constexpr base::Duration kClaimLimit = std::chrono::seconds(2);
 /// For the record of the answer, after the caller has it.
@@ -63,8 +66,8 @@
 
 awaitable<void> ExchangeSession::RunClaimed()
 {
-  auto ticket =
-    m_parts.m_claims.Open(m_head.m_claim, ContentOf(m_exchange.Request()), LatestStart());
+  auto const waitEnd = std::max(m_arrival, LatestStart() - kAnswerMargin);
+  auto ticket = m_parts.m_claims.Open(m_head.m_claim, ContentOf(m_exchange.Request()), waitEnd);
   auto const step = co_await m_parts.m_claims.Advance(ticket, kClaimLimit);
   if (auto const* const kept = std::get_if<service::GiveKeptAnswer>(&step)) {
     co_await RespondKept(kept->m_answer);
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -174,14 +174,14 @@
 tl::expected<void, std::string> EntryProgram::Start()
 {
   if (auto const path = m_settings.Text("document"); !path.empty()) {
-    if (auto const loaded = LoadDocument(path); !loaded) {
+    if (auto loaded = LoadDocument(path); !loaded) {
       return loaded;
     }
   }
-  if (auto const loaded = LoadCertificate(); !loaded) {
+  if (auto loaded = LoadCertificate(); !loaded) {
     return loaded;
   }
-  if (auto const listening = m_server.Listen(m_settings.Address("listen")); !listening) {
+  if (auto listening = m_server.Listen(m_settings.Address("listen")); !listening) {
     return listening;
   }
   m_news.Register(m_rpc);
--- a/Programs/Load/LoadPlan.cpp
+++ b/Programs/Load/LoadPlan.cpp
@@ -24,7 +24,7 @@
   }
   for (auto const& name : aObject.getMemberNames()) {
     if (!aKnown.contains(name)) {
-      throw PlanError{ aPath + "." + name + ": unknown field" };
+      throw PlanError{ std::string(aPath).append(".").append(name).append(": unknown field") };
     }
   }
 }
