Entry: Honour keys by the key ring, and only with fresh news

The key ring and the trust decision were proved and not in force: an entry checked keys against its document however old that was. A host that refuses a connection counts as gone, so that one dead entry does not end keys in an outage.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -308,7 +308,8 @@
     if (error) {
       StopCancelling(aCancellation);
       HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false,
-                           aEndpoint.Text() + ": " + error.message() };
+                           aEndpoint.Text() + ": " + error.message(),
+                           error == asio::error::connection_refused };
       co_return tl::make_unexpected(std::move(failure));
     }
   }
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -36,6 +36,8 @@
   /// False only if no byte of the request was given to a connection.
   bool m_mayHaveBeenSent;
   std::string m_detail;
+  /// The host answered that no process listens there.
+  bool m_isRefused = false;
 };
 
 std::string_view ToText(HttpFailure::Kind aKind);
--- a/Base/Rpc/RpcClient.cpp
+++ b/Base/Rpc/RpcClient.cpp
@@ -19,7 +19,7 @@
   auto response = co_await m_client.Fetch(std::move(aEndpoint), std::move(request), aLimit);
   if (!response) {
     RpcFailure failure{ RpcFailure::Kind::Transport, response.error().m_mayHaveBeenSent, 0,
-                        response.error().m_detail };
+                        response.error().m_detail, response.error().m_isRefused };
     co_return tl::make_unexpected(std::move(failure));
   }
   if (response->m_status != 200) {
--- a/Base/Rpc/RpcClient.h
+++ b/Base/Rpc/RpcClient.h
@@ -27,6 +27,8 @@
   bool m_mayHaveRun;
   int m_code = 0;
   std::string m_message;
+  /// The host answered that no process listens there.
+  bool m_isRefused = false;
 };
 
 /// Calls JSON-RPC methods of the system's other processes.
--- /dev/null
+++ b/Entry/Keys/KeysEndpoint.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Base/Digest.h"
+#include "Base/EventLoop.h"
+#include "Base/Rpc/RpcClient.h"
+#include "Base/Rpc/RpcServer.h"
+#include "Caller/Admission.h"
+#include "Entry/Keys/KeyRing.h"
+#include "Entry/Keys/NewsTrust.h"
+#include "Operator/Document.h"
+
+#include <map>
+#include <string_view>
+#include <vector>
+
+namespace sardinefold::entry {
+
+/// Method by which entries ask one another for news: {} gives {statements:
+/// [{host, version, platform_age_ms, statement_age_ms}]}.
+inline constexpr char kTrustMethod[] = "news.trust";
+
+/// The keys in force in this process and whether they may be honoured now.
+class KeysEndpoint
+{
+public:
+  KeysEndpoint(base::EventLoop& aLoop, base::HostId aSelf, base::RpcClient aRpc);
+
+  void Register(base::RpcServer& aServer);
+
+  /// Puts a document's keys in force.
+  void SetDocument(operators::Document const& aDocument);
+  /// Takes over the listed entries and where they are.
+  void SetEntries(std::map<base::HostId, base::Endpoint> aEntries);
+  /// The platform said at the given time that this version is the newest.
+  void HeardPlatform(base::DocumentVersion aVersion, base::Instant aAt);
+
+  /// Asks the other entries for as long as the program runs.
+  boost::asio::awaitable<void> Run();
+
+  /// What the callers' endpoint needs (caller::KeyVerifier).
+  tl::expected<base::WorkspaceId, caller::KeyError> Verify(std::string_view aSecret,
+                                                           base::Instant aNow) const;
+
+private:
+  Json::Value RenderStatements() const;
+  boost::asio::awaitable<void> Ask(base::HostId aHost, base::Endpoint aEndpoint);
+
+  base::EventLoop& m_loop;
+  base::HostId m_self;
+  base::RpcClient m_rpc;
+  KeyRing m_ring;
+  NewsTrust m_trust;
+  std::map<base::HostId, base::Endpoint> m_entries;
+  std::size_t m_next = 0;
+};
+
+} // namespace sardinefold::entry
--- a/Meta/process_faults.py
+++ b/Meta/process_faults.py
@@ -146,6 +146,24 @@
         check(trial.executions(text) == 1, f"{trial.executions(text)} executions")
 
 
+@case
+def entry_cut_off_alone():
+    with Trial() as trial:
+        check(demo.chat(trial.fleet, "entry-1", "briefing")[0] == 200, "not served before")
+        trial.fault("platform", outage=True)
+        time.sleep(5)
+        check(demo.chat(trial.fleet, "entry-1", "briefing")[0] == 200, "refused in an outage that all share")
+        trial.fleet.processes["entry-2"].send(signal.SIGSTOP)
+
+        def code():
+            status, _, text, _ = demo.chat(trial.fleet, "entry-1", "briefing", tokens=1)
+            return json.loads(text)["error"]["code"] if status != 200 else "served"
+
+        wait_until(lambda: code() == "keys_not_verifiable", 15, "the entry refusing keys")
+        trial.fleet.processes["entry-2"].send(signal.SIGCONT)
+        wait_until(lambda: code() == "served", 15, "the entry serving again")
+
+
 @case
 def answers_of_the_platform_lost():
     with Trial() as trial:
--- a/Programs/Entry/EntryBackend.cpp
+++ b/Programs/Entry/EntryBackend.cpp
@@ -15,9 +15,11 @@
 } // namespace
 
 EntryBackend::EntryBackend(base::EventLoop& aLoop, base::HttpClient& aHttp,
-                           base::PeerAuthentication const& aAuthentication, Allowances& aAllowances)
+                           base::PeerAuthentication const& aAuthentication, Allowances& aAllowances,
+                           entry::KeysEndpoint& aKeys)
   : m_loop(aLoop)
   , m_allowances(aAllowances)
+  , m_keys(aKeys)
   , m_agents(aLoop, aHttp, aAuthentication, {})
   , m_chooser(m_directory, base::FastHash(base::RandomHex(kSeedBytes)))
   , m_status(aLoop, aHttp, aAuthentication, m_directory, m_chooser)
@@ -28,7 +30,7 @@
 {
   m_document = std::move(aDocument);
   m_routes = std::make_unique<caller::RouteTable const>(*m_document);
-  m_keys = std::make_unique<DocumentKeys const>(*m_document);
+  m_keys.SetDocument(*m_document);
   m_directory.SetDocument(*m_document);
   m_chooser.SetDocument(*m_document);
   m_allowances.SetDocument(*m_document);
--- a/Programs/Entry/EntryBackend.h
+++ b/Programs/Entry/EntryBackend.h
@@ -8,9 +8,9 @@
 #include "Base/Rpc/PeerAuthentication.h"
 #include "Caller/RouteTable.h"
 #include "Entry/Allowance/AllowanceEndpoint.h"
+#include "Entry/Keys/KeysEndpoint.h"
 #include "Operator/Document.h"
 #include "Platform/ObjectClient.h"
-#include "Programs/Entry/DocumentKeys.h"
 #include "Programs/Entry/RetryShare.h"
 #include "Programs/Entry/RoutingChooser.h"
 #include "Programs/Entry/StatusFollower.h"
@@ -28,7 +28,8 @@
   using Reply = agent::AgentReply;
 
   EntryBackend(base::EventLoop& aLoop, base::HttpClient& aHttp,
-               base::PeerAuthentication const& aAuthentication, Allowances& aAllowances);
+               base::PeerAuthentication const& aAuthentication, Allowances& aAllowances,
+               entry::KeysEndpoint& aKeys);
 
   /// Puts a document in force.
   void Apply(std::unique_ptr<operators::Document const> aDocument);
@@ -49,7 +50,7 @@
   // What the callers' endpoint needs (caller::CallerBackend).
   operators::Document const* CurrentDocument() const { return m_document.get(); }
   caller::RouteTable const& Routes() const { return *m_routes; }
-  DocumentKeys const& Keys() const { return *m_keys; }
+  entry::KeysEndpoint const& Keys() const { return m_keys; }
   bool IsDraining() const { return m_isDraining; }
   boost::asio::awaitable<tl::expected<agent::DispatchAnswer<Reply>, agent::DispatchError>> Dispatch(
     agent::DispatchRequest const& aRequest, base::HttpRequest aMessage,
@@ -66,6 +67,7 @@
 private:
   base::EventLoop& m_loop;
   Allowances& m_allowances;
+  entry::KeysEndpoint& m_keys;
   agent::AgentDirectory m_directory;
   agent::AgentClient m_agents;
   RetryShare m_retries;
@@ -73,7 +75,6 @@
   StatusFollower m_status;
   std::unique_ptr<operators::Document const> m_document;
   std::unique_ptr<caller::RouteTable const> m_routes;
-  std::unique_ptr<DocumentKeys const> m_keys;
   bool m_isDraining = false;
 };
 
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kRequestIdBytes = 12;
 constexpr std::size_t kIncarnationBytes = 8;
+constexpr base::Duration kNewsInterval = std::chrono::milliseconds(100);
 constexpr base::Duration kHostPollInterval = std::chrono::seconds(1);
 constexpr base::Duration kHostPollLimit = std::chrono::seconds(2);
 
@@ -75,6 +76,19 @@
   return entries;
 }
 
+/// Where the entries among the hosts are.
+std::map<base::HostId, base::Endpoint> ReadEntryAddresses(Json::Value const& aList)
+{
+  std::map<base::HostId, base::Endpoint> addresses;
+  for (auto const& row : aList["hosts"]) {
+    auto const endpoint = base::Endpoint::Parse(row["address"].asString());
+    if (row["role"].asString() == "entry" && endpoint) {
+      addresses.emplace(base::HostId::FromValidated(row["host"].asString()), *endpoint);
+    }
+  }
+  return addresses;
+}
+
 entry::HolderKey HolderOf(base::Settings const& aSettings)
 {
   return { base::HostId::FromValidated(aSettings.Text("host")),
@@ -154,7 +168,9 @@
   , m_platform(aLoop, m_http, aSettings.Address("platform"), m_budget, m_breaker, m_metrics)
   , m_allowances(aLoop, HolderOf(aSettings), {}, HomeShare(aSettings.Text("failure-domain")),
                  m_platform, base::RpcClient(m_http, m_authentication))
-  , m_backend(aLoop, m_http, m_authentication, m_allowances)
+  , m_keys(aLoop, base::HostId::FromValidated(aSettings.Text("host")),
+           base::RpcClient(m_http, m_authentication))
+  , m_backend(aLoop, m_http, m_authentication, m_allowances, m_keys)
   , m_callerMetrics(m_metrics)
   , m_callers(aLoop, m_backend, m_callerMetrics, CallerSettingsOf(aSettings))
   , m_news(aLoop,
@@ -186,8 +202,11 @@
   }
   m_news.Register(m_rpc);
   m_allowances.Register(m_rpc);
+  m_keys.Register(m_rpc);
   m_loop.Start(m_news.Run());
   m_loop.Start(m_allowances.Run());
+  m_loop.Start(m_keys.Run());
+  m_loop.Start(PassOnNews());
   m_loop.Start(m_allowances.FollowOwnership());
   m_loop.Start(FollowHosts());
   m_loop.Start(m_backend.FollowAgents());
@@ -261,6 +280,7 @@
         m_backend.SetHosts(agents);
         m_news.SetView(std::move(entries), ReadAddresses(*list));
         m_allowances.SetEntries(ReadListedEntries(*list), ReadAddresses(*list));
+        m_keys.SetEntries(ReadEntryAddresses(*list));
         m_hasHosts = true;
       }
     }
@@ -268,6 +288,19 @@
   }
 }
 
+asio::awaitable<void> EntryProgram::PassOnNews()
+{
+  while (!m_backend.IsDraining()) {
+    auto const& node = m_news.Node();
+    auto const& newest = node.Versions().Newest();
+    auto const freshAt = node.FreshAt();
+    if (newest && freshAt) {
+      m_keys.HeardPlatform(newest->m_version, *freshAt);
+    }
+    co_await m_loop.Sleep(kNewsInterval);
+  }
+}
+
 asio::awaitable<void> EntryProgram::Handle(base::HttpExchange& aExchange)
 {
   auto const path = aExchange.Request().Path();
--- a/Programs/Entry/EntryProgram.h
+++ b/Programs/Entry/EntryProgram.h
@@ -37,6 +37,8 @@
   tl::expected<void, std::string> LoadDocument(std::string const& aPath);
   tl::expected<void, std::string> LoadCertificate();
   boost::asio::awaitable<void> FollowHosts();
+  /// Tells the keys what the configuration relay has heard of the platform.
+  boost::asio::awaitable<void> PassOnNews();
   /// The fleet's configuration for operators, as JSON text.
   boost::asio::awaitable<std::string> RenderStatus();
 
@@ -50,6 +52,7 @@
   platform::CircuitBreaker m_breaker;
   platform::ObjectClient m_platform;
   EntryBackend::Allowances m_allowances;
+  entry::KeysEndpoint m_keys;
   EntryBackend m_backend;
   caller::CallerMetrics m_callerMetrics;
   caller::CallerEndpoint<EntryBackend> m_callers;
