--- a/Meta/process_faults.py
+++ b/Meta/process_faults.py
@@ -142,7 +142,7 @@
         check(outcome(refused) == "not-run", f"order in the outage {refused}")
         check(trial.executions(text) == 0, "ran although the refusal said not-run")
         trial.fault("platform", outage=False)
-        wait_until(lambda: outcome(trial.order("entry-2", key, text)) == "ran", 20, "the order after the outage")
+        wait_until(lambda: outcome(trial.order("entry-2", key, text)) == "ran", 40, "the order after the outage")
         check(trial.executions(text) == 1, f"{trial.executions(text)} executions")
 
 
@@ -159,9 +159,9 @@
             status, _, text, _ = demo.chat(trial.fleet, "entry-1", "briefing", tokens=1)
             return json.loads(text)["error"]["code"] if status != 200 else "served"
 
-        wait_until(lambda: code() == "keys_not_verifiable", 15, "the entry refusing keys")
+        wait_until(lambda: code() == "keys_not_verifiable", 30, "the entry refusing keys")
         trial.fleet.processes["entry-2"].send(signal.SIGCONT)
-        wait_until(lambda: code() == "served", 15, "the entry serving again")
+        wait_until(lambda: code() == "served", 30, "the entry serving again")
 
 
 @case
@@ -189,7 +189,7 @@
         check(dead, "no engine died")
         for engine in dead:
             trial.fleet.restart(f"{engine}-upstream")
-        wait_until(lambda: demo.chat(trial.fleet, "entry-2", "care-report", timeout=60)[0] == 200, 40, "serving again")
+        wait_until(lambda: demo.chat(trial.fleet, "entry-2", "care-report", timeout=60)[0] == 200, 90, "serving again")
 
 
 @case
@@ -226,7 +226,7 @@
         trial.fleet.processes["entry-1"].send(signal.SIGTERM)
         status, _, text, _ = stream.result(60)
         check(status == 200 and text.rstrip().endswith("[DONE]"), f"{status} {text[-200:]}")
-        wait_until(lambda: not trial.fleet.processes["entry-1"].is_running(), 20, "the entry ending")
+        wait_until(lambda: not trial.fleet.processes["entry-1"].is_running(), 60, "the entry ending")
         check(demo.chat(trial.fleet, "entry-2", "briefing")[0] == 200, "other entry not serving")
 
 
