Entry: Read the host list through the platform's client, retry by the agents' budget

The host list was fetched past the call budget and parsed five times; it is one typed, metered call now (Programs/Entry/HostViews). A second retry limiter beside Agent/RetryBudget is gone.

--- a/Programs/Entry/EntryBackend.cpp
+++ b/Programs/Entry/EntryBackend.cpp
@@ -21,6 +21,7 @@
   , m_allowances(aAllowances)
   , m_keys(aKeys)
   , m_agents(aLoop, aHttp, aAuthentication, {})
+  , m_retries({}, aLoop.Now())
   , m_chooser(m_directory, base::FastHash(base::RandomHex(kSeedBytes)))
   , m_status(aLoop, aHttp, aAuthentication, m_directory, m_chooser)
 {
--- a/Programs/Entry/EntryBackend.h
+++ b/Programs/Entry/EntryBackend.h
@@ -3,6 +3,7 @@
 #include "Agent/AgentClient.h"
 #include "Agent/AgentDirectory.h"
 #include "Agent/DispatchSession.h"
+#include "Agent/RetryBudget.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpClient.h"
 #include "Base/Rpc/PeerAuthentication.h"
@@ -11,7 +12,6 @@
 #include "Entry/Keys/KeysEndpoint.h"
 #include "Operator/Document.h"
 #include "Platform/ObjectClient.h"
-#include "Programs/Entry/RetryShare.h"
 #include "Programs/Entry/RoutingChooser.h"
 #include "Programs/Entry/StatusFollower.h"
 
@@ -70,7 +70,7 @@
   entry::KeysEndpoint& m_keys;
   agent::AgentDirectory m_directory;
   agent::AgentClient m_agents;
-  RetryShare m_retries;
+  agent::RetryBudget m_retries;
   RoutingChooser m_chooser;
   StatusFollower m_status;
   std::unique_ptr<operators::Document const> m_document;
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -35,60 +35,6 @@
   return base::FastHash(base::RandomHex(8));
 }
 
-/// The entries of the platform's answer.
-entry::FleetView ReadEntries(Json::Value const& aList)
-{
-  entry::FleetView view;
-  for (auto const& row : aList["hosts"]) {
-    if (row["role"].asString() != "entry") {
-      continue;
-    }
-    view.m_entries.push_back(
-      { base::HostId::FromValidated(row["host"].asString()),
-        base::FailureDomainId::FromValidated(row["failure_domain"].asString()) });
-  }
-  return view;
-}
-
-std::map<base::HostId, base::Endpoint> ReadAddresses(Json::Value const& aList)
-{
-  std::map<base::HostId, base::Endpoint> addresses;
-  for (auto const& row : aList["hosts"]) {
-    if (auto endpoint = base::Endpoint::Parse(row["address"].asString())) {
-      auto const host = base::HostId::FromValidated(row["host"].asString());
-      addresses.insert_or_assign(host, std::move(*endpoint));
-    }
-  }
-  return addresses;
-}
-
-/// The entries among the hosts, for the ownership of allowances.
-std::vector<entry::ListedEntry> ReadListedEntries(Json::Value const& aList)
-{
-  std::vector<entry::ListedEntry> entries;
-  for (auto const& row : aList["hosts"]) {
-    if (row["role"].asString() == "entry") {
-      entries.push_back({ base::HostId::FromValidated(row["host"].asString()),
-                          base::FailureDomainId::FromValidated(row["failure_domain"].asString()),
-                          row["state"].asString() == "leaving" });
-    }
-  }
-  return entries;
-}
-
-/// Where the entries among the hosts are.
-std::map<base::HostId, base::Endpoint> ReadEntryAddresses(Json::Value const& aList)
-{
-  std::map<base::HostId, base::Endpoint> addresses;
-  for (auto const& row : aList["hosts"]) {
-    auto const endpoint = base::Endpoint::Parse(row["address"].asString());
-    if (row["role"].asString() == "entry" && endpoint) {
-      addresses.emplace(base::HostId::FromValidated(row["host"].asString()), *endpoint);
-    }
-  }
-  return addresses;
-}
-
 entry::HolderKey HolderOf(base::Settings const& aSettings)
 {
   return { base::HostId::FromValidated(aSettings.Text("host")),
@@ -138,23 +84,6 @@
   return settings;
 }
 
-/// The upstream hosts of the platform's answer; entries without an address
-/// that can be used are left out.
-std::vector<agent::AgentHost> ReadHosts(Json::Value const& aList)
-{
-  std::vector<agent::AgentHost> hosts;
-  for (auto const& row : aList["hosts"]) {
-    auto const endpoint = base::Endpoint::Parse(row["address"].asString());
-    if (row["role"].asString() != "upstream" || !endpoint) {
-      continue;
-    }
-    hosts.push_back({ base::HostId::FromValidated(row["host"].asString()),
-                      base::FailureDomainId::FromValidated(row["failure_domain"].asString()),
-                      *endpoint, row["state"].asString() == "leaving" });
-  }
-  return hosts;
-}
-
 } // namespace
 
 EntryProgram::EntryProgram(base::EventLoop& aLoop, base::Settings const& aSettings)
@@ -268,26 +197,26 @@
 asio::awaitable<void> EntryProgram::FollowHosts()
 {
   while (!m_backend.IsDraining()) {
-    base::HttpRequest request;
-    request.m_target = "/v1/hosts";
-    auto const response =
-      co_await m_http.Fetch(m_settings.Address("platform"), std::move(request), kHostPollLimit);
-    if (response && response->m_status == 200) {
-      if (auto const list = base::ParseJson(response->m_body)) {
-        auto const agents = ReadHosts(*list);
-        auto entries = ReadEntries(*list);
-        m_budget.SetRates(RatesOf(entries, agents.size()), m_loop.Now());
-        m_backend.SetHosts(agents);
-        m_news.SetView(std::move(entries), ReadAddresses(*list));
-        m_allowances.SetEntries(ReadListedEntries(*list), ReadAddresses(*list));
-        m_keys.SetEntries(ReadEntryAddresses(*list));
-        m_hasHosts = true;
-      }
+    auto const hosts = co_await m_platform.Hosts(kHostPollLimit, platform::CallPurpose::Membership);
+    if (hosts) {
+      TakeHosts(*hosts);
     }
     co_await m_loop.Sleep(kHostPollInterval);
   }
 }
 
+void EntryProgram::TakeHosts(platform::HostList const& aHosts)
+{
+  auto agents = AgentHosts(aHosts);
+  auto view = NewsView(aHosts);
+  m_budget.SetRates(RatesOf(view, agents.size()), m_loop.Now());
+  m_backend.SetHosts(std::move(agents));
+  m_news.SetView(std::move(view), Addresses(aHosts));
+  m_allowances.SetEntries(ListedEntries(aHosts), Addresses(aHosts));
+  m_keys.SetEntries(EntryAddresses(aHosts));
+  m_hasHosts = true;
+}
+
 asio::awaitable<void> EntryProgram::PassOnNews()
 {
   while (!m_backend.IsDraining()) {
--- a/Programs/Entry/EntryProgram.h
+++ b/Programs/Entry/EntryProgram.h
@@ -13,6 +13,7 @@
 #include "Operator/OperatorEndpoint.h"
 #include "Platform/ObjectClient.h"
 #include "Programs/Entry/EntryBackend.h"
+#include "Programs/Entry/HostViews.h"
 
 #include <string>
 
@@ -37,6 +38,7 @@
   tl::expected<void, std::string> LoadDocument(std::string const& aPath);
   tl::expected<void, std::string> LoadCertificate();
   boost::asio::awaitable<void> FollowHosts();
+  void TakeHosts(platform::HostList const& aHosts);
   /// Tells the keys what the configuration relay has heard of the platform.
   boost::asio::awaitable<void> PassOnNews();
   /// The fleet's configuration for operators, as JSON text.
--- /dev/null
+++ b/Programs/Entry/HostViews.cpp
@@ -0,0 +1,75 @@
+#include "Programs/Entry/HostViews.h"
+
+namespace sardinefold::programs {
+
+namespace {
+
+bool IsEntry(platform::HostEntry const& aHost)
+{
+  return aHost.m_role == platform::HostRole::Entry;
+}
+
+bool IsLeaving(platform::HostEntry const& aHost)
+{
+  return aHost.m_state == platform::HostState::Leaving;
+}
+
+} // namespace
+
+std::vector<agent::AgentHost> AgentHosts(platform::HostList const& aList)
+{
+  std::vector<agent::AgentHost> hosts;
+  for (auto const& host : aList) {
+    auto const endpoint = base::Endpoint::Parse(host.m_address);
+    if (!IsEntry(host) && endpoint) {
+      hosts.push_back({ host.m_host, host.m_failureDomain, *endpoint, IsLeaving(host) });
+    }
+  }
+  return hosts;
+}
+
+entry::FleetView NewsView(platform::HostList const& aList)
+{
+  entry::FleetView view;
+  for (auto const& host : aList) {
+    if (IsEntry(host)) {
+      view.m_entries.push_back({ host.m_host, host.m_failureDomain });
+    }
+  }
+  return view;
+}
+
+std::vector<entry::ListedEntry> ListedEntries(platform::HostList const& aList)
+{
+  std::vector<entry::ListedEntry> entries;
+  for (auto const& host : aList) {
+    if (IsEntry(host)) {
+      entries.push_back({ host.m_host, host.m_failureDomain, IsLeaving(host) });
+    }
+  }
+  return entries;
+}
+
+HostAddresses Addresses(platform::HostList const& aList)
+{
+  HostAddresses addresses;
+  for (auto const& host : aList) {
+    if (auto const endpoint = base::Endpoint::Parse(host.m_address)) {
+      addresses.emplace(host.m_host, *endpoint);
+    }
+  }
+  return addresses;
+}
+
+HostAddresses EntryAddresses(platform::HostList const& aList)
+{
+  auto addresses = Addresses(aList);
+  for (auto const& host : aList) {
+    if (!IsEntry(host)) {
+      addresses.erase(host.m_host);
+    }
+  }
+  return addresses;
+}
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Entry/HostViews.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Agent/AgentDirectory.h"
+#include "Base/Endpoint.h"
+#include "Entry/Allowance/OwnershipPlan.h"
+#include "Entry/Configuration/RelayChoice.h"
+#include "Platform/HostEntry.h"
+
+#include <map>
+#include <vector>
+
+namespace sardinefold::programs {
+
+using HostAddresses = std::map<base::HostId, base::Endpoint>;
+
+/// The upstream hosts, for the directory of agents. Hosts without an address
+/// that can be used are left out here and below.
+std::vector<agent::AgentHost> AgentHosts(platform::HostList const& aList);
+/// The entries, for the configuration relay.
+entry::FleetView NewsView(platform::HostList const& aList);
+/// The entries, for the ownership of allowances.
+std::vector<entry::ListedEntry> ListedEntries(platform::HostList const& aList);
+/// Where all hosts are.
+HostAddresses Addresses(platform::HostList const& aList);
+/// Where the entries are.
+HostAddresses EntryAddresses(platform::HostList const& aList);
+
+} // namespace sardinefold::programs
