--- a/Base/Http/HttpHead.cpp
+++ b/Base/Http/HttpHead.cpp
@@ -2,7 +2,7 @@
 
 #include "Base/CaseInsensitive.h"
 
-#include <boost/beast/http/status.hpp>
+#include <boost/beast/http.hpp>
 
 namespace sardinefold::base {
 
