Agent: Never say not-run when an earlier attempt may have run

Cause: a repeatable request whose first attempt ended as unknown was tried again; when the later attempt provably did not run, the refusal said not-run although the first may have run. Seen in connections_gone_silent, which ended now as not-run and now as unknown. Any attempt that may have run now makes the final refusal unknown. Builds; no test of its own yet.

--- a/Agent/DispatchSession.h
+++ b/Agent/DispatchSession.h
@@ -75,7 +75,7 @@
       auto const now = m_loop.Now();
       auto const agent = m_chooser.Choose(aRequest, m_excluded, now);
       if (!agent && (m_excluded.empty() || now + m_pause >= aRequest.m_deadline)) {
-        co_return tl::make_unexpected(last ? *last : NoUpstream());
+        co_return tl::make_unexpected(Final(last ? *last : NoUpstream()));
       }
       if (!agent) {
         // Each has been tried once; one that was restarting may serve by now.
@@ -86,7 +86,7 @@
       }
       auto const held = co_await m_reserver.Reserve(aRequest);
       if (!held) {
-        co_return tl::make_unexpected(held.error());
+        co_return tl::make_unexpected(Final(held.error()));
       }
       auto outcome = co_await Attempt(aRequest, aMessage, *agent, *held, aCancellation);
       if (auto* const reply = std::get_if<AgentReply>(&outcome)) {
@@ -97,19 +97,31 @@
       m_reserver.Settle(held->m_reservation, step.m_mayHaveRun ? held->m_tokens : base::Tokens(0));
       m_chooser.NoteEnded(aRequest, agent->m_upstream, step.m_end, m_loop.Now());
       last = step.m_error;
+      if (auto const* const unknown = std::get_if<base::Unknown>(&step.m_error.m_outcome)) {
+        m_unknown = *unknown;
+      }
       if (step.m_permit && step.m_end == AttemptEnd::Late) {
         // The agent was not ready in time, for instance while it loaded the
         // model: the same agent gets the request again with fresh tokens.
         continue;
       }
       if (!step.m_permit || !m_retries.TryTake(m_loop.Now())) {
-        co_return tl::make_unexpected(std::move(*last));
+        co_return tl::make_unexpected(Final(*last));
       }
       m_excluded.insert(agent->m_upstream);
     }
   }
 
 private:
+  /// A refusal says "not run" only if none of the attempts may have run.
+  DispatchError Final(DispatchError aError) const
+  {
+    if (m_unknown) {
+      aError.m_outcome = *m_unknown;
+    }
+    return aError;
+  }
+
   boost::asio::awaitable<ForwardOutcome> Attempt(DispatchRequest const& aRequest,
                                                  base::HttpRequest const& aMessage,
                                                  KnownAgent const& aAgent, HeldTokens const& aHeld,
@@ -130,6 +142,8 @@
   Reserver& m_reserver;
   Retries& m_retries;
   std::set<base::UpstreamId> m_excluded;
+  /// Set once an attempt may have run.
+  std::optional<base::Unknown> m_unknown;
   /// Before agents that have been tried are tried again.
   base::Duration m_pause = std::chrono::milliseconds(100);
 };
