--- /dev/null
+++ b/Agent/Fleet/FleetCodec.cpp
@@ -0,0 +1,314 @@
+#include "Agent/Fleet/FleetCodec.h"
+
+#include "Base/Json.h"
+
+namespace sardinefold::agent {
+
+namespace {
+
+/// A field that is missing or has another type than expected.
+struct FieldError
+{
+  std::string m_message;
+};
+
+Json::Value const& Member(Json::Value const& aObject, char const* aName)
+{
+  if (!aObject.isObject() || !aObject.isMember(aName)) {
+    throw FieldError{ std::string(aName) + " is missing" };
+  }
+  return aObject[aName];
+}
+
+std::string Text(Json::Value const& aValue)
+{
+  if (!aValue.isString()) {
+    throw FieldError{ "a text is expected" };
+  }
+  return aValue.asString();
+}
+
+template<typename Id>
+Id Name(Json::Value const& aValue)
+{
+  auto id = Id::Create(Text(aValue));
+  if (!id) {
+    throw FieldError{ std::string(ToText(id.error())) };
+  }
+  return std::move(*id);
+}
+
+std::int64_t Whole(Json::Value const& aValue)
+{
+  if (!aValue.isInt64()) {
+    throw FieldError{ "a whole number is expected" };
+  }
+  return aValue.asInt64();
+}
+
+unsigned Count(Json::Value const& aValue)
+{
+  if (!aValue.isUInt()) {
+    throw FieldError{ "a count is expected" };
+  }
+  return aValue.asUInt();
+}
+
+double Real(Json::Value const& aValue)
+{
+  if (!aValue.isNumeric()) {
+    throw FieldError{ "a number is expected" };
+  }
+  return aValue.asDouble();
+}
+
+base::Endpoint Address(Json::Value const& aValue)
+{
+  auto endpoint = base::Endpoint::Parse(Text(aValue));
+  if (!endpoint) {
+    throw FieldError{ endpoint.error() };
+  }
+  return std::move(*endpoint);
+}
+
+base::Duration Milliseconds(Json::Value const& aValue)
+{
+  return std::chrono::milliseconds(Whole(aValue));
+}
+
+Json::Value FromMilliseconds(base::Duration aDuration)
+{
+  return Json::Int64(base::ToMilliseconds(aDuration));
+}
+
+template<typename Container>
+Json::Value FromNames(Container const& aNames)
+{
+  Json::Value list(Json::arrayValue);
+  for (auto const& name : aNames) {
+    list.append(name.Text());
+  }
+  return list;
+}
+
+template<typename Id>
+std::set<Id> ToNames(Json::Value const& aList)
+{
+  std::set<Id> names;
+  for (auto const& entry : aList) {
+    names.insert(Name<Id>(entry));
+  }
+  return names;
+}
+
+Json::Value FromGrants(GrantedTokens const& aGrants)
+{
+  Json::Value object(Json::objectValue);
+  for (auto const& [workspace, tokens] : aGrants) {
+    object[workspace.Text()] = Json::Int64(tokens.Value());
+  }
+  return object;
+}
+
+GrantedTokens ToGrants(Json::Value const& aObject)
+{
+  GrantedTokens grants;
+  if (!aObject.isObject()) {
+    throw FieldError{ "grants are expected" };
+  }
+  for (auto const& name : aObject.getMemberNames()) {
+    grants.emplace(Name<base::WorkspaceId>(Json::Value(name)), base::Tokens(Whole(aObject[name])));
+  }
+  return grants;
+}
+
+struct Encoder
+{
+  Json::Value& m_root;
+
+  Json::Value& Start(char const* aMethod)
+  {
+    m_root["jsonrpc"] = "2.0";
+    m_root["method"] = aMethod;
+    return m_root["params"];
+  }
+
+  void operator()(EngineStatus const& aStatus)
+  {
+    auto& params = Start("engine.status");
+    params["host"] = aStatus.m_host.Text();
+    params["engine"] = aStatus.m_engine.Text();
+    params["deployment"] = aStatus.m_deployment.Text();
+    params["failure_domain"] = aStatus.m_failureDomain.Text();
+    params["models"] = Json::Value(Json::arrayValue);
+    for (auto const& held : aStatus.m_models) {
+      Json::Value model;
+      model["name"] = held.m_model.Text();
+      model["adapters"] = FromNames(held.m_adapters);
+      params["models"].append(std::move(model));
+    }
+    params["in_memory"] = FromNames(aStatus.m_copies.m_inMemory);
+    params["on_disk"] = FromNames(aStatus.m_copies.m_onDisk);
+    if (aStatus.m_change.m_loading) {
+      params["loading"] = aStatus.m_change.m_loading->Text();
+      params["ready_in_ms"] = FromMilliseconds(aStatus.m_change.m_readyIn);
+    }
+    if (aStatus.m_change.m_unloading) {
+      params["unloading"] = aStatus.m_change.m_unloading->Text();
+    }
+    params["running"] = aStatus.m_running;
+    params["waiting"] = aStatus.m_waiting;
+    params["cache_used"] = Json::Int64(aStatus.m_cacheUsed.Value());
+    params["cache_total"] = Json::Int64(aStatus.m_cacheTotal.Value());
+    params["can_order"] = aStatus.m_canOrder;
+  }
+
+  void operator()(GatewayReport const& aReport)
+  {
+    auto& params = Start("gateway.report");
+    params["host"] = aReport.m_host.Text();
+    params["incarnation"] = aReport.m_incarnation.Text();
+    params["planner"] = aReport.m_planner.Text();
+    params["catalog"] = Json::UInt64(aReport.m_catalog.Value());
+    if (aReport.m_engine) {
+      params["instance"] = aReport.m_engine->m_instance.Text();
+      params["started_at"] = Json::Int64(aReport.m_engine->m_startedAt);
+    }
+    params["demand"] = Json::Value(Json::arrayValue);
+    for (auto const& demand : aReport.m_demand) {
+      Json::Value entry;
+      entry["model"] = demand.m_model.Text();
+      entry["waiting"] = demand.m_waiting;
+      entry["worth"] = demand.m_worth;
+      entry["goal_in_ms"] = FromMilliseconds(demand.m_goalIn);
+      entry["rate"] = demand.m_rate;
+      entry["running"] = demand.m_running;
+      params["demand"].append(std::move(entry));
+    }
+    params["granted"] = FromGrants(aReport.m_granted);
+  }
+
+  void operator()(GrantSummary const& aSummary)
+  {
+    auto& params = Start("allowance.summary");
+    params["epoch"] = aSummary.m_epoch;
+    params["gateways"] = aSummary.m_gateways;
+    params["granted"] = FromGrants(aSummary.m_grantedByOthers);
+  }
+
+  void operator()(SwapRequest const& aRequest)
+  {
+    auto& params = Start("engine.swap");
+    params["load"] = aRequest.m_load.Text();
+    params["unload"] = FromNames(aRequest.m_unload);
+  }
+
+  void operator()(AdapterRequest const& aRequest)
+  {
+    auto& params = Start("engine.adapter");
+    params["model"] = aRequest.m_model.Text();
+    params["adapter"] = aRequest.m_adapter.Text();
+  }
+};
+
+EngineStatus ToEngineStatus(Json::Value const& aParams)
+{
+  EngineStatus status;
+  status.m_host = Name<base::HostId>(Member(aParams, "host"));
+  status.m_engine = Address(Member(aParams, "engine"));
+  status.m_deployment = Name<base::DeploymentId>(Member(aParams, "deployment"));
+  status.m_failureDomain = Name<base::FailureDomainId>(Member(aParams, "failure_domain"));
+  for (auto const& entry : Member(aParams, "models")) {
+    status.m_models.push_back({ Name<base::ModelId>(Member(entry, "name")),
+                                ToNames<base::AdapterId>(Member(entry, "adapters")) });
+  }
+  status.m_copies.m_inMemory = ToNames<base::ModelId>(Member(aParams, "in_memory"));
+  status.m_copies.m_onDisk = ToNames<base::ModelId>(Member(aParams, "on_disk"));
+  if (aParams.isMember("loading")) {
+    status.m_change.m_loading = Name<base::ModelId>(aParams["loading"]);
+    status.m_change.m_readyIn = Milliseconds(Member(aParams, "ready_in_ms"));
+  }
+  if (aParams.isMember("unloading")) {
+    status.m_change.m_unloading = Name<base::ModelId>(aParams["unloading"]);
+  }
+  status.m_running = Count(Member(aParams, "running"));
+  status.m_waiting = Count(Member(aParams, "waiting"));
+  status.m_cacheUsed = base::Tokens(Whole(Member(aParams, "cache_used")));
+  status.m_cacheTotal = base::Tokens(Whole(Member(aParams, "cache_total")));
+  status.m_canOrder = Member(aParams, "can_order").asBool();
+  return status;
+}
+
+GatewayReport ToGatewayReport(Json::Value const& aParams)
+{
+  GatewayReport report;
+  report.m_host = Name<base::HostId>(Member(aParams, "host"));
+  report.m_incarnation = Name<base::IncarnationId>(Member(aParams, "incarnation"));
+  report.m_planner = Address(Member(aParams, "planner"));
+  report.m_catalog =
+    base::CatalogVersion(static_cast<std::uint64_t>(Whole(Member(aParams, "catalog"))));
+  if (aParams.isMember("instance")) {
+    report.m_engine = EngineIdentity{ Name<engine::InstanceId>(aParams["instance"]),
+                                      Whole(Member(aParams, "started_at")) };
+  }
+  for (auto const& entry : Member(aParams, "demand")) {
+    engine::WaitingDemand demand;
+    demand.m_model = Name<base::ModelId>(Member(entry, "model"));
+    demand.m_waiting = Count(Member(entry, "waiting"));
+    demand.m_worth = Real(Member(entry, "worth"));
+    demand.m_goalIn = Milliseconds(Member(entry, "goal_in_ms"));
+    demand.m_rate = Real(Member(entry, "rate"));
+    demand.m_running = Count(Member(entry, "running"));
+    report.m_demand.push_back(std::move(demand));
+  }
+  report.m_granted = ToGrants(Member(aParams, "granted"));
+  return report;
+}
+
+FleetMessage ToMessage(std::string const& aMethod, Json::Value const& aParams)
+{
+  if (aMethod == "engine.status") {
+    return ToEngineStatus(aParams);
+  }
+  if (aMethod == "gateway.report") {
+    return ToGatewayReport(aParams);
+  }
+  if (aMethod == "allowance.summary") {
+    return GrantSummary{ Text(Member(aParams, "epoch")), Count(Member(aParams, "gateways")),
+                         ToGrants(Member(aParams, "granted")) };
+  }
+  if (aMethod == "engine.swap") {
+    auto const unload = ToNames<base::ModelId>(Member(aParams, "unload"));
+    return SwapRequest{ Name<base::ModelId>(Member(aParams, "load")),
+                        { unload.begin(), unload.end() } };
+  }
+  if (aMethod == "engine.adapter") {
+    return AdapterRequest{ Name<base::ModelId>(Member(aParams, "model")),
+                           Name<base::AdapterId>(Member(aParams, "adapter")) };
+  }
+  throw FieldError{ "method \"" + aMethod + "\" is unknown" };
+}
+
+} // namespace
+
+std::string EncodeFleetMessage(FleetMessage const& aMessage)
+{
+  Json::Value root;
+  std::visit(Encoder{ root }, aMessage);
+  return base::RenderJson(root);
+}
+
+tl::expected<FleetMessage, std::string> DecodeFleetMessage(std::string_view aText)
+{
+  auto const parsed = base::ParseJson(aText);
+  if (!parsed) {
+    return tl::make_unexpected(parsed.error());
+  }
+  try {
+    return ToMessage(Text(Member(*parsed, "method")), Member(*parsed, "params"));
+  } catch (FieldError const& error) {
+    return tl::make_unexpected(error.m_message);
+  }
+}
+
+} // namespace sardinefold::agent
--- /dev/null
+++ b/Agent/Fleet/FleetMessages.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Base/Endpoint.h"
+#include "Base/Identifiers.h"
+#include "Base/Time.h"
+#include "Base/Units.h"
+#include "Engine/DemandBoard.h"
+#include "Engine/EngineFacts.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sardinefold::agent {
+
+/// A change of models that an engine is carrying out.
+struct ModelChange
+{
+  std::optional<base::ModelId> m_loading;
+  /// Expected time until the model can be used.
+  base::Duration m_readyIn{};
+  std::optional<base::ModelId> m_unloading;
+};
+
+/// From the loader beside an engine to gateways and to the planner: what the
+/// engine holds and how busy it is.
+struct EngineStatus
+{
+  base::HostId m_host;
+  base::Endpoint m_engine;
+  base::DeploymentId m_deployment;
+  base::FailureDomainId m_failureDomain;
+  std::vector<engine::HeldModel> m_models;
+  engine::WeightCopies m_copies;
+  ModelChange m_change;
+  unsigned m_running = 0;
+  unsigned m_waiting = 0;
+  base::Tokens m_cacheUsed;
+  base::Tokens m_cacheTotal;
+  /// Whether the loader may give orders.
+  bool m_canOrder = false;
+};
+
+/// Tokens that a workspace has been granted since the process started.
+using GrantedTokens = std::map<base::WorkspaceId, base::Tokens>;
+
+/// One start of an engine, as the platform's list has it.
+struct EngineIdentity
+{
+  engine::InstanceId m_instance;
+  /// Unix milliseconds.
+  std::int64_t m_startedAt = 0;
+};
+
+/// From a gateway to the loaders: who plans, and for the planner the demand
+/// and the allowances used.
+struct GatewayReport
+{
+  base::HostId m_host;
+  base::IncarnationId m_incarnation;
+  /// The loader that this gateway takes for the planner.
+  base::Endpoint m_planner;
+  base::CatalogVersion m_catalog;
+  /// The engine beside the loader that this goes to.
+  std::optional<EngineIdentity> m_engine;
+  std::vector<engine::WaitingDemand> m_demand;
+  GrantedTokens m_granted;
+};
+
+/// From the planner to a gateway: what all others have granted.
+struct GrantSummary
+{
+  /// Sums of different epochs are not comparable.
+  std::string m_epoch;
+  /// Gateways counted, the receiver included.
+  unsigned m_gateways = 1;
+  GrantedTokens m_grantedByOthers;
+};
+
+/// From the planner to a loader: replace models by another.
+struct SwapRequest
+{
+  base::ModelId m_load;
+  std::vector<base::ModelId> m_unload;
+};
+
+/// From a gateway to a loader: requests wait for this adapter.
+struct AdapterRequest
+{
+  base::ModelId m_model;
+  base::AdapterId m_adapter;
+};
+
+using FleetMessage =
+  std::variant<EngineStatus, GatewayReport, GrantSummary, SwapRequest, AdapterRequest>;
+
+} // namespace sardinefold::agent
--- a/Base/Digest.cpp
+++ b/Base/Digest.cpp
@@ -98,6 +98,12 @@
   return XXH3_64bits_withSeed(aData.data(), aData.size(), aSeed);
 }
 
+std::uint64_t RandomNumber()
+{
+  constexpr int kHexadecimal = 16;
+  return std::stoull(RandomHex(sizeof(std::uint64_t)), nullptr, kHexadecimal);
+}
+
 std::string RandomHex(std::size_t aBytes)
 {
   // Drawn in blocks: each call of the generator costs several microseconds.
--- a/Base/Digest.h
+++ b/Base/Digest.h
@@ -45,5 +45,7 @@
 
 /// Random bytes from the system's generator, as hexadecimal digits.
 std::string RandomHex(std::size_t aBytes);
+/// A number from the system's generator, to seed others with.
+std::uint64_t RandomNumber();
 
 } // namespace sardinefold::base
--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <charconv>
 #include <optional>
 
 namespace sardinefold::base {
@@ -33,6 +34,11 @@
   std::optional<http::response_parser<http::buffer_body>> m_parser;
   Endpoint m_endpoint;
   Instant m_idleSince{};
+  /// The server's own idle limit, if it told one.
+  std::optional<Duration> m_serverIdleTime;
+  /// Whether the whole request was written; a response may come before that.
+  // Shared with the write's handler, which may run after the connection ended.
+  std::shared_ptr<bool> m_isWritten = std::make_shared<bool>(false);
 };
 
 namespace {
@@ -40,6 +46,8 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t kProbeAnswerBytes = std::uint64_t(1024) * 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
+/// Responses to earlier requests that one connection may deliver first.
+constexpr int kMostSkippedResponses = 4;
 
 HttpFailure ToFailure(boost::system::error_code aError, bool aMayHaveBeenSent)
 {
@@ -91,21 +99,91 @@
   co_return connectError;
 }
 
+bool IsEchoedBy(HttpHeaders::Field const& aEcho,
+                http::response_parser<http::buffer_body> const& aParser)
+{
+  auto const found = aParser.get().find(aEcho.m_name);
+  return found == aParser.get().end() || found->value() == std::string_view(aEcho.m_value);
+}
+
+/// Reads the rest of a response and drops it.
+asio::awaitable<boost::system::error_code> SkipBody(HttpConnection& aConnection)
+{
+  auto& parser = *aConnection.m_parser;
+  std::array<char, 4096> storage;
+  while (!parser.is_done()) {
+    parser.get().body().data = storage.data();
+    parser.get().body().size = storage.size();
+    auto const [error, size] =
+      co_await http::async_read_some(aConnection.m_stream, aConnection.m_buffer, parser, kAwait);
+    if (error && error != http::error::need_buffer) {
+      co_return error;
+    }
+  }
+  if (!parser.keep_alive()) {
+    co_return http::error::end_of_stream;
+  }
+  co_return boost::system::error_code{};
+}
+
+/// Writes a request while its response is awaited, since a server may answer
+/// before it has read a long body.
+void StartWriting(HttpConnection& aConnection, std::string aMessage)
+{
+  // Shared: the buffer has to last until the write's handler has run, which may
+  // be after the connection was closed.
+  auto const message = std::make_shared<std::string const>(std::move(aMessage));
+  *aConnection.m_isWritten = false;
+  asio::async_write(aConnection.m_stream, asio::buffer(*message),
+                    [message, isWritten = aConnection.m_isWritten](
+                      boost::system::error_code aError, std::size_t) { *isWritten = !aError; });
+}
+
+/// The idle limit in a field of the form "timeout=5, max=100".
+std::optional<Duration> ParseKeepAlive(std::string_view aText)
+{
+  constexpr std::string_view kName = "timeout=";
+  auto const position = aText.find(kName);
+  int seconds = 0;
+  if (position == std::string_view::npos) {
+    return std::nullopt;
+  }
+  auto const digits = aText.substr(position + kName.size());
+  auto const [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (error != std::errc() || seconds <= 0) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
 /// Reads heads until one that is not an interim response.
 asio::awaitable<boost::system::error_code> ReadHead(HttpConnection& aConnection, bool aIsHead,
-                                                    Bytes aHeaderLimit)
+                                                    Bytes aHeaderLimit,
+                                                    std::optional<HttpHeaders::Field> const& aEcho)
 {
-  while (true) {
+  for (int skipped = 0; skipped <= kMostSkippedResponses;) {
     auto& parser = aConnection.m_parser.emplace();
     parser.header_limit(static_cast<std::uint32_t>(aHeaderLimit.Value()));
     parser.body_limit(boost::none);
     parser.skip(aIsHead);
     auto const [error, size] =
       co_await http::async_read_header(aConnection.m_stream, aConnection.m_buffer, parser, kAwait);
-    if (error || parser.get().result_int() >= 200) {
+    if (error) {
       co_return error;
     }
+    if (parser.get().result_int() < 200) {
+      continue;
+    }
+    if (!aEcho || IsEchoedBy(*aEcho, parser)) {
+      co_return error;
+    }
+    ++skipped;
+    auto const skipError = co_await SkipBody(aConnection);
+    if (skipError) {
+      co_return skipError;
+    }
   }
+  co_return http::error::unexpected_body;
 }
 
 /// Whether the connection answers the probe in time.
@@ -196,7 +274,10 @@
   if (m_cancellation) {
     m_cancellation->ClearAction();
   }
-  bool const keepAlive = m_connection->m_parser->keep_alive();
+  bool const keepAlive = m_connection->m_parser->keep_alive() && *m_connection->m_isWritten;
+  if (auto const told = m_headers.Find("Keep-Alive")) {
+    m_connection->m_serverIdleTime = ParseKeepAlive(*told);
+  }
   m_connection->m_parser.reset();
   if (keepAlive) {
     m_client->Return(std::move(m_connection));
@@ -240,7 +321,8 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpConnection> HttpClient::TakeIdle(Endpoint const& aEndpoint)
+std::unique_ptr<HttpConnection> HttpClient::TakeIdle(Endpoint const& aEndpoint,
+                                                     Duration aLongestIdle)
 {
   auto const found = m_idle.find(aEndpoint);
   if (found == m_idle.end()) {
@@ -250,7 +332,9 @@
   while (!connections.empty()) {
     auto connection = std::move(connections.back());
     connections.pop_back();
-    bool const isFresh = m_loop.Now() - connection->m_idleSince < m_limits.m_idleTime;
+    // Half of the server's limit leaves room for the request's way.
+    auto const limit = std::min(aLongestIdle, connection->m_serverIdleTime.value_or(aLongestIdle) / 2);
+    bool const isFresh = m_loop.Now() - connection->m_idleSince < limit;
     if (isFresh && IsStillOpen(connection->m_stream.socket())) {
       return connection;
     }
@@ -258,9 +342,10 @@
   return nullptr;
 }
 
-asio::awaitable<std::unique_ptr<HttpConnection>> HttpClient::TakeWorking(Endpoint const& aEndpoint)
+asio::awaitable<std::unique_ptr<HttpConnection>> HttpClient::TakeWorking(Endpoint const& aEndpoint,
+                                                                        Duration aLongestIdle)
 {
-  auto connection = TakeIdle(aEndpoint);
+  auto connection = TakeIdle(aEndpoint, aLongestIdle);
   auto const& probe = m_limits.m_probe;
   if (!connection || !probe || m_loop.Now() - connection->m_idleSince < probe->m_afterIdle) {
     co_return connection;
@@ -299,42 +384,46 @@
                                                                        Duration aHeadLimit,
                                                                        Cancellation* aCancellation)
 {
-  auto connection = co_await TakeWorking(aEndpoint);
+  HttpSendOptions options{ aHeadLimit, aCancellation, std::nullopt, std::nullopt };
+  co_return co_await Send(std::move(aEndpoint), std::move(aRequest), std::move(options));
+}
+
+asio::awaitable<tl::expected<HttpReply, HttpFailure>> HttpClient::Send(Endpoint aEndpoint,
+                                                                       HttpRequest aRequest,
+                                                                       HttpSendOptions aOptions)
+{
+  auto* const cancellation = aOptions.m_cancellation;
+  auto const longestIdle = aOptions.m_longestIdle.value_or(m_limits.m_idleTime);
+  auto connection = co_await TakeWorking(aEndpoint, longestIdle);
   if (!connection) {
     connection = std::make_unique<HttpConnection>(m_loop.Context(), aEndpoint);
-    CancelWith(aCancellation, *connection);
-    auto const connectLimit = std::min(m_limits.m_connectTime, aHeadLimit);
+    CancelWith(cancellation, *connection);
+    auto const connectLimit = std::min(m_limits.m_connectTime, aOptions.m_headLimit);
     auto const error = co_await Connect(*connection, connectLimit);
     if (error) {
-      StopCancelling(aCancellation);
+      StopCancelling(cancellation);
       HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false,
                            aEndpoint.Text() + ": " + error.message(),
                            error == asio::error::connection_refused };
       co_return tl::make_unexpected(std::move(failure));
     }
   }
-  if (aCancellation && aCancellation->IsCancelled()) {
+  if (cancellation && cancellation->IsCancelled()) {
     HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false, "cancelled" };
     co_return tl::make_unexpected(std::move(failure));
   }
-  CancelWith(aCancellation, *connection);
-  auto const head = RenderRequestHead(aRequest, aEndpoint, FramingOf(aRequest));
-  std::array<asio::const_buffer, 2> const message = { asio::buffer(head),
-                                                      asio::buffer(aRequest.m_body) };
-  connection->m_stream.expires_after(aHeadLimit);
-  auto const [writeError, written] =
-    co_await asio::async_write(connection->m_stream, message, kAwait);
-  if (writeError) {
-    StopCancelling(aCancellation);
-    co_return tl::make_unexpected(ToFailure(writeError, true));
-  }
+  CancelWith(cancellation, *connection);
+  connection->m_stream.expires_after(aOptions.m_headLimit);
+  StartWriting(*connection,
+               RenderRequestHead(aRequest, aEndpoint, FramingOf(aRequest)) + aRequest.m_body);
   bool const isHead = aRequest.m_method == "HEAD";
-  auto const readError = co_await ReadHead(*connection, isHead, m_limits.m_headerBytes);
+  auto const readError =
+    co_await ReadHead(*connection, isHead, m_limits.m_headerBytes, aOptions.m_echo);
   if (readError) {
-    StopCancelling(aCancellation);
+    StopCancelling(cancellation);
     co_return tl::make_unexpected(ToFailure(readError, true));
   }
-  co_return HttpReply(*this, std::move(connection), aCancellation);
+  co_return HttpReply(*this, std::move(connection), cancellation);
 }
 
 asio::awaitable<tl::expected<HttpResponse, HttpFailure>> HttpClient::Fetch(Endpoint aEndpoint,
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -65,6 +65,21 @@
   std::optional<HttpProbe> m_probe;
 };
 
+/// How one request is sent.
+struct HttpSendOptions
+{
+  /// Longest wait for the head of the response.
+  Duration m_headLimit;
+  /// Closes the connection until the response has ended; outlives the reply.
+  Cancellation* m_cancellation = nullptr;
+  /// Connections that were idle for longer are left alone; zero always
+  /// connects anew. Absent, the client's own limit holds.
+  std::optional<Duration> m_longestIdle;
+  /// A field that the response echoes. Final responses that carry another
+  /// value answer an earlier request: they are read and dropped.
+  std::optional<HttpHeaders::Field> m_echo;
+};
+
 class HttpClient;
 struct HttpConnection;
 
@@ -115,6 +130,9 @@
   boost::asio::awaitable<tl::expected<HttpReply, HttpFailure>> Send(
     Endpoint aEndpoint, HttpRequest aRequest, Duration aHeadLimit,
     Cancellation* aCancellation = nullptr);
+  boost::asio::awaitable<tl::expected<HttpReply, HttpFailure>> Send(Endpoint aEndpoint,
+                                                                    HttpRequest aRequest,
+                                                                    HttpSendOptions aOptions);
 
   /// Sends a request and reads its whole response, of at most the given size,
   /// within the given time.
@@ -129,10 +147,11 @@
 
 private:
   friend class HttpReply;
-  std::unique_ptr<HttpConnection> TakeIdle(Endpoint const& aEndpoint);
+  std::unique_ptr<HttpConnection> TakeIdle(Endpoint const& aEndpoint, Duration aLongestIdle);
   /// An idle connection that is known to carry data. When one does not, all
   /// idle connections to its endpoint are closed.
-  boost::asio::awaitable<std::unique_ptr<HttpConnection>> TakeWorking(Endpoint const& aEndpoint);
+  boost::asio::awaitable<std::unique_ptr<HttpConnection>> TakeWorking(Endpoint const& aEndpoint,
+                                                                   Duration aLongestIdle);
   void Return(std::unique_ptr<HttpConnection> aConnection);
 
   EventLoop& m_loop;
--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -61,6 +61,12 @@
   /// The port bound, which the system chose if the endpoint said 0.
   std::uint16_t Port() const;
 
+  /// Replaces the bounds; requests that are being read keep theirs.
+  void SetLimits(HttpServerLimits aLimits) { m_limits = aLimits; }
+
+  /// Goes on serving, and closes each connection after its next response.
+  void CloseAfterResponses() { m_isClosing = true; }
+
   /// Accepts no more, closes idle connections and lets the open exchanges end,
   /// for at most the given time. Returns how many were still open then.
   boost::asio::awaitable<std::size_t> Drain(Duration aLimit);
@@ -90,6 +96,7 @@
   std::size_t m_connections = 0;
   std::size_t m_exchanges = 0;
   std::uint64_t m_accepted = 0;
+  bool m_isClosing = false;
   bool m_draining = false;
 };
 
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -161,8 +161,9 @@
   boost::asio::awaitable<bool> Serve(HttpRequest aRequest)
   {
     detail::CountGuard const guard(m_server.m_exchanges);
-    HttpExchange exchange(&m_stream, std::move(aRequest), m_keepAlive && !m_server.m_draining,
-                          m_mayChunk, m_server.m_limits.m_writeTime);
+    bool const keepAlive = m_keepAlive && !m_server.m_draining && !m_server.m_isClosing;
+    HttpExchange exchange(&m_stream, std::move(aRequest), keepAlive, m_mayChunk,
+                          m_server.m_limits.m_writeTime);
     exchange.SetConnectionNumber(m_number);
     m_current = &exchange;
     WatchPeer();
--- a/Base/Units.h
+++ b/Base/Units.h
@@ -11,6 +11,8 @@
 using Tokens = Quantity<struct TokensTag>;
 /// A size of memory or of a message.
 using Bytes = Quantity<struct BytesTag>;
+/// Memory of weights, in units of 10^6 bytes.
+using Megabytes = Quantity<struct MegabytesTag, double>;
 /// A sustained rate of a workspace.
 using TokensPerSecond = Quantity<struct TokensPerSecondTag, double>;
 
@@ -21,6 +23,10 @@
 using Epoch = Ordinal<struct EpochTag>;
 /// Version of an object in the platform's object API.
 using ObjectVersion = Ordinal<struct ObjectVersionTag>;
+/// Version of the catalog of routes and services in force.
+using CatalogVersion = Ordinal<struct CatalogVersionTag>;
+/// Orders that an engine has accepted since its start.
+using OrderCount = Ordinal<struct OrderCountTag>;
 /// Version of the operator's document in one environment.
 using DocumentVersion = Ordinal<struct DocumentVersionTag>;
 
--- a/Bench/PlatformBench.cpp
+++ b/Bench/PlatformBench.cpp
@@ -1,6 +1,6 @@
-#include "Platform/Backoff.h"
-#include "Platform/CallBudget.h"
-#include "Platform/CircuitBreaker.h"
+#include "ObjectStore/Backoff.h"
+#include "ObjectStore/CallBudget.h"
+#include "ObjectStore/CircuitBreaker.h"
 
 #include <cxxopts.hpp>
 
@@ -10,7 +10,7 @@
 #include <vector>
 
 using namespace sardinefold;
-using namespace sardinefold::platform;
+using namespace sardinefold::objectstore;
 using namespace std::chrono_literals;
 
 namespace {
--- /dev/null
+++ b/Caller/CatalogIndex.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Operator/ServingCatalog.h"
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sardinefold::caller {
+
+/// Looks up routes and keys of one version of the catalog.
+class CatalogIndex
+{
+public:
+  explicit CatalogIndex(operators::ServingCatalog aCatalog);
+
+  CatalogIndex(CatalogIndex const&) = delete;
+  CatalogIndex& operator=(CatalogIndex const&) = delete;
+
+  /// The route with the longest prefix of the path, among those of the host;
+  /// null if there is none. The host may carry a port.
+  operators::RouteRule const* FindRoute(std::string_view aHost, std::string_view aPath) const;
+  /// The workspace that holds a key; null for an unknown key.
+  operators::WorkspaceGrant const* FindWorkspace(std::string_view aKey) const;
+  operators::DeploymentSpec const* FindDeployment(base::DeploymentId const& aDeployment) const;
+  bool HasWorkspaces() const { return !m_catalog.m_workspaces.empty(); }
+  operators::ServingCatalog const& Catalog() const { return m_catalog; }
+
+private:
+  operators::ServingCatalog m_catalog;
+  /// Routes of each host, those with longer prefixes first.
+  std::unordered_map<std::string, std::vector<operators::RouteRule const*>> m_routes;
+  std::unordered_map<std::string, operators::WorkspaceGrant const*> m_keys;
+};
+
+} // namespace sardinefold::caller
--- /dev/null
+++ b/Caller/ForwardRequest.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Base/Http/HttpMessage.h"
+#include "Base/Identifiers.h"
+#include "Base/Time.h"
+#include "Base/Units.h"
+#include "Engine/EngineFacts.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sardinefold::caller {
+
+/// The model that a request names, and the adapter on it if any.
+struct ModelChoice
+{
+  base::ModelId m_model;
+  std::optional<base::AdapterId> m_adapter;
+
+  friend bool operator==(ModelChoice const&, ModelChoice const&) = default;
+  friend auto operator<=>(ModelChoice const&, ModelChoice const&) = default;
+};
+
+/// Number of tokens in a request, as its caller counts them.
+struct TokenCount
+{
+  base::Tokens m_prompt;
+  base::Tokens m_maximumOutput;
+
+  base::Tokens Total() const { return m_prompt + m_maximumOutput; }
+};
+
+/// Position in a stream of events; the next event has a higher one.
+using EventNumber = base::Ordinal<struct EventNumberTag>;
+
+/// What the system needs to know of a request that it forwards unchanged.
+struct ForwardRequest
+{
+  /// One attempt of a caller; a caller's retry has another one.
+  base::RequestId m_id;
+  std::string m_host;
+  std::optional<std::string> m_key;
+  /// How long the caller will wait, counted from the request's arrival.
+  std::optional<base::Duration> m_deadline;
+  std::optional<ModelChoice> m_model;
+  std::optional<TokenCount> m_tokens;
+  /// Identifies the longest part of the prompt that other requests share.
+  std::optional<std::uint64_t> m_promptPrefix;
+  /// The caller resumes a stream behind this event.
+  std::optional<EventNumber> m_resumeAfter;
+};
+
+/// How a request is put to one engine.
+struct ForwardTerms
+{
+  engine::InstanceId m_instance;
+  base::Duration m_timeLeft{};
+  std::optional<base::WorkspaceId> m_workspace;
+  /// From 0, the most urgent, to 9.
+  unsigned m_urgency = 5;
+  std::optional<EventNumber> m_resumeAfter;
+};
+
+/// What the head of an engine's answer says.
+struct UpstreamAnswerHead
+{
+  unsigned m_status = 0;
+  /// The engine states that it did not run the request.
+  bool m_isNotRun = false;
+  /// The answer bears an engine's mark and names this request.
+  bool m_isGenuine = false;
+  /// Another engine has the address.
+  bool m_isWrongEngine = false;
+  /// The body is encoded and hence not what the engine made.
+  bool m_isEncoded = false;
+  bool m_isLeaving = false;
+
+  bool IsSuccess() const { return m_status >= 200 && m_status < 300; }
+};
+
+} // namespace sardinefold::caller
--- /dev/null
+++ b/Engine/DemandBoard.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Quantity.h"
+#include "Base/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace sardinefold::engine {
+
+/// Names one request that waits for a model.
+using WaitTicket = base::Ordinal<struct WaitTicketTag>;
+
+/// Requests that wait for one model, and how often it is asked for.
+struct WaitingDemand
+{
+  base::ModelId m_model;
+  unsigned m_waiting = 0;
+  /// Credit that those who wait earn if the model is ready in time.
+  double m_worth = 0;
+  /// Time until the earliest goal of those whose goal is still ahead; else of
+  /// all.
+  base::Duration m_goalIn{};
+  /// Requests per second of late.
+  double m_rate = 0;
+  /// Requests that engines are working on.
+  unsigned m_running = 0;
+};
+
+/// Records which models are asked for at this process and which requests wait.
+class DemandBoard
+{
+public:
+  void OnAsked(base::ModelId const& aModel, base::Instant aNow);
+  WaitTicket StartWaiting(base::ModelId const& aModel, double aWorth, base::Instant aGoal);
+  void StopWaiting(base::ModelId const& aModel, WaitTicket aTicket);
+  void StartRunning(base::ModelId const& aModel) { ++m_models[aModel].m_running; }
+  void StopRunning(base::ModelId const& aModel) { --m_models[aModel].m_running; }
+
+  std::vector<WaitingDemand> Summary(base::Instant aNow) const;
+  unsigned WaitingFor(base::ModelId const& aModel) const;
+
+private:
+  struct Waiting
+  {
+    double m_worth;
+    base::Instant m_goal;
+  };
+  struct Model
+  {
+    std::map<WaitTicket, Waiting> m_waiting;
+    unsigned m_running = 0;
+    /// Exponentially decaying count of requests.
+    double m_recent = 0;
+    base::Instant m_countedAt{};
+  };
+
+  static double Decayed(Model const& aModel, base::Instant aNow);
+
+  std::map<base::ModelId, Model> m_models;
+  WaitTicket m_lastTicket;
+};
+
+} // namespace sardinefold::engine
--- /dev/null
+++ b/Engine/OrderDesk.cpp
@@ -0,0 +1,257 @@
+#include "Engine/OrderDesk.h"
+
+#include <algorithm>
+
+namespace sardinefold::engine {
+
+namespace {
+
+using Operation = EngineOrderRequest::Operation;
+
+} // namespace
+
+void OrderDesk::OnReport(EngineReport aReport, base::Instant aNow)
+{
+  bool const isRestart = m_report && (m_report->m_startedAt != aReport.m_startedAt ||
+                                      aReport.m_orders < m_report->m_orders);
+  if (isRestart) {
+    m_swap.reset();
+    m_sent.reset();
+  }
+  if (m_sent && aReport.m_orders > m_sent->m_order.m_expected) {
+    m_sent->m_isAccepted = true;
+    if (!aReport.m_isBusy) {
+      m_sent.reset();
+    }
+  }
+  if (aReport.m_isBusy && (!m_report || !m_report->m_isBusy)) {
+    m_busySince = aNow;
+  }
+  m_report = std::move(aReport);
+  if (m_swap && Held(m_swap->m_load)) {
+    m_swap.reset();
+  }
+}
+
+void OrderDesk::Swap(base::ModelId const& aLoad, std::vector<base::ModelId> aUnload,
+                     base::Instant aNow)
+{
+  bool const isUnderWay = m_sent && !m_sent->m_order.m_adapter;
+  if (isUnderWay || (m_swap && m_swap->m_load == aLoad)) {
+    return;
+  }
+  m_swap = SwapPlan{ aLoad, std::move(aUnload), aNow };
+}
+
+void OrderDesk::WantAdapter(base::ModelId const& aModel, base::AdapterId const& aAdapter,
+                            base::Instant aNow)
+{
+  m_wantedAdapters[{ aModel, aAdapter }] = aNow;
+  m_adapterUse[{ aModel, aAdapter }] = aNow;
+}
+
+HeldModel const* OrderDesk::Held(base::ModelId const& aModel) const
+{
+  if (!m_report) {
+    return nullptr;
+  }
+  auto const found = std::ranges::find(m_report->m_models, aModel, &HeldModel::m_model);
+  return found == m_report->m_models.end() ? nullptr : &*found;
+}
+
+base::Megabytes OrderDesk::Used() const
+{
+  base::Megabytes used;
+  for (auto const& held : m_report->m_models) {
+    auto const model = m_spec->m_models.find(held.m_model);
+    if (model == m_spec->m_models.end()) {
+      // Nothing is known of its size, so nothing else may be loaded.
+      return m_spec->m_weights;
+    }
+    used += model->second.m_weights;
+    used += model->second.m_adapterWeights * static_cast<double>(held.m_adapters.size());
+  }
+  base::Megabytes largestAdapter;
+  for (auto const& [id, model] : m_spec->m_models) {
+    largestAdapter = std::max(largestAdapter, model.m_adapterWeights);
+  }
+  used += largestAdapter * static_cast<double>(m_report->m_arrivingAdapters);
+  return used;
+}
+
+bool OrderDesk::Fits(base::Megabytes aNeeded) const
+{
+  return Used() + aNeeded <= m_spec->m_weights;
+}
+
+base::Duration OrderDesk::LoadTime(base::ModelId const& aModel) const
+{
+  auto const model = m_spec->m_models.find(aModel);
+  if (model == m_spec->m_models.end()) {
+    return {};
+  }
+  if (m_report->m_copies.m_inMemory.contains(aModel)) {
+    return model->second.m_loadFromMemory;
+  }
+  if (m_report->m_copies.m_onDisk.contains(aModel)) {
+    return model->second.m_loadFromDisk;
+  }
+  return model->second.m_loadFromStore;
+}
+
+EngineOrderRequest OrderDesk::MakeOrder(Operation aOperation, base::ModelId const& aModel,
+                                        std::optional<base::AdapterId> aAdapter) const
+{
+  EngineOrderRequest order;
+  order.m_operation = aOperation;
+  order.m_model = aModel;
+  order.m_adapter = std::move(aAdapter);
+  order.m_expected = m_report->m_orders;
+  return order;
+}
+
+bool OrderDesk::IsWaitingForAnswer(base::Instant aNow) const
+{
+  return m_sent && !m_sent->m_isAccepted && aNow - m_sent->m_sentAt < m_limits.m_answerTime;
+}
+
+std::optional<EngineOrderRequest> OrderDesk::Next(base::Instant aNow)
+{
+  if (!m_report || !m_spec || IsWaitingForAnswer(aNow)) {
+    return std::nullopt;
+  }
+  auto order = NextAdapter(aNow);
+  if (!order) {
+    order = NextOfSwap(aNow);
+  }
+  if (order) {
+    m_sent = SentOrder{ *order, aNow };
+  }
+  return order;
+}
+
+std::optional<EngineOrderRequest> OrderDesk::NextOfSwap(base::Instant aNow)
+{
+  if (m_swap && aNow - m_swap->m_since > m_limits.m_swapTime) {
+    m_swap.reset();
+  }
+  if (!m_swap || m_report->m_isBusy || (m_sent && m_sent->m_isAccepted)) {
+    return std::nullopt;
+  }
+  auto const model = m_spec->m_models.find(m_swap->m_load);
+  if (model == m_spec->m_models.end()) {
+    m_swap.reset();
+    return std::nullopt;
+  }
+  if (Fits(model->second.m_weights)) {
+    return MakeOrder(Operation::Load, m_swap->m_load, std::nullopt);
+  }
+  for (auto const& victim : m_swap->m_unload) {
+    if (Held(victim)) {
+      return MakeOrder(Operation::Unload, victim, std::nullopt);
+    }
+  }
+  m_swap.reset();
+  return std::nullopt;
+}
+
+std::optional<EngineOrderRequest> OrderDesk::NextAdapter(base::Instant aNow)
+{
+  // The engine takes four at a time; fewer leaves room for late orders.
+  constexpr unsigned kMostArriving = 3;
+  std::erase_if(m_wantedAdapters, [&](auto const& aItem) {
+    auto const* const held = Held(aItem.first.first);
+    bool const isOver = aNow - aItem.second > m_limits.m_adapterTime;
+    return isOver || !held || held->m_adapters.contains(aItem.first.second);
+  });
+  if (m_wantedAdapters.empty() || m_report->m_arrivingAdapters >= kMostArriving) {
+    return std::nullopt;
+  }
+  bool const isLoadingModel = m_sent && !m_sent->m_order.m_adapter &&
+                              m_sent->m_order.m_operation == Operation::Load;
+  auto const& [model, adapter] = m_wantedAdapters.begin()->first;
+  auto const spec = m_spec->m_models.find(model);
+  if (spec == m_spec->m_models.end() || isLoadingModel || m_report->m_isBusy) {
+    // NOTE: the model that arrives has its memory reserved in no report, so
+    // adapters wait until it is there.
+    return std::nullopt;
+  }
+  std::size_t adapters = m_report->m_arrivingAdapters;
+  for (auto const& held : m_report->m_models) {
+    adapters += held.m_adapters.size();
+  }
+  if (adapters >= m_spec->m_adapterSlots || !Fits(spec->second.m_adapterWeights)) {
+    return DropAdapter();
+  }
+  return MakeOrder(Operation::Load, model, adapter);
+}
+
+std::optional<EngineOrderRequest> OrderDesk::DropAdapter() const
+{
+  std::optional<AdapterKey> oldest;
+  base::Instant oldestUse{};
+  for (auto const& held : m_report->m_models) {
+    for (auto const& adapter : held.m_adapters) {
+      AdapterKey const key{ held.m_model, adapter };
+      auto const use = m_adapterUse.find(key);
+      auto const usedAt = use == m_adapterUse.end() ? base::Instant{} : use->second;
+      if (!oldest || usedAt < oldestUse) {
+        oldest = key;
+        oldestUse = usedAt;
+      }
+    }
+  }
+  if (!oldest) {
+    return std::nullopt;
+  }
+  return MakeOrder(Operation::Unload, oldest->first, oldest->second);
+}
+
+void OrderDesk::OnAnswer(EngineOrderRequest const& aOrder, OrderAnswer aAnswer, base::Instant)
+{
+  if (!m_sent || m_sent->m_order.m_expected != aOrder.m_expected) {
+    return;
+  }
+  switch (aAnswer) {
+    case OrderAnswer::Accepted:
+      m_sent->m_isAccepted = true;
+      return;
+    case OrderAnswer::AlreadyHolds:
+    case OrderAnswer::Conflict:
+      // The next report tells what holds.
+      m_sent.reset();
+      return;
+    case OrderAnswer::WrongEngine:
+    case OrderAnswer::Rejected:
+      m_sent.reset();
+      m_swap.reset();
+      return;
+    case OrderAnswer::Unknown:
+      return;
+  }
+}
+
+DeskState OrderDesk::State(base::Instant aNow) const
+{
+  DeskState state;
+  if (!m_report || !m_spec) {
+    return state;
+  }
+  bool const isModelOrder = m_sent && !m_sent->m_order.m_adapter;
+  if (isModelOrder && m_sent->m_order.m_operation == Operation::Unload) {
+    state.m_unloading = m_sent->m_order.m_model;
+  }
+  if (m_swap) {
+    auto const since = isModelOrder && m_sent->m_order.m_operation == Operation::Load
+                         ? m_sent->m_sentAt
+                         : aNow;
+    state.m_loading = m_swap->m_load;
+    state.m_readyAt = std::max(aNow, since + LoadTime(m_swap->m_load));
+  } else if (isModelOrder && m_sent->m_order.m_operation == Operation::Load) {
+    state.m_loading = m_sent->m_order.m_model;
+    state.m_readyAt = std::max(aNow, m_sent->m_sentAt + LoadTime(m_sent->m_order.m_model));
+  }
+  return state;
+}
+
+} // namespace sardinefold::engine
--- /dev/null
+++ b/Engine/SwapPlanner.cpp
@@ -0,0 +1,316 @@
+#include "Engine/SwapPlanner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sardinefold::engine {
+
+namespace {
+
+/// Credit of a typical request for a rare model, against which the loss of
+/// dropping a model is weighed.
+constexpr double kTypicalWorth = 1;
+/// Time for which a dropped model is missed when it is asked for again: the
+/// swap back and the wait for its turn.
+constexpr double kReturnSeconds = 3;
+/// An engine that still works for a model drops it only after that.
+constexpr double kRunningLoss = 0.4;
+
+} // namespace
+
+void SwapPlanner::SetSpec(base::DeploymentId const& aDeployment, operators::EngineSpec aSpec)
+{
+  m_specs[aDeployment] = std::move(aSpec);
+}
+
+void SwapPlanner::OnEngine(PlannedEngine aEngine, base::Instant aNow)
+{
+  auto& engine = m_engines[aEngine.m_loader];
+  std::map<base::ModelId, base::Instant> loadedAt;
+  for (auto const& held : aEngine.m_models) {
+    auto const before = engine.m_loadedAt.find(held.m_model);
+    loadedAt[held.m_model] = before == engine.m_loadedAt.end() ? aNow : before->second;
+  }
+  engine.m_loadedAt = std::move(loadedAt);
+  if (engine.m_assigned) {
+    bool const isTakenUp = aEngine.m_loading == engine.m_assigned->m_load;
+    bool const isDone = engine.m_loadedAt.contains(engine.m_assigned->m_load);
+    if (isTakenUp) {
+      engine.m_assignedAt = aNow;
+    }
+    if (isDone) {
+      engine.m_assigned.reset();
+    }
+  }
+  engine.m_facts = std::move(aEngine);
+}
+
+void SwapPlanner::RemoveEngine(base::HostId const& aLoader)
+{
+  m_engines.erase(aLoader);
+}
+
+void SwapPlanner::OnDemand(base::HostId const& aGateway, std::vector<WaitingDemand> aDemand,
+                           base::Instant)
+{
+  m_demand[aGateway] = std::move(aDemand);
+}
+
+void SwapPlanner::RemoveGateway(base::HostId const& aGateway)
+{
+  m_demand.erase(aGateway);
+}
+
+void SwapPlanner::SumDemand()
+{
+  m_totals.clear();
+  for (auto const& [gateway, demands] : m_demand) {
+    for (auto const& demand : demands) {
+      auto& total = m_totals[demand.m_model];
+      bool const isEarlier = total.m_waiting == 0 || demand.m_goalIn < total.m_goalIn;
+      if (demand.m_waiting > 0 && isEarlier) {
+        total.m_goalIn = demand.m_goalIn;
+      }
+      total.m_waiting += demand.m_waiting;
+      total.m_running += demand.m_running;
+      total.m_worth += demand.m_worth;
+      total.m_rate += demand.m_rate;
+    }
+  }
+}
+
+void SwapPlanner::CountCopies()
+{
+  m_copies.clear();
+  for (auto const& [loader, engine] : m_engines) {
+    for (auto const& held : engine.m_facts.m_models) {
+      bool const isGoing = engine.m_facts.m_unloading == held.m_model;
+      m_copies[held.m_model] += isGoing ? 0 : 1;
+    }
+  }
+}
+
+void SwapPlanner::DropStaleAssignments(base::Instant aNow)
+{
+  for (auto& [loader, engine] : m_engines) {
+    if (engine.m_assigned && aNow - engine.m_assignedAt > m_limits.m_uptake) {
+      engine.m_assigned.reset();
+    }
+  }
+}
+
+bool SwapPlanner::IsFree(Engine const& aEngine) const
+{
+  return !aEngine.m_assigned && !aEngine.m_facts.m_loading && !aEngine.m_facts.m_unloading &&
+         m_specs.contains(aEngine.m_facts.m_deployment);
+}
+
+bool SwapPlanner::IsComing(base::ModelId const& aModel) const
+{
+  return std::ranges::any_of(m_engines, [&](auto const& aItem) {
+    auto const& engine = aItem.second;
+    return engine.m_facts.m_loading == aModel ||
+           (engine.m_assigned && engine.m_assigned->m_load == aModel);
+  });
+}
+
+bool SwapPlanner::IsAtHandSomewhere(base::ModelId const& aModel) const
+{
+  return std::ranges::any_of(m_engines, [&](auto const& aItem) {
+    return aItem.second.m_loadedAt.contains(aModel) ||
+           TierAt(aItem.second, aModel) != WeightTier::Remote;
+  });
+}
+
+unsigned SwapPlanner::StoreLoads() const
+{
+  return static_cast<unsigned>(std::ranges::count_if(m_engines, [&](auto const& aItem) {
+    auto const& engine = aItem.second;
+    auto const& loading = engine.m_assigned ? std::optional(engine.m_assigned->m_load)
+                                            : engine.m_facts.m_loading;
+    return loading && TierAt(engine, *loading) == WeightTier::Remote;
+  }));
+}
+
+WeightTier SwapPlanner::TierAt(Engine const& aEngine, base::ModelId const& aModel) const
+{
+  if (aEngine.m_facts.m_copies.m_inMemory.contains(aModel)) {
+    return WeightTier::HostMemory;
+  }
+  return aEngine.m_facts.m_copies.m_onDisk.contains(aModel) ? WeightTier::Disk
+                                                             : WeightTier::Remote;
+}
+
+base::Duration SwapPlanner::LoadTime(operators::EngineSpec const& aSpec,
+                                     base::ModelId const& aModel, WeightTier aTier) const
+{
+  auto const found = aSpec.m_models.find(aModel);
+  if (found == aSpec.m_models.end()) {
+    return {};
+  }
+  switch (aTier) {
+    case WeightTier::HostMemory:
+      return found->second.m_loadFromMemory;
+    case WeightTier::Disk:
+      return found->second.m_loadFromDisk;
+    case WeightTier::Remote:
+      break;
+  }
+  return found->second.m_loadFromStore;
+}
+
+SwapPlanner::Total const& SwapPlanner::DemandOf(base::ModelId const& aModel) const
+{
+  static Total const kNone;
+  auto const found = m_totals.find(aModel);
+  return found == m_totals.end() ? kNone : found->second;
+}
+
+double SwapPlanner::CopiesNeeded(base::ModelId const& aModel) const
+{
+  auto const& demand = DemandOf(aModel);
+  return demand.m_rate * base::ToSeconds(m_limits.m_serviceTime) / m_limits.m_requestsPerCopy;
+}
+
+double SwapPlanner::LossOfDropping(Engine const& aEngine, base::ModelId const& aModel,
+                                   base::Instant aNow) const
+{
+  auto const& demand = DemandOf(aModel);
+  auto const copies = m_copies.find(aModel);
+  double const count = copies == m_copies.end() ? 1 : copies->second;
+  double const remaining = count - 1;
+  double loss = kRunningLoss * demand.m_running / std::max(count, 1.0);
+  if (remaining < std::ceil(std::max(CopiesNeeded(aModel), 0.01))) {
+    loss += demand.m_rate * kReturnSeconds * kTypicalWorth + demand.m_worth;
+  } else {
+    // Another copy serves its requests, at some cost in queueing.
+    loss += CopiesNeeded(aModel) / std::max(remaining, 1.0) * 0.1;
+  }
+  auto const loadedAt = aEngine.m_loadedAt.find(aModel);
+  bool const isNew = loadedAt != aEngine.m_loadedAt.end() &&
+                     aNow - loadedAt->second < m_limits.m_shortestStay;
+  return isNew ? loss + 1 : loss;
+}
+
+std::optional<SwapPlanner::Option> SwapPlanner::OptionAt(Engine& aEngine,
+                                                         base::ModelId const& aModel,
+                                                         bool aMayFetch, base::Instant aNow) const
+{
+  auto const& spec = m_specs.at(aEngine.m_facts.m_deployment);
+  auto const wanted = spec.m_models.find(aModel);
+  auto const tier = TierAt(aEngine, aModel);
+  if (wanted == spec.m_models.end() || aEngine.m_loadedAt.contains(aModel) ||
+      (tier == WeightTier::Remote && !aMayFetch)) {
+    return std::nullopt;
+  }
+  Option option{ &aEngine, { aEngine.m_facts.m_loader, aModel, {}, tier }, 0 };
+  base::Megabytes free = spec.m_weights;
+  std::vector<std::pair<double, HeldModel const*>> victims;
+  for (auto const& held : aEngine.m_facts.m_models) {
+    auto const model = spec.m_models.find(held.m_model);
+    if (model == spec.m_models.end()) {
+      return std::nullopt;
+    }
+    free -= model->second.m_weights +
+            model->second.m_adapterWeights * static_cast<double>(held.m_adapters.size());
+    victims.emplace_back(LossOfDropping(aEngine, held.m_model, aNow), &held);
+  }
+  std::ranges::sort(victims, {}, [](auto const& aVictim) { return aVictim.first; });
+  option.m_cost = base::ToSeconds(LoadTime(spec, aModel, tier)) * 0.1;
+  for (auto const& [loss, held] : victims) {
+    if (free >= wanted->second.m_weights) {
+      break;
+    }
+    free += spec.m_models.at(held->m_model).m_weights;
+    option.m_cost += loss;
+    option.m_swap.m_unload.push_back(held->m_model);
+  }
+  return free >= wanted->second.m_weights ? std::optional(std::move(option)) : std::nullopt;
+}
+
+std::optional<SwapPlanner::Option> SwapPlanner::BestOption(base::ModelId const& aModel,
+                                                           bool aMayFetch, base::Instant aNow)
+{
+  std::optional<Option> best;
+  for (auto& [loader, engine] : m_engines) {
+    if (!IsFree(engine)) {
+      continue;
+    }
+    auto option = OptionAt(engine, aModel, aMayFetch, aNow);
+    if (option && (!best || option->m_cost < best->m_cost)) {
+      best = std::move(option);
+    }
+  }
+  return best;
+}
+
+void SwapPlanner::Assign(Option aOption, std::vector<PlannedSwap>& aSwaps, base::Instant aNow)
+{
+  aOption.m_engine->m_assigned = aOption.m_swap;
+  aOption.m_engine->m_assignedAt = aNow;
+  for (auto const& victim : aOption.m_swap.m_unload) {
+    auto& copies = m_copies[victim];
+    copies -= copies > 0 ? 1 : 0;
+  }
+  aSwaps.push_back(std::move(aOption.m_swap));
+}
+
+void SwapPlanner::ServeWaiting(std::vector<PlannedSwap>& aSwaps, base::Instant aNow)
+{
+  std::vector<std::pair<double, base::ModelId>> order;
+  for (auto const& [model, total] : m_totals) {
+    if (total.m_waiting > 0 && !IsComing(model) && m_copies[model] == 0) {
+      // Those whose goal has passed wait behind those that can still be met.
+      bool const isAhead = total.m_goalIn > base::Duration::zero();
+      order.emplace_back(total.m_worth * (isAhead ? 1.0 : 0.3), model);
+    }
+  }
+  std::ranges::sort(order, std::greater<>());
+  for (auto const& [worth, model] : order) {
+    bool const mayFetch =
+      !IsAtHandSomewhere(model) && StoreLoads() < m_limits.m_parallelStoreLoads;
+    auto option = BestOption(model, mayFetch, aNow);
+    if (option && option->m_cost < worth + DemandOf(model).m_rate * kReturnSeconds) {
+      Assign(std::move(*option), aSwaps, aNow);
+    }
+  }
+}
+
+void SwapPlanner::Prefetch(std::vector<PlannedSwap>& aSwaps, base::Instant aNow)
+{
+  /// What the first request for a model that nobody asked for yet is worth.
+  constexpr double kPrefetchWorth = 0.3;
+  for (auto const& [deployment, spec] : m_specs) {
+    for (auto const& [model, facts] : spec.m_models) {
+      if (StoreLoads() >= m_limits.m_parallelStoreLoads) {
+        return;
+      }
+      if (IsComing(model) || IsAtHandSomewhere(model)) {
+        continue;
+      }
+      auto option = BestOption(model, true, aNow);
+      if (option && option->m_cost < kPrefetchWorth + 0.1 * base::ToSeconds(facts.m_loadFromStore)) {
+        Assign(std::move(*option), aSwaps, aNow);
+      }
+    }
+  }
+}
+
+std::vector<PlannedSwap> SwapPlanner::Plan(base::Instant aNow)
+{
+  std::vector<PlannedSwap> swaps;
+  SumDemand();
+  CountCopies();
+  DropStaleAssignments(aNow);
+  // What an engine has not taken up may have been lost on the way.
+  for (auto const& [loader, engine] : m_engines) {
+    if (engine.m_assigned && engine.m_facts.m_loading != engine.m_assigned->m_load) {
+      swaps.push_back(*engine.m_assigned);
+    }
+  }
+  ServeWaiting(swaps, aNow);
+  Prefetch(swaps, aNow);
+  return swaps;
+}
+
+} // namespace sardinefold::engine
--- /dev/null
+++ b/Engine/UpstreamDirectory.cpp
@@ -0,0 +1,248 @@
+#include "Engine/UpstreamDirectory.h"
+
+#include <algorithm>
+
+namespace sardinefold::engine {
+
+namespace {
+
+/// An adapter takes some ten milliseconds to load, about one request's prefill.
+constexpr double kAdapterCost = 1;
+/// An engine that answered "not here" is believed for this long over its
+/// loader, whose account may be on its way.
+constexpr base::Duration kMissingTime = std::chrono::milliseconds(400);
+
+} // namespace
+
+std::string_view ToText(UpstreamAbsence aAbsence)
+{
+  return aAbsence == UpstreamAbsence::NoUpstream ? "no upstream" : "model not loaded";
+}
+
+UpstreamDirectory::UpstreamDirectory(DirectoryLimits aLimits, base::FailureDomainId aHome,
+                                     std::uint64_t aSeed)
+  : m_limits(aLimits)
+  , m_home(std::move(aHome))
+  , m_random(aSeed)
+{
+}
+
+void UpstreamDirectory::OnListed(UpstreamEntry aEntry, base::Instant aNow)
+{
+  auto& upstream = m_upstreams[aEntry.m_instance];
+  bool const isRestart = upstream.m_entry.m_startedAt != aEntry.m_startedAt ||
+                         upstream.m_entry.m_endpoint != aEntry.m_endpoint;
+  if (isRestart) {
+    upstream.m_account.reset();
+    upstream.m_missing.clear();
+    upstream.m_failures = 0;
+    upstream.m_pausedUntil = aNow;
+  }
+  upstream.m_entry = std::move(aEntry);
+  upstream.m_usableUntil.reset();
+}
+
+void UpstreamDirectory::OnRemoved(InstanceId const& aInstance, bool aMayHaveLapsed,
+                                  base::Instant aNow)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found != m_upstreams.end() && !found->second.m_usableUntil) {
+    bool const isLapse = aMayHaveLapsed && !found->second.m_entry.m_isLeaving;
+    found->second.m_usableUntil = isLapse ? aNow + m_limits.m_lapse : aNow;
+  }
+}
+
+bool UpstreamDirectory::OnAccount(LoaderAccount aAccount, base::Instant aNow)
+{
+  bool hasNews = false;
+  for (auto& [instance, upstream] : m_upstreams) {
+    if (upstream.m_entry.m_endpoint != aAccount.m_engine) {
+      continue;
+    }
+    auto const known = [&](HeldModel const& aHeld) {
+      auto const* const before = FindModel(upstream, aHeld.m_model, aNow);
+      return before && std::ranges::includes(before->m_adapters, aHeld.m_adapters);
+    };
+    hasNews = hasNews || !std::ranges::all_of(aAccount.m_models, known);
+    unsigned const total = aAccount.m_running + aAccount.m_waiting;
+    upstream.m_others = total > upstream.m_inFlight ? total - upstream.m_inFlight : 0;
+    upstream.m_account = aAccount;
+    upstream.m_accountAt = aNow;
+  }
+  return hasNews;
+}
+
+void UpstreamDirectory::OnLoadTold(InstanceId const& aInstance, unsigned aRunning,
+                                   unsigned aWaiting)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found == m_upstreams.end()) {
+    return;
+  }
+  unsigned const total = aRunning + aWaiting;
+  auto& upstream = found->second;
+  upstream.m_others = total > upstream.m_inFlight ? total - upstream.m_inFlight : 0;
+}
+
+bool UpstreamDirectory::IsUsable(Upstream const& aUpstream, base::Instant aNow) const
+{
+  bool const isListed = !aUpstream.m_usableUntil || aNow < *aUpstream.m_usableUntil;
+  return isListed && !aUpstream.m_entry.m_isLeaving && aUpstream.m_pausedUntil <= aNow;
+}
+
+HeldModel const* UpstreamDirectory::FindModel(Upstream const& aUpstream,
+                                              base::ModelId const& aModel,
+                                              base::Instant aNow) const
+{
+  auto const missing = aUpstream.m_missing.find(aModel);
+  if (missing != aUpstream.m_missing.end() && missing->second > aNow) {
+    return nullptr;
+  }
+  bool const isFresh =
+    aUpstream.m_account && aNow - aUpstream.m_accountAt < m_limits.m_statusAge;
+  if (isFresh && aUpstream.m_account->m_unloading == aModel) {
+    return nullptr;
+  }
+  auto const& models = isFresh ? aUpstream.m_account->m_models : aUpstream.m_entry.m_models;
+  auto const found = std::ranges::find(models, aModel, &HeldModel::m_model);
+  return found == models.end() ? nullptr : &*found;
+}
+
+double UpstreamDirectory::CostOf(Upstream const& aUpstream, bool aLacksAdapter)
+{
+  double const busy = aUpstream.m_inFlight + aUpstream.m_others;
+  // Plain services have few slots, so distance weighs against a full one less.
+  double const distance = std::min(m_limits.m_distance, aUpstream.m_entry.m_slots / 2.0);
+  double const away = aUpstream.m_entry.m_failureDomain == m_home ? 0 : distance;
+  double const adapter = aLacksAdapter ? kAdapterCost : 0;
+  return busy + away + adapter + std::uniform_real_distribution<>(0, 0.5)(m_random);
+}
+
+std::variant<UpstreamChoice, UpstreamAbsence> UpstreamDirectory::Find(UpstreamQuery const& aQuery,
+                                                                      base::Instant aNow)
+{
+  UpstreamAbsence absence = UpstreamAbsence::NoUpstream;
+  std::optional<UpstreamChoice> best;
+  double bestCost = 0;
+  for (auto const& [instance, upstream] : m_upstreams) {
+    bool const isCandidate = upstream.m_entry.m_deployment == aQuery.m_deployment &&
+                             IsUsable(upstream, aNow) && !aQuery.m_excluded.contains(instance);
+    if (!isCandidate) {
+      continue;
+    }
+    bool lacksAdapter = false;
+    if (aQuery.m_model) {
+      absence = UpstreamAbsence::ModelNotLoaded;
+      auto const* const held = FindModel(upstream, *aQuery.m_model, aNow);
+      if (!held) {
+        continue;
+      }
+      lacksAdapter = aQuery.m_adapter && !held->m_adapters.contains(*aQuery.m_adapter);
+    }
+    double const cost = CostOf(upstream, lacksAdapter);
+    if (!best || cost < bestCost) {
+      best = UpstreamChoice{ instance, upstream.m_entry.m_endpoint, lacksAdapter };
+      bestCost = cost;
+    }
+  }
+  if (!best) {
+    return absence;
+  }
+  return *best;
+}
+
+void UpstreamDirectory::OnSent(InstanceId const& aInstance)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found != m_upstreams.end()) {
+    ++found->second.m_inFlight;
+  }
+}
+
+void UpstreamDirectory::OnDone(InstanceId const& aInstance)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found != m_upstreams.end() && found->second.m_inFlight > 0) {
+    --found->second.m_inFlight;
+  }
+}
+
+void UpstreamDirectory::OnServed(InstanceId const& aInstance)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found != m_upstreams.end()) {
+    found->second.m_failures = 0;
+  }
+}
+
+bool UpstreamDirectory::MayPause(Upstream const& aUpstream, base::Instant aNow) const
+{
+  std::size_t all = 0;
+  std::size_t paused = 0;
+  for (auto const& [instance, other] : m_upstreams) {
+    if (other.m_entry.m_deployment == aUpstream.m_entry.m_deployment) {
+      ++all;
+      paused += other.m_pausedUntil > aNow ? 1 : 0;
+    }
+  }
+  return static_cast<double>(paused + 1) <= static_cast<double>(all) * m_limits.m_largestPausedShare;
+}
+
+void UpstreamDirectory::OnFailed(InstanceId const& aInstance, base::Instant aNow)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found == m_upstreams.end()) {
+    return;
+  }
+  auto& upstream = found->second;
+  ++upstream.m_failures;
+  if (upstream.m_failures < m_limits.m_failures || !MayPause(upstream, aNow)) {
+    return;
+  }
+  auto const doublings = std::min(upstream.m_failures - m_limits.m_failures, 8U);
+  upstream.m_pausedUntil =
+    aNow + std::min<base::Duration>(m_limits.m_pause * (1U << doublings), m_limits.m_longestPause);
+}
+
+void UpstreamDirectory::OnWrongInstance(InstanceId const& aInstance, base::Instant aNow)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found != m_upstreams.end()) {
+    found->second.m_pausedUntil = aNow + m_limits.m_longestPause;
+  }
+}
+
+void UpstreamDirectory::OnModelMissing(InstanceId const& aInstance, base::ModelId const& aModel,
+                                       base::Instant aNow)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found != m_upstreams.end()) {
+    found->second.m_missing[aModel] = aNow + kMissingTime;
+  }
+}
+
+void UpstreamDirectory::Expire(base::Instant aNow)
+{
+  std::erase_if(m_upstreams, [&](auto const& aItem) {
+    auto const& usableUntil = aItem.second.m_usableUntil;
+    return usableUntil && aNow >= *usableUntil && aItem.second.m_inFlight == 0;
+  });
+}
+
+std::vector<UpstreamEntry> UpstreamDirectory::Engines() const
+{
+  std::vector<UpstreamEntry> engines;
+  for (auto const& [instance, upstream] : m_upstreams) {
+    engines.push_back(upstream.m_entry);
+  }
+  return engines;
+}
+
+bool UpstreamDirectory::HasUpstreamOf(base::DeploymentId const& aDeployment) const
+{
+  return std::ranges::any_of(m_upstreams, [&](auto const& aItem) {
+    return aItem.second.m_entry.m_deployment == aDeployment;
+  });
+}
+
+} // namespace sardinefold::engine
--- /dev/null
+++ b/Engine/UpstreamDirectory.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "Engine/EngineFacts.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace sardinefold::engine {
+
+struct DirectoryLimits
+{
+  /// Entries that lapsed while the list's store was away are back within two
+  /// seconds of its return, so upstreams stay in use for this long.
+  base::Duration m_lapse = std::chrono::milliseconds(2200);
+  /// How long a loader's account of its engine counts.
+  base::Duration m_statusAge = std::chrono::milliseconds(2500);
+  /// First pause after failures; doubles with each further one.
+  base::Duration m_pause = std::chrono::milliseconds(300);
+  base::Duration m_longestPause = std::chrono::seconds(5);
+  /// Failures in a row that pause an upstream.
+  unsigned m_failures = 2;
+  /// Largest part of a deployment's upstreams that is paused at once.
+  double m_largestPausedShare = 0.5;
+  /// Cost of another failure domain, as a number of requests in the queue.
+  double m_distance = 8;
+};
+
+/// What a request needs of an upstream.
+struct UpstreamQuery
+{
+  base::DeploymentId m_deployment;
+  std::optional<base::ModelId> m_model;
+  std::optional<base::AdapterId> m_adapter;
+  /// Upstreams that the request has been to.
+  std::set<InstanceId> m_excluded;
+};
+
+/// The upstream for a request.
+struct UpstreamChoice
+{
+  InstanceId m_instance;
+  base::Endpoint m_endpoint;
+  /// The model is there and its adapter is not.
+  bool m_lacksAdapter = false;
+};
+
+/// Why there is no upstream for a request.
+enum class UpstreamAbsence
+{
+  /// No usable upstream of the deployment is known.
+  NoUpstream,
+  /// Upstreams are there, and none holds the model.
+  ModelNotLoaded
+};
+
+std::string_view ToText(UpstreamAbsence aAbsence);
+
+/// The account of an engine by the loader beside it.
+struct LoaderAccount
+{
+  base::Endpoint m_engine;
+  std::vector<HeldModel> m_models;
+  /// A model that is being dropped takes no new request.
+  std::optional<base::ModelId> m_unloading;
+  unsigned m_running = 0;
+  unsigned m_waiting = 0;
+};
+
+/// Knows the engines and services, what they hold and how busy they are, and
+/// chooses one for each request.
+class UpstreamDirectory
+{
+public:
+  UpstreamDirectory(DirectoryLimits aLimits, base::FailureDomainId aHome, std::uint64_t aSeed);
+
+  /// An entry was listed or has changed.
+  void OnListed(UpstreamEntry aEntry, base::Instant aNow);
+  /// The entry is no longer listed. It may have lapsed for want of a store that
+  /// takes heartbeats; else the upstream has left.
+  void OnRemoved(InstanceId const& aInstance, bool aMayHaveLapsed, base::Instant aNow);
+  /// Returns whether models became available.
+  bool OnAccount(LoaderAccount aAccount, base::Instant aNow);
+  /// An answer told how many requests run and wait there.
+  void OnLoadTold(InstanceId const& aInstance, unsigned aRunning, unsigned aWaiting);
+
+  std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
+                                                     base::Instant aNow);
+
+  void OnSent(InstanceId const& aInstance);
+  void OnDone(InstanceId const& aInstance);
+  void OnServed(InstanceId const& aInstance);
+  void OnFailed(InstanceId const& aInstance, base::Instant aNow);
+  /// Another engine answered at the address; the entry is out of date.
+  void OnWrongInstance(InstanceId const& aInstance, base::Instant aNow);
+  /// The engine does not hold a model that it was believed to hold.
+  void OnModelMissing(InstanceId const& aInstance, base::ModelId const& aModel, base::Instant aNow);
+
+  /// Drops entries whose time is over.
+  void Expire(base::Instant aNow);
+  /// The listed engines, for those who talk to the loaders beside them.
+  std::vector<UpstreamEntry> Engines() const;
+  std::size_t Size() const { return m_upstreams.size(); }
+  bool HasUpstreamOf(base::DeploymentId const& aDeployment) const;
+
+private:
+  struct Upstream
+  {
+    UpstreamEntry m_entry;
+    /// When an upstream that is no longer listed goes out of use.
+    std::optional<base::Instant> m_usableUntil;
+    std::optional<LoaderAccount> m_account;
+    base::Instant m_accountAt{};
+    /// Requests from here under way, and how many were when others were told.
+    unsigned m_inFlight = 0;
+    unsigned m_others = 0;
+    unsigned m_failures = 0;
+    base::Instant m_pausedUntil{};
+    std::map<base::ModelId, base::Instant> m_missing;
+  };
+
+  bool IsUsable(Upstream const& aUpstream, base::Instant aNow) const;
+  HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
+                             base::Instant aNow) const;
+  double CostOf(Upstream const& aUpstream, bool aLacksAdapter);
+  bool MayPause(Upstream const& aUpstream, base::Instant aNow) const;
+
+  DirectoryLimits m_limits;
+  base::FailureDomainId m_home;
+  std::mt19937_64 m_random;
+  std::map<InstanceId, Upstream> m_upstreams;
+};
+
+} // namespace sardinefold::engine
--- a/Entry/Allowance/AllowanceEndpoint.h
+++ b/Entry/Allowance/AllowanceEndpoint.h
@@ -10,8 +10,8 @@
 #include "Entry/Allowance/AllowanceNode.h"
 #include "Entry/Allowance/OwnershipPlan.h"
 #include "Operator/Document.h"
-#include "Platform/ObjectStoreClient.h"
-#include "Platform/WriteSession.h"
+#include "ObjectStore/ObjectStoreClient.h"
+#include "ObjectStore/WriteSession.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,7 +27,7 @@
 
 /// Joins an AllowanceNode and an OwnershipPlan with the other entries, the
 /// platform and the requests of this process.
-template<platform::ObjectStore Store>
+template<objectstore::ObjectStore Store>
 class AllowanceEndpoint
 {
 public:
@@ -209,13 +209,13 @@
   boost::asio::awaitable<bool> ReadRecords()
   {
     auto const began = m_loop.Now();
-    platform::ObjectName prefix;
-    auto const list = co_await m_store.List(platform::ObjectKind::Bucket, std::move(prefix),
-                                            kCallLimit, platform::CallPurpose::Allowance);
+    objectstore::ObjectName prefix;
+    auto const list = co_await m_store.List(objectstore::ObjectKind::Bucket, std::move(prefix),
+                                            kCallLimit, objectstore::CallPurpose::Allowance);
     if (!list) {
       co_return false;
     }
-    std::map<std::string, platform::Object const*> byName;
+    std::map<std::string, objectstore::Object const*> byName;
     for (auto const& object : list->m_objects) {
       byName.emplace(object.m_key.m_name.Text(), &object);
     }
@@ -229,7 +229,7 @@
     co_return true;
   }
 
-  void NoteRecord(ShareSlot aSlot, platform::Object const* aObject, base::Instant aReadBegan)
+  void NoteRecord(ShareSlot aSlot, objectstore::Object const* aObject, base::Instant aReadBegan)
   {
     if (!aObject) {
       m_plan.SetRecord(aSlot, std::nullopt, m_loop.Now());
@@ -272,19 +272,19 @@
     }
   }
 
-  platform::WriteTask Write(OwnershipClaim const& aClaim)
+  objectstore::WriteTask Write(OwnershipClaim const& aClaim)
   {
-    platform::ObjectWrite write;
-    write.m_key = { platform::ObjectKind::Bucket,
-                    platform::ObjectName::FromValidated(BucketObjectName(aClaim.m_slot)) };
-    write.m_condition = platform::IfAbsent{};
+    objectstore::ObjectWrite write;
+    write.m_key = { objectstore::ObjectKind::Bucket,
+                    objectstore::ObjectName::FromValidated(BucketObjectName(aClaim.m_slot)) };
+    write.m_condition = objectstore::IfAbsent{};
     if (aClaim.m_expected) {
-      write.m_condition = platform::IfVersion{ *aClaim.m_expected };
+      write.m_condition = objectstore::IfVersion{ *aClaim.m_expected };
     }
     write.m_value = base::RenderJson(WriteBucketRecord(aClaim.m_record));
-    write.m_nonce = platform::NewWriteNonce();
-    auto const result = co_await platform::WriteUntilKnown(
-      m_store, m_loop, std::move(write), kCallLimit, platform::CallPurpose::Allowance);
+    write.m_nonce = objectstore::NewWriteNonce();
+    auto const result = co_await objectstore::WriteUntilKnown(
+      m_store, m_loop, std::move(write), kCallLimit, objectstore::CallPurpose::Allowance);
     co_return result;
   }
 
--- /dev/null
+++ b/Entry/Allowance/SharedAllowance.cpp
@@ -0,0 +1,94 @@
+#include "Entry/Allowance/SharedAllowance.h"
+
+#include <algorithm>
+
+namespace sardinefold::entry {
+
+namespace {
+
+/// Share of a process that has not yet heard how many others there are.
+constexpr double kUnknownFleetShare = 0.25;
+
+} // namespace
+
+bool SharedAllowance::HearsOthers(base::Instant aNow) const
+{
+  return m_heardAt && aNow - *m_heardAt < m_limits.m_silence;
+}
+
+double SharedAllowance::ShareAt(base::Instant aNow) const
+{
+  if (!m_heardAt) {
+    return kUnknownFleetShare;
+  }
+  return HearsOthers(aNow) ? 1.0 : 1.0 / m_processes;
+}
+
+void SharedAllowance::Fill(Bucket& aBucket, base::Instant aNow) const
+{
+  double const share = ShareAt(aNow);
+  double const rate = aBucket.m_limit.m_rate.Value() * m_limits.m_margin * share;
+  double const burst = static_cast<double>(aBucket.m_limit.m_burst.Value()) * share;
+  double const elapsed = base::ToSeconds(aNow - aBucket.m_filledAt);
+  aBucket.m_level = std::min(burst, aBucket.m_level + rate * elapsed);
+  aBucket.m_filledAt = aNow;
+}
+
+std::optional<base::Duration> SharedAllowance::Take(base::WorkspaceId const& aWorkspace,
+                                                    AllowanceLimit aLimit, base::Tokens aTokens,
+                                                    base::Instant aNow)
+{
+  if (aLimit.m_rate.Value() <= 0) {
+    return std::nullopt;
+  }
+  auto const [found, isNew] = m_buckets.try_emplace(aWorkspace);
+  auto& bucket = found->second;
+  if (isNew) {
+    bucket.m_level = static_cast<double>(aLimit.m_burst.Value()) * ShareAt(aNow);
+    bucket.m_filledAt = aNow;
+  }
+  bucket.m_limit = aLimit;
+  Fill(bucket, aNow);
+  auto const tokens = static_cast<double>(aTokens.Value());
+  // A request larger than the burst passes when the bucket is full.
+  double const needed = std::min(tokens, static_cast<double>(aLimit.m_burst.Value()) * ShareAt(aNow));
+  if (bucket.m_level < needed) {
+    return base::FromSeconds((needed - bucket.m_level) / (aLimit.m_rate.Value() * ShareAt(aNow)));
+  }
+  bucket.m_level -= tokens;
+  m_granted[aWorkspace] += aTokens;
+  return std::nullopt;
+}
+
+void SharedAllowance::Refund(base::WorkspaceId const& aWorkspace, base::Tokens aTokens)
+{
+  auto const found = m_buckets.find(aWorkspace);
+  if (found == m_buckets.end()) {
+    return;
+  }
+  auto& bucket = found->second;
+  bucket.m_level += static_cast<double>(aTokens.Value());
+  m_granted[aWorkspace] -= aTokens;
+}
+
+void SharedAllowance::OnOthers(std::string const& aEpoch, unsigned aProcesses,
+                               std::map<base::WorkspaceId, base::Tokens> const& aGranted,
+                               base::Instant aNow)
+{
+  bool const isContinued = aEpoch == m_epoch;
+  for (auto const& [workspace, tokens] : aGranted) {
+    auto const before = m_grantedByOthers[workspace];
+    auto const bucket = m_buckets.find(workspace);
+    // Sums of a new epoch start from anywhere, so they only set the base line.
+    if (isContinued && bucket != m_buckets.end()) {
+      Fill(bucket->second, aNow);
+      bucket->second.m_level -= static_cast<double>((tokens - before).Value());
+    }
+    m_grantedByOthers[workspace] = tokens;
+  }
+  m_epoch = aEpoch;
+  m_processes = std::max(aProcesses, 1U);
+  m_heardAt = aNow;
+}
+
+} // namespace sardinefold::entry
--- a/Entry/Configuration/NewsEndpoint.h
+++ b/Entry/Configuration/NewsEndpoint.h
@@ -30,7 +30,7 @@
 
 /// Carries out what a ConfigurationNode decides, over JSON-RPC and the
 /// platform's object API.
-template<platform::ObjectStore Store, DocumentApplier Applier>
+template<objectstore::ObjectStore Store, DocumentApplier Applier>
 class NewsEndpoint
 {
 public:
@@ -270,13 +270,13 @@
 
   boost::asio::awaitable<void> WatchManifest(WatchManifestAction aAction)
   {
-    auto prefix = platform::ObjectName::FromValidated(m_place.m_environment.Text());
+    auto prefix = objectstore::ObjectName::FromValidated(m_place.m_environment.Text());
     auto const sent = m_loop.Now();
     auto const changes =
-      co_await m_store.Watch(platform::ObjectKind::Document, std::move(prefix), aAction.m_after,
-                             aAction.m_timeout, platform::CallPurpose::Configuration);
+      co_await m_store.Watch(objectstore::ObjectKind::Document, std::move(prefix), aAction.m_after,
+                             aAction.m_timeout, objectstore::CallPurpose::Configuration);
     if (!changes) {
-      bool const isCompacted = changes.error().m_kind == platform::ReadError::Kind::Compacted;
+      bool const isCompacted = changes.error().m_kind == objectstore::ReadError::Kind::Compacted;
       if (isCompacted) {
         m_node.OnCompacted();
       } else {
--- a/Meta/check-shape.sh
+++ b/Meta/check-shape.sh
@@ -12,7 +12,7 @@
 product=$(grep -vE '^(Tests|StandIns|Bench|Meta)/' <<<"$sources")
 # Files that encode messages or hold sockets; all others in the packages decide.
 edges='(Codec|Client|Server|Session|Endpoint)[A-Za-z]*\.(cpp|h)$'
-deciding=$(grep -E '^(Caller|Engine|Service|Platform|WeightStore|Entry|Agent|Operator)/' <<<"$product" | grep -vE "$edges")
+deciding=$(grep -E '^(Caller|Engine|Service|ObjectStore|WeightStore|Entry|Agent|Operator)/' <<<"$product" | grep -vE "$edges")
 report 'threads (one loop on one thread):' \
   "$(grep -nE 'std::(j?thread|async|mutex|condition_variable)\b|thread_pool|sleep_for|usleep' $product)"
 report 'virtual outside a base class of a library (concepts and templates):' \
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache clang clang-format clang-tidy libclang-rt-14-dev
   libboost1.81-dev libboost-test1.81-dev libjsonrpccpp-dev libjsoncpp-dev prometheus-cpp-dev
-  liblog4cxx-dev libcxxopts-dev libexpected-dev libssl-dev libxxhash-dev libbenchmark-dev
+  liblog4cxx-dev libcxxopts-dev libexpected-dev libssl-dev libxxhash-dev libbenchmark-dev libyaml-cpp-dev
   curl openssl python3)
 if dpkg-query -W -f '${Status}\n' "${packages[@]}" 2>/dev/null | grep -vq 'install ok installed' ||
   ! dpkg-query -W "${packages[@]}" >/dev/null 2>&1; then
--- a/Platform/Backoff.h
+++ b/ObjectStore/Backoff.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "Platform/RandomSource.h"
+#include "ObjectStore/RandomSource.h"
 
 #include <algorithm>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 struct BackoffLimits
 {
@@ -39,4 +39,4 @@
   RandomSource m_random;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/CallBudget.cpp
+++ b/ObjectStore/CallBudget.cpp
@@ -1,8 +1,8 @@
-#include "Platform/CallBudget.h"
+#include "ObjectStore/CallBudget.h"
 
 #include <algorithm>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 namespace {
 
@@ -135,4 +135,4 @@
   return bucket.m_admitted[IndexOf(aPurpose)];
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/CallBudget.h
+++ b/ObjectStore/CallBudget.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "Base/Time.h"
-#include "Platform/CallPurpose.h"
-#include "Platform/FleetShare.h"
-#include "Platform/RandomSource.h"
+#include "ObjectStore/CallPurpose.h"
+#include "ObjectStore/FleetShare.h"
+#include "ObjectStore/RandomSource.h"
 
 #include <array>
 #include <cstdint>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// Rations a process's calls to the platform. Each kind of call has a bucket
 /// that holds one second's worth, and at least one call. Less important
@@ -66,4 +66,4 @@
   base::Instant m_factorSince{};
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/CallPurpose.cpp
+++ b/ObjectStore/CallPurpose.cpp
@@ -1,6 +1,6 @@
-#include "Platform/CallPurpose.h"
+#include "ObjectStore/CallPurpose.h"
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 std::string_view ToText(CallPurpose aPurpose)
 {
@@ -23,4 +23,4 @@
   return "";
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/CallPurpose.h
+++ b/ObjectStore/CallPurpose.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <string_view>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// What a call to the platform is for, the most important first.
 enum class CallPurpose
@@ -41,4 +41,4 @@
   Write
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/CircuitBreaker.cpp
+++ b/ObjectStore/CircuitBreaker.cpp
@@ -1,11 +1,11 @@
-#include "Platform/CircuitBreaker.h"
+#include "ObjectStore/CircuitBreaker.h"
 
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/euml/operator.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 namespace {
 
@@ -185,4 +185,4 @@
   return static_cast<CircuitState>(m_machine->current_state()[0]);
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/CircuitBreaker.h
+++ b/ObjectStore/CircuitBreaker.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "Base/Time.h"
-#include "Platform/Backoff.h"
+#include "ObjectStore/Backoff.h"
 
 #include <cstdint>
 #include <memory>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 enum class CircuitState
 {
@@ -49,4 +49,4 @@
   std::unique_ptr<Machine> m_machine;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/FleetShare.cpp
+++ b/ObjectStore/FleetShare.cpp
@@ -1,8 +1,8 @@
-#include "Platform/FleetShare.h"
+#include "ObjectStore/FleetShare.h"
 
 #include <algorithm>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 namespace {
 
@@ -59,4 +59,4 @@
   return { CallsPerSecond(claims + others), CallsPerSecond(reads) };
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/FleetShare.h
+++ b/ObjectStore/FleetShare.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 using CallsPerSecond = base::Quantity<struct CallsPerSecondTag, double>;
 
@@ -43,4 +43,4 @@
 /// service as four.
 CallRates ShareOf(CallRates const& aFleet, FleetSize const& aSize, ProcessRole aRole);
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/HostEntry.h
+++ b/ObjectStore/HostEntry.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 enum class HostRole
 {
@@ -35,4 +35,4 @@
 
 using HostList = std::vector<HostEntry>;
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/HostListSession.h
+++ b/ObjectStore/HostListSession.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "Base/EventLoop.h"
-#include "Platform/Backoff.h"
-#include "Platform/HostTable.h"
-#include "Platform/ObjectStoreClient.h"
+#include "ObjectStore/Backoff.h"
+#include "ObjectStore/HostTable.h"
+#include "ObjectStore/ObjectStoreClient.h"
 
 #include <concepts>
 #include <vector>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 struct HostListLimits
 {
@@ -19,7 +19,7 @@
 
 /// Asks for the host list again and again and calls the handler with its
 /// changes, on the loop. While the platform fails, the latest list stays.
-template<ObjectStore Store>
+template<HostLister Store>
 class HostListSession
 {
 public:
@@ -67,4 +67,4 @@
   bool m_isStopped = false;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/HostTable.cpp
+++ b/ObjectStore/HostTable.cpp
@@ -1,6 +1,6 @@
-#include "Platform/HostTable.h"
+#include "ObjectStore/HostTable.h"
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 namespace {
 
@@ -51,4 +51,4 @@
   return count;
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/HostTable.h
+++ b/ObjectStore/HostTable.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "Platform/HostEntry.h"
+#include "ObjectStore/HostEntry.h"
 
 #include <cstdint>
 #include <map>
 #include <variant>
 #include <vector>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// The host is new, or any of its fields but its state has changed.
 struct HostAppeared
@@ -40,4 +40,4 @@
   std::map<base::HostId, HostEntry> m_hosts;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/ObjectClient.cpp
+++ b/ObjectStore/ObjectClientCalls.h
@@ -1,21 +1,20 @@
-#include "Platform/ObjectClient.h"
+#pragma once
 
-#include "Platform/ObjectCodec.h"
+#include "ObjectStore/ObjectClient.h"
 
 #include <algorithm>
+#include <iterator>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
-namespace asio = boost::asio;
-
-namespace {
+namespace detail {
 
 /// A list of all of a kind's objects may be long.
-constexpr base::Bytes kMaxAnswerBytes{ 256 * 1024 * 1024 };
+inline constexpr base::Bytes kMaxAnswerBytes{ 256 * 1024 * 1024 };
 /// A watch that has been silent for this much longer than it asked for is lost.
-constexpr std::chrono::seconds kWatchGrace{ 2 };
+inline constexpr std::chrono::seconds kWatchGrace{ 2 };
 
-WriteError ToWriteError(ReadError const& aError, bool aMayHaveBeenSent)
+inline WriteError ToWriteError(ReadError const& aError, bool aMayHaveBeenSent)
 {
   using Kind = WriteError::Kind;
   if (aMayHaveBeenSent) {
@@ -31,7 +30,7 @@
   }
 }
 
-std::string_view ResultLabel(unsigned aStatus)
+inline std::string_view ResultLabel(unsigned aStatus)
 {
   if (aStatus < 300) {
     return "ok";
@@ -50,9 +49,10 @@
   }
 }
 
-} // namespace
+} // namespace detail
 
-ObjectClient::ObjectClient(base::EventLoop& aLoop, base::HttpClient& aHttp,
+template<ObjectApiCodec Codec>
+CodedObjectClient<Codec>::CodedObjectClient(base::EventLoop& aLoop, base::HttpClient& aHttp,
                            base::Endpoint aPlatform, CallBudget& aBudget, CircuitBreaker& aBreaker,
                            base::Metrics& aMetrics)
   : m_loop(aLoop)
@@ -64,7 +64,8 @@
 {
 }
 
-asio::awaitable<tl::expected<void, ReadError>> ObjectClient::Admit(CallKind aKind,
+template<ObjectApiCodec Codec>
+boost::asio::awaitable<tl::expected<void, ReadError>> CodedObjectClient<Codec>::Admit(CallKind aKind,
                                                                    base::Instant aEnd,
                                                                    CallPurpose aPurpose)
 {
@@ -86,13 +87,15 @@
   }
 }
 
-ObjectClient::Answer ObjectClient::RefusedByCircuit()
+template<ObjectApiCodec Codec>
+typename CodedObjectClient<Codec>::Answer CodedObjectClient<Codec>::RefusedByCircuit()
 {
   ReadError refused{ ReadError::Kind::CircuitOpen, "the platform failed lately" };
   return tl::make_unexpected(NoAnswer{ std::move(refused), false });
 }
 
-void ObjectClient::CountBudget(std::string aResult, CallPurpose aPurpose)
+template<ObjectApiCodec Codec>
+void CodedObjectClient<Codec>::CountBudget(std::string aResult, CallPurpose aPurpose)
 {
   base::MetricLabels const labels{ { "purpose", std::string(ToText(aPurpose)) },
                                    { "result", std::move(aResult) } };
@@ -101,7 +104,8 @@
     .Increment();
 }
 
-asio::awaitable<ObjectClient::Answer> ObjectClient::Call(base::HttpRequest aRequest, CallKind aKind,
+template<ObjectApiCodec Codec>
+boost::asio::awaitable<typename CodedObjectClient<Codec>::Answer> CodedObjectClient<Codec>::Call(base::HttpRequest aRequest, CallKind aKind,
                                                          base::Duration aLimit,
                                                          base::Duration aExtraWait,
                                                          CallPurpose aPurpose)
@@ -123,7 +127,7 @@
   }
   auto const limit = std::max<base::Duration>(end - start, std::chrono::milliseconds(1));
   auto response =
-    co_await m_http.Fetch(m_platform, std::move(aRequest), limit + aExtraWait, kMaxAnswerBytes);
+    co_await m_http.Fetch(m_platform, std::move(aRequest), limit + aExtraWait, detail::kMaxAnswerBytes);
   Answer answer;
   if (response) {
     answer = std::move(*response);
@@ -137,7 +141,8 @@
   co_return answer;
 }
 
-void ObjectClient::NoteResult(Answer const& aAnswer, base::Instant aStart, CallPurpose aPurpose)
+template<ObjectApiCodec Codec>
+void CodedObjectClient<Codec>::NoteResult(Answer const& aAnswer, base::Instant aStart, CallPurpose aPurpose)
 {
   auto const now = m_loop.Now();
   bool const isOutage = !aAnswer || aAnswer->m_status >= 500;
@@ -156,12 +161,13 @@
                                   "Time of calls to the platform.", labels),
                 now - aStart);
   labels["result"] =
-    aAnswer ? std::string(ResultLabel(aAnswer->m_status)) : std::string("no_answer");
+    aAnswer ? std::string(detail::ResultLabel(aAnswer->m_status)) : std::string("no_answer");
   m_metrics.Counter("sardinefold_platform_calls_total", "Calls to the platform.", labels)
     .Increment();
 }
 
-void ObjectClient::ShowState(base::Instant aNow)
+template<ObjectApiCodec Codec>
+void CodedObjectClient<Codec>::ShowState(base::Instant aNow)
 {
   auto const rates = m_budget.Rates();
   std::string const rateName = "sardinefold_platform_budget_calls_per_second";
@@ -175,54 +181,74 @@
     .Set(m_breaker.State() == CircuitState::Closed ? 0 : 1);
 }
 
-ReadTask<Object> ObjectClient::Get(ObjectKey aKey, base::Duration aLimit, CallPurpose aPurpose)
+template<ObjectApiCodec Codec>
+ReadTask<Object> CodedObjectClient<Codec>::Get(ObjectKey aKey, base::Duration aLimit, CallPurpose aPurpose)
 {
-  auto request = EncodeGet(aKey);
+  auto request = Codec::EncodeGet(aKey);
   auto const answer = co_await Call(std::move(request), CallKind::Read, aLimit, {}, aPurpose);
   if (!answer) {
     co_return tl::make_unexpected(answer.error().m_error);
   }
-  co_return DecodeObject(*answer);
+  co_return Codec::DecodeObject(aKey.m_kind, *answer);
 }
 
-ReadTask<ObjectList> ObjectClient::List(ObjectKind aKind, ObjectName aPrefix, base::Duration aLimit,
-                                        CallPurpose aPurpose)
+template<ObjectApiCodec Codec>
+ReadTask<ObjectList> CodedObjectClient<Codec>::List(ObjectKind aKind, ObjectName aPrefix,
+                                                    base::Duration aLimit, CallPurpose aPurpose)
 {
-  auto request = EncodeList(aKind, aPrefix);
-  auto const answer = co_await Call(std::move(request), CallKind::Read, aLimit, {}, aPurpose);
-  if (!answer) {
-    co_return tl::make_unexpected(answer.error().m_error);
+  std::optional<ObjectList> whole;
+  std::optional<base::HttpRequest> request = Codec::EncodeList(aKind, aPrefix);
+  while (request) {
+    auto call = std::move(*request);
+    auto const answer = co_await Call(std::move(call), CallKind::Read, aLimit, {}, aPurpose);
+    if (!answer) {
+      co_return tl::make_unexpected(answer.error().m_error);
+    }
+    auto page = Codec::DecodeList(aKind, *answer);
+    if (!page) {
+      co_return page;
+    }
+    request = Codec::EncodeNextPage(aKind, aPrefix, *answer);
+    if (!whole) {
+      // The first page's version: what changed since is watched from there.
+      whole = std::move(*page);
+      continue;
+    }
+    std::ranges::move(page->m_objects, std::back_inserter(whole->m_objects));
   }
-  co_return DecodeList(*answer);
+  co_return std::move(*whole);
 }
 
-ReadTask<ObjectChanges> ObjectClient::Watch(ObjectKind aKind, ObjectName aPrefix,
+template<ObjectApiCodec Codec>
+ReadTask<ObjectChanges> CodedObjectClient<Codec>::Watch(ObjectKind aKind, ObjectName aPrefix,
                                             base::ObjectVersion aAfter, base::Duration aLimit,
                                             CallPurpose aPurpose)
 {
-  auto request = EncodeWatch(aKind, aPrefix, aAfter, aLimit);
-  base::Duration const grace = kWatchGrace;
+  auto request = Codec::EncodeWatch(aKind, aPrefix, aAfter, aLimit);
+  base::Duration const grace = detail::kWatchGrace;
   auto const answer = co_await Call(std::move(request), CallKind::Read, aLimit, grace, aPurpose);
   if (!answer) {
     co_return tl::make_unexpected(answer.error().m_error);
   }
-  co_return DecodeChanges(*answer);
+  co_return Codec::DecodeChanges(aKind, *answer);
 }
 
-WriteTask ObjectClient::CallToWrite(base::HttpRequest aRequest, base::Duration aLimit,
+template<ObjectApiCodec Codec>
+WriteTask CodedObjectClient<Codec>::CallToWrite(base::HttpRequest aRequest, base::Duration aLimit,
                                     CallPurpose aPurpose)
 {
   auto const answer = co_await Call(std::move(aRequest), CallKind::Write, aLimit, {}, aPurpose);
   if (!answer) {
-    auto error = ToWriteError(answer.error().m_error, answer.error().m_mayHaveBeenSent);
+    auto error = detail::ToWriteError(answer.error().m_error, answer.error().m_mayHaveBeenSent);
     co_return tl::make_unexpected(std::move(error));
   }
-  co_return DecodeWrite(*answer);
+  co_return Codec::DecodeWrite(*answer);
 }
 
-WriteTask ObjectClient::Write(ObjectWrite aWrite, base::Duration aLimit, CallPurpose aPurpose)
+template<ObjectApiCodec Codec>
+WriteTask CodedObjectClient<Codec>::Write(ObjectWrite aWrite, base::Duration aLimit, CallPurpose aPurpose)
 {
-  auto request = EncodeWrite(aWrite);
+  auto request = Codec::EncodeWrite(aWrite);
   if (static_cast<std::int64_t>(request.m_body.size()) > kMaxValueBytes.Value()) {
     WriteError error{ WriteError::Kind::TooLarge, "the value is over 1 MB" };
     co_return tl::make_unexpected(std::move(error));
@@ -230,21 +256,24 @@
   co_return co_await CallToWrite(std::move(request), aLimit, aPurpose);
 }
 
-WriteTask ObjectClient::Delete(ObjectKey aKey, base::ObjectVersion aVersion, base::Duration aLimit,
+template<ObjectApiCodec Codec>
+WriteTask CodedObjectClient<Codec>::Delete(ObjectKey aKey, base::ObjectVersion aVersion, base::Duration aLimit,
                                CallPurpose aPurpose)
 {
-  auto request = EncodeDelete(aKey, aVersion);
+  auto request = Codec::EncodeDelete(aKey, aVersion);
   co_return co_await CallToWrite(std::move(request), aLimit, aPurpose);
 }
 
-ReadTask<HostList> ObjectClient::Hosts(base::Duration aLimit, CallPurpose aPurpose)
+template<ObjectApiCodec Codec>
+ReadTask<HostList> CodedObjectClient<Codec>::Hosts(base::Duration aLimit,
+                                                   CallPurpose aPurpose) requires ListsHosts<Codec>
 {
-  auto request = EncodeHosts();
+  auto request = Codec::EncodeHosts();
   auto const answer = co_await Call(std::move(request), CallKind::Read, aLimit, {}, aPurpose);
   if (!answer) {
     co_return tl::make_unexpected(answer.error().m_error);
   }
-  co_return DecodeHosts(*answer);
+  co_return Codec::DecodeHosts(*answer);
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/ObjectCodec.cpp
+++ b/ObjectStore/ObjectCodec.cpp
@@ -1,11 +1,11 @@
-#include "Platform/ObjectCodec.h"
+#include "ObjectStore/ObjectCodec.h"
 
 #include "Base/Http/PercentText.h"
 #include "Base/Json.h"
 
 #include <charconv>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 namespace {
 
@@ -306,4 +306,4 @@
   aObject.m_value = std::move(aStored);
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/ObjectCodec.h
+++ b/ObjectStore/ObjectCodec.h
@@ -1,16 +1,16 @@
 #pragma once
 
 #include "Base/Http/HttpMessage.h"
-#include "Platform/HostEntry.h"
-#include "Platform/PlatformError.h"
-#include "Platform/PlatformObject.h"
+#include "ObjectStore/HostEntry.h"
+#include "ObjectStore/PlatformError.h"
+#include "ObjectStore/PlatformObject.h"
 
 #include <tl/expected.hpp>
 
 #include <string>
 #include <string_view>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// Requests and answers of the object API (docs/INTERFACES.md).
 base::HttpRequest EncodeGet(ObjectKey const& aKey);
@@ -32,4 +32,4 @@
 std::string EncodeValue(WriteNonce const& aNonce, std::string_view aValue);
 void DecodeValue(std::string aStored, Object& aObject);
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/ObjectKey.cpp
+++ b/ObjectStore/ObjectKey.cpp
@@ -1,8 +1,8 @@
-#include "Platform/ObjectKey.h"
+#include "ObjectStore/ObjectKey.h"
 
 #include <array>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 std::string_view ToText(ObjectKind aKind)
 {
@@ -19,14 +19,19 @@
       return "bucket";
     case ObjectKind::Claim:
       return "claim";
+    case ObjectKind::Catalog:
+      return "catalog";
+    case ObjectKind::Upstream:
+      return "upstream";
   }
   return "";
 }
 
 std::optional<ObjectKind> ParseObjectKind(std::string_view aText)
 {
-  constexpr std::array kKinds = { ObjectKind::Document, ObjectKind::Chunk,  ObjectKind::Placement,
-                                  ObjectKind::Agent,    ObjectKind::Bucket, ObjectKind::Claim };
+  constexpr std::array kKinds = { ObjectKind::Document, ObjectKind::Chunk,   ObjectKind::Placement,
+                                  ObjectKind::Agent,    ObjectKind::Bucket,  ObjectKind::Claim,
+                                  ObjectKind::Catalog,  ObjectKind::Upstream };
   for (auto const kind : kKinds) {
     if (ToText(kind) == aText) {
       return kind;
@@ -35,4 +40,4 @@
   return std::nullopt;
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/ObjectKey.h
+++ b/ObjectStore/ObjectKey.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// The kinds of objects that the system keeps in the platform.
 enum class ObjectKind
@@ -24,7 +24,11 @@
   /// Who owns a share of the workspaces' allowances.
   Bucket,
   /// A request that may not repeat.
-  Claim
+  Claim,
+  /// What operators have put in force, where they write it themselves.
+  Catalog,
+  /// An engine or a service, where these list themselves.
+  Upstream
 };
 
 std::string_view ToText(ObjectKind aKind);
@@ -44,4 +48,4 @@
   friend auto operator<=>(ObjectKey const&, ObjectKey const&) = default;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/ObjectStoreClient.h
+++ b/ObjectStore/ObjectStoreClient.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "Platform/CallPurpose.h"
-#include "Platform/HostEntry.h"
-#include "Platform/PlatformError.h"
-#include "Platform/PlatformObject.h"
+#include "ObjectStore/CallPurpose.h"
+#include "ObjectStore/HostEntry.h"
+#include "ObjectStore/PlatformError.h"
+#include "ObjectStore/PlatformObject.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <tl/expected.hpp>
 
 #include <concepts>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 template<typename Value>
 using ReadResult = tl::expected<Value, ReadError>;
@@ -46,9 +46,15 @@
   {
     aClient.Delete(aKey, aVersion, aLimit, aPurpose)
     } -> std::same_as<WriteTask>;
+};
+
+/// A client of the platform's list of hosts.
+template<typename Client>
+concept HostLister = requires(Client& aClient, base::Duration aLimit, CallPurpose aPurpose)
+{
   {
     aClient.Hosts(aLimit, aPurpose)
     } -> std::same_as<ReadTask<HostList>>;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/ObjectWatch.cpp
+++ b/ObjectStore/ObjectWatch.cpp
@@ -1,8 +1,8 @@
-#include "Platform/ObjectWatch.h"
+#include "ObjectStore/ObjectWatch.h"
 
 #include <set>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 namespace {
 
@@ -116,4 +116,4 @@
   return true;
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/ObjectWatch.h
+++ b/ObjectStore/ObjectWatch.h
@@ -1,16 +1,16 @@
 #pragma once
 
 #include "Base/Time.h"
-#include "Platform/Backoff.h"
-#include "Platform/PlatformError.h"
-#include "Platform/PlatformObject.h"
+#include "ObjectStore/Backoff.h"
+#include "ObjectStore/PlatformError.h"
+#include "ObjectStore/PlatformObject.h"
 
 #include <tl/expected.hpp>
 
 #include <map>
 #include <variant>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 struct ListObjects
 {};
@@ -61,4 +61,4 @@
   base::Instant m_lastHeard{};
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/PlatformError.cpp
+++ b/ObjectStore/PlatformError.cpp
@@ -1,6 +1,6 @@
-#include "Platform/PlatformError.h"
+#include "ObjectStore/PlatformError.h"
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 std::string_view ToText(ReadError::Kind aKind)
 {
@@ -46,4 +46,4 @@
   return "";
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/PlatformError.h
+++ b/ObjectStore/PlatformError.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// Why a read or a watch gave nothing.
 struct ReadError
@@ -74,4 +74,4 @@
   return aKind == ReadError::Kind::Unavailable;
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/PlatformObject.h
+++ b/ObjectStore/PlatformObject.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "Platform/ObjectKey.h"
+#include "ObjectStore/ObjectKey.h"
 
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// Largest value of an object, its nonce line included.
 inline constexpr base::Bytes kMaxValueBytes{ 1024 * 1024 };
@@ -69,4 +69,4 @@
   WriteNonce m_nonce;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/RandomSource.cpp
+++ b/ObjectStore/RandomSource.cpp
@@ -1,6 +1,6 @@
-#include "Platform/RandomSource.h"
+#include "ObjectStore/RandomSource.h"
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 double RandomSource::Fraction()
 {
@@ -18,4 +18,4 @@
   return base::FromSeconds(base::ToSeconds(aLimit) * Fraction());
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/RandomSource.h
+++ b/ObjectStore/RandomSource.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// Pseudo-random numbers for jitter (SplitMix64); the same seed yields the same
 /// numbers.
@@ -25,4 +25,4 @@
   std::uint64_t m_state;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/WatchSession.h
+++ b/ObjectStore/WatchSession.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "Base/EventLoop.h"
-#include "Platform/ObjectStoreClient.h"
-#include "Platform/ObjectWatch.h"
+#include "ObjectStore/ObjectStoreClient.h"
+#include "ObjectStore/ObjectWatch.h"
 
 #include <concepts>
 #include <utility>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 struct WatchLimits
 {
@@ -77,4 +77,4 @@
   bool m_isStopped = false;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/WriteResolution.cpp
+++ b/ObjectStore/WriteResolution.cpp
@@ -1,6 +1,6 @@
-#include "Platform/WriteResolution.h"
+#include "ObjectStore/WriteResolution.h"
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 WriteResolution::WriteResolution(ObjectWrite const& aWrite, base::Instant aEnd,
                                  BackoffLimits aBackoff, std::uint64_t aSeed)
@@ -105,4 +105,4 @@
   m_next = aNow;
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/WriteResolution.h
+++ b/ObjectStore/WriteResolution.h
@@ -1,16 +1,16 @@
 #pragma once
 
 #include "Base/Time.h"
-#include "Platform/Backoff.h"
-#include "Platform/PlatformError.h"
-#include "Platform/PlatformObject.h"
+#include "ObjectStore/Backoff.h"
+#include "ObjectStore/PlatformError.h"
+#include "ObjectStore/PlatformObject.h"
 
 #include <tl/expected.hpp>
 
 #include <optional>
 #include <variant>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// Send the write, with the nonce it has had from the start.
 struct SendWrite
@@ -61,4 +61,4 @@
   std::optional<tl::expected<base::ObjectVersion, WriteError>> m_result;
 };
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Platform/WriteSession.h
+++ b/ObjectStore/WriteSession.h
@@ -2,13 +2,13 @@
 
 #include "Base/Digest.h"
 #include "Base/EventLoop.h"
-#include "Platform/ObjectStoreClient.h"
-#include "Platform/WriteResolution.h"
+#include "ObjectStore/ObjectStoreClient.h"
+#include "ObjectStore/WriteResolution.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace sardinefold::platform {
+namespace sardinefold::objectstore {
 
 /// A nonce for one write, unique in the fleet.
 inline WriteNonce NewWriteNonce()
@@ -51,4 +51,4 @@
   }
 }
 
-} // namespace sardinefold::platform
+} // namespace sardinefold::objectstore
--- a/Operator/DocumentStoreClient.h
+++ b/Operator/DocumentStoreClient.h
@@ -5,7 +5,7 @@
 #include "Operator/ChunkCodec.h"
 #include "Operator/ManifestCodec.h"
 #include "Operator/Publication.h"
-#include "Platform/ObjectStoreClient.h"
+#include "ObjectStore/ObjectStoreClient.h"
 
 #include <algorithm>
 #include <map>
@@ -21,7 +21,7 @@
 };
 
 /// Reads and publishes documents in the platform's object API.
-template<platform::ObjectStore Store>
+template<objectstore::ObjectStore Store>
 class DocumentStoreClient
 {
 public:
@@ -39,12 +39,12 @@
   /// None if the environment has no document.
   Task<std::optional<StoredManifest>> ReadManifest(base::EnvironmentId aEnvironment)
   {
-    platform::ObjectKey key{ platform::ObjectKind::Document,
-                             platform::ObjectName::FromValidated(aEnvironment.Text()) };
+    objectstore::ObjectKey key{ objectstore::ObjectKind::Document,
+                             objectstore::ObjectName::FromValidated(aEnvironment.Text()) };
     auto const object =
-      co_await m_store.Get(std::move(key), kCallTime, platform::CallPurpose::Configuration);
+      co_await m_store.Get(std::move(key), kCallTime, objectstore::CallPurpose::Configuration);
     if (!object) {
-      if (object.error().m_kind == platform::ReadError::Kind::NotFound) {
+      if (object.error().m_kind == objectstore::ReadError::Kind::NotFound) {
         co_return std::optional<StoredManifest>();
       }
       co_return Fail("the manifest cannot be read: " + object.error().m_detail);
@@ -58,10 +58,10 @@
 
   Task<Chunk> ReadChunk(ChunkHash aHash)
   {
-    platform::ObjectKey key{ platform::ObjectKind::Chunk,
-                             platform::ObjectName::FromValidated(aHash.Text()) };
+    objectstore::ObjectKey key{ objectstore::ObjectKind::Chunk,
+                             objectstore::ObjectName::FromValidated(aHash.Text()) };
     auto const object =
-      co_await m_store.Get(std::move(key), kCallTime, platform::CallPurpose::Configuration);
+      co_await m_store.Get(std::move(key), kCallTime, objectstore::CallPurpose::Configuration);
     if (!object) {
       co_return Fail("chunk " + aHash.Text() + " cannot be read: " + object.error().m_detail);
     }
@@ -148,43 +148,43 @@
     return tl::make_unexpected(DocumentStoreError{ std::move(aMessage) });
   }
 
-  static platform::ObjectWrite ChunkWrite(Chunk const& aChunk)
+  static objectstore::ObjectWrite ChunkWrite(Chunk const& aChunk)
   {
-    platform::ObjectWrite write;
-    write.m_key = { platform::ObjectKind::Chunk,
-                    platform::ObjectName::FromValidated(aChunk.m_hash.Text()) };
-    write.m_condition = platform::IfAbsent{};
+    objectstore::ObjectWrite write;
+    write.m_key = { objectstore::ObjectKind::Chunk,
+                    objectstore::ObjectName::FromValidated(aChunk.m_hash.Text()) };
+    write.m_condition = objectstore::IfAbsent{};
     write.m_value = aChunk.m_text;
     return write;
   }
 
-  static platform::ObjectWrite ManifestWrite(WriteManifestStep const& aStep)
+  static objectstore::ObjectWrite ManifestWrite(WriteManifestStep const& aStep)
   {
-    platform::ObjectWrite write;
+    objectstore::ObjectWrite write;
     auto const& name = aStep.m_manifest.m_environment.Text();
-    write.m_key = { platform::ObjectKind::Document, platform::ObjectName::FromValidated(name) };
-    write.m_condition = platform::IfAbsent{};
+    write.m_key = { objectstore::ObjectKind::Document, objectstore::ObjectName::FromValidated(name) };
+    write.m_condition = objectstore::IfAbsent{};
     if (aStep.m_expected) {
-      write.m_condition = platform::IfVersion{ *aStep.m_expected };
+      write.m_condition = objectstore::IfVersion{ *aStep.m_expected };
     }
     write.m_value = RenderManifest(aStep.m_manifest);
     return write;
   }
 
   /// One attempt; a publication resolves what stays open.
-  boost::asio::awaitable<WriteResult> Write(platform::ObjectWrite aWrite)
+  boost::asio::awaitable<WriteResult> Write(objectstore::ObjectWrite aWrite)
   {
-    aWrite.m_nonce = platform::WriteNonce::FromValidated(base::RandomHex(kNonceBytes));
+    aWrite.m_nonce = objectstore::WriteNonce::FromValidated(base::RandomHex(kNonceBytes));
     auto const written =
-      co_await m_store.Write(std::move(aWrite), kCallTime, platform::CallPurpose::Configuration);
+      co_await m_store.Write(std::move(aWrite), kCallTime, objectstore::CallPurpose::Configuration);
     if (written) {
       co_return WriteResult::Written;
     }
     auto const kind = written.error().m_kind;
-    if (kind == platform::WriteError::Kind::Conflict) {
+    if (kind == objectstore::WriteError::Kind::Conflict) {
       co_return WriteResult::ConditionFailed;
     }
-    co_return platform::IsCertainlyNotApplied(kind) ? WriteResult::Refused : WriteResult::Unknown;
+    co_return objectstore::IsCertainlyNotApplied(kind) ? WriteResult::Refused : WriteResult::Unknown;
   }
 
   base::EventLoop& m_loop;
--- a/Operator/OperatorEndpoint.h
+++ b/Operator/OperatorEndpoint.h
@@ -54,7 +54,7 @@
 base::HttpResponse RenderHistory(Manifest const& aManifest);
 
 /// Answers operators over HTTP.
-template<platform::ObjectStore Store>
+template<objectstore::ObjectStore Store>
 class OperatorEndpoint
 {
 public:
--- /dev/null
+++ b/Operator/ServingCatalog.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Time.h"
+#include "Base/Units.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sardinefold::operators {
+
+/// What may be done with a request whose outcome is unknown.
+enum class Repeatability
+{
+  /// May run any number of times.
+  Idempotent,
+  /// Runs at most once.
+  AtMostOnce,
+  /// A stream of events; runs at most once unless its route lets it resume.
+  Stream
+};
+
+/// One of the deployments that share a route's requests.
+struct RouteTarget
+{
+  base::DeploymentId m_deployment;
+  double m_weight = 1;
+};
+
+/// Requests of one host name whose path begins with a prefix.
+struct RouteRule
+{
+  base::RouteId m_id;
+  /// In lower case, without a port.
+  std::string m_host;
+  /// Begins and ends with a slash.
+  std::string m_pathPrefix;
+  Repeatability m_repeatability = Repeatability::AtMostOnce;
+  /// Longest time that a caller is kept waiting for the whole answer.
+  base::Duration m_timeout{};
+  /// Time to the answer, or to the first event, that earns full credit.
+  base::Duration m_goal{};
+  /// Zero is the most urgent.
+  unsigned m_urgency = 0;
+  std::vector<RouteTarget> m_targets;
+  unsigned m_maximumAttempts = 1;
+  bool m_isPublic = false;
+  bool m_isResumable = false;
+
+  bool MayRepeat() const
+  {
+    return m_repeatability == Repeatability::Idempotent ||
+           (m_repeatability == Repeatability::Stream && m_isResumable);
+  }
+};
+
+/// A workspace with its keys and its allowance in tokens.
+struct WorkspaceGrant
+{
+  base::WorkspaceId m_id;
+  std::vector<std::string> m_keys;
+  /// Goes before the urgency of its routes.
+  std::optional<unsigned> m_urgency;
+  /// Zero stands for no limit.
+  base::TokensPerSecond m_rate;
+  base::Tokens m_burst;
+  /// Charged for a request that does not tell its tokens.
+  base::Tokens m_plainRequestTokens{ 1 };
+};
+
+struct ModelSpec
+{
+  base::ModelId m_id;
+  base::Megabytes m_weights;
+  base::Megabytes m_adapterWeights;
+  base::Duration m_loadFromStore{};
+  base::Duration m_loadFromMemory{};
+  base::Duration m_loadFromDisk{};
+};
+
+/// What the engines of a deployment can hold.
+struct EngineSpec
+{
+  unsigned m_concurrency = 1;
+  base::Tokens m_cacheTokens;
+  /// For models and adapters together.
+  base::Megabytes m_weights;
+  unsigned m_adapterSlots = 0;
+  std::map<base::ModelId, ModelSpec> m_models;
+};
+
+struct DeploymentSpec
+{
+  base::DeploymentId m_id;
+  std::string m_healthPath;
+  unsigned m_maximumConnections = 0;
+  /// Absent for plain services.
+  std::optional<EngineSpec> m_engine;
+};
+
+/// Bounds on what a caller may send.
+struct CallerLimits
+{
+  base::Bytes m_headerBytes{ 16 * 1024 };
+  base::Bytes m_bodyBytes{ 4 * 1024 * 1024 };
+  base::Duration m_headerTime = std::chrono::seconds(3);
+  base::Duration m_idleTime = std::chrono::seconds(15);
+};
+
+/// Everything that operators have put in force.
+struct ServingCatalog
+{
+  base::CatalogVersion m_version;
+  std::vector<RouteRule> m_routes;
+  std::map<base::DeploymentId, DeploymentSpec> m_deployments;
+  std::vector<WorkspaceGrant> m_workspaces;
+  CallerLimits m_limits;
+};
+
+} // namespace sardinefold::operators
--- a/Programs/Agent/AgentConfiguration.h
+++ b/Programs/Agent/AgentConfiguration.h
@@ -4,7 +4,7 @@
 #include "Base/Identifiers.h"
 #include "Base/Settings.h"
 #include "Operator/Document.h"
-#include "Platform/FleetShare.h"
+#include "ObjectStore/FleetShare.h"
 
 #include <tl/expected.hpp>
 
@@ -26,7 +26,7 @@
   std::vector<base::Endpoint> m_platform;
   std::string m_fleetSecret;
   /// Among which the platform's rates are divided.
-  platform::FleetSize m_fleetSize;
+  objectstore::FleetSize m_fleetSize;
   std::size_t m_concurrency = 1;
   std::size_t m_maximumWaiting = 0;
   base::Duration m_drainLimit{};
--- a/Programs/Agent/AgentProgram.cpp
+++ b/Programs/Agent/AgentProgram.cpp
@@ -34,12 +34,12 @@
   return base::JsonResponse(aError.m_status, R"({"error":{"code":"bad_request"}})");
 }
 
-platform::CallRates PlatformRates(AgentConfiguration const& aConfiguration)
+objectstore::CallRates PlatformRates(AgentConfiguration const& aConfiguration)
 {
   auto const role = aConfiguration.m_upstreamKind == operators::UpstreamKind::Engine
-                      ? platform::ProcessRole::EngineAgent
-                      : platform::ProcessRole::ServiceAgent;
-  return platform::ShareOf(platform::kPlatformRates, aConfiguration.m_fleetSize, role);
+                      ? objectstore::ProcessRole::EngineAgent
+                      : objectstore::ProcessRole::ServiceAgent;
+  return objectstore::ShareOf(objectstore::kPlatformRates, aConfiguration.m_fleetSize, role);
 }
 
 std::uint64_t SeedOf(base::IncarnationId const& aIncarnation)
--- a/Programs/Agent/AgentProgram.h
+++ b/Programs/Agent/AgentProgram.h
@@ -39,10 +39,10 @@
   AdmissionGate m_gate;
   /// Null beside a service.
   std::unique_ptr<ReplicaLoader> m_loader;
-  platform::CallBudget m_platformBudget;
-  platform::CircuitBreaker m_platformBreaker;
-  platform::ObjectClient m_platform;
-  service::ClaimSession<platform::ObjectClient> m_claims;
+  objectstore::CallBudget m_platformBudget;
+  objectstore::CircuitBreaker m_platformBreaker;
+  objectstore::ObjectClient m_platform;
+  service::ClaimSession<objectstore::ObjectClient> m_claims;
   AgentParts m_parts;
   base::RpcServer m_rpc;
   base::HttpServer m_server;
--- a/Programs/Agent/ExchangeSession.h
+++ b/Programs/Agent/ExchangeSession.h
@@ -5,7 +5,7 @@
 #include "Base/Http/HttpClient.h"
 #include "Base/Http/HttpServer.h"
 #include "Base/Metrics.h"
-#include "Platform/ObjectClient.h"
+#include "ObjectStore/ObjectClient.h"
 #include "Programs/Agent/AdmissionGate.h"
 #include "Programs/Agent/AgentConfiguration.h"
 #include "Programs/Agent/ReplicaLoader.h"
@@ -28,7 +28,7 @@
   AdmissionGate& m_gate;
   /// Null beside a service.
   ReplicaLoader* m_loader;
-  service::ClaimSession<platform::ObjectClient>& m_claims;
+  service::ClaimSession<objectstore::ObjectClient>& m_claims;
   bool m_isDraining = false;
 };
 
--- a/Programs/Entry/EntryBackend.h
+++ b/Programs/Entry/EntryBackend.h
@@ -11,7 +11,7 @@
 #include "Entry/Allowance/AllowanceEndpoint.h"
 #include "Entry/Keys/KeysEndpoint.h"
 #include "Operator/Document.h"
-#include "Platform/ObjectClient.h"
+#include "ObjectStore/ObjectClient.h"
 #include "Programs/Entry/RoutingChooser.h"
 #include "Programs/Entry/StatusFollower.h"
 
@@ -24,7 +24,7 @@
 class EntryBackend
 {
 public:
-  using Allowances = entry::AllowanceEndpoint<platform::ObjectClient>;
+  using Allowances = entry::AllowanceEndpoint<objectstore::ObjectClient>;
   using Reply = agent::AgentReply;
 
   EntryBackend(base::EventLoop& aLoop, base::HttpClient& aHttp,
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -21,12 +21,12 @@
 constexpr base::Duration kHostPollLimit = std::chrono::seconds(2);
 
 /// The share of one entry in the calls that the platform admits.
-platform::CallRates RatesOf(entry::FleetView const& aEntries, std::size_t aAgents)
+objectstore::CallRates RatesOf(entry::FleetView const& aEntries, std::size_t aAgents)
 {
-  platform::FleetSize size;
+  objectstore::FleetSize size;
   size.m_entries = std::max(1U, static_cast<std::uint32_t>(aEntries.m_entries.size()));
   size.m_engineAgents = static_cast<std::uint32_t>(aAgents);
-  return platform::ShareOf(platform::kPlatformRates, size, platform::ProcessRole::Entry);
+  return objectstore::ShareOf(objectstore::kPlatformRates, size, objectstore::ProcessRole::Entry);
 }
 
 /// Differs from one start of a process to the next.
@@ -197,7 +197,7 @@
 asio::awaitable<void> EntryProgram::FollowHosts()
 {
   while (!m_backend.IsDraining()) {
-    auto const hosts = co_await m_platform.Hosts(kHostPollLimit, platform::CallPurpose::Membership);
+    auto const hosts = co_await m_platform.Hosts(kHostPollLimit, objectstore::CallPurpose::Membership);
     if (hosts) {
       TakeHosts(*hosts);
     }
@@ -205,7 +205,7 @@
   }
 }
 
-void EntryProgram::TakeHosts(platform::HostList const& aHosts)
+void EntryProgram::TakeHosts(objectstore::HostList const& aHosts)
 {
   auto agents = AgentHosts(aHosts);
   auto view = NewsView(aHosts);
--- a/Programs/Entry/EntryProgram.h
+++ b/Programs/Entry/EntryProgram.h
@@ -11,7 +11,7 @@
 #include "Caller/CallerMetrics.h"
 #include "Entry/Configuration/NewsEndpoint.h"
 #include "Operator/OperatorEndpoint.h"
-#include "Platform/ObjectClient.h"
+#include "ObjectStore/ObjectClient.h"
 #include "Programs/Entry/EntryBackend.h"
 #include "Programs/Entry/HostViews.h"
 
@@ -38,7 +38,7 @@
   tl::expected<void, std::string> LoadDocument(std::string const& aPath);
   tl::expected<void, std::string> LoadCertificate();
   boost::asio::awaitable<void> FollowHosts();
-  void TakeHosts(platform::HostList const& aHosts);
+  void TakeHosts(objectstore::HostList const& aHosts);
   /// Tells the keys what the configuration relay has heard of the platform.
   boost::asio::awaitable<void> PassOnNews();
   /// The fleet's configuration for operators, as JSON text.
@@ -50,16 +50,16 @@
   base::PeerAuthentication m_authentication;
   base::HttpClient m_http;
   base::RpcServer m_rpc;
-  platform::CallBudget m_budget;
-  platform::CircuitBreaker m_breaker;
-  platform::ObjectClient m_platform;
+  objectstore::CallBudget m_budget;
+  objectstore::CircuitBreaker m_breaker;
+  objectstore::ObjectClient m_platform;
   EntryBackend::Allowances m_allowances;
   entry::KeysEndpoint m_keys;
   EntryBackend m_backend;
   caller::CallerMetrics m_callerMetrics;
   caller::CallerEndpoint<EntryBackend> m_callers;
-  entry::NewsEndpoint<platform::ObjectClient, EntryBackend> m_news;
-  operators::OperatorEndpoint<platform::ObjectClient> m_operators;
+  entry::NewsEndpoint<objectstore::ObjectClient, EntryBackend> m_news;
+  operators::OperatorEndpoint<objectstore::ObjectClient> m_operators;
   base::HttpServer m_server;
   bool m_hasHosts = false;
 };
--- a/Programs/Entry/HostViews.cpp
+++ b/Programs/Entry/HostViews.cpp
@@ -4,19 +4,19 @@
 
 namespace {
 
-bool IsEntry(platform::HostEntry const& aHost)
+bool IsEntry(objectstore::HostEntry const& aHost)
 {
-  return aHost.m_role == platform::HostRole::Entry;
+  return aHost.m_role == objectstore::HostRole::Entry;
 }
 
-bool IsLeaving(platform::HostEntry const& aHost)
+bool IsLeaving(objectstore::HostEntry const& aHost)
 {
-  return aHost.m_state == platform::HostState::Leaving;
+  return aHost.m_state == objectstore::HostState::Leaving;
 }
 
 } // namespace
 
-std::vector<agent::AgentHost> AgentHosts(platform::HostList const& aList)
+std::vector<agent::AgentHost> AgentHosts(objectstore::HostList const& aList)
 {
   std::vector<agent::AgentHost> hosts;
   for (auto const& host : aList) {
@@ -28,7 +28,7 @@
   return hosts;
 }
 
-entry::FleetView NewsView(platform::HostList const& aList)
+entry::FleetView NewsView(objectstore::HostList const& aList)
 {
   entry::FleetView view;
   for (auto const& host : aList) {
@@ -39,7 +39,7 @@
   return view;
 }
 
-std::vector<entry::ListedEntry> ListedEntries(platform::HostList const& aList)
+std::vector<entry::ListedEntry> ListedEntries(objectstore::HostList const& aList)
 {
   std::vector<entry::ListedEntry> entries;
   for (auto const& host : aList) {
@@ -50,7 +50,7 @@
   return entries;
 }
 
-HostAddresses Addresses(platform::HostList const& aList)
+HostAddresses Addresses(objectstore::HostList const& aList)
 {
   HostAddresses addresses;
   for (auto const& host : aList) {
@@ -61,7 +61,7 @@
   return addresses;
 }
 
-HostAddresses EntryAddresses(platform::HostList const& aList)
+HostAddresses EntryAddresses(objectstore::HostList const& aList)
 {
   auto addresses = Addresses(aList);
   for (auto const& host : aList) {
--- a/Programs/Entry/HostViews.h
+++ b/Programs/Entry/HostViews.h
@@ -4,7 +4,7 @@
 #include "Base/Endpoint.h"
 #include "Entry/Allowance/OwnershipPlan.h"
 #include "Entry/Configuration/RelayChoice.h"
-#include "Platform/HostEntry.h"
+#include "ObjectStore/HostEntry.h"
 
 #include <map>
 #include <vector>
@@ -15,14 +15,14 @@
 
 /// The upstream hosts, for the directory of agents. Hosts without an address
 /// that can be used are left out here and below.
-std::vector<agent::AgentHost> AgentHosts(platform::HostList const& aList);
+std::vector<agent::AgentHost> AgentHosts(objectstore::HostList const& aList);
 /// The entries, for the configuration relay.
-entry::FleetView NewsView(platform::HostList const& aList);
+entry::FleetView NewsView(objectstore::HostList const& aList);
 /// The entries, for the ownership of allowances.
-std::vector<entry::ListedEntry> ListedEntries(platform::HostList const& aList);
+std::vector<entry::ListedEntry> ListedEntries(objectstore::HostList const& aList);
 /// Where all hosts are.
-HostAddresses Addresses(platform::HostList const& aList);
+HostAddresses Addresses(objectstore::HostList const& aList);
 /// Where the entries are.
-HostAddresses EntryAddresses(platform::HostList const& aList);
+HostAddresses EntryAddresses(objectstore::HostList const& aList);
 
 } // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -0,0 +1,117 @@
+#include "Programs/Loader/FleetPlanning.h"
+
+#include "Agent/Fleet/FleetCodec.h"
+#include "Base/Log.h"
+
+namespace sardinefold::programs {
+
+namespace {
+
+/// A gateway that was silent for longer is counted no more.
+constexpr base::Duration kGatewaySilence = std::chrono::seconds(4);
+/// Loaders tell their state several times in this time.
+constexpr base::Duration kLoaderSilence = std::chrono::milliseconds(1500);
+
+} // namespace
+
+FleetPlanning::FleetPlanning(base::ProcessProfile const& aProfile, base::DatagramEndpoint& aPeers)
+  : m_profile(aProfile)
+  , m_peers(aPeers)
+  , m_planner({ .m_parallelStoreLoads = aProfile.m_bounds.m_parallelLoads })
+{
+}
+
+void FleetPlanning::SetSpec(base::DeploymentId const& aDeployment, operators::EngineSpec aSpec)
+{
+  m_planner.SetSpec(aDeployment, std::move(aSpec));
+}
+
+void FleetPlanning::OnReport(agent::GatewayReport const& aReport, base::Endpoint const& aSender,
+                             base::Instant aNow)
+{
+  auto& gateway = m_gateways[aReport.m_host];
+  if (gateway.m_incarnation != aReport.m_incarnation) {
+    StartEpoch();
+  }
+  gateway = { aSender, aReport.m_incarnation, aReport.m_granted, aNow };
+  m_planner.OnDemand(aReport.m_host, aReport.m_demand, aNow);
+}
+
+void FleetPlanning::OnStatus(agent::EngineStatus const& aStatus, base::Endpoint const& aSender,
+                             base::Instant aNow)
+{
+  m_loaders[aStatus.m_host] = { aSender, aNow };
+  if (!aStatus.m_canOrder) {
+    m_planner.RemoveEngine(aStatus.m_host);
+    return;
+  }
+  m_planner.OnEngine({ aStatus.m_host, aStatus.m_deployment, aStatus.m_models, aStatus.m_copies,
+                       aStatus.m_change.m_loading, aStatus.m_change.m_unloading },
+                     aNow);
+}
+
+void FleetPlanning::StartEpoch()
+{
+  constexpr std::size_t kEpochBytes = 6;
+  m_epoch = base::RandomHex(kEpochBytes);
+}
+
+void FleetPlanning::Expire(base::Instant aNow)
+{
+  std::erase_if(m_gateways, [&](auto const& aItem) {
+    if (aNow - aItem.second.m_heardAt <= kGatewaySilence) {
+      return false;
+    }
+    StartEpoch();
+    m_planner.RemoveGateway(aItem.first);
+    return true;
+  });
+  std::erase_if(m_loaders, [&](auto const& aItem) {
+    if (aNow - aItem.second.m_heardAt <= kLoaderSilence) {
+      return false;
+    }
+    m_planner.RemoveEngine(aItem.first);
+    return true;
+  });
+}
+
+void FleetPlanning::SendSummaries()
+{
+  agent::GrantedTokens total;
+  for (auto const& [host, gateway] : m_gateways) {
+    for (auto const& [workspace, tokens] : gateway.m_granted) {
+      total[workspace] += tokens;
+    }
+  }
+  for (auto const& [host, gateway] : m_gateways) {
+    agent::GrantSummary summary{ m_epoch, static_cast<unsigned>(m_gateways.size()), total };
+    for (auto const& [workspace, tokens] : gateway.m_granted) {
+      summary.m_grantedByOthers[workspace] -= tokens;
+    }
+    m_peers.Send(gateway.m_endpoint, agent::EncodeFleetMessage(summary));
+  }
+}
+
+void FleetPlanning::Tick(base::Instant aNow)
+{
+  Expire(aNow);
+  if (m_gateways.empty()) {
+    return;
+  }
+  SendSummaries();
+  for (auto const& swap : m_planner.Plan(aNow)) {
+    auto const loader = m_loaders.find(swap.m_loader);
+    if (loader == m_loaders.end()) {
+      continue;
+    }
+    agent::SwapRequest const request{ swap.m_load, swap.m_unload };
+    m_peers.Send(loader->second.m_endpoint, agent::EncodeFleetMessage(request));
+    base::log::Info("swap planned", { { "loader", swap.m_loader.Text() },
+                                      { "load", swap.m_load.Text() },
+                                      { "unload", swap.m_unload.empty()
+                                                    ? ""
+                                                    : swap.m_unload.front().Text() } });
+  }
+}
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Loader/FleetPlanning.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Agent/Fleet/FleetMessages.h"
+#include "Base/DatagramEndpoint.h"
+#include "Base/Digest.h"
+#include "Base/ProcessProfile.h"
+#include "Engine/SwapPlanner.h"
+
+#include <map>
+
+namespace sardinefold::programs {
+
+/// The planner's part of a loader: it is in use while gateways report to this
+/// loader as their planner.
+class FleetPlanning
+{
+public:
+  FleetPlanning(base::ProcessProfile const& aProfile, base::DatagramEndpoint& aPeers);
+
+  void SetSpec(base::DeploymentId const& aDeployment, operators::EngineSpec aSpec);
+  /// A gateway took this loader for the planner.
+  void OnReport(agent::GatewayReport const& aReport, base::Endpoint const& aSender,
+                base::Instant aNow);
+  void OnStatus(agent::EngineStatus const& aStatus, base::Endpoint const& aSender,
+                base::Instant aNow);
+  /// Asks loaders for swaps and tells gateways of one another's grants.
+  void Tick(base::Instant aNow);
+
+private:
+  struct Gateway
+  {
+    base::Endpoint m_endpoint;
+    base::IncarnationId m_incarnation;
+    agent::GrantedTokens m_granted;
+    base::Instant m_heardAt{};
+  };
+  struct Loader
+  {
+    base::Endpoint m_endpoint;
+    base::Instant m_heardAt{};
+  };
+
+  void Expire(base::Instant aNow);
+  void StartEpoch();
+  void SendSummaries();
+
+  base::ProcessProfile const& m_profile;
+  base::DatagramEndpoint& m_peers;
+  engine::SwapPlanner m_planner;
+  std::map<base::HostId, Gateway> m_gateways;
+  std::map<base::HostId, Loader> m_loaders;
+  /// Changes whenever the sums lose or gain a gateway.
+  std::string m_epoch;
+};
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Loader/LoaderProgram.h
@@ -0,0 +1,352 @@
+#pragma once
+
+#include "Agent/Fleet/FleetCodec.h"
+#include "Base/DatagramEndpoint.h"
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpClient.h"
+#include "Base/Log.h"
+#include "Base/Metrics.h"
+#include "Base/ProcessProfile.h"
+#include "Base/Signal.h"
+#include "Engine/OrderDesk.h"
+#include "ObjectStore/WriteSession.h"
+#include "Programs/Loader/FleetPlanning.h"
+#include "Programs/ServingWire.h"
+#include "Programs/StoreAccess.h"
+
+#include <map>
+#include <optional>
+
+namespace sardinefold::programs {
+
+/// The process beside an engine: the only one that gives it orders. It tells
+/// gateways what the engine holds, and plans for the fleet while gateways take
+/// it for the planner.
+template<ServingWire Wire>
+class LoaderProgram
+{
+public:
+  LoaderProgram(base::EventLoop& aLoop, base::ProcessProfile aProfile)
+    : m_loop(aLoop)
+    , m_profile(std::move(aProfile))
+    , m_store(aLoop, m_profile.m_objectStore, m_metrics)
+    , m_http(aLoop, {})
+    , m_peers(aLoop)
+    , m_desk({})
+    , m_planning(m_profile, m_peers)
+  {
+  }
+
+  tl::expected<void, std::string> Start()
+  {
+    if (!m_profile.m_engine) {
+      return tl::make_unexpected("the settings name no engine on this host");
+    }
+    auto const onMessage = [this](std::string_view aText, base::Endpoint const& aSender) {
+      OnMessage(aText, aSender);
+    };
+    if (auto const bound = m_peers.Listen({ m_profile.m_address, m_profile.m_peerPort }, onMessage);
+        !bound) {
+      return bound;
+    }
+    m_loop.Start(Register());
+    m_loop.Start(FollowCatalog());
+    m_loop.Start(FollowEngine());
+    m_loop.Start(Tick());
+    base::log::Info("started", { { "host", m_profile.m_host.Text() },
+                                 { "engine", m_profile.m_engine->Text() } });
+    return {};
+  }
+
+  boost::asio::awaitable<void> Shutdown()
+  {
+    base::log::Info("stopped");
+    m_loop.Stop();
+    co_return;
+  }
+
+private:
+  static constexpr base::Duration kStoreTime = std::chrono::milliseconds(1500);
+
+  /// Takes the fencing number: the version of the host's own object, which
+  /// each start of a loader anywhere raises.
+  boost::asio::awaitable<void> Register()
+  {
+    objectstore::ObjectKey const key{ objectstore::ObjectKind::Agent,
+                                      objectstore::ObjectName::FromValidated(
+                                        m_profile.m_host.Text()) };
+    constexpr base::Duration kPause = std::chrono::milliseconds(200);
+    while (!m_fence) {
+      auto const purpose = objectstore::CallPurpose::Fencing;
+      auto readKey = key;
+      auto const before = co_await m_store.Objects().Get(std::move(readKey), kStoreTime, purpose);
+      bool const isAbsent =
+        !before && before.error().m_kind == objectstore::ReadError::Kind::NotFound;
+      if (before || isAbsent) {
+        objectstore::ObjectWrite write{ key, objectstore::IfAbsent{}, m_profile.m_address,
+                                        objectstore::NewWriteNonce() };
+        if (before) {
+          write.m_condition = objectstore::IfVersion{ before->m_version };
+        }
+        auto const written = co_await objectstore::WriteUntilKnown(
+          m_store.Objects(), m_loop, std::move(write), std::chrono::seconds(5), purpose);
+        if (written) {
+          m_fence = base::FencingNumber(written->Value());
+          base::log::Info("fencing number taken",
+                          { { "number", std::to_string(m_fence->Value()) } });
+          co_return;
+        }
+      }
+      co_await m_loop.Sleep(kPause);
+    }
+  }
+
+  /// Reads the catalog when gateways know a newer one.
+  boost::asio::awaitable<void> FollowCatalog()
+  {
+    constexpr base::Duration kPause = std::chrono::milliseconds(300);
+    while (true) {
+      if (m_catalogVersion && m_catalogTold <= *m_catalogVersion) {
+        co_await m_loop.Sleep(kPause);
+        continue;
+      }
+      objectstore::ObjectKey key{ objectstore::ObjectKind::Catalog, Wire::CatalogName() };
+      auto const object = co_await m_store.Objects().Get(
+        std::move(key), kStoreTime, objectstore::CallPurpose::Configuration);
+      if (object) {
+        OnCatalog(object->m_value);
+      }
+      co_await m_loop.Sleep(kPause);
+    }
+  }
+
+  void OnCatalog(std::string const& aText)
+  {
+    auto const catalog = Wire::DecodeCatalog(aText);
+    if (!catalog) {
+      base::log::Error("configuration is unusable", { { "error", catalog.error() } });
+      return;
+    }
+    m_catalogVersion = catalog->m_version;
+    for (auto const& [id, deployment] : catalog->m_deployments) {
+      if (deployment.m_engine) {
+        m_planning.SetSpec(id, *deployment.m_engine);
+      }
+      if (id == *m_profile.m_engineDeployment && deployment.m_engine) {
+        m_desk.SetSpec(*deployment.m_engine);
+      }
+    }
+    base::log::Info("configuration in force",
+                    { { "version", std::to_string(catalog->m_version.Value()) } });
+  }
+
+  /// Reads the engine's report, which is fresh and free on its own host, and
+  /// gives the orders that follow from it.
+  boost::asio::awaitable<void> FollowEngine()
+  {
+    constexpr base::Duration kCalm = std::chrono::milliseconds(100);
+    constexpr base::Duration kBusy = std::chrono::milliseconds(25);
+    while (true) {
+      co_await ReadReport();
+      co_await GiveOrder();
+      auto const state = m_desk.State(m_loop.Now());
+      bool const isBusy = state.m_loading || state.m_unloading || m_wantsAdapter;
+      m_wantsAdapter = false;
+      co_await m_wake.Wait(isBusy ? kBusy : kCalm);
+    }
+  }
+
+  boost::asio::awaitable<void> ReadReport()
+  {
+    constexpr base::Duration kReportTime = std::chrono::milliseconds(500);
+    auto request = Wire::EncodeReportRequest();
+    auto endpoint = *m_profile.m_engine;
+    auto const response =
+      co_await m_http.Fetch(std::move(endpoint), std::move(request), kReportTime);
+    if (!response || response->m_status != 200) {
+      m_hasReport = false;
+      co_return;
+    }
+    auto report = Wire::DecodeReport(response->m_body);
+    if (!report) {
+      base::log::Warning("report is unusable", { { "error", report.error() } });
+      m_hasReport = false;
+      co_return;
+    }
+    m_hasReport = true;
+    m_desk.OnReport(std::move(*report), m_loop.Now());
+    SendStatus(false);
+  }
+
+  boost::asio::awaitable<void> GiveOrder()
+  {
+    if (!CanOrder()) {
+      co_return;
+    }
+    auto const order = m_desk.Next(m_loop.Now());
+    if (!order) {
+      co_return;
+    }
+    auto full = *order;
+    full.m_holder = m_profile.m_host;
+    full.m_fence = *m_fence;
+    constexpr base::Duration kOrderTime = std::chrono::milliseconds(500);
+    auto request = Wire::EncodeOrder(full, m_instance->m_instance);
+    auto endpoint = *m_profile.m_engine;
+    auto const response = co_await m_http.Fetch(std::move(endpoint), std::move(request), kOrderTime);
+    auto const answer = response ? Wire::DecodeOrderAnswer(response->m_status)
+                                 : engine::OrderAnswer::Unknown;
+    base::log::Info("order given",
+                    { { "operation", full.m_operation == engine::EngineOrderRequest::Operation::Load
+                                       ? "load"
+                                       : "unload" },
+                      { "model", full.m_model.Text() },
+                      { "adapter", full.m_adapter ? full.m_adapter->Text() : "" },
+                      { "expected", std::to_string(full.m_expected.Value()) },
+                      { "status", response ? std::to_string(response->m_status) : "none" } });
+    m_desk.OnAnswer(full, answer, m_loop.Now());
+    SendStatus(false);
+  }
+
+  /// Only while the engine that the list names is the one that reports here.
+  bool CanOrder() const
+  {
+    return m_fence && m_instance && m_hasReport && m_desk.Report() &&
+           (m_instance->m_startedAt == m_desk.Report()->m_startedAt);
+  }
+
+  agent::EngineStatus MakeStatus() const
+  {
+    auto const now = m_loop.Now();
+    agent::EngineStatus status;
+    status.m_host = m_profile.m_host;
+    status.m_engine = *m_profile.m_engine;
+    status.m_deployment = *m_profile.m_engineDeployment;
+    status.m_failureDomain = m_profile.m_failureDomain;
+    auto const& report = m_desk.Report();
+    if (m_hasReport && report) {
+      status.m_models = report->m_models;
+      status.m_copies = report->m_copies;
+      status.m_running = report->m_running;
+      status.m_waiting = report->m_waiting;
+      status.m_cacheUsed = report->m_cacheUsed;
+      status.m_cacheTotal = report->m_cacheTotal;
+    }
+    auto const state = m_desk.State(now);
+    status.m_change.m_loading = state.m_loading;
+    status.m_change.m_readyIn = state.m_loading ? state.m_readyAt - now : base::Duration::zero();
+    status.m_change.m_unloading = state.m_unloading;
+    status.m_canOrder = CanOrder();
+    return status;
+  }
+
+  /// Tells gateways and the planner what has changed; unless something has,
+  /// only once in a while.
+  void SendStatus(bool aIsDue)
+  {
+    auto status = MakeStatus();
+    auto const text = agent::EncodeFleetMessage(status);
+    auto stable = status;
+    stable.m_running = 0;
+    stable.m_waiting = 0;
+    stable.m_cacheUsed = base::Tokens();
+    stable.m_change.m_readyIn = base::Duration::zero();
+    auto const essence = agent::EncodeFleetMessage(stable);
+    if (!aIsDue && essence == m_lastEssence) {
+      return;
+    }
+    m_lastEssence = essence;
+    std::set<base::Endpoint> receivers;
+    for (auto const& [host, gateway] : m_gateways) {
+      receivers.insert(gateway.m_endpoint);
+      if (gateway.m_planner.m_port != 0) {
+        receivers.insert(gateway.m_planner);
+      }
+    }
+    for (auto const& receiver : receivers) {
+      m_peers.Send(receiver, text);
+    }
+  }
+
+  void OnMessage(std::string_view aText, base::Endpoint const& aSender)
+  {
+    auto const message = agent::DecodeFleetMessage(aText);
+    if (!message) {
+      base::log::Warning("message is unusable", { { "sender", aSender.Text() },
+                                                  { "error", message.error() } });
+      return;
+    }
+    auto const now = m_loop.Now();
+    if (auto const* const report = std::get_if<agent::GatewayReport>(&*message)) {
+      OnReport(*report, aSender, now);
+    } else if (auto const* const status = std::get_if<agent::EngineStatus>(&*message)) {
+      m_planning.OnStatus(*status, aSender, now);
+    } else if (auto const* const swap = std::get_if<agent::SwapRequest>(&*message)) {
+      m_desk.Swap(swap->m_load, swap->m_unload, now);
+      SendStatus(false);
+      m_wake.Notify();
+    } else if (auto const* const adapter = std::get_if<agent::AdapterRequest>(&*message)) {
+      m_desk.WantAdapter(adapter->m_model, adapter->m_adapter, now);
+      m_wantsAdapter = true;
+      m_wake.Notify();
+    }
+  }
+
+  void OnReport(agent::GatewayReport const& aReport, base::Endpoint const& aSender,
+                base::Instant aNow)
+  {
+    m_gateways[aReport.m_host] = { aSender, aReport.m_planner, aNow };
+    m_catalogTold = std::max(m_catalogTold, aReport.m_catalog);
+    if (aReport.m_engine) {
+      m_instance = aReport.m_engine;
+    }
+    if (aReport.m_planner == base::Endpoint{ m_profile.m_address, m_profile.m_peerPort }) {
+      m_planning.OnReport(aReport, aSender, aNow);
+    }
+  }
+
+  boost::asio::awaitable<void> Tick()
+  {
+    constexpr base::Duration kInterval = std::chrono::milliseconds(100);
+    constexpr unsigned kStatusEvery = 4;
+    constexpr base::Duration kGatewaySilence = std::chrono::seconds(4);
+    for (unsigned tick = 0;; ++tick) {
+      auto const now = m_loop.Now();
+      std::erase_if(m_gateways, [&](auto const& aItem) {
+        return now - aItem.second.m_heardAt > kGatewaySilence;
+      });
+      if (tick % kStatusEvery == 0) {
+        SendStatus(true);
+      }
+      m_planning.Tick(now);
+      co_await m_loop.Sleep(kInterval);
+    }
+  }
+
+  struct Gateway
+  {
+    base::Endpoint m_endpoint;
+    base::Endpoint m_planner;
+    base::Instant m_heardAt{};
+  };
+
+  base::EventLoop& m_loop;
+  base::ProcessProfile m_profile;
+  base::Metrics m_metrics;
+  StoreAccess<typename Wire::StoreClient> m_store;
+  base::HttpClient m_http;
+  base::DatagramEndpoint m_peers;
+  engine::OrderDesk m_desk;
+  FleetPlanning m_planning;
+  base::Signal m_wake{ m_loop.Context() };
+  std::map<base::HostId, Gateway> m_gateways;
+  std::optional<base::FencingNumber> m_fence;
+  std::optional<agent::EngineIdentity> m_instance;
+  std::optional<base::CatalogVersion> m_catalogVersion;
+  base::CatalogVersion m_catalogTold;
+  std::string m_lastEssence;
+  bool m_hasReport = false;
+  bool m_wantsAdapter = false;
+};
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/StoreAccess.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Base/Digest.h"
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpClient.h"
+#include "Base/Metrics.h"
+#include "ObjectStore/CallBudget.h"
+#include "ObjectStore/CircuitBreaker.h"
+#include "ObjectStore/ObjectStoreClient.h"
+
+namespace sardinefold::programs {
+
+/// The way of one process to the object store, with its share of the calls.
+template<objectstore::ObjectStore Client>
+class StoreAccess
+{
+public:
+  StoreAccess(base::EventLoop& aLoop, base::Endpoint aStore, base::Metrics& aMetrics)
+    : m_http(aLoop, ClientLimits())
+    , m_breaker(Circuit(), base::RandomNumber())
+    , m_budget(Rates(), base::RandomNumber(), aLoop.Now())
+    , m_client(aLoop, m_http, std::move(aStore), m_budget, m_breaker, aMetrics)
+  {
+  }
+
+  Client& Objects() { return m_client; }
+
+private:
+  static base::HttpClientLimits ClientLimits()
+  {
+    base::HttpClientLimits limits;
+    // The store answers within milliseconds; a lost packet takes up to a second.
+    limits.m_connectTime = std::chrono::milliseconds(800);
+    // Shorter than the time after which a silent connection would be trusted.
+    limits.m_idleTime = std::chrono::seconds(4);
+    return limits;
+  }
+
+  static objectstore::CircuitLimits Circuit()
+  {
+    objectstore::CircuitLimits limits;
+    // A configuration has to be in force two seconds after the store's return,
+    // so probes are never further apart than half a second.
+    limits.m_backoff = { std::chrono::milliseconds(100), std::chrono::milliseconds(500) };
+    limits.m_probeTime = std::chrono::seconds(3);
+    return limits;
+  }
+
+  /// A process follows two kinds of objects and writes one, so a small part of
+  /// the site's rates is plenty.
+  static objectstore::CallRates Rates()
+  {
+    return { objectstore::CallsPerSecond(5), objectstore::CallsPerSecond(20) };
+  }
+
+  base::HttpClient m_http;
+  objectstore::CircuitBreaker m_breaker;
+  objectstore::CallBudget m_budget;
+  Client m_client;
+};
+
+} // namespace sardinefold::programs
--- a/Service/Claim.h
+++ b/Service/Claim.h
@@ -2,7 +2,7 @@
 
 #include "Base/Identifiers.h"
 #include "Base/Units.h"
-#include "Platform/PlatformObject.h"
+#include "ObjectStore/PlatformObject.h"
 
 #include <optional>
 #include <string>
--- a/Service/ClaimAttempt.cpp
+++ b/Service/ClaimAttempt.cpp
@@ -4,8 +4,8 @@
 
 namespace sardinefold::service {
 
-using platform::ReadError;
-using platform::WriteError;
+using objectstore::ReadError;
+using objectstore::WriteError;
 
 namespace {
 
@@ -33,9 +33,9 @@
 {
   switch (m_phase) {
     case Phase::Create:
-      return WriteClaim{ platform::IfAbsent{}, OwnClaim(ClaimState::Running) };
+      return WriteClaim{ objectstore::IfAbsent{}, OwnClaim(ClaimState::Running) };
     case Phase::TakeOver:
-      return WriteClaim{ platform::IfVersion{ m_version }, OwnClaim(ClaimState::Running) };
+      return WriteClaim{ objectstore::IfVersion{ m_version }, OwnClaim(ClaimState::Running) };
     case Phase::Read:
       return ReadClaim{};
     case Phase::Wait:
@@ -46,7 +46,7 @@
     case Phase::Run:
       return RunRequest{};
     case Phase::Record:
-      return WriteClaim{ platform::IfVersion{ m_version }, m_record };
+      return WriteClaim{ objectstore::IfVersion{ m_version }, m_record };
     case Phase::Over:
       return *m_last;
   }
@@ -81,7 +81,7 @@
     m_phase = Phase::Read;
     return;
   }
-  m_hasGivenUp = !platform::IsCertainlyNotApplied(kind);
+  m_hasGivenUp = !objectstore::IsCertainlyNotApplied(kind);
   Refuse(ClaimRefusal::NotWritten, base::NotRun::BeforeSending("claim_not_written"));
 }
 
--- a/Service/ClaimAttempt.h
+++ b/Service/ClaimAttempt.h
@@ -2,7 +2,7 @@
 
 #include "Base/Outcome.h"
 #include "Base/Time.h"
-#include "Platform/PlatformError.h"
+#include "ObjectStore/PlatformError.h"
 #include "Service/Claim.h"
 
 #include <tl/expected.hpp>
@@ -15,7 +15,7 @@
 /// Write the claim until the result is known; it goes to OnWritten().
 struct WriteClaim
 {
-  platform::WriteCondition m_condition;
+  objectstore::WriteCondition m_condition;
   Claim m_claim;
 };
 /// Read the claim; the result goes to OnRead().
@@ -88,10 +88,10 @@
   ClaimAttempt(Identity aIdentity, base::Instant aEnd);
 
   ClaimStep Next(base::Instant aNow) const;
-  void OnWritten(tl::expected<base::ObjectVersion, platform::WriteError> const& aResult);
+  void OnWritten(tl::expected<base::ObjectVersion, objectstore::WriteError> const& aResult);
   /// aOwnerGaveUp tells that this process's own earlier attempt holds the
   /// claim and will never run.
-  void OnRead(tl::expected<VersionedClaim, platform::ReadError> const& aResult, bool aOwnerGaveUp,
+  void OnRead(tl::expected<VersionedClaim, objectstore::ReadError> const& aResult, bool aOwnerGaveUp,
               base::Instant aNow);
   void OnRan(RunEnd aEnd);
 
@@ -113,7 +113,7 @@
 
   Claim OwnClaim(ClaimState aState) const;
   void Refuse(ClaimRefusal aReason, std::variant<base::NotRun, base::Unknown> aOutcome);
-  void OnClaimed(tl::expected<base::ObjectVersion, platform::WriteError> const& aResult);
+  void OnClaimed(tl::expected<base::ObjectVersion, objectstore::WriteError> const& aResult);
   void OnOtherOwner(VersionedClaim const& aClaim, bool aOwnerGaveUp, base::Instant aNow);
 
   Identity m_identity;
--- a/Service/ClaimRetention.cpp
+++ b/Service/ClaimRetention.cpp
@@ -2,7 +2,7 @@
 
 namespace sardinefold::service {
 
-void ClaimRetention::Note(platform::ObjectName const& aName, base::ObjectVersion aVersion,
+void ClaimRetention::Note(objectstore::ObjectName const& aName, base::ObjectVersion aVersion,
                           ClaimState aState, base::Instant aNow)
 {
   auto const [position, isNew] = m_claims.try_emplace(aName);
--- a/Service/ClaimRetention.h
+++ b/Service/ClaimRetention.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Base/Time.h"
-#include "Platform/PlatformObject.h"
+#include "ObjectStore/PlatformObject.h"
 #include "Service/Claim.h"
 
 #include <map>
@@ -21,7 +21,7 @@
 /// A claim to delete if it still has this version.
 struct ClaimDeletion
 {
-  platform::ObjectName m_name;
+  objectstore::ObjectName m_name;
   base::ObjectVersion m_version;
 };
 
@@ -36,7 +36,7 @@
   }
 
   /// A claim was written here, or seen in a list.
-  void Note(platform::ObjectName const& aName, base::ObjectVersion aVersion, ClaimState aState,
+  void Note(objectstore::ObjectName const& aName, base::ObjectVersion aVersion, ClaimState aState,
             base::Instant aNow);
   /// The claims whose time has come; they are forgotten here.
   std::vector<ClaimDeletion> TakeDue(base::Instant aNow);
@@ -51,8 +51,8 @@
   };
 
   ClaimRetentionLimits m_limits;
-  std::map<platform::ObjectName, Known> m_claims;
-  std::multimap<base::Instant, platform::ObjectName> m_due;
+  std::map<objectstore::ObjectName, Known> m_claims;
+  std::multimap<base::Instant, objectstore::ObjectName> m_due;
 };
 
 } // namespace sardinefold::service
--- a/Service/ClaimSession.h
+++ b/Service/ClaimSession.h
@@ -2,7 +2,7 @@
 
 #include "Base/EventLoop.h"
 #include "Base/Log.h"
-#include "Platform/WriteSession.h"
+#include "ObjectStore/WriteSession.h"
 #include "Service/ClaimAttempt.h"
 #include "Service/ClaimCodec.h"
 #include "Service/ClaimRetention.h"
@@ -18,14 +18,14 @@
 /// A request that may not repeat, with the state of its claim.
 struct ClaimTicket
 {
-  platform::ObjectKey m_key;
+  objectstore::ObjectKey m_key;
   ClaimOwnerId m_owner;
   ClaimAttempt m_attempt;
 };
 
 /// Carries out the claims of one agent on the platform, and deletes them when
 /// their time has come.
-template<platform::ObjectStore Store>
+template<objectstore::ObjectStore Store>
 class ClaimSession
 {
 public:
@@ -45,8 +45,8 @@
     constexpr std::size_t kOwnerBytes = 12;
     auto owner = ClaimOwnerId::FromValidated(base::RandomHex(kOwnerBytes));
     ClaimAttempt attempt({ owner, m_incarnation, std::move(aContent) }, aEnd);
-    platform::ObjectKey key{ platform::ObjectKind::Claim,
-                             platform::ObjectName::FromValidated(aClaim.Text()) };
+    objectstore::ObjectKey key{ objectstore::ObjectKind::Claim,
+                             objectstore::ObjectName::FromValidated(aClaim.Text()) };
     return { std::move(key), std::move(owner), std::move(attempt) };
   }
 
@@ -95,25 +95,25 @@
   boost::asio::awaitable<void> Write(ClaimTicket& aTicket, WriteClaim const& aStep,
                                      base::Duration aLimit)
   {
-    platform::ObjectWrite write{ aTicket.m_key, aStep.m_condition, EncodeClaim(aStep.m_claim),
-                                 platform::NewWriteNonce() };
-    auto const result = co_await platform::WriteUntilKnown(m_store, m_loop, std::move(write),
-                                                           aLimit, platform::CallPurpose::Claim);
+    objectstore::ObjectWrite write{ aTicket.m_key, aStep.m_condition, EncodeClaim(aStep.m_claim),
+                                 objectstore::NewWriteNonce() };
+    auto const result = co_await objectstore::WriteUntilKnown(m_store, m_loop, std::move(write),
+                                                           aLimit, objectstore::CallPurpose::Claim);
     if (result) {
       m_retention.Note(aTicket.m_key.m_name, *result, aStep.m_claim.m_state, m_loop.Now());
     } else {
       base::log::Warning("claim not written",
                          { { "claim", aTicket.m_key.m_name.Text() },
-                           { "error", std::string(platform::ToText(result.error().m_kind)) } });
+                           { "error", std::string(objectstore::ToText(result.error().m_kind)) } });
     }
     aTicket.m_attempt.OnWritten(result);
   }
 
   boost::asio::awaitable<void> Read(ClaimTicket& aTicket, base::Duration aLimit)
   {
-    using Result = tl::expected<VersionedClaim, platform::ReadError>;
+    using Result = tl::expected<VersionedClaim, objectstore::ReadError>;
     auto key = aTicket.m_key;
-    auto const object = co_await m_store.Get(std::move(key), aLimit, platform::CallPurpose::Claim);
+    auto const object = co_await m_store.Get(std::move(key), aLimit, objectstore::CallPurpose::Claim);
     if (!object) {
       Result const failed = tl::make_unexpected(object.error());
       aTicket.m_attempt.OnRead(failed, false, m_loop.Now());
@@ -122,7 +122,7 @@
     auto claim = DecodeClaim(object->m_value);
     if (!claim) {
       Result const malformed = tl::make_unexpected(
-        platform::ReadError{ platform::ReadError::Kind::Malformed, claim.error() });
+        objectstore::ReadError{ objectstore::ReadError::Kind::Malformed, claim.error() });
       aTicket.m_attempt.OnRead(malformed, false, m_loop.Now());
       co_return;
     }
@@ -147,9 +147,9 @@
   {
     constexpr char kDigits[] = "0123456789abcdef";
     std::string const text{ kDigits[aPart / 16], kDigits[aPart % 16] };
-    auto prefix = platform::ObjectName::FromValidated(text);
-    auto const list = co_await m_store.List(platform::ObjectKind::Claim, std::move(prefix),
-                                            kCleanUpLimit, platform::CallPurpose::Status);
+    auto prefix = objectstore::ObjectName::FromValidated(text);
+    auto const list = co_await m_store.List(objectstore::ObjectKind::Claim, std::move(prefix),
+                                            kCleanUpLimit, objectstore::CallPurpose::Status);
     if (!list) {
       co_return;
     }
@@ -163,10 +163,10 @@
 
   boost::asio::awaitable<void> Delete(ClaimDeletion aDeletion)
   {
-    platform::ObjectKey key{ platform::ObjectKind::Claim, aDeletion.m_name };
+    objectstore::ObjectKey key{ objectstore::ObjectKind::Claim, aDeletion.m_name };
     // One that fails is found again by FindLeftBehind().
     co_await m_store.Delete(std::move(key), aDeletion.m_version, kCleanUpLimit,
-                            platform::CallPurpose::Status);
+                            objectstore::CallPurpose::Status);
   }
 
   Store& m_store;
--- a/Tests/ClaimTest.cpp
+++ b/Tests/ClaimTest.cpp
@@ -8,8 +8,8 @@
 
 using namespace sardinefold;
 using namespace std::chrono_literals;
-using platform::ReadError;
-using platform::WriteError;
+using objectstore::ReadError;
+using objectstore::WriteError;
 using service::Claim;
 using service::ClaimAttempt;
 using service::ClaimState;
@@ -96,7 +96,7 @@
   auto const* const write = std::get_if<service::WriteClaim>(&step);
   BOOST_REQUIRE(write);
   BOOST_TEST((write->m_claim.m_state == ClaimState::Answered));
-  BOOST_TEST(std::get<platform::IfVersion>(write->m_condition).m_version.Value() == 3U);
+  BOOST_TEST(std::get<objectstore::IfVersion>(write->m_condition).m_version.Value() == 3U);
   attempt.OnWritten(base::ObjectVersion(4));
   BOOST_TEST(Is<service::ClaimEnded>(attempt));
 }
@@ -162,7 +162,7 @@
     auto const step = attempt.Next(kStart);
     auto const* const write = std::get_if<service::WriteClaim>(&step);
     BOOST_REQUIRE(write);
-    BOOST_TEST(std::get<platform::IfVersion>(write->m_condition).m_version.Value() == 7U);
+    BOOST_TEST(std::get<objectstore::IfVersion>(write->m_condition).m_version.Value() == 7U);
     attempt.OnWritten(Failed(WriteError::Kind::Conflict));
     BOOST_TEST(Is<service::ReadClaim>(attempt));
   }
@@ -235,14 +235,14 @@
   claim.m_answer->m_body =
     std::string(static_cast<std::size_t>(service::kMaxKeptBody.Value()), '\xff');
   auto const size = static_cast<std::int64_t>(service::EncodeClaim(claim).size());
-  BOOST_TEST(size < platform::kMaxValueBytes.Value());
+  BOOST_TEST(size < objectstore::kMaxValueBytes.Value());
 }
 
 BOOST_AUTO_TEST_CASE(RetentionDeletesOnlyWhatStayedUnchanged)
 {
   service::ClaimRetention retention({ 1h, 24h });
-  auto const name = platform::ObjectName::FromValidated("claim");
-  auto const running = platform::ObjectName::FromValidated("running");
+  auto const name = objectstore::ObjectName::FromValidated("claim");
+  auto const running = objectstore::ObjectName::FromValidated("running");
   retention.Note(name, base::ObjectVersion(1), ClaimState::Answered, kStart);
   retention.Note(running, base::ObjectVersion(2), ClaimState::Running, kStart);
   retention.Note(name, base::ObjectVersion(3), ClaimState::Answered, kStart + 30min);
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -1,11 +1,11 @@
 #include "Tests/Fakes/FakeObjectStore.h"
 
-#include "Platform/ObjectCodec.h"
+#include "ObjectStore/ObjectCodec.h"
 
 namespace sardinefold::tests {
 
-using platform::ReadError;
-using platform::WriteError;
+using objectstore::ReadError;
+using objectstore::WriteError;
 
 namespace {
 
@@ -27,23 +27,23 @@
   }
 }
 
-platform::Object ToObject(standins::StoredObject const& aStored)
+objectstore::Object ToObject(standins::StoredObject const& aStored)
 {
-  platform::Object object;
-  object.m_key = { *platform::ParseObjectKind(aStored.m_kind),
-                   platform::ObjectName::FromValidated(aStored.m_name) };
+  objectstore::Object object;
+  object.m_key = { *objectstore::ParseObjectKind(aStored.m_kind),
+                   objectstore::ObjectName::FromValidated(aStored.m_name) };
   object.m_version = aStored.m_version;
-  platform::DecodeValue(aStored.m_value, object);
+  objectstore::DecodeValue(aStored.m_value, object);
   return object;
 }
 
-platform::ObjectChange ToChange(standins::StoredChange const& aStored)
+objectstore::ObjectChange ToChange(standins::StoredChange const& aStored)
 {
   auto object = ToObject(aStored.m_object);
   if (aStored.m_isDelete) {
-    return platform::ObjectDeleted{ std::move(object.m_key), object.m_version };
+    return objectstore::ObjectDeleted{ std::move(object.m_key), object.m_version };
   }
-  return platform::ObjectPut{ std::move(object) };
+  return objectstore::ObjectPut{ std::move(object) };
 }
 
 } // namespace
@@ -68,8 +68,8 @@
   return fault;
 }
 
-platform::ReadTask<platform::Object> FakeObjectStore::Get(platform::ObjectKey aKey, base::Duration,
-                                                          platform::CallPurpose)
+objectstore::ReadTask<objectstore::Object> FakeObjectStore::Get(objectstore::ObjectKey aKey, base::Duration,
+                                                          objectstore::CallPurpose)
 {
   if (auto const fault = NextFault(); fault != CallFault::None) {
     co_return tl::make_unexpected(ToReadError(fault));
@@ -81,15 +81,15 @@
   co_return ToObject(*object);
 }
 
-platform::ReadTask<platform::ObjectList> FakeObjectStore::List(platform::ObjectKind aKind,
-                                                               platform::ObjectName aPrefix,
+objectstore::ReadTask<objectstore::ObjectList> FakeObjectStore::List(objectstore::ObjectKind aKind,
+                                                               objectstore::ObjectName aPrefix,
                                                                base::Duration,
-                                                               platform::CallPurpose)
+                                                               objectstore::CallPurpose)
 {
   if (auto const fault = NextFault(); fault != CallFault::None) {
     co_return tl::make_unexpected(ToReadError(fault));
   }
-  platform::ObjectList list;
+  objectstore::ObjectList list;
   list.m_version = m_objects.LatestVersion();
   for (auto const& object : m_objects.List(std::string(ToText(aKind)), aPrefix.Text())) {
     list.m_objects.push_back(ToObject(object));
@@ -97,11 +97,11 @@
   co_return list;
 }
 
-platform::ReadTask<platform::ObjectChanges> FakeObjectStore::Watch(platform::ObjectKind aKind,
-                                                                   platform::ObjectName aPrefix,
+objectstore::ReadTask<objectstore::ObjectChanges> FakeObjectStore::Watch(objectstore::ObjectKind aKind,
+                                                                   objectstore::ObjectName aPrefix,
                                                                    base::ObjectVersion aAfter,
                                                                    base::Duration aLimit,
-                                                                   platform::CallPurpose)
+                                                                   objectstore::CallPurpose)
 {
   if (auto const fault = NextFault(); fault != CallFault::None) {
     co_return tl::make_unexpected(ToReadError(fault));
@@ -116,14 +116,14 @@
   if (!found) {
     co_return tl::make_unexpected(ReadError{ ReadError::Kind::Compacted, "" });
   }
-  platform::ObjectChanges changes{ m_objects.LatestVersion(), {} };
+  objectstore::ObjectChanges changes{ m_objects.LatestVersion(), {} };
   for (auto const& change : *found) {
     changes.m_changes.push_back(ToChange(change));
   }
   co_return changes;
 }
 
-platform::WriteResult FakeObjectStore::Finish(standins::ObjectTable::WriteResult const& aResult,
+objectstore::WriteResult FakeObjectStore::Finish(standins::ObjectTable::WriteResult const& aResult,
                                               CallFault aFault)
 {
   m_changed.Notify();
@@ -136,23 +136,23 @@
   return *aResult;
 }
 
-platform::WriteTask FakeObjectStore::Write(platform::ObjectWrite aWrite, base::Duration,
-                                           platform::CallPurpose)
+objectstore::WriteTask FakeObjectStore::Write(objectstore::ObjectWrite aWrite, base::Duration,
+                                           objectstore::CallPurpose)
 {
   auto const fault = NextFault();
   if (fault != CallFault::None && fault != CallFault::AnswerLost) {
     co_return tl::make_unexpected(ToWriteError(fault));
   }
-  auto const* const expected = std::get_if<platform::IfVersion>(&aWrite.m_condition);
+  auto const* const expected = std::get_if<objectstore::IfVersion>(&aWrite.m_condition);
   auto const result =
     m_objects.Put(std::string(ToText(aWrite.m_key.m_kind)), aWrite.m_key.m_name.Text(),
-                  platform::EncodeValue(aWrite.m_nonce, aWrite.m_value),
+                  objectstore::EncodeValue(aWrite.m_nonce, aWrite.m_value),
                   expected ? expected->m_version : base::ObjectVersion());
   co_return Finish(result, fault);
 }
 
-platform::WriteTask FakeObjectStore::Delete(platform::ObjectKey aKey, base::ObjectVersion aVersion,
-                                            base::Duration, platform::CallPurpose)
+objectstore::WriteTask FakeObjectStore::Delete(objectstore::ObjectKey aKey, base::ObjectVersion aVersion,
+                                            base::Duration, objectstore::CallPurpose)
 {
   auto const fault = NextFault();
   if (fault != CallFault::None && fault != CallFault::AnswerLost) {
@@ -163,7 +163,7 @@
   co_return Finish(result, fault);
 }
 
-platform::ReadTask<platform::HostList> FakeObjectStore::Hosts(base::Duration, platform::CallPurpose)
+objectstore::ReadTask<objectstore::HostList> FakeObjectStore::Hosts(base::Duration, objectstore::CallPurpose)
 {
   if (auto const fault = NextFault(); fault != CallFault::None) {
     co_return tl::make_unexpected(ToReadError(fault));
--- a/Tests/Fakes/FakeObjectStore.h
+++ b/Tests/Fakes/FakeObjectStore.h
@@ -2,7 +2,7 @@
 
 #include "Base/EventLoop.h"
 #include "Base/Signal.h"
-#include "Platform/ObjectStoreClient.h"
+#include "ObjectStore/ObjectStoreClient.h"
 #include "StandIns/Platform/ObjectTable.h"
 
 #include <deque>
@@ -32,40 +32,40 @@
   void Script(std::deque<CallFault> aFaults) { m_faults = std::move(aFaults); }
   /// While it is down every call is Unreachable.
   void SetDown(bool aIsDown) { m_isDown = aIsDown; }
-  void SetHosts(platform::HostList aHosts) { m_hosts = std::move(aHosts); }
+  void SetHosts(objectstore::HostList aHosts) { m_hosts = std::move(aHosts); }
   standins::ObjectTable& Objects() { return m_objects; }
   std::size_t Calls() const { return m_calls; }
 
-  platform::ReadTask<platform::Object> Get(platform::ObjectKey aKey, base::Duration aLimit,
-                                           platform::CallPurpose aPurpose);
-  platform::ReadTask<platform::ObjectList> List(platform::ObjectKind aKind,
-                                                platform::ObjectName aPrefix, base::Duration aLimit,
-                                                platform::CallPurpose aPurpose);
-  platform::ReadTask<platform::ObjectChanges> Watch(platform::ObjectKind aKind,
-                                                    platform::ObjectName aPrefix,
+  objectstore::ReadTask<objectstore::Object> Get(objectstore::ObjectKey aKey, base::Duration aLimit,
+                                           objectstore::CallPurpose aPurpose);
+  objectstore::ReadTask<objectstore::ObjectList> List(objectstore::ObjectKind aKind,
+                                                objectstore::ObjectName aPrefix, base::Duration aLimit,
+                                                objectstore::CallPurpose aPurpose);
+  objectstore::ReadTask<objectstore::ObjectChanges> Watch(objectstore::ObjectKind aKind,
+                                                    objectstore::ObjectName aPrefix,
                                                     base::ObjectVersion aAfter,
                                                     base::Duration aLimit,
-                                                    platform::CallPurpose aPurpose);
-  platform::WriteTask Write(platform::ObjectWrite aWrite, base::Duration aLimit,
-                            platform::CallPurpose aPurpose);
-  platform::WriteTask Delete(platform::ObjectKey aKey, base::ObjectVersion aVersion,
-                             base::Duration aLimit, platform::CallPurpose aPurpose);
-  platform::ReadTask<platform::HostList> Hosts(base::Duration aLimit,
-                                               platform::CallPurpose aPurpose);
+                                                    objectstore::CallPurpose aPurpose);
+  objectstore::WriteTask Write(objectstore::ObjectWrite aWrite, base::Duration aLimit,
+                            objectstore::CallPurpose aPurpose);
+  objectstore::WriteTask Delete(objectstore::ObjectKey aKey, base::ObjectVersion aVersion,
+                             base::Duration aLimit, objectstore::CallPurpose aPurpose);
+  objectstore::ReadTask<objectstore::HostList> Hosts(base::Duration aLimit,
+                                               objectstore::CallPurpose aPurpose);
 
 private:
   CallFault NextFault();
-  platform::WriteResult Finish(standins::ObjectTable::WriteResult const& aResult, CallFault aFault);
+  objectstore::WriteResult Finish(standins::ObjectTable::WriteResult const& aResult, CallFault aFault);
 
   base::EventLoop& m_loop;
   base::Signal m_changed;
   standins::ObjectTable m_objects;
-  platform::HostList m_hosts;
+  objectstore::HostList m_hosts;
   std::deque<CallFault> m_faults;
   bool m_isDown = false;
   std::size_t m_calls = 0;
 };
 
-static_assert(platform::ObjectStore<FakeObjectStore>);
+static_assert(objectstore::ObjectStore<FakeObjectStore>);
 
 } // namespace sardinefold::tests
--- a/Tests/OperatorTest.cpp
+++ b/Tests/OperatorTest.cpp
@@ -24,71 +24,71 @@
 class MemoryStore
 {
 public:
-  platform::ReadTask<platform::Object> Get(platform::ObjectKey aKey, base::Duration,
-                                           platform::CallPurpose)
+  objectstore::ReadTask<objectstore::Object> Get(objectstore::ObjectKey aKey, base::Duration,
+                                           objectstore::CallPurpose)
   {
     auto const object = m_objects.find(aKey);
     if (object == m_objects.end()) {
-      platform::ReadError error{ platform::ReadError::Kind::NotFound, "none" };
+      objectstore::ReadError error{ objectstore::ReadError::Kind::NotFound, "none" };
       co_return tl::make_unexpected(std::move(error));
     }
     co_return object->second;
   }
 
-  platform::ReadTask<platform::ObjectList> List(platform::ObjectKind, platform::ObjectName,
-                                                base::Duration, platform::CallPurpose)
+  objectstore::ReadTask<objectstore::ObjectList> List(objectstore::ObjectKind, objectstore::ObjectName,
+                                                base::Duration, objectstore::CallPurpose)
   {
-    co_return platform::ObjectList();
+    co_return objectstore::ObjectList();
   }
 
-  platform::ReadTask<platform::ObjectChanges> Watch(platform::ObjectKind, platform::ObjectName,
+  objectstore::ReadTask<objectstore::ObjectChanges> Watch(objectstore::ObjectKind, objectstore::ObjectName,
                                                     base::ObjectVersion, base::Duration,
-                                                    platform::CallPurpose)
+                                                    objectstore::CallPurpose)
   {
-    co_return platform::ObjectChanges();
+    co_return objectstore::ObjectChanges();
   }
 
-  platform::WriteTask Write(platform::ObjectWrite aWrite, base::Duration, platform::CallPurpose)
+  objectstore::WriteTask Write(objectstore::ObjectWrite aWrite, base::Duration, objectstore::CallPurpose)
   {
     auto const object = m_objects.find(aWrite.m_key);
     bool const isThere = object != m_objects.end();
-    auto const* expected = std::get_if<platform::IfVersion>(&aWrite.m_condition);
+    auto const* expected = std::get_if<objectstore::IfVersion>(&aWrite.m_condition);
     bool const matches =
       expected ? isThere && object->second.m_version == expected->m_version : !isThere;
     if (!matches) {
-      platform::WriteError error{ platform::WriteError::Kind::Conflict, "" };
+      objectstore::WriteError error{ objectstore::WriteError::Kind::Conflict, "" };
       co_return tl::make_unexpected(std::move(error));
     }
     m_version = m_version.Next();
     m_objects[aWrite.m_key] = { aWrite.m_key, m_version, aWrite.m_value, aWrite.m_nonce };
     ++m_writes;
     if (m_losesAnswers) {
-      platform::WriteError error{ platform::WriteError::Kind::Unknown, "lost" };
+      objectstore::WriteError error{ objectstore::WriteError::Kind::Unknown, "lost" };
       co_return tl::make_unexpected(std::move(error));
     }
     co_return m_version;
   }
 
-  platform::WriteTask Delete(platform::ObjectKey, base::ObjectVersion, base::Duration,
-                             platform::CallPurpose)
+  objectstore::WriteTask Delete(objectstore::ObjectKey, base::ObjectVersion, base::Duration,
+                             objectstore::CallPurpose)
   {
     co_return base::ObjectVersion();
   }
 
-  platform::ReadTask<platform::HostList> Hosts(base::Duration, platform::CallPurpose)
+  objectstore::ReadTask<objectstore::HostList> Hosts(base::Duration, objectstore::CallPurpose)
   {
-    co_return platform::HostList();
+    co_return objectstore::HostList();
   }
 
   std::size_t m_writes = 0;
   bool m_losesAnswers = false;
 
 private:
-  std::map<platform::ObjectKey, platform::Object> m_objects;
+  std::map<objectstore::ObjectKey, objectstore::Object> m_objects;
   base::ObjectVersion m_version;
 };
 
-static_assert(platform::ObjectStore<MemoryStore>);
+static_assert(objectstore::ObjectStore<MemoryStore>);
 
 awaitable<std::string> NoStatus()
 {
--- a/Tests/PlatformClientTest.cpp
+++ b/Tests/PlatformClientTest.cpp
@@ -1,9 +1,9 @@
 #define BOOST_TEST_MODULE PlatformClient
 #include "Base/Http/HttpServer.h"
-#include "Platform/HostListSession.h"
-#include "Platform/ObjectClient.h"
-#include "Platform/WatchSession.h"
-#include "Platform/WriteSession.h"
+#include "ObjectStore/HostListSession.h"
+#include "ObjectStore/ObjectClient.h"
+#include "ObjectStore/WatchSession.h"
+#include "ObjectStore/WriteSession.h"
 #include "Programs/SystemClock.h"
 #include "StandIns/Common/StandInProgram.h"
 #include "StandIns/Platform/PlatformStandIn.h"
@@ -12,7 +12,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace sardinefold;
-using namespace sardinefold::platform;
+using namespace sardinefold::objectstore;
 using boost::asio::awaitable;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/Tests/PlatformDecisionsTest.cpp
+++ b/Tests/PlatformDecisionsTest.cpp
@@ -1,9 +1,9 @@
 #define BOOST_TEST_MODULE PlatformDecisions
-#include "Platform/CallBudget.h"
-#include "Platform/CircuitBreaker.h"
-#include "Platform/HostTable.h"
-#include "Platform/ObjectWatch.h"
-#include "Platform/WriteResolution.h"
+#include "ObjectStore/CallBudget.h"
+#include "ObjectStore/CircuitBreaker.h"
+#include "ObjectStore/HostTable.h"
+#include "ObjectStore/ObjectWatch.h"
+#include "ObjectStore/WriteResolution.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,7 +11,7 @@
 #include <set>
 
 using namespace sardinefold;
-using namespace sardinefold::platform;
+using namespace sardinefold::objectstore;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/Tests/Support/OnceSimulation.cpp
+++ b/Tests/Support/OnceSimulation.cpp
@@ -207,9 +207,9 @@
 
 void OnceSimulation::StartWrite(Sender& aSender, service::WriteClaim const& aStep)
 {
-  auto nonce = platform::WriteNonce::FromValidated("nonce-" + std::to_string(++m_nonces));
-  platform::ObjectWrite const write{ {}, aStep.m_condition, {}, nonce };
-  platform::WriteResolution resolution(write, m_now + kWriteLimit, {}, m_plan.m_seed + m_nonces);
+  auto nonce = objectstore::WriteNonce::FromValidated("nonce-" + std::to_string(++m_nonces));
+  objectstore::ObjectWrite const write{ {}, aStep.m_condition, {}, nonce };
+  objectstore::WriteResolution resolution(write, m_now + kWriteLimit, {}, m_plan.m_seed + m_nonces);
   aSender.m_write.emplace(
     Write{ aStep.m_condition, aStep.m_claim, std::move(nonce), std::move(resolution) });
 }
@@ -218,16 +218,16 @@
 {
   auto& resolution = aSender.m_write->m_resolution;
   auto const step = resolution.Next(m_now);
-  if (auto const* const ended = std::get_if<platform::WriteEnded>(&step)) {
+  if (auto const* const ended = std::get_if<objectstore::WriteEnded>(&step)) {
     EndWrite(aSender, ended->m_result);
     return;
   }
-  if (auto const* const wait = std::get_if<platform::WaitUntil>(&step)) {
+  if (auto const* const wait = std::get_if<objectstore::WaitUntil>(&step)) {
     aSender.m_wake = wait->m_time;
     return;
   }
   aSender.m_wake = m_now + kStoreTime;
-  if (std::holds_alternative<platform::ReadBack>(step)) {
+  if (std::holds_alternative<objectstore::ReadBack>(step)) {
     resolution.OnReadAnswer(ReadBack(aSender), m_now);
   } else {
     resolution.OnWriteAnswer(Apply(aSender), m_now);
@@ -235,26 +235,26 @@
 }
 
 void OnceSimulation::EndWrite(Sender& aSender,
-                              tl::expected<base::ObjectVersion, platform::WriteError> aResult)
+                              tl::expected<base::ObjectVersion, objectstore::WriteError> aResult)
 {
   if (aResult) {
-    auto name = platform::ObjectName::FromValidated(std::to_string(aSender.m_sending.m_order));
+    auto name = objectstore::ObjectName::FromValidated(std::to_string(aSender.m_sending.m_order));
     m_retention.Note(name, *aResult, aSender.m_write->m_claim.m_state, m_now);
   }
   aSender.m_write.reset();
   aSender.m_attempt.OnWritten(aResult);
 }
 
-tl::expected<base::ObjectVersion, platform::WriteError> OnceSimulation::Apply(Sender& aSender)
+tl::expected<base::ObjectVersion, objectstore::WriteError> OnceSimulation::Apply(Sender& aSender)
 {
-  using Kind = platform::WriteError::Kind;
+  using Kind = objectstore::WriteError::Kind;
   if (IsDown()) {
-    return tl::make_unexpected(platform::WriteError{ Kind::NotApplied, "down" });
+    return tl::make_unexpected(objectstore::WriteError{ Kind::NotApplied, "down" });
   }
   ++m_result.m_platformWrites;
   auto const& write = *aSender.m_write;
   auto const found = m_store.find(aSender.m_sending.m_order);
-  auto const* const expected = std::get_if<platform::IfVersion>(&write.m_condition);
+  auto const* const expected = std::get_if<objectstore::IfVersion>(&write.m_condition);
   bool const holds = expected
                        ? found != m_store.end() && found->second.m_version == expected->m_version
                        : found == m_store.end();
@@ -263,34 +263,34 @@
     m_store[aSender.m_sending.m_order] = { m_latest, write.m_nonce, write.m_claim };
   }
   if (std::exchange(aSender.m_losesNextAnswer, false)) {
-    return tl::make_unexpected(platform::WriteError{ Kind::Unknown, "answer lost" });
+    return tl::make_unexpected(objectstore::WriteError{ Kind::Unknown, "answer lost" });
   }
   if (!holds) {
-    return tl::make_unexpected(platform::WriteError{ Kind::Conflict, "other version" });
+    return tl::make_unexpected(objectstore::WriteError{ Kind::Conflict, "other version" });
   }
   return m_latest;
 }
 
-tl::expected<platform::Object, platform::ReadError> OnceSimulation::ReadBack(Sender& aSender)
+tl::expected<objectstore::Object, objectstore::ReadError> OnceSimulation::ReadBack(Sender& aSender)
 {
-  using Kind = platform::ReadError::Kind;
+  using Kind = objectstore::ReadError::Kind;
   if (IsDown() || std::exchange(aSender.m_losesNextAnswer, false)) {
-    return tl::make_unexpected(platform::ReadError{ Kind::Unavailable, "down" });
+    return tl::make_unexpected(objectstore::ReadError{ Kind::Unavailable, "down" });
   }
   ++m_result.m_platformReads;
   auto const found = m_store.find(aSender.m_sending.m_order);
   if (found == m_store.end()) {
-    return tl::make_unexpected(platform::ReadError{ Kind::NotFound, "" });
+    return tl::make_unexpected(objectstore::ReadError{ Kind::NotFound, "" });
   }
-  return platform::Object{ {}, found->second.m_version, {}, found->second.m_nonce };
+  return objectstore::Object{ {}, found->second.m_version, {}, found->second.m_nonce };
 }
 
 void OnceSimulation::Read(Sender& aSender)
 {
   aSender.m_wake = m_now + kStoreTime;
-  using Result = tl::expected<service::VersionedClaim, platform::ReadError>;
+  using Result = tl::expected<service::VersionedClaim, objectstore::ReadError>;
   auto const object = ReadBack(aSender);
-  Result result = tl::make_unexpected(platform::ReadError{});
+  Result result = tl::make_unexpected(objectstore::ReadError{});
   bool gaveUp = false;
   if (object) {
     auto const& stored = m_store.at(aSender.m_sending.m_order);
@@ -318,7 +318,7 @@
 
 std::vector<OnceSending> PlanResends(std::size_t aOrders, std::size_t aResends, std::uint64_t aSeed)
 {
-  platform::RandomSource random(aSeed);
+  objectstore::RandomSource random(aSeed);
   std::vector<OnceSending> sendings;
   for (std::size_t order = 0; order < aOrders; ++order) {
     auto const slot = static_cast<std::int64_t>(order);
--- a/Tests/Support/OnceSimulation.h
+++ b/Tests/Support/OnceSimulation.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/RandomSource.h"
-#include "Platform/WriteResolution.h"
+#include "ObjectStore/RandomSource.h"
+#include "ObjectStore/WriteResolution.h"
 #include "Service/ClaimAttempt.h"
 #include "Service/ClaimRetention.h"
 
@@ -89,15 +89,15 @@
   struct Stored
   {
     base::ObjectVersion m_version;
-    platform::WriteNonce m_nonce;
+    objectstore::WriteNonce m_nonce;
     service::Claim m_claim;
   };
   struct Write
   {
-    platform::WriteCondition m_condition;
+    objectstore::WriteCondition m_condition;
     service::Claim m_claim;
-    platform::WriteNonce m_nonce;
-    platform::WriteResolution m_resolution;
+    objectstore::WriteNonce m_nonce;
+    objectstore::WriteResolution m_resolution;
   };
   struct Sender
   {
@@ -124,14 +124,14 @@
   void StartWrite(Sender& aSender, service::WriteClaim const& aStep);
   void Send(Sender& aSender);
   void Read(Sender& aSender);
-  void EndWrite(Sender& aSender, tl::expected<base::ObjectVersion, platform::WriteError> aResult);
-  tl::expected<base::ObjectVersion, platform::WriteError> Apply(Sender& aSender);
-  tl::expected<platform::Object, platform::ReadError> ReadBack(Sender& aSender);
+  void EndWrite(Sender& aSender, tl::expected<base::ObjectVersion, objectstore::WriteError> aResult);
+  tl::expected<base::ObjectVersion, objectstore::WriteError> Apply(Sender& aSender);
+  tl::expected<objectstore::Object, objectstore::ReadError> ReadBack(Sender& aSender);
   void Tell(Sender& aSender, std::variant<base::NotRun, service::KeptAnswer, base::Unknown> aEnd);
   bool IsDown() const { return m_now < m_downUntil; }
 
   OncePlan m_plan;
-  platform::RandomSource m_random;
+  objectstore::RandomSource m_random;
   base::Instant m_now;
   base::Instant m_downUntil{};
   std::vector<Sender> m_senders;
