Agent: Tell presence apart from a gateway's report

Cause: the short message that tells every loader of a gateway also went to the planner and replaced the gateway's demand and grants by nothing, so sums of grants fell and rose again and buckets were charged for it several times. Ruled out by the log of the bucket's standing at each refusal: news were fresh and the share was 1.

Change: two message types. The log tells the standing at each refusal.

--- a/Agent/Fleet/FleetCodec.cpp
+++ b/Agent/Fleet/FleetCodec.cpp
@@ -163,17 +163,21 @@
     params["can_order"] = aStatus.m_canOrder;
   }
 
+  void operator()(GatewayPresence const& aPresence)
+  {
+    auto& params = Start("gateway.presence");
+    params["host"] = aPresence.m_host.Text();
+    params["planner"] = aPresence.m_planner.Text();
+    params["catalog"] = Json::UInt64(aPresence.m_catalog.Value());
+    params["instance"] = aPresence.m_engine.m_instance.Text();
+    params["started_at"] = Json::Int64(aPresence.m_engine.m_startedAt);
+  }
+
   void operator()(GatewayReport const& aReport)
   {
     auto& params = Start("gateway.report");
     params["host"] = aReport.m_host.Text();
     params["incarnation"] = aReport.m_incarnation.Text();
-    params["planner"] = aReport.m_planner.Text();
-    params["catalog"] = Json::UInt64(aReport.m_catalog.Value());
-    if (aReport.m_engine) {
-      params["instance"] = aReport.m_engine->m_instance.Text();
-      params["started_at"] = Json::Int64(aReport.m_engine->m_startedAt);
-    }
     params["demand"] = Json::Value(Json::arrayValue);
     for (auto const& demand : aReport.m_demand) {
       Json::Value entry;
@@ -239,18 +243,23 @@
   return status;
 }
 
+GatewayPresence ToGatewayPresence(Json::Value const& aParams)
+{
+  GatewayPresence presence;
+  presence.m_host = Name<base::HostId>(Member(aParams, "host"));
+  presence.m_planner = Address(Member(aParams, "planner"));
+  presence.m_catalog =
+    base::CatalogVersion(static_cast<std::uint64_t>(Whole(Member(aParams, "catalog"))));
+  presence.m_engine = { Name<engine::InstanceId>(Member(aParams, "instance")),
+                        Whole(Member(aParams, "started_at")) };
+  return presence;
+}
+
 GatewayReport ToGatewayReport(Json::Value const& aParams)
 {
   GatewayReport report;
   report.m_host = Name<base::HostId>(Member(aParams, "host"));
   report.m_incarnation = Name<base::IncarnationId>(Member(aParams, "incarnation"));
-  report.m_planner = Address(Member(aParams, "planner"));
-  report.m_catalog =
-    base::CatalogVersion(static_cast<std::uint64_t>(Whole(Member(aParams, "catalog"))));
-  if (aParams.isMember("instance")) {
-    report.m_engine = EngineIdentity{ Name<engine::InstanceId>(aParams["instance"]),
-                                      Whole(Member(aParams, "started_at")) };
-  }
   for (auto const& entry : Member(aParams, "demand")) {
     engine::WaitingDemand demand;
     demand.m_model = Name<base::ModelId>(Member(entry, "model"));
@@ -270,6 +279,9 @@
   if (aMethod == "engine.status") {
     return ToEngineStatus(aParams);
   }
+  if (aMethod == "gateway.presence") {
+    return ToGatewayPresence(aParams);
+  }
   if (aMethod == "gateway.report") {
     return ToGatewayReport(aParams);
   }
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -54,17 +54,23 @@
   std::int64_t m_startedAt = 0;
 };
 
-/// From a gateway to the loaders: who plans, and for the planner the demand
-/// and the allowances used.
-struct GatewayReport
+/// From a gateway to each loader: that it is there, and whom it takes for the
+/// planner.
+struct GatewayPresence
 {
   base::HostId m_host;
-  base::IncarnationId m_incarnation;
-  /// The loader that this gateway takes for the planner.
   base::Endpoint m_planner;
   base::CatalogVersion m_catalog;
   /// The engine beside the loader that this goes to.
-  std::optional<EngineIdentity> m_engine;
+  EngineIdentity m_engine;
+};
+
+/// From a gateway to the loader that it takes for the planner: the demand, and
+/// the allowances used.
+struct GatewayReport
+{
+  base::HostId m_host;
+  base::IncarnationId m_incarnation;
   std::vector<engine::WaitingDemand> m_demand;
   GrantedTokens m_granted;
 };
@@ -94,6 +100,7 @@
 };
 
 using FleetMessage =
-  std::variant<EngineStatus, GatewayReport, GrantSummary, SwapRequest, AdapterRequest>;
+  std::variant<EngineStatus, GatewayPresence, GatewayReport, GrantSummary, SwapRequest,
+               AdapterRequest>;
 
 } // namespace sardinefold::agent
--- a/Base/Log.cpp
+++ b/Base/Log.cpp
@@ -51,7 +51,7 @@
   auto layout = std::make_shared<log4cxx::JSONLayout>();
   layout->setLocationInfo(false);
   auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
-  appender->setTarget(LOG4CXX_STR("System.err"));
+  appender->setTarget(LOG4CXX_STR("System.out"));
   log4cxx::helpers::Pool pool;
   appender->activateOptions(pool);
   log4cxx::BasicConfigurator::resetConfiguration();
--- a/Base/Log.h
+++ b/Base/Log.h
@@ -24,7 +24,7 @@
   std::string m_value;
 };
 
-/// Writes log lines as JSON objects to standard error. The fields stand in
+/// Writes log lines as JSON objects to standard output. The fields stand in
 /// "context_map", beside "timestamp", "level", "logger" and "message".
 namespace log {
 
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -229,13 +229,13 @@
   });
 }
 
-std::vector<UpstreamEntry> UpstreamDirectory::Engines() const
+std::vector<UpstreamEntry> UpstreamDirectory::Entries() const
 {
-  std::vector<UpstreamEntry> engines;
+  std::vector<UpstreamEntry> entries;
   for (auto const& [instance, upstream] : m_upstreams) {
-    engines.push_back(upstream.m_entry);
+    entries.push_back(upstream.m_entry);
   }
-  return engines;
+  return entries;
 }
 
 bool UpstreamDirectory::HasUpstreamOf(base::DeploymentId const& aDeployment) const
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -103,8 +103,8 @@
 
   /// Drops entries whose time is over.
   void Expire(base::Instant aNow);
-  /// The listed engines, for those who talk to the loaders beside them.
-  std::vector<UpstreamEntry> Engines() const;
+  /// The listed upstreams, for those who talk to the loaders beside them.
+  std::vector<UpstreamEntry> Entries() const;
   std::size_t Size() const { return m_upstreams.size(); }
   bool HasUpstreamOf(base::DeploymentId const& aDeployment) const;
 
--- a/Entry/Allowance/SharedAllowance.cpp
+++ b/Entry/Allowance/SharedAllowance.cpp
@@ -91,4 +91,19 @@
   m_heardAt = aNow;
 }
 
+SharedAllowance::Standing SharedAllowance::StandingOf(base::WorkspaceId const& aWorkspace,
+                                                      base::Instant aNow) const
+{
+  Standing standing;
+  auto const bucket = m_buckets.find(aWorkspace);
+  if (bucket != m_buckets.end()) {
+    standing.m_level = base::Tokens(static_cast<std::int64_t>(bucket->second.m_level));
+  }
+  standing.m_share = ShareAt(aNow);
+  if (m_heardAt) {
+    standing.m_newsAge = aNow - *m_heardAt;
+  }
+  return standing;
+}
+
 } // namespace sardinefold::entry
--- a/Entry/Allowance/SharedAllowance.h
+++ b/Entry/Allowance/SharedAllowance.h
@@ -52,6 +52,16 @@
   void OnOthers(std::string const& aEpoch, unsigned aProcesses,
                 std::map<base::WorkspaceId, base::Tokens> const& aGranted, base::Instant aNow);
 
+  /// What decides about a workspace now, for the log.
+  struct Standing
+  {
+    base::Tokens m_level;
+    /// Part of the allowance that this process may grant.
+    double m_share = 1;
+    std::optional<base::Duration> m_newsAge;
+  };
+  Standing StandingOf(base::WorkspaceId const& aWorkspace, base::Instant aNow) const;
+
   /// What this process has granted since its start.
   std::map<base::WorkspaceId, base::Tokens> const& Granted() const { return m_granted; }
 
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -116,7 +116,7 @@
       auto const wait = m_state.m_allowance.Take(
         workspace->m_id, { workspace->m_rate, workspace->m_burst }, m_tokens, m_start);
       if (wait) {
-        m_tokens = base::Tokens();
+        LogAllowance(workspace->m_id);
         return Refusal{ 429, "allowance used up", *wait };
       }
     }
@@ -466,12 +466,26 @@
 
   void Finish()
   {
-    if (m_workspace && m_sends == 0 && m_tokens > base::Tokens()) {
+    if (m_workspace && m_sends == 0) {
       m_state.m_allowance.Refund(*m_workspace, m_tokens);
     }
     LogEnd();
   }
 
+  void LogAllowance(base::WorkspaceId const& aWorkspace) const
+  {
+    auto const standing = m_state.m_allowance.StandingOf(aWorkspace, m_start);
+    base::log::Info(
+      "allowance is used up",
+      { { "request", m_request.m_id.Text() },
+        { "workspace", aWorkspace.Text() },
+        { "tokens", std::to_string(m_tokens.Value()) },
+        { "level", std::to_string(standing.m_level.Value()) },
+        { "share", std::to_string(standing.m_share) },
+        { "news_age_ms",
+          standing.m_newsAge ? std::to_string(base::ToMilliseconds(*standing.m_newsAge)) : "" } });
+  }
+
   void LogEnd()
   {
     auto const now = Now();
@@ -479,6 +493,8 @@
     base::log::Info("request ended",
                     { { "request", m_request.m_id.Text() },
                       { "route", m_route.m_id.Text() },
+                      { "workspace", m_workspace ? m_workspace->Text() : "" },
+                      { "tokens", std::to_string(m_tokens.Value()) },
                       { "model", m_query.m_model ? m_query.m_model->Text() : "" },
                       { "upstream", m_upstream.Text() },
                       { "sends", std::to_string(m_sends) },
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -233,36 +233,34 @@
 
   void Report(base::Instant aNow)
   {
-    // Loaders that are not the planner only need to know that this gateway is
-    // there.
     constexpr unsigned kPresenceEvery = 4;
-    ++m_ticks;
     auto const planner = m_planner.Planner(aNow);
-    agent::GatewayReport report;
-    report.m_host = m_state.m_profile.m_host;
-    report.m_incarnation = m_incarnation;
-    report.m_planner = planner.value_or(base::Endpoint{ m_state.m_profile.m_address, 0 });
-    if (m_state.m_catalog) {
-      report.m_catalog = m_state.m_catalog->Catalog().m_version;
-    }
-    if (m_ticks % kPresenceEvery == 1) {
-      for (auto const& entry : m_state.m_directory.Engines()) {
-        if (!IsEngine(entry.m_deployment)) {
-          continue;
-        }
-        report.m_engine = agent::EngineIdentity{ entry.m_instance, entry.m_startedAt };
-        m_state.m_peers.Send({ entry.m_endpoint.m_address, m_state.m_profile.m_peerPort },
-                             agent::EncodeFleetMessage(report));
-      }
-      report.m_engine.reset();
+    if (m_ticks++ % kPresenceEvery == 0) {
+      SendPresence(planner.value_or(base::Endpoint{ m_state.m_profile.m_address, 0 }));
     }
     if (planner) {
-      report.m_demand = m_state.m_demand.Summary(aNow);
-      report.m_granted = m_state.m_allowance.Granted();
+      agent::GatewayReport const report{ m_state.m_profile.m_host, m_incarnation,
+                                         m_state.m_demand.Summary(aNow),
+                                         m_state.m_allowance.Granted() };
       m_state.m_peers.Send(*planner, agent::EncodeFleetMessage(report));
     }
   }
 
+  void SendPresence(base::Endpoint const& aPlanner)
+  {
+    auto const version =
+      m_state.m_catalog ? m_state.m_catalog->Catalog().m_version : base::CatalogVersion();
+    for (auto const& entry : m_state.m_directory.Entries()) {
+      if (!IsEngine(entry.m_deployment)) {
+        continue;
+      }
+      agent::GatewayPresence const presence{ m_state.m_profile.m_host, aPlanner, version,
+                                             { entry.m_instance, entry.m_startedAt } };
+      m_state.m_peers.Send({ entry.m_endpoint.m_address, m_state.m_profile.m_peerPort },
+                           agent::EncodeFleetMessage(presence));
+    }
+  }
+
   bool IsEngine(base::DeploymentId const& aDeployment) const
   {
     auto const* const deployment =
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -277,8 +277,10 @@
       return;
     }
     auto const now = m_loop.Now();
-    if (auto const* const report = std::get_if<agent::GatewayReport>(&*message)) {
-      OnReport(*report, aSender, now);
+    if (auto const* const presence = std::get_if<agent::GatewayPresence>(&*message)) {
+      OnPresence(*presence, aSender, now);
+    } else if (auto const* const report = std::get_if<agent::GatewayReport>(&*message)) {
+      m_planning.OnReport(*report, aSender, now);
     } else if (auto const* const status = std::get_if<agent::EngineStatus>(&*message)) {
       m_planning.OnStatus(*status, aSender, now);
     } else if (auto const* const swap = std::get_if<agent::SwapRequest>(&*message)) {
@@ -292,17 +294,12 @@
     }
   }
 
-  void OnReport(agent::GatewayReport const& aReport, base::Endpoint const& aSender,
-                base::Instant aNow)
+  void OnPresence(agent::GatewayPresence const& aPresence, base::Endpoint const& aSender,
+                  base::Instant aNow)
   {
-    m_gateways[aReport.m_host] = { aSender, aReport.m_planner, aNow };
-    m_catalogTold = std::max(m_catalogTold, aReport.m_catalog);
-    if (aReport.m_engine) {
-      m_instance = aReport.m_engine;
-    }
-    if (aReport.m_planner == base::Endpoint{ m_profile.m_address, m_profile.m_peerPort }) {
-      m_planning.OnReport(aReport, aSender, aNow);
-    }
+    m_gateways[aPresence.m_host] = { aSender, aPresence.m_planner, aNow };
+    m_catalogTold = std::max(m_catalogTold, aPresence.m_catalog);
+    m_instance = aPresence.m_engine;
   }
 
   boost::asio::awaitable<void> Tick()
