Gateway: Abort what callers left, wait no longer than they do, copy busy models

Changes: cancelled and failed connections are reset; a stopping gateway gives up its waiting requests in time; the planner makes copies for busy models; the directory counts prompts that are still to be read rather than all requests; a request waits only while its model can come in time, else it is refused at once.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -205,11 +205,20 @@
   co_return !readError && answer.keep_alive();
 }
 
-/// Makes a cancellation close the connection.
+/// Closes a connection so that what is still on its way is lost: a request that
+/// nobody waits for any more must not arrive after a partition has healed.
+void Abort(HttpConnection& aConnection)
+{
+  boost::system::error_code ignored;
+  aConnection.m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  aConnection.m_stream.close();
+}
+
+/// Makes a cancellation abort the connection.
 void CancelWith(Cancellation* aCancellation, HttpConnection& aConnection)
 {
   if (aCancellation) {
-    aCancellation->SetAction([&aConnection] { aConnection.m_stream.close(); });
+    aCancellation->SetAction([&aConnection] { Abort(aConnection); });
   }
 }
 
@@ -266,6 +275,9 @@
   if (m_connection && m_cancellation) {
     m_cancellation->ClearAction();
   }
+  if (m_connection) {
+    Abort(*m_connection);
+  }
 }
 
 void HttpReply::Finish()
@@ -421,6 +433,7 @@
     co_await ReadHead(*connection, isHead, m_limits.m_headerBytes, aOptions.m_echo);
   if (readError) {
     StopCancelling(cancellation);
+    Abort(*connection);
     co_return tl::make_unexpected(ToFailure(readError, true));
   }
   co_return HttpReply(*this, std::move(connection), cancellation);
--- a/Engine/SwapPlanner.cpp
+++ b/Engine/SwapPlanner.cpp
@@ -15,6 +15,8 @@
 constexpr double kReturnSeconds = 3;
 /// An engine that still works for a model drops it only after that.
 constexpr double kRunningLoss = 0.4;
+/// Loss for each copy that the demand lacks.
+constexpr double kOverloadLoss = 1.5;
 
 } // namespace
 
@@ -166,10 +168,11 @@
   return found == m_totals.end() ? kNone : found->second;
 }
 
-double SwapPlanner::CopiesNeeded(base::ModelId const& aModel) const
+double SwapPlanner::LoadOf(base::ModelId const& aModel) const
 {
   auto const& demand = DemandOf(aModel);
-  return demand.m_rate * base::ToSeconds(m_limits.m_serviceTime) / m_limits.m_requestsPerCopy;
+  return std::max(demand.m_rate / m_limits.m_requestsPerSecond,
+                  demand.m_running / m_limits.m_requestsAtOnce);
 }
 
 double SwapPlanner::LossOfDropping(Engine const& aEngine, base::ModelId const& aModel,
@@ -177,14 +180,12 @@
 {
   auto const& demand = DemandOf(aModel);
   auto const copies = m_copies.find(aModel);
-  double const count = copies == m_copies.end() ? 1 : copies->second;
-  double const remaining = count - 1;
-  double loss = kRunningLoss * demand.m_running / std::max(count, 1.0);
-  if (remaining < std::ceil(std::max(CopiesNeeded(aModel), 0.01))) {
-    loss += demand.m_rate * kReturnSeconds * kTypicalWorth + demand.m_worth;
+  double const count = copies == m_copies.end() ? 1 : std::max(copies->second, 1U);
+  double loss = kRunningLoss * demand.m_running / count;
+  if (count > 1) {
+    loss += std::max(0.0, LoadOf(aModel) - (count - 1)) * kOverloadLoss;
   } else {
-    // Another copy serves its requests, at some cost in queueing.
-    loss += CopiesNeeded(aModel) / std::max(remaining, 1.0) * 0.1;
+    loss += demand.m_rate * kReturnSeconds * kTypicalWorth + demand.m_worth;
   }
   auto const loadedAt = aEngine.m_loadedAt.find(aModel);
   bool const isNew = loadedAt != aEngine.m_loadedAt.end() &&
@@ -276,6 +277,24 @@
   }
 }
 
+void SwapPlanner::Replicate(std::vector<PlannedSwap>& aSwaps, base::Instant aNow)
+{
+  std::vector<std::pair<double, base::ModelId>> order;
+  for (auto const& [model, total] : m_totals) {
+    double const lacking = LoadOf(model) - m_copies[model];
+    if (lacking > 0 && m_copies[model] > 0 && !IsComing(model)) {
+      order.emplace_back(lacking * kOverloadLoss, model);
+    }
+  }
+  std::ranges::sort(order, std::greater<>());
+  for (auto const& [gain, model] : order) {
+    auto option = BestOption(model, StoreLoads() < m_limits.m_parallelStoreLoads, aNow);
+    if (option && option->m_cost < gain) {
+      Assign(std::move(*option), aSwaps, aNow);
+    }
+  }
+}
+
 void SwapPlanner::Prefetch(std::vector<PlannedSwap>& aSwaps, base::Instant aNow)
 {
   /// What the first request for a model that nobody asked for yet is worth.
@@ -309,6 +328,7 @@
     }
   }
   ServeWaiting(swaps, aNow);
+  Replicate(swaps, aNow);
   Prefetch(swaps, aNow);
   return swaps;
 }
--- a/Engine/SwapPlanner.h
+++ b/Engine/SwapPlanner.h
@@ -17,11 +17,12 @@
   unsigned m_parallelStoreLoads = 4;
   /// An assignment that its engine has not taken up by then is lost.
   base::Duration m_uptake = std::chrono::milliseconds(400);
-  /// Requests of one model that one engine serves at a time before another
-  /// copy pays.
-  double m_requestsPerCopy = 24;
-  /// Usual time that an engine works on a request.
-  base::Duration m_serviceTime = std::chrono::milliseconds(2500);
+  /// Requests a second that one copy of a model serves within their goals: a
+  /// prompt takes some 80 ms to read, and queued prompts hold up the tokens of
+  /// others.
+  double m_requestsPerSecond = 4;
+  /// Requests at a time that one copy serves within their goals.
+  double m_requestsAtOnce = 16;
   /// A model is kept for this long after it was loaded, so that those who
   /// waited for it are served.
   base::Duration m_shortestStay = std::chrono::milliseconds(1200);
@@ -106,7 +107,8 @@
   base::Duration LoadTime(operators::EngineSpec const& aSpec, base::ModelId const& aModel,
                           WeightTier aTier) const;
   Total const& DemandOf(base::ModelId const& aModel) const;
-  double CopiesNeeded(base::ModelId const& aModel) const;
+  /// How many copies the demand for a model keeps busy.
+  double LoadOf(base::ModelId const& aModel) const;
   double LossOfDropping(Engine const& aEngine, base::ModelId const& aModel,
                         base::Instant aNow) const;
   std::optional<Option> OptionAt(Engine& aEngine, base::ModelId const& aModel, bool aMayFetch,
@@ -115,6 +117,7 @@
                                    base::Instant aNow);
   void Assign(Option aOption, std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
   void ServeWaiting(std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
+  void Replicate(std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
   void Prefetch(std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
 
   PlannerLimits m_limits;
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -64,8 +64,7 @@
       return before && std::ranges::includes(before->m_adapters, aHeld.m_adapters);
     };
     hasNews = hasNews || !std::ranges::all_of(aAccount.m_models, known);
-    unsigned const total = aAccount.m_running + aAccount.m_waiting;
-    upstream.m_others = total > upstream.m_inFlight ? total - upstream.m_inFlight : 0;
+    CountOthers(upstream, aAccount.m_running, aAccount.m_waiting);
     upstream.m_account = aAccount;
     upstream.m_accountAt = aNow;
   }
@@ -79,9 +78,15 @@
   if (found == m_upstreams.end()) {
     return;
   }
-  unsigned const total = aRunning + aWaiting;
-  auto& upstream = found->second;
-  upstream.m_others = total > upstream.m_inFlight ? total - upstream.m_inFlight : 0;
+  CountOthers(found->second, aRunning, aWaiting);
+}
+
+void UpstreamDirectory::CountOthers(Upstream& aUpstream, unsigned aRunning, unsigned aWaiting)
+{
+  unsigned const ownRunning = aUpstream.m_inFlight - aUpstream.m_unanswered;
+  aUpstream.m_othersRunning = aRunning > ownRunning ? aRunning - ownRunning : 0;
+  aUpstream.m_othersWaiting =
+    aWaiting > aUpstream.m_unanswered ? aWaiting - aUpstream.m_unanswered : 0;
 }
 
 bool UpstreamDirectory::IsUsable(Upstream const& aUpstream, base::Instant aNow) const
@@ -110,10 +115,11 @@
 
 double UpstreamDirectory::CostOf(Upstream const& aUpstream, bool aLacksAdapter)
 {
-  double const busy = aUpstream.m_inFlight + aUpstream.m_others;
-  // Plain services have few slots, so distance weighs against a full one less.
-  double const distance = std::min(m_limits.m_distance, aUpstream.m_entry.m_slots / 2.0);
-  double const away = aUpstream.m_entry.m_failureDomain == m_home ? 0 : distance;
+  double const running =
+    aUpstream.m_inFlight - aUpstream.m_unanswered + aUpstream.m_othersRunning;
+  double const busy =
+    aUpstream.m_unanswered + aUpstream.m_othersWaiting + m_limits.m_running * running;
+  double const away = aUpstream.m_entry.m_failureDomain == m_home ? 0 : m_limits.m_distance;
   double const adapter = aLacksAdapter ? kAdapterCost : 0;
   return busy + away + adapter + std::uniform_real_distribution<>(0, 0.5)(m_random);
 }
@@ -156,17 +162,50 @@
   auto const found = m_upstreams.find(aInstance);
   if (found != m_upstreams.end()) {
     ++found->second.m_inFlight;
+    ++found->second.m_unanswered;
+  }
+}
+
+void UpstreamDirectory::OnBegun(InstanceId const& aInstance)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found != m_upstreams.end() && found->second.m_unanswered > 0) {
+    --found->second.m_unanswered;
   }
 }
 
-void UpstreamDirectory::OnDone(InstanceId const& aInstance)
+void UpstreamDirectory::OnDone(InstanceId const& aInstance, bool aHasBegun)
 {
+  if (!aHasBegun) {
+    OnBegun(aInstance);
+  }
   auto const found = m_upstreams.find(aInstance);
   if (found != m_upstreams.end() && found->second.m_inFlight > 0) {
     --found->second.m_inFlight;
   }
 }
 
+ModelOutlook UpstreamDirectory::OutlookOf(base::DeploymentId const& aDeployment,
+                                          base::ModelId const& aModel, base::Instant aNow) const
+{
+  ModelOutlook outlook;
+  for (auto const& [instance, upstream] : m_upstreams) {
+    bool const isKnown = upstream.m_entry.m_deployment == aDeployment && upstream.m_account &&
+                         aNow - upstream.m_accountAt < m_limits.m_statusAge &&
+                         IsUsable(upstream, aNow);
+    if (!isKnown) {
+      continue;
+    }
+    auto const& account = *upstream.m_account;
+    if (account.m_loading == aModel) {
+      outlook.m_readyAt = std::min(outlook.m_readyAt.value_or(account.m_readyAt), account.m_readyAt);
+    }
+    outlook.m_isAtHand = outlook.m_isAtHand || account.m_copies.m_inMemory.contains(aModel) ||
+                         account.m_copies.m_onDisk.contains(aModel);
+  }
+  return outlook;
+}
+
 void UpstreamDirectory::OnServed(InstanceId const& aInstance)
 {
   auto const found = m_upstreams.find(aInstance);
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -27,8 +27,11 @@
   unsigned m_failures = 2;
   /// Largest part of a deployment's upstreams that is paused at once.
   double m_largestPausedShare = 0.5;
-  /// Cost of another failure domain, as a number of requests in the queue.
-  double m_distance = 8;
+  /// Cost of another failure domain, as a number of requests whose prompts are
+  /// still to be read: bytes across are dear, a missed goal is dearer.
+  double m_distance = 1.5;
+  /// Cost of a running request, on the same scale: it slows each step a little.
+  double m_running = 0.15;
 };
 
 /// What a request needs of an upstream.
@@ -70,6 +73,18 @@
   std::optional<base::ModelId> m_unloading;
   unsigned m_running = 0;
   unsigned m_waiting = 0;
+  WeightCopies m_copies;
+  std::optional<base::ModelId> m_loading;
+  base::Instant m_readyAt{};
+};
+
+/// What is known of a model that no engine holds ready.
+struct ModelOutlook
+{
+  /// Expected end of a load under way, the earliest if there are more.
+  std::optional<base::Instant> m_readyAt;
+  /// An engine has its weights in memory or on disk.
+  bool m_isAtHand = false;
 };
 
 /// Knows the engines and services, what they hold and how busy they are, and
@@ -92,8 +107,13 @@
   std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
                                                      base::Instant aNow);
 
+  ModelOutlook OutlookOf(base::DeploymentId const& aDeployment, base::ModelId const& aModel,
+                         base::Instant aNow) const;
+
   void OnSent(InstanceId const& aInstance);
-  void OnDone(InstanceId const& aInstance);
+  /// The upstream has begun to answer one of the requests.
+  void OnBegun(InstanceId const& aInstance);
+  void OnDone(InstanceId const& aInstance, bool aHasBegun);
   void OnServed(InstanceId const& aInstance);
   void OnFailed(InstanceId const& aInstance, base::Instant aNow);
   /// Another engine answered at the address; the entry is out of date.
@@ -118,7 +138,10 @@
     base::Instant m_accountAt{};
     /// Requests from here under way, and how many were when others were told.
     unsigned m_inFlight = 0;
-    unsigned m_others = 0;
+    /// Of these, the ones that the upstream has not begun to answer.
+    unsigned m_unanswered = 0;
+    unsigned m_othersRunning = 0;
+    unsigned m_othersWaiting = 0;
     unsigned m_failures = 0;
     base::Instant m_pausedUntil{};
     std::map<base::ModelId, base::Instant> m_missing;
@@ -128,6 +151,7 @@
   HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
                              base::Instant aNow) const;
   double CostOf(Upstream const& aUpstream, bool aLacksAdapter);
+  static void CountOthers(Upstream& aUpstream, unsigned aRunning, unsigned aWaiting);
   bool MayPause(Upstream const& aUpstream, base::Instant aNow) const;
 
   DirectoryLimits m_limits;
--- a/Operator/ServingCatalog.h
+++ b/Operator/ServingCatalog.h
@@ -42,6 +42,8 @@
   base::Duration m_timeout{};
   /// Time to the answer, or to the first event, that earns full credit.
   base::Duration m_goal{};
+  /// Longest pause between events of a stream that is on time.
+  base::Duration m_pause{};
   /// Zero is the most urgent.
   unsigned m_urgency = 0;
   std::vector<RouteTarget> m_targets;
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -202,6 +202,7 @@
 
   void NoteSent(engine::UpstreamChoice const& aChoice)
   {
+    m_isBegunHere = false;
     m_state.m_directory.OnSent(aChoice.m_instance);
     if (m_query.m_model) {
       m_state.m_demand.StartRunning(*m_query.m_model);
@@ -210,7 +211,7 @@
 
   void NoteDone(engine::UpstreamChoice const& aChoice)
   {
-    m_state.m_directory.OnDone(aChoice.m_instance);
+    m_state.m_directory.OnDone(aChoice.m_instance, m_isBegunHere);
     if (m_query.m_model) {
       m_state.m_demand.StopRunning(*m_query.m_model);
     }
@@ -227,7 +228,7 @@
   {
     std::optional<engine::WaitTicket> ticket;
     std::optional<engine::UpstreamChoice> result;
-    while (!m_cancellation.IsCancelled() && Now() < m_end) {
+    while (!m_cancellation.IsCancelled() && Now() < WaitEnd()) {
       auto const found = m_state.m_directory.Find(m_query, Now());
       if (auto const* const choice = std::get_if<engine::UpstreamChoice>(&found)) {
         if (!choice->m_lacksAdapter) {
@@ -238,10 +239,7 @@
         co_await m_state.ModelSignal(*m_query.m_model).Wait(kAdapterWait);
         continue;
       }
-      bool const mayCome = std::get<engine::UpstreamAbsence>(found) ==
-                             engine::UpstreamAbsence::ModelNotLoaded &&
-                           !m_hasBegun;
-      if (!mayCome) {
+      if (!MayWaitFor(std::get<engine::UpstreamAbsence>(found))) {
         m_outcome = ToText(std::get<engine::UpstreamAbsence>(found));
         break;
       }
@@ -249,7 +247,7 @@
       if (!ticket) {
         ticket = m_state.m_demand.StartWaiting(*m_query.m_model, Worth(), m_start + m_route.m_goal);
       }
-      co_await m_state.ModelSignal(*m_query.m_model).Wait(m_end - Now());
+      co_await m_state.ModelSignal(*m_query.m_model).Wait(WaitEnd() - Now());
     }
     if (ticket) {
       m_state.m_demand.StopWaiting(*m_query.m_model, *ticket);
@@ -257,6 +255,50 @@
     co_return result;
   }
 
+  /// When a request that waits for a model is given up.
+  base::Instant WaitEnd() const
+  {
+    auto const end = std::min(m_end, m_start + Patience());
+    return std::min(end, m_state.m_lastWait.value_or(end));
+  }
+
+  /// Callers leave a stream whose first event does not come; a request is
+  /// given up a little earlier, so that they hear when to come back.
+  base::Duration Patience() const
+  {
+    constexpr base::Duration kLeast = std::chrono::seconds(2);
+    constexpr int kGoals = 4;
+    constexpr int kPauses = 8;
+    auto const callers =
+      std::max<base::Duration>({ kLeast, m_route.m_goal * kGoals, m_route.m_pause * kPauses });
+    return callers * 85 / 100;
+  }
+
+  bool MayWaitFor(engine::UpstreamAbsence aAbsence) const
+  {
+    if (aAbsence != engine::UpstreamAbsence::ModelNotLoaded || m_hasBegun) {
+      return false;
+    }
+    auto const outlook =
+      m_state.m_directory.OutlookOf(m_query.m_deployment, *m_query.m_model, Now());
+    if (outlook.m_readyAt) {
+      return *outlook.m_readyAt < WaitEnd();
+    }
+    return outlook.m_isAtHand || Now() + StoreLoadTime() < WaitEnd();
+  }
+
+  base::Duration StoreLoadTime() const
+  {
+    auto const* const deployment =
+      m_state.m_catalog ? m_state.m_catalog->FindDeployment(m_query.m_deployment) : nullptr;
+    if (!deployment || !deployment->m_engine) {
+      return {};
+    }
+    auto const model = deployment->m_engine->m_models.find(*m_query.m_model);
+    return model == deployment->m_engine->m_models.end() ? base::Duration::zero()
+                                                         : model->second.m_loadFromStore;
+  }
+
   /// Weighs waiting requests by their size, as longer ones earn more.
   double Worth() const
   {
@@ -448,6 +490,10 @@
       if (!m_firstEventAt) {
         m_firstEventAt = Now();
       }
+      if (!m_isBegunHere) {
+        m_isBegunHere = true;
+        m_state.m_directory.OnBegun(aChoice.m_instance);
+      }
       auto const written = co_await m_exchange.Write(complete);
       if (!written) {
         co_return AttemptEnd::CallerGone;
@@ -523,7 +569,10 @@
   unsigned m_sends = 0;
   unsigned m_runs = 0;
   bool m_mayHaveRun = false;
+  /// A part of the answer has gone to the caller.
   bool m_hasBegun = false;
+  /// The upstream in use has begun to answer.
+  bool m_isBegunHere = false;
   bool m_waited = false;
   std::optional<caller::EventNumber> m_lastEvent;
   std::optional<base::HttpResponse> m_heldFailure;
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -72,6 +72,8 @@
     constexpr base::Duration kReserve = std::chrono::milliseconds(700);
     auto const end = m_loop.Now() + m_state.m_profile.m_bounds.m_stopGrace - kReserve;
     m_isStopping = true;
+    m_state.m_lastWait = m_loop.Now() + kLeaving;
+    NotifyAll();
     m_callers.CloseAfterResponses();
     base::log::Info("stopping", { { "open", std::to_string(m_callers.OpenExchanges()) } });
     co_await m_loop.Sleep(kLeaving);
@@ -198,7 +200,9 @@
       m_planner.OnLoader(status->m_host, aSender, status->m_canOrder, now);
       engine::LoaderAccount account{ status->m_engine, status->m_models,
                                      status->m_change.m_unloading, status->m_running,
-                                     status->m_waiting };
+                                     status->m_waiting, status->m_copies,
+                                     status->m_change.m_loading,
+                                     now + status->m_change.m_readyIn };
       auto const models = account.m_models;
       if (m_state.m_directory.OnAccount(std::move(account), now)) {
         for (auto const& held : models) {
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace sardinefold::programs {
 
@@ -78,6 +79,8 @@
   engine::DemandBoard m_demand;
   entry::SharedAllowance m_allowance;
   base::DatagramEndpoint m_peers;
+  /// While the process stops, no request waits for longer.
+  std::optional<base::Instant> m_lastWait;
   std::map<base::DeploymentId, agent::RetryBudget> m_retries;
   std::map<base::ModelId, std::unique_ptr<base::Signal>> m_modelSignals;
 };
