--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -99,8 +99,7 @@
   base::AdapterId m_adapter;
 };
 
-using FleetMessage =
-  std::variant<EngineStatus, GatewayPresence, GatewayReport, GrantSummary, SwapRequest,
-               AdapterRequest>;
+using FleetMessage = std::variant<EngineStatus, GatewayPresence, GatewayReport, GrantSummary,
+                                  SwapRequest, AdapterRequest>;
 
 } // namespace sardinefold::agent
--- a/Base/DatagramEndpoint.cpp
+++ b/Base/DatagramEndpoint.cpp
@@ -37,8 +37,8 @@
   while (m_socket.is_open()) {
     udp::endpoint sender;
     auto const buffer = asio::buffer(m_buffer);
-    auto const [error, size] = co_await m_socket.async_receive_from(
-      buffer, sender, asio::as_tuple(asio::use_awaitable));
+    auto const [error, size] =
+      co_await m_socket.async_receive_from(buffer, sender, asio::as_tuple(asio::use_awaitable));
     if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
       co_return;
     }
--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -345,7 +345,8 @@
     auto connection = std::move(connections.back());
     connections.pop_back();
     // Half of the server's limit leaves room for the request's way.
-    auto const limit = std::min(aLongestIdle, connection->m_serverIdleTime.value_or(aLongestIdle) / 2);
+    auto const limit =
+      std::min(aLongestIdle, connection->m_serverIdleTime.value_or(aLongestIdle) / 2);
     bool const isFresh = m_loop.Now() - connection->m_idleSince < limit;
     if (isFresh && IsStillOpen(connection->m_stream.socket())) {
       return connection;
@@ -355,7 +356,7 @@
 }
 
 asio::awaitable<std::unique_ptr<HttpConnection>> HttpClient::TakeWorking(Endpoint const& aEndpoint,
-                                                                        Duration aLongestIdle)
+                                                                         Duration aLongestIdle)
 {
   auto connection = TakeIdle(aEndpoint, aLongestIdle);
   auto const& probe = m_limits.m_probe;
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -151,7 +151,7 @@
   /// An idle connection that is known to carry data. When one does not, all
   /// idle connections to its endpoint are closed.
   boost::asio::awaitable<std::unique_ptr<HttpConnection>> TakeWorking(Endpoint const& aEndpoint,
-                                                                   Duration aLongestIdle);
+                                                                      Duration aLongestIdle);
   void Return(std::unique_ptr<HttpConnection> aConnection);
 
   EventLoop& m_loop;
--- a/Caller/CatalogIndex.cpp
+++ b/Caller/CatalogIndex.cpp
@@ -49,9 +49,8 @@
   if (found == m_routes.end()) {
     return nullptr;
   }
-  auto const route = std::ranges::find_if(found->second, [aPath](auto const* aRoute) {
-    return aPath.starts_with(aRoute->m_pathPrefix);
-  });
+  auto const route = std::ranges::find_if(
+    found->second, [aPath](auto const* aRoute) { return aPath.starts_with(aRoute->m_pathPrefix); });
   return route == found->second.end() ? nullptr : *route;
 }
 
--- a/Caller/ForwardRequest.h
+++ b/Caller/ForwardRequest.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Base/Http/HttpMessage.h"
 #include "Base/Identifiers.h"
 #include "Base/Time.h"
 #include "Base/Units.h"
--- a/Engine/OrderDesk.cpp
+++ b/Engine/OrderDesk.cpp
@@ -167,8 +167,8 @@
   if (m_wantedAdapters.empty() || m_report->m_arrivingAdapters >= kMostArriving) {
     return std::nullopt;
   }
-  bool const isLoadingModel = m_sent && !m_sent->m_order.m_adapter &&
-                              m_sent->m_order.m_operation == Operation::Load;
+  bool const isLoadingModel =
+    m_sent && !m_sent->m_order.m_adapter && m_sent->m_order.m_operation == Operation::Load;
   auto const& [model, adapter] = m_wantedAdapters.begin()->first;
   auto const spec = m_spec->m_models.find(model);
   if (spec == m_spec->m_models.end() || isLoadingModel || m_report->m_isBusy) {
@@ -242,9 +242,8 @@
     state.m_unloading = m_sent->m_order.m_model;
   }
   if (m_swap) {
-    auto const since = isModelOrder && m_sent->m_order.m_operation == Operation::Load
-                         ? m_sent->m_sentAt
-                         : aNow;
+    auto const since =
+      isModelOrder && m_sent->m_order.m_operation == Operation::Load ? m_sent->m_sentAt : aNow;
     state.m_loading = m_swap->m_load;
     state.m_readyAt = std::max(aNow, since + LoadTime(m_swap->m_load));
   } else if (isModelOrder && m_sent->m_order.m_operation == Operation::Load) {
--- a/Engine/SwapPlanner.cpp
+++ b/Engine/SwapPlanner.cpp
@@ -128,8 +128,8 @@
 {
   return static_cast<unsigned>(std::ranges::count_if(m_engines, [&](auto const& aItem) {
     auto const& engine = aItem.second;
-    auto const& loading = engine.m_assigned ? std::optional(engine.m_assigned->m_load)
-                                            : engine.m_facts.m_loading;
+    auto const& loading =
+      engine.m_assigned ? std::optional(engine.m_assigned->m_load) : engine.m_facts.m_loading;
     return loading && TierAt(engine, *loading) == WeightTier::Remote;
   }));
 }
@@ -139,8 +139,7 @@
   if (aEngine.m_facts.m_copies.m_inMemory.contains(aModel)) {
     return WeightTier::HostMemory;
   }
-  return aEngine.m_facts.m_copies.m_onDisk.contains(aModel) ? WeightTier::Disk
-                                                             : WeightTier::Remote;
+  return aEngine.m_facts.m_copies.m_onDisk.contains(aModel) ? WeightTier::Disk : WeightTier::Remote;
 }
 
 base::Duration SwapPlanner::LoadTime(operators::EngineSpec const& aSpec,
@@ -188,8 +187,8 @@
     loss += demand.m_rate * kReturnSeconds * kTypicalWorth + demand.m_worth;
   }
   auto const loadedAt = aEngine.m_loadedAt.find(aModel);
-  bool const isNew = loadedAt != aEngine.m_loadedAt.end() &&
-                     aNow - loadedAt->second < m_limits.m_shortestStay;
+  bool const isNew =
+    loadedAt != aEngine.m_loadedAt.end() && aNow - loadedAt->second < m_limits.m_shortestStay;
   return isNew ? loss + 1 : loss;
 }
 
@@ -268,8 +267,7 @@
   }
   std::ranges::sort(order, std::greater<>());
   for (auto const& [worth, model] : order) {
-    bool const mayFetch =
-      !IsAtHandSomewhere(model) && StoreLoads() < m_limits.m_parallelStoreLoads;
+    bool const mayFetch = !IsAtHandSomewhere(model) && StoreLoads() < m_limits.m_parallelStoreLoads;
     auto option = BestOption(model, mayFetch, aNow);
     if (option && option->m_cost < worth + DemandOf(model).m_rate * kReturnSeconds) {
       Assign(std::move(*option), aSwaps, aNow);
@@ -308,7 +306,8 @@
         continue;
       }
       auto option = BestOption(model, true, aNow);
-      if (option && option->m_cost < kPrefetchWorth + 0.1 * base::ToSeconds(facts.m_loadFromStore)) {
+      if (option &&
+          option->m_cost < kPrefetchWorth + 0.1 * base::ToSeconds(facts.m_loadFromStore)) {
         Assign(std::move(*option), aSwaps, aNow);
       }
     }
--- a/Engine/SwapPlanner.h
+++ b/Engine/SwapPlanner.h
@@ -113,8 +113,7 @@
                         base::Instant aNow) const;
   std::optional<Option> OptionAt(Engine& aEngine, base::ModelId const& aModel, bool aMayFetch,
                                  base::Instant aNow) const;
-  std::optional<Option> BestOption(base::ModelId const& aModel, bool aMayFetch,
-                                   base::Instant aNow);
+  std::optional<Option> BestOption(base::ModelId const& aModel, bool aMayFetch, base::Instant aNow);
   void Assign(Option aOption, std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
   void ServeWaiting(std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
   void Replicate(std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -96,15 +96,13 @@
 }
 
 HeldModel const* UpstreamDirectory::FindModel(Upstream const& aUpstream,
-                                              base::ModelId const& aModel,
-                                              base::Instant aNow) const
+                                              base::ModelId const& aModel, base::Instant aNow) const
 {
   auto const missing = aUpstream.m_missing.find(aModel);
   if (missing != aUpstream.m_missing.end() && missing->second > aNow) {
     return nullptr;
   }
-  bool const isFresh =
-    aUpstream.m_account && aNow - aUpstream.m_accountAt < m_limits.m_statusAge;
+  bool const isFresh = aUpstream.m_account && aNow - aUpstream.m_accountAt < m_limits.m_statusAge;
   if (isFresh && aUpstream.m_account->m_unloading == aModel) {
     return nullptr;
   }
@@ -115,8 +113,7 @@
 
 double UpstreamDirectory::CostOf(Upstream const& aUpstream, bool aLacksAdapter)
 {
-  double const running =
-    aUpstream.m_inFlight - aUpstream.m_unanswered + aUpstream.m_othersRunning;
+  double const running = aUpstream.m_inFlight - aUpstream.m_unanswered + aUpstream.m_othersRunning;
   double const busy =
     aUpstream.m_unanswered + aUpstream.m_othersWaiting + m_limits.m_running * running;
   double const away = aUpstream.m_entry.m_failureDomain == m_home ? 0 : m_limits.m_distance;
@@ -198,7 +195,8 @@
     }
     auto const& account = *upstream.m_account;
     if (account.m_loading == aModel) {
-      outlook.m_readyAt = std::min(outlook.m_readyAt.value_or(account.m_readyAt), account.m_readyAt);
+      outlook.m_readyAt =
+        std::min(outlook.m_readyAt.value_or(account.m_readyAt), account.m_readyAt);
     }
     outlook.m_isAtHand = outlook.m_isAtHand || account.m_copies.m_inMemory.contains(aModel) ||
                          account.m_copies.m_onDisk.contains(aModel);
@@ -224,7 +222,8 @@
       paused += other.m_pausedUntil > aNow ? 1 : 0;
     }
   }
-  return static_cast<double>(paused + 1) <= static_cast<double>(all) * m_limits.m_largestPausedShare;
+  return static_cast<double>(paused + 1) <=
+         static_cast<double>(all) * m_limits.m_largestPausedShare;
 }
 
 void UpstreamDirectory::OnFailed(InstanceId const& aInstance, base::Instant aNow)
--- a/Entry/Allowance/AllowanceEndpoint.h
+++ b/Entry/Allowance/AllowanceEndpoint.h
@@ -9,9 +9,9 @@
 #include "Entry/Allowance/AllowanceCodec.h"
 #include "Entry/Allowance/AllowanceNode.h"
 #include "Entry/Allowance/OwnershipPlan.h"
-#include "Operator/Document.h"
 #include "ObjectStore/ObjectStoreClient.h"
 #include "ObjectStore/WriteSession.h"
+#include "Operator/Document.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Entry/Allowance/SharedAllowance.cpp
+++ b/Entry/Allowance/SharedAllowance.cpp
@@ -51,7 +51,8 @@
   Fill(bucket, aNow);
   auto const tokens = static_cast<double>(aTokens.Value());
   // A request larger than the burst passes when the bucket is full.
-  double const needed = std::min(tokens, static_cast<double>(aLimit.m_burst.Value()) * ShareAt(aNow));
+  double const needed =
+    std::min(tokens, static_cast<double>(aLimit.m_burst.Value()) * ShareAt(aNow));
   if (bucket.m_level < needed) {
     return base::FromSeconds((needed - bucket.m_level) / (aLimit.m_rate.Value() * ShareAt(aNow)));
   }
--- a/Meta/check-shape.sh
+++ b/Meta/check-shape.sh
@@ -8,7 +8,7 @@
   printf '%s\n%s\n' "$1" "$2"
   failures=$((failures + 1))
 }
-sources=$(find . -path ./Build -prune -o -path './Build-*' -prune -o \( -name '*.cpp' -o -name '*.h' \) -print | sed 's|^\./||' | sort)
+sources=$(find . -path ./Build -prune -o -path './Build-*' -prune -o -path ./target -prune -o \( -name '*.cpp' -o -name '*.h' \) -print | sed 's|^\./||' | sort)
 product=$(grep -vE '^(Tests|StandIns|Bench|Meta)/' <<<"$sources")
 # Files that encode messages or hold sockets; all others in the packages decide.
 edges='(Codec|Client|Server|Session|Endpoint)[A-Za-z]*\.(cpp|h)$'
@@ -24,6 +24,10 @@
     "$(grep -nE '#include [<"](boost/(asio|beast)|json/|jsonrpccpp|openssl/ssl|Base/(Http|Rpc|Json|EventLoop)|.*(Codec|Client|Server|Session|Endpoint)[A-Za-z]*\.h)' $deciding | grep -v '"Base/Endpoint.h"')"
   report 'a deciding file reads the loop'"'"'s clock:' "$(grep -nE '\.Now\(\)' $deciding)"
 }
+# The platform's names on the wire are decoded once, in platform/.
+wire='Request-Id|Deadline-Ms|Prompt-Prefix|Last-Event-Id|Server-Seal|Expect-Instance|Server-Load|Not-Executed|Instance-Id|Token-Count|Request-Priority|Weight-Versions|Expect-Version|Pin-Ms|Length-Hint|Kv-(Fetch|From|Backup)|kv-(events|list|handle|pin|move)|hold-(take|drop)|innerPortRange|listenAddrs|nodeName|coldLeftMs|seqNo|fenceToken|currentRev|hasMore|allowStale|atHand|inMemory|onDisk|pathPrefix|maxAttempts|ratePerS|gapTargetMs|SARDINEFOLD_NODE_FILE'
+report 'a name of the platform'"'"'s wire outside platform/:' \
+  "$(grep -nE "\"($wire)\"" $(grep -vE '^(platform|Tests|StandIns)/' <<<"$sources"))"
 report 'a banner (sources start with code):' \
   "$(for file in $sources; do head -n 1 "$file" | grep -qE '^(/\*|//)' && echo "$file"; done)"
 report 'const on the left:' \
--- a/ObjectStore/ObjectClient.cpp
+++ b/ObjectStore/ObjectClient.cpp
@@ -67,8 +67,7 @@
   return objectstore::DecodeWrite(aResponse);
 }
 
-tl::expected<HostList, ReadError> PlainObjectCodec::DecodeHosts(
-  base::HttpResponse const& aResponse)
+tl::expected<HostList, ReadError> PlainObjectCodec::DecodeHosts(base::HttpResponse const& aResponse)
 {
   return objectstore::DecodeHosts(aResponse);
 }
--- a/ObjectStore/ObjectClient.h
+++ b/ObjectStore/ObjectClient.h
@@ -77,8 +77,7 @@
   WriteTask Write(ObjectWrite aWrite, base::Duration aLimit, CallPurpose aPurpose);
   WriteTask Delete(ObjectKey aKey, base::ObjectVersion aVersion, base::Duration aLimit,
                    CallPurpose aPurpose);
-  ReadTask<HostList> Hosts(base::Duration aLimit, CallPurpose aPurpose) requires
-    ListsHosts<Codec>;
+  ReadTask<HostList> Hosts(base::Duration aLimit, CallPurpose aPurpose) requires ListsHosts<Codec>;
 
 private:
   /// Why a call has no answer from the platform.
--- a/ObjectStore/ObjectClientCalls.h
+++ b/ObjectStore/ObjectClientCalls.h
@@ -53,8 +53,8 @@
 
 template<ObjectApiCodec Codec>
 CodedObjectClient<Codec>::CodedObjectClient(base::EventLoop& aLoop, base::HttpClient& aHttp,
-                           base::Endpoint aPlatform, CallBudget& aBudget, CircuitBreaker& aBreaker,
-                           base::Metrics& aMetrics)
+                                            base::Endpoint aPlatform, CallBudget& aBudget,
+                                            CircuitBreaker& aBreaker, base::Metrics& aMetrics)
   : m_loop(aLoop)
   , m_http(aHttp)
   , m_platform(std::move(aPlatform))
@@ -65,9 +65,8 @@
 }
 
 template<ObjectApiCodec Codec>
-boost::asio::awaitable<tl::expected<void, ReadError>> CodedObjectClient<Codec>::Admit(CallKind aKind,
-                                                                   base::Instant aEnd,
-                                                                   CallPurpose aPurpose)
+boost::asio::awaitable<tl::expected<void, ReadError>> CodedObjectClient<Codec>::Admit(
+  CallKind aKind, base::Instant aEnd, CallPurpose aPurpose)
 {
   while (true) {
     auto const now = m_loop.Now();
@@ -105,10 +104,9 @@
 }
 
 template<ObjectApiCodec Codec>
-boost::asio::awaitable<typename CodedObjectClient<Codec>::Answer> CodedObjectClient<Codec>::Call(base::HttpRequest aRequest, CallKind aKind,
-                                                         base::Duration aLimit,
-                                                         base::Duration aExtraWait,
-                                                         CallPurpose aPurpose)
+boost::asio::awaitable<typename CodedObjectClient<Codec>::Answer> CodedObjectClient<Codec>::Call(
+  base::HttpRequest aRequest, CallKind aKind, base::Duration aLimit, base::Duration aExtraWait,
+  CallPurpose aPurpose)
 {
   auto const end = m_loop.Now() + aLimit;
   // What the circuit refuses must not spend the budget, or nothing would be
@@ -126,8 +124,8 @@
     co_return RefusedByCircuit();
   }
   auto const limit = std::max<base::Duration>(end - start, std::chrono::milliseconds(1));
-  auto response =
-    co_await m_http.Fetch(m_platform, std::move(aRequest), limit + aExtraWait, detail::kMaxAnswerBytes);
+  auto response = co_await m_http.Fetch(m_platform, std::move(aRequest), limit + aExtraWait,
+                                        detail::kMaxAnswerBytes);
   Answer answer;
   if (response) {
     answer = std::move(*response);
@@ -142,7 +140,8 @@
 }
 
 template<ObjectApiCodec Codec>
-void CodedObjectClient<Codec>::NoteResult(Answer const& aAnswer, base::Instant aStart, CallPurpose aPurpose)
+void CodedObjectClient<Codec>::NoteResult(Answer const& aAnswer, base::Instant aStart,
+                                          CallPurpose aPurpose)
 {
   auto const now = m_loop.Now();
   bool const isOutage = !aAnswer || aAnswer->m_status >= 500;
@@ -182,7 +181,8 @@
 }
 
 template<ObjectApiCodec Codec>
-ReadTask<Object> CodedObjectClient<Codec>::Get(ObjectKey aKey, base::Duration aLimit, CallPurpose aPurpose)
+ReadTask<Object> CodedObjectClient<Codec>::Get(ObjectKey aKey, base::Duration aLimit,
+                                               CallPurpose aPurpose)
 {
   auto request = Codec::EncodeGet(aKey);
   auto const answer = co_await Call(std::move(request), CallKind::Read, aLimit, {}, aPurpose);
@@ -221,8 +221,8 @@
 
 template<ObjectApiCodec Codec>
 ReadTask<ObjectChanges> CodedObjectClient<Codec>::Watch(ObjectKind aKind, ObjectName aPrefix,
-                                            base::ObjectVersion aAfter, base::Duration aLimit,
-                                            CallPurpose aPurpose)
+                                                        base::ObjectVersion aAfter,
+                                                        base::Duration aLimit, CallPurpose aPurpose)
 {
   auto request = Codec::EncodeWatch(aKind, aPrefix, aAfter, aLimit);
   base::Duration const grace = detail::kWatchGrace;
@@ -235,7 +235,7 @@
 
 template<ObjectApiCodec Codec>
 WriteTask CodedObjectClient<Codec>::CallToWrite(base::HttpRequest aRequest, base::Duration aLimit,
-                                    CallPurpose aPurpose)
+                                                CallPurpose aPurpose)
 {
   auto const answer = co_await Call(std::move(aRequest), CallKind::Write, aLimit, {}, aPurpose);
   if (!answer) {
@@ -246,7 +246,8 @@
 }
 
 template<ObjectApiCodec Codec>
-WriteTask CodedObjectClient<Codec>::Write(ObjectWrite aWrite, base::Duration aLimit, CallPurpose aPurpose)
+WriteTask CodedObjectClient<Codec>::Write(ObjectWrite aWrite, base::Duration aLimit,
+                                          CallPurpose aPurpose)
 {
   auto request = Codec::EncodeWrite(aWrite);
   if (static_cast<std::int64_t>(request.m_body.size()) > kMaxValueBytes.Value()) {
@@ -257,8 +258,8 @@
 }
 
 template<ObjectApiCodec Codec>
-WriteTask CodedObjectClient<Codec>::Delete(ObjectKey aKey, base::ObjectVersion aVersion, base::Duration aLimit,
-                               CallPurpose aPurpose)
+WriteTask CodedObjectClient<Codec>::Delete(ObjectKey aKey, base::ObjectVersion aVersion,
+                                           base::Duration aLimit, CallPurpose aPurpose)
 {
   auto request = Codec::EncodeDelete(aKey, aVersion);
   co_return co_await CallToWrite(std::move(request), aLimit, aPurpose);
--- a/Operator/DocumentStoreClient.h
+++ b/Operator/DocumentStoreClient.h
@@ -2,10 +2,10 @@
 
 #include "Base/Digest.h"
 #include "Base/EventLoop.h"
+#include "ObjectStore/ObjectStoreClient.h"
 #include "Operator/ChunkCodec.h"
 #include "Operator/ManifestCodec.h"
 #include "Operator/Publication.h"
-#include "ObjectStore/ObjectStoreClient.h"
 
 #include <algorithm>
 #include <map>
@@ -40,7 +40,7 @@
   Task<std::optional<StoredManifest>> ReadManifest(base::EnvironmentId aEnvironment)
   {
     objectstore::ObjectKey key{ objectstore::ObjectKind::Document,
-                             objectstore::ObjectName::FromValidated(aEnvironment.Text()) };
+                                objectstore::ObjectName::FromValidated(aEnvironment.Text()) };
     auto const object =
       co_await m_store.Get(std::move(key), kCallTime, objectstore::CallPurpose::Configuration);
     if (!object) {
@@ -59,7 +59,7 @@
   Task<Chunk> ReadChunk(ChunkHash aHash)
   {
     objectstore::ObjectKey key{ objectstore::ObjectKind::Chunk,
-                             objectstore::ObjectName::FromValidated(aHash.Text()) };
+                                objectstore::ObjectName::FromValidated(aHash.Text()) };
     auto const object =
       co_await m_store.Get(std::move(key), kCallTime, objectstore::CallPurpose::Configuration);
     if (!object) {
@@ -162,7 +162,8 @@
   {
     objectstore::ObjectWrite write;
     auto const& name = aStep.m_manifest.m_environment.Text();
-    write.m_key = { objectstore::ObjectKind::Document, objectstore::ObjectName::FromValidated(name) };
+    write.m_key = { objectstore::ObjectKind::Document,
+                    objectstore::ObjectName::FromValidated(name) };
     write.m_condition = objectstore::IfAbsent{};
     if (aStep.m_expected) {
       write.m_condition = objectstore::IfVersion{ *aStep.m_expected };
@@ -184,7 +185,8 @@
     if (kind == objectstore::WriteError::Kind::Conflict) {
       co_return WriteResult::ConditionFailed;
     }
-    co_return objectstore::IsCertainlyNotApplied(kind) ? WriteResult::Refused : WriteResult::Unknown;
+    co_return objectstore::IsCertainlyNotApplied(kind) ? WriteResult::Refused
+                                                       : WriteResult::Unknown;
   }
 
   base::EventLoop& m_loop;
--- a/Programs/Agent/AgentConfiguration.h
+++ b/Programs/Agent/AgentConfiguration.h
@@ -3,8 +3,8 @@
 #include "Base/Http/HttpMessage.h"
 #include "Base/Identifiers.h"
 #include "Base/Settings.h"
-#include "Operator/Document.h"
 #include "ObjectStore/FleetShare.h"
+#include "Operator/Document.h"
 
 #include <tl/expected.hpp>
 
--- a/Programs/Entry/EntryBackend.h
+++ b/Programs/Entry/EntryBackend.h
@@ -10,8 +10,8 @@
 #include "Caller/RouteTable.h"
 #include "Entry/Allowance/AllowanceEndpoint.h"
 #include "Entry/Keys/KeysEndpoint.h"
-#include "Operator/Document.h"
 #include "ObjectStore/ObjectClient.h"
+#include "Operator/Document.h"
 #include "Programs/Entry/RoutingChooser.h"
 #include "Programs/Entry/StatusFollower.h"
 
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -197,7 +197,8 @@
 asio::awaitable<void> EntryProgram::FollowHosts()
 {
   while (!m_backend.IsDraining()) {
-    auto const hosts = co_await m_platform.Hosts(kHostPollLimit, objectstore::CallPurpose::Membership);
+    auto const hosts =
+      co_await m_platform.Hosts(kHostPollLimit, objectstore::CallPurpose::Membership);
     if (hosts) {
       TakeHosts(*hosts);
     }
--- a/Programs/Entry/EntryProgram.h
+++ b/Programs/Entry/EntryProgram.h
@@ -10,8 +10,8 @@
 #include "Caller/CallerEndpoint.h"
 #include "Caller/CallerMetrics.h"
 #include "Entry/Configuration/NewsEndpoint.h"
-#include "Operator/OperatorEndpoint.h"
 #include "ObjectStore/ObjectClient.h"
+#include "Operator/OperatorEndpoint.h"
 #include "Programs/Entry/EntryBackend.h"
 #include "Programs/Entry/HostViews.h"
 
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -96,8 +96,7 @@
     if (!catalog) {
       return Refusal{ 503, "no configuration yet", kRetryAfter };
     }
-    auto const* const route =
-      catalog->FindRoute(m_request.m_host, m_exchange.Request().Path());
+    auto const* const route = catalog->FindRoute(m_request.m_host, m_exchange.Request().Path());
     if (!route) {
       return Refusal{ 404, "no route", std::nullopt };
     }
@@ -303,7 +302,8 @@
   double Worth() const
   {
     constexpr double kTypicalTokens = 2'000;
-    double const tokens = static_cast<double>(m_request.m_tokens ? m_request.m_tokens->Total().Value() : 0);
+    double const tokens =
+      static_cast<double>(m_request.m_tokens ? m_request.m_tokens->Total().Value() : 0);
     return 0.3 + 0.7 * tokens / kTypicalTokens;
   }
 
@@ -360,11 +360,10 @@
     terms.m_urgency = std::min(m_urgency, 9U);
     terms.m_resumeAfter = m_lastEvent ? m_lastEvent : m_request.m_resumeAfter;
     auto request = Wire::EncodeForEngine(m_exchange.Request(), terms);
-    base::HttpSendOptions options{
-      terms.m_timeLeft + kAnswerGrace, &m_cancellation,
-      m_route.MayRepeat() ? kRepeatableIdle : kFreshConnection,
-      base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_request.m_id.Text() }
-    };
+    base::HttpSendOptions options{ terms.m_timeLeft + kAnswerGrace, &m_cancellation,
+                                   m_route.MayRepeat() ? kRepeatableIdle : kFreshConnection,
+                                   base::HttpHeaders::Field{ Wire::RequestIdHeader(),
+                                                             m_request.m_id.Text() } };
     auto endpoint = aChoice.m_endpoint;
     auto reply =
       co_await m_state.m_http.Send(std::move(endpoint), std::move(request), std::move(options));
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -50,7 +50,8 @@
     auto const onMessage = [this](std::string_view aText, base::Endpoint const& aSender) {
       OnMessage(aText, aSender);
     };
-    if (auto const bound = m_state.m_peers.Listen({ profile.m_address, profile.m_peerPort }, onMessage);
+    if (auto const bound =
+          m_state.m_peers.Listen({ profile.m_address, profile.m_peerPort }, onMessage);
         !bound) {
       return bound;
     }
@@ -59,8 +60,8 @@
     m_loop.Start(m_upstreamWatch.Run(
       [this](objectstore::ObjectChanges const& aChanges) { OnUpstreams(aChanges); }));
     m_loop.Start(Tick());
-    base::log::Info("started", { { "host", profile.m_host.Text() },
-                                 { "incarnation", m_incarnation.Text() } });
+    base::log::Info("started",
+                    { { "host", profile.m_host.Text() }, { "incarnation", m_incarnation.Text() } });
     return {};
   }
 
@@ -167,14 +168,14 @@
       auto const& object = std::get<objectstore::ObjectPut>(change).m_object;
       auto entry = Wire::DecodeUpstream(object.m_key.m_name.Text(), object.m_value);
       if (!entry) {
-        base::log::Warning("upstream entry is unusable", { { "upstream", object.m_key.m_name.Text() },
-                                                           { "error", entry.error() } });
+        base::log::Warning(
+          "upstream entry is unusable",
+          { { "upstream", object.m_key.m_name.Text() }, { "error", entry.error() } });
         continue;
       }
-      base::log::Info("upstream listed",
-                      { { "upstream", entry->m_instance.Text() },
-                        { "deployment", entry->m_deployment.Text() },
-                        { "leaving", entry->m_isLeaving ? "true" : "false" } });
+      base::log::Info("upstream listed", { { "upstream", entry->m_instance.Text() },
+                                           { "deployment", entry->m_deployment.Text() },
+                                           { "leaving", entry->m_isLeaving ? "true" : "false" } });
       m_state.m_directory.OnListed(std::move(*entry), now);
     }
     NotifyAll();
@@ -191,16 +192,19 @@
   {
     auto const message = agent::DecodeFleetMessage(aText);
     if (!message) {
-      base::log::Warning("message is unusable", { { "sender", aSender.Text() },
-                                                  { "error", message.error() } });
+      base::log::Warning("message is unusable",
+                         { { "sender", aSender.Text() }, { "error", message.error() } });
       return;
     }
     auto const now = m_loop.Now();
     if (auto const* const status = std::get_if<agent::EngineStatus>(&*message)) {
       m_planner.OnLoader(status->m_host, aSender, status->m_canOrder, now);
-      engine::LoaderAccount account{ status->m_engine, status->m_models,
-                                     status->m_change.m_unloading, status->m_running,
-                                     status->m_waiting, status->m_copies,
+      engine::LoaderAccount account{ status->m_engine,
+                                     status->m_models,
+                                     status->m_change.m_unloading,
+                                     status->m_running,
+                                     status->m_waiting,
+                                     status->m_copies,
                                      status->m_change.m_loading,
                                      now + status->m_change.m_readyIn };
       auto const models = account.m_models;
@@ -258,8 +262,9 @@
       if (!IsEngine(entry.m_deployment)) {
         continue;
       }
-      agent::GatewayPresence const presence{ m_state.m_profile.m_host, aPlanner, version,
-                                             { entry.m_instance, entry.m_startedAt } };
+      agent::GatewayPresence const presence{
+        m_state.m_profile.m_host, aPlanner, version, { entry.m_instance, entry.m_startedAt }
+      };
       m_state.m_peers.Send({ entry.m_endpoint.m_address, m_state.m_profile.m_peerPort },
                            agent::EncodeFleetMessage(presence));
     }
--- a/Programs/Gateway/PlannerChoice.h
+++ b/Programs/Gateway/PlannerChoice.h
@@ -30,9 +30,8 @@
   {
     // Loaders tell their state at least three times in this time.
     static constexpr base::Duration kSilence = std::chrono::milliseconds(1200);
-    std::erase_if(m_loaders, [aNow](auto const& aItem) {
-      return aNow - aItem.second.m_heardAt > kSilence;
-    });
+    std::erase_if(m_loaders,
+                  [aNow](auto const& aItem) { return aNow - aItem.second.m_heardAt > kSilence; });
     return m_loaders.empty() ? std::nullopt : std::optional(m_loaders.begin()->second.m_endpoint);
   }
 
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -106,11 +106,10 @@
     }
     agent::SwapRequest const request{ swap.m_load, swap.m_unload };
     m_peers.Send(loader->second.m_endpoint, agent::EncodeFleetMessage(request));
-    base::log::Info("swap planned", { { "loader", swap.m_loader.Text() },
-                                      { "load", swap.m_load.Text() },
-                                      { "unload", swap.m_unload.empty()
-                                                    ? ""
-                                                    : swap.m_unload.front().Text() } });
+    base::log::Info("swap planned",
+                    { { "loader", swap.m_loader.Text() },
+                      { "load", swap.m_load.Text() },
+                      { "unload", swap.m_unload.empty() ? "" : swap.m_unload.front().Text() } });
   }
 }
 
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -53,8 +53,8 @@
     m_loop.Start(FollowCatalog());
     m_loop.Start(FollowEngine());
     m_loop.Start(Tick());
-    base::log::Info("started", { { "host", m_profile.m_host.Text() },
-                                 { "engine", m_profile.m_engine->Text() } });
+    base::log::Info(
+      "started", { { "host", m_profile.m_host.Text() }, { "engine", m_profile.m_engine->Text() } });
     return {};
   }
 
@@ -111,8 +111,8 @@
         continue;
       }
       objectstore::ObjectKey key{ objectstore::ObjectKind::Catalog, Wire::CatalogName() };
-      auto const object = co_await m_store.Objects().Get(
-        std::move(key), kStoreTime, objectstore::CallPurpose::Configuration);
+      auto const object = co_await m_store.Objects().Get(std::move(key), kStoreTime,
+                                                         objectstore::CallPurpose::Configuration);
       if (object) {
         OnCatalog(object->m_value);
       }
@@ -193,17 +193,18 @@
     constexpr base::Duration kOrderTime = std::chrono::milliseconds(500);
     auto request = Wire::EncodeOrder(full, m_instance->m_instance);
     auto endpoint = *m_profile.m_engine;
-    auto const response = co_await m_http.Fetch(std::move(endpoint), std::move(request), kOrderTime);
-    auto const answer = response ? Wire::DecodeOrderAnswer(response->m_status)
-                                 : engine::OrderAnswer::Unknown;
-    base::log::Info("order given",
-                    { { "operation", full.m_operation == engine::EngineOrderRequest::Operation::Load
-                                       ? "load"
-                                       : "unload" },
-                      { "model", full.m_model.Text() },
-                      { "adapter", full.m_adapter ? full.m_adapter->Text() : "" },
-                      { "expected", std::to_string(full.m_expected.Value()) },
-                      { "status", response ? std::to_string(response->m_status) : "none" } });
+    auto const response =
+      co_await m_http.Fetch(std::move(endpoint), std::move(request), kOrderTime);
+    auto const answer =
+      response ? Wire::DecodeOrderAnswer(response->m_status) : engine::OrderAnswer::Unknown;
+    base::log::Info(
+      "order given",
+      { { "operation",
+          full.m_operation == engine::EngineOrderRequest::Operation::Load ? "load" : "unload" },
+        { "model", full.m_model.Text() },
+        { "adapter", full.m_adapter ? full.m_adapter->Text() : "" },
+        { "expected", std::to_string(full.m_expected.Value()) },
+        { "status", response ? std::to_string(response->m_status) : "none" } });
     m_desk.OnAnswer(full, answer, m_loop.Now());
     SendStatus(false);
   }
@@ -272,8 +273,8 @@
   {
     auto const message = agent::DecodeFleetMessage(aText);
     if (!message) {
-      base::log::Warning("message is unusable", { { "sender", aSender.Text() },
-                                                  { "error", message.error() } });
+      base::log::Warning("message is unusable",
+                         { { "sender", aSender.Text() }, { "error", message.error() } });
       return;
     }
     auto const now = m_loop.Now();
--- a/Service/ClaimAttempt.h
+++ b/Service/ClaimAttempt.h
@@ -91,8 +91,8 @@
   void OnWritten(tl::expected<base::ObjectVersion, objectstore::WriteError> const& aResult);
   /// aOwnerGaveUp tells that this process's own earlier attempt holds the
   /// claim and will never run.
-  void OnRead(tl::expected<VersionedClaim, objectstore::ReadError> const& aResult, bool aOwnerGaveUp,
-              base::Instant aNow);
+  void OnRead(tl::expected<VersionedClaim, objectstore::ReadError> const& aResult,
+              bool aOwnerGaveUp, base::Instant aNow);
   void OnRan(RunEnd aEnd);
 
   /// Whether the attempt ended without knowing that its claim is not there:
--- a/Service/ClaimSession.h
+++ b/Service/ClaimSession.h
@@ -46,7 +46,7 @@
     auto owner = ClaimOwnerId::FromValidated(base::RandomHex(kOwnerBytes));
     ClaimAttempt attempt({ owner, m_incarnation, std::move(aContent) }, aEnd);
     objectstore::ObjectKey key{ objectstore::ObjectKind::Claim,
-                             objectstore::ObjectName::FromValidated(aClaim.Text()) };
+                                objectstore::ObjectName::FromValidated(aClaim.Text()) };
     return { std::move(key), std::move(owner), std::move(attempt) };
   }
 
@@ -96,9 +96,9 @@
                                      base::Duration aLimit)
   {
     objectstore::ObjectWrite write{ aTicket.m_key, aStep.m_condition, EncodeClaim(aStep.m_claim),
-                                 objectstore::NewWriteNonce() };
-    auto const result = co_await objectstore::WriteUntilKnown(m_store, m_loop, std::move(write),
-                                                           aLimit, objectstore::CallPurpose::Claim);
+                                    objectstore::NewWriteNonce() };
+    auto const result = co_await objectstore::WriteUntilKnown(
+      m_store, m_loop, std::move(write), aLimit, objectstore::CallPurpose::Claim);
     if (result) {
       m_retention.Note(aTicket.m_key.m_name, *result, aStep.m_claim.m_state, m_loop.Now());
     } else {
@@ -113,7 +113,8 @@
   {
     using Result = tl::expected<VersionedClaim, objectstore::ReadError>;
     auto key = aTicket.m_key;
-    auto const object = co_await m_store.Get(std::move(key), aLimit, objectstore::CallPurpose::Claim);
+    auto const object =
+      co_await m_store.Get(std::move(key), aLimit, objectstore::CallPurpose::Claim);
     if (!object) {
       Result const failed = tl::make_unexpected(object.error());
       aTicket.m_attempt.OnRead(failed, false, m_loop.Now());
--- /dev/null
+++ b/Tests/AdapterTest.cpp
@@ -0,0 +1,316 @@
+#define BOOST_TEST_MODULE Adapter
+#include "Caller/CatalogIndex.h"
+#include "platform/NodeSettings.h"
+#include "platform/Wire.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using platform::Wire;
+
+namespace {
+
+constexpr char kSettings[] = R"(
+nodeName: "side-a-1"
+zone: "a"
+ip: "10.1.0.26"
+listenAddrs:
+  front: "10.1.0.25:8221"
+  ready: "10.1.0.25:8224"
+innerPortRange:
+  - 7600
+  - 7615
+platform:
+  address: "10.200.1.7:8225"
+app: "10.1.0.26:8228"
+service: "huvo11a"
+bounds:
+  drainMs: 2500
+  graceS: 8
+  retrySlack: 52
+somethingNew:
+  deep: [1, 2]
+)";
+
+constexpr char kCatalog[] = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r-1", "host": "Site.example", "pathPrefix": "/a/", "kind": "streaming",
+     "timeoutMs": 15000, "goalMs": 600, "priority": 2, "service": "llm", "maxAttempts": 2,
+     "public": false, "sticky": true, "resumable": true, "gapTargetMs": 300},
+    {"name": "r-2", "host": "site.example", "pathPrefix": "/a/b/", "kind": "unsafe",
+     "timeoutMs": 800, "goalMs": 150,
+     "split": [{"service": "desk", "weight": 90}, {"service": "desk-2", "weight": 10}]},
+    {"name": "r-3", "host": "site.example", "pathPrefix": "/c/", "kind": "safe", "service": "desk"}],
+  "services": [
+    {"name": "llm", "healthPath": "/health", "maxConns": 360,
+     "engine": {"slots": 64, "kvCapacity": 1000, "weightsMb": 220000.0, "adapterSlots": 8,
+                "models": [{"name": "m1", "weightsMb": 65099.99, "loadS": 6.0, "warmS": 0.76,
+                            "diskS": 0.99, "adapterMb": 12.0}]}},
+    {"name": "desk", "healthPath": "/health"}],
+  "tenants": [
+    {"name": "t1", "apiKeys": ["k1", "k2"], "priority": 1, "unit": "token_stream",
+     "plainTokens": 200, "ratePerS": 100, "burst": 300}],
+  "limits": {"headerBytes": 16384, "bodyBytes": 1000, "headerTimeoutMs": 3000,
+             "idleTimeoutMs": 15000}})";
+
+operators::ServingCatalog Catalog()
+{
+  auto catalog = Wire::DecodeCatalog(kCatalog);
+  BOOST_REQUIRE(catalog.has_value());
+  return std::move(*catalog);
+}
+
+constexpr char kUpstream[] = R"({"service":"llm","address":"10.1.0.9:8080","zone":"a",
+  "version":"v1","slots":64,"state":"ready","born":123,"coldLeftMs":0,
+  "models":[{"name":"m1","version":1,"adapters":["a1"]}],"seqNo":4,
+  "atHand":{"inMemory":["m1"],"onDisk":["m1","m2"]}})";
+
+base::HttpRequest CallerRequest()
+{
+  base::HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = "/a/x?y=1";
+  for (auto const& [name, value] : std::initializer_list<std::pair<char const*, char const*>>{
+         { "Host", "site.example:80" },
+         { "Request-Id", "r1" },
+         { "Deadline-Ms", "15000" },
+         { "Authorization", "Bearer k1" },
+         { "Tenant", "forged" },
+         { "Hold", "h" },
+         { "Pin-Ms", "5" },
+         { "Kv-From", "1.2.3.4:5/x" },
+         { "Kv-Backup", "1.2.3.4:5" },
+         { "Connection", "Model, X-Private" },
+         { "X-Private", "p" },
+         { "X-Kept", "k" },
+         { "Model", "m1/a3" },
+         { "Token-Count", "1460,80" },
+         { "Prompt-Prefix", "5c:800,91bd:410,e4:250" } }) {
+    request.m_headers.Add(name, value);
+  }
+  request.m_body = "body";
+  return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ReadsTheSettingsOfAHost)
+{
+  auto const profile = platform::ParseNodeSettings(kSettings);
+  BOOST_REQUIRE(profile.has_value());
+  BOOST_TEST(profile->m_host.Text() == "side-a-1");
+  BOOST_TEST(profile->m_peerPort == 7600);
+  BOOST_TEST(profile->m_objectStore.Text() == "10.200.1.7:8225");
+  BOOST_TEST(profile->m_engine->Text() == "10.1.0.26:8228");
+  BOOST_TEST((profile->m_bounds.m_drain == std::chrono::milliseconds(2500)));
+  BOOST_TEST(profile->m_bounds.m_retryAllowance == 52);
+}
+
+BOOST_AUTO_TEST_CASE(NamesTheSettingThatIsMissing)
+{
+  auto const profile = platform::ParseNodeSettings("nodeName: x\nzone: a\nip: 10.0.0.1\n");
+  BOOST_REQUIRE(!profile.has_value());
+  BOOST_TEST(profile.error().find("innerPortRange") != std::string::npos);
+  BOOST_TEST(!platform::ParseNodeSettings("[1, 2").has_value());
+  BOOST_TEST(!platform::ParseNodeSettings("").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DecodesTheCatalog)
+{
+  auto const catalog = Catalog();
+  BOOST_TEST(catalog.m_version.Value() == 7U);
+  BOOST_REQUIRE(catalog.m_routes.size() == 3U);
+  auto const& stream = catalog.m_routes[0];
+  BOOST_TEST((stream.m_repeatability == operators::Repeatability::Stream));
+  BOOST_TEST(stream.m_isResumable);
+  BOOST_TEST(stream.MayRepeat());
+  BOOST_TEST((stream.m_pause == std::chrono::milliseconds(300)));
+  BOOST_TEST(catalog.m_routes[1].m_targets.size() == 2U);
+  BOOST_TEST(!catalog.m_routes[1].MayRepeat());
+  auto const& engine = *catalog.m_deployments.at(base::DeploymentId::FromValidated("llm")).m_engine;
+  BOOST_TEST(engine.m_adapterSlots == 8U);
+  BOOST_TEST((engine.m_models.begin()->second.m_loadFromDisk == std::chrono::milliseconds(990)));
+  BOOST_TEST(catalog.m_workspaces[0].m_plainRequestTokens == base::Tokens(200));
+  BOOST_TEST(catalog.m_limits.m_bodyBytes == base::Bytes(1000));
+  BOOST_TEST(!Wire::DecodeCatalog("{}").has_value());
+  BOOST_TEST(!Wire::DecodeCatalog("nonsense").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(FindsTheLongestPrefixOfTheHost)
+{
+  caller::CatalogIndex const index(Catalog());
+  auto const nameOf = [&](std::string_view aHost, std::string_view aPath) {
+    auto const* const route = index.FindRoute(aHost, aPath);
+    return route ? route->m_id.Text() : std::string("none");
+  };
+  BOOST_TEST(nameOf("site.example", "/a/x") == "r-1");
+  BOOST_TEST(nameOf("SITE.example:8080", "/a/b/x") == "r-2");
+  BOOST_TEST(nameOf("site.example", "/a/bx") == "r-1");
+  BOOST_TEST(nameOf("site.example", "/a") == "none");
+  BOOST_TEST(nameOf("other.example", "/a/x") == "none");
+  BOOST_TEST(index.FindWorkspace("k2")->m_id.Text() == "t1");
+  BOOST_TEST(index.FindWorkspace("K2") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(DecodesAnUpstream)
+{
+  auto const entry = Wire::DecodeUpstream("i-1", kUpstream);
+  BOOST_REQUIRE(entry.has_value());
+  BOOST_TEST(entry->m_endpoint.Text() == "10.1.0.9:8080");
+  BOOST_TEST(entry->m_startedAt == 123);
+  BOOST_TEST(entry->m_models[0].m_adapters.size() == 1U);
+  BOOST_TEST(entry->m_copies.m_onDisk.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AMalformedOrForgedUpstreamNamesNoEngine)
+{
+  std::string const whole = kUpstream;
+  auto const replaced = [&](std::string const& aFrom, std::string const& aTo) {
+    auto text = whole;
+    text.replace(text.find(aFrom), aFrom.size(), aTo);
+    return text;
+  };
+  for (auto const& text :
+       { std::string("{}"), std::string("[]"), std::string("null"), std::string("\"\\u0000\""),
+         std::string("not json"), replaced("\"ready\"", "\"waiting\""), replaced("\"ready\"", "5"),
+         replaced("\"slots\":64", "\"slots\":\"64\""), replaced("\"slots\":64", "\"slots\":-1"),
+         replaced("\"born\":123", "\"born\":1.5"), replaced("10.1.0.9:8080", "10.1.0.9"),
+         replaced("\"service\":\"llm\",", ""), replaced("\"zone\":\"a\"", "\"zone\":7") }) {
+    BOOST_TEST(!Wire::DecodeUpstream("i-1", text).has_value(), text);
+  }
+  BOOST_TEST(!Wire::DecodeUpstream("", whole).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DecodesAReportAndEncodesAnOrder)
+{
+  auto const report = Wire::DecodeReport(
+    R"({"stage":"colocated","models":[{"name":"m1","adapters":[{"name":"a2"}]}],"busy":true,
+        "seqNo":2,"queued":1,"running":12,"kvUsed":41000,"kvTotal":90000,"handles":0,
+        "incoming":["m1/a3@1"],"atHand":{"inMemory":["m1"],"onDisk":[]}})");
+  BOOST_REQUIRE(report.has_value());
+  BOOST_TEST(report->m_isBusy);
+  BOOST_TEST(report->m_orders.Value() == 2U);
+  BOOST_TEST(report->m_arrivingAdapters == 1U);
+  BOOST_TEST(report->m_models[0].m_adapters.size() == 1U);
+  BOOST_TEST(!Wire::DecodeReport("{}").has_value());
+  engine::EngineOrderRequest order;
+  order.m_model = base::ModelId::FromValidated("m1");
+  order.m_adapter = base::AdapterId::FromValidated("a3");
+  order.m_expected = base::OrderCount(2);
+  order.m_holder = base::HostId::FromValidated("side-1");
+  order.m_fence = base::FencingNumber(41);
+  auto const request = Wire::EncodeOrder(order, engine::InstanceId::FromValidated("i-1"));
+  BOOST_TEST(*request.m_headers.Find("Expect-Instance") == "i-1");
+  BOOST_TEST(
+    request.m_body ==
+    R"({"adapter":"a3","expected":2,"fenceToken":41,"holder":"side-1","model":"m1","op":"load"})");
+  BOOST_TEST((Wire::DecodeOrderAnswer(409) == engine::OrderAnswer::Conflict));
+  BOOST_TEST((Wire::DecodeOrderAnswer(500) == engine::OrderAnswer::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(DecodesARequestAndGivesTheEngineOnlyWhatIsItsOwn)
+{
+  auto const request = CallerRequest();
+  auto const decoded = Wire::DecodeRequest(request);
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->m_id.Text() == "r1");
+  BOOST_TEST(*decoded->m_key == "k1");
+  BOOST_TEST(decoded->m_model->m_adapter->Text() == "a3");
+  BOOST_TEST(decoded->m_tokens->Total() == base::Tokens(1540));
+  BOOST_TEST(*decoded->m_promptPrefix == 0x91bdU);
+  caller::ForwardTerms terms;
+  terms.m_instance = engine::InstanceId::FromValidated("i-1");
+  terms.m_timeLeft = std::chrono::milliseconds(900);
+  terms.m_workspace = base::WorkspaceId::FromValidated("t1");
+  terms.m_urgency = 2;
+  auto const sent = Wire::EncodeForEngine(request, terms);
+  BOOST_TEST(sent.m_target == "/a/x?y=1");
+  BOOST_TEST(sent.m_body == "body");
+  for (auto const* const name :
+       { "Authorization", "Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Connection", "X-Private" }) {
+    BOOST_TEST(!sent.m_headers.Find(name).has_value(), name);
+  }
+  BOOST_TEST(*sent.m_headers.Find("Tenant") == "t1");
+  BOOST_TEST(*sent.m_headers.Find("Deadline-Ms") == "900");
+  BOOST_TEST(*sent.m_headers.Find("Expect-Instance") == "i-1");
+  BOOST_TEST(*sent.m_headers.Find("Model") == "m1/a3");
+  BOOST_TEST(*sent.m_headers.Find("X-Kept") == "k");
+  BOOST_TEST(sent.m_headers.Count("Tenant") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesRequestsThatCouldBeReadInTwoWays)
+{
+  for (auto const* const name : { "Host", "Content-Length", "Transfer-Encoding" }) {
+    auto request = CallerRequest();
+    request.m_headers.Add(name, "chunked");
+    request.m_headers.Add(name, "chunked");
+    BOOST_TEST(!Wire::DecodeRequest(request).has_value(), name);
+  }
+  auto request = CallerRequest();
+  request.m_headers.Add("Transfer-Encoding", "gzip, chunked");
+  BOOST_TEST(!Wire::DecodeRequest(request).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TellsAnEnginesAnswerFromOthers)
+{
+  auto const id = base::RequestId::FromValidated("r1");
+  base::HttpHeaders headers;
+  headers.Add("Request-Id", "r1");
+  headers.Add("Server-Seal", "s");
+  BOOST_TEST(Wire::DecodeAnswerHead(200, headers, id).m_isGenuine);
+  BOOST_TEST(
+    !Wire::DecodeAnswerHead(200, headers, base::RequestId::FromValidated("r2")).m_isGenuine);
+  BOOST_TEST(Wire::DecodeAnswerHead(421, headers, id).m_isNotRun);
+  BOOST_TEST(!Wire::DecodeAnswerHead(503, headers, id).m_isNotRun);
+  headers.Add("Not-Executed", "1");
+  BOOST_TEST(Wire::DecodeAnswerHead(503, headers, id).m_isNotRun);
+  headers.Add("Content-Encoding", "gzip");
+  BOOST_TEST(Wire::DecodeAnswerHead(200, headers, id).m_isEncoded);
+  headers.Remove("Server-Seal");
+  BOOST_TEST(!Wire::DecodeAnswerHead(200, headers, id).m_isGenuine);
+}
+
+BOOST_AUTO_TEST_CASE(TellsWhenToComeBack)
+{
+  auto const response = Wire::EncodeRefusal(
+    503, "model not loaded", base::RequestId::FromValidated("r1"), std::chrono::milliseconds(1250));
+  BOOST_TEST(*response.m_headers.Find("Retry-After") == "1.250");
+  BOOST_TEST(*response.m_headers.Find("Request-Id") == "r1");
+}
+
+BOOST_AUTO_TEST_CASE(ReadsTheNumberOfAnEvent)
+{
+  BOOST_TEST(Wire::DecodeEventNumber("id: 12\ndata: x\n\n")->Value() == 12U);
+  BOOST_TEST(Wire::DecodeEventNumber("weight-versions: 2\nid:7\r\ndata: id: 9\r\n")->Value() == 7U);
+  BOOST_TEST(!Wire::DecodeEventNumber("data: id: 12\n\n").has_value());
+  BOOST_TEST(!Wire::DecodeEventNumber("").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReadsObjectsAndSkipsUnreadableOnes)
+{
+  using objectstore::ObjectKind;
+  base::HttpResponse answer;
+  answer.m_body = R"({"items":[{"metadata":{"name":"i-1","revision":5},"spec":{"a":1}},
+                               {"metadata":{"name":"","revision":6},"spec":null}, 7],
+                      "hasMore":true,"currentRev":9})";
+  auto const list = platform::StoreCodec::DecodeList(ObjectKind::Upstream, answer);
+  BOOST_REQUIRE(list.has_value());
+  BOOST_TEST(list->m_version.Value() == 9U);
+  BOOST_REQUIRE(list->m_objects.size() == 1U);
+  BOOST_TEST(list->m_objects[0].m_value == R"({"a":1})");
+  answer.m_body = R"({"events":[{"removed":true,"object":{"metadata":{"name":"i-1","revision":8}}}],
+                      "currentRev":12})";
+  auto const changes = platform::StoreCodec::DecodeChanges(ObjectKind::Upstream, answer);
+  BOOST_REQUIRE(changes.has_value());
+  BOOST_TEST(std::holds_alternative<objectstore::ObjectDeleted>(changes->m_changes.at(0)));
+  answer.m_status = 410;
+  BOOST_TEST((platform::StoreCodec::DecodeChanges(ObjectKind::Upstream, answer).error().m_kind ==
+              objectstore::ReadError::Kind::Compacted));
+  answer.m_status = 503;
+  BOOST_TEST((platform::StoreCodec::DecodeWrite(answer).error().m_kind ==
+              objectstore::WriteError::Kind::NotApplied));
+  answer.m_status = 500;
+  BOOST_TEST((platform::StoreCodec::DecodeWrite(answer).error().m_kind ==
+              objectstore::WriteError::Kind::Unknown));
+}
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -68,8 +68,9 @@
   return fault;
 }
 
-objectstore::ReadTask<objectstore::Object> FakeObjectStore::Get(objectstore::ObjectKey aKey, base::Duration,
-                                                          objectstore::CallPurpose)
+objectstore::ReadTask<objectstore::Object> FakeObjectStore::Get(objectstore::ObjectKey aKey,
+                                                                base::Duration,
+                                                                objectstore::CallPurpose)
 {
   if (auto const fault = NextFault(); fault != CallFault::None) {
     co_return tl::make_unexpected(ToReadError(fault));
@@ -81,10 +82,9 @@
   co_return ToObject(*object);
 }
 
-objectstore::ReadTask<objectstore::ObjectList> FakeObjectStore::List(objectstore::ObjectKind aKind,
-                                                               objectstore::ObjectName aPrefix,
-                                                               base::Duration,
-                                                               objectstore::CallPurpose)
+objectstore::ReadTask<objectstore::ObjectList> FakeObjectStore::List(
+  objectstore::ObjectKind aKind, objectstore::ObjectName aPrefix, base::Duration,
+  objectstore::CallPurpose)
 {
   if (auto const fault = NextFault(); fault != CallFault::None) {
     co_return tl::make_unexpected(ToReadError(fault));
@@ -97,11 +97,9 @@
   co_return list;
 }
 
-objectstore::ReadTask<objectstore::ObjectChanges> FakeObjectStore::Watch(objectstore::ObjectKind aKind,
-                                                                   objectstore::ObjectName aPrefix,
-                                                                   base::ObjectVersion aAfter,
-                                                                   base::Duration aLimit,
-                                                                   objectstore::CallPurpose)
+objectstore::ReadTask<objectstore::ObjectChanges> FakeObjectStore::Watch(
+  objectstore::ObjectKind aKind, objectstore::ObjectName aPrefix, base::ObjectVersion aAfter,
+  base::Duration aLimit, objectstore::CallPurpose)
 {
   if (auto const fault = NextFault(); fault != CallFault::None) {
     co_return tl::make_unexpected(ToReadError(fault));
@@ -124,7 +122,7 @@
 }
 
 objectstore::WriteResult FakeObjectStore::Finish(standins::ObjectTable::WriteResult const& aResult,
-                                              CallFault aFault)
+                                                 CallFault aFault)
 {
   m_changed.Notify();
   if (aFault == CallFault::AnswerLost) {
@@ -137,7 +135,7 @@
 }
 
 objectstore::WriteTask FakeObjectStore::Write(objectstore::ObjectWrite aWrite, base::Duration,
-                                           objectstore::CallPurpose)
+                                              objectstore::CallPurpose)
 {
   auto const fault = NextFault();
   if (fault != CallFault::None && fault != CallFault::AnswerLost) {
@@ -151,8 +149,9 @@
   co_return Finish(result, fault);
 }
 
-objectstore::WriteTask FakeObjectStore::Delete(objectstore::ObjectKey aKey, base::ObjectVersion aVersion,
-                                            base::Duration, objectstore::CallPurpose)
+objectstore::WriteTask FakeObjectStore::Delete(objectstore::ObjectKey aKey,
+                                               base::ObjectVersion aVersion, base::Duration,
+                                               objectstore::CallPurpose)
 {
   auto const fault = NextFault();
   if (fault != CallFault::None && fault != CallFault::AnswerLost) {
@@ -163,7 +162,8 @@
   co_return Finish(result, fault);
 }
 
-objectstore::ReadTask<objectstore::HostList> FakeObjectStore::Hosts(base::Duration, objectstore::CallPurpose)
+objectstore::ReadTask<objectstore::HostList> FakeObjectStore::Hosts(base::Duration,
+                                                                    objectstore::CallPurpose)
 {
   if (auto const fault = NextFault(); fault != CallFault::None) {
     co_return tl::make_unexpected(ToReadError(fault));
--- a/Tests/Fakes/FakeObjectStore.h
+++ b/Tests/Fakes/FakeObjectStore.h
@@ -37,25 +37,27 @@
   std::size_t Calls() const { return m_calls; }
 
   objectstore::ReadTask<objectstore::Object> Get(objectstore::ObjectKey aKey, base::Duration aLimit,
-                                           objectstore::CallPurpose aPurpose);
+                                                 objectstore::CallPurpose aPurpose);
   objectstore::ReadTask<objectstore::ObjectList> List(objectstore::ObjectKind aKind,
-                                                objectstore::ObjectName aPrefix, base::Duration aLimit,
-                                                objectstore::CallPurpose aPurpose);
+                                                      objectstore::ObjectName aPrefix,
+                                                      base::Duration aLimit,
+                                                      objectstore::CallPurpose aPurpose);
   objectstore::ReadTask<objectstore::ObjectChanges> Watch(objectstore::ObjectKind aKind,
-                                                    objectstore::ObjectName aPrefix,
-                                                    base::ObjectVersion aAfter,
-                                                    base::Duration aLimit,
-                                                    objectstore::CallPurpose aPurpose);
+                                                          objectstore::ObjectName aPrefix,
+                                                          base::ObjectVersion aAfter,
+                                                          base::Duration aLimit,
+                                                          objectstore::CallPurpose aPurpose);
   objectstore::WriteTask Write(objectstore::ObjectWrite aWrite, base::Duration aLimit,
-                            objectstore::CallPurpose aPurpose);
+                               objectstore::CallPurpose aPurpose);
   objectstore::WriteTask Delete(objectstore::ObjectKey aKey, base::ObjectVersion aVersion,
-                             base::Duration aLimit, objectstore::CallPurpose aPurpose);
+                                base::Duration aLimit, objectstore::CallPurpose aPurpose);
   objectstore::ReadTask<objectstore::HostList> Hosts(base::Duration aLimit,
-                                               objectstore::CallPurpose aPurpose);
+                                                     objectstore::CallPurpose aPurpose);
 
 private:
   CallFault NextFault();
-  objectstore::WriteResult Finish(standins::ObjectTable::WriteResult const& aResult, CallFault aFault);
+  objectstore::WriteResult Finish(standins::ObjectTable::WriteResult const& aResult,
+                                  CallFault aFault);
 
   base::EventLoop& m_loop;
   base::Signal m_changed;
--- /dev/null
+++ b/Tests/FleetMessagesTest.cpp
@@ -0,0 +1,102 @@
+#define BOOST_TEST_MODULE FleetMessages
+#include "Agent/Fleet/FleetCodec.h"
+#include "Programs/Gateway/EventBuffer.h"
+#include "Programs/Gateway/PlannerChoice.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using namespace sardinefold::agent;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr base::Instant kStart{ std::chrono::seconds(1000) };
+auto const kModel = base::ModelId::FromValidated("m1");
+
+/// Encodes, decodes and encodes again: the texts have to be the same.
+void CheckRoundTrip(FleetMessage const& aMessage)
+{
+  auto const text = EncodeFleetMessage(aMessage);
+  auto const decoded = DecodeFleetMessage(text);
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->index() == aMessage.index());
+  BOOST_TEST(EncodeFleetMessage(*decoded) == text);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(MessagesSurviveTheirEncoding)
+{
+  EngineStatus status;
+  status.m_host = base::HostId::FromValidated("side-1");
+  status.m_engine = { "10.0.0.1", 80 };
+  status.m_deployment = base::DeploymentId::FromValidated("llm");
+  status.m_failureDomain = base::FailureDomainId::FromValidated("a");
+  status.m_models = { { kModel, { base::AdapterId::FromValidated("a1") } } };
+  status.m_copies.m_onDisk = { kModel };
+  status.m_change = { kModel, milliseconds(700), base::ModelId::FromValidated("m2") };
+  status.m_running = 3;
+  status.m_canOrder = true;
+  CheckRoundTrip(status);
+  GatewayReport report;
+  report.m_host = base::HostId::FromValidated("front-1");
+  report.m_incarnation = base::IncarnationId::FromValidated("abc");
+  engine::WaitingDemand demand;
+  demand.m_model = kModel;
+  demand.m_waiting = 2;
+  demand.m_goalIn = milliseconds(-20);
+  demand.m_running = 4;
+  report.m_demand = { demand };
+  report.m_granted = { { base::WorkspaceId::FromValidated("t1"), base::Tokens(77) } };
+  CheckRoundTrip(report);
+  CheckRoundTrip(GatewayPresence{ report.m_host,
+                                  { "10.0.0.2", 7600 },
+                                  base::CatalogVersion(9),
+                                  { engine::InstanceId::FromValidated("i-1"), 123 } });
+  CheckRoundTrip(GrantSummary{ "epoch", 4, report.m_granted });
+  CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
+  CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
+}
+
+BOOST_AUTO_TEST_CASE(MalformedMessagesAreErrors)
+{
+  for (
+    auto const* const text :
+    { "", "{}", "[]", "7", R"({"method":"engine.swap"})",
+      R"({"method":"engine.swap","params":{"load":5,"unload":[]}})",
+      R"({"method":"engine.swap","params":{"load":"m","unload":[""]}})",
+      R"({"method":"gateway.report","params":{"host":"h","incarnation":"i","demand":[7],"granted":{}}})",
+      R"({"method":"allowance.summary","params":{"epoch":"e","gateways":-1,"granted":{}}})",
+      R"({"method":"unheard.of","params":{}})" }) {
+    BOOST_TEST(!DecodeFleetMessage(text).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(GatewaysPickTheFirstLoaderThatTheyHear)
+{
+  programs::PlannerChoice choice;
+  BOOST_TEST(!choice.Planner(kStart).has_value());
+  base::Endpoint const one{ "10.0.0.1", 7600 };
+  base::Endpoint const two{ "10.0.0.2", 7600 };
+  choice.OnLoader(base::HostId::FromValidated("b"), two, true, kStart);
+  choice.OnLoader(base::HostId::FromValidated("a"), one, true, kStart);
+  BOOST_TEST((choice.Planner(kStart) == one));
+  choice.OnLoader(base::HostId::FromValidated("b"), two, true, kStart + milliseconds(1'000));
+  BOOST_TEST((choice.Planner(kStart + milliseconds(1'500)) == two));
+  choice.OnLoader(base::HostId::FromValidated("b"), two, false, kStart + milliseconds(1'500));
+  BOOST_TEST(!choice.Planner(kStart + milliseconds(1'500)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(StreamsAreCutBehindCompleteEvents)
+{
+  programs::EventBuffer buffer;
+  BOOST_TEST(buffer.Add("id: 1\ndata: a\n").empty());
+  BOOST_TEST(buffer.Add("\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  BOOST_TEST(buffer.Rest() == "id: 2\nda");
+  BOOST_TEST(buffer.Add("ta: b\n\nid: 3\r\ndata: c\r\n\r\n") ==
+             "id: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n");
+  BOOST_TEST(buffer.Rest().empty());
+  BOOST_TEST(programs::LastEvent("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") == "id: 2\ndata: b");
+  BOOST_TEST(programs::LastEvent("id: 1\ndata: a\n\n") == "id: 1\ndata: a");
+}
--- a/Tests/OperatorTest.cpp
+++ b/Tests/OperatorTest.cpp
@@ -25,7 +25,7 @@
 {
 public:
   objectstore::ReadTask<objectstore::Object> Get(objectstore::ObjectKey aKey, base::Duration,
-                                           objectstore::CallPurpose)
+                                                 objectstore::CallPurpose)
   {
     auto const object = m_objects.find(aKey);
     if (object == m_objects.end()) {
@@ -35,20 +35,23 @@
     co_return object->second;
   }
 
-  objectstore::ReadTask<objectstore::ObjectList> List(objectstore::ObjectKind, objectstore::ObjectName,
-                                                base::Duration, objectstore::CallPurpose)
+  objectstore::ReadTask<objectstore::ObjectList> List(objectstore::ObjectKind,
+                                                      objectstore::ObjectName, base::Duration,
+                                                      objectstore::CallPurpose)
   {
     co_return objectstore::ObjectList();
   }
 
-  objectstore::ReadTask<objectstore::ObjectChanges> Watch(objectstore::ObjectKind, objectstore::ObjectName,
-                                                    base::ObjectVersion, base::Duration,
-                                                    objectstore::CallPurpose)
+  objectstore::ReadTask<objectstore::ObjectChanges> Watch(objectstore::ObjectKind,
+                                                          objectstore::ObjectName,
+                                                          base::ObjectVersion, base::Duration,
+                                                          objectstore::CallPurpose)
   {
     co_return objectstore::ObjectChanges();
   }
 
-  objectstore::WriteTask Write(objectstore::ObjectWrite aWrite, base::Duration, objectstore::CallPurpose)
+  objectstore::WriteTask Write(objectstore::ObjectWrite aWrite, base::Duration,
+                               objectstore::CallPurpose)
   {
     auto const object = m_objects.find(aWrite.m_key);
     bool const isThere = object != m_objects.end();
@@ -70,7 +73,7 @@
   }
 
   objectstore::WriteTask Delete(objectstore::ObjectKey, base::ObjectVersion, base::Duration,
-                             objectstore::CallPurpose)
+                                objectstore::CallPurpose)
   {
     co_return base::ObjectVersion();
   }
--- /dev/null
+++ b/Tests/OrderDeskTest.cpp
@@ -0,0 +1,281 @@
+#define BOOST_TEST_MODULE OrderDesk
+#include "Engine/OrderDesk.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace sardinefold;
+using namespace sardinefold::engine;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Operation = EngineOrderRequest::Operation;
+
+namespace {
+
+constexpr base::Instant kStart{ seconds(1000) };
+constexpr double kModelMegabytes = 70'000;
+constexpr double kEngineMegabytes = 220'000;
+constexpr unsigned kAdapterSlots = 3;
+
+base::ModelId Model(int aNumber)
+{
+  return base::ModelId::FromValidated("m" + std::to_string(aNumber));
+}
+
+base::AdapterId Adapter(int aNumber)
+{
+  return base::AdapterId::FromValidated("a" + std::to_string(aNumber));
+}
+
+operators::EngineSpec Spec()
+{
+  operators::EngineSpec spec;
+  spec.m_weights = base::Megabytes(kEngineMegabytes);
+  spec.m_adapterSlots = kAdapterSlots;
+  for (int number = 0; number < 8; ++number) {
+    operators::ModelSpec model;
+    model.m_id = Model(number);
+    model.m_weights = base::Megabytes(kModelMegabytes);
+    model.m_adapterWeights = base::Megabytes(66);
+    model.m_loadFromStore = seconds(6);
+    spec.m_models.emplace(model.m_id, model);
+  }
+  return spec;
+}
+
+/// An engine as its page describes it: it takes an order if the count fits, and
+/// crashes when it is ordered to hold more than it can.
+class SimulatedEngine
+{
+public:
+  OrderAnswer Take(EngineOrderRequest const& aOrder, base::Instant aNow)
+  {
+    Advance(aNow);
+    if (aOrder.m_expected != m_orders || (m_busyUntil && !aOrder.m_adapter)) {
+      return OrderAnswer::Conflict;
+    }
+    if (aOrder.m_adapter) {
+      TakeAdapter(aOrder);
+    } else if (aOrder.m_operation == Operation::Load) {
+      if (m_models.contains(aOrder.m_model)) {
+        return OrderAnswer::AlreadyHolds;
+      }
+      m_pendingLoad = aOrder.m_model;
+      m_busyUntil = aNow + seconds(1);
+    } else {
+      m_models.erase(aOrder.m_model);
+      m_busyUntil = aNow + milliseconds(300);
+    }
+    m_orders = m_orders.Next();
+    m_hasCrashed = m_hasCrashed || Weights() > kEngineMegabytes || Adapters() > kAdapterSlots;
+    return OrderAnswer::Accepted;
+  }
+
+  EngineReport Report(base::Instant aNow)
+  {
+    Advance(aNow);
+    EngineReport report;
+    for (auto const& [model, adapters] : m_models) {
+      report.m_models.push_back({ model, adapters });
+    }
+    report.m_isBusy = m_busyUntil.has_value();
+    report.m_orders = m_orders;
+    report.m_startedAt = m_startedAt;
+    return report;
+  }
+
+  void Restart()
+  {
+    m_models.clear();
+    m_pendingLoad.reset();
+    m_busyUntil.reset();
+    m_orders = base::OrderCount();
+    ++m_startedAt;
+  }
+
+  bool HasCrashed() const { return m_hasCrashed; }
+  bool Holds(base::ModelId const& aModel) const { return m_models.contains(aModel); }
+
+private:
+  void Advance(base::Instant aNow)
+  {
+    if (!m_busyUntil || aNow < *m_busyUntil) {
+      return;
+    }
+    m_busyUntil.reset();
+    if (m_pendingLoad) {
+      m_models[*m_pendingLoad];
+      m_pendingLoad.reset();
+    }
+  }
+
+  void TakeAdapter(EngineOrderRequest const& aOrder)
+  {
+    auto const model = m_models.find(aOrder.m_model);
+    if (model == m_models.end()) {
+      return;
+    }
+    if (aOrder.m_operation == Operation::Load) {
+      model->second.insert(*aOrder.m_adapter);
+    } else {
+      model->second.erase(*aOrder.m_adapter);
+    }
+  }
+
+  double Weights() const
+  {
+    double const models = static_cast<double>(m_models.size() + (m_pendingLoad ? 1 : 0));
+    return models * kModelMegabytes + Adapters() * 66;
+  }
+
+  unsigned Adapters() const
+  {
+    std::size_t adapters = 0;
+    for (auto const& [model, held] : m_models) {
+      adapters += held.size();
+    }
+    return static_cast<unsigned>(adapters);
+  }
+
+  std::map<base::ModelId, std::set<base::AdapterId>> m_models;
+  std::optional<base::ModelId> m_pendingLoad;
+  std::optional<base::Instant> m_busyUntil;
+  base::OrderCount m_orders;
+  std::int64_t m_startedAt = 1;
+  bool m_hasCrashed = false;
+};
+
+/// Plays random swaps and adapters over orders that are lost, answered in vain
+/// or carried out late, and restarts.
+bool PlayFaults(std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  SimulatedEngine engine;
+  OrderDesk desk({});
+  desk.SetSpec(Spec());
+  std::vector<std::pair<base::Instant, EngineOrderRequest>> late;
+  for (int step = 0; step < 4'000; ++step) {
+    auto const now = kStart + step * milliseconds(25);
+    std::erase_if(late, [&](auto const& aOrder) {
+      bool const isDue = aOrder.first <= now;
+      if (isDue) {
+        engine.Take(aOrder.second, now);
+      }
+      return isDue;
+    });
+    if (random() % 1'000 == 0) {
+      engine.Restart();
+    }
+    desk.OnReport(engine.Report(now), now);
+    if (random() % 30 == 0) {
+      desk.Swap(Model(static_cast<int>(random() % 8)), { Model(static_cast<int>(random() % 8)) },
+                now);
+    }
+    if (random() % 10 == 0) {
+      desk.WantAdapter(Model(static_cast<int>(random() % 8)),
+                       Adapter(static_cast<int>(random() % 6)), now);
+    }
+    auto const order = desk.Next(now);
+    if (!order) {
+      continue;
+    }
+    switch (random() % 6) {
+      case 0:
+        desk.OnAnswer(*order, OrderAnswer::Unknown, now);
+        break;
+      case 1:
+        late.emplace_back(now + milliseconds(random() % 12'000), *order);
+        desk.OnAnswer(*order, OrderAnswer::Unknown, now);
+        break;
+      case 2:
+        engine.Take(*order, now);
+        desk.OnAnswer(*order, OrderAnswer::Unknown, now);
+        break;
+      default:
+        desk.OnAnswer(*order, engine.Take(*order, now), now);
+    }
+  }
+  return !engine.HasCrashed();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(NeverOrdersMoreThanTheEngineHolds)
+{
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    BOOST_TEST(PlayFaults(seed), "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SwapsOneModelForAnother)
+{
+  SimulatedEngine engine;
+  OrderDesk desk({});
+  desk.SetSpec(Spec());
+  auto const play = [&](int aModel, std::vector<base::ModelId> aUnload, base::Instant aFrom) {
+    desk.OnReport(engine.Report(aFrom), aFrom);
+    desk.Swap(Model(aModel), std::move(aUnload), aFrom);
+    for (int step = 0; step < 200; ++step) {
+      auto const now = aFrom + step * milliseconds(25);
+      desk.OnReport(engine.Report(now), now);
+      if (auto const order = desk.Next(now)) {
+        desk.OnAnswer(*order, engine.Take(*order, now), now);
+      }
+    }
+  };
+  play(0, {}, kStart);
+  play(1, {}, kStart + seconds(10));
+  play(2, {}, kStart + seconds(20));
+  play(3, { Model(1) }, kStart + seconds(30));
+  BOOST_TEST(engine.Holds(Model(0)));
+  BOOST_TEST(!engine.Holds(Model(1)));
+  BOOST_TEST(engine.Holds(Model(2)));
+  BOOST_TEST(engine.Holds(Model(3)));
+  BOOST_TEST(!engine.HasCrashed());
+}
+
+BOOST_AUTO_TEST_CASE(GivesAnOrderAgainWhoseAnswerIsLost)
+{
+  SimulatedEngine engine;
+  OrderDesk desk({});
+  desk.SetSpec(Spec());
+  desk.OnReport(engine.Report(kStart), kStart);
+  desk.Swap(Model(0), {}, kStart);
+  auto const first = desk.Next(kStart);
+  BOOST_REQUIRE(first.has_value());
+  desk.OnAnswer(*first, OrderAnswer::Unknown, kStart);
+  BOOST_TEST(!desk.Next(kStart + milliseconds(100)).has_value());
+  auto const later = kStart + seconds(1);
+  desk.OnReport(engine.Report(later), later);
+  auto const second = desk.Next(later);
+  BOOST_REQUIRE(second.has_value());
+  // The same count: of the two the engine takes at most one.
+  BOOST_TEST(second->m_expected == first->m_expected);
+}
+
+BOOST_AUTO_TEST_CASE(GivesNoOrderWithoutAReportOrASpec)
+{
+  OrderDesk desk({});
+  desk.Swap(Model(0), {}, kStart);
+  BOOST_TEST(!desk.Next(kStart).has_value());
+  desk.OnReport({}, kStart);
+  BOOST_TEST(!desk.Next(kStart).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DropsTheAdapterThatWasAskedForLongestAgo)
+{
+  OrderDesk desk({});
+  desk.SetSpec(Spec());
+  EngineReport report;
+  report.m_models = { { Model(0), { Adapter(0), Adapter(1), Adapter(2) } } };
+  for (int number = 2; number >= 0; --number) {
+    desk.WantAdapter(Model(0), Adapter(number), kStart - seconds(60) + seconds(2 - number));
+  }
+  desk.OnReport(report, kStart);
+  desk.WantAdapter(Model(0), Adapter(5), kStart);
+  auto const order = desk.Next(kStart);
+  BOOST_REQUIRE(order.has_value());
+  BOOST_TEST((order->m_operation == Operation::Unload));
+  BOOST_TEST((order->m_adapter == Adapter(2)));
+}
--- a/Tests/Support/OnceSimulation.h
+++ b/Tests/Support/OnceSimulation.h
@@ -124,7 +124,8 @@
   void StartWrite(Sender& aSender, service::WriteClaim const& aStep);
   void Send(Sender& aSender);
   void Read(Sender& aSender);
-  void EndWrite(Sender& aSender, tl::expected<base::ObjectVersion, objectstore::WriteError> aResult);
+  void EndWrite(Sender& aSender,
+                tl::expected<base::ObjectVersion, objectstore::WriteError> aResult);
   tl::expected<base::ObjectVersion, objectstore::WriteError> Apply(Sender& aSender);
   tl::expected<objectstore::Object, objectstore::ReadError> ReadBack(Sender& aSender);
   void Tell(Sender& aSender, std::variant<base::NotRun, service::KeptAnswer, base::Unknown> aEnd);
--- /dev/null
+++ b/Tests/SwapPlannerTest.cpp
@@ -0,0 +1,214 @@
+#define BOOST_TEST_MODULE SwapPlanner
+#include "Engine/SwapPlanner.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace sardinefold;
+using namespace sardinefold::engine;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::Instant kStart{ seconds(1000) };
+auto const kDeployment = base::DeploymentId::FromValidated("assistant");
+auto const kGateway = base::HostId::FromValidated("gateway");
+
+base::ModelId Model(std::string aName)
+{
+  return base::ModelId::FromValidated(std::move(aName));
+}
+
+base::HostId Loader(std::string aName)
+{
+  return base::HostId::FromValidated(std::move(aName));
+}
+
+PlannedEngine EngineWith(std::string aName, std::vector<std::string> aModels,
+                         std::vector<std::string> aOnDisk = {})
+{
+  PlannedEngine engine;
+  engine.m_loader = Loader(std::move(aName));
+  engine.m_deployment = kDeployment;
+  for (auto& model : aModels) {
+    engine.m_models.push_back({ Model(std::move(model)), {} });
+  }
+  for (auto& model : aOnDisk) {
+    engine.m_copies.m_onDisk.insert(Model(std::move(model)));
+  }
+  return engine;
+}
+
+WaitingDemand Waiting(std::string aModel, unsigned aCount, double aWorth, base::Duration aGoalIn)
+{
+  WaitingDemand demand;
+  demand.m_model = Model(std::move(aModel));
+  demand.m_waiting = aCount;
+  demand.m_worth = aWorth;
+  demand.m_goalIn = aGoalIn;
+  demand.m_rate = 0.1;
+  return demand;
+}
+
+WaitingDemand Asked(std::string aModel, double aRate)
+{
+  WaitingDemand demand;
+  demand.m_model = Model(std::move(aModel));
+  demand.m_rate = aRate;
+  return demand;
+}
+
+struct Fixture
+{
+  Fixture()
+  {
+    operators::EngineSpec spec;
+    spec.m_weights = base::Megabytes(200);
+    for (auto const* const name : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
+      operators::ModelSpec model;
+      model.m_id = Model(name);
+      model.m_weights = base::Megabytes(70);
+      model.m_loadFromStore = seconds(6);
+      model.m_loadFromDisk = seconds(1);
+      model.m_loadFromMemory = milliseconds(800);
+      spec.m_models.emplace(model.m_id, model);
+    }
+    m_planner.SetSpec(kDeployment, spec);
+  }
+
+  static std::optional<PlannedSwap> For(std::vector<PlannedSwap> const& aSwaps,
+                                        std::string const& aModel)
+  {
+    auto const found = std::ranges::find(aSwaps, Model(aModel), &PlannedSwap::m_load);
+    return found == aSwaps.end() ? std::nullopt : std::optional(*found);
+  }
+
+  SwapPlanner m_planner{ { .m_parallelStoreLoads = 1 } };
+  base::Instant m_settled = kStart + seconds(5);
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(TheEngineThatHasTheWeightsAtHandLoads, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a", "b" }), kStart);
+  m_planner.OnEngine(EngineWith("two", { "a", "b" }, { "c" }), kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)) }, kStart);
+  auto const swap = For(m_planner.Plan(m_settled), "c");
+  BOOST_REQUIRE(swap.has_value());
+  BOOST_TEST(swap->m_loader == Loader("two"));
+  BOOST_TEST((swap->m_tier == WeightTier::Disk));
+}
+
+BOOST_FIXTURE_TEST_CASE(TheModelWhoseLossCostsLeastIsDropped, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a", "b" }, { "c" }), kStart);
+  m_planner.OnDemand(kGateway,
+                     { Waiting("c", 2, 2, seconds(3)), Asked("a", 3.0), Asked("b", 0.05) }, kStart);
+  auto const swap = For(m_planner.Plan(m_settled), "c");
+  BOOST_REQUIRE(swap.has_value());
+  BOOST_REQUIRE(swap->m_unload.size() == 1U);
+  BOOST_TEST(swap->m_unload.front() == Model("b"));
+}
+
+BOOST_FIXTURE_TEST_CASE(ABusyModelIsNotDroppedForALittleUsedOne, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a", "b" }, { "c" }), kStart);
+  m_planner.OnDemand(
+    kGateway, { Waiting("c", 1, 0.5, seconds(3)), Asked("a", 3.0), Asked("b", 3.0) }, kStart);
+  BOOST_TEST(!For(m_planner.Plan(m_settled), "c").has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(OneModelIsLoadedOnOneEngineAtATime, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a" }, { "c" }), kStart);
+  m_planner.OnEngine(EngineWith("two", { "a" }, { "c" }), kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 3, 3, seconds(3)) }, kStart);
+  auto const swaps = m_planner.Plan(m_settled);
+  BOOST_TEST(std::ranges::count(swaps, Model("c"), &PlannedSwap::m_load) == 1);
+  auto const again = m_planner.Plan(m_settled + milliseconds(100));
+  BOOST_TEST(std::ranges::count(again, Model("c"), &PlannedSwap::m_load) == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(LoadsFromTheStoreAreLimited, Fixture)
+{
+  for (auto const* const name : { "one", "two", "three" }) {
+    m_planner.OnEngine(EngineWith(name, {}), kStart);
+  }
+  m_planner.OnDemand(kGateway,
+                     { Waiting("a", 1, 1, seconds(3)), Waiting("b", 1, 1, seconds(3)),
+                       Waiting("c", 1, 1, seconds(3)) },
+                     kStart);
+  BOOST_TEST(m_planner.Plan(m_settled).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatCanStillMeetItsGoalGoesFirst, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a", "b" }, { "c", "d" }), kStart);
+  m_planner.OnDemand(kGateway,
+                     { Waiting("c", 1, 1.5, seconds(-1)), Waiting("d", 1, 1, seconds(2)) }, kStart);
+  BOOST_TEST(For(m_planner.Plan(m_settled), "d").has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(ABusyModelGetsAnotherCopy, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a", "b" }), kStart);
+  m_planner.OnEngine(EngineWith("two", { "c", "d" }, { "a" }), kStart);
+  m_planner.OnDemand(kGateway, { Asked("a", 12.0) }, kStart);
+  auto const swap = For(m_planner.Plan(m_settled), "a");
+  BOOST_REQUIRE(swap.has_value());
+  BOOST_TEST(swap->m_loader == Loader("two"));
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatNoEngineHasAtHandIsFetchedWhileNothingWaits, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a" }), kStart);
+  auto const swaps = m_planner.Plan(m_settled);
+  BOOST_REQUIRE(swaps.size() == 1U);
+  BOOST_TEST((swaps.front().m_tier == WeightTier::Remote));
+  BOOST_TEST(swaps.front().m_unload.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAssignmentThatWasNotTakenUpIsMadeAnew, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a" }, { "c" }), kStart);
+  m_planner.OnEngine(EngineWith("two", { "a" }, { "c" }), kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)) }, kStart);
+  auto const first = For(m_planner.Plan(m_settled), "c");
+  BOOST_REQUIRE(first.has_value());
+  m_planner.RemoveEngine(first->m_loader);
+  auto const second = For(m_planner.Plan(m_settled + seconds(1)), "c");
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(second->m_loader != first->m_loader);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEngineThatChangesModelsIsLeftAlone, Fixture)
+{
+  auto engine = EngineWith("one", { "a" }, { "c" });
+  engine.m_loading = Model("b");
+  m_planner.OnEngine(engine, kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)) }, kStart);
+  BOOST_TEST(!For(m_planner.Plan(m_settled), "c").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DemandIsSummedUpPerModel)
+{
+  DemandBoard board;
+  auto const model = Model("a");
+  board.OnAsked(model, kStart);
+  auto const first = board.StartWaiting(model, 1.0, kStart + seconds(3));
+  auto const second = board.StartWaiting(model, 0.5, kStart + seconds(2));
+  auto summary = board.Summary(kStart);
+  BOOST_REQUIRE(summary.size() == 1U);
+  BOOST_TEST(summary[0].m_waiting == 2U);
+  BOOST_TEST(summary[0].m_worth == 1.5);
+  BOOST_TEST((summary[0].m_goalIn == seconds(2)));
+  // A goal that has passed does not hide one that can be met.
+  BOOST_TEST((board.Summary(kStart + milliseconds(2'500))[0].m_goalIn == milliseconds(500)));
+  board.StopWaiting(model, first);
+  board.StopWaiting(model, second);
+  BOOST_TEST(board.WaitingFor(model) == 0U);
+  BOOST_TEST(board.Summary(kStart + seconds(120)).empty());
+}
--- /dev/null
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -0,0 +1,199 @@
+#define BOOST_TEST_MODULE UpstreamDirectory
+#include "Engine/UpstreamDirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using namespace sardinefold::engine;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::Instant kStart{ seconds(1000) };
+auto const kDeployment = base::DeploymentId::FromValidated("assistant");
+auto const kModel = base::ModelId::FromValidated("rare");
+auto const kHome = base::FailureDomainId::FromValidated("a");
+auto const kAway = base::FailureDomainId::FromValidated("b");
+
+InstanceId Instance(std::string aName)
+{
+  return InstanceId::FromValidated(std::move(aName));
+}
+
+UpstreamEntry Entry(std::string aName, std::uint16_t aPort, std::vector<HeldModel> aModels = {})
+{
+  UpstreamEntry entry;
+  entry.m_instance = Instance(std::move(aName));
+  entry.m_deployment = kDeployment;
+  entry.m_endpoint = { "10.0.0.1", aPort };
+  entry.m_failureDomain = kHome;
+  entry.m_slots = 8;
+  entry.m_models = std::move(aModels);
+  return entry;
+}
+
+/// The account of the loader beside the engine at port 1.
+LoaderAccount Account(std::vector<HeldModel> aModels)
+{
+  LoaderAccount account;
+  account.m_engine = { "10.0.0.1", 1 };
+  account.m_models = std::move(aModels);
+  return account;
+}
+
+struct Fixture
+{
+  UpstreamDirectory m_directory{ {}, kHome, 1 };
+
+  std::optional<InstanceId> Find(std::optional<base::ModelId> aModel, base::Instant aNow)
+  {
+    auto const found = m_directory.Find({ kDeployment, std::move(aModel), std::nullopt, {} }, aNow);
+    auto const* const choice = std::get_if<UpstreamChoice>(&found);
+    return choice ? std::optional(choice->m_instance) : std::nullopt;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(TellsAnEmptyDeploymentFromAMissingModel, Fixture)
+{
+  UpstreamQuery const query{ kDeployment, kModel, std::nullopt, {} };
+  BOOST_TEST(
+    (std::get<UpstreamAbsence>(m_directory.Find(query, kStart)) == UpstreamAbsence::NoUpstream));
+  m_directory.OnListed(Entry("one", 1), kStart);
+  BOOST_TEST((std::get<UpstreamAbsence>(m_directory.Find(query, kStart)) ==
+              UpstreamAbsence::ModelNotLoaded));
+}
+
+BOOST_FIXTURE_TEST_CASE(BelievesTheLoaderOverTheListWhileItIsFresh, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1, { { kModel, {} } }), kStart);
+  BOOST_TEST(Find(kModel, kStart).has_value());
+  m_directory.OnAccount(Account({}), kStart);
+  BOOST_TEST(!Find(kModel, kStart).has_value());
+  // Old news count no more than the list.
+  BOOST_TEST(Find(kModel, kStart + seconds(10)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(SendsNothingToAModelThatIsBeingDropped, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  auto account = Account({ { kModel, {} } });
+  account.m_unloading = kModel;
+  m_directory.OnAccount(account, kStart);
+  BOOST_TEST(!Find(kModel, kStart).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUpstreamThatSaysItLeavesGetsNoMoreRequests, Fixture)
+{
+  auto entry = Entry("one", 1);
+  m_directory.OnListed(entry, kStart);
+  BOOST_TEST(Find(std::nullopt, kStart).has_value());
+  entry.m_isLeaving = true;
+  m_directory.OnListed(entry, kStart);
+  BOOST_TEST(!Find(std::nullopt, kStart).has_value());
+  m_directory.OnRemoved(entry.m_instance, true, kStart);
+  BOOST_TEST(!Find(std::nullopt, kStart).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEntryThatIsGoneEndsItsUseAtOnce, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  m_directory.OnRemoved(Instance("one"), false, kStart);
+  BOOST_TEST(!Find(std::nullopt, kStart).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(EntriesThatLapsedInAnOutageStayInUseForAWhile, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  m_directory.OnRemoved(Instance("one"), true, kStart);
+  BOOST_TEST(Find(std::nullopt, kStart + milliseconds(2'000)).has_value());
+  BOOST_TEST(!Find(std::nullopt, kStart + milliseconds(2'500)).has_value());
+  m_directory.Expire(kStart + milliseconds(2'500));
+  BOOST_TEST(m_directory.Size() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(SpreadsRequestsWhosePromptsAreUnread, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  m_directory.OnListed(Entry("two", 2), kStart);
+  std::map<InstanceId, int> sent;
+  for (int request = 0; request < 40; ++request) {
+    auto const instance = Find(std::nullopt, kStart);
+    BOOST_REQUIRE(instance.has_value());
+    m_directory.OnSent(*instance);
+    ++sent[*instance];
+  }
+  BOOST_TEST(sent[Instance("one")] >= 18);
+  BOOST_TEST(sent[Instance("two")] >= 18);
+}
+
+BOOST_FIXTURE_TEST_CASE(PrefersItsOwnFailureDomainUntilThereIsAQueue, Fixture)
+{
+  m_directory.OnListed(Entry("near", 1), kStart);
+  auto far = Entry("far", 2);
+  far.m_failureDomain = kAway;
+  m_directory.OnListed(far, kStart);
+  for (int request = 0; request < 20; ++request) {
+    BOOST_TEST((Find(std::nullopt, kStart) == Instance("near")));
+  }
+  for (int request = 0; request < 3; ++request) {
+    m_directory.OnSent(Instance("near"));
+  }
+  BOOST_TEST((Find(std::nullopt, kStart) == Instance("far")));
+}
+
+BOOST_FIXTURE_TEST_CASE(PausesAnUpstreamThatFailsButNeverMoreThanHalf, Fixture)
+{
+  for (auto const* const name : { "one", "two", "three", "four" }) {
+    m_directory.OnListed(Entry(name, static_cast<std::uint16_t>(name[0])), kStart);
+  }
+  for (auto const* const name : { "one", "two", "three", "four" }) {
+    for (int failure = 0; failure < 5; ++failure) {
+      m_directory.OnFailed(Instance(name), kStart);
+    }
+  }
+  std::set<InstanceId> used;
+  for (int request = 0; request < 50; ++request) {
+    auto const instance = Find(std::nullopt, kStart);
+    BOOST_REQUIRE(instance.has_value());
+    used.insert(*instance);
+  }
+  BOOST_TEST(used.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARestartUnderTheSameInstanceForgetsWhatItHeld, Fixture)
+{
+  auto entry = Entry("one", 1);
+  entry.m_startedAt = 5;
+  m_directory.OnListed(entry, kStart);
+  m_directory.OnAccount(Account({ { kModel, {} } }), kStart);
+  BOOST_TEST(Find(kModel, kStart).has_value());
+  entry.m_startedAt = 6;
+  m_directory.OnListed(entry, kStart);
+  BOOST_TEST(!Find(kModel, kStart).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(BelievesAnEngineThatSaysTheModelIsNotThere, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1, { { kModel, {} } }), kStart);
+  m_directory.OnModelMissing(Instance("one"), kModel, kStart);
+  BOOST_TEST(!Find(kModel, kStart).has_value());
+  BOOST_TEST(Find(kModel, kStart + seconds(1)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(TellsWhatIsKnownOfAModelThatIsNotReady, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  auto account = Account({});
+  m_directory.OnAccount(account, kStart);
+  BOOST_TEST(!m_directory.OutlookOf(kDeployment, kModel, kStart).m_isAtHand);
+  account.m_copies.m_onDisk.insert(kModel);
+  account.m_loading = kModel;
+  account.m_readyAt = kStart + seconds(1);
+  m_directory.OnAccount(account, kStart);
+  auto const outlook = m_directory.OutlookOf(kDeployment, kModel, kStart);
+  BOOST_TEST(outlook.m_isAtHand);
+  BOOST_TEST((outlook.m_readyAt == kStart + seconds(1)));
+}
