Tests: Run gateway and loaders against a stand-in of the platform

Change: StandIns/Site plays the platform's store, its engines and a plain service with faults; GatewayTest serves callers through a gateway and two loaders: whole streams, a cold model, an adapter, lost orders, resumption, cut answers, refusals, allowances, configurations, a lost history, an outage of the store, a leaving service and a graceful stop.

--- /dev/null
+++ b/StandIns/Site/SiteEngine.cpp
@@ -0,0 +1,274 @@
+#include "StandIns/Site/SiteEngine.h"
+
+#include "Base/Json.h"
+#include "StandIns/Common/StandInProgram.h"
+
+namespace sardinefold::standins {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr base::Duration kHeartbeat = std::chrono::milliseconds(300);
+
+/// Takes one off a fault's count; whether there was one.
+bool TakeFault(std::uint64_t& aCount)
+{
+  if (aCount == 0) {
+    return false;
+  }
+  --aCount;
+  return true;
+}
+
+std::string HeaderText(base::HttpRequest const& aRequest, std::string_view aName)
+{
+  return std::string(aRequest.m_headers.Find(aName).value_or(""));
+}
+
+} // namespace
+
+SiteEngine::SiteEngine(base::EventLoop& aLoop, SiteStore& aStore, SiteEngineSettings aSettings)
+  : m_loop(aLoop)
+  , m_store(aStore)
+  , m_settings(std::move(aSettings))
+  , m_front(aLoop)
+  , m_server(
+      aLoop, {}, [this](base::HttpExchange& aExchange) { return Serve(aExchange); },
+      RenderRequestError)
+{
+  m_front.Attach(m_server);
+  m_front.Faults().AddCount("break_streams", m_breakStreams);
+  m_front.Faults().AddCount("break_after_events", m_breakAfter);
+  m_front.Faults().AddCount("reject_requests", m_rejectRequests);
+  m_front.Faults().AddCount("lose_orders", m_loseOrders);
+  m_front.Faults().AddCount("truncate_answers", m_truncate);
+  m_front.Faults().AddFlag("leaving", m_isLeaving);
+  for (auto const& model : m_settings.m_models) {
+    m_models[model];
+    m_copies.insert(model);
+  }
+}
+
+tl::expected<void, std::string> SiteEngine::Start()
+{
+  if (auto const bound = m_server.Listen(m_settings.m_address); !bound) {
+    return bound;
+  }
+  m_loop.Start(Heartbeat());
+  return {};
+}
+
+Json::Value SiteEngine::Models() const
+{
+  Json::Value list(Json::arrayValue);
+  for (auto const& [model, adapters] : m_models) {
+    Json::Value entry;
+    entry["name"] = model;
+    entry["version"] = 1;
+    entry["adapters"] = Json::Value(Json::arrayValue);
+    for (auto const& adapter : adapters) {
+      entry["adapters"].append(adapter);
+    }
+    list.append(std::move(entry));
+  }
+  return list;
+}
+
+Json::Value SiteEngine::Describe() const
+{
+  Json::Value entry;
+  entry["service"] = m_settings.m_deployment;
+  entry["address"] = m_settings.m_address.Text();
+  entry["zone"] = m_settings.m_failureDomain;
+  entry["version"] = "v1";
+  entry["slots"] = m_settings.m_slots;
+  entry["state"] = m_isLeaving ? "draining" : "ready";
+  entry["born"] = Json::Int64(m_settings.m_startedAt);
+  if (m_settings.m_hasModels) {
+    entry["models"] = Models();
+  }
+  return entry;
+}
+
+asio::awaitable<void> SiteEngine::Heartbeat()
+{
+  while (true) {
+    m_store.Put("servers", m_settings.m_instance, Describe());
+    co_await m_loop.Sleep(kHeartbeat);
+  }
+}
+
+asio::awaitable<void> SiteEngine::Serve(base::HttpExchange& aExchange)
+{
+  if (co_await m_front.ServeFaults(aExchange)) {
+    co_return;
+  }
+  if (!co_await m_front.Admit(aExchange)) {
+    co_return;
+  }
+  auto const& request = aExchange.Request();
+  if (request.Path() == "/v1/report") {
+    Json::Value report;
+    report["stage"] = "colocated";
+    report["models"] = Models();
+    report["busy"] = m_isBusy;
+    report["seqNo"] = Json::UInt64(m_orders);
+    report["running"] = m_running;
+    report["queued"] = 0;
+    report["born"] = Json::Int64(m_settings.m_startedAt);
+    for (auto const& model : m_copies) {
+      report["atHand"]["onDisk"].append(model);
+    }
+    auto response = JsonValueResponse(200, report);
+    co_await m_front.Respond(aExchange, std::move(response));
+    co_return;
+  }
+  if (request.Path() == "/v1/order") {
+    co_await TakeOrder(aExchange);
+    co_return;
+  }
+  co_await RunRequest(aExchange);
+}
+
+asio::awaitable<void> SiteEngine::Load(std::string aModel)
+{
+  co_await m_loop.Sleep(m_settings.m_loadTime);
+  m_models[aModel];
+  m_copies.insert(aModel);
+  m_isBusy = false;
+}
+
+asio::awaitable<void> SiteEngine::TakeOrder(base::HttpExchange& aExchange)
+{
+  auto const& request = aExchange.Request();
+  auto const body = base::ParseJson(request.m_body);
+  if (HeaderText(request, "Expect-Instance") != m_settings.m_instance) {
+    auto response = Reject(request, 421);
+    co_await m_front.Respond(aExchange, std::move(response));
+    co_return;
+  }
+  if (!body || !(*body)["holder"].isString() || !(*body)["fenceToken"].isUInt64()) {
+    auto response = Reject(request, 400);
+    co_await m_front.Respond(aExchange, std::move(response));
+    co_return;
+  }
+  m_holders.insert((*body)["holder"].asString());
+  bool const isAdapter = body->isMember("adapter");
+  bool const isStale = body->isMember("expected") && (*body)["expected"].asUInt64() != m_orders;
+  if (isStale || (m_isBusy && !isAdapter)) {
+    auto response = Reject(request, 409);
+    co_await m_front.Respond(aExchange, std::move(response));
+    co_return;
+  }
+  ++m_orders;
+  auto const model = (*body)["model"].asString();
+  bool const isLoad = (*body)["op"].asString() == "load";
+  if (isAdapter) {
+    auto& adapters = m_models[model];
+    isLoad ? (void)adapters.insert((*body)["adapter"].asString())
+           : (void)adapters.erase((*body)["adapter"].asString());
+  } else if (isLoad) {
+    m_isOverfull = m_isOverfull || m_models.size() >= m_settings.m_capacity;
+    m_isBusy = true;
+    m_loop.Start(Load(model));
+  } else {
+    m_models.erase(model);
+  }
+  if (TakeFault(m_loseOrders)) {
+    co_return;
+  }
+  auto response = JsonValueResponse(202, Json::Value(Json::objectValue));
+  co_await m_front.Respond(aExchange, std::move(response));
+}
+
+std::optional<unsigned> SiteEngine::WhyNotRun(base::HttpRequest const& aRequest) const
+{
+  auto const expected = HeaderText(aRequest, "Expect-Instance");
+  if (!expected.empty() && expected != m_settings.m_instance) {
+    return 421;
+  }
+  if (m_settings.m_hasModels) {
+    auto const text = HeaderText(aRequest, "Model");
+    auto const slash = text.find('/');
+    auto const model = m_models.find(text.substr(0, slash));
+    bool const hasAdapter =
+      slash == std::string::npos ||
+      (model != m_models.end() && model->second.contains(text.substr(slash + 1)));
+    if (model == m_models.end() || !hasAdapter) {
+      return 421;
+    }
+  }
+  return m_running >= m_settings.m_slots ? std::optional<unsigned>(503) : std::nullopt;
+}
+
+base::HttpResponse SiteEngine::Reject(base::HttpRequest const& aRequest, unsigned aStatus) const
+{
+  auto response = JsonValueResponse(aStatus, Json::Value(Json::objectValue));
+  response.m_headers.Add("Request-Id", HeaderText(aRequest, "Request-Id"));
+  response.m_headers.Add("Instance-Id", m_settings.m_instance);
+  response.m_headers.Add("Not-Executed", "1");
+  return response;
+}
+
+asio::awaitable<void> SiteEngine::RunRequest(base::HttpExchange& aExchange)
+{
+  auto const& request = aExchange.Request();
+  auto why = WhyNotRun(request);
+  if (!why && TakeFault(m_rejectRequests)) {
+    why = 503;
+  }
+  if (why) {
+    auto response = Reject(request, *why);
+    co_await m_front.Respond(aExchange, std::move(response));
+    co_return;
+  }
+  m_runs.push_back({ HeaderText(request, "Request-Id"), HeaderText(request, "Tenant"),
+                     request.m_headers.Find("Authorization").has_value() });
+  base::HttpHeaders headers;
+  headers.Add("Request-Id", HeaderText(request, "Request-Id"));
+  headers.Add("Server-Seal", "seal-" + m_settings.m_instance);
+  ++m_running;
+  if (m_settings.m_hasModels) {
+    co_await Stream(aExchange, std::move(headers));
+  } else {
+    base::HttpResponse response{ 200, std::move(headers), "done " + std::string(request.Path()) };
+    if (TakeFault(m_truncate)) {
+      co_await aExchange.StartStream(200, response.m_headers);
+      co_await aExchange.Write("do");
+    } else {
+      co_await m_front.Respond(aExchange, std::move(response));
+    }
+  }
+  --m_running;
+}
+
+asio::awaitable<void> SiteEngine::Stream(base::HttpExchange& aExchange, base::HttpHeaders aHeaders)
+{
+  auto const& request = aExchange.Request();
+  auto const resume = HeaderText(request, "Last-Event-Id");
+  unsigned const first = resume.empty() ? 1 : static_cast<unsigned>(std::stoul(resume)) + 1;
+  bool const isBroken = TakeFault(m_breakStreams);
+  aHeaders.Add("Content-Type", "text/event-stream");
+  auto const started = co_await aExchange.StartStream(200, std::move(aHeaders));
+  if (!started) {
+    co_return;
+  }
+  for (unsigned event = first; event <= m_settings.m_events; ++event) {
+    co_await m_loop.Sleep(m_settings.m_eventTime);
+    if (isBroken && event > first + m_breakAfter) {
+      co_await aExchange.Write("id: " + std::to_string(event) + "\nda");
+      co_return;
+    }
+    auto const text = "id: " + std::to_string(event) +
+                      "\ndata: " + HeaderText(request, "Request-Id") + "." + std::to_string(event) +
+                      "\n\n";
+    auto const written = co_await aExchange.Write(text);
+    if (!written) {
+      co_return;
+    }
+  }
+  co_await aExchange.Finish();
+}
+
+} // namespace sardinefold::standins
--- /dev/null
+++ b/StandIns/Site/SiteEngine.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "Base/EventLoop.h"
+#include "Base/Http/HttpExchange.h"
+#include "Base/Http/HttpServer.h"
+#include "StandIns/Common/StandInFront.h"
+#include "StandIns/Site/SiteStore.h"
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sardinefold::standins {
+
+struct SiteEngineSettings
+{
+  std::string m_instance;
+  std::string m_deployment;
+  std::string m_failureDomain = "a";
+  base::Endpoint m_address;
+  unsigned m_slots = 8;
+  /// Absent for plain services, which answer at once.
+  bool m_hasModels = true;
+  std::set<std::string> m_models;
+  /// Models that fit at once.
+  std::size_t m_capacity = 2;
+  base::Duration m_loadTime = std::chrono::milliseconds(150);
+  base::Duration m_eventTime = std::chrono::milliseconds(10);
+  unsigned m_events = 8;
+  std::int64_t m_startedAt = 1;
+};
+
+/// One run of a request, as the engine saw it.
+struct SiteRun
+{
+  std::string m_request;
+  std::string m_workspace;
+  bool m_hadKey = false;
+};
+
+/// A model engine or a plain service of the users' platform: reports, orders,
+/// streams of numbered events with resumption, and entries in the store.
+class SiteEngine
+{
+public:
+  SiteEngine(base::EventLoop& aLoop, SiteStore& aStore, SiteEngineSettings aSettings);
+
+  tl::expected<void, std::string> Start();
+  std::vector<SiteRun> const& Runs() const { return m_runs; }
+  std::set<std::string> const& HoldersSeen() const { return m_holders; }
+  /// Whether an order asked for more than the engine holds.
+  bool IsOverfull() const { return m_isOverfull; }
+  FaultSwitches& Faults() { return m_front.Faults(); }
+
+private:
+  boost::asio::awaitable<void> Serve(base::HttpExchange& aExchange);
+  boost::asio::awaitable<void> TakeOrder(base::HttpExchange& aExchange);
+  boost::asio::awaitable<void> RunRequest(base::HttpExchange& aExchange);
+  boost::asio::awaitable<void> Stream(base::HttpExchange& aExchange, base::HttpHeaders aHeaders);
+  boost::asio::awaitable<void> Load(std::string aModel);
+  boost::asio::awaitable<void> Heartbeat();
+  base::HttpResponse Reject(base::HttpRequest const& aRequest, unsigned aStatus) const;
+  std::optional<unsigned> WhyNotRun(base::HttpRequest const& aRequest) const;
+  Json::Value Describe() const;
+  Json::Value Models() const;
+
+  base::EventLoop& m_loop;
+  SiteStore& m_store;
+  SiteEngineSettings m_settings;
+  StandInFront m_front;
+  base::HttpServer m_server;
+  std::map<std::string, std::set<std::string>> m_models;
+  std::set<std::string> m_copies;
+  bool m_isBusy = false;
+  bool m_isOverfull = false;
+  bool m_isLeaving = false;
+  std::uint64_t m_orders = 0;
+  unsigned m_running = 0;
+  std::vector<SiteRun> m_runs;
+  std::set<std::string> m_holders;
+  /// Faults: the next streams break off behind this many events.
+  std::uint64_t m_breakStreams = 0;
+  std::uint64_t m_breakAfter = 3;
+  std::uint64_t m_rejectRequests = 0;
+  std::uint64_t m_loseOrders = 0;
+  /// Answers of the next requests break off in their body.
+  std::uint64_t m_truncate = 0;
+};
+
+} // namespace sardinefold::standins
--- /dev/null
+++ b/Tests/GatewayTest.cpp
@@ -0,0 +1,270 @@
+#define BOOST_TEST_MODULE Gateway
+#include "Tests/Support/SiteFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using tests::SiteFixture;
+using namespace std::chrono_literals;
+using boost::asio::awaitable;
+
+namespace {
+
+/// The events 1 to 8 of a request, each once and in order.
+std::string WholeStream(std::string const& aId)
+{
+  std::string text;
+  for (int event = 1; event <= 8; ++event) {
+    text +=
+      "id: " + std::to_string(event) + "\ndata: " + aId + "." + std::to_string(event) + "\n\n";
+  }
+  return text;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(AStreamIsPassedOnWhole, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "r1", "common");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 200U);
+    BOOST_TEST(answer->m_body == WholeStream("r1"));
+    BOOST_TEST(answer->m_headers.Find("Server-Seal").has_value());
+    BOOST_TEST(RunsOf("r1") == 1U);
+    for (auto const& engine : m_engines) {
+      for (auto const& run : engine->Runs()) {
+        BOOST_TEST(run.m_workspace == "marshals");
+        BOOST_TEST(!run.m_hadKey);
+      }
+    }
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AModelThatNoEngineHoldsIsLoadedForItsRequest, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "r1", "rare");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 200U);
+    BOOST_TEST(answer->m_body == WholeStream("r1"));
+    for (auto const& engine : m_engines) {
+      BOOST_TEST(!engine->IsOverfull());
+      BOOST_TEST(engine->HoldersSeen().size() <= 1U);
+    }
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAdapterIsLoadedForItsRequest, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "r1", "common/a1");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 200U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOrderWhoseAnswerIsLostIsNotGivenTwice, SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "lose_orders", 2);
+  }
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "r1", "rare");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 200U);
+    for (auto const& engine : m_engines) {
+      BOOST_TEST(!engine->IsOverfull());
+    }
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ABrokenStreamGoesOnElsewhereWithoutALostOrDoubledEvent, SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "break_streams", 1);
+  }
+  Run([&]() -> awaitable<void> {
+    // Both engines break one stream: the second attempt is the last.
+    SetFault(*m_engines[1], "break_streams", 0);
+    SetFault(*m_engines[0], "break_streams", 1);
+    for (int number = 0; number < 4; ++number) {
+      auto const id = "r" + std::to_string(number);
+      auto request = ModelRequest("/chat/x", id, "common");
+      auto const answer = co_await Send(std::move(request));
+      BOOST_REQUIRE(answer.has_value());
+      BOOST_TEST(answer->m_body == WholeStream(id));
+    }
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ABrokenStreamThatMayNotResumeDoesNotLookWhole, SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "break_streams", 1);
+  }
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/once/x", "r1", "common");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_TEST(!answer.has_value());
+    BOOST_TEST(RunsOf("r1") == 1U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOrderOfACallerRunsOnceThoughItsAnswerIsCutShort, SiteFixture)
+{
+  SetFault(*m_service, "truncate_answers", 1);
+  Run([&]() -> awaitable<void> {
+    auto request = Request("POST", "/order/x", "r1");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 502U);
+    BOOST_TEST(RunsOf("r1") == 1U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ARejectedRequestIsRefusedWithATimeToComeBack, SiteFixture)
+{
+  SetFault(*m_service, "reject_requests", 5);
+  Run([&]() -> awaitable<void> {
+    auto request = Request("POST", "/order/x", "r1");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 503U);
+    BOOST_TEST(answer->m_headers.Find("Retry-After").has_value());
+    BOOST_TEST(RunsOf("r1") == 0U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(RequestsWithoutRouteOrKeyAreRefused, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto unknownRoute = Request("GET", "/nowhere/", "r1");
+    auto const first = co_await Send(std::move(unknownRoute));
+    BOOST_TEST(first->m_status == 404U);
+    auto unknownKey = Request("GET", "/look/x", "r2");
+    unknownKey.m_headers.Set("Authorization", "Bearer stolen");
+    auto const second = co_await Send(std::move(unknownKey));
+    BOOST_TEST(second->m_status == 401U);
+    auto large = Request("POST", "/order/x", "r3");
+    large.m_body.assign(30'000, 'x');
+    auto const third = co_await Send(std::move(large));
+    BOOST_TEST((!third.has_value() || third->m_status == 413U));
+    auto longHead = Request("GET", "/look/x", "r4");
+    longHead.m_headers.Add("X-Long", std::string(6'000, 'x'));
+    auto const fourth = co_await Send(std::move(longHead));
+    BOOST_TEST((!fourth.has_value() || fourth->m_status == 431U));
+    BOOST_TEST(RunsOf("r1") + RunsOf("r2") + RunsOf("r3") + RunsOf("r4") == 0U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAllowanceThatIsUsedUpIsRefusedAsNotRun, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    int refused = 0;
+    for (int number = 0; number < 10; ++number) {
+      auto const id = "r" + std::to_string(number);
+      auto request = Request("GET", "/look/x", id);
+      request.m_headers.Set("Authorization", "Bearer key-2");
+      auto const answer = co_await Send(std::move(request));
+      BOOST_REQUIRE(answer.has_value());
+      if (answer->m_status == 429) {
+        ++refused;
+        BOOST_TEST(RunsOf(id) == 0U);
+        BOOST_TEST(answer->m_headers.Find("Retry-After").has_value());
+      }
+    }
+    BOOST_TEST(refused >= 5);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AWithdrawnKeyAndANewRouteAreInForceWithinTwoSeconds, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto configuration = Configuration(2);
+    configuration["tenants"][0]["apiKeys"][0] = "key-3";
+    m_store.Put("config", "main", configuration);
+    co_await m_loop.Sleep(500ms);
+    auto withdrawn = Request("GET", "/look/x", "r1");
+    auto const first = co_await Send(std::move(withdrawn));
+    BOOST_TEST(first->m_status == 401U);
+    auto issued = Request("GET", "/look/x", "r2");
+    issued.m_headers.Set("Authorization", "Bearer key-3");
+    auto const second = co_await Send(std::move(issued));
+    BOOST_TEST(second->m_status == 200U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ConfigurationsComeIntoForceAfterTheStoreForgotItsHistory, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    m_store.ForgetHistory();
+    auto configuration = Configuration(5);
+    configuration["tenants"][0]["apiKeys"][0] = "key-3";
+    m_store.Put("config", "main", configuration);
+    m_store.ForgetHistory();
+    co_await m_loop.Sleep(2'500ms);
+    auto request = Request("GET", "/look/x", "r1");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_TEST(answer->m_status == 401U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(RequestsAreServedWhileTheStoreIsAway, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    Json::Value outage;
+    outage["outage"] = true;
+    BOOST_REQUIRE(m_store.Faults().Apply(outage).has_value());
+    co_await m_loop.Sleep(1s);
+    auto request = ModelRequest("/chat/x", "r1", "rare");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 200U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUpstreamThatLeavesGetsNoNewRequest, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    SetFault(*m_service, "leaving", true);
+    co_await m_loop.Sleep(700ms);
+    auto request = Request("POST", "/order/x", "r1");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_TEST(answer->m_status == 503U);
+    BOOST_TEST(RunsOf("r1") == 0U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AStoppingGatewayEndsItsStreamsAndRefusesThoseThatWait, SiteFixture)
+{
+  unsigned streamStatus = 0;
+  unsigned waitStatus = 0;
+  std::string body;
+  auto stream = [&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "r1", "common");
+    auto const answer = co_await Send(std::move(request));
+    streamStatus = answer ? answer->m_status : 0;
+    body = answer ? answer->m_body : "";
+  };
+  auto wait = [&]() -> awaitable<void> {
+    // No engine knows the model, so that it never comes.
+    auto request = ModelRequest("/once/x", "r2", "unheard-of");
+    auto const answer = co_await Send(std::move(request));
+    waitStatus = answer ? answer->m_status : 0;
+  };
+  Run([&]() -> awaitable<void> {
+    m_loop.Start(stream());
+    m_loop.Start(wait());
+    co_await m_loop.Sleep(20ms);
+    // Ends the loop when all is done, at the latest when the grace is over.
+    co_await m_gateway->Shutdown();
+  });
+  BOOST_TEST(streamStatus == 200U);
+  BOOST_TEST(body == WholeStream("r1"));
+  BOOST_TEST(waitStatus == 503U);
+}
--- /dev/null
+++ b/Tests/Support/SiteFixture.cpp
@@ -0,0 +1,176 @@
+#include "Tests/Support/SiteFixture.h"
+
+#include "Base/Json.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace sardinefold::tests {
+
+namespace {
+
+/// Hosts of the loopback network, so that all can use the same ports.
+constexpr char kStoreHost[] = "127.0.1.1";
+constexpr char kGatewayHost[] = "127.0.1.2";
+constexpr char kServiceHost[] = "127.0.1.3";
+
+/// A port that is free on every host used here.
+std::uint16_t FreePort()
+{
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(context,
+                                          { boost::asio::ip::make_address(kStoreHost), 0 });
+  return acceptor.local_endpoint().port();
+}
+
+} // namespace
+
+SiteFixture::SiteFixture()
+  : m_storeServer(
+      m_loop, {}, [this](base::HttpExchange& aExchange) { return m_store.Serve(aExchange); },
+      standins::RenderRequestError)
+{
+  auto const port = FreePort();
+  auto const peerPort = static_cast<std::uint16_t>(FreePort());
+  m_callers = { kGatewayHost, port };
+  m_readiness = { kGatewayHost, FreePort() };
+  BOOST_REQUIRE(m_storeServer.Listen({ kStoreHost, port }).has_value());
+  m_store.Put("config", "main", Configuration(1));
+  base::ProcessProfile profile;
+  profile.m_failureDomain = base::FailureDomainId::FromValidated("a");
+  profile.m_peerPort = peerPort;
+  profile.m_objectStore = { kStoreHost, port };
+  for (int number = 1; number <= 2; ++number) {
+    standins::SiteEngineSettings settings;
+    settings.m_instance = "i-" + std::to_string(number);
+    settings.m_deployment = "llm";
+    settings.m_address = { "127.0.2." + std::to_string(number), port };
+    settings.m_models = { "common", "own" + std::to_string(number) };
+    m_engines.push_back(std::make_unique<standins::SiteEngine>(m_loop, m_store, settings));
+    BOOST_REQUIRE(m_engines.back()->Start().has_value());
+    auto side = profile;
+    side.m_host = base::HostId::FromValidated("side-" + std::to_string(number));
+    side.m_address = settings.m_address.m_address;
+    side.m_engine = settings.m_address;
+    side.m_engineDeployment = base::DeploymentId::FromValidated("llm");
+    m_loaders.push_back(std::make_unique<Loader>(m_loop, side));
+    BOOST_REQUIRE(m_loaders.back()->Start().has_value());
+  }
+  standins::SiteEngineSettings service;
+  service.m_instance = "i-desk";
+  service.m_deployment = "desk";
+  service.m_address = { kServiceHost, port };
+  service.m_hasModels = false;
+  m_service = std::make_unique<standins::SiteEngine>(m_loop, m_store, service);
+  BOOST_REQUIRE(m_service->Start().has_value());
+  profile.m_host = base::HostId::FromValidated("front-1");
+  profile.m_address = kGatewayHost;
+  profile.m_callers = m_callers;
+  profile.m_readiness = m_readiness;
+  m_gateway = std::make_unique<Gateway>(m_loop, profile);
+  BOOST_REQUIRE(m_gateway->Start().has_value());
+}
+
+Json::Value SiteFixture::Configuration(std::uint64_t aVersion)
+{
+  auto parsed = base::ParseJson(R"({
+    "routes": [
+      {"name": "chat", "host": "site.example", "pathPrefix": "/chat/", "kind": "streaming",
+       "timeoutMs": 5000, "goalMs": 600, "priority": 0, "service": "llm", "maxAttempts": 2,
+       "resumable": true, "gapTargetMs": 300},
+      {"name": "once", "host": "site.example", "pathPrefix": "/once/", "kind": "streaming",
+       "timeoutMs": 5000, "goalMs": 3000, "priority": 1, "service": "llm", "maxAttempts": 1,
+       "gapTargetMs": 300},
+      {"name": "order", "host": "site.example", "pathPrefix": "/order/", "kind": "unsafe",
+       "timeoutMs": 1500, "goalMs": 150, "service": "desk", "maxAttempts": 1},
+      {"name": "look", "host": "site.example", "pathPrefix": "/look/", "kind": "safe",
+       "timeoutMs": 1500, "goalMs": 150, "service": "desk", "maxAttempts": 2}],
+    "services": [
+      {"name": "llm", "healthPath": "/health", "maxConns": 100,
+       "engine": {"slots": 8, "kvCapacity": 1000, "weightsMb": 200, "adapterSlots": 4, "models": [
+         {"name": "common", "weightsMb": 90, "loadS": 1.0, "adapterMb": 1},
+         {"name": "own1", "weightsMb": 90, "loadS": 1.0, "adapterMb": 1},
+         {"name": "own2", "weightsMb": 90, "loadS": 1.0, "adapterMb": 1},
+         {"name": "rare", "weightsMb": 90, "loadS": 1.0, "adapterMb": 1}]}},
+      {"name": "desk", "healthPath": "/health"}],
+    "tenants": [
+      {"name": "marshals", "apiKeys": ["key-1"], "unit": "token_stream", "plainTokens": 10,
+       "ratePerS": 1000000, "burst": 1000000},
+      {"name": "guests", "apiKeys": ["key-2"], "unit": "token_stream", "plainTokens": 10,
+       "ratePerS": 10, "burst": 40}],
+    "limits": {"headerBytes": 4096, "bodyBytes": 20000, "headerTimeoutMs": 1000,
+               "idleTimeoutMs": 5000}})");
+  BOOST_REQUIRE(parsed.has_value());
+  (*parsed)["version"] = Json::UInt64(aVersion);
+  return std::move(*parsed);
+}
+
+boost::asio::awaitable<void> SiteFixture::WaitUntilReady()
+{
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    base::HttpRequest request;
+    request.m_target = "/v1/ready";
+    auto endpoint = m_readiness;
+    auto const response =
+      co_await m_client.Fetch(std::move(endpoint), std::move(request), std::chrono::seconds(1));
+    if (response && response->m_status == 200) {
+      // Long enough for the loaders to be heard once.
+      co_await m_loop.Sleep(std::chrono::milliseconds(900));
+      co_return;
+    }
+    co_await m_loop.Sleep(std::chrono::milliseconds(50));
+  }
+  BOOST_FAIL("the gateway did not become ready");
+}
+
+base::HttpRequest SiteFixture::Request(std::string aMethod, std::string aTarget, std::string aId)
+{
+  base::HttpRequest request;
+  request.m_method = std::move(aMethod);
+  request.m_target = std::move(aTarget);
+  request.m_headers.Add("Host", "site.example");
+  request.m_headers.Add("Request-Id", std::move(aId));
+  request.m_headers.Add("Deadline-Ms", "5000");
+  request.m_headers.Add("Authorization", "Bearer key-1");
+  return request;
+}
+
+base::HttpRequest SiteFixture::ModelRequest(std::string aTarget, std::string aId,
+                                            std::string aModel)
+{
+  auto request = Request("POST", std::move(aTarget), std::move(aId));
+  request.m_headers.Add("Model", std::move(aModel));
+  request.m_headers.Add("Token-Count", "100,10");
+  request.m_body = "prompt";
+  return request;
+}
+
+boost::asio::awaitable<tl::expected<base::HttpResponse, base::HttpFailure>> SiteFixture::Send(
+  base::HttpRequest aRequest, base::Duration aLimit)
+{
+  auto endpoint = m_callers;
+  co_return co_await m_client.Fetch(std::move(endpoint), std::move(aRequest), aLimit);
+}
+
+std::size_t SiteFixture::RunsOf(std::string const& aId) const
+{
+  std::size_t runs = 0;
+  auto const count = [&](standins::SiteEngine const& aEngine) {
+    for (auto const& run : aEngine.Runs()) {
+      runs += run.m_request == aId ? 1 : 0;
+    }
+  };
+  for (auto const& engine : m_engines) {
+    count(*engine);
+  }
+  count(*m_service);
+  return runs;
+}
+
+void SiteFixture::SetFault(standins::SiteEngine& aEngine, char const* aName, Json::Value aValue)
+{
+  Json::Value faults;
+  faults[aName] = std::move(aValue);
+  BOOST_REQUIRE(aEngine.Faults().Apply(faults).has_value());
+}
+
+} // namespace sardinefold::tests
--- /dev/null
+++ b/Tests/Support/SiteFixture.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "platform/Wire.h"
+#include "Programs/Gateway/GatewayProgram.h"
+#include "Programs/Loader/LoaderProgram.h"
+#include "Programs/SystemClock.h"
+#include "StandIns/Common/StandInProgram.h"
+#include "StandIns/Site/SiteEngine.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sardinefold::tests {
+
+/// A small site on loopback: a store, two engines with loaders, a plain
+/// service and one gateway, all on one loop.
+class SiteFixture
+{
+public:
+  using Gateway = programs::GatewayProgram<platform::Wire>;
+  using Loader = programs::LoaderProgram<platform::Wire>;
+
+  SiteFixture();
+
+  base::EventLoop m_loop{ programs::SystemClock::Monotonic, programs::SystemClock::Wall };
+  standins::SiteStore m_store{ m_loop };
+  std::vector<std::unique_ptr<standins::SiteEngine>> m_engines;
+  std::unique_ptr<standins::SiteEngine> m_service;
+  std::vector<std::unique_ptr<Loader>> m_loaders;
+  std::unique_ptr<Gateway> m_gateway;
+  base::HttpClient m_client{ m_loop, {} };
+
+  /// Runs the body once the gateway is ready, then ends the loop.
+  template<typename Body>
+  void Run(Body aBody)
+  {
+    auto run = [&]() -> boost::asio::awaitable<void> {
+      co_await WaitUntilReady();
+      co_await aBody();
+      m_loop.Stop();
+    };
+    m_loop.Start(run());
+    m_loop.Run();
+  }
+
+  boost::asio::awaitable<void> WaitUntilReady();
+  /// A request as a caller sends it, with the key of the workspace "marshals".
+  static base::HttpRequest Request(std::string aMethod, std::string aTarget, std::string aId);
+  static base::HttpRequest ModelRequest(std::string aTarget, std::string aId, std::string aModel);
+  boost::asio::awaitable<tl::expected<base::HttpResponse, base::HttpFailure>> Send(
+    base::HttpRequest aRequest, base::Duration aLimit = std::chrono::seconds(5));
+  /// How often engines and services ran a request.
+  std::size_t RunsOf(std::string const& aId) const;
+  static Json::Value Configuration(std::uint64_t aVersion);
+  void SetFault(standins::SiteEngine& aEngine, char const* aName, Json::Value aValue);
+
+private:
+  base::HttpServer m_storeServer;
+  base::Endpoint m_callers;
+  base::Endpoint m_readiness;
+};
+
+} // namespace sardinefold::tests
