Fleet: Say less among processes, gather the list's changes

Change: the list's watch gathers changes for 0.7 s; weights at hand go to the planner alone, which tells gateways when the models that they wait for will be ready; reports name what has changed and all once a second; a planner that does not answer is left after 0.6 s, so statuses may be rarer.

--- a/Agent/Fleet/FleetCodec.cpp
+++ b/Agent/Fleet/FleetCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "Base/Json.h"
 
+#include <cmath>
+
 namespace sardinefold::agent {
 
 namespace {
@@ -54,14 +56,6 @@
   return aValue.asUInt();
 }
 
-double Real(Json::Value const& aValue)
-{
-  if (!aValue.isNumeric()) {
-    throw FieldError{ "a number is expected" };
-  }
-  return aValue.asDouble();
-}
-
 base::Endpoint Address(Json::Value const& aValue)
 {
   auto endpoint = base::Endpoint::Parse(Text(aValue));
@@ -122,6 +116,18 @@
   return grants;
 }
 
+ModelOutlooks ToOutlooks(Json::Value const& aObject)
+{
+  ModelOutlooks outlooks;
+  if (!aObject.isObject()) {
+    throw FieldError{ "outlooks are expected" };
+  }
+  for (auto const& name : aObject.getMemberNames()) {
+    outlooks.emplace(Name<base::ModelId>(Json::Value(name)), Milliseconds(aObject[name]));
+  }
+  return outlooks;
+}
+
 struct Encoder
 {
   Json::Value& m_root;
@@ -147,8 +153,10 @@
       model["adapters"] = FromNames(held.m_adapters);
       params["models"].append(std::move(model));
     }
-    params["in_memory"] = FromNames(aStatus.m_copies.m_inMemory);
-    params["on_disk"] = FromNames(aStatus.m_copies.m_onDisk);
+    if (!aStatus.m_copies.m_inMemory.empty() || !aStatus.m_copies.m_onDisk.empty()) {
+      params["in_memory"] = FromNames(aStatus.m_copies.m_inMemory);
+      params["on_disk"] = FromNames(aStatus.m_copies.m_onDisk);
+    }
     if (aStatus.m_change.m_loading) {
       params["loading"] = aStatus.m_change.m_loading->Text();
       params["ready_in_ms"] = FromMilliseconds(aStatus.m_change.m_readyIn);
@@ -180,21 +188,28 @@
     params["incarnation"] = aReport.m_incarnation.Text();
     params["demand"] = Json::Value(Json::arrayValue);
     for (auto const& demand : aReport.m_demand) {
-      Json::Value entry;
-      entry["model"] = demand.m_model.Text();
-      entry["waiting"] = demand.m_waiting;
-      entry["worth"] = demand.m_worth;
-      entry["goal_in_ms"] = FromMilliseconds(demand.m_goalIn);
-      entry["rate"] = demand.m_rate;
-      entry["running"] = demand.m_running;
+      // In order, without names: gateways name many models, many times.
+      constexpr double kThousand = 1000;
+      Json::Value entry(Json::arrayValue);
+      entry.append(demand.m_model.Text());
+      entry.append(demand.m_waiting);
+      entry.append(Json::Int64(std::lround(demand.m_worth * kThousand)));
+      entry.append(FromMilliseconds(demand.m_goalIn));
+      entry.append(Json::Int64(std::lround(demand.m_rate * kThousand)));
+      entry.append(demand.m_running);
       params["demand"].append(std::move(entry));
     }
+    params["complete"] = aReport.m_isComplete;
     params["granted"] = FromGrants(aReport.m_granted);
   }
 
-  void operator()(GrantSummary const& aSummary)
+  void operator()(PlannerSummary const& aSummary)
   {
-    auto& params = Start("allowance.summary");
+    auto& params = Start("planner.summary");
+    params["outlooks"] = Json::Value(Json::objectValue);
+    for (auto const& [model, readyIn] : aSummary.m_outlooks) {
+      params["outlooks"][model.Text()] = FromMilliseconds(readyIn);
+    }
     params["epoch"] = aSummary.m_epoch;
     params["gateways"] = aSummary.m_gateways;
     params["granted"] = FromGrants(aSummary.m_grantedByOthers);
@@ -226,8 +241,10 @@
     status.m_models.push_back({ Name<base::ModelId>(Member(entry, "name")),
                                 ToNames<base::AdapterId>(Member(entry, "adapters")) });
   }
-  status.m_copies.m_inMemory = ToNames<base::ModelId>(Member(aParams, "in_memory"));
-  status.m_copies.m_onDisk = ToNames<base::ModelId>(Member(aParams, "on_disk"));
+  if (aParams.isMember("in_memory")) {
+    status.m_copies.m_inMemory = ToNames<base::ModelId>(aParams["in_memory"]);
+    status.m_copies.m_onDisk = ToNames<base::ModelId>(Member(aParams, "on_disk"));
+  }
   if (aParams.isMember("loading")) {
     status.m_change.m_loading = Name<base::ModelId>(aParams["loading"]);
     status.m_change.m_readyIn = Milliseconds(Member(aParams, "ready_in_ms"));
@@ -261,15 +278,21 @@
   report.m_host = Name<base::HostId>(Member(aParams, "host"));
   report.m_incarnation = Name<base::IncarnationId>(Member(aParams, "incarnation"));
   for (auto const& entry : Member(aParams, "demand")) {
+    constexpr double kThousandth = 0.001;
+    constexpr Json::ArrayIndex kFields = 6;
+    if (!entry.isArray() || entry.size() != kFields) {
+      throw FieldError{ "a model's demand has six fields" };
+    }
     engine::WaitingDemand demand;
-    demand.m_model = Name<base::ModelId>(Member(entry, "model"));
-    demand.m_waiting = Count(Member(entry, "waiting"));
-    demand.m_worth = Real(Member(entry, "worth"));
-    demand.m_goalIn = Milliseconds(Member(entry, "goal_in_ms"));
-    demand.m_rate = Real(Member(entry, "rate"));
-    demand.m_running = Count(Member(entry, "running"));
+    demand.m_model = Name<base::ModelId>(entry[0]);
+    demand.m_waiting = Count(entry[1]);
+    demand.m_worth = static_cast<double>(Whole(entry[2])) * kThousandth;
+    demand.m_goalIn = Milliseconds(entry[3]);
+    demand.m_rate = static_cast<double>(Whole(entry[4])) * kThousandth;
+    demand.m_running = Count(entry[5]);
     report.m_demand.push_back(std::move(demand));
   }
+  report.m_isComplete = Member(aParams, "complete").asBool();
   report.m_granted = ToGrants(Member(aParams, "granted"));
   return report;
 }
@@ -285,9 +308,10 @@
   if (aMethod == "gateway.report") {
     return ToGatewayReport(aParams);
   }
-  if (aMethod == "allowance.summary") {
-    return GrantSummary{ Text(Member(aParams, "epoch")), Count(Member(aParams, "gateways")),
-                         ToGrants(Member(aParams, "granted")) };
+  if (aMethod == "planner.summary") {
+    return PlannerSummary{ Text(Member(aParams, "epoch")), Count(Member(aParams, "gateways")),
+                           ToGrants(Member(aParams, "granted")),
+                           ToOutlooks(Member(aParams, "outlooks")) };
   }
   if (aMethod == "engine.swap") {
     auto const unload = ToNames<base::ModelId>(Member(aParams, "unload"));
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -33,6 +33,7 @@
   base::DeploymentId m_deployment;
   base::FailureDomainId m_failureDomain;
   std::vector<engine::HeldModel> m_models;
+  /// Told to the planner only.
   engine::WeightCopies m_copies;
   ModelChange m_change;
   unsigned m_running = 0;
@@ -71,18 +72,26 @@
 {
   base::HostId m_host;
   base::IncarnationId m_incarnation;
+  /// Whether the demand names every model that is asked for; else only those
+  /// where something has changed since the report before.
+  bool m_isComplete = true;
   std::vector<engine::WaitingDemand> m_demand;
   GrantedTokens m_granted;
 };
 
-/// From the planner to a gateway: what all others have granted.
-struct GrantSummary
+/// Expected time until models that a gateway's requests wait for are ready.
+using ModelOutlooks = std::map<base::ModelId, base::Duration>;
+
+/// From the planner to a gateway: what all others have granted, and when the
+/// models that it waits for will be ready.
+struct PlannerSummary
 {
   /// Sums of different epochs are not comparable.
   std::string m_epoch;
   /// Gateways counted, the receiver included.
   unsigned m_gateways = 1;
   GrantedTokens m_grantedByOthers;
+  ModelOutlooks m_outlooks;
 };
 
 /// From the planner to a loader: replace models by another.
@@ -99,7 +108,7 @@
   base::AdapterId m_adapter;
 };
 
-using FleetMessage = std::variant<EngineStatus, GatewayPresence, GatewayReport, GrantSummary,
+using FleetMessage = std::variant<EngineStatus, GatewayPresence, GatewayReport, PlannerSummary,
                                   SwapRequest, AdapterRequest>;
 
 } // namespace sardinefold::agent
--- a/Caller/ForwardRequest.h
+++ b/Caller/ForwardRequest.h
@@ -62,6 +62,13 @@
   std::optional<EventNumber> m_resumeAfter;
 };
 
+/// Requests at an upstream as it answers.
+struct UpstreamLoad
+{
+  unsigned m_running = 0;
+  unsigned m_waiting = 0;
+};
+
 /// What the head of an engine's answer says.
 struct UpstreamAnswerHead
 {
@@ -74,7 +81,7 @@
   bool m_isWrongEngine = false;
   /// The body is encoded and hence not what the engine made.
   bool m_isEncoded = false;
-  bool m_isLeaving = false;
+  std::optional<UpstreamLoad> m_load;
 
   bool IsSuccess() const { return m_status >= 200 && m_status < 300; }
 };
--- a/Engine/SwapPlanner.cpp
+++ b/Engine/SwapPlanner.cpp
@@ -45,6 +45,7 @@
     }
   }
   engine.m_facts = std::move(aEngine);
+  engine.m_toldAt = aNow;
 }
 
 void SwapPlanner::RemoveEngine(base::HostId const& aLoader)
@@ -52,10 +53,16 @@
   m_engines.erase(aLoader);
 }
 
-void SwapPlanner::OnDemand(base::HostId const& aGateway, std::vector<WaitingDemand> aDemand,
-                           base::Instant)
+void SwapPlanner::OnDemand(base::HostId const& aGateway, std::vector<WaitingDemand> const& aDemand,
+                           bool aIsComplete)
 {
-  m_demand[aGateway] = std::move(aDemand);
+  auto& known = m_demand[aGateway];
+  if (aIsComplete) {
+    known.clear();
+  }
+  for (auto const& demand : aDemand) {
+    known.insert_or_assign(demand.m_model, demand);
+  }
 }
 
 void SwapPlanner::RemoveGateway(base::HostId const& aGateway)
@@ -67,7 +74,7 @@
 {
   m_totals.clear();
   for (auto const& [gateway, demands] : m_demand) {
-    for (auto const& demand : demands) {
+    for (auto const& [model, demand] : demands) {
       auto& total = m_totals[demand.m_model];
       bool const isEarlier = total.m_waiting == 0 || demand.m_goalIn < total.m_goalIn;
       if (demand.m_waiting > 0 && isEarlier) {
@@ -107,13 +114,69 @@
          m_specs.contains(aEngine.m_facts.m_deployment);
 }
 
+std::optional<base::Duration> SwapPlanner::ArrivalOf(base::ModelId const& aModel,
+                                                     base::Instant aNow) const
+{
+  std::optional<base::Duration> earliest;
+  for (auto const& [loader, engine] : m_engines) {
+    std::optional<base::Duration> arrival;
+    if (engine.m_facts.m_loading == aModel) {
+      arrival = std::max<base::Duration>(engine.m_toldAt + engine.m_facts.m_readyIn - aNow,
+                                         base::Duration::zero());
+    } else if (engine.m_assigned && engine.m_assigned->m_load == aModel) {
+      arrival = LoadTime(m_specs.at(engine.m_facts.m_deployment), aModel, TierAt(engine, aModel));
+    }
+    if (arrival && (!earliest || *arrival < *earliest)) {
+      earliest = arrival;
+    }
+  }
+  return earliest;
+}
+
 bool SwapPlanner::IsComing(base::ModelId const& aModel) const
 {
-  return std::ranges::any_of(m_engines, [&](auto const& aItem) {
-    auto const& engine = aItem.second;
-    return engine.m_facts.m_loading == aModel ||
-           (engine.m_assigned && engine.m_assigned->m_load == aModel);
-  });
+  return ArrivalOf(aModel, {}).has_value();
+}
+
+base::Duration SwapPlanner::WaitForStore(base::ModelId const& aModel) const
+{
+  // Loads from the store are made in turn, a few at a time; those that wait
+  // now are all taken to be ahead.
+  unsigned ahead = StoreLoads();
+  for (auto const& [model, total] : m_totals) {
+    bool const isFetched =
+      total.m_waiting > 0 && model != aModel && !IsComing(model) && !IsAtHandSomewhere(model);
+    ahead += isFetched ? 1 : 0;
+  }
+  unsigned const rounds = ahead / std::max(m_limits.m_parallelStoreLoads, 1U) + 1;
+  base::Duration load{};
+  for (auto const& [deployment, spec] : m_specs) {
+    load = std::max(load, LoadTime(spec, aModel, WeightTier::Remote));
+  }
+  return load * rounds;
+}
+
+std::map<base::ModelId, base::Duration> SwapPlanner::OutlooksFor(
+  base::HostId const& aGateway, base::Instant aNow) const
+{
+  /// A swap from memory or disk, with the wait for the runs of what is dropped.
+  constexpr base::Duration kSwapTime = std::chrono::milliseconds(1500);
+  std::map<base::ModelId, base::Duration> outlooks;
+  auto const found = m_demand.find(aGateway);
+  if (found == m_demand.end()) {
+    return outlooks;
+  }
+  for (auto const& [model, demand] : found->second) {
+    if (demand.m_waiting == 0) {
+      continue;
+    }
+    if (auto const arrival = ArrivalOf(model, aNow)) {
+      outlooks.emplace(model, *arrival);
+    } else {
+      outlooks.emplace(model, IsAtHandSomewhere(model) ? kSwapTime : WaitForStore(model));
+    }
+  }
+  return outlooks;
 }
 
 bool SwapPlanner::IsAtHandSomewhere(base::ModelId const& aModel) const
--- a/Engine/SwapPlanner.h
+++ b/Engine/SwapPlanner.h
@@ -36,6 +36,7 @@
   std::vector<HeldModel> m_models;
   WeightCopies m_copies;
   std::optional<base::ModelId> m_loading;
+  base::Duration m_readyIn{};
   std::optional<base::ModelId> m_unloading;
 };
 
@@ -64,19 +65,26 @@
   void SetSpec(base::DeploymentId const& aDeployment, operators::EngineSpec aSpec);
   void OnEngine(PlannedEngine aEngine, base::Instant aNow);
   void RemoveEngine(base::HostId const& aLoader);
-  /// The demand at one gateway replaces what it said before.
-  void OnDemand(base::HostId const& aGateway, std::vector<WaitingDemand> aDemand,
-                base::Instant aNow);
+  /// The demand at one gateway. A complete account replaces what it said
+  /// before; another one replaces what it said of the models named.
+  void OnDemand(base::HostId const& aGateway, std::vector<WaitingDemand> const& aDemand,
+                bool aIsComplete);
   void RemoveGateway(base::HostId const& aGateway);
 
   /// The swaps to ask for now. Those under way are not asked for again, unless
   /// the engine has not taken them up.
   std::vector<PlannedSwap> Plan(base::Instant aNow);
 
+  /// When the models that a gateway's requests wait for are expected to be
+  /// ready, by the plan made last.
+  std::map<base::ModelId, base::Duration> OutlooksFor(base::HostId const& aGateway,
+                                                       base::Instant aNow) const;
+
 private:
   struct Engine
   {
     PlannedEngine m_facts;
+    base::Instant m_toldAt{};
     std::optional<PlannedSwap> m_assigned;
     base::Instant m_assignedAt{};
     std::map<base::ModelId, base::Instant> m_loadedAt;
@@ -100,6 +108,8 @@
   void CountCopies();
   void DropStaleAssignments(base::Instant aNow);
   bool IsFree(Engine const& aEngine) const;
+  std::optional<base::Duration> ArrivalOf(base::ModelId const& aModel, base::Instant aNow) const;
+  base::Duration WaitForStore(base::ModelId const& aModel) const;
   bool IsComing(base::ModelId const& aModel) const;
   bool IsAtHandSomewhere(base::ModelId const& aModel) const;
   unsigned StoreLoads() const;
@@ -122,7 +132,7 @@
   PlannerLimits m_limits;
   std::map<base::DeploymentId, operators::EngineSpec> m_specs;
   std::map<base::HostId, Engine> m_engines;
-  std::map<base::HostId, std::vector<WaitingDemand>> m_demand;
+  std::map<base::HostId, std::map<base::ModelId, WaitingDemand>> m_demand;
   std::map<base::ModelId, Total> m_totals;
   std::map<base::ModelId, unsigned> m_copies;
 };
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -182,28 +182,6 @@
   }
 }
 
-ModelOutlook UpstreamDirectory::OutlookOf(base::DeploymentId const& aDeployment,
-                                          base::ModelId const& aModel, base::Instant aNow) const
-{
-  ModelOutlook outlook;
-  for (auto const& [instance, upstream] : m_upstreams) {
-    bool const isKnown = upstream.m_entry.m_deployment == aDeployment && upstream.m_account &&
-                         aNow - upstream.m_accountAt < m_limits.m_statusAge &&
-                         IsUsable(upstream, aNow);
-    if (!isKnown) {
-      continue;
-    }
-    auto const& account = *upstream.m_account;
-    if (account.m_loading == aModel) {
-      outlook.m_readyAt =
-        std::min(outlook.m_readyAt.value_or(account.m_readyAt), account.m_readyAt);
-    }
-    outlook.m_isAtHand = outlook.m_isAtHand || account.m_copies.m_inMemory.contains(aModel) ||
-                         account.m_copies.m_onDisk.contains(aModel);
-  }
-  return outlook;
-}
-
 void UpstreamDirectory::OnServed(InstanceId const& aInstance)
 {
   auto const found = m_upstreams.find(aInstance);
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -73,18 +73,6 @@
   std::optional<base::ModelId> m_unloading;
   unsigned m_running = 0;
   unsigned m_waiting = 0;
-  WeightCopies m_copies;
-  std::optional<base::ModelId> m_loading;
-  base::Instant m_readyAt{};
-};
-
-/// What is known of a model that no engine holds ready.
-struct ModelOutlook
-{
-  /// Expected end of a load under way, the earliest if there are more.
-  std::optional<base::Instant> m_readyAt;
-  /// An engine has its weights in memory or on disk.
-  bool m_isAtHand = false;
 };
 
 /// Knows the engines and services, what they hold and how busy they are, and
@@ -107,9 +95,6 @@
   std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
                                                      base::Instant aNow);
 
-  ModelOutlook OutlookOf(base::DeploymentId const& aDeployment, base::ModelId const& aModel,
-                         base::Instant aNow) const;
-
   void OnSent(InstanceId const& aInstance);
   /// The upstream has begun to answer one of the requests.
   void OnBegun(InstanceId const& aInstance);
--- a/ObjectStore/WatchSession.h
+++ b/ObjectStore/WatchSession.h
@@ -14,6 +14,8 @@
   /// How long one watch waits for changes before it is renewed.
   base::Duration m_watchTime = std::chrono::seconds(30);
   base::Duration m_listTime = std::chrono::seconds(10);
+  /// Pause after each answer with changes, in which more of them gather.
+  base::Duration m_pause{};
   BackoffLimits m_backoff;
 };
 
@@ -58,6 +60,9 @@
       }
       if (!changes.m_changes.empty() && !m_isStopped) {
         aHandler(changes);
+        if (m_limits.m_pause > base::Duration::zero()) {
+          co_await m_loop.Sleep(m_limits.m_pause);
+        }
       }
     }
   }
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -81,6 +81,8 @@
   /// longer, as a close that crosses it leaves its outcome unknown.
   static constexpr base::Duration kFreshConnection = std::chrono::milliseconds(400);
   static constexpr base::Duration kRepeatableIdle = std::chrono::seconds(4);
+  /// What the planner said of a model holds for this long.
+  static constexpr base::Duration kOutlookAge = std::chrono::milliseconds(800);
   /// Waits for an adapter before the next look.
   static constexpr base::Duration kAdapterWait = std::chrono::milliseconds(40);
 
@@ -278,24 +280,25 @@
     if (aAbsence != engine::UpstreamAbsence::ModelNotLoaded || m_hasBegun) {
       return false;
     }
-    auto const outlook =
-      m_state.m_directory.OutlookOf(m_query.m_deployment, *m_query.m_model, Now());
-    if (outlook.m_readyAt) {
-      return *outlook.m_readyAt < WaitEnd();
-    }
-    return outlook.m_isAtHand || Now() + StoreLoadTime() < WaitEnd();
+    auto const expected = m_state.m_readyAt.find(*m_query.m_model);
+    // Until the planner has answered, which takes a fifth of a second, there is
+    // nothing to go by.
+    bool const isKnown = expected != m_state.m_readyAt.end() &&
+                         Now() - expected->second.m_toldAt < kOutlookAge;
+    return !isKnown || expected->second.m_readyAt < WaitEnd();
   }
 
-  base::Duration StoreLoadTime() const
+  /// When to come back: when the model is expected, if that is known.
+  base::Duration RetryAfter() const
   {
-    auto const* const deployment =
-      m_state.m_catalog ? m_state.m_catalog->FindDeployment(m_query.m_deployment) : nullptr;
-    if (!deployment || !deployment->m_engine) {
-      return {};
-    }
-    auto const model = deployment->m_engine->m_models.find(*m_query.m_model);
-    return model == deployment->m_engine->m_models.end() ? base::Duration::zero()
-                                                         : model->second.m_loadFromStore;
+    if (!m_query.m_model) {
+      return kRetryAfter;
+    }
+    auto const expected = m_state.m_readyAt.find(*m_query.m_model);
+    bool const isKnown = expected != m_state.m_readyAt.end() &&
+                         Now() - expected->second.m_toldAt < kOutlookAge;
+    return isKnown ? std::max<base::Duration>(expected->second.m_readyAt - Now(), kRetryAfter)
+                   : kRetryAfter;
   }
 
   /// Weighs waiting requests by their size, as longer ones earn more.
@@ -346,7 +349,7 @@
       co_return;
     }
     m_status = 503;
-    auto response = Wire::EncodeRefusal(m_status, m_outcome, id, kRetryAfter);
+    auto response = Wire::EncodeRefusal(m_status, m_outcome, id, RetryAfter());
     co_await m_exchange.Respond(std::move(response));
   }
 
@@ -376,6 +379,10 @@
       co_return reply.error().m_mayHaveBeenSent ? AttemptEnd::Unknown : AttemptEnd::NotRun;
     }
     auto const head = Wire::DecodeAnswerHead(reply->Status(), reply->Headers(), m_request.m_id);
+    if (head.m_load) {
+      m_state.m_directory.OnLoadTold(aChoice.m_instance, head.m_load->m_running,
+                                     head.m_load->m_waiting);
+    }
     if (head.m_isNotRun) {
       co_return co_await TakeRejection(*reply, head, aChoice);
     }
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -25,7 +25,7 @@
     , m_catalogWatch(aLoop, m_store.Objects(), objectstore::ObjectKind::Catalog, {},
                      objectstore::CallPurpose::Configuration, Watching(), base::RandomNumber())
     , m_upstreamWatch(aLoop, m_store.Objects(), objectstore::ObjectKind::Upstream, {},
-                      objectstore::CallPurpose::Membership, Watching(), base::RandomNumber())
+                      objectstore::CallPurpose::Membership, WatchingUpstreams(), base::RandomNumber())
     , m_callers(
         aLoop, {}, [this](base::HttpExchange& aExchange) { return Handle(aExchange); }, RenderError)
     , m_readiness(
@@ -84,6 +84,16 @@
   }
 
 private:
+  /// The list changes with each model that an engine loads, so changes are
+  /// gathered: each answer is a call that is paid for. A leaving upstream has
+  /// to be known within two seconds.
+  static objectstore::WatchLimits WatchingUpstreams()
+  {
+    auto limits = Watching();
+    limits.m_pause = std::chrono::milliseconds(700);
+    return limits;
+  }
+
   static objectstore::WatchLimits Watching()
   {
     objectstore::WatchLimits limits;
@@ -199,32 +209,38 @@
     auto const now = m_loop.Now();
     if (auto const* const status = std::get_if<agent::EngineStatus>(&*message)) {
       m_planner.OnLoader(status->m_host, aSender, status->m_canOrder, now);
-      engine::LoaderAccount account{ status->m_engine,
-                                     status->m_models,
-                                     status->m_change.m_unloading,
-                                     status->m_running,
-                                     status->m_waiting,
-                                     status->m_copies,
-                                     status->m_change.m_loading,
-                                     now + status->m_change.m_readyIn };
+      engine::LoaderAccount account{ status->m_engine, status->m_models,
+                                     status->m_change.m_unloading, status->m_running,
+                                     status->m_waiting };
       auto const models = account.m_models;
       if (m_state.m_directory.OnAccount(std::move(account), now)) {
         for (auto const& held : models) {
           m_state.ModelSignal(held.m_model).Notify();
         }
       }
-    } else if (auto const* const summary = std::get_if<agent::GrantSummary>(&*message)) {
+    } else if (auto const* const summary = std::get_if<agent::PlannerSummary>(&*message)) {
+      m_planner.OnSummary(aSender, now);
+      OnOutlooks(summary->m_outlooks, now);
       m_state.m_allowance.OnOthers(summary->m_epoch, summary->m_gateways,
                                    summary->m_grantedByOthers, now);
     }
   }
 
+  /// Those who wait for a model look again whether it comes in time.
+  void OnOutlooks(agent::ModelOutlooks const& aOutlooks, base::Instant aNow)
+  {
+    for (auto const& [model, readyIn] : aOutlooks) {
+      m_state.m_readyAt[model] = { aNow + readyIn, aNow };
+      m_state.ModelSignal(model).Notify();
+    }
+  }
+
   /// Sends reports and lets time pass for the decisions.
   boost::asio::awaitable<void> Tick()
   {
     constexpr base::Duration kInterval = std::chrono::milliseconds(100);
-    // A watch that ends in time is at most this old.
-    constexpr base::Duration kStoreSilence = std::chrono::milliseconds(2600);
+    // A watch that ends in time, and the pause after it, take less.
+    constexpr base::Duration kStoreSilence = std::chrono::milliseconds(3300);
     // Entries that lapsed are back within this time after the store's return.
     constexpr base::Duration kReturnTime = std::chrono::milliseconds(3000);
     while (true) {
@@ -243,15 +259,35 @@
   {
     constexpr unsigned kPresenceEvery = 4;
     auto const planner = m_planner.Planner(aNow);
-    if (m_ticks++ % kPresenceEvery == 0) {
+    bool const isNewPlanner = planner != m_lastPlanner;
+    m_lastPlanner = planner;
+    if (m_ticks++ % kPresenceEvery == 0 || isNewPlanner) {
       SendPresence(planner.value_or(base::Endpoint{ m_state.m_profile.m_address, 0 }));
     }
     if (planner) {
-      agent::GatewayReport const report{ m_state.m_profile.m_host, m_incarnation,
-                                         m_state.m_demand.Summary(aNow),
-                                         m_state.m_allowance.Granted() };
-      m_state.m_peers.Send(*planner, agent::EncodeFleetMessage(report));
+      SendReport(*planner, isNewPlanner, aNow);
+    }
+  }
+
+  /// Names all demand once a second, and in between what has changed.
+  void SendReport(base::Endpoint const& aPlanner, bool aIsFirst, base::Instant aNow)
+  {
+    constexpr unsigned kCompleteEvery = 10;
+    bool const isComplete = m_ticks % kCompleteEvery == 0 || aIsFirst;
+    agent::GatewayReport report{ m_state.m_profile.m_host, m_incarnation, isComplete, {},
+                                 m_state.m_allowance.Granted() };
+    std::map<base::ModelId, unsigned> waiting;
+    for (auto& demand : m_state.m_demand.Summary(aNow)) {
+      if (demand.m_waiting > 0) {
+        waiting[demand.m_model] = demand.m_waiting;
+      }
+      bool const hasChanged = demand.m_waiting > 0 || m_reportedWaiting.contains(demand.m_model);
+      if (isComplete || hasChanged) {
+        report.m_demand.push_back(std::move(demand));
+      }
     }
+    m_reportedWaiting = std::move(waiting);
+    m_state.m_peers.Send(aPlanner, agent::EncodeFleetMessage(report));
   }
 
   void SendPresence(base::Endpoint const& aPlanner)
@@ -287,6 +323,8 @@
   base::IncarnationId m_incarnation;
   PlannerChoice m_planner;
   base::Instant m_storeAwayUntil{};
+  std::optional<base::Endpoint> m_lastPlanner;
+  std::map<base::ModelId, unsigned> m_reportedWaiting;
   unsigned m_ticks = 0;
   bool m_isStopping = false;
 };
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -19,6 +19,13 @@
 
 namespace sardinefold::programs {
 
+/// When the planner expects a model to be ready, and when it said so.
+struct ExpectedModel
+{
+  base::Instant m_readyAt{};
+  base::Instant m_toldAt{};
+};
+
 /// What the sessions of one gateway share.
 struct GatewayState
 {
@@ -83,6 +90,7 @@
   std::optional<base::Instant> m_lastWait;
   std::map<base::DeploymentId, agent::RetryBudget> m_retries;
   std::map<base::ModelId, std::unique_ptr<base::Signal>> m_modelSignals;
+  std::map<base::ModelId, ExpectedModel> m_readyAt;
 };
 
 } // namespace sardinefold::programs
--- a/Programs/Gateway/PlannerChoice.h
+++ b/Programs/Gateway/PlannerChoice.h
@@ -4,6 +4,7 @@
 #include "Base/Identifiers.h"
 #include "Base/Time.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -19,30 +20,62 @@
   void OnLoader(base::HostId const& aHost, base::Endpoint const& aEndpoint, bool aCanOrder,
                 base::Instant aNow)
   {
-    if (aCanOrder) {
-      m_loaders[aHost] = { aEndpoint, aNow };
-    } else {
+    if (!aCanOrder) {
       m_loaders.erase(aHost);
+      return;
+    }
+    auto& loader = m_loaders[aHost];
+    loader.m_endpoint = aEndpoint;
+    loader.m_heardAt = aNow;
+  }
+
+  /// A planner answers each report with its summary.
+  void OnSummary(base::Endpoint const& aPlanner, base::Instant aNow)
+  {
+    if (m_planner == aPlanner) {
+      m_answeredAt = aNow;
     }
   }
 
   std::optional<base::Endpoint> Planner(base::Instant aNow)
   {
-    // Loaders tell their state at least three times in this time.
-    static constexpr base::Duration kSilence = std::chrono::milliseconds(1200);
-    std::erase_if(m_loaders,
-                  [aNow](auto const& aItem) { return aNow - aItem.second.m_heardAt > kSilence; });
-    return m_loaders.empty() ? std::nullopt : std::optional(m_loaders.begin()->second.m_endpoint);
+    // Loaders tell their state at least twice in this time.
+    static constexpr base::Duration kSilence = std::chrono::milliseconds(2500);
+    // A planner answers ten times a second.
+    static constexpr base::Duration kNoAnswer = std::chrono::milliseconds(600);
+    // Time until a loader that did not answer as planner is tried again.
+    static constexpr base::Duration kPause = std::chrono::seconds(3);
+    std::erase_if(m_loaders, [aNow](auto const& aItem) {
+      return aNow - aItem.second.m_heardAt > kSilence;
+    });
+    if (m_planner && aNow - m_answeredAt > kNoAnswer) {
+      for (auto& [host, loader] : m_loaders) {
+        loader.m_pausedUntil =
+          loader.m_endpoint == *m_planner ? aNow + kPause : loader.m_pausedUntil;
+      }
+    }
+    auto const first = std::ranges::find_if(
+      m_loaders, [aNow](auto const& aItem) { return aItem.second.m_pausedUntil <= aNow; });
+    auto const chosen = first == m_loaders.end() ? std::nullopt
+                                                 : std::optional(first->second.m_endpoint);
+    if (chosen != m_planner) {
+      m_planner = chosen;
+      m_answeredAt = aNow;
+    }
+    return m_planner;
   }
 
 private:
   struct Loader
   {
     base::Endpoint m_endpoint;
-    base::Instant m_heardAt;
+    base::Instant m_heardAt{};
+    base::Instant m_pausedUntil{};
   };
 
   std::map<base::HostId, Loader> m_loaders;
+  std::optional<base::Endpoint> m_planner;
+  base::Instant m_answeredAt{};
 };
 
 } // namespace sardinefold::programs
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -34,7 +34,7 @@
     StartEpoch();
   }
   gateway = { aSender, aReport.m_incarnation, aReport.m_granted, aNow };
-  m_planner.OnDemand(aReport.m_host, aReport.m_demand, aNow);
+  m_planner.OnDemand(aReport.m_host, aReport.m_demand, aReport.m_isComplete);
 }
 
 void FleetPlanning::OnStatus(agent::EngineStatus const& aStatus, base::Endpoint const& aSender,
@@ -46,7 +46,8 @@
     return;
   }
   m_planner.OnEngine({ aStatus.m_host, aStatus.m_deployment, aStatus.m_models, aStatus.m_copies,
-                       aStatus.m_change.m_loading, aStatus.m_change.m_unloading },
+                       aStatus.m_change.m_loading, aStatus.m_change.m_readyIn,
+                       aStatus.m_change.m_unloading },
                      aNow);
 }
 
@@ -75,7 +76,7 @@
   });
 }
 
-void FleetPlanning::SendSummaries()
+void FleetPlanning::SendSummaries(base::Instant aNow)
 {
   agent::GrantedTokens total;
   for (auto const& [host, gateway] : m_gateways) {
@@ -84,7 +85,8 @@
     }
   }
   for (auto const& [host, gateway] : m_gateways) {
-    agent::GrantSummary summary{ m_epoch, static_cast<unsigned>(m_gateways.size()), total };
+    agent::PlannerSummary summary{ m_epoch, static_cast<unsigned>(m_gateways.size()), total,
+                                   m_planner.OutlooksFor(host, aNow) };
     for (auto const& [workspace, tokens] : gateway.m_granted) {
       summary.m_grantedByOthers[workspace] -= tokens;
     }
@@ -98,8 +100,9 @@
   if (m_gateways.empty()) {
     return;
   }
-  SendSummaries();
-  for (auto const& swap : m_planner.Plan(aNow)) {
+  auto const swaps = m_planner.Plan(aNow);
+  SendSummaries(aNow);
+  for (auto const& swap : swaps) {
     auto const loader = m_loaders.find(swap.m_loader);
     if (loader == m_loaders.end()) {
       continue;
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -42,7 +42,7 @@
 
   void Expire(base::Instant aNow);
   void StartEpoch();
-  void SendSummaries();
+  void SendSummaries(base::Instant aNow);
 
   base::ProcessProfile const& m_profile;
   base::DatagramEndpoint& m_peers;
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -11,6 +11,7 @@
 #include "Engine/OrderDesk.h"
 #include "ObjectStore/WriteSession.h"
 #include "Programs/Loader/FleetPlanning.h"
+#include "Programs/Loader/StatusStream.h"
 #include "Programs/ServingWire.h"
 #include "Programs/StoreAccess.h"
 
@@ -241,32 +242,25 @@
     return status;
   }
 
-  /// Tells gateways and the planner what has changed; unless something has,
-  /// only once in a while.
+  /// Tells gateways and planners what has changed for them; unless something
+  /// has, only once in a while.
   void SendStatus(bool aIsDue)
   {
-    auto status = MakeStatus();
-    auto const text = agent::EncodeFleetMessage(status);
-    auto stable = status;
-    stable.m_running = 0;
-    stable.m_waiting = 0;
-    stable.m_cacheUsed = base::Tokens();
-    stable.m_change.m_readyIn = base::Duration::zero();
-    auto const essence = agent::EncodeFleetMessage(stable);
-    if (!aIsDue && essence == m_lastEssence) {
-      return;
-    }
-    m_lastEssence = essence;
-    std::set<base::Endpoint> receivers;
+    auto const status = MakeStatus();
+    auto forGateways = status;
+    forGateways.m_copies = {};
+    forGateways.m_change.m_loading.reset();
+    forGateways.m_change.m_readyIn = {};
+    std::set<base::Endpoint> gateways;
+    std::set<base::Endpoint> planners;
     for (auto const& [host, gateway] : m_gateways) {
-      receivers.insert(gateway.m_endpoint);
+      gateways.insert(gateway.m_endpoint);
       if (gateway.m_planner.m_port != 0) {
-        receivers.insert(gateway.m_planner);
+        planners.insert(gateway.m_planner);
       }
     }
-    for (auto const& receiver : receivers) {
-      m_peers.Send(receiver, text);
-    }
+    m_toGateways.Send(m_peers, gateways, forGateways, aIsDue);
+    m_toPlanners.Send(m_peers, planners, status, aIsDue);
   }
 
   void OnMessage(std::string_view aText, base::Endpoint const& aSender)
@@ -301,12 +295,13 @@
     m_gateways[aPresence.m_host] = { aSender, aPresence.m_planner, aNow };
     m_catalogTold = std::max(m_catalogTold, aPresence.m_catalog);
     m_instance = aPresence.m_engine;
+    SendStatus(false);
   }
 
   boost::asio::awaitable<void> Tick()
   {
     constexpr base::Duration kInterval = std::chrono::milliseconds(100);
-    constexpr unsigned kStatusEvery = 4;
+    constexpr unsigned kStatusEvery = 8;
     constexpr base::Duration kGatewaySilence = std::chrono::seconds(4);
     for (unsigned tick = 0;; ++tick) {
       auto const now = m_loop.Now();
@@ -342,7 +337,8 @@
   std::optional<agent::EngineIdentity> m_instance;
   std::optional<base::CatalogVersion> m_catalogVersion;
   base::CatalogVersion m_catalogTold;
-  std::string m_lastEssence;
+  StatusStream m_toGateways;
+  StatusStream m_toPlanners;
   bool m_hasReport = false;
   bool m_wantsAdapter = false;
 };
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -54,7 +54,7 @@
                                   { "10.0.0.2", 7600 },
                                   base::CatalogVersion(9),
                                   { engine::InstanceId::FromValidated("i-1"), 123 } });
-  CheckRoundTrip(GrantSummary{ "epoch", 4, report.m_granted });
+  CheckRoundTrip(PlannerSummary{ "epoch", 4, report.m_granted, { { kModel, milliseconds(70) } } });
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
 }
@@ -66,8 +66,8 @@
     { "", "{}", "[]", "7", R"({"method":"engine.swap"})",
       R"({"method":"engine.swap","params":{"load":5,"unload":[]}})",
       R"({"method":"engine.swap","params":{"load":"m","unload":[""]}})",
-      R"({"method":"gateway.report","params":{"host":"h","incarnation":"i","demand":[7],"granted":{}}})",
-      R"({"method":"allowance.summary","params":{"epoch":"e","gateways":-1,"granted":{}}})",
+      R"({"method":"gateway.report","params":{"host":"h","incarnation":"i","complete":true,"demand":[7],"granted":{}}})",
+      R"({"method":"planner.summary","params":{"epoch":"e","gateways":-1,"granted":{},"outlooks":{}}})",
       R"({"method":"unheard.of","params":{}})" }) {
     BOOST_TEST(!DecodeFleetMessage(text).has_value(), text);
   }
@@ -82,8 +82,11 @@
   choice.OnLoader(base::HostId::FromValidated("b"), two, true, kStart);
   choice.OnLoader(base::HostId::FromValidated("a"), one, true, kStart);
   BOOST_TEST((choice.Planner(kStart) == one));
-  choice.OnLoader(base::HostId::FromValidated("b"), two, true, kStart + milliseconds(1'000));
-  BOOST_TEST((choice.Planner(kStart + milliseconds(1'500)) == two));
+  choice.OnSummary(one, kStart + milliseconds(500));
+  BOOST_TEST((choice.Planner(kStart + milliseconds(1'000)) == one));
+  // A planner that does not answer is left, though its loader is heard.
+  BOOST_TEST((choice.Planner(kStart + milliseconds(1'200)) == two));
+  choice.OnSummary(two, kStart + milliseconds(1'500));
   choice.OnLoader(base::HostId::FromValidated("b"), two, false, kStart + milliseconds(1'500));
   BOOST_TEST(!choice.Planner(kStart + milliseconds(1'500)).has_value());
 }
--- a/Tests/Support/SiteFixture.cpp
+++ b/Tests/Support/SiteFixture.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Support/SiteFixture.h"
 
 #include "Base/Json.h"
+#include "Programs/ProgramEdge.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -29,6 +30,9 @@
       m_loop, {}, [this](base::HttpExchange& aExchange) { return m_store.Serve(aExchange); },
       standins::RenderRequestError)
 {
+  // Quiet, unless one wants to see what happens.
+  auto const level = programs::ReadEnvironment("SARDINEFOLD_LOG_LEVEL").value_or("error");
+  BOOST_REQUIRE(base::log::Configure("site", level).has_value());
   auto const port = FreePort();
   auto const peerPort = static_cast<std::uint16_t>(FreePort());
   m_callers = { kGatewayHost, port };
--- a/Tests/SwapPlannerTest.cpp
+++ b/Tests/SwapPlannerTest.cpp
@@ -95,7 +95,7 @@
 {
   m_planner.OnEngine(EngineWith("one", { "a", "b" }), kStart);
   m_planner.OnEngine(EngineWith("two", { "a", "b" }, { "c" }), kStart);
-  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)) }, kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)) }, true);
   auto const swap = For(m_planner.Plan(m_settled), "c");
   BOOST_REQUIRE(swap.has_value());
   BOOST_TEST(swap->m_loader == Loader("two"));
@@ -106,7 +106,7 @@
 {
   m_planner.OnEngine(EngineWith("one", { "a", "b" }, { "c" }), kStart);
   m_planner.OnDemand(kGateway,
-                     { Waiting("c", 2, 2, seconds(3)), Asked("a", 3.0), Asked("b", 0.05) }, kStart);
+                     { Waiting("c", 2, 2, seconds(3)), Asked("a", 3.0), Asked("b", 0.05) }, true);
   auto const swap = For(m_planner.Plan(m_settled), "c");
   BOOST_REQUIRE(swap.has_value());
   BOOST_REQUIRE(swap->m_unload.size() == 1U);
@@ -116,8 +116,7 @@
 BOOST_FIXTURE_TEST_CASE(ABusyModelIsNotDroppedForALittleUsedOne, Fixture)
 {
   m_planner.OnEngine(EngineWith("one", { "a", "b" }, { "c" }), kStart);
-  m_planner.OnDemand(
-    kGateway, { Waiting("c", 1, 0.5, seconds(3)), Asked("a", 3.0), Asked("b", 3.0) }, kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 1, 0.5, seconds(3)), Asked("a", 3.0), Asked("b", 3.0) }, true);
   BOOST_TEST(!For(m_planner.Plan(m_settled), "c").has_value());
 }
 
@@ -125,7 +124,7 @@
 {
   m_planner.OnEngine(EngineWith("one", { "a" }, { "c" }), kStart);
   m_planner.OnEngine(EngineWith("two", { "a" }, { "c" }), kStart);
-  m_planner.OnDemand(kGateway, { Waiting("c", 3, 3, seconds(3)) }, kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 3, 3, seconds(3)) }, true);
   auto const swaps = m_planner.Plan(m_settled);
   BOOST_TEST(std::ranges::count(swaps, Model("c"), &PlannedSwap::m_load) == 1);
   auto const again = m_planner.Plan(m_settled + milliseconds(100));
@@ -140,7 +139,7 @@
   m_planner.OnDemand(kGateway,
                      { Waiting("a", 1, 1, seconds(3)), Waiting("b", 1, 1, seconds(3)),
                        Waiting("c", 1, 1, seconds(3)) },
-                     kStart);
+                     true);
   BOOST_TEST(m_planner.Plan(m_settled).size() == 1U);
 }
 
@@ -148,7 +147,7 @@
 {
   m_planner.OnEngine(EngineWith("one", { "a", "b" }, { "c", "d" }), kStart);
   m_planner.OnDemand(kGateway,
-                     { Waiting("c", 1, 1.5, seconds(-1)), Waiting("d", 1, 1, seconds(2)) }, kStart);
+                     { Waiting("c", 1, 1.5, seconds(-1)), Waiting("d", 1, 1, seconds(2)) }, true);
   BOOST_TEST(For(m_planner.Plan(m_settled), "d").has_value());
 }
 
@@ -156,7 +155,7 @@
 {
   m_planner.OnEngine(EngineWith("one", { "a", "b" }), kStart);
   m_planner.OnEngine(EngineWith("two", { "c", "d" }, { "a" }), kStart);
-  m_planner.OnDemand(kGateway, { Asked("a", 12.0) }, kStart);
+  m_planner.OnDemand(kGateway, { Asked("a", 12.0) }, true);
   auto const swap = For(m_planner.Plan(m_settled), "a");
   BOOST_REQUIRE(swap.has_value());
   BOOST_TEST(swap->m_loader == Loader("two"));
@@ -175,7 +174,7 @@
 {
   m_planner.OnEngine(EngineWith("one", { "a" }, { "c" }), kStart);
   m_planner.OnEngine(EngineWith("two", { "a" }, { "c" }), kStart);
-  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)) }, kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)) }, true);
   auto const first = For(m_planner.Plan(m_settled), "c");
   BOOST_REQUIRE(first.has_value());
   m_planner.RemoveEngine(first->m_loader);
@@ -184,12 +183,43 @@
   BOOST_TEST(second->m_loader != first->m_loader);
 }
 
+BOOST_FIXTURE_TEST_CASE(TellsWhenModelsThatAreWaitedForWillBeReady, Fixture)
+{
+  auto loading = EngineWith("one", { "a" });
+  loading.m_loading = Model("b");
+  loading.m_readyIn = milliseconds(400);
+  m_planner.OnEngine(loading, kStart);
+  m_planner.OnEngine(EngineWith("two", { "a", "e" }, { "c" }), kStart);
+  m_planner.OnDemand(kGateway,
+                     { Waiting("b", 1, 1, seconds(3)), Waiting("c", 1, 1, seconds(3)),
+                       Waiting("d", 1, 1, seconds(3)), Asked("a", 3.0) },
+                     true);
+  m_planner.Plan(m_settled);
+  auto const outlooks = m_planner.OutlooksFor(kGateway, kStart);
+  BOOST_TEST(outlooks.size() == 3U);
+  BOOST_TEST((outlooks.at(Model("b")) == milliseconds(400)));
+  BOOST_TEST((outlooks.at(Model("c")) <= milliseconds(1500)));
+  BOOST_TEST((outlooks.at(Model("d")) >= seconds(6)));
+}
+
+BOOST_FIXTURE_TEST_CASE(ChangesOfDemandLeaveTheOtherModelsAlone, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a", "b" }, { "c", "d" }), kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)), Asked("a", 3.0) }, true);
+  m_planner.OnDemand(kGateway, { Asked("c", 0.1), Waiting("d", 1, 1, seconds(3)) }, false);
+  auto const swaps = m_planner.Plan(m_settled);
+  BOOST_TEST(!For(swaps, "c").has_value());
+  auto const swap = For(swaps, "d");
+  BOOST_REQUIRE(swap.has_value());
+  BOOST_TEST(swap->m_unload.front() == Model("b"));
+}
+
 BOOST_FIXTURE_TEST_CASE(AnEngineThatChangesModelsIsLeftAlone, Fixture)
 {
   auto engine = EngineWith("one", { "a" }, { "c" });
   engine.m_loading = Model("b");
   m_planner.OnEngine(engine, kStart);
-  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)) }, kStart);
+  m_planner.OnDemand(kGateway, { Waiting("c", 1, 1, seconds(3)) }, true);
   BOOST_TEST(!For(m_planner.Plan(m_settled), "c").has_value());
 }
 
--- a/Tests/UpstreamDirectoryTest.cpp
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -182,18 +182,3 @@
   BOOST_TEST(!Find(kModel, kStart).has_value());
   BOOST_TEST(Find(kModel, kStart + seconds(1)).has_value());
 }
-
-BOOST_FIXTURE_TEST_CASE(TellsWhatIsKnownOfAModelThatIsNotReady, Fixture)
-{
-  m_directory.OnListed(Entry("one", 1), kStart);
-  auto account = Account({});
-  m_directory.OnAccount(account, kStart);
-  BOOST_TEST(!m_directory.OutlookOf(kDeployment, kModel, kStart).m_isAtHand);
-  account.m_copies.m_onDisk.insert(kModel);
-  account.m_loading = kModel;
-  account.m_readyAt = kStart + seconds(1);
-  m_directory.OnAccount(account, kStart);
-  auto const outlook = m_directory.OutlookOf(kDeployment, kModel, kStart);
-  BOOST_TEST(outlook.m_isAtHand);
-  BOOST_TEST((outlook.m_readyAt == kStart + seconds(1)));
-}
