Gateway: Refuse requests that ended three upstreams; bound the log

Cause: nothing contained a request that crashes each engine that runs it, though the decision for it stood tested (SuspectRegistry) and joined to nothing; and a slow reader of standard output could hold up a program.

Change: a connection that breaks off marks its request's fingerprint, told to all gateways through the planner; after three upstreams it is refused as not run. Lines of one message are bounded a second and what is dropped is told; standard output does not block.

--- a/Agent/Fleet/FleetCodec.cpp
+++ b/Agent/Fleet/FleetCodec.cpp
@@ -128,6 +128,30 @@
   return outlooks;
 }
 
+Json::Value FromDeaths(std::vector<SuspectNews> const& aDeaths)
+{
+  Json::Value list(Json::arrayValue);
+  for (auto const& death : aDeaths) {
+    Json::Value entry;
+    entry["fingerprint"] = death.m_fingerprint.Text();
+    entry["upstream"] = death.m_upstream.Text();
+    entry["age_ms"] = FromMilliseconds(death.m_age);
+    list.append(std::move(entry));
+  }
+  return list;
+}
+
+std::vector<SuspectNews> ToDeaths(Json::Value const& aParams)
+{
+  std::vector<SuspectNews> deaths;
+  for (auto const& entry : aParams["deaths"]) {
+    deaths.push_back({ Name<base::FingerprintId>(Member(entry, "fingerprint")),
+                       Name<base::UpstreamId>(Member(entry, "upstream")),
+                       Milliseconds(Member(entry, "age_ms")) });
+  }
+  return deaths;
+}
+
 struct Encoder
 {
   Json::Value& m_root;
@@ -201,6 +225,9 @@
     }
     params["complete"] = aReport.m_isComplete;
     params["granted"] = FromGrants(aReport.m_granted);
+    if (!aReport.m_deaths.empty()) {
+      params["deaths"] = FromDeaths(aReport.m_deaths);
+    }
   }
 
   void operator()(PlannerSummary const& aSummary)
@@ -214,6 +241,9 @@
     params["present"] = aSummary.m_gatewaysPresent;
     params["reporting"] = aSummary.m_gatewaysReporting;
     params["granted"] = FromGrants(aSummary.m_grantedByOthers);
+    if (!aSummary.m_deaths.empty()) {
+      params["deaths"] = FromDeaths(aSummary.m_deaths);
+    }
   }
 
   void operator()(SwapRequest const& aRequest)
@@ -295,6 +325,7 @@
   }
   report.m_isComplete = Member(aParams, "complete").asBool();
   report.m_granted = ToGrants(Member(aParams, "granted"));
+  report.m_deaths = ToDeaths(aParams);
   return report;
 }
 
@@ -310,10 +341,11 @@
     return ToGatewayReport(aParams);
   }
   if (aMethod == "planner.summary") {
-    return PlannerSummary{ Text(Member(aParams, "epoch")), Count(Member(aParams, "present")),
-                           Count(Member(aParams, "reporting")),
-                           ToGrants(Member(aParams, "granted")),
-                           ToOutlooks(Member(aParams, "outlooks")) };
+    return PlannerSummary{
+      Text(Member(aParams, "epoch")),          Count(Member(aParams, "present")),
+      Count(Member(aParams, "reporting")),     ToGrants(Member(aParams, "granted")),
+      ToOutlooks(Member(aParams, "outlooks")), ToDeaths(aParams)
+    };
   }
   if (aMethod == "engine.swap") {
     auto const unload = ToNames<base::ModelId>(Member(aParams, "unload"));
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Agent/SuspectRegistry.h"
 #include "Base/Endpoint.h"
 #include "Base/Identifiers.h"
 #include "Base/Time.h"
@@ -77,6 +78,8 @@
   bool m_isComplete = true;
   std::vector<engine::WaitingDemand> m_demand;
   GrantedTokens m_granted;
+  /// Requests that were in flight here as their upstream broke off, of late.
+  std::vector<SuspectNews> m_deaths;
 };
 
 /// Expected time until models that a gateway's requests wait for are ready.
@@ -93,6 +96,8 @@
   unsigned m_gatewaysReporting = 1;
   GrantedTokens m_grantedByOthers;
   ModelOutlooks m_outlooks;
+  /// What the other gateways told of late.
+  std::vector<SuspectNews> m_deaths;
 };
 
 /// From the planner to a loader: replace models by another.
--- a/Base/Log.cpp
+++ b/Base/Log.cpp
@@ -1,10 +1,14 @@
 #include "Base/Log.h"
 
+#include <fcntl.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/mdc.h>
+#include <unistd.h>
+
+#include <map>
 
 namespace sardinefold::base::log {
 
@@ -31,8 +35,68 @@
   return log4cxx::Level::getInfo();
 }
 
+/// Lines of one message in the present interval.
+struct LineCount
+{
+  unsigned m_written = 0;
+  unsigned m_dropped = 0;
+};
+
+using LineCounts = std::map<std::string, LineCount, std::less<>>;
+
+LineCounts& Counts()
+{
+  static LineCounts counts;
+  return counts;
+}
+
+/// Absent until the program has begun to count intervals: tools write all.
+bool& IsBounded()
+{
+  static bool isBounded = false;
+  return isBounded;
+}
+
+bool TakeLine(std::string_view aMessage)
+{
+  if (!IsBounded()) {
+    return true;
+  }
+  auto& counts = Counts();
+  auto found = counts.find(aMessage);
+  if (found == counts.end()) {
+    found = counts.emplace(aMessage, LineCount{}).first;
+  }
+  if (found->second.m_written < kLinesPerInterval) {
+    ++found->second.m_written;
+    return true;
+  }
+  ++found->second.m_dropped;
+  return false;
+}
+
 } // namespace
 
+void NeverBlock()
+{
+  int const flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void StartInterval()
+{
+  auto const counts = std::exchange(Counts(), {});
+  IsBounded() = true;
+  for (auto const& [message, count] : counts) {
+    if (count.m_dropped > 0) {
+      Warning("log lines dropped",
+              { { "of", message }, { "lines", std::to_string(count.m_dropped) } });
+    }
+  }
+}
+
 tl::expected<void, std::string> Configure(std::string_view aProgram, std::string_view aLevel)
 {
   log4cxx::LevelPtr level;
@@ -65,7 +129,7 @@
 {
   auto const& logger = ProgramLogger();
   auto const level = ToLevel(aLevel);
-  if (!logger->isEnabledFor(level)) {
+  if (!logger->isEnabledFor(level) || !TakeLine(aMessage)) {
     return;
   }
   for (auto const& field : aFields) {
--- a/Base/Log.h
+++ b/Base/Log.h
@@ -32,6 +32,18 @@
 /// levels exist.
 tl::expected<void, std::string> Configure(std::string_view aProgram, std::string_view aLevel);
 
+/// Lines of one message that are written between two calls of StartInterval();
+/// further ones are counted and dropped.
+inline constexpr unsigned kLinesPerInterval = 400;
+
+/// Makes standard output lose lines rather than hold up the program when its
+/// reader is slow.
+void NeverBlock();
+
+/// Begins a new interval, and tells which lines the last one dropped. A program
+/// that bounds its log calls this from its loop.
+void StartInterval();
+
 void Write(LogLevel aLevel, std::string_view aMessage,
            std::initializer_list<LogField> aFields = {});
 
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Cancellation.h"
+#include "Base/Digest.h"
 #include "Base/Http/HttpExchange.h"
 #include "Base/Log.h"
 #include "Programs/Gateway/EventBuffer.h"
@@ -105,33 +106,68 @@
     m_route = *route;
     m_urgency = route->m_urgency;
     m_end = m_start + std::min(m_request.m_deadline.value_or(route->m_timeout), route->m_timeout);
+    operators::WorkspaceGrant const* workspace = nullptr;
     if (!m_route.m_isPublic && catalog->HasWorkspaces()) {
-      auto const* const workspace =
-        m_request.m_key ? catalog->FindWorkspace(*m_request.m_key) : nullptr;
+      workspace = m_request.m_key ? catalog->FindWorkspace(*m_request.m_key) : nullptr;
       if (!workspace) {
         return Refusal{ 401, "unknown key", std::nullopt };
       }
       m_workspace = workspace->m_id;
       m_urgency = workspace->m_urgency.value_or(m_urgency);
-      m_tokens = m_request.m_tokens ? m_request.m_tokens->Total() : workspace->m_plainRequestTokens;
-      auto const wait = m_state.m_allowance.Take(workspace->m_id, m_tokens, m_start);
-      if (wait) {
-        LogAllowance(workspace->m_id);
-        return Refusal{ 429, "allowance used up", *wait };
-      }
     }
-    m_query.m_deployment = ChooseDeployment();
-    if (m_request.m_model) {
-      auto const* const deployment = catalog->FindDeployment(m_query.m_deployment);
-      if (deployment && deployment->m_engine) {
-        m_query.m_model = m_request.m_model->m_model;
-        m_query.m_adapter = m_request.m_model->m_adapter;
-        m_state.m_demand.OnAsked(*m_query.m_model, m_start);
-      }
+    m_fingerprint = Fingerprint();
+    if (auto const refusedFor = m_state.m_suspects.RefusedFor(m_fingerprint, m_start)) {
+      return Refusal{ 503, "request ended its upstreams", *refusedFor };
     }
+    if (auto refusal = workspace ? TakeTokens(*workspace) : std::nullopt) {
+      return refusal;
+    }
+    ChooseUpstreams(*catalog);
     return std::nullopt;
   }
 
+  std::optional<Refusal> TakeTokens(operators::WorkspaceGrant const& aWorkspace)
+  {
+    m_tokens = m_request.m_tokens ? m_request.m_tokens->Total() : aWorkspace.m_plainRequestTokens;
+    auto const wait = m_state.m_allowance.Take(aWorkspace.m_id, m_tokens, m_start);
+    if (!wait) {
+      return std::nullopt;
+    }
+    LogAllowance(aWorkspace.m_id);
+    return Refusal{ 429, "allowance used up", *wait };
+  }
+
+  /// What the request needs of an upstream.
+  void ChooseUpstreams(caller::CatalogIndex const& aCatalog)
+  {
+    m_query.m_deployment = ChooseDeployment();
+    auto const* const deployment = aCatalog.FindDeployment(m_query.m_deployment);
+    if (m_request.m_model && deployment && deployment->m_engine) {
+      m_query.m_model = m_request.m_model->m_model;
+      m_query.m_adapter = m_request.m_model->m_adapter;
+      m_state.m_demand.OnAsked(*m_query.m_model, m_start);
+    }
+  }
+
+  /// The same each time that a caller sends the same request.
+  base::FingerprintId Fingerprint() const
+  {
+    auto const& request = m_exchange.Request();
+    auto const hash = base::FastHash(
+      request.m_target + "\n" + (m_workspace ? m_workspace->Text() : "") + "\n" + request.m_body);
+    return base::FingerprintId::FromValidated(std::to_string(hash));
+  }
+
+  /// A connection that closes without an answer may be an upstream that died.
+  void NoteBreak(base::HttpFailure const& aFailure, engine::InstanceId const& aUpstream)
+  {
+    m_outcome = ToText(aFailure.m_kind);
+    m_state.m_directory.OnFailed(aUpstream, Now());
+    if (aFailure.m_kind == base::HttpFailure::Kind::ConnectionClosed) {
+      m_state.NoteDeath(m_fingerprint, aUpstream, Now());
+    }
+  }
+
   /// Splits requests among a route's deployments by weight, the same for each
   /// repetition of one request.
   base::DeploymentId ChooseDeployment() const
@@ -373,8 +409,7 @@
       co_return AttemptEnd::CallerGone;
     }
     if (!reply) {
-      m_outcome = ToText(reply.error().m_kind);
-      m_state.m_directory.OnFailed(aChoice.m_instance, Now());
+      NoteBreak(reply.error(), aChoice.m_instance);
       co_return reply.error().m_mayHaveBeenSent ? AttemptEnd::Unknown : AttemptEnd::NotRun;
     }
     auto const head = Wire::DecodeAnswerHead(reply->Status(), reply->Headers(), m_request.m_id);
@@ -434,8 +469,7 @@
         co_return AttemptEnd::CallerGone;
       }
       if (!piece) {
-        m_outcome = ToText(piece.error().m_kind);
-        m_state.m_directory.OnFailed(aChoice.m_instance, Now());
+        NoteBreak(piece.error(), aChoice.m_instance);
         co_return AttemptEnd::Unknown;
       }
       response.m_body += *piece;
@@ -481,8 +515,7 @@
         co_return AttemptEnd::CallerGone;
       }
       if (!piece) {
-        m_outcome = ToText(piece.error().m_kind);
-        m_state.m_directory.OnFailed(aChoice.m_instance, Now());
+        NoteBreak(piece.error(), aChoice.m_instance);
         co_return AttemptEnd::Unknown;
       }
       auto const complete = events.Add(*piece);
@@ -582,6 +615,7 @@
   std::optional<caller::EventNumber> m_lastEvent;
   std::optional<base::HttpResponse> m_heldFailure;
   std::optional<base::Instant> m_firstEventAt;
+  base::FingerprintId m_fingerprint;
   engine::InstanceId m_upstream;
   unsigned m_status = 0;
   std::string_view m_outcome;
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -84,6 +84,8 @@
     m_loop.Stop();
   }
 
+  GatewayState& State() { return m_state; }
+
 private:
   /// The list changes with each model that an engine loads, so changes are
   /// gathered: each answer is a call that is paid for. A leaving upstream has
@@ -227,6 +229,14 @@
     } else if (auto const* const summary = std::get_if<agent::PlannerSummary>(&*message)) {
       m_planner.OnSummary(aSender, now);
       OnOutlooks(summary->m_outlooks, now);
+      for (auto const& death : summary->m_deaths) {
+        if (m_state.m_suspects.OnNews(death, now)) {
+          base::log::Warning("request may have ended its upstream",
+                             { { "fingerprint", death.m_fingerprint.Text() },
+                               { "upstream", death.m_upstream.Text() },
+                               { "told_by", aSender.Text() } });
+        }
+      }
       m_state.m_allowance.OnOthers(summary->m_epoch,
                                    { summary->m_gatewaysPresent, summary->m_gatewaysReporting },
                                    summary->m_grantedByOthers, now);
@@ -246,6 +256,7 @@
   boost::asio::awaitable<void> Tick()
   {
     constexpr base::Duration kInterval = std::chrono::milliseconds(100);
+    constexpr unsigned kLogInterval = 10;
     // A watch that ends in time, and the pause after it, take less.
     constexpr base::Duration kStoreSilence = std::chrono::milliseconds(3300);
     // Entries that lapsed are back within this time after the store's return.
@@ -256,7 +267,11 @@
           now - m_upstreamWatch.State().LastHeard() > kStoreSilence) {
         m_storeAwayUntil = now + kReturnTime;
       }
+      if (m_ticks % kLogInterval == 0) {
+        base::log::StartInterval();
+      }
       m_state.m_directory.Expire(now);
+      m_state.m_suspects.Forget(now);
       Report(now);
       co_await m_loop.Sleep(kInterval);
     }
@@ -282,7 +297,8 @@
     constexpr unsigned kCompleteEvery = 10;
     bool const isComplete = m_ticks % kCompleteEvery == 0 || aIsFirst;
     agent::GatewayReport report{
-      m_state.m_profile.m_host, m_incarnation, isComplete, {}, m_state.m_allowance.Granted()
+      m_state.m_profile.m_host,      m_incarnation,           isComplete, {},
+      m_state.m_allowance.Granted(), m_state.TakeDeaths(aNow)
     };
     std::map<base::ModelId, unsigned> waiting;
     for (auto& demand : m_state.m_demand.Summary(aNow)) {
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -2,6 +2,7 @@
 
 #include "Agent/Fleet/FleetCodec.h"
 #include "Agent/RetryBudget.h"
+#include "Agent/SuspectRegistry.h"
 #include "Base/DatagramEndpoint.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpClient.h"
@@ -35,10 +36,20 @@
     , m_http(aLoop, EngineClientLimits())
     , m_directory({}, m_profile.m_failureDomain, aSeed)
     , m_allowance({})
+    , m_suspects(SuspectPolicy())
     , m_peers(aLoop)
   {
   }
 
+  static agent::SuspectLimits SuspectPolicy()
+  {
+    agent::SuspectLimits limits;
+    // Connections also break for other reasons, so that two are no proof; the
+    // site bounds what follows the third.
+    limits.m_upstreams = 3;
+    return limits;
+  }
+
   static base::HttpClientLimits EngineClientLimits()
   {
     base::HttpClientLimits limits;
@@ -48,6 +59,33 @@
     return limits;
   }
 
+  /// A request was in flight as its upstream broke the connection off.
+  void NoteDeath(base::FingerprintId const& aFingerprint, engine::InstanceId const& aUpstream,
+                 base::Instant aNow)
+  {
+    agent::SuspectNews const news{ aFingerprint,
+                                   base::UpstreamId::FromValidated(aUpstream.Text()),
+                                   {} };
+    if (m_suspects.OnNews(news, aNow)) {
+      m_deaths.emplace_back(aNow, news);
+    }
+  }
+
+  /// The deaths to tell the others. Each is told several times, since messages
+  /// may be lost.
+  std::vector<agent::SuspectNews> TakeDeaths(base::Instant aNow)
+  {
+    static constexpr base::Duration kTellingTime = std::chrono::milliseconds(500);
+    std::erase_if(m_deaths,
+                  [aNow](auto const& aDeath) { return aNow - aDeath.first > kTellingTime; });
+    std::vector<agent::SuspectNews> news;
+    for (auto const& [at, death] : m_deaths) {
+      news.push_back(death);
+      news.back().m_age = aNow - at;
+    }
+    return news;
+  }
+
   /// The signal for those who wait for a model.
   base::Signal& ModelSignal(base::ModelId const& aModel)
   {
@@ -85,6 +123,8 @@
   engine::UpstreamDirectory m_directory;
   engine::DemandBoard m_demand;
   entry::SharedAllowance m_allowance;
+  agent::SuspectRegistry m_suspects;
+  std::vector<std::pair<base::Instant, agent::SuspectNews>> m_deaths;
   base::DatagramEndpoint m_peers;
   /// While the process stops, no request waits for longer.
   std::optional<base::Instant> m_lastWait;
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -3,6 +3,9 @@
 #include "Agent/Fleet/FleetCodec.h"
 #include "Base/Log.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace sardinefold::programs {
 
 namespace {
@@ -36,7 +39,7 @@
   if (gateway.m_incarnation != aReport.m_incarnation) {
     StartEpoch();
   }
-  gateway = { aSender, aReport.m_incarnation, aReport.m_granted, aNow };
+  gateway = { aSender, aReport.m_incarnation, aReport.m_granted, aReport.m_deaths, aNow };
   m_present[aReport.m_host] = aNow;
   m_planner.OnDemand(aReport.m_host, aReport.m_demand, aReport.m_isComplete);
 }
@@ -96,9 +99,15 @@
     }
   }
   for (auto const& [host, gateway] : m_gateways) {
-    agent::PlannerSummary summary{ m_epoch, static_cast<unsigned>(m_present.size()),
-                                   static_cast<unsigned>(m_gateways.size()), total,
-                                   m_planner.OutlooksFor(host, aNow) };
+    agent::PlannerSummary summary{
+      m_epoch, static_cast<unsigned>(m_present.size()), static_cast<unsigned>(m_gateways.size()),
+      total,   m_planner.OutlooksFor(host, aNow),       {}
+    };
+    for (auto const& [otherHost, other] : m_gateways) {
+      if (otherHost != host) {
+        std::ranges::copy(other.m_deaths, std::back_inserter(summary.m_deaths));
+      }
+    }
     for (auto const& [workspace, tokens] : gateway.m_granted) {
       summary.m_grantedByOthers[workspace] -= tokens;
     }
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -34,6 +34,7 @@
     base::Endpoint m_endpoint;
     base::IncarnationId m_incarnation;
     agent::GrantedTokens m_granted;
+    std::vector<agent::SuspectNews> m_deaths;
     base::Instant m_heardAt{};
   };
   struct Loader
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -303,12 +303,16 @@
   {
     constexpr base::Duration kInterval = std::chrono::milliseconds(100);
     constexpr unsigned kStatusEvery = 8;
+    constexpr unsigned kLogInterval = 10;
     constexpr base::Duration kGatewaySilence = std::chrono::seconds(4);
     for (unsigned tick = 0;; ++tick) {
       auto const now = m_loop.Now();
       std::erase_if(m_gateways, [&](auto const& aItem) {
         return now - aItem.second.m_heardAt > kGatewaySilence;
       });
+      if (tick % kLogInterval == 0) {
+        base::log::StartInterval();
+      }
       if (tick % kStatusEvery == 0) {
         SendStatus(true);
       }
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -49,13 +49,15 @@
   demand.m_running = 4;
   report.m_demand = { demand };
   report.m_granted = { { base::WorkspaceId::FromValidated("t1"), base::Tokens(77) } };
+  report.m_deaths = { { base::FingerprintId::FromValidated("77"),
+                        base::UpstreamId::FromValidated("i-1"), milliseconds(30) } };
   CheckRoundTrip(report);
   CheckRoundTrip(GatewayPresence{ report.m_host,
                                   { "10.0.0.2", 7600 },
                                   base::CatalogVersion(9),
                                   { engine::InstanceId::FromValidated("i-1"), 123 } });
-  CheckRoundTrip(
-    PlannerSummary{ "epoch", 4, 3, report.m_granted, { { kModel, milliseconds(70) } } });
+  CheckRoundTrip(PlannerSummary{
+    "epoch", 4, 3, report.m_granted, { { kModel, milliseconds(70) } }, report.m_deaths });
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
 }
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -127,6 +127,27 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(ARequestThatEndedThreeUpstreamsIsRefused, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto const fingerprint =
+      base::FingerprintId::FromValidated(std::to_string(base::FastHash("/order/x\nmarshals\n")));
+    for (auto const* const upstream : { "i-1", "i-2" }) {
+      m_gateway->State().NoteDeath(fingerprint, engine::InstanceId::FromValidated(upstream),
+                                   m_loop.Now());
+    }
+    auto second = Request("POST", "/order/x", "r1");
+    auto const served = co_await Send(std::move(second));
+    BOOST_TEST(served->m_status == 200U);
+    m_gateway->State().NoteDeath(fingerprint, engine::InstanceId::FromValidated("i-3"),
+                                 m_loop.Now());
+    auto third = Request("POST", "/order/x", "r2");
+    auto const refused = co_await Send(std::move(third));
+    BOOST_TEST(refused->m_status == 503U);
+    BOOST_TEST(RunsOf("r2") == 0U);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(ARejectedRequestIsRefusedWithATimeToComeBack, SiteFixture)
 {
   SetFault(*m_service, "reject_requests", 5);
