--- a/ObjectStore/ObjectClientCalls.h
+++ b/ObjectStore/ObjectClientCalls.h
@@ -12,7 +12,8 @@
 /// A list of all of a kind's objects may be long.
 inline constexpr base::Bytes kMaxAnswerBytes{ 256 * 1024 * 1024 };
 /// A watch that has been silent for this much longer than it asked for is lost.
-inline constexpr std::chrono::seconds kWatchGrace{ 2 };
+/// A slow platform takes a quarter of a second for an answer.
+inline constexpr std::chrono::milliseconds kWatchGrace{ 500 };
 
 inline WriteError ToWriteError(ReadError const& aError, bool aMayHaveBeenSent)
 {
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -102,7 +102,7 @@
     objectstore::WatchLimits limits;
     // A connection may go silent; a configuration has to be in force within
     // two seconds all the same.
-    limits.m_watchTime = std::chrono::milliseconds(2000);
+    limits.m_watchTime = std::chrono::milliseconds(1500);
     limits.m_listTime = std::chrono::milliseconds(1500);
     limits.m_backoff = { std::chrono::milliseconds(50), std::chrono::milliseconds(400) };
     return limits;
@@ -258,7 +258,7 @@
     constexpr base::Duration kInterval = std::chrono::milliseconds(100);
     constexpr unsigned kLogInterval = 10;
     // A watch that ends in time, and the pause after it, take less.
-    constexpr base::Duration kStoreSilence = std::chrono::milliseconds(3300);
+    constexpr base::Duration kStoreSilence = std::chrono::milliseconds(2800);
     // Entries that lapsed are back within this time after the store's return.
     constexpr base::Duration kReturnTime = std::chrono::milliseconds(3000);
     while (true) {
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -235,6 +235,23 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(SilentConnectionsToTheStoreHoldUpNoConfiguration, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    Json::Value silence;
+    silence["silence_connections"] = true;
+    BOOST_REQUIRE(m_store.Faults().Apply(silence).has_value());
+    auto configuration = Configuration(2);
+    configuration["tenants"][0]["apiKeys"][0] = "key-3";
+    m_store.Put("config", "main", configuration);
+    // The watch that went silent ends after two seconds at the latest.
+    co_await m_loop.Sleep(2'800ms);
+    auto request = Request("GET", "/look/x", "r1");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_TEST(answer->m_status == 401U);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(RequestsAreServedWhileTheStoreIsAway, SiteFixture)
 {
   Run([&]() -> awaitable<void> {
--- a/Tests/Support/SiteFixture.cpp
+++ b/Tests/Support/SiteFixture.cpp
@@ -38,6 +38,7 @@
   m_callers = { kGatewayHost, port };
   m_readiness = { kGatewayHost, FreePort() };
   BOOST_REQUIRE(m_storeServer.Listen({ kStoreHost, port }).has_value());
+  m_store.Attach(m_storeServer);
   m_store.Put("config", "main", Configuration(1));
   base::ProcessProfile profile;
   profile.m_failureDomain = base::FailureDomainId::FromValidated("a");
