--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -23,6 +23,7 @@
 step settings Meta/settings.sh --check
 step lint Meta/lint.py
 step tests ctest --test-dir Build -j 8 --output-on-failure
+step 'demonstration on the platform' python3 Meta/demo_platform.py
 step 'faults with real processes' Meta/process_faults.py
 step 'bounds that do not depend on the clock' Meta/bench.py --deterministic
 if [ -s KNOWN-RED.txt ]; then
--- /dev/null
+++ b/StandIns/Site.cpp
@@ -0,0 +1,56 @@
+#include "Programs/SystemClock.h"
+#include "StandIns/Common/StandInProgram.h"
+#include "StandIns/Site/SiteConfiguration.h"
+#include "StandIns/Site/SiteEngine.h"
+
+#include <memory>
+#include <vector>
+
+namespace {
+
+using namespace sardinefold;
+
+base::SettingsTable Table()
+{
+  using base::SettingKind;
+  return { "standin-site", "The users' platform on loopback: store, engines and a plain service.",
+           standins::WithCommonSettings(
+             { { "engines", SettingKind::Count, "Engines, at 127.0.2.1 and on", "2" },
+               { "port", SettingKind::Count, "Port of engines and service", "8080" } }) };
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  int exitCode = 0;
+  auto const settings = standins::ReadSettings(Table(), aCount, aArguments, exitCode);
+  if (!settings) {
+    return exitCode;
+  }
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  standins::SiteStore store(loop);
+  store.Put("config", "main", standins::SiteConfiguration(1));
+  auto const port = static_cast<std::uint16_t>(settings->Count("port"));
+  std::vector<std::unique_ptr<standins::SiteEngine>> upstreams;
+  for (std::int64_t number = 0; number <= settings->Count("engines"); ++number) {
+    standins::SiteEngineSettings upstream;
+    bool const isService = number == 0;
+    upstream.m_hasModels = !isService;
+    upstream.m_instance = isService ? "i-desk" : "i-" + std::to_string(number);
+    upstream.m_deployment = isService ? "desk" : "llm";
+    upstream.m_address = { isService ? "127.0.3.1" : "127.0.2." + std::to_string(number), port };
+    if (!isService) {
+      upstream.m_models = { "common", "own" + std::to_string(number) };
+    }
+    upstreams.push_back(std::make_unique<standins::SiteEngine>(loop, store, upstream));
+    if (auto const started = upstreams.back()->Start(); !started) {
+      std::fputs(("standin-site: " + started.error() + "\n").c_str(), stderr);
+      return 2;
+    }
+  }
+  auto const handler = [&](base::HttpExchange& aExchange) { return store.Serve(aExchange); };
+  base::HttpServer server(loop, {}, handler, standins::RenderRequestError);
+  store.Attach(server);
+  return standins::ServeUntilTerminated("standin-site", loop, server, *settings);
+}
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -206,7 +206,7 @@
 BOOST_FIXTURE_TEST_CASE(AWithdrawnKeyAndANewRouteAreInForceWithinTwoSeconds, SiteFixture)
 {
   Run([&]() -> awaitable<void> {
-    auto configuration = Configuration(2);
+    auto configuration = standins::SiteConfiguration(2);
     configuration["tenants"][0]["apiKeys"][0] = "key-3";
     m_store.Put("config", "main", configuration);
     co_await m_loop.Sleep(500ms);
@@ -224,7 +224,7 @@
 {
   Run([&]() -> awaitable<void> {
     m_store.ForgetHistory();
-    auto configuration = Configuration(5);
+    auto configuration = standins::SiteConfiguration(5);
     configuration["tenants"][0]["apiKeys"][0] = "key-3";
     m_store.Put("config", "main", configuration);
     m_store.ForgetHistory();
@@ -241,7 +241,7 @@
     Json::Value silence;
     silence["silence_connections"] = true;
     BOOST_REQUIRE(m_store.Faults().Apply(silence).has_value());
-    auto configuration = Configuration(2);
+    auto configuration = standins::SiteConfiguration(2);
     configuration["tenants"][0]["apiKeys"][0] = "key-3";
     m_store.Put("config", "main", configuration);
     // The watch that went silent ends after two seconds at the latest.
--- a/Tests/Support/SiteFixture.h
+++ b/Tests/Support/SiteFixture.h
@@ -5,6 +5,7 @@
 #include "Programs/Loader/LoaderProgram.h"
 #include "Programs/SystemClock.h"
 #include "StandIns/Common/StandInProgram.h"
+#include "StandIns/Site/SiteConfiguration.h"
 #include "StandIns/Site/SiteEngine.h"
 
 #include <memory>
@@ -52,7 +53,6 @@
     base::HttpRequest aRequest, base::Duration aLimit = std::chrono::seconds(5));
   /// How often engines and services ran a request.
   std::size_t RunsOf(std::string const& aId) const;
-  static Json::Value Configuration(std::uint64_t aVersion);
   void SetFault(standins::SiteEngine& aEngine, char const* aName, Json::Value aValue);
 
 private:
