Entry: Keep the sums of grants over restarts and silences

Cause: the planner's sums began anew whenever a gateway fell silent, came back or restarted, and each new beginning forgot what all gateways had granted in one exchange.

Change: GrantLedger counts increments of each gateway's total and keeps them whatever becomes of the gateway; only another planner begins anew.

--- a/Agent/Fleet/FleetCodec.cpp
+++ b/Agent/Fleet/FleetCodec.cpp
@@ -95,7 +95,7 @@
   return names;
 }
 
-Json::Value FromGrants(GrantedTokens const& aGrants)
+Json::Value FromGrants(entry::GrantedTokens const& aGrants)
 {
   Json::Value object(Json::objectValue);
   for (auto const& [workspace, tokens] : aGrants) {
@@ -104,9 +104,9 @@
   return object;
 }
 
-GrantedTokens ToGrants(Json::Value const& aObject)
+entry::GrantedTokens ToGrants(Json::Value const& aObject)
 {
-  GrantedTokens grants;
+  entry::GrantedTokens grants;
   if (!aObject.isObject()) {
     throw FieldError{ "grants are expected" };
   }
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -7,6 +7,7 @@
 #include "Base/Units.h"
 #include "Engine/DemandBoard.h"
 #include "Engine/EngineFacts.h"
+#include "Entry/Allowance/GrantLedger.h"
 
 #include <map>
 #include <optional>
@@ -45,9 +46,6 @@
   bool m_canOrder = false;
 };
 
-/// Tokens that a workspace has been granted since the process started.
-using GrantedTokens = std::map<base::WorkspaceId, base::Tokens>;
-
 /// One start of an engine, as the platform's list has it.
 struct EngineIdentity
 {
@@ -77,7 +75,8 @@
   /// where something has changed since the report before.
   bool m_isComplete = true;
   std::vector<engine::WaitingDemand> m_demand;
-  GrantedTokens m_granted;
+  /// Since the gateway started.
+  entry::GrantedTokens m_granted;
   /// Requests that were in flight here as their upstream broke off, of late.
   std::vector<SuspectNews> m_deaths;
 };
@@ -94,7 +93,7 @@
   /// Gateways that are there, and those that report to this planner.
   unsigned m_gatewaysPresent = 1;
   unsigned m_gatewaysReporting = 1;
-  GrantedTokens m_grantedByOthers;
+  entry::GrantedTokens m_grantedByOthers;
   ModelOutlooks m_outlooks;
   /// What the other gateways told of late.
   std::vector<SuspectNews> m_deaths;
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -55,7 +55,8 @@
 bool UpstreamDirectory::OnAccount(LoaderAccount aAccount, base::Instant aNow)
 {
   bool hasNews = false;
-  for (auto& [instance, upstream] : m_upstreams) {
+  for (auto& item : m_upstreams) {
+    auto& upstream = item.second;
     if (upstream.m_entry.m_endpoint != aAccount.m_engine) {
       continue;
     }
--- /dev/null
+++ b/Entry/Allowance/GrantLedger.cpp
@@ -0,0 +1,37 @@
+#include "Entry/Allowance/GrantLedger.h"
+
+namespace sardinefold::entry {
+
+void GrantLedger::OnReport(base::HostId const& aProcess, base::IncarnationId const& aIncarnation,
+                           GrantedTokens const& aGranted)
+{
+  auto const [found, isNew] = m_processes.try_emplace(aProcess);
+  auto& process = found->second;
+  if (process.m_incarnation != aIncarnation) {
+    process.m_told.clear();
+    process.m_incarnation = aIncarnation;
+  }
+  for (auto const& [workspace, tokens] : aGranted) {
+    auto const added = tokens - process.m_told[workspace];
+    // What a process granted before it first reported here may be long past.
+    if (!isNew) {
+      process.m_counted[workspace] += added;
+      m_total[workspace] += added;
+    }
+    process.m_told[workspace] = tokens;
+  }
+}
+
+GrantedTokens GrantLedger::GrantedByOthers(base::HostId const& aProcess) const
+{
+  auto others = m_total;
+  auto const found = m_processes.find(aProcess);
+  if (found != m_processes.end()) {
+    for (auto const& [workspace, tokens] : found->second.m_counted) {
+      others[workspace] -= tokens;
+    }
+  }
+  return others;
+}
+
+} // namespace sardinefold::entry
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -15,15 +15,20 @@
 constexpr base::Duration kReportSilence = std::chrono::milliseconds(700);
 /// A gateway that is not heard at all for longer is taken to grant nothing.
 constexpr base::Duration kGatewaySilence = std::chrono::seconds(4);
+/// How long it is remembered which of a silent gateway's grants are counted.
+constexpr base::Duration kGatewayMemory = std::chrono::seconds(60);
 /// Loaders tell their state several times in this time.
 constexpr base::Duration kLoaderSilence = std::chrono::milliseconds(1500);
 
+constexpr std::size_t kEpochBytes = 6;
+
 } // namespace
 
 FleetPlanning::FleetPlanning(base::ProcessProfile const& aProfile, base::DatagramEndpoint& aPeers)
   : m_profile(aProfile)
   , m_peers(aPeers)
   , m_planner({ .m_parallelStoreLoads = aProfile.m_bounds.m_parallelLoads })
+  , m_epoch(base::RandomHex(kEpochBytes))
 {
 }
 
@@ -36,10 +41,10 @@
                              base::Instant aNow)
 {
   auto& gateway = m_gateways[aReport.m_host];
-  if (gateway.m_incarnation != aReport.m_incarnation) {
-    StartEpoch();
-  }
-  gateway = { aSender, aReport.m_incarnation, aReport.m_granted, aReport.m_deaths, aNow };
+  m_grants.OnReport(aReport.m_host, aReport.m_incarnation, aReport.m_granted);
+  gateway.m_endpoint = aSender;
+  gateway.m_deaths = aReport.m_deaths;
+  gateway.m_heardAt = aNow;
   m_present[aReport.m_host] = aNow;
   m_planner.OnDemand(aReport.m_host, aReport.m_demand, aReport.m_isComplete);
 }
@@ -63,21 +68,19 @@
                      aNow);
 }
 
-void FleetPlanning::StartEpoch()
-{
-  constexpr std::size_t kEpochBytes = 6;
-  m_epoch = base::RandomHex(kEpochBytes);
-}
-
 void FleetPlanning::Expire(base::Instant aNow)
 {
+  for (auto const& [host, gateway] : m_gateways) {
+    if (!IsReporting(gateway, aNow)) {
+      m_planner.RemoveGateway(host);
+    }
+  }
   std::erase_if(m_gateways, [&](auto const& aItem) {
-    if (aNow - aItem.second.m_heardAt <= kReportSilence) {
-      return false;
+    bool const isOver = aNow - aItem.second.m_heardAt > kGatewayMemory;
+    if (isOver) {
+      m_grants.Forget(aItem.first);
     }
-    StartEpoch();
-    m_planner.RemoveGateway(aItem.first);
-    return true;
+    return isOver;
   });
   std::erase_if(m_present,
                 [&](auto const& aItem) { return aNow - aItem.second > kGatewaySilence; });
@@ -92,33 +95,38 @@
 
 void FleetPlanning::SendSummaries(base::Instant aNow)
 {
-  agent::GrantedTokens total;
+  auto const reporting = std::ranges::count_if(
+    m_gateways, [&](auto const& aItem) { return IsReporting(aItem.second, aNow); });
   for (auto const& [host, gateway] : m_gateways) {
-    for (auto const& [workspace, tokens] : gateway.m_granted) {
-      total[workspace] += tokens;
+    if (!IsReporting(gateway, aNow)) {
+      continue;
     }
-  }
-  for (auto const& [host, gateway] : m_gateways) {
-    agent::PlannerSummary summary{
-      m_epoch, static_cast<unsigned>(m_present.size()), static_cast<unsigned>(m_gateways.size()),
-      total,   m_planner.OutlooksFor(host, aNow),       {}
-    };
+    agent::PlannerSummary summary{ m_epoch,
+                                   static_cast<unsigned>(m_present.size()),
+                                   static_cast<unsigned>(reporting),
+                                   m_grants.GrantedByOthers(host),
+                                   m_planner.OutlooksFor(host, aNow),
+                                   {} };
     for (auto const& [otherHost, other] : m_gateways) {
-      if (otherHost != host) {
+      if (otherHost != host && IsReporting(other, aNow)) {
         std::ranges::copy(other.m_deaths, std::back_inserter(summary.m_deaths));
       }
     }
-    for (auto const& [workspace, tokens] : gateway.m_granted) {
-      summary.m_grantedByOthers[workspace] -= tokens;
-    }
     m_peers.Send(gateway.m_endpoint, agent::EncodeFleetMessage(summary));
   }
 }
 
+bool FleetPlanning::IsReporting(Gateway const& aGateway, base::Instant aNow)
+{
+  return aNow - aGateway.m_heardAt <= kReportSilence;
+}
+
 void FleetPlanning::Tick(base::Instant aNow)
 {
   Expire(aNow);
-  if (m_gateways.empty()) {
+  bool const isPlanner = std::ranges::any_of(
+    m_gateways, [&](auto const& aItem) { return IsReporting(aItem.second, aNow); });
+  if (!isPlanner) {
     return;
   }
   auto const swaps = m_planner.Plan(aNow);
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -5,6 +5,7 @@
 #include "Base/Digest.h"
 #include "Base/ProcessProfile.h"
 #include "Engine/SwapPlanner.h"
+#include "Entry/Allowance/GrantLedger.h"
 
 #include <map>
 
@@ -32,8 +33,6 @@
   struct Gateway
   {
     base::Endpoint m_endpoint;
-    base::IncarnationId m_incarnation;
-    agent::GrantedTokens m_granted;
     std::vector<agent::SuspectNews> m_deaths;
     base::Instant m_heardAt{};
   };
@@ -44,8 +43,8 @@
   };
 
   void Expire(base::Instant aNow);
-  void StartEpoch();
   void SendSummaries(base::Instant aNow);
+  static bool IsReporting(Gateway const& aGateway, base::Instant aNow);
 
   base::ProcessProfile const& m_profile;
   base::DatagramEndpoint& m_peers;
@@ -53,7 +52,8 @@
   std::map<base::HostId, Gateway> m_gateways;
   std::map<base::HostId, Loader> m_loaders;
   std::map<base::HostId, base::Instant> m_present;
-  /// Changes whenever the sums lose or gain a gateway.
+  entry::GrantLedger m_grants;
+  /// Names this planner's sums; those of another start from elsewhere.
   std::string m_epoch;
 };
 
--- a/Tests/SharedAllowanceTest.cpp
+++ b/Tests/SharedAllowanceTest.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE SharedAllowance
 #include "Entry/Allowance/SharedAllowance.h"
 
+#include "Entry/Allowance/GrantLedger.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <array>
@@ -249,3 +251,31 @@
     BOOST_TEST(!allowance.Take(kWorkspace, base::Tokens(1'000'000), kStart).has_value());
   }
 }
+
+BOOST_AUTO_TEST_CASE(TheLedgerKeepsGrantsOfProcessesThatRestartOrFallSilent)
+{
+  auto const one = base::HostId::FromValidated("one");
+  auto const two = base::HostId::FromValidated("two");
+  auto const first = base::IncarnationId::FromValidated("first");
+  auto const second = base::IncarnationId::FromValidated("second");
+  GrantLedger ledger;
+  auto const othersOf = [&](base::HostId const& aHost) {
+    return ledger.GrantedByOthers(aHost)[kWorkspace].Value();
+  };
+  // What was granted before the first report is the base line.
+  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'000) } });
+  ledger.OnReport(two, first, {});
+  BOOST_TEST(othersOf(two) == 0);
+  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'300) } });
+  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'300) } });
+  BOOST_TEST(othersOf(two) == 300);
+  BOOST_TEST(othersOf(one) == 0);
+  // A restart counts from zero and takes nothing back.
+  ledger.OnReport(one, second, { { kWorkspace, base::Tokens(200) } });
+  BOOST_TEST(othersOf(two) == 500);
+  ledger.OnReport(two, first, { { kWorkspace, base::Tokens(70) } });
+  BOOST_TEST(othersOf(one) == 70);
+  BOOST_TEST(othersOf(two) == 500);
+  ledger.Forget(one);
+  BOOST_TEST(othersOf(two) == 500);
+}
