ObjectStore: Keep an eighth of the calls while the platform throttles

Change: the lowest factor is an eighth: shares add up to the platform's rates, so an eighth of each is within any rate.

--- a/ObjectStore/CallBudget.cpp
+++ b/ObjectStore/CallBudget.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-constexpr double kLowestFactor = 1.0 / 64;
+/// Shares add up to the platform's rates, so that an eighth of each is within
+/// any that it admits; with less, a process that was turned away for ten seconds
+/// would not follow changes for as long again.
+constexpr double kLowestFactor = 1.0 / 8;
 constexpr double kFactorRegainedPerSecond = 1.0 / 60;
 constexpr base::Duration kBetweenHalvings = std::chrono::seconds(1);
 constexpr base::Duration kLongestWait = std::chrono::minutes(10);
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -42,17 +42,16 @@
     if (!profile.m_callers || !profile.m_readiness) {
       return tl::make_unexpected("the settings give no address for callers or for readiness");
     }
-    if (auto const bound = m_callers.Listen(*profile.m_callers); !bound) {
+    if (auto bound = m_callers.Listen(*profile.m_callers); !bound) {
       return bound;
     }
-    if (auto const bound = m_readiness.Listen(*profile.m_readiness); !bound) {
+    if (auto bound = m_readiness.Listen(*profile.m_readiness); !bound) {
       return bound;
     }
     auto const onMessage = [this](std::string_view aText, base::Endpoint const& aSender) {
       OnMessage(aText, aSender);
     };
-    if (auto const bound =
-          m_state.m_peers.Listen({ profile.m_address, profile.m_peerPort }, onMessage);
+    if (auto bound = m_state.m_peers.Listen({ profile.m_address, profile.m_peerPort }, onMessage);
         !bound) {
       return bound;
     }
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -46,7 +46,7 @@
     auto const onMessage = [this](std::string_view aText, base::Endpoint const& aSender) {
       OnMessage(aText, aSender);
     };
-    if (auto const bound = m_peers.Listen({ m_profile.m_address, m_profile.m_peerPort }, onMessage);
+    if (auto bound = m_peers.Listen({ m_profile.m_address, m_profile.m_peerPort }, onMessage);
         !bound) {
       return bound;
     }
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -52,7 +52,7 @@
 
 tl::expected<void, std::string> SiteEngine::Start()
 {
-  if (auto const bound = m_server.Listen(m_settings.m_address); !bound) {
+  if (auto bound = m_server.Listen(m_settings.m_address); !bound) {
     return bound;
   }
   m_loop.Start(Heartbeat());
--- a/Tests/PlatformDecisionsTest.cpp
+++ b/Tests/PlatformDecisionsTest.cpp
@@ -360,6 +360,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AProcessThatWasTurnedAwayForLongFollowsChangesSoonAfter)
+{
+  // The rates that gateways and loaders have.
+  CallBudget budget({ CallsPerSecond(5), CallsPerSecond(20) }, 1, kStart);
+  for (int second = 0; second < 9; ++second) {
+    budget.NoteThrottled(kStart + seconds(second));
+  }
+  auto now = kStart + seconds(9);
+  int calls = 0;
+  while (now < kStart + seconds(13)) {
+    auto const next = budget.Admit(CallKind::Read, CallPurpose::Membership, now);
+    calls += next <= now ? 1 : 0;
+    now = next <= now ? now + milliseconds(10) : next;
+  }
+  // Two watches of 1.5 s each need six calls in four seconds.
+  BOOST_TEST(calls >= 6);
+}
+
 BOOST_AUTO_TEST_CASE(ThrottlingHalvesTheShareForAWhile)
 {
   CallBudget budget({ CallsPerSecond(50), CallsPerSecond(50) }, 1, kStart);
