--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -259,8 +259,9 @@
     constexpr unsigned kLogInterval = 10;
     // A watch that ends in time, and the pause after it, take less.
     constexpr base::Duration kStoreSilence = std::chrono::milliseconds(2800);
-    // Entries that lapsed are back within this time after the store's return.
-    constexpr base::Duration kReturnTime = std::chrono::milliseconds(3000);
+    // What lapsed while the store was away is gone from its first answer; what
+    // goes later has left.
+    constexpr base::Duration kReturnTime = std::chrono::milliseconds(1000);
     while (true) {
       auto const now = m_loop.Now();
       if (m_upstreamWatch.State().HasListed() &&
