Gateway: Pass no refusal on as not run without the upstream's proof

Cause: found by reading the change: an upstream's own 503, 429 or 408 without its statement that it did not run the request went to the caller unchanged, and to callers these statuses promise that a request has not run.

Change: without that statement the outcome is unknown: repeatable requests are sent again, others get 502. The stand-in can run a request and answer 503.

--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -420,6 +420,12 @@
     if (head.m_isNotRun) {
       co_return co_await TakeRejection(*reply, head, aChoice);
     }
+    if (PromisesNotRun(head.m_status)) {
+      // The upstream gave no proof, so the caller must not read it as one.
+      m_outcome = "upstream refused without proof";
+      m_state.m_directory.OnFailed(aChoice.m_instance, Now());
+      co_return AttemptEnd::Unknown;
+    }
     if (head.IsSuccess() && (!head.m_isGenuine || head.m_isEncoded)) {
       m_outcome = "answer is not the upstream's";
       m_state.m_directory.OnFailed(aChoice.m_instance, Now());
@@ -431,6 +437,12 @@
     co_return co_await PassWhole(*reply, head, aChoice);
   }
 
+  /// Statuses that tell callers that a request has not run and never will.
+  static bool PromisesNotRun(unsigned aStatus)
+  {
+    return aStatus == 408 || aStatus == 429 || aStatus == 503;
+  }
+
   boost::asio::awaitable<AttemptEnd> TakeRejection(base::HttpReply& aReply,
                                                    caller::UpstreamAnswerHead const& aHead,
                                                    engine::UpstreamChoice const& aChoice)
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -41,6 +41,7 @@
   m_front.Faults().AddCount("break_streams", m_breakStreams);
   m_front.Faults().AddCount("break_after_events", m_breakAfter);
   m_front.Faults().AddCount("reject_requests", m_rejectRequests);
+  m_front.Faults().AddCount("refuse_after_run", m_refuseAfterRun);
   m_front.Faults().AddCount("lose_orders", m_loseOrders);
   m_front.Faults().AddCount("truncate_answers", m_truncate);
   m_front.Faults().AddFlag("leaving", m_isLeaving);
@@ -233,7 +234,10 @@
     co_await Stream(aExchange, std::move(headers));
   } else {
     base::HttpResponse response{ 200, std::move(headers), "done " + std::string(request.Path()) };
-    if (TakeFault(m_truncate)) {
+    if (TakeFault(m_refuseAfterRun)) {
+      response.m_status = 503;
+      co_await m_front.Respond(aExchange, std::move(response));
+    } else if (TakeFault(m_truncate)) {
       co_await aExchange.StartStream(200, response.m_headers);
       co_await aExchange.Write("do");
     } else {
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -87,6 +87,8 @@
   std::uint64_t m_breakStreams = 0;
   std::uint64_t m_breakAfter = 3;
   std::uint64_t m_rejectRequests = 0;
+  /// The next requests run and are answered with a bare 503.
+  std::uint64_t m_refuseAfterRun = 0;
   std::uint64_t m_loseOrders = 0;
   /// Answers of the next requests break off in their body.
   std::uint64_t m_truncate = 0;
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -148,6 +148,18 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(ARefusalWithoutProofIsNotPassedOnAsNotRun, SiteFixture)
+{
+  SetFault(*m_service, "refuse_after_run", 1);
+  Run([&]() -> awaitable<void> {
+    auto request = Request("POST", "/order/x", "r1");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 502U);
+    BOOST_TEST(RunsOf("r1") == 1U);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(ARejectedRequestIsRefusedWithATimeToComeBack, SiteFixture)
 {
   SetFault(*m_service, "reject_requests", 5);
