Engine: Know rates of demand from the start, and rises within seconds

The rate of demand was an average over 12 s that began at zero, so ten requests a second counted as four only after six seconds. Ruled out: loads that were not taken up; the log shows each swap done within a second of its plan.

Change: DecayingRate counts only the time that it has watched, and a second average over 2.5 s decides together with the long one how many copies a model needs.

--- a/Agent/Fleet/FleetCodec.cpp
+++ b/Agent/Fleet/FleetCodec.cpp
@@ -222,6 +222,7 @@
       entry.append(Json::Int64(std::lround(demand.m_worth * kThousand)));
       entry.append(FromMilliseconds(demand.m_goalIn));
       entry.append(Json::Int64(std::lround(demand.m_rate * kThousand)));
+      entry.append(Json::Int64(std::lround(demand.m_recentRate * kThousand)));
       entry.append(demand.m_running);
       params["demand"].append(std::move(entry));
     }
@@ -314,9 +315,9 @@
   report.m_incarnation = Name<base::IncarnationId>(Member(aParams, "incarnation"));
   for (auto const& entry : Member(aParams, "demand")) {
     constexpr double kThousandth = 0.001;
-    constexpr Json::ArrayIndex kFields = 6;
+    constexpr Json::ArrayIndex kFields = 7;
     if (!entry.isArray() || entry.size() != kFields) {
-      throw FieldError{ "a model's demand has six fields" };
+      throw FieldError{ "a model's demand has seven fields" };
     }
     engine::WaitingDemand demand;
     demand.m_model = Name<base::ModelId>(entry[0]);
@@ -324,7 +325,8 @@
     demand.m_worth = static_cast<double>(Whole(entry[2])) * kThousandth;
     demand.m_goalIn = Milliseconds(entry[3]);
     demand.m_rate = static_cast<double>(Whole(entry[4])) * kThousandth;
-    demand.m_running = Count(entry[5]);
+    demand.m_recentRate = static_cast<double>(Whole(entry[5])) * kThousandth;
+    demand.m_running = Count(entry[6]);
     report.m_demand.push_back(std::move(demand));
   }
   report.m_isComplete = Member(aParams, "complete").asBool();
--- a/Engine/DemandBoard.cpp
+++ b/Engine/DemandBoard.cpp
@@ -1,8 +1,5 @@
 #include "Engine/DemandBoard.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace sardinefold::engine {
 
 namespace {
@@ -10,35 +7,42 @@
 /// Time over which the rate of requests is averaged: long enough for models
 /// that are asked for every ten seconds.
 constexpr base::Duration kRateTime = std::chrono::seconds(12);
+/// Time over which a rise of the rate is seen: short against the time for which
+/// a fleet that lacks copies of a model is late.
+constexpr base::Duration kRecentTime = std::chrono::milliseconds(2500);
 /// Models below this rate with nothing waiting are not reported.
 constexpr double kNoRate = 0.005;
 
 } // namespace
 
-double DemandBoard::Decayed(Model const& aModel, base::Instant aNow)
+DemandBoard::Model& DemandBoard::Find(base::ModelId const& aModel)
 {
-  double const age = base::ToSeconds(aNow - aModel.m_countedAt) / base::ToSeconds(kRateTime);
-  return aModel.m_recent * std::exp(-age);
+  auto const found = m_models.find(aModel);
+  if (found != m_models.end()) {
+    return found->second;
+  }
+  Model model{ {}, 0, DecayingRate(kRateTime, m_start), DecayingRate(kRecentTime, m_start) };
+  return m_models.emplace(aModel, std::move(model)).first->second;
 }
 
 void DemandBoard::OnAsked(base::ModelId const& aModel, base::Instant aNow)
 {
-  auto& model = m_models[aModel];
-  model.m_recent = Decayed(model, aNow) + 1;
-  model.m_countedAt = aNow;
+  auto& model = Find(aModel);
+  model.m_rate.OnEvent(aNow);
+  model.m_recentRate.OnEvent(aNow);
 }
 
 WaitTicket DemandBoard::StartWaiting(base::ModelId const& aModel, double aWorth,
                                      base::Instant aGoal)
 {
   m_lastTicket = m_lastTicket.Next();
-  m_models[aModel].m_waiting.emplace(m_lastTicket, Waiting{ aWorth, aGoal });
+  Find(aModel).m_waiting.emplace(m_lastTicket, Waiting{ aWorth, aGoal });
   return m_lastTicket;
 }
 
 void DemandBoard::StopWaiting(base::ModelId const& aModel, WaitTicket aTicket)
 {
-  m_models[aModel].m_waiting.erase(aTicket);
+  Find(aModel).m_waiting.erase(aTicket);
 }
 
 unsigned DemandBoard::WaitingFor(base::ModelId const& aModel) const
@@ -53,7 +57,8 @@
   for (auto const& [id, model] : m_models) {
     WaitingDemand demand;
     demand.m_model = id;
-    demand.m_rate = Decayed(model, aNow) / base::ToSeconds(kRateTime);
+    demand.m_rate = model.m_rate.PerSecond(aNow);
+    demand.m_recentRate = model.m_recentRate.PerSecond(aNow);
     demand.m_waiting = static_cast<unsigned>(model.m_waiting.size());
     demand.m_running = model.m_running;
     bool hasFuture = false;
--- a/Engine/DemandBoard.h
+++ b/Engine/DemandBoard.h
@@ -3,6 +3,7 @@
 #include "Base/Identifiers.h"
 #include "Base/Quantity.h"
 #include "Base/Time.h"
+#include "Engine/DecayingRate.h"
 
 #include <cstdint>
 #include <map>
@@ -23,8 +24,10 @@
   /// Time until the earliest goal of those whose goal is still ahead; else of
   /// all.
   base::Duration m_goalIn{};
-  /// Requests per second of late.
+  /// Requests per second, averaged over some ten seconds.
   double m_rate = 0;
+  /// The same over a few seconds, which shows a rise early.
+  double m_recentRate = 0;
   /// Requests that engines are working on.
   unsigned m_running = 0;
 };
@@ -33,11 +36,17 @@
 class DemandBoard
 {
 public:
+  /// Nothing is known of requests before the given time.
+  explicit DemandBoard(base::Instant aStart)
+    : m_start(aStart)
+  {
+  }
+
   void OnAsked(base::ModelId const& aModel, base::Instant aNow);
   WaitTicket StartWaiting(base::ModelId const& aModel, double aWorth, base::Instant aGoal);
   void StopWaiting(base::ModelId const& aModel, WaitTicket aTicket);
-  void StartRunning(base::ModelId const& aModel) { ++m_models[aModel].m_running; }
-  void StopRunning(base::ModelId const& aModel) { --m_models[aModel].m_running; }
+  void StartRunning(base::ModelId const& aModel) { ++Find(aModel).m_running; }
+  void StopRunning(base::ModelId const& aModel) { --Find(aModel).m_running; }
 
   std::vector<WaitingDemand> Summary(base::Instant aNow) const;
   unsigned WaitingFor(base::ModelId const& aModel) const;
@@ -52,13 +61,13 @@
   {
     std::map<WaitTicket, Waiting> m_waiting;
     unsigned m_running = 0;
-    /// Exponentially decaying count of requests.
-    double m_recent = 0;
-    base::Instant m_countedAt{};
+    DecayingRate m_rate;
+    DecayingRate m_recentRate;
   };
 
-  static double Decayed(Model const& aModel, base::Instant aNow);
+  Model& Find(base::ModelId const& aModel);
 
+  base::Instant m_start;
   std::map<base::ModelId, Model> m_models;
   WaitTicket m_lastTicket;
 };
--- a/Engine/SwapPlanner.cpp
+++ b/Engine/SwapPlanner.cpp
@@ -84,6 +84,7 @@
       total.m_running += demand.m_running;
       total.m_worth += demand.m_worth;
       total.m_rate += demand.m_rate;
+      total.m_recentRate += demand.m_recentRate;
     }
   }
 }
@@ -233,7 +234,7 @@
 double SwapPlanner::LoadOf(base::ModelId const& aModel) const
 {
   auto const& demand = DemandOf(aModel);
-  return std::max(demand.m_rate / m_limits.m_requestsPerSecond,
+  return std::max(std::max(demand.m_rate, demand.m_recentRate) / m_limits.m_requestsPerSecond,
                   demand.m_running / m_limits.m_requestsAtOnce);
 }
 
--- a/Engine/SwapPlanner.h
+++ b/Engine/SwapPlanner.h
@@ -95,6 +95,7 @@
     unsigned m_running = 0;
     double m_worth = 0;
     double m_rate = 0;
+    double m_recentRate = 0;
     base::Duration m_goalIn{};
   };
   struct Option
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -35,6 +35,7 @@
     , m_profile(std::move(aProfile))
     , m_http(aLoop, EngineClientLimits())
     , m_directory({}, m_profile.m_failureDomain, aSeed)
+    , m_demand(aLoop.Now())
     , m_allowance({})
     , m_suspects(SuspectPolicy())
     , m_peers(aLoop)
--- a/Tests/SwapPlannerTest.cpp
+++ b/Tests/SwapPlannerTest.cpp
@@ -224,9 +224,47 @@
   BOOST_TEST(!For(m_planner.Plan(m_settled), "c").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(ARateIsRightSoonAfterTheStart)
+{
+  DemandBoard board(kStart);
+  auto const model = Model("a");
+  for (int number = 0; number < 20; ++number) {
+    board.OnAsked(model, kStart + milliseconds(100) * number);
+  }
+  auto const summary = board.Summary(kStart + seconds(2));
+  BOOST_TEST(summary[0].m_rate > 8.0);
+  BOOST_TEST(summary[0].m_rate < 12.0);
+}
+
+BOOST_AUTO_TEST_CASE(ARiseShowsWithinSeconds)
+{
+  DemandBoard board(kStart);
+  auto const model = Model("a");
+  base::Instant const rise = kStart + seconds(60);
+  for (int number = 0; number < 30; ++number) {
+    board.OnAsked(model, rise + milliseconds(100) * number);
+  }
+  auto const summary = board.Summary(rise + seconds(3));
+  BOOST_TEST(summary[0].m_recentRate > 6.0);
+  BOOST_TEST(summary[0].m_rate < 4.0);
+  // One request is no rise.
+  board.OnAsked(Model("b"), rise + seconds(3));
+  BOOST_TEST(board.Summary(rise + seconds(3))[1].m_recentRate < 0.5);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARiseBringsACopyBeforeTheLongAverageShowsIt, Fixture)
+{
+  m_planner.OnEngine(EngineWith("one", { "a" }), kStart);
+  m_planner.OnEngine(EngineWith("two", { "b" }, { "a" }), kStart);
+  auto demand = Asked("a", 2);
+  demand.m_recentRate = 7;
+  m_planner.OnDemand(kGateway, { demand }, true);
+  BOOST_TEST(For(m_planner.Plan(m_settled), "a").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(DemandIsSummedUpPerModel)
 {
-  DemandBoard board;
+  DemandBoard board(kStart);
   auto const model = Model("a");
   board.OnAsked(model, kStart);
   auto const first = board.StartWaiting(model, 1.0, kStart + seconds(3));
