Base: Close connections whose peer acknowledges nothing for a second

Cause: a request that went out on a connection to an engine gone dark, or on one that something between the ends had forgotten, waited for its caller's whole deadline, as nothing watched the connection itself. Ruled out: pooled connections that are too old; they were used within seconds of their last use.

Change: connections to engines and to the store set the system's limit on unacknowledged data (one second) and ask an idle peer once a second. Such an end counts as a time-out, not as an upstream that broke off, so that no request is suspected for it. The new HttpTest case fails without the change: the request ends only with its own limit of a minute.

Conclusion: silence costs a second instead of the deadline.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -20,6 +21,14 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+/// How the write of a request went.
+struct HttpWriteState
+{
+  /// Whether the whole request was written; a response may come before that.
+  bool m_isDone = false;
+  boost::system::error_code m_error;
+};
+
 /// A connection with the parser of the response that is arriving on it.
 struct HttpConnection
 {
@@ -36,9 +45,8 @@
   Instant m_idleSince{};
   /// The server's own idle limit, if it told one.
   std::optional<Duration> m_serverIdleTime;
-  /// Whether the whole request was written; a response may come before that.
   // Shared with the write's handler, which may run after the connection ended.
-  std::shared_ptr<bool> m_isWritten = std::make_shared<bool>(false);
+  std::shared_ptr<HttpWriteState> m_write = std::make_shared<HttpWriteState>();
 };
 
 namespace {
@@ -52,7 +60,7 @@
 HttpFailure ToFailure(boost::system::error_code aError, bool aMayHaveBeenSent)
 {
   using Kind = HttpFailure::Kind;
-  if (aError == boost::beast::error::timeout) {
+  if (aError == boost::beast::error::timeout || aError == asio::error::timed_out) {
     return { Kind::TimedOut, aMayHaveBeenSent, aError.message() };
   }
   if (aError == http::error::end_of_stream || aError == http::error::partial_message ||
@@ -82,7 +90,27 @@
   return { aRequest.m_body.size(), false };
 }
 
-asio::awaitable<boost::system::error_code> Connect(HttpConnection& aConnection, Duration aLimit)
+/// Options that Asio has no class for. They are best effort: without them a
+/// silent peer is found by the limits of each request.
+void SetTcpOption(tcp::socket& aSocket, int aName, int aValue)
+{
+  ::setsockopt(aSocket.native_handle(), IPPROTO_TCP, aName, &aValue, sizeof(aValue));
+}
+
+/// Makes the system close the connection when its peer falls silent.
+void CloseWhenSilent(tcp::socket& aSocket, Duration aAcknowledgeTime)
+{
+  // The shortest time that the system offers.
+  constexpr int kProbeSeconds = 1;
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  SetTcpOption(aSocket, TCP_KEEPIDLE, kProbeSeconds);
+  SetTcpOption(aSocket, TCP_KEEPINTVL, kProbeSeconds);
+  SetTcpOption(aSocket, TCP_USER_TIMEOUT, static_cast<int>(ToMilliseconds(aAcknowledgeTime)));
+}
+
+asio::awaitable<boost::system::error_code> Connect(HttpConnection& aConnection, Duration aLimit,
+                                                   std::optional<Duration> aAcknowledgeTime)
 {
   boost::system::error_code error;
   tcp::endpoint const endpoint(asio::ip::make_address(aConnection.m_endpoint.m_address, error),
@@ -95,6 +123,9 @@
   if (!connectError) {
     boost::system::error_code ignored;
     aConnection.m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    if (aAcknowledgeTime) {
+      CloseWhenSilent(aConnection.m_stream.socket(), *aAcknowledgeTime);
+    }
   }
   co_return connectError;
 }
@@ -133,10 +164,12 @@
   // Shared: the buffer has to last until the write's handler has run, which may
   // be after the connection was closed.
   auto const message = std::make_shared<std::string const>(std::move(aMessage));
-  *aConnection.m_isWritten = false;
-  asio::async_write(aConnection.m_stream, asio::buffer(*message),
-                    [message, isWritten = aConnection.m_isWritten](
-                      boost::system::error_code aError, std::size_t) { *isWritten = !aError; });
+  *aConnection.m_write = {};
+  asio::async_write(
+    aConnection.m_stream, asio::buffer(*message),
+    [message, state = aConnection.m_write](boost::system::error_code aError, std::size_t) {
+      *state = { !aError, aError };
+    });
 }
 
 /// The idle limit in a field of the form "timeout=5, max=100".
@@ -286,7 +319,7 @@
   if (m_cancellation) {
     m_cancellation->ClearAction();
   }
-  bool const keepAlive = m_connection->m_parser->keep_alive() && *m_connection->m_isWritten;
+  bool const keepAlive = m_connection->m_parser->keep_alive() && m_connection->m_write->m_isDone;
   if (auto const told = m_headers.Find("Keep-Alive")) {
     m_connection->m_serverIdleTime = ParseKeepAlive(*told);
   }
@@ -412,7 +445,7 @@
     connection = std::make_unique<HttpConnection>(m_loop.Context(), aEndpoint);
     CancelWith(cancellation, *connection);
     auto const connectLimit = std::min(m_limits.m_connectTime, aOptions.m_headLimit);
-    auto const error = co_await Connect(*connection, connectLimit);
+    auto const error = co_await Connect(*connection, connectLimit, m_limits.m_acknowledgeTime);
     if (error) {
       StopCancelling(cancellation);
       HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false,
@@ -434,8 +467,11 @@
     co_await ReadHead(*connection, isHead, m_limits.m_headerBytes, aOptions.m_echo);
   if (readError) {
     StopCancelling(cancellation);
+    // The system tells one of the two operations that the peer fell silent.
+    bool const isSilent = connection->m_write->m_error == asio::error::timed_out;
     Abort(*connection);
-    co_return tl::make_unexpected(ToFailure(readError, true));
+    auto const error = isSilent ? make_error_code(asio::error::timed_out) : readError;
+    co_return tl::make_unexpected(ToFailure(error, true));
   }
   co_return HttpReply(*this, std::move(connection), cancellation);
 }
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -63,6 +63,10 @@
   std::size_t m_idlePerEndpoint = 64;
   Bytes m_headerBytes{ 32 * 1024 };
   std::optional<HttpProbe> m_probe;
+  /// A connection whose peer acknowledges nothing for this long is closed, also
+  /// while a response is awaited: it may have gone silent for good. Absent, only
+  /// the limits of each request hold.
+  std::optional<Duration> m_acknowledgeTime;
 };
 
 /// How one request is sent.
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -57,6 +57,9 @@
     // Links within a site take a few milliseconds; a lost packet is sent again
     // within a second.
     limits.m_connectTime = std::chrono::milliseconds(600);
+    // Room for two segments lost in a row; callers leave a stream that stands
+    // still for two seconds.
+    limits.m_acknowledgeTime = std::chrono::milliseconds(1000);
     return limits;
   }
 
--- a/Programs/StoreAccess.h
+++ b/Programs/StoreAccess.h
@@ -33,6 +33,8 @@
     limits.m_connectTime = std::chrono::milliseconds(800);
     // Shorter than the time after which a silent connection would be trusted.
     limits.m_idleTime = std::chrono::seconds(4);
+    // A watch may stay silent for longer than a configuration may take.
+    limits.m_acknowledgeTime = std::chrono::milliseconds(1000);
     return limits;
   }
 
--- a/Tests/HttpTest.cpp
+++ b/Tests/HttpTest.cpp
@@ -50,6 +50,34 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(APeerThatAcknowledgesNothingFailsTheRequestBeforeItsLimit)
+{
+  // A listener that nobody accepts from takes what fits into its buffers and
+  // then nothing, as a peer behind a silent connection does.
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  boost::asio::ip::tcp::acceptor silent(loop.Context(),
+                                        { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  base::HttpClientLimits limits;
+  limits.m_acknowledgeTime = std::chrono::milliseconds(300);
+  base::HttpClient client(loop, limits);
+  auto run = [&]() -> awaitable<void> {
+    base::HttpRequest request;
+    request.m_method = "POST";
+    request.m_body.assign(64 * 1024 * 1024, 'x');
+    base::Endpoint endpoint{ "127.0.0.1", silent.local_endpoint().port() };
+    auto const reply =
+      co_await client.Send(std::move(endpoint), std::move(request), std::chrono::minutes(1));
+    BOOST_TEST(!reply.has_value());
+    BOOST_TEST((reply.error().m_kind == base::HttpFailure::Kind::TimedOut));
+    BOOST_TEST(reply.error().m_mayHaveBeenSent);
+    // By the peer's silence, not by the limit for the response.
+    BOOST_TEST(reply.error().m_detail == make_error_code(boost::asio::error::timed_out).message());
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+}
+
 BOOST_AUTO_TEST_CASE(KeepsConnectionForTheNextRequest)
 {
   auto body = [](base::EventLoop&, base::HttpClient& aClient, base::Endpoint aEndpoint,
