Base: Tell callers whose request comes too slowly that it did not run

Cause: Beast's stream closes its socket when a read takes too long, so the answer 408 that the server renders never left; a slow caller saw a closed connection, which promises nothing. Found by the new test of callers that write raw bytes.

Change: ReadDeadline cancels the read and leaves the socket open. New tests play slow heads, torn bodies, requests hidden in another's framing, and callers that leave during a stream or while their model loads (within half a second no engine works for them); the stand-in's engine takes its times as switches.

--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Http/HttpServer.h"
+#include "Base/Http/ReadDeadline.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -94,11 +95,14 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.m_headerBytes.Value()));
     m_parser->body_limit(static_cast<std::uint64_t>(m_server.m_limits.m_bodyBytes.Value()));
-    boost::beast::get_lowest_layer(m_stream).expires_after(m_server.m_limits.m_headerTime);
+    boost::beast::get_lowest_layer(m_stream).expires_never();
+    ReadDeadline deadline(Socket());
+    deadline.Start(m_server.m_limits.m_headerTime);
     auto const [headerError, headerSize] =
       co_await boost::beast::http::async_read_header(m_stream, m_buffer, *m_parser, detail::kAwait);
+    bool const isHeaderLate = co_await deadline.Stop();
     if (headerError) {
-      co_await Reject(headerError);
+      co_await Reject(isHeaderLate ? boost::beast::error::timeout : headerError);
       co_return std::nullopt;
     }
     if (boost::beast::iequals(m_parser->get()[boost::beast::http::field::expect], "100-continue")) {
@@ -111,11 +115,12 @@
         co_return std::nullopt;
       }
     }
-    boost::beast::get_lowest_layer(m_stream).expires_after(m_server.m_limits.m_bodyTime);
+    deadline.Start(m_server.m_limits.m_bodyTime);
     auto const [bodyError, bodySize] =
       co_await boost::beast::http::async_read(m_stream, m_buffer, *m_parser, detail::kAwait);
+    bool const isBodyLate = co_await deadline.Stop();
     if (bodyError) {
-      co_await Reject(bodyError);
+      co_await Reject(isBodyLate ? boost::beast::error::timeout : bodyError);
       co_return std::nullopt;
     }
     m_keepAlive = m_parser->get().keep_alive();
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -45,6 +45,8 @@
   m_front.Faults().AddCount("lose_orders", m_loseOrders);
   m_front.Faults().AddCount("truncate_answers", m_truncate);
   m_front.Faults().AddFlag("leaving", m_isLeaving);
+  m_front.Faults().AddMilliseconds("event_ms", m_settings.m_eventTime);
+  m_front.Faults().AddMilliseconds("load_ms", m_settings.m_loadTime);
   for (auto const& model : m_settings.m_models) {
     m_models[model];
     m_copies.insert(model);
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -56,6 +56,8 @@
   /// Whether an order asked for more than the engine holds.
   bool IsOverfull() const { return m_isOverfull; }
   FaultSwitches& Faults() { return m_front.Faults(); }
+  /// Requests that it works on.
+  unsigned Running() const { return m_running; }
 
 private:
   boost::asio::awaitable<void> Serve(base::HttpExchange& aExchange);
--- /dev/null
+++ b/Tests/HostileCallerTest.cpp
@@ -0,0 +1,163 @@
+#define BOOST_TEST_MODULE HostileCaller
+#include "Tests/Support/SiteFixture.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using tests::SiteFixture;
+using namespace std::chrono_literals;
+using boost::asio::awaitable;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// A caller that writes whatever bytes it likes.
+class RawCaller
+{
+public:
+  explicit RawCaller(SiteFixture& aSite)
+    : m_site(aSite)
+    , m_socket(aSite.m_loop.Context())
+  {
+  }
+
+  awaitable<void> Connect()
+  {
+    auto const& callers = m_site.Callers();
+    tcp::endpoint const endpoint(boost::asio::ip::make_address(callers.m_address), callers.m_port);
+    auto const [error] = co_await m_socket.async_connect(endpoint, kAwait);
+    BOOST_REQUIRE(!error);
+  }
+
+  awaitable<void> Write(std::string aText)
+  {
+    [[maybe_unused]] auto const [error, size] =
+      co_await boost::asio::async_write(m_socket, boost::asio::buffer(aText), kAwait);
+  }
+
+  /// All that comes until the gateway closes the connection.
+  awaitable<std::string> ReadToEnd()
+  {
+    std::string text;
+    [[maybe_unused]] auto const [error, size] =
+      co_await boost::asio::async_read(m_socket, boost::asio::dynamic_buffer(text), kAwait);
+    co_return text;
+  }
+
+  /// What has come so far, at least one byte.
+  awaitable<std::string> ReadSome()
+  {
+    std::string text(4096, '\0');
+    [[maybe_unused]] auto const [error, size] =
+      co_await m_socket.async_read_some(boost::asio::buffer(text), kAwait);
+    text.resize(size);
+    co_return text;
+  }
+
+  void Close()
+  {
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+  }
+
+private:
+  SiteFixture& m_site;
+  tcp::socket m_socket;
+};
+
+std::string Head(std::string const& aId, std::string const& aMore)
+{
+  return "POST /order/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: " + aId +
+         "\r\nDeadline-Ms: 1500\r\nAuthorization: Bearer key-1\r\n" + aMore + "\r\n";
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(AHeadThatDoesNotEndCostsOneConnectionForItsTime, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    co_await caller.Connect();
+    co_await caller.Write("POST /order/x HTTP/1.1\r\nHost: site.exa");
+    auto const answer = co_await caller.ReadToEnd();
+    BOOST_TEST(answer.starts_with("HTTP/1.1 408"));
+    // Others are served meanwhile and afterwards.
+    auto request = Request("POST", "/order/x", "r1");
+    auto const served = co_await Send(std::move(request));
+    BOOST_TEST(served->m_status == 200U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestThatBreaksOffInItsBodyReachesNoUpstream, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    co_await caller.Connect();
+    co_await caller.Write(Head("torn", "Content-Length: 100\r\n") + "only this");
+    co_await m_loop.Sleep(50ms);
+    caller.Close();
+    co_await m_loop.Sleep(200ms);
+    BOOST_TEST(RunsOf("torn") == 0U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestHiddenInAnothersFramingIsNotRead, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    for (auto const* const framing :
+         { "Content-Length: 5\r\nContent-Length: 60\r\n",
+           "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+           "Transfer-Encoding: chunked, identity\r\n", "Transfer-Encoding: xchunked\r\n" }) {
+      RawCaller caller(*this);
+      co_await caller.Connect();
+      co_await caller.Write(Head("outer", framing) + "0\r\n\r\n" + Head("inner", ""));
+      auto const answer = co_await caller.ReadToEnd();
+      BOOST_TEST(answer.starts_with("HTTP/1.1 400"), framing);
+    }
+    BOOST_TEST(RunsOf("outer") + RunsOf("inner") == 0U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ACallerThatLeavesStopsItsEngineWithinHalfASecond, SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "event_ms", 400);
+  }
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    co_await caller.Connect();
+    co_await caller.Write("POST /chat/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: r1\r\n"
+                          "Deadline-Ms: 5000\r\nAuthorization: Bearer key-1\r\nModel: common\r\n"
+                          "Token-Count: 100,10\r\nContent-Length: 0\r\n\r\n");
+    auto const begun = co_await caller.ReadSome();
+    BOOST_TEST(begun.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(m_engines[0]->Running() + m_engines[1]->Running() == 1U);
+    caller.Close();
+    co_await m_loop.Sleep(500ms);
+    BOOST_TEST(m_engines[0]->Running() + m_engines[1]->Running() == 0U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ACallerThatLeavesWhileItsModelLoadsIsNotSentToAnEngine, SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "load_ms", 600);
+  }
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    co_await caller.Connect();
+    co_await caller.Write("POST /once/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: r1\r\n"
+                          "Deadline-Ms: 5000\r\nAuthorization: Bearer key-1\r\nModel: rare\r\n"
+                          "Token-Count: 100,10\r\nContent-Length: 0\r\n\r\n");
+    co_await m_loop.Sleep(150ms);
+    caller.Close();
+    co_await m_loop.Sleep(1200ms);
+    BOOST_TEST(RunsOf("r1") == 0U);
+  });
+}
--- a/Tests/Support/SiteFixture.h
+++ b/Tests/Support/SiteFixture.h
@@ -54,6 +54,7 @@
   /// How often engines and services ran a request.
   std::size_t RunsOf(std::string const& aId) const;
   void SetFault(standins::SiteEngine& aEngine, char const* aName, Json::Value aValue);
+  base::Endpoint const& Callers() const { return m_callers; }
 
 private:
   base::HttpServer m_storeServer;
