Gateway: Split the session, pause silent upstreams, follow settings, count by class

Change: AttemptHistory and WaitPolicy decide and are tested alone; RequestAdmission, UpstreamSearch, AnswerRelay and RequestRecord carry them out. One silent sending pauses an upstream and closes its idle connections. Each gateway takes its part of the retries by the number of gateways that loaders and the planner tell, a small one until it has been told. SettingsFollower reads the settings at SIGHUP and once a second. Histograms by workspace and class stand at a port of their own for both programs, whose mains are one template now. A line for each sending, wait and failed attempt, with the inputs and their age. A stream that broke off may wait for its model elsewhere, as long as its caller does.

--- a/Agent/RetryBudget.cpp
+++ b/Agent/RetryBudget.cpp
@@ -11,6 +11,13 @@
 {
 }
 
+void RetryBudget::SetLimits(RetryBudgetLimits aLimits)
+{
+  auto const added = std::max(aLimits.m_maximum - m_limits.m_maximum, 0.0);
+  m_limits = aLimits;
+  m_available = std::min(m_limits.m_maximum, m_available + added);
+}
+
 void RetryBudget::Refill(base::Instant aNow)
 {
   auto const added = m_limits.m_perSecond * base::ToSeconds(aNow - m_refilledAt);
--- a/Agent/RetryBudget.h
+++ b/Agent/RetryBudget.h
@@ -21,6 +21,8 @@
 public:
   RetryBudget(RetryBudgetLimits aLimits, base::Instant aNow);
 
+  /// Puts other limits in force; what a larger maximum adds is saved up already.
+  void SetLimits(RetryBudgetLimits aLimits);
   /// A first attempt was made.
   void NoteRequest(base::Instant aNow);
   /// Takes one retry; false if none is left.
--- a/Caller/ForwardRequest.h
+++ b/Caller/ForwardRequest.h
@@ -54,10 +54,12 @@
 /// How a request is put to one engine.
 struct ForwardTerms
 {
+  static constexpr unsigned kLeastUrgent = 9;
+
   engine::InstanceId m_instance;
   base::Duration m_timeLeft{};
   std::optional<base::WorkspaceId> m_workspace;
-  /// From 0, the most urgent, to 9.
+  /// From 0, the most urgent, to kLeastUrgent.
   unsigned m_urgency = 5;
   std::optional<EventNumber> m_resumeAfter;
 };
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -112,11 +112,21 @@
   return found == models.end() ? nullptr : &*found;
 }
 
-double UpstreamDirectory::CostOf(Upstream const& aUpstream, bool aLacksAdapter)
+UpstreamStanding UpstreamDirectory::StandingOf(Upstream const& aUpstream, base::Instant aNow)
 {
-  double const running = aUpstream.m_inFlight - aUpstream.m_unanswered + aUpstream.m_othersRunning;
-  double const busy =
-    aUpstream.m_unanswered + aUpstream.m_othersWaiting + m_limits.m_running * running;
+  UpstreamStanding standing;
+  standing.m_unanswered = aUpstream.m_unanswered + aUpstream.m_othersWaiting;
+  standing.m_running = aUpstream.m_inFlight - aUpstream.m_unanswered + aUpstream.m_othersRunning;
+  if (aUpstream.m_account) {
+    standing.m_accountAge = aNow - aUpstream.m_accountAt;
+  }
+  return standing;
+}
+
+double UpstreamDirectory::CostOf(Upstream const& aUpstream, bool aLacksAdapter, base::Instant aNow)
+{
+  auto const standing = StandingOf(aUpstream, aNow);
+  double const busy = standing.m_unanswered + m_limits.m_running * standing.m_running;
   double const away = aUpstream.m_entry.m_failureDomain == m_home ? 0 : m_limits.m_distance;
   double const adapter = aLacksAdapter ? kAdapterCost : 0;
   return busy + away + adapter + std::uniform_real_distribution<>(0, 0.5)(m_random);
@@ -143,9 +153,10 @@
       }
       lacksAdapter = aQuery.m_adapter && !held->m_adapters.contains(*aQuery.m_adapter);
     }
-    double const cost = CostOf(upstream, lacksAdapter);
+    double const cost = CostOf(upstream, lacksAdapter, aNow);
     if (!best || cost < bestCost) {
-      best = UpstreamChoice{ instance, upstream.m_entry.m_endpoint, lacksAdapter };
+      best = UpstreamChoice{ instance, upstream.m_entry.m_endpoint, lacksAdapter,
+                             StandingOf(upstream, aNow) };
       bestCost = cost;
     }
   }
@@ -205,20 +216,38 @@
          static_cast<double>(all) * m_limits.m_largestPausedShare;
 }
 
-void UpstreamDirectory::OnFailed(InstanceId const& aInstance, base::Instant aNow)
+std::optional<base::Duration> UpstreamDirectory::OnFailed(InstanceId const& aInstance,
+                                                          base::Instant aNow)
 {
   auto const found = m_upstreams.find(aInstance);
   if (found == m_upstreams.end()) {
-    return;
+    return std::nullopt;
   }
-  auto& upstream = found->second;
-  ++upstream.m_failures;
-  if (upstream.m_failures < m_limits.m_failures || !MayPause(upstream, aNow)) {
-    return;
+  ++found->second.m_failures;
+  return Pause(found->second, aNow);
+}
+
+std::optional<base::Duration> UpstreamDirectory::OnSilent(InstanceId const& aInstance,
+                                                          base::Instant aNow)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found == m_upstreams.end()) {
+    return std::nullopt;
+  }
+  found->second.m_failures = std::max(found->second.m_failures + 1, m_limits.m_failures);
+  return Pause(found->second, aNow);
+}
+
+std::optional<base::Duration> UpstreamDirectory::Pause(Upstream& aUpstream, base::Instant aNow)
+{
+  if (aUpstream.m_failures < m_limits.m_failures || !MayPause(aUpstream, aNow)) {
+    return std::nullopt;
   }
-  auto const doublings = std::min(upstream.m_failures - m_limits.m_failures, 8U);
-  upstream.m_pausedUntil =
-    aNow + std::min<base::Duration>(m_limits.m_pause * (1U << doublings), m_limits.m_longestPause);
+  auto const doublings = std::min(aUpstream.m_failures - m_limits.m_failures, 8U);
+  auto const pause =
+    std::min<base::Duration>(m_limits.m_pause * (1U << doublings), m_limits.m_longestPause);
+  aUpstream.m_pausedUntil = aNow + pause;
+  return pause;
 }
 
 void UpstreamDirectory::OnWrongInstance(InstanceId const& aInstance, base::Instant aNow)
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -44,6 +44,16 @@
   std::set<InstanceId> m_excluded;
 };
 
+/// What is known of an upstream's load.
+struct UpstreamStanding
+{
+  /// Requests that it has not begun to answer, from here and from others.
+  unsigned m_unanswered = 0;
+  unsigned m_running = 0;
+  /// Age of the account by the loader beside it, if there is one.
+  std::optional<base::Duration> m_accountAge;
+};
+
 /// The upstream for a request.
 struct UpstreamChoice
 {
@@ -51,6 +61,8 @@
   base::Endpoint m_endpoint;
   /// The model is there and its adapter is not.
   bool m_lacksAdapter = false;
+  /// What the choice was based on.
+  UpstreamStanding m_standing;
 };
 
 /// Why there is no upstream for a request.
@@ -100,7 +112,11 @@
   void OnBegun(InstanceId const& aInstance);
   void OnDone(InstanceId const& aInstance, bool aHasBegun);
   void OnServed(InstanceId const& aInstance);
-  void OnFailed(InstanceId const& aInstance, base::Instant aNow);
+  /// Returns for how long the upstream is paused, if it is from now on.
+  std::optional<base::Duration> OnFailed(InstanceId const& aInstance, base::Instant aNow);
+  /// The upstream did not even acknowledge what was sent, so that it is paused
+  /// at once.
+  std::optional<base::Duration> OnSilent(InstanceId const& aInstance, base::Instant aNow);
   /// Another engine answered at the address; the entry is out of date.
   void OnWrongInstance(InstanceId const& aInstance, base::Instant aNow);
   /// The engine does not hold a model that it was believed to hold.
@@ -135,7 +151,9 @@
   bool IsUsable(Upstream const& aUpstream, base::Instant aNow) const;
   HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
                              base::Instant aNow) const;
-  double CostOf(Upstream const& aUpstream, bool aLacksAdapter);
+  static UpstreamStanding StandingOf(Upstream const& aUpstream, base::Instant aNow);
+  double CostOf(Upstream const& aUpstream, bool aLacksAdapter, base::Instant aNow);
+  std::optional<base::Duration> Pause(Upstream& aUpstream, base::Instant aNow);
   static void CountOthers(Upstream& aUpstream, unsigned aRunning, unsigned aWaiting);
   bool MayPause(Upstream const& aUpstream, base::Instant aNow) const;
 
--- a/ObjectStore/ObjectClient.h
+++ b/ObjectStore/ObjectClient.h
@@ -69,6 +69,9 @@
   CodedObjectClient(base::EventLoop& aLoop, base::HttpClient& aHttp, base::Endpoint aPlatform,
                     CallBudget& aBudget, CircuitBreaker& aBreaker, base::Metrics& aMetrics);
 
+  /// Calls go to another address from now on.
+  void MoveTo(base::Endpoint aPlatform) { m_platform = std::move(aPlatform); }
+
   ReadTask<Object> Get(ObjectKey aKey, base::Duration aLimit, CallPurpose aPurpose);
   ReadTask<ObjectList> List(ObjectKind aKind, ObjectName aPrefix, base::Duration aLimit,
                             CallPurpose aPurpose);
--- a/Programs/Entry.cpp
+++ b/Programs/Entry.cpp
@@ -1,11 +1,8 @@
 #include "Programs/Entry/EntryProgram.h"
+#include "Programs/FollowSignals.h"
 #include "Programs/ProgramEdge.h"
 #include "Programs/SystemClock.h"
 
-#include <boost/asio/signal_set.hpp>
-
-#include <csignal>
-
 using namespace sardinefold;
 
 namespace {
@@ -50,24 +47,6 @@
   };
 }
 
-/// Ends the program on SIGTERM and SIGINT, and rereads certificates on SIGHUP.
-boost::asio::awaitable<void> FollowSignals(base::EventLoop& aLoop, programs::EntryProgram& aProgram)
-{
-  boost::asio::signal_set signals(aLoop.Context(), SIGTERM, SIGINT, SIGHUP);
-  while (true) {
-    auto const [error, signal] =
-      co_await signals.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-    if (error) {
-      co_return;
-    }
-    if (signal != SIGHUP) {
-      break;
-    }
-    aProgram.ReloadCertificate();
-  }
-  co_await aProgram.Shutdown();
-}
-
 } // namespace
 
 int main(int aArgumentCount, char** aArguments)
@@ -83,7 +62,7 @@
     std::cerr << "sardinefold-entry: " << started.error() << "\n";
     return programs::kExitUsage;
   }
-  loop.Start(FollowSignals(loop, program));
+  loop.Start(programs::FollowSignals(loop, program, [&program] { program.ReloadCertificate(); }));
   loop.Run();
   return EXIT_SUCCESS;
 }
--- a/Programs/FollowSignals.h
+++ b/Programs/FollowSignals.h
@@ -7,14 +7,15 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <concepts>
 #include <csignal>
 
 namespace sardinefold::programs {
 
-/// Shuts the program down on SIGTERM and SIGINT. SIGHUP is noted and changes
-/// nothing: what the programs read from their settings holds for their life.
-template<typename Program>
-boost::asio::awaitable<void> FollowSignals(base::EventLoop& aLoop, Program& aProgram)
+/// Shuts the program down on SIGTERM and SIGINT, and calls aReload on SIGHUP.
+template<typename Program, std::invocable Reload>
+boost::asio::awaitable<void> FollowSignals(base::EventLoop& aLoop, Program& aProgram,
+                                           Reload aReload)
 {
   boost::asio::signal_set signals(aLoop.Context(), SIGTERM, SIGINT, SIGHUP);
   while (true) {
@@ -27,6 +28,7 @@
       break;
     }
     base::log::Info("reload asked for");
+    aReload();
   }
   co_await aProgram.Shutdown();
 }
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -4,6 +4,7 @@
 #include "ObjectStore/WatchSession.h"
 #include "Programs/Gateway/ForwardSession.h"
 #include "Programs/Gateway/PlannerChoice.h"
+#include "Programs/SettingsFollower.h"
 #include "Programs/StoreAccess.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -83,6 +84,15 @@
     m_loop.Stop();
   }
 
+  /// Puts new settings in force, as far as they may change while it runs.
+  void Reload(base::ProcessProfile aProfile)
+  {
+    ApplyReload(m_state.m_profile, aProfile);
+    m_store.MoveTo(m_state.m_profile.m_objectStore);
+    m_state.OnRetryBoundsChanged();
+  }
+
+  base::Metrics const& Metrics() const { return m_state.m_metrics; }
   GatewayState& State() { return m_state; }
 
 private:
@@ -127,10 +137,6 @@
   {
     base::HttpResponse response;
     response.m_status = IsReady() ? 200 : 503;
-    if (aExchange.Request().Path() == "/metrics") {
-      response.m_status = 200;
-      response.m_body = m_state.m_metrics.Render();
-    }
     co_await aExchange.Respond(std::move(response));
   }
 
@@ -217,6 +223,9 @@
     if (auto const* const status = std::get_if<agent::EngineStatus>(&*message)) {
       m_planner.OnLoader(status->m_host, aSender, status->m_canOrder, now);
       m_state.m_allowance.OnPresent(status->m_gatewaysPresent);
+      if (!m_state.m_gatewaysPresent && status->m_gatewaysPresent > 0) {
+        m_state.OnGatewaysPresent(status->m_gatewaysPresent);
+      }
       engine::LoaderAccount account{ status->m_engine, status->m_models,
                                      status->m_change.m_unloading, status->m_running,
                                      status->m_waiting };
@@ -228,6 +237,7 @@
       }
     } else if (auto const* const summary = std::get_if<agent::PlannerSummary>(&*message)) {
       m_planner.OnSummary(aSender, now);
+      m_state.OnGatewaysPresent(summary->m_gatewaysPresent);
       OnOutlooks(summary->m_outlooks, now);
       for (auto const& death : summary->m_deaths) {
         if (m_state.m_suspects.OnNews(death, now)) {
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -6,10 +6,12 @@
 #include "Base/DatagramEndpoint.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpClient.h"
+#include "Base/Log.h"
 #include "Base/Metrics.h"
 #include "Base/ProcessProfile.h"
 #include "Base/Signal.h"
 #include "Caller/CatalogIndex.h"
+#include "Caller/WaitPolicy.h"
 #include "Engine/DemandBoard.h"
 #include "Engine/UpstreamDirectory.h"
 #include "Entry/Allowance/SharedAllowance.h"
@@ -20,13 +22,6 @@
 
 namespace sardinefold::programs {
 
-/// When the planner expects a model to be ready, and when it said so.
-struct ExpectedModel
-{
-  base::Instant m_readyAt{};
-  base::Instant m_toldAt{};
-};
-
 /// What the sessions of one gateway share.
 struct GatewayState
 {
@@ -75,6 +70,51 @@
     }
   }
 
+  /// An upstream failed a request.
+  void NoteFailure(engine::UpstreamChoice const& aUpstream, std::string_view aReason)
+  {
+    LogPause(aUpstream, aReason, m_directory.OnFailed(aUpstream.m_instance, m_loop.Now()));
+  }
+
+  static void LogPause(engine::UpstreamChoice const& aUpstream, std::string_view aReason,
+                       std::optional<base::Duration> aPause)
+  {
+    if (aPause) {
+      base::log::Warning("upstream paused",
+                         { { "upstream", aUpstream.m_instance.Text() },
+                           { "reason", std::string(aReason) },
+                           { "pause_ms", std::to_string(base::ToMilliseconds(*aPause)) } });
+    }
+  }
+
+  /// A sending to an upstream failed before aEnd, the request's own end.
+  void NoteBreak(base::HttpFailure const& aFailure, base::FingerprintId const& aFingerprint,
+                 engine::UpstreamChoice const& aUpstream, base::Instant aEnd)
+  {
+    using Kind = base::HttpFailure::Kind;
+    auto const now = m_loop.Now();
+    bool const isSilent =
+      now < aEnd && !aFailure.m_isRefused &&
+      (aFailure.m_kind == Kind::TimedOut || aFailure.m_kind == Kind::ConnectFailed);
+    if (isSilent) {
+      LogPause(aUpstream, ToText(aFailure.m_kind), m_directory.OnSilent(aUpstream.m_instance, now));
+      m_http.CloseIdle(aUpstream.m_endpoint);
+      return;
+    }
+    NoteFailure(aUpstream, ToText(aFailure.m_kind));
+    // A connection that closes without an answer may be an upstream that died.
+    if (aFailure.m_kind == Kind::ConnectionClosed) {
+      NoteDeath(aFingerprint, aUpstream.m_instance, now);
+    }
+  }
+
+  /// When a model is expected, if anyone has told.
+  std::optional<caller::ExpectedModel> ExpectedAt(std::optional<base::ModelId> const& aModel) const
+  {
+    auto const found = aModel ? m_readyAt.find(*aModel) : m_readyAt.end();
+    return found == m_readyAt.end() ? std::nullopt : std::optional(found->second);
+  }
+
   /// The deaths to tell the others. Each is told several times, since messages
   /// may be lost.
   std::vector<agent::SuspectNews> TakeDeaths(base::Instant aNow)
@@ -103,19 +143,45 @@
   /// The retries that this process may make to a deployment.
   agent::RetryBudget& RetriesOf(base::DeploymentId const& aDeployment, base::Instant aNow)
   {
-    // The site's bound holds for all gateways and any window; each takes an
-    // equal part of the fixed allowance and stays below the share.
-    constexpr double kShareOfRatio = 0.8;
-    constexpr double kGatewaysAssumed = 5;
-    auto const found = m_retries.find(aDeployment);
-    if (found != m_retries.end()) {
-      return found->second;
+    auto found = m_retries.find(aDeployment);
+    if (found == m_retries.end()) {
+      found = m_retries.emplace(aDeployment, agent::RetryBudget(RetryLimits(), aNow)).first;
+    }
+    return found->second;
+  }
+
+  /// How many gateways there are, by the planner or by a loader.
+  void OnGatewaysPresent(unsigned aGateways)
+  {
+    if (m_gatewaysPresent == aGateways) {
+      return;
+    }
+    m_gatewaysPresent = aGateways;
+    OnRetryBoundsChanged();
+  }
+
+  void OnRetryBoundsChanged()
+  {
+    for (auto& [deployment, budget] : m_retries) {
+      budget.SetLimits(RetryLimits());
     }
+  }
+
+  /// The site's bound holds for all gateways in any window; each takes an equal
+  /// part of the fixed allowance.
+  agent::RetryBudgetLimits RetryLimits() const
+  {
+    // Below 1, as a gateway that restarts within a window saves up anew.
+    constexpr double kShareOfAllowance = 0.6;
+    constexpr double kShareOfRatio = 0.8;
+    // A fleet that nobody has told the size of.
+    constexpr unsigned kUnknownGateways = 32;
+    auto const gateways = std::max(m_gatewaysPresent.value_or(kUnknownGateways), 1U);
     agent::RetryBudgetLimits limits;
     limits.m_perRequest = m_profile.m_bounds.m_retryRatio * kShareOfRatio;
     limits.m_perSecond = 0;
-    limits.m_maximum = m_profile.m_bounds.m_retryAllowance / kGatewaysAssumed;
-    return m_retries.emplace(aDeployment, agent::RetryBudget(limits, aNow)).first->second;
+    limits.m_maximum = m_profile.m_bounds.m_retryAllowance * kShareOfAllowance / gateways;
+    return limits;
   }
 
   base::EventLoop& m_loop;
@@ -134,7 +200,9 @@
   std::optional<base::Instant> m_lastWait;
   std::map<base::DeploymentId, agent::RetryBudget> m_retries;
   std::map<base::ModelId, std::unique_ptr<base::Signal>> m_modelSignals;
-  std::map<base::ModelId, ExpectedModel> m_readyAt;
+  std::map<base::ModelId, caller::ExpectedModel> m_readyAt;
+  /// Gateways of the fleet, this one included; none while nobody has told.
+  std::optional<unsigned> m_gatewaysPresent;
 };
 
 } // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Gateway/RequestAdmission.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "Base/Digest.h"
+#include "Base/Http/HttpMessage.h"
+#include "Base/Log.h"
+#include "Programs/Gateway/GatewayState.h"
+#include "Programs/Gateway/RequestContext.h"
+#include "Programs/ServingWire.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+namespace sardinefold::programs {
+
+/// Decides whether a request may go on: finds its route and its workspace,
+/// takes its tokens and chooses the deployment.
+template<ServingWire Wire>
+class RequestAdmission
+{
+public:
+  RequestAdmission(GatewayState& aState, base::HttpRequest const& aRequest,
+                   RequestContext& aContext)
+    : m_state(aState)
+    , m_request(aRequest)
+    , m_context(aContext)
+  {
+  }
+
+  /// Fills in the context; the refusal if the request may not go on.
+  std::optional<RequestRefusal> Admit()
+  {
+    auto decoded = Wire::DecodeRequest(m_request);
+    if (!decoded) {
+      return RequestRefusal{ 400, "malformed request", std::nullopt };
+    }
+    m_context.m_request = std::move(*decoded);
+    auto const* const catalog = m_state.m_catalog.get();
+    if (!catalog) {
+      return RequestRefusal{ 503, "no configuration yet", kUntilConfiguration };
+    }
+    m_context.m_catalog = catalog->Catalog().m_version;
+    auto const* const route = catalog->FindRoute(m_context.m_request.m_host, m_request.Path());
+    if (!route) {
+      return RequestRefusal{ 404, "no route", std::nullopt };
+    }
+    TakeRoute(*route);
+    operators::WorkspaceGrant const* workspace = nullptr;
+    if (!route->m_isPublic && catalog->HasWorkspaces()) {
+      auto const& key = m_context.m_request.m_key;
+      workspace = key ? catalog->FindWorkspace(*key) : nullptr;
+      if (!workspace) {
+        return RequestRefusal{ 401, "unknown key", std::nullopt };
+      }
+      m_context.m_workspace = workspace->m_id;
+      m_context.m_urgency = workspace->m_urgency.value_or(route->m_urgency);
+    }
+    m_context.m_fingerprint = Fingerprint();
+    if (auto const refusedFor =
+          m_state.m_suspects.RefusedFor(m_context.m_fingerprint, m_context.m_start)) {
+      return RequestRefusal{ 503, "request ended its upstreams", *refusedFor };
+    }
+    if (auto refusal = workspace ? TakeTokens(*workspace) : std::nullopt) {
+      return refusal;
+    }
+    ChooseUpstreams(*catalog);
+    return std::nullopt;
+  }
+
+private:
+  /// A process that has just started reads its configuration in less.
+  static constexpr base::Duration kUntilConfiguration = std::chrono::milliseconds(1000);
+
+  void TakeRoute(operators::RouteRule const& aRoute)
+  {
+    m_context.m_route = aRoute;
+    m_context.m_urgency = aRoute.m_urgency;
+    auto const deadline = m_context.m_request.m_deadline.value_or(aRoute.m_timeout);
+    m_context.m_end = m_context.m_start + std::min(deadline, aRoute.m_timeout);
+  }
+
+  std::optional<RequestRefusal> TakeTokens(operators::WorkspaceGrant const& aWorkspace)
+  {
+    auto const& tokens = m_context.m_request.m_tokens;
+    m_context.m_tokens = tokens ? tokens->Total() : aWorkspace.m_plainRequestTokens;
+    auto const wait =
+      m_state.m_allowance.Take(aWorkspace.m_id, m_context.m_tokens, m_context.m_start);
+    if (!wait) {
+      return std::nullopt;
+    }
+    LogAllowance(aWorkspace.m_id);
+    return RequestRefusal{ 429, "allowance used up", *wait };
+  }
+
+  void LogAllowance(base::WorkspaceId const& aWorkspace) const
+  {
+    auto const standing = m_state.m_allowance.StandingOf(aWorkspace, m_context.m_start);
+    base::log::Info(
+      "allowance is used up",
+      { { "request", m_context.m_request.m_id.Text() },
+        { "workspace", aWorkspace.Text() },
+        { "tokens", std::to_string(m_context.m_tokens.Value()) },
+        { "level", std::to_string(standing.m_level.Value()) },
+        { "share", std::to_string(standing.m_share) },
+        { "news_age_ms",
+          standing.m_newsAge ? std::to_string(base::ToMilliseconds(*standing.m_newsAge)) : "" } });
+  }
+
+  void ChooseUpstreams(caller::CatalogIndex const& aCatalog)
+  {
+    auto& query = m_context.m_query;
+    query.m_deployment = ChooseDeployment();
+    auto const* const deployment = aCatalog.FindDeployment(query.m_deployment);
+    auto const& model = m_context.m_request.m_model;
+    if (model && deployment && deployment->m_engine) {
+      query.m_model = model->m_model;
+      query.m_adapter = model->m_adapter;
+      m_state.m_demand.OnAsked(*query.m_model, m_context.m_start);
+    }
+  }
+
+  base::FingerprintId Fingerprint() const
+  {
+    auto const workspace = m_context.m_workspace ? m_context.m_workspace->Text() : "";
+    auto const hash =
+      base::FastHash(m_request.m_target + "\n" + workspace + "\n" + m_request.m_body);
+    return base::FingerprintId::FromValidated(std::to_string(hash));
+  }
+
+  /// Splits requests among a route's deployments by weight, the same for each
+  /// repetition of one request.
+  base::DeploymentId ChooseDeployment() const
+  {
+    auto const& targets = m_context.m_route.m_targets;
+    double total = 0;
+    for (auto const& target : targets) {
+      total += target.m_weight;
+    }
+    constexpr std::size_t kSteps = 10'000;
+    auto const hash = std::hash<std::string>()(m_context.m_request.m_id.Text());
+    double point = static_cast<double>(hash % kSteps) / kSteps * total;
+    for (auto const& target : targets) {
+      point -= target.m_weight;
+      if (point < 0) {
+        return target.m_deployment;
+      }
+    }
+    return targets.empty() ? base::DeploymentId() : targets.back().m_deployment;
+  }
+
+  GatewayState& m_state;
+  base::HttpRequest const& m_request;
+  RequestContext& m_context;
+};
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Gateway/RequestRecord.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Base/Log.h"
+#include "Base/Metrics.h"
+#include "Caller/AttemptHistory.h"
+#include "Programs/Gateway/RequestContext.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sardinefold::programs {
+
+/// What happened to one request, for its last log line and for the metrics.
+/// Outcomes and reasons are texts of the program, so that their number is
+/// bounded.
+struct RequestRecord
+{
+  std::string_view m_outcome;
+  /// Zero if the caller got none.
+  unsigned m_status = 0;
+  /// The upstream used last.
+  engine::InstanceId m_upstream;
+  /// Time spent waiting for a model or an adapter.
+  base::Duration m_waited{};
+  std::optional<base::Instant> m_firstEventAt;
+};
+
+/// Writes the line "request ended" of one request.
+inline void LogEnd(RequestContext const& aContext, caller::AttemptHistory const& aHistory,
+                   RequestRecord const& aRecord, base::Instant aNow)
+{
+  auto const milliseconds = [](base::Duration aTime) {
+    return std::to_string(base::ToMilliseconds(aTime));
+  };
+  auto const& query = aContext.m_query;
+  auto const firstAt = aRecord.m_firstEventAt.value_or(aNow);
+  base::log::Info("request ended",
+                  { { "request", aContext.m_request.m_id.Text() },
+                    { "route", aContext.m_route.m_id.Text() },
+                    { "catalog", std::to_string(aContext.m_catalog.Value()) },
+                    { "workspace", aContext.m_workspace ? aContext.m_workspace->Text() : "" },
+                    { "tokens", std::to_string(aContext.m_tokens.Value()) },
+                    { "model", query.m_model ? query.m_model->Text() : "" },
+                    { "upstream", aRecord.m_upstream.Text() },
+                    { "sends", std::to_string(aHistory.Sends()) },
+                    { "status", std::to_string(aRecord.m_status) },
+                    { "outcome", std::string(aRecord.m_outcome) },
+                    { "waited_ms", milliseconds(aRecord.m_waited) },
+                    { "goal_ms", milliseconds(aContext.m_route.m_goal) },
+                    { "first_ms", milliseconds(firstAt - aContext.m_start) },
+                    { "total_ms", milliseconds(aNow - aContext.m_start) } });
+}
+
+/// Counts a request that has ended. The classes are the routes' urgencies.
+inline void CountEnd(base::Metrics& aMetrics, RequestContext const& aContext,
+                     RequestRecord const& aRecord, base::Instant aNow)
+{
+  std::string const workspace = aContext.m_workspace ? aContext.m_workspace->Text() : "";
+  std::string const urgency = std::to_string(aContext.m_route.m_urgency);
+  aMetrics
+    .Counter("sardinefold_gateway_requests_total", "Requests by how they ended.",
+             { { "workspace", workspace },
+               { "class", urgency },
+               { "outcome", std::string(aRecord.m_outcome) } })
+    .Increment();
+  if (aRecord.m_waited > base::Duration::zero()) {
+    base::Observe(aMetrics.Seconds("sardinefold_gateway_model_wait_seconds",
+                                   "Time that requests waited for a model or an adapter.",
+                                   { { "workspace", workspace }, { "class", urgency } }),
+                  aRecord.m_waited);
+  }
+  if (aRecord.m_status >= 200 && aRecord.m_status < 300) {
+    auto const firstAt = aRecord.m_firstEventAt.value_or(aNow);
+    base::MetricLabels const labels{ { "workspace", workspace }, { "class", urgency } };
+    base::Observe(aMetrics.Seconds("sardinefold_gateway_first_event_seconds",
+                                   "Time to the first event, or to the whole of other answers.",
+                                   labels),
+                  firstAt - aContext.m_start);
+    base::Observe(aMetrics.Seconds("sardinefold_gateway_answer_seconds",
+                                   "Time to the end of the answer.", labels),
+                  aNow - aContext.m_start);
+  }
+}
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Gateway/UpstreamSearch.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "Base/Cancellation.h"
+#include "Base/Log.h"
+#include "Caller/WaitPolicy.h"
+#include "Programs/Gateway/GatewayState.h"
+#include "Programs/Gateway/RequestContext.h"
+#include "Programs/Gateway/RequestRecord.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace sardinefold::programs {
+
+/// Finds the upstream for one request, and waits while its model is being
+/// loaded or its adapter fetched.
+class UpstreamSearch
+{
+public:
+  /// The arguments must outlive the search.
+  UpstreamSearch(GatewayState& aState, RequestContext const& aContext, RequestRecord& aRecord,
+                 base::Cancellation const& aCancellation)
+    : m_state(aState)
+    , m_context(aContext)
+    , m_record(aRecord)
+    , m_cancellation(aCancellation)
+  {
+  }
+
+  /// None if no upstream can take the request in time; the record then says
+  /// why. aProgressAt is when the caller last got something, or the request's
+  /// start.
+  boost::asio::awaitable<std::optional<engine::UpstreamChoice>> Run(base::Instant aProgressAt)
+  {
+    caller::WaitPolicy const policy(m_context.m_route, aProgressAt, m_context.m_end);
+    auto const began = Now();
+    std::optional<engine::WaitTicket> ticket;
+    std::optional<engine::UpstreamChoice> result;
+    while (!m_cancellation.IsCancelled() && Now() < EndOf(policy)) {
+      auto const found = m_state.m_directory.Find(m_context.m_query, Now());
+      if (auto const* const choice = std::get_if<engine::UpstreamChoice>(&found)) {
+        if (!choice->m_lacksAdapter) {
+          result = *choice;
+          break;
+        }
+        RequestAdapter(*choice);
+        co_await m_state.ModelSignal(*m_context.m_query.m_model).Wait(kAdapterWait);
+        continue;
+      }
+      auto const absence = std::get<engine::UpstreamAbsence>(found);
+      m_record.m_outcome = ToText(absence);
+      if (absence != engine::UpstreamAbsence::ModelNotLoaded ||
+          !policy.MayWait(m_state.ExpectedAt(m_context.m_query.m_model), Now())) {
+        break;
+      }
+      if (!ticket) {
+        ticket = StartWaiting(policy);
+      }
+      co_await m_state.ModelSignal(*m_context.m_query.m_model).Wait(EndOf(policy) - Now());
+    }
+    if (ticket) {
+      m_state.m_demand.StopWaiting(*m_context.m_query.m_model, *ticket);
+    }
+    m_record.m_waited += Now() - began;
+    co_return result;
+  }
+
+private:
+  /// Waits for an adapter before the next look; a fetch takes 6 to 20 ms.
+  static constexpr base::Duration kAdapterWait = std::chrono::milliseconds(40);
+
+  base::Instant Now() const { return m_state.m_loop.Now(); }
+
+  base::Instant EndOf(caller::WaitPolicy const& aPolicy) const
+  {
+    return std::min(aPolicy.End(), m_state.m_lastWait.value_or(aPolicy.End()));
+  }
+
+  engine::WaitTicket StartWaiting(caller::WaitPolicy const& aPolicy)
+  {
+    auto const& model = *m_context.m_query.m_model;
+    auto const expected = m_state.ExpectedAt(model);
+    auto const since = [this](base::Instant aTime) {
+      return std::to_string(base::ToMilliseconds(aTime - Now()));
+    };
+    base::log::Info("request waits for its model",
+                    { { "request", m_context.m_request.m_id.Text() },
+                      { "model", model.Text() },
+                      { "ready_in_ms", expected ? since(expected->m_readyAt) : "" },
+                      { "told_ms", expected ? since(expected->m_toldAt) : "" },
+                      { "given_up_in_ms", since(EndOf(aPolicy)) } });
+    return m_state.m_demand.StartWaiting(model, Worth(),
+                                         m_context.m_start + m_context.m_route.m_goal);
+  }
+
+  /// Weighs waiting requests by their size, as longer ones earn more.
+  double Worth() const
+  {
+    constexpr double kTypicalTokens = 2'000;
+    constexpr double kFixedPart = 0.3;
+    auto const& tokens = m_context.m_request.m_tokens;
+    double const size = static_cast<double>(tokens ? tokens->Total().Value() : 0);
+    return kFixedPart + (1 - kFixedPart) * size / kTypicalTokens;
+  }
+
+  void RequestAdapter(engine::UpstreamChoice const& aChoice)
+  {
+    base::Endpoint const loader{ aChoice.m_endpoint.m_address, m_state.m_profile.m_peerPort };
+    auto const& query = m_context.m_query;
+    agent::AdapterRequest const message{ *query.m_model, *query.m_adapter };
+    m_state.m_peers.Send(loader, agent::EncodeFleetMessage(message));
+  }
+
+  GatewayState& m_state;
+  RequestContext const& m_context;
+  RequestRecord& m_record;
+  base::Cancellation const& m_cancellation;
+};
+
+} // namespace sardinefold::programs
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -13,6 +13,7 @@
 #include "Programs/Loader/FleetPlanning.h"
 #include "Programs/Loader/StatusStream.h"
 #include "Programs/ServingWire.h"
+#include "Programs/SettingsFollower.h"
 #include "Programs/StoreAccess.h"
 
 #include <map>
@@ -66,6 +67,15 @@
     co_return;
   }
 
+  /// Puts new settings in force, as far as they may change while it runs.
+  void Reload(base::ProcessProfile aProfile)
+  {
+    ApplyReload(m_profile, aProfile);
+    m_store.MoveTo(m_profile.m_objectStore);
+  }
+
+  base::Metrics const& Metrics() const { return m_metrics; }
+
 private:
   static constexpr base::Duration kStoreTime = std::chrono::milliseconds(1500);
 
--- a/Programs/StoreAccess.h
+++ b/Programs/StoreAccess.h
@@ -24,6 +24,7 @@
   }
 
   Client& Objects() { return m_client; }
+  void MoveTo(base::Endpoint aStore) { m_client.MoveTo(std::move(aStore)); }
 
 private:
   static base::HttpClientLimits ClientLimits()
--- /dev/null
+++ b/Tests/ForwardDecisionsTest.cpp
@@ -0,0 +1,117 @@
+#define BOOST_TEST_MODULE ForwardDecisions
+#include "Agent/RetryBudget.h"
+#include "Caller/AttemptHistory.h"
+#include "Caller/WaitPolicy.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using namespace sardinefold::caller;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::Instant kStart{ seconds(1000) };
+
+operators::RouteRule Route(operators::Repeatability aRepeatability, bool aIsResumable = false)
+{
+  operators::RouteRule route;
+  route.m_repeatability = aRepeatability;
+  route.m_isResumable = aIsResumable;
+  route.m_maximumAttempts = 2;
+  route.m_goal = milliseconds(600);
+  route.m_pause = milliseconds(300);
+  return route;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AnOrderGoesOnOnlyWhenItDidNotRun)
+{
+  auto const route = Route(operators::Repeatability::AtMostOnce);
+  AttemptHistory history;
+  history.OnSent();
+  history.OnEnd(AttemptEnd::NotRun);
+  BOOST_TEST(history.MayGoOn(route));
+  BOOST_TEST(!history.MayHaveRun());
+  history.OnSent();
+  history.OnEnd(AttemptEnd::Unknown);
+  BOOST_TEST(!history.MayGoOn(route));
+  BOOST_TEST(history.MayHaveRun());
+  // A later refusal does not undo what may have run before.
+  history.OnSent();
+  history.OnEnd(AttemptEnd::NotRun);
+  BOOST_TEST(history.MayHaveRun());
+}
+
+BOOST_AUTO_TEST_CASE(ALookUpRunsOnAsManyUpstreamsAsItsRouteSays)
+{
+  auto const route = Route(operators::Repeatability::Idempotent);
+  AttemptHistory history;
+  history.OnSent();
+  history.OnEnd(AttemptEnd::Failed);
+  BOOST_TEST(history.MayGoOn(route));
+  history.OnSent();
+  history.OnEnd(AttemptEnd::Unknown);
+  BOOST_TEST(!history.MayGoOn(route));
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatHasBegunGoesOnOnlyBehindAKnownEvent)
+{
+  auto const resumable = Route(operators::Repeatability::Stream, true);
+  auto const plain = Route(operators::Repeatability::Stream, false);
+  AttemptHistory history;
+  history.OnSent();
+  history.OnPassed(std::nullopt);
+  history.OnEnd(AttemptEnd::Unknown);
+  BOOST_TEST(!history.MayGoOn(resumable));
+  history.OnPassed(EventNumber(7));
+  BOOST_TEST(history.MayGoOn(resumable));
+  BOOST_TEST(!history.MayGoOn(plain));
+  BOOST_TEST(history.LastEvent()->Value() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestWaitsForAModelThatComesBeforeItsCallerLeaves)
+{
+  auto const route = Route(operators::Repeatability::Stream);
+  WaitPolicy const policy(route, kStart, kStart + seconds(15));
+  // Callers leave after four goals, which is longer here than two seconds.
+  BOOST_TEST((policy.End() < kStart + route.m_goal * 4));
+  BOOST_TEST((policy.End() > kStart + seconds(2)));
+  ExpectedModel const soon{ kStart + seconds(1), kStart };
+  ExpectedModel const late{ kStart + seconds(7), kStart };
+  BOOST_TEST(policy.MayWait(std::nullopt, kStart));
+  BOOST_TEST(policy.MayWait(soon, kStart));
+  BOOST_TEST(!policy.MayWait(late, kStart));
+  // Old news decide nothing.
+  BOOST_TEST(policy.MayWait(late, kStart + seconds(1)));
+  BOOST_TEST(!policy.MayWait(std::nullopt, policy.End()));
+  BOOST_TEST((WaitPolicy::RetryAfter(late, kStart) == seconds(7)));
+  BOOST_TEST((WaitPolicy::RetryAfter(std::nullopt, kStart) == seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(ARequestWaitsNoLongerThanItsOwnTime)
+{
+  WaitPolicy const policy(Route(operators::Repeatability::Stream), kStart, kStart + seconds(1));
+  BOOST_TEST((policy.End() == kStart + seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(ARetryBudgetFollowsTheNumberOfGateways)
+{
+  agent::RetryBudgetLimits limits;
+  limits.m_perRequest = 0;
+  limits.m_perSecond = 0;
+  limits.m_maximum = 2;
+  agent::RetryBudget budget(limits, kStart);
+  limits.m_maximum = 10;
+  budget.SetLimits(limits);
+  BOOST_TEST(budget.Available() == 10.0);
+  BOOST_TEST(budget.TryTake(kStart));
+  // Told twice, nothing is added again.
+  budget.SetLimits(limits);
+  BOOST_TEST(budget.Available() == 9.0);
+  limits.m_maximum = 4;
+  budget.SetLimits(limits);
+  BOOST_TEST(budget.Available() == 4.0);
+}
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -42,6 +42,23 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(RequestsAreCountedByWorkspaceAndClass, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "r1", "common");
+    co_await Send(std::move(request));
+    auto const text = m_gateway->Metrics().Render();
+    for (
+      auto const* const line :
+      { R"(sardinefold_gateway_requests_total{class="0",outcome="answered",workspace="marshals"} 1)",
+        R"(sardinefold_gateway_first_event_seconds_count{class="0",workspace="marshals"} 1)",
+        R"(sardinefold_gateway_answer_seconds_count{class="0",workspace="marshals"} 1)" }) {
+      BOOST_TEST(text.find(line) != std::string::npos, line);
+    }
+    BOOST_TEST(text.find("key-1") == std::string::npos);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(AModelThatNoEngineHoldsIsLoadedForItsRequest, SiteFixture)
 {
   Run([&]() -> awaitable<void> {
