--- a/Agent/Fleet/FleetCodec.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -1,9 +1,6 @@
 #include "Agent/Fleet/FleetCodec.h"
-
 #include "Base/Json.h"
 
-#include <cmath>
-
 namespace sardinefold::agent {
 
 namespace {
@@ -48,6 +45,14 @@
   return aValue.asInt64();
 }
 
+std::uint64_t Number(Json::Value const& aValue)
+{
+  if (!aValue.isUInt64()) {
+    throw FieldError{ "a number is expected" };
+  }
+  return aValue.asUInt64();
+}
+
 unsigned Count(Json::Value const& aValue)
 {
   if (!aValue.isUInt()) {
@@ -70,21 +75,6 @@
   return std::chrono::milliseconds(Whole(aValue));
 }
 
-Json::Value FromMilliseconds(base::Duration aDuration)
-{
-  return Json::Int64(base::ToMilliseconds(aDuration));
-}
-
-template<typename Container>
-Json::Value FromNames(Container const& aNames)
-{
-  Json::Value list(Json::arrayValue);
-  for (auto const& name : aNames) {
-    list.append(name.Text());
-  }
-  return list;
-}
-
 template<typename Id>
 std::set<Id> ToNames(Json::Value const& aList)
 {
@@ -95,15 +85,6 @@
   return names;
 }
 
-Json::Value FromGrants(entry::GrantedTokens const& aGrants)
-{
-  Json::Value object(Json::objectValue);
-  for (auto const& [workspace, tokens] : aGrants) {
-    object[workspace.Text()] = Json::Int64(tokens.Value());
-  }
-  return object;
-}
-
 entry::GrantedTokens ToGrants(Json::Value const& aObject)
 {
   entry::GrantedTokens grants;
@@ -128,19 +109,6 @@
   return outlooks;
 }
 
-Json::Value FromDeaths(std::vector<SuspectNews> const& aDeaths)
-{
-  Json::Value list(Json::arrayValue);
-  for (auto const& death : aDeaths) {
-    Json::Value entry;
-    entry["fingerprint"] = death.m_fingerprint.Text();
-    entry["upstream"] = death.m_upstream.Text();
-    entry["age_ms"] = FromMilliseconds(death.m_age);
-    list.append(std::move(entry));
-  }
-  return list;
-}
-
 std::vector<SuspectNews> ToDeaths(Json::Value const& aParams)
 {
   std::vector<SuspectNews> deaths;
@@ -152,118 +120,6 @@
   return deaths;
 }
 
-struct Encoder
-{
-  Json::Value& m_root;
-
-  Json::Value& Start(char const* aMethod)
-  {
-    m_root["jsonrpc"] = "2.0";
-    m_root["method"] = aMethod;
-    return m_root["params"];
-  }
-
-  void operator()(EngineStatus const& aStatus)
-  {
-    auto& params = Start("engine.status");
-    params["host"] = aStatus.m_host.Text();
-    params["engine"] = aStatus.m_engine.Text();
-    params["deployment"] = aStatus.m_deployment.Text();
-    params["failure_domain"] = aStatus.m_failureDomain.Text();
-    params["models"] = Json::Value(Json::arrayValue);
-    for (auto const& held : aStatus.m_models) {
-      Json::Value model;
-      model["name"] = held.m_model.Text();
-      model["adapters"] = FromNames(held.m_adapters);
-      params["models"].append(std::move(model));
-    }
-    if (!aStatus.m_copies.m_inMemory.empty() || !aStatus.m_copies.m_onDisk.empty()) {
-      params["in_memory"] = FromNames(aStatus.m_copies.m_inMemory);
-      params["on_disk"] = FromNames(aStatus.m_copies.m_onDisk);
-    }
-    if (aStatus.m_change.m_loading) {
-      params["loading"] = aStatus.m_change.m_loading->Text();
-      params["ready_in_ms"] = FromMilliseconds(aStatus.m_change.m_readyIn);
-    }
-    if (aStatus.m_change.m_unloading) {
-      params["unloading"] = aStatus.m_change.m_unloading->Text();
-    }
-    params["running"] = aStatus.m_running;
-    params["waiting"] = aStatus.m_waiting;
-    params["cache_used"] = Json::Int64(aStatus.m_cacheUsed.Value());
-    params["cache_total"] = Json::Int64(aStatus.m_cacheTotal.Value());
-    params["can_order"] = aStatus.m_canOrder;
-    params["gateways"] = aStatus.m_gatewaysPresent;
-  }
-
-  void operator()(GatewayPresence const& aPresence)
-  {
-    auto& params = Start("gateway.presence");
-    params["host"] = aPresence.m_host.Text();
-    params["incarnation"] = aPresence.m_incarnation.Text();
-    params["planner"] = aPresence.m_planner.Text();
-    params["catalog"] = Json::UInt64(aPresence.m_catalog.Value());
-    params["instance"] = aPresence.m_engine.m_instance.Text();
-    params["started_at"] = Json::Int64(aPresence.m_engine.m_startedAt);
-  }
-
-  void operator()(GatewayReport const& aReport)
-  {
-    auto& params = Start("gateway.report");
-    params["host"] = aReport.m_host.Text();
-    params["incarnation"] = aReport.m_incarnation.Text();
-    params["demand"] = Json::Value(Json::arrayValue);
-    for (auto const& demand : aReport.m_demand) {
-      // In order, without names: gateways name many models, many times.
-      constexpr double kThousand = 1000;
-      Json::Value entry(Json::arrayValue);
-      entry.append(demand.m_model.Text());
-      entry.append(demand.m_waiting);
-      entry.append(Json::Int64(std::lround(demand.m_worth * kThousand)));
-      entry.append(FromMilliseconds(demand.m_goalIn));
-      entry.append(Json::Int64(std::lround(demand.m_rate * kThousand)));
-      entry.append(Json::Int64(std::lround(demand.m_recentRate * kThousand)));
-      entry.append(demand.m_running);
-      params["demand"].append(std::move(entry));
-    }
-    params["complete"] = aReport.m_isComplete;
-    params["granted"] = FromGrants(aReport.m_granted);
-    if (!aReport.m_deaths.empty()) {
-      params["deaths"] = FromDeaths(aReport.m_deaths);
-    }
-  }
-
-  void operator()(PlannerSummary const& aSummary)
-  {
-    auto& params = Start("planner.summary");
-    params["outlooks"] = Json::Value(Json::objectValue);
-    for (auto const& [model, readyIn] : aSummary.m_outlooks) {
-      params["outlooks"][model.Text()] = FromMilliseconds(readyIn);
-    }
-    params["epoch"] = aSummary.m_epoch;
-    params["present"] = aSummary.m_gatewaysPresent;
-    params["reporting"] = aSummary.m_gatewaysReporting;
-    params["granted"] = FromGrants(aSummary.m_grantedByOthers);
-    if (!aSummary.m_deaths.empty()) {
-      params["deaths"] = FromDeaths(aSummary.m_deaths);
-    }
-  }
-
-  void operator()(SwapRequest const& aRequest)
-  {
-    auto& params = Start("engine.swap");
-    params["load"] = aRequest.m_load.Text();
-    params["unload"] = FromNames(aRequest.m_unload);
-  }
-
-  void operator()(AdapterRequest const& aRequest)
-  {
-    auto& params = Start("engine.adapter");
-    params["model"] = aRequest.m_model.Text();
-    params["adapter"] = aRequest.m_adapter.Text();
-  }
-};
-
 EngineStatus ToEngineStatus(Json::Value const& aParams)
 {
   EngineStatus status;
@@ -292,19 +148,35 @@
   status.m_cacheTotal = base::Tokens(Whole(Member(aParams, "cache_total")));
   status.m_canOrder = Member(aParams, "can_order").asBool();
   status.m_gatewaysPresent = Count(Member(aParams, "gateways"));
+  status.m_number = Number(Member(aParams, "number"));
   return status;
 }
 
+EngineAlive ToEngineAlive(Json::Value const& aParams)
+{
+  return { Name<base::HostId>(Member(aParams, "host")), Address(Member(aParams, "engine")),
+           Number(Member(aParams, "number")),           Count(Member(aParams, "running")),
+           Count(Member(aParams, "waiting")),           Member(aParams, "can_order").asBool(),
+           Count(Member(aParams, "gateways")) };
+}
+
 GatewayPresence ToGatewayPresence(Json::Value const& aParams)
 {
   GatewayPresence presence;
   presence.m_host = Name<base::HostId>(Member(aParams, "host"));
   presence.m_incarnation = Name<base::IncarnationId>(Member(aParams, "incarnation"));
+  presence.m_failureDomain = Name<base::FailureDomainId>(Member(aParams, "failure_domain"));
   presence.m_planner = Address(Member(aParams, "planner"));
-  presence.m_catalog =
-    base::CatalogVersion(static_cast<std::uint64_t>(Whole(Member(aParams, "catalog"))));
-  presence.m_engine = { Name<engine::InstanceId>(Member(aParams, "instance")),
-                        Whole(Member(aParams, "started_at")) };
+  presence.m_catalog = base::CatalogVersion(Number(Member(aParams, "catalog")));
+  presence.m_engineSpecs = Number(Member(aParams, "engine_specs"));
+  for (auto const& entry : Member(aParams, "engines")) {
+    constexpr Json::ArrayIndex kFields = 3;
+    if (!entry.isArray() || entry.size() != kFields) {
+      throw FieldError{ "an engine has three fields" };
+    }
+    presence.m_engines.insert_or_assign(
+      Address(entry[0]), EngineIdentity{ Name<engine::InstanceId>(entry[1]), Whole(entry[2]) });
+  }
   return presence;
 }
 
@@ -329,17 +201,76 @@
     demand.m_running = Count(entry[6]);
     report.m_demand.push_back(std::move(demand));
   }
+  report.m_failureDomain = Name<base::FailureDomainId>(Member(aParams, "failure_domain"));
   report.m_isComplete = Member(aParams, "complete").asBool();
   report.m_granted = ToGrants(Member(aParams, "granted"));
   report.m_deaths = ToDeaths(aParams);
   return report;
 }
 
+PlannerSummary ToPlannerSummary(Json::Value const& aParams)
+{
+  PlannerSummary summary{ Text(Member(aParams, "epoch")),
+                          Count(Member(aParams, "present")),
+                          Count(Member(aParams, "reporting")),
+                          ToGrants(Member(aParams, "granted")),
+                          ToOutlooks(Member(aParams, "outlooks")),
+                          ToDeaths(aParams),
+                          {} };
+  auto const& neighbours = Member(aParams, "neighbours");
+  if (!neighbours.isObject()) {
+    throw FieldError{ "neighbours are expected" };
+  }
+  for (auto const& host : neighbours.getMemberNames()) {
+    summary.m_neighbours.emplace(Name<base::HostId>(Json::Value(host)), Address(neighbours[host]));
+  }
+  return summary;
+}
+
+objectstore::ObjectChange ToChange(Json::Value const& aEntry)
+{
+  constexpr Json::ArrayIndex kPutFields = 3;
+  constexpr Json::ArrayIndex kDeletedFields = 2;
+  if (!aEntry.isArray() || (aEntry.size() != kPutFields && aEntry.size() != kDeletedFields)) {
+    throw FieldError{ "a change has two or three fields" };
+  }
+  objectstore::ObjectKey key{ objectstore::ObjectKind::Upstream,
+                              Name<objectstore::ObjectName>(aEntry[0]) };
+  base::ObjectVersion const version(Number(aEntry[1]));
+  if (aEntry.size() == kDeletedFields) {
+    return objectstore::ObjectDeleted{ std::move(key), version };
+  }
+  return objectstore::ObjectPut{ { std::move(key), version, Text(aEntry[2]), {} } };
+}
+
+StoreNews ToStoreNews(Json::Value const& aParams)
+{
+  StoreNews news;
+  news.m_host = Name<base::HostId>(Member(aParams, "host"));
+  news.m_from = base::ObjectVersion(Number(Member(aParams, "from")));
+  news.m_changes.m_version = base::ObjectVersion(Number(Member(aParams, "to")));
+  news.m_part = Count(Member(aParams, "part"));
+  news.m_parts = Count(Member(aParams, "parts"));
+  news.m_catalog = base::CatalogVersion(Number(Member(aParams, "catalog")));
+  news.m_listAge = Milliseconds(Member(aParams, "list_age_ms"));
+  news.m_catalogAge = Milliseconds(Member(aParams, "catalog_age_ms"));
+  for (auto const& entry : Member(aParams, "changes")) {
+    news.m_changes.m_changes.push_back(ToChange(entry));
+  }
+  return news;
+}
+
 FleetMessage ToMessage(std::string const& aMethod, Json::Value const& aParams)
 {
   if (aMethod == "engine.status") {
     return ToEngineStatus(aParams);
   }
+  if (aMethod == "engine.alive") {
+    return ToEngineAlive(aParams);
+  }
+  if (aMethod == "engine.status_wanted") {
+    return StatusWanted{ Name<base::HostId>(Member(aParams, "host")) };
+  }
   if (aMethod == "gateway.presence") {
     return ToGatewayPresence(aParams);
   }
@@ -347,11 +278,10 @@
     return ToGatewayReport(aParams);
   }
   if (aMethod == "planner.summary") {
-    return PlannerSummary{
-      Text(Member(aParams, "epoch")),          Count(Member(aParams, "present")),
-      Count(Member(aParams, "reporting")),     ToGrants(Member(aParams, "granted")),
-      ToOutlooks(Member(aParams, "outlooks")), ToDeaths(aParams)
-    };
+    return ToPlannerSummary(aParams);
+  }
+  if (aMethod == "store.news") {
+    return ToStoreNews(aParams);
   }
   if (aMethod == "engine.swap") {
     auto const unload = ToNames<base::ModelId>(Member(aParams, "unload"));
@@ -367,21 +297,23 @@
 
 } // namespace
 
-std::string EncodeFleetMessage(FleetMessage const& aMessage)
-{
-  Json::Value root;
-  std::visit(Encoder{ root }, aMessage);
-  return base::RenderJson(root);
-}
-
-tl::expected<FleetMessage, std::string> DecodeFleetMessage(std::string_view aText)
+tl::expected<FleetEnvelope, std::string> DecodeFleetMessage(std::string_view aText)
 {
   auto const parsed = base::ParseJson(aText);
   if (!parsed) {
     return tl::make_unexpected(parsed.error());
   }
   try {
-    return ToMessage(Text(Member(*parsed, "method")), Member(*parsed, "params"));
+    FleetEnvelope envelope{ ToMessage(Text(Member(*parsed, "method")), Member(*parsed, "params")),
+                            std::nullopt,
+                            {} };
+    if (parsed->isMember("origin")) {
+      envelope.m_origin = Address((*parsed)["origin"]);
+    }
+    for (auto const& receiver : (*parsed)["forward_to"]) {
+      envelope.m_forwardTo.push_back(Address(receiver));
+    }
+    return envelope;
   } catch (FieldError const& error) {
     return tl::make_unexpected(error.m_message);
   }
--- /dev/null
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -0,0 +1,243 @@
+#include "Agent/Fleet/FleetCodec.h"
+#include "Base/Json.h"
+
+#include <cmath>
+
+namespace sardinefold::agent {
+
+namespace {
+
+Json::Value FromMilliseconds(base::Duration aDuration)
+{
+  return Json::Int64(base::ToMilliseconds(aDuration));
+}
+
+template<typename Container>
+Json::Value FromNames(Container const& aNames)
+{
+  Json::Value list(Json::arrayValue);
+  for (auto const& name : aNames) {
+    list.append(name.Text());
+  }
+  return list;
+}
+
+Json::Value FromGrants(entry::GrantedTokens const& aGrants)
+{
+  Json::Value object(Json::objectValue);
+  for (auto const& [workspace, tokens] : aGrants) {
+    object[workspace.Text()] = Json::Int64(tokens.Value());
+  }
+  return object;
+}
+
+Json::Value FromDeaths(std::vector<SuspectNews> const& aDeaths)
+{
+  Json::Value list(Json::arrayValue);
+  for (auto const& death : aDeaths) {
+    Json::Value entry;
+    entry["fingerprint"] = death.m_fingerprint.Text();
+    entry["upstream"] = death.m_upstream.Text();
+    entry["age_ms"] = FromMilliseconds(death.m_age);
+    list.append(std::move(entry));
+  }
+  return list;
+}
+
+/// A deletion has no value.
+Json::Value FromChange(objectstore::ObjectChange const& aChange)
+{
+  Json::Value entry(Json::arrayValue);
+  if (auto const* const put = std::get_if<objectstore::ObjectPut>(&aChange)) {
+    entry.append(put->m_object.m_key.m_name.Text());
+    entry.append(Json::UInt64(put->m_object.m_version.Value()));
+    entry.append(put->m_object.m_value);
+    return entry;
+  }
+  auto const& deleted = std::get<objectstore::ObjectDeleted>(aChange);
+  entry.append(deleted.m_key.m_name.Text());
+  entry.append(Json::UInt64(deleted.m_version.Value()));
+  return entry;
+}
+
+struct Encoder
+{
+  Json::Value& m_root;
+
+  Json::Value& Start(char const* aMethod)
+  {
+    m_root["jsonrpc"] = "2.0";
+    m_root["method"] = aMethod;
+    return m_root["params"];
+  }
+
+  void operator()(EngineStatus const& aStatus)
+  {
+    auto& params = Start("engine.status");
+    params["host"] = aStatus.m_host.Text();
+    params["engine"] = aStatus.m_engine.Text();
+    params["deployment"] = aStatus.m_deployment.Text();
+    params["failure_domain"] = aStatus.m_failureDomain.Text();
+    params["models"] = Json::Value(Json::arrayValue);
+    for (auto const& held : aStatus.m_models) {
+      Json::Value model;
+      model["name"] = held.m_model.Text();
+      model["adapters"] = FromNames(held.m_adapters);
+      params["models"].append(std::move(model));
+    }
+    if (!aStatus.m_copies.m_inMemory.empty() || !aStatus.m_copies.m_onDisk.empty()) {
+      params["in_memory"] = FromNames(aStatus.m_copies.m_inMemory);
+      params["on_disk"] = FromNames(aStatus.m_copies.m_onDisk);
+    }
+    if (aStatus.m_change.m_loading) {
+      params["loading"] = aStatus.m_change.m_loading->Text();
+      params["ready_in_ms"] = FromMilliseconds(aStatus.m_change.m_readyIn);
+    }
+    if (aStatus.m_change.m_unloading) {
+      params["unloading"] = aStatus.m_change.m_unloading->Text();
+    }
+    params["running"] = aStatus.m_running;
+    params["waiting"] = aStatus.m_waiting;
+    params["cache_used"] = Json::Int64(aStatus.m_cacheUsed.Value());
+    params["cache_total"] = Json::Int64(aStatus.m_cacheTotal.Value());
+    params["can_order"] = aStatus.m_canOrder;
+    params["gateways"] = aStatus.m_gatewaysPresent;
+    params["number"] = Json::UInt64(aStatus.m_number);
+  }
+
+  void operator()(EngineAlive const& aAlive)
+  {
+    auto& params = Start("engine.alive");
+    params["host"] = aAlive.m_host.Text();
+    params["engine"] = aAlive.m_engine.Text();
+    params["number"] = Json::UInt64(aAlive.m_number);
+    params["running"] = aAlive.m_running;
+    params["waiting"] = aAlive.m_waiting;
+    params["can_order"] = aAlive.m_canOrder;
+    params["gateways"] = aAlive.m_gatewaysPresent;
+  }
+
+  void operator()(StatusWanted const& aWanted)
+  {
+    Start("engine.status_wanted")["host"] = aWanted.m_host.Text();
+  }
+
+  void operator()(GatewayPresence const& aPresence)
+  {
+    auto& params = Start("gateway.presence");
+    params["host"] = aPresence.m_host.Text();
+    params["incarnation"] = aPresence.m_incarnation.Text();
+    params["failure_domain"] = aPresence.m_failureDomain.Text();
+    params["planner"] = aPresence.m_planner.Text();
+    params["catalog"] = Json::UInt64(aPresence.m_catalog.Value());
+    params["engine_specs"] = Json::UInt64(aPresence.m_engineSpecs);
+    params["engines"] = Json::Value(Json::arrayValue);
+    for (auto const& [endpoint, engine] : aPresence.m_engines) {
+      Json::Value entry(Json::arrayValue);
+      entry.append(endpoint.Text());
+      entry.append(engine.m_instance.Text());
+      entry.append(Json::Int64(engine.m_startedAt));
+      params["engines"].append(std::move(entry));
+    }
+  }
+
+  void operator()(GatewayReport const& aReport)
+  {
+    auto& params = Start("gateway.report");
+    params["host"] = aReport.m_host.Text();
+    params["incarnation"] = aReport.m_incarnation.Text();
+    params["failure_domain"] = aReport.m_failureDomain.Text();
+    params["demand"] = Json::Value(Json::arrayValue);
+    for (auto const& demand : aReport.m_demand) {
+      // In order, without names: gateways name many models, many times.
+      constexpr double kThousand = 1000;
+      Json::Value entry(Json::arrayValue);
+      entry.append(demand.m_model.Text());
+      entry.append(demand.m_waiting);
+      entry.append(Json::Int64(std::lround(demand.m_worth * kThousand)));
+      entry.append(FromMilliseconds(demand.m_goalIn));
+      entry.append(Json::Int64(std::lround(demand.m_rate * kThousand)));
+      entry.append(Json::Int64(std::lround(demand.m_recentRate * kThousand)));
+      entry.append(demand.m_running);
+      params["demand"].append(std::move(entry));
+    }
+    params["complete"] = aReport.m_isComplete;
+    params["granted"] = FromGrants(aReport.m_granted);
+    if (!aReport.m_deaths.empty()) {
+      params["deaths"] = FromDeaths(aReport.m_deaths);
+    }
+  }
+
+  void operator()(PlannerSummary const& aSummary)
+  {
+    auto& params = Start("planner.summary");
+    params["outlooks"] = Json::Value(Json::objectValue);
+    for (auto const& [model, readyIn] : aSummary.m_outlooks) {
+      params["outlooks"][model.Text()] = FromMilliseconds(readyIn);
+    }
+    params["epoch"] = aSummary.m_epoch;
+    params["present"] = aSummary.m_gatewaysPresent;
+    params["reporting"] = aSummary.m_gatewaysReporting;
+    params["granted"] = FromGrants(aSummary.m_grantedByOthers);
+    if (!aSummary.m_deaths.empty()) {
+      params["deaths"] = FromDeaths(aSummary.m_deaths);
+    }
+    params["neighbours"] = Json::Value(Json::objectValue);
+    for (auto const& [host, endpoint] : aSummary.m_neighbours) {
+      params["neighbours"][host.Text()] = endpoint.Text();
+    }
+  }
+
+  void operator()(StoreNews const& aNews)
+  {
+    auto& params = Start("store.news");
+    params["host"] = aNews.m_host.Text();
+    params["from"] = Json::UInt64(aNews.m_from.Value());
+    params["to"] = Json::UInt64(aNews.m_changes.m_version.Value());
+    params["part"] = aNews.m_part;
+    params["parts"] = aNews.m_parts;
+    params["catalog"] = Json::UInt64(aNews.m_catalog.Value());
+    params["list_age_ms"] = FromMilliseconds(aNews.m_listAge);
+    params["catalog_age_ms"] = FromMilliseconds(aNews.m_catalogAge);
+    params["changes"] = Json::Value(Json::arrayValue);
+    for (auto const& change : aNews.m_changes.m_changes) {
+      params["changes"].append(FromChange(change));
+    }
+  }
+
+  void operator()(SwapRequest const& aRequest)
+  {
+    auto& params = Start("engine.swap");
+    params["load"] = aRequest.m_load.Text();
+    params["unload"] = FromNames(aRequest.m_unload);
+  }
+
+  void operator()(AdapterRequest const& aRequest)
+  {
+    auto& params = Start("engine.adapter");
+    params["model"] = aRequest.m_model.Text();
+    params["adapter"] = aRequest.m_adapter.Text();
+  }
+};
+
+} // namespace
+
+std::string EncodeFleetMessage(FleetEnvelope const& aEnvelope)
+{
+  Json::Value root;
+  std::visit(Encoder{ root }, aEnvelope.m_message);
+  if (aEnvelope.m_origin) {
+    root["origin"] = aEnvelope.m_origin->Text();
+  }
+  for (auto const& receiver : aEnvelope.m_forwardTo) {
+    root["forward_to"].append(receiver.Text());
+  }
+  return base::RenderJson(root);
+}
+
+std::string EncodeFleetMessage(FleetMessage const& aMessage)
+{
+  return EncodeFleetMessage(FleetEnvelope{ aMessage, std::nullopt, {} });
+}
+
+} // namespace sardinefold::agent
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -8,7 +8,9 @@
 #include "Engine/DemandBoard.h"
 #include "Engine/EngineFacts.h"
 #include "Entry/Allowance/GrantLedger.h"
+#include "ObjectStore/PlatformObject.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -46,6 +48,27 @@
   bool m_canOrder = false;
   /// Gateways that the loader hears.
   unsigned m_gatewaysPresent = 0;
+  /// Counts the changes that the loader told since its start.
+  std::uint64_t m_number = 0;
+};
+
+/// From a loader, in between: its last status still holds.
+struct EngineAlive
+{
+  base::HostId m_host;
+  base::Endpoint m_engine;
+  /// Of the status that holds.
+  std::uint64_t m_number = 0;
+  unsigned m_running = 0;
+  unsigned m_waiting = 0;
+  bool m_canOrder = false;
+  unsigned m_gatewaysPresent = 0;
+};
+
+/// To a loader from one that has missed its status: it should tell it again.
+struct StatusWanted
+{
+  base::HostId m_host;
 };
 
 /// One start of an engine, as the platform's list has it.
@@ -54,18 +77,23 @@
   engine::InstanceId m_instance;
   /// Unix milliseconds.
   std::int64_t m_startedAt = 0;
+
+  friend bool operator==(EngineIdentity const&, EngineIdentity const&) = default;
 };
 
-/// From a gateway to each loader: that it is there, and whom it takes for the
+/// From a gateway to loaders: that it is there, and whom it takes for the
 /// planner.
 struct GatewayPresence
 {
   base::HostId m_host;
   base::IncarnationId m_incarnation;
+  base::FailureDomainId m_failureDomain;
   base::Endpoint m_planner;
   base::CatalogVersion m_catalog;
-  /// The engine beside the loader that this goes to.
-  EngineIdentity m_engine;
+  /// Digest of what that catalog says of engines.
+  std::uint64_t m_engineSpecs = 0;
+  /// The engines beside the loaders that this goes to.
+  std::map<base::Endpoint, EngineIdentity> m_engines;
 };
 
 /// From a gateway to the loader that it takes for the planner: the demand, and
@@ -74,6 +102,7 @@
 {
   base::HostId m_host;
   base::IncarnationId m_incarnation;
+  base::FailureDomainId m_failureDomain;
   /// Whether the demand names every model that is asked for; else only those
   /// where something has changed since the report before.
   bool m_isComplete = true;
@@ -100,6 +129,27 @@
   ModelOutlooks m_outlooks;
   /// What the other gateways told of late.
   std::vector<SuspectNews> m_deaths;
+  /// Gateways of the receiver's failure domain that report to this planner, the
+  /// receiver included, by name.
+  std::map<base::HostId, base::Endpoint> m_neighbours;
+};
+
+/// From a gateway that watches the object store to others of its failure
+/// domain: what has changed in the list of upstreams, and how fresh its news is.
+/// A batch too large for one datagram comes in parts.
+struct StoreNews
+{
+  base::HostId m_host;
+  /// The changes lead from the first version to the second.
+  base::ObjectVersion m_from;
+  objectstore::ObjectChanges m_changes;
+  unsigned m_part = 0;
+  unsigned m_parts = 1;
+  base::CatalogVersion m_catalog;
+  /// Time since the store last answered the sender about the list and about
+  /// the catalog.
+  base::Duration m_listAge{};
+  base::Duration m_catalogAge{};
 };
 
 /// From the planner to a loader: replace models by another.
@@ -116,7 +166,18 @@
   base::AdapterId m_adapter;
 };
 
-using FleetMessage = std::variant<EngineStatus, GatewayPresence, GatewayReport, PlannerSummary,
-                                  SwapRequest, AdapterRequest>;
+using FleetMessage =
+  std::variant<EngineStatus, EngineAlive, StatusWanted, GatewayPresence, GatewayReport,
+               PlannerSummary, StoreNews, SwapRequest, AdapterRequest>;
+
+/// A message on its way.
+struct FleetEnvelope
+{
+  FleetMessage m_message;
+  /// Whom it comes from, if the sender of the datagram passes it on.
+  std::optional<base::Endpoint> m_origin;
+  /// Whom the receiver passes it on to.
+  std::vector<base::Endpoint> m_forwardTo;
+};
 
 } // namespace sardinefold::agent
--- /dev/null
+++ b/Agent/Fleet/NewsParts.cpp
@@ -0,0 +1,65 @@
+#include "Agent/Fleet/NewsParts.h"
+
+#include <iterator>
+
+namespace sardinefold::agent {
+
+namespace {
+
+/// Far below the largest datagram, as the encoding adds to the values.
+constexpr std::size_t kPartBytes = 24'000;
+
+std::size_t SizeOf(objectstore::ObjectChange const& aChange)
+{
+  auto const* const put = std::get_if<objectstore::ObjectPut>(&aChange);
+  return put ? put->m_object.m_value.size() : 0;
+}
+
+} // namespace
+
+std::vector<StoreNews> SplitNews(StoreNews const& aNews)
+{
+  auto empty = aNews;
+  empty.m_changes.m_changes.clear();
+  std::vector<StoreNews> parts{ empty };
+  std::size_t bytes = 0;
+  for (auto const& change : aNews.m_changes.m_changes) {
+    if (bytes > 0 && bytes + SizeOf(change) > kPartBytes) {
+      parts.push_back(empty);
+      bytes = 0;
+    }
+    bytes += SizeOf(change);
+    parts.back().m_changes.m_changes.push_back(change);
+  }
+  for (std::size_t number = 0; number < parts.size(); ++number) {
+    parts[number].m_part = static_cast<unsigned>(number);
+    parts[number].m_parts = static_cast<unsigned>(parts.size());
+  }
+  return parts;
+}
+
+std::optional<StoreNews> NewsParts::Add(StoreNews aPart)
+{
+  if (aPart.m_parts <= 1) {
+    return aPart;
+  }
+  auto& batch = m_batches[aPart.m_host];
+  if (batch.m_from != aPart.m_from || batch.m_to != aPart.m_changes.m_version) {
+    batch = { aPart.m_from, aPart.m_changes.m_version, {} };
+  }
+  auto const parts = aPart.m_parts;
+  auto const host = aPart.m_host;
+  batch.m_parts.insert_or_assign(aPart.m_part, std::move(aPart));
+  if (batch.m_parts.size() < parts) {
+    return std::nullopt;
+  }
+  StoreNews whole = batch.m_parts.begin()->second;
+  whole.m_changes.m_changes.clear();
+  for (auto& [number, part] : batch.m_parts) {
+    std::ranges::move(part.m_changes.m_changes, std::back_inserter(whole.m_changes.m_changes));
+  }
+  m_batches.erase(host);
+  return whole;
+}
+
+} // namespace sardinefold::agent
--- /dev/null
+++ b/Agent/Fleet/NewsParts.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Agent/Fleet/FleetMessages.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace sardinefold::agent {
+
+/// Cuts a batch of news into messages that fit into datagrams.
+std::vector<StoreNews> SplitNews(StoreNews const& aNews);
+
+/// Puts the parts of a batch together again. Of each sender only the newest
+/// batch is kept.
+class NewsParts
+{
+public:
+  /// The whole batch once its last part has come.
+  std::optional<StoreNews> Add(StoreNews aPart);
+
+private:
+  struct Batch
+  {
+    base::ObjectVersion m_from;
+    base::ObjectVersion m_to;
+    std::map<unsigned, StoreNews> m_parts;
+  };
+
+  std::map<base::HostId, Batch> m_batches;
+};
+
+} // namespace sardinefold::agent
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -72,6 +72,24 @@
   return hasNews;
 }
 
+bool UpstreamDirectory::OnStillHolds(base::Endpoint const& aEngine, std::uint64_t aNumber,
+                                     unsigned aRunning, unsigned aWaiting, base::Instant aNow)
+{
+  bool isKnown = true;
+  for (auto& [instance, upstream] : m_upstreams) {
+    if (upstream.m_entry.m_endpoint != aEngine) {
+      continue;
+    }
+    if (upstream.m_account && upstream.m_account->m_number == aNumber) {
+      CountOthers(upstream, aRunning, aWaiting);
+      upstream.m_accountAt = aNow;
+    } else {
+      isKnown = false;
+    }
+  }
+  return isKnown;
+}
+
 void UpstreamDirectory::OnLoadTold(InstanceId const& aInstance, unsigned aRunning,
                                    unsigned aWaiting)
 {
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -85,6 +85,8 @@
   std::optional<base::ModelId> m_unloading;
   unsigned m_running = 0;
   unsigned m_waiting = 0;
+  /// Counts the loader's accounts since its start.
+  std::uint64_t m_number = 0;
 };
 
 /// Knows the engines and services, what they hold and how busy they are, and
@@ -101,6 +103,10 @@
   void OnRemoved(InstanceId const& aInstance, bool aMayHaveLapsed, base::Instant aNow);
   /// Returns whether models became available.
   bool OnAccount(LoaderAccount aAccount, base::Instant aNow);
+  /// The loader's account with that number still holds. False if another one
+  /// is known here.
+  bool OnStillHolds(base::Endpoint const& aEngine, std::uint64_t aNumber, unsigned aRunning,
+                    unsigned aWaiting, base::Instant aNow);
   /// An answer told how many requests run and wait there.
   void OnLoadTold(InstanceId const& aInstance, unsigned aRunning, unsigned aWaiting);
 
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -19,6 +19,7 @@
 step install Meta/install.sh
 step format Meta/format.sh --check
 step shape Meta/check-shape.sh
+step 'planted breaches of the shape' Meta/check-shape-test.sh
 step build Meta/build.sh
 step settings Meta/settings.sh --check
 step lint Meta/lint.py
--- a/ObjectStore/ObjectWatch.cpp
+++ b/ObjectStore/ObjectWatch.cpp
@@ -1,5 +1,6 @@
 #include "ObjectStore/ObjectWatch.h"
 
+#include <algorithm>
 #include <set>
 
 namespace sardinefold::objectstore {
@@ -90,14 +91,33 @@
     PauseAfterFailure(aNow);
     return changes;
   }
-  for (auto const& change : aAnswer->m_changes) {
+  Heard(aNow);
+  return TakeNew(*aAnswer);
+}
+
+std::optional<ObjectChanges> ObjectWatch::OnRelayed(base::ObjectVersion aFrom,
+                                                    ObjectChanges const& aChanges,
+                                                    base::Instant aHeardAt)
+{
+  if (!m_hasListed || m_mustList || aFrom > m_version) {
+    return std::nullopt;
+  }
+  m_lastHeard = std::max(m_lastHeard, aHeardAt);
+  if (aChanges.m_version <= m_version) {
+    return ObjectChanges{ m_version, {} };
+  }
+  return TakeNew(aChanges);
+}
+
+ObjectChanges ObjectWatch::TakeNew(ObjectChanges const& aChanges)
+{
+  ObjectChanges changes{ aChanges.m_version, {} };
+  for (auto const& change : aChanges.m_changes) {
     if (VersionOf(change) > m_version && Apply(change)) {
       changes.m_changes.push_back(change);
     }
   }
-  Heard(aNow);
-  m_version = aAnswer->m_version;
-  changes.m_version = m_version;
+  m_version = aChanges.m_version;
   return changes;
 }
 
--- a/ObjectStore/ObjectWatch.h
+++ b/ObjectStore/ObjectWatch.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 
 #include <map>
+#include <optional>
 #include <variant>
 
 namespace sardinefold::objectstore {
@@ -40,6 +41,11 @@
   ObjectChanges OnChanges(tl::expected<ObjectChanges, ReadError> const& aAnswer,
                           base::Instant aNow);
 
+  /// Changes from another process that watches the same objects and heard of
+  /// them at the given time. Empty if they do not follow on what is known here.
+  std::optional<ObjectChanges> OnRelayed(base::ObjectVersion aFrom, ObjectChanges const& aChanges,
+                                         base::Instant aHeardAt);
+
   /// Everything up to this version has been handed out.
   base::ObjectVersion Version() const { return m_version; }
   /// When the platform last answered.
@@ -50,6 +56,7 @@
   void Heard(base::Instant aNow);
   void PauseAfterFailure(base::Instant aNow) { m_next = aNow + m_backoff.Next(); }
   bool Apply(ObjectChange const& aChange);
+  ObjectChanges TakeNew(ObjectChanges const& aChanges);
 
   Backoff m_backoff;
   bool m_mustList = true;
--- a/ObjectStore/WatchSession.h
+++ b/ObjectStore/WatchSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/EventLoop.h"
+#include "Base/Signal.h"
 #include "ObjectStore/ObjectStoreClient.h"
 #include "ObjectStore/ObjectWatch.h"
 
@@ -34,14 +35,27 @@
     , m_purpose(aPurpose)
     , m_limits(aLimits)
     , m_watch(aLimits.m_backoff, aSeed)
+    , m_wake(aLoop.Context())
   {
   }
 
   /// Runs until Stop(); the session must outlive it.
   template<std::invocable<ObjectChanges const&> Handler>
   boost::asio::awaitable<void> Run(Handler aHandler)
+  {
+    co_await Run(std::move(aHandler), [](base::Instant) { return false; });
+  }
+
+  /// The same, but makes no call while aMayRest says that others' news, given
+  /// to TakeRelayed(), is good enough.
+  template<std::invocable<ObjectChanges const&> Handler, std::predicate<base::Instant> MayRest>
+  boost::asio::awaitable<void> Run(Handler aHandler, MayRest aMayRest)
   {
     while (!m_isStopped) {
+      if (m_watch.HasListed() && !m_isBehind && aMayRest(m_loop.Now())) {
+        co_await m_wake.Wait(kRestTime);
+        continue;
+      }
       auto const step = m_watch.Next(m_loop.Now());
       if (auto const* const wait = std::get_if<WatchAgainAt>(&step)) {
         co_await m_loop.Sleep(wait->m_time - m_loop.Now());
@@ -53,10 +67,12 @@
         auto const answer = co_await m_store.Watch(m_kind, std::move(prefix), watch->m_version,
                                                    m_limits.m_watchTime, m_purpose);
         changes = m_watch.OnChanges(answer, m_loop.Now());
+        m_isBehind = m_isBehind && !answer;
       } else {
         auto const answer =
           co_await m_store.List(m_kind, std::move(prefix), m_limits.m_listTime, m_purpose);
         changes = m_watch.OnList(answer, m_loop.Now());
+        m_isBehind = m_isBehind && !answer;
       }
       if (!changes.m_changes.empty() && !m_isStopped) {
         aHandler(changes);
@@ -67,11 +83,34 @@
     }
   }
 
+  /// Changes that another process heard of. Those that do not follow on what is
+  /// known here make the session call the store itself.
+  ObjectChanges TakeRelayed(base::ObjectVersion aFrom, ObjectChanges const& aChanges,
+                            base::Instant aHeardAt)
+  {
+    auto changes = m_watch.OnRelayed(aFrom, aChanges, aHeardAt);
+    if (!changes) {
+      CatchUp();
+      return { m_watch.Version(), {} };
+    }
+    return std::move(*changes);
+  }
+
+  /// Calls the store once, whatever others tell.
+  void CatchUp()
+  {
+    m_isBehind = true;
+    m_wake.Notify();
+  }
+
   /// Run() ends after the call under way.
   void Stop() { m_isStopped = true; }
   ObjectWatch const& State() const { return m_watch; }
 
 private:
+  /// How soon the session notices that others' news has become old.
+  static constexpr base::Duration kRestTime = std::chrono::milliseconds(100);
+
   base::EventLoop& m_loop;
   Store& m_store;
   ObjectKind m_kind;
@@ -79,6 +118,8 @@
   CallPurpose m_purpose;
   WatchLimits m_limits;
   ObjectWatch m_watch;
+  base::Signal m_wake;
+  bool m_isBehind = false;
   bool m_isStopped = false;
 };
 
--- a/Operator/ServingCatalog.h
+++ b/Operator/ServingCatalog.h
@@ -4,6 +4,7 @@
 #include "Base/Time.h"
 #include "Base/Units.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -121,4 +122,7 @@
   CallerLimits m_limits;
 };
 
+/// The same for catalogs that say the same of what engines hold.
+std::uint64_t EngineSpecsDigest(ServingCatalog const& aCatalog);
+
 } // namespace sardinefold::operators
--- /dev/null
+++ b/Programs/FleetPost.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Agent/Fleet/FleetCast.h"
+#include "Agent/Fleet/FleetCodec.h"
+#include "Base/DatagramEndpoint.h"
+#include "Base/Log.h"
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace sardinefold::programs {
+
+/// Sends and receives messages among the system's processes, and passes on
+/// those that are meant for others of its failure domain, too.
+class FleetPost
+{
+public:
+  /// Gets each message with the process that it comes from.
+  using Handler =
+    std::function<void(agent::FleetMessage const& aMessage, base::Endpoint const& aOrigin)>;
+
+  explicit FleetPost(base::EventLoop& aLoop)
+    : m_datagrams(aLoop)
+  {
+  }
+
+  tl::expected<void, std::string> Listen(base::Endpoint const& aEndpoint, Handler aHandler)
+  {
+    m_port = aEndpoint.m_port;
+    m_handler = std::move(aHandler);
+    return m_datagrams.Listen(aEndpoint,
+                              [this](std::string_view aText, base::Endpoint const& aSender) {
+                                OnDatagram(aText, aSender);
+                              });
+  }
+
+  void Send(base::Endpoint const& aReceiver, agent::FleetMessage const& aMessage)
+  {
+    m_datagrams.Send(aReceiver, agent::EncodeFleetMessage(aMessage));
+  }
+
+  /// Sends a message to many, once to each other failure domain.
+  void Cast(base::FailureDomainId const& aHome, std::vector<agent::CastReceiver> const& aReceivers,
+            agent::FleetMessage const& aMessage)
+  {
+    for (auto const& leg : agent::PlanCast(aHome, aReceivers, m_turn++)) {
+      m_datagrams.Send(leg.m_receiver, agent::EncodeFleetMessage(agent::FleetEnvelope{
+                                         aMessage, std::nullopt, leg.m_forwardTo }));
+    }
+  }
+
+private:
+  /// More receivers than any cast names would make this process a multiplier
+  /// of traffic.
+  static constexpr std::size_t kMostForwards = 64;
+
+  void OnDatagram(std::string_view aText, base::Endpoint const& aSender)
+  {
+    auto envelope = agent::DecodeFleetMessage(aText);
+    if (!envelope) {
+      base::log::Warning("message is unusable",
+                         { { "sender", aSender.Text() }, { "error", envelope.error() } });
+      return;
+    }
+    auto const origin = envelope->m_origin.value_or(aSender);
+    Forward(*envelope, origin);
+    m_handler(envelope->m_message, origin);
+  }
+
+  void Forward(agent::FleetEnvelope const& aEnvelope, base::Endpoint const& aOrigin)
+  {
+    if (aEnvelope.m_forwardTo.empty() || aEnvelope.m_forwardTo.size() > kMostForwards) {
+      return;
+    }
+    auto const text =
+      agent::EncodeFleetMessage(agent::FleetEnvelope{ aEnvelope.m_message, aOrigin, {} });
+    for (auto const& receiver : aEnvelope.m_forwardTo) {
+      // All processes of the fleet use one port; nothing else is sent to.
+      if (receiver.m_port == m_port) {
+        m_datagrams.Send(receiver, text);
+      }
+    }
+  }
+
+  base::DatagramEndpoint m_datagrams;
+  Handler m_handler;
+  std::uint16_t m_port = 0;
+  std::size_t m_turn = 0;
+};
+
+} // namespace sardinefold::programs
--- /dev/null
+++ b/Programs/Gateway/FleetLink.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "Programs/Gateway/GatewayState.h"
+#include "Programs/Gateway/PlannerChoice.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace sardinefold::programs {
+
+/// A gateway's side of the talk with loaders and with the planner among them:
+/// tells that it is there, what is asked for and what it has granted.
+class FleetLink
+{
+public:
+  FleetLink(GatewayState& aState, base::IncarnationId aIncarnation)
+    : m_state(aState)
+    , m_incarnation(std::move(aIncarnation))
+  {
+  }
+
+  base::IncarnationId const& Incarnation() const { return m_incarnation; }
+
+  void OnLoader(base::HostId const& aHost, base::Endpoint const& aEndpoint, bool aCanOrder,
+                unsigned aGatewaysPresent, base::Instant aNow)
+  {
+    m_planner.OnLoader(aHost, aEndpoint, aCanOrder, aNow);
+    m_state.m_allowance.OnPresent(aGatewaysPresent);
+    if (!m_state.m_gatewaysPresent && aGatewaysPresent > 0) {
+      m_state.OnGatewaysPresent(aGatewaysPresent);
+    }
+  }
+
+  void OnSummary(base::Endpoint const& aPlanner, base::Instant aNow)
+  {
+    m_planner.OnSummary(aPlanner, aNow);
+    m_summaryAt = aNow;
+  }
+
+  /// A new catalog came into force.
+  void OnCatalog()
+  {
+    m_engineSpecs = operators::EngineSpecsDigest(m_state.m_catalog->Catalog());
+    m_mustTellAll = true;
+  }
+
+  base::Duration PlannerAge(base::Instant aNow) const { return aNow - m_summaryAt; }
+
+  /// To be called ten times a second.
+  void Report(base::Instant aNow)
+  {
+    constexpr unsigned kPresenceEvery = 10;
+    auto const planner = m_planner.Planner(aNow);
+    bool const isNewPlanner = planner != m_lastPlanner;
+    if (isNewPlanner) {
+      base::log::Info("planner chosen", { { "planner", planner ? planner->Text() : "" } });
+    }
+    m_lastPlanner = planner;
+    bool const isForAll = m_ticks++ % kPresenceEvery == 0 || isNewPlanner || m_mustTellAll;
+    m_mustTellAll = false;
+    SendPresence(isForAll);
+    if (planner) {
+      SendReport(*planner, isNewPlanner, aNow);
+    }
+  }
+
+private:
+  using Engines = std::map<base::Endpoint, agent::EngineIdentity>;
+
+  /// Names all demand once a second, and in between what has changed.
+  void SendReport(base::Endpoint const& aPlanner, bool aIsFirst, base::Instant aNow)
+  {
+    constexpr unsigned kCompleteEvery = 10;
+    bool const isComplete = m_ticks % kCompleteEvery == 0 || aIsFirst;
+    agent::GatewayReport report{ m_state.m_profile.m_host,
+                                 m_incarnation,
+                                 m_state.m_profile.m_failureDomain,
+                                 isComplete,
+                                 {},
+                                 m_state.m_allowance.Granted(),
+                                 m_state.TakeDeaths(aNow) };
+    std::map<base::ModelId, unsigned> waiting;
+    for (auto& demand : m_state.m_demand.Summary(aNow)) {
+      if (demand.m_waiting > 0) {
+        waiting[demand.m_model] = demand.m_waiting;
+      }
+      bool const hasChanged = demand.m_waiting > 0 || m_reportedWaiting.contains(demand.m_model);
+      if (isComplete || hasChanged) {
+        report.m_demand.push_back(std::move(demand));
+      }
+    }
+    m_reportedWaiting = std::move(waiting);
+    m_state.m_post.Send(aPlanner, report);
+  }
+
+  /// Tells the loaders beside new engines at once, and all from time to time.
+  void SendPresence(bool aIsForAll)
+  {
+    Engines known;
+    std::map<base::FailureDomainId, Engines> told;
+    for (auto const& entry : m_state.m_directory.Entries()) {
+      if (!IsEngine(entry.m_deployment)) {
+        continue;
+      }
+      agent::EngineIdentity const identity{ entry.m_instance, entry.m_startedAt };
+      // The list may still name an earlier engine at the same address.
+      auto const earlier = known.find(entry.m_endpoint);
+      if (earlier != known.end() && earlier->second.m_startedAt >= identity.m_startedAt) {
+        continue;
+      }
+      known.insert_or_assign(entry.m_endpoint, identity);
+      auto const before = m_told.find(entry.m_endpoint);
+      if (aIsForAll || before == m_told.end() || before->second != identity) {
+        told[entry.m_failureDomain].insert_or_assign(entry.m_endpoint, identity);
+      }
+    }
+    m_told = std::move(known);
+    for (auto& [domain, engines] : told) {
+      SendPresence(domain, std::move(engines));
+    }
+  }
+
+  void SendPresence(base::FailureDomainId const& aDomain, Engines aEngines)
+  {
+    agent::GatewayPresence presence;
+    presence.m_host = m_state.m_profile.m_host;
+    presence.m_incarnation = m_incarnation;
+    presence.m_failureDomain = m_state.m_profile.m_failureDomain;
+    presence.m_planner = m_lastPlanner.value_or(base::Endpoint{ m_state.m_profile.m_address, 0 });
+    presence.m_engineSpecs = m_engineSpecs;
+    if (m_state.m_catalog) {
+      presence.m_catalog = m_state.m_catalog->Catalog().m_version;
+    }
+    std::vector<agent::CastReceiver> receivers;
+    for (auto const& [endpoint, identity] : aEngines) {
+      receivers.push_back({ { endpoint.m_address, m_state.m_profile.m_peerPort }, aDomain });
+    }
+    presence.m_engines = std::move(aEngines);
+    m_state.m_post.Cast(m_state.m_profile.m_failureDomain, receivers, presence);
+  }
+
+  bool IsEngine(base::DeploymentId const& aDeployment) const
+  {
+    auto const* const deployment =
+      m_state.m_catalog ? m_state.m_catalog->FindDeployment(aDeployment) : nullptr;
+    return deployment && deployment->m_engine;
+  }
+
+  GatewayState& m_state;
+  base::IncarnationId m_incarnation;
+  PlannerChoice m_planner;
+  std::optional<base::Endpoint> m_lastPlanner;
+  base::Instant m_summaryAt{};
+  std::map<base::ModelId, unsigned> m_reportedWaiting;
+  Engines m_told;
+  std::uint64_t m_engineSpecs = 0;
+  bool m_mustTellAll = true;
+  unsigned m_ticks = 0;
+};
+
+} // namespace sardinefold::programs
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include "Base/Http/HttpServer.h"
-#include "ObjectStore/WatchSession.h"
+#include "Programs/Gateway/FleetLink.h"
 #include "Programs/Gateway/ForwardSession.h"
-#include "Programs/Gateway/PlannerChoice.h"
+#include "Programs/Gateway/StoreFeed.h"
 #include "Programs/SettingsFollower.h"
-#include "Programs/StoreAccess.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <string>
+#include <utility>
 
 namespace sardinefold::programs {
 
@@ -22,18 +22,13 @@
   GatewayProgram(base::EventLoop& aLoop, base::ProcessProfile aProfile)
     : m_loop(aLoop)
     , m_state(aLoop, std::move(aProfile), base::RandomNumber())
-    , m_store(aLoop, m_state.m_profile.m_objectStore, m_state.m_metrics)
-    , m_catalogWatch(aLoop, m_store.Objects(), objectstore::ObjectKind::Catalog, {},
-                     objectstore::CallPurpose::Configuration, Watching(), base::RandomNumber())
-    , m_upstreamWatch(aLoop, m_store.Objects(), objectstore::ObjectKind::Upstream, {},
-                      objectstore::CallPurpose::Membership, WatchingUpstreams(),
-                      base::RandomNumber())
     , m_callers(
         aLoop, {}, [this](base::HttpExchange& aExchange) { return Handle(aExchange); }, RenderError)
     , m_readiness(
         aLoop, {}, [this](base::HttpExchange& aExchange) { return AnswerReadiness(aExchange); },
         RenderError)
-    , m_incarnation(base::IncarnationId::FromValidated(base::RandomHex(8)))
+    , m_fleet(m_state, base::IncarnationId::FromValidated(base::RandomHex(8)))
+    , m_store(m_state)
   {
   }
 
@@ -49,20 +44,16 @@
     if (auto bound = m_readiness.Listen(*profile.m_readiness); !bound) {
       return bound;
     }
-    auto const onMessage = [this](std::string_view aText, base::Endpoint const& aSender) {
-      OnMessage(aText, aSender);
-    };
-    if (auto bound = m_state.m_peers.Listen({ profile.m_address, profile.m_peerPort }, onMessage);
+    auto const onMessage = [this](agent::FleetMessage const& aMessage,
+                                  base::Endpoint const& aOrigin) { OnMessage(aMessage, aOrigin); };
+    if (auto bound = m_state.m_post.Listen({ profile.m_address, profile.m_peerPort }, onMessage);
         !bound) {
       return bound;
     }
-    m_loop.Start(m_catalogWatch.Run(
-      [this](objectstore::ObjectChanges const& aChanges) { OnCatalog(aChanges); }));
-    m_loop.Start(m_upstreamWatch.Run(
-      [this](objectstore::ObjectChanges const& aChanges) { OnUpstreams(aChanges); }));
+    m_store.Start([this] { OnCatalog(); });
     m_loop.Start(Tick());
-    base::log::Info("started",
-                    { { "host", profile.m_host.Text() }, { "incarnation", m_incarnation.Text() } });
+    base::log::Info("started", { { "host", profile.m_host.Text() },
+                                 { "incarnation", m_fleet.Incarnation().Text() } });
     return {};
   }
 
@@ -75,7 +66,7 @@
     auto const end = m_loop.Now() + m_state.m_profile.m_bounds.m_stopGrace - kReserve;
     m_isStopping = true;
     m_state.m_lastWait = m_loop.Now() + kLeaving;
-    NotifyAll();
+    m_state.NotifyAll();
     m_callers.CloseAfterResponses();
     base::log::Info("stopping", { { "open", std::to_string(m_callers.OpenExchanges()) } });
     co_await m_loop.Sleep(kLeaving);
@@ -96,27 +87,6 @@
   GatewayState& State() { return m_state; }
 
 private:
-  /// The list changes with each model that an engine loads, so changes are
-  /// gathered: each answer is a call that is paid for. A leaving upstream has
-  /// to be known within two seconds.
-  static objectstore::WatchLimits WatchingUpstreams()
-  {
-    auto limits = Watching();
-    limits.m_pause = std::chrono::milliseconds(700);
-    return limits;
-  }
-
-  static objectstore::WatchLimits Watching()
-  {
-    objectstore::WatchLimits limits;
-    // A connection may go silent; a configuration has to be in force within
-    // two seconds all the same.
-    limits.m_watchTime = std::chrono::milliseconds(1500);
-    limits.m_listTime = std::chrono::milliseconds(1500);
-    limits.m_backoff = { std::chrono::milliseconds(50), std::chrono::milliseconds(400) };
-    return limits;
-  }
-
   static base::HttpResponse RenderError(base::HttpRequestError const& aError)
   {
     return Wire::EncodeRefusal(aError.m_status, aError.m_message, std::nullopt, std::nullopt);
@@ -140,117 +110,71 @@
     co_await aExchange.Respond(std::move(response));
   }
 
-  void OnCatalog(objectstore::ObjectChanges const& aChanges)
+  /// Another catalog is in force.
+  void OnCatalog()
   {
-    for (auto const& change : aChanges.m_changes) {
-      auto const* const put = std::get_if<objectstore::ObjectPut>(&change);
-      if (!put || put->m_object.m_key.m_name != Wire::CatalogName()) {
-        continue;
-      }
-      auto catalog = Wire::DecodeCatalog(put->m_object.m_value);
-      if (!catalog) {
-        base::log::Error("configuration is unusable", { { "error", catalog.error() } });
-        continue;
-      }
-      PutInForce(std::move(*catalog));
-    }
+    auto const& limits = m_state.m_catalog->Catalog().m_limits;
+    base::HttpServerLimits serverLimits;
+    serverLimits.m_headerBytes = limits.m_headerBytes;
+    serverLimits.m_bodyBytes = limits.m_bodyBytes;
+    serverLimits.m_headerTime = limits.m_headerTime;
+    serverLimits.m_idleTime = limits.m_idleTime;
+    m_callers.SetLimits(serverLimits);
+    m_fleet.OnCatalog();
   }
 
-  void PutInForce(operators::ServingCatalog aCatalog)
-  {
-    auto const version = aCatalog.m_version;
-    if (m_state.m_catalog && m_state.m_catalog->Catalog().m_version >= version) {
-      return;
-    }
-    base::HttpServerLimits limits;
-    limits.m_headerBytes = aCatalog.m_limits.m_headerBytes;
-    limits.m_bodyBytes = aCatalog.m_limits.m_bodyBytes;
-    limits.m_headerTime = aCatalog.m_limits.m_headerTime;
-    limits.m_idleTime = aCatalog.m_limits.m_idleTime;
-    m_callers.SetLimits(limits);
-    std::map<base::WorkspaceId, entry::AllowanceLimit> allowances;
-    for (auto const& workspace : aCatalog.m_workspaces) {
-      allowances[workspace.m_id] = { workspace.m_rate, workspace.m_burst };
-    }
-    m_state.m_allowance.SetLimits(allowances, m_loop.Now());
-    m_state.m_catalog = std::make_unique<caller::CatalogIndex>(std::move(aCatalog));
-    base::log::Info("configuration in force", { { "version", std::to_string(version.Value()) } });
-  }
-
-  void OnUpstreams(objectstore::ObjectChanges const& aChanges)
+  void OnMessage(agent::FleetMessage const& aMessage, base::Endpoint const& aOrigin)
   {
     auto const now = m_loop.Now();
-    bool const mayHaveLapsed = now < m_storeAwayUntil;
-    for (auto const& change : aChanges.m_changes) {
-      if (auto const* const deleted = std::get_if<objectstore::ObjectDeleted>(&change)) {
-        auto const instance = engine::InstanceId::FromValidated(deleted->m_key.m_name.Text());
-        m_state.m_directory.OnRemoved(instance, mayHaveLapsed, now);
-        base::log::Info("upstream unlisted", { { "upstream", instance.Text() } });
-        continue;
+    if (auto const* const status = std::get_if<agent::EngineStatus>(&aMessage)) {
+      m_fleet.OnLoader(status->m_host, aOrigin, status->m_canOrder, status->m_gatewaysPresent, now);
+      OnAccount(*status, now);
+    } else if (auto const* const alive = std::get_if<agent::EngineAlive>(&aMessage)) {
+      m_fleet.OnLoader(alive->m_host, aOrigin, alive->m_canOrder, alive->m_gatewaysPresent, now);
+      if (!m_state.m_directory.OnStillHolds(alive->m_engine, alive->m_number, alive->m_running,
+                                            alive->m_waiting, now)) {
+        m_state.m_post.Send(aOrigin, agent::StatusWanted{ m_state.m_profile.m_host });
       }
-      auto const& object = std::get<objectstore::ObjectPut>(change).m_object;
-      auto entry = Wire::DecodeUpstream(object.m_key.m_name.Text(), object.m_value);
-      if (!entry) {
-        base::log::Warning(
-          "upstream entry is unusable",
-          { { "upstream", object.m_key.m_name.Text() }, { "error", entry.error() } });
-        continue;
-      }
-      base::log::Info("upstream listed", { { "upstream", entry->m_instance.Text() },
-                                           { "deployment", entry->m_deployment.Text() },
-                                           { "leaving", entry->m_isLeaving ? "true" : "false" } });
-      m_state.m_directory.OnListed(std::move(*entry), now);
+    } else if (auto const* const summary = std::get_if<agent::PlannerSummary>(&aMessage)) {
+      OnSummary(*summary, aOrigin, now);
+    } else if (auto const* const news = std::get_if<agent::StoreNews>(&aMessage)) {
+      m_store.OnNews(*news, now);
     }
-    NotifyAll();
   }
 
-  void NotifyAll()
+  void OnAccount(agent::EngineStatus const& aStatus, base::Instant aNow)
   {
-    for (auto const& [model, signal] : m_state.m_modelSignals) {
-      signal->Notify();
+    engine::LoaderAccount account{
+      aStatus.m_engine,  aStatus.m_models,  aStatus.m_change.m_unloading,
+      aStatus.m_running, aStatus.m_waiting, aStatus.m_number
+    };
+    if (m_state.m_directory.OnAccount(std::move(account), aNow)) {
+      for (auto const& held : aStatus.m_models) {
+        m_state.ModelSignal(held.m_model).Notify();
+      }
     }
   }
 
-  void OnMessage(std::string_view aText, base::Endpoint const& aSender)
+  void OnSummary(agent::PlannerSummary const& aSummary, base::Endpoint const& aOrigin,
+                 base::Instant aNow)
   {
-    auto const message = agent::DecodeFleetMessage(aText);
-    if (!message) {
-      base::log::Warning("message is unusable",
-                         { { "sender", aSender.Text() }, { "error", message.error() } });
-      return;
+    m_fleet.OnSummary(aOrigin, aNow);
+    m_state.OnGatewaysPresent(aSummary.m_gatewaysPresent);
+    if (!aSummary.m_neighbours.empty()) {
+      m_store.OnNeighbours(aSummary.m_neighbours, aNow);
     }
-    auto const now = m_loop.Now();
-    if (auto const* const status = std::get_if<agent::EngineStatus>(&*message)) {
-      m_planner.OnLoader(status->m_host, aSender, status->m_canOrder, now);
-      m_state.m_allowance.OnPresent(status->m_gatewaysPresent);
-      if (!m_state.m_gatewaysPresent && status->m_gatewaysPresent > 0) {
-        m_state.OnGatewaysPresent(status->m_gatewaysPresent);
+    OnOutlooks(aSummary.m_outlooks, aNow);
+    for (auto const& death : aSummary.m_deaths) {
+      if (m_state.m_suspects.OnNews(death, aNow)) {
+        base::log::Warning("request may have ended its upstream",
+                           { { "fingerprint", death.m_fingerprint.Text() },
+                             { "upstream", death.m_upstream.Text() },
+                             { "told_by", aOrigin.Text() } });
       }
-      engine::LoaderAccount account{ status->m_engine, status->m_models,
-                                     status->m_change.m_unloading, status->m_running,
-                                     status->m_waiting };
-      auto const models = account.m_models;
-      if (m_state.m_directory.OnAccount(std::move(account), now)) {
-        for (auto const& held : models) {
-          m_state.ModelSignal(held.m_model).Notify();
-        }
-      }
-    } else if (auto const* const summary = std::get_if<agent::PlannerSummary>(&*message)) {
-      m_planner.OnSummary(aSender, now);
-      m_state.OnGatewaysPresent(summary->m_gatewaysPresent);
-      OnOutlooks(summary->m_outlooks, now);
-      for (auto const& death : summary->m_deaths) {
-        if (m_state.m_suspects.OnNews(death, now)) {
-          base::log::Warning("request may have ended its upstream",
-                             { { "fingerprint", death.m_fingerprint.Text() },
-                               { "upstream", death.m_upstream.Text() },
-                               { "told_by", aSender.Text() } });
-        }
-      }
-      m_state.m_allowance.OnOthers(summary->m_epoch,
-                                   { summary->m_gatewaysPresent, summary->m_gatewaysReporting },
-                                   summary->m_grantedByOthers, now);
     }
+    m_state.m_allowance.OnOthers(aSummary.m_epoch,
+                                 { aSummary.m_gatewaysPresent, aSummary.m_gatewaysReporting },
+                                 aSummary.m_grantedByOthers, aNow);
   }
 
   /// Those who wait for a model look again whether it comes in time.
@@ -267,105 +191,42 @@
   {
     constexpr base::Duration kInterval = std::chrono::milliseconds(100);
     constexpr unsigned kLogInterval = 10;
-    // A watch that ends in time, and the pause after it, take less.
-    constexpr base::Duration kStoreSilence = std::chrono::milliseconds(2800);
-    // What lapsed while the store was away is gone from its first answer; what
-    // goes later has left.
-    constexpr base::Duration kReturnTime = std::chrono::milliseconds(1000);
-    while (true) {
+    for (unsigned tick = 0;; ++tick) {
       auto const now = m_loop.Now();
-      if (m_upstreamWatch.State().HasListed() &&
-          now - m_upstreamWatch.State().LastHeard() > kStoreSilence) {
-        m_storeAwayUntil = now + kReturnTime;
-      }
-      if (m_ticks % kLogInterval == 0) {
+      if (tick % kLogInterval == 0) {
         base::log::StartInterval();
+        ShowBeliefs(now);
       }
+      m_store.Tick(now);
       m_state.m_directory.Expire(now);
       m_state.m_suspects.Forget(now);
-      Report(now);
+      m_fleet.Report(now);
       co_await m_loop.Sleep(kInterval);
     }
   }
 
-  void Report(base::Instant aNow)
-  {
-    constexpr unsigned kPresenceEvery = 4;
-    auto const planner = m_planner.Planner(aNow);
-    bool const isNewPlanner = planner != m_lastPlanner;
-    m_lastPlanner = planner;
-    bool const isNewFleet = m_toldUpstreams == 0 && m_state.m_directory.Size() > 0;
-    m_toldUpstreams = m_state.m_directory.Size();
-    if (m_ticks++ % kPresenceEvery == 0 || isNewPlanner || isNewFleet) {
-      SendPresence(planner.value_or(base::Endpoint{ m_state.m_profile.m_address, 0 }));
-    }
-    if (planner) {
-      SendReport(*planner, isNewPlanner, aNow);
-    }
-  }
-
-  /// Names all demand once a second, and in between what has changed.
-  void SendReport(base::Endpoint const& aPlanner, bool aIsFirst, base::Instant aNow)
+  /// Shows how old the beliefs are that requests are decided by.
+  void ShowBeliefs(base::Instant aNow)
   {
-    constexpr unsigned kCompleteEvery = 10;
-    bool const isComplete = m_ticks % kCompleteEvery == 0 || aIsFirst;
-    agent::GatewayReport report{
-      m_state.m_profile.m_host,      m_incarnation,           isComplete, {},
-      m_state.m_allowance.Granted(), m_state.TakeDeaths(aNow)
+    auto const show = [this](char const* aSource, base::Duration aAge) {
+      m_state.m_metrics
+        .Gauge("sardinefold_gateway_news_age_seconds", "Age of the news by its source.",
+               { { "source", aSource } })
+        .Set(base::ToSeconds(aAge));
     };
-    std::map<base::ModelId, unsigned> waiting;
-    for (auto& demand : m_state.m_demand.Summary(aNow)) {
-      if (demand.m_waiting > 0) {
-        waiting[demand.m_model] = demand.m_waiting;
-      }
-      bool const hasChanged = demand.m_waiting > 0 || m_reportedWaiting.contains(demand.m_model);
-      if (isComplete || hasChanged) {
-        report.m_demand.push_back(std::move(demand));
-      }
-    }
-    m_reportedWaiting = std::move(waiting);
-    m_state.m_peers.Send(aPlanner, agent::EncodeFleetMessage(report));
-  }
-
-  void SendPresence(base::Endpoint const& aPlanner)
-  {
-    auto const version =
-      m_state.m_catalog ? m_state.m_catalog->Catalog().m_version : base::CatalogVersion();
-    for (auto const& entry : m_state.m_directory.Entries()) {
-      if (!IsEngine(entry.m_deployment)) {
-        continue;
-      }
-      agent::GatewayPresence const presence{ m_state.m_profile.m_host,
-                                             m_incarnation,
-                                             aPlanner,
-                                             version,
-                                             { entry.m_instance, entry.m_startedAt } };
-      m_state.m_peers.Send({ entry.m_endpoint.m_address, m_state.m_profile.m_peerPort },
-                           agent::EncodeFleetMessage(presence));
-    }
-  }
-
-  bool IsEngine(base::DeploymentId const& aDeployment) const
-  {
-    auto const* const deployment =
-      m_state.m_catalog ? m_state.m_catalog->FindDeployment(aDeployment) : nullptr;
-    return deployment && deployment->m_engine;
+    show("upstream list", m_store.ListAge(aNow));
+    show("catalog", m_store.CatalogAge(aNow));
+    show("planner", m_fleet.PlannerAge(aNow));
+    m_state.m_metrics.Gauge("sardinefold_gateway_upstreams", "Upstreams known.")
+      .Set(static_cast<double>(m_state.m_directory.Size()));
   }
 
   base::EventLoop& m_loop;
   GatewayState m_state;
-  StoreAccess<typename Wire::StoreClient> m_store;
-  objectstore::WatchSession<typename Wire::StoreClient> m_catalogWatch;
-  objectstore::WatchSession<typename Wire::StoreClient> m_upstreamWatch;
   base::HttpServer m_callers;
   base::HttpServer m_readiness;
-  base::IncarnationId m_incarnation;
-  PlannerChoice m_planner;
-  base::Instant m_storeAwayUntil{};
-  std::optional<base::Endpoint> m_lastPlanner;
-  std::map<base::ModelId, unsigned> m_reportedWaiting;
-  std::size_t m_toldUpstreams = 0;
-  unsigned m_ticks = 0;
+  FleetLink m_fleet;
+  StoreFeed<Wire> m_store;
   bool m_isStopping = false;
 };
 
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "Agent/Fleet/FleetCodec.h"
 #include "Agent/RetryBudget.h"
 #include "Agent/SuspectRegistry.h"
-#include "Base/DatagramEndpoint.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpClient.h"
 #include "Base/Log.h"
@@ -15,6 +13,7 @@
 #include "Engine/DemandBoard.h"
 #include "Engine/UpstreamDirectory.h"
 #include "Entry/Allowance/SharedAllowance.h"
+#include "Programs/FleetPost.h"
 
 #include <map>
 #include <memory>
@@ -33,7 +32,7 @@
     , m_demand(aLoop.Now())
     , m_allowance({})
     , m_suspects(SuspectPolicy())
-    , m_peers(aLoop)
+    , m_post(aLoop)
   {
   }
 
@@ -140,6 +139,14 @@
     return *signal;
   }
 
+  /// Makes all that wait for a model look again.
+  void NotifyAll()
+  {
+    for (auto const& [model, signal] : m_modelSignals) {
+      signal->Notify();
+    }
+  }
+
   /// The retries that this process may make to a deployment.
   agent::RetryBudget& RetriesOf(base::DeploymentId const& aDeployment, base::Instant aNow)
   {
@@ -195,7 +202,7 @@
   entry::SharedAllowance m_allowance;
   agent::SuspectRegistry m_suspects;
   std::vector<std::pair<base::Instant, agent::SuspectNews>> m_deaths;
-  base::DatagramEndpoint m_peers;
+  FleetPost m_post;
   /// While the process stops, no request waits for longer.
   std::optional<base::Instant> m_lastWait;
   std::map<base::DeploymentId, agent::RetryBudget> m_retries;
--- /dev/null
+++ b/Programs/Gateway/StoreFeed.h
@@ -0,0 +1,271 @@
+#pragma once
+
+#include "Agent/Fleet/NewsParts.h"
+#include "Base/Digest.h"
+#include "Base/Log.h"
+#include "Entry/Relay/WatchDuty.h"
+#include "ObjectStore/WatchSession.h"
+#include "Programs/Gateway/GatewayState.h"
+#include "Programs/ServingWire.h"
+#include "Programs/StoreAccess.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace sardinefold::programs {
+
+/// Keeps a gateway's catalog and its list of upstreams as the object store has
+/// them: by watching it, or by the news of others of its failure domain that
+/// do. Tells its own followers what it hears.
+template<ServingWire Wire>
+class StoreFeed
+{
+public:
+  explicit StoreFeed(GatewayState& aState)
+    : m_state(aState)
+    , m_store(aState.m_loop, aState.m_profile.m_objectStore, aState.m_metrics)
+    , m_catalogWatch(aState.m_loop, m_store.Objects(), objectstore::ObjectKind::Catalog, {},
+                     objectstore::CallPurpose::Configuration, Watching(), base::RandomNumber())
+    , m_upstreamWatch(aState.m_loop, m_store.Objects(), objectstore::ObjectKind::Upstream, {},
+                      objectstore::CallPurpose::Membership,
+                      WatchingUpstreams(aState.m_profile.m_bounds), base::RandomNumber())
+    , m_duty(DutyLimits(aState.m_profile.m_bounds), aState.m_profile.m_host)
+  {
+  }
+
+  /// aOnCatalog is called each time that another catalog is in force.
+  void Start(std::function<void()> aOnCatalog)
+  {
+    m_onCatalog = std::move(aOnCatalog);
+    m_state.m_loop.Start(m_catalogWatch.Run(
+      [this](objectstore::ObjectChanges const& aChanges) { OnCatalog(aChanges); },
+      [this](base::Instant aNow) { return m_duty.MayRestCatalog(aNow); }));
+    m_state.m_loop.Start(m_upstreamWatch.Run(
+      [this](objectstore::ObjectChanges const& aChanges) {
+        OnUpstreams(aChanges);
+        TellFollowers(aChanges);
+      },
+      [this](base::Instant aNow) { return m_duty.MayRestList(aNow); }));
+  }
+
+  void MoveTo(base::Endpoint aStore) { m_store.MoveTo(std::move(aStore)); }
+
+  void OnNeighbours(std::map<base::HostId, base::Endpoint> aNeighbours, base::Instant aNow)
+  {
+    m_duty.OnNeighbours(std::move(aNeighbours), aNow);
+  }
+
+  /// News of a neighbour that watches the store.
+  void OnNews(agent::StoreNews const& aNews, base::Instant aNow)
+  {
+    if (auto const whole = m_newsParts.Add(aNews)) {
+      TakeNews(*whole, aNow);
+    }
+  }
+
+  /// To be called ten times a second.
+  void Tick(base::Instant aNow)
+  {
+    constexpr unsigned kNewsInterval = 2;
+    // A watch that ends in time, and the pause after it, take less.
+    auto const silenceLimit =
+      kWatchTime + GatheringTime(m_state.m_profile.m_bounds) + std::chrono::milliseconds(600);
+    // What lapsed while the store was away is gone from its first answer; what
+    // goes later has left.
+    constexpr base::Duration kReturnTime = std::chrono::milliseconds(1000);
+    bool const isAway = m_upstreamWatch.State().HasListed() && ListAge(aNow) > silenceLimit;
+    NoteStore(isAway, ListAge(aNow));
+    if (isAway) {
+      m_storeAwayUntil = aNow + kReturnTime;
+    }
+    if (m_ticks++ % kNewsInterval == 0) {
+      TellFollowers({ m_upstreamWatch.State().Version(), {} });
+    }
+  }
+
+  /// Time since the store last answered, here or to a neighbour.
+  base::Duration ListAge(base::Instant aNow) const
+  {
+    return aNow - m_upstreamWatch.State().LastHeard();
+  }
+  base::Duration CatalogAge(base::Instant aNow) const
+  {
+    return aNow - m_catalogWatch.State().LastHeard();
+  }
+
+private:
+  /// Longest wait of one watch. A connection may go silent; a configuration has
+  /// to be in force within two seconds all the same.
+  static constexpr base::Duration kWatchTime = std::chrono::milliseconds(1500);
+  /// Of the time in which a leaving upstream has to be known, what is left for
+  /// the call itself and for requests on their way.
+  static constexpr base::Duration kDrainReserve = std::chrono::milliseconds(1300);
+
+  /// The list changes with each model that an engine loads, so changes are
+  /// gathered: each answer is a call that is paid for.
+  static base::Duration GatheringTime(base::SiteBounds const& aBounds)
+  {
+    return std::max<base::Duration>(aBounds.m_drain - kDrainReserve, base::Duration::zero());
+  }
+
+  static objectstore::WatchLimits WatchingUpstreams(base::SiteBounds const& aBounds)
+  {
+    auto limits = Watching();
+    limits.m_pause = GatheringTime(aBounds);
+    return limits;
+  }
+
+  static entry::WatchDutyLimits DutyLimits(base::SiteBounds const& aBounds)
+  {
+    // A follower asks the store itself in time to learn of a leaving upstream.
+    constexpr base::Duration kReserve = std::chrono::milliseconds(500);
+    entry::WatchDutyLimits limits;
+    limits.m_listAge = std::max<base::Duration>(aBounds.m_drain - kReserve, kReserve);
+    return limits;
+  }
+
+  static objectstore::WatchLimits Watching()
+  {
+    objectstore::WatchLimits limits;
+    limits.m_watchTime = kWatchTime;
+    limits.m_listTime = kWatchTime;
+    limits.m_backoff = { std::chrono::milliseconds(50), std::chrono::milliseconds(400) };
+    return limits;
+  }
+
+  void OnCatalog(objectstore::ObjectChanges const& aChanges)
+  {
+    for (auto const& change : aChanges.m_changes) {
+      auto const* const put = std::get_if<objectstore::ObjectPut>(&change);
+      if (!put || put->m_object.m_key.m_name != Wire::CatalogName()) {
+        continue;
+      }
+      auto catalog = Wire::DecodeCatalog(put->m_object.m_value);
+      if (!catalog) {
+        base::log::Error("configuration is unusable", { { "error", catalog.error() } });
+        continue;
+      }
+      PutInForce(std::move(*catalog));
+    }
+  }
+
+  void PutInForce(operators::ServingCatalog aCatalog)
+  {
+    auto const version = aCatalog.m_version;
+    if (m_state.m_catalog && m_state.m_catalog->Catalog().m_version >= version) {
+      return;
+    }
+    std::map<base::WorkspaceId, entry::AllowanceLimit> allowances;
+    for (auto const& workspace : aCatalog.m_workspaces) {
+      allowances[workspace.m_id] = { workspace.m_rate, workspace.m_burst };
+    }
+    m_state.m_allowance.SetLimits(allowances, m_state.m_loop.Now());
+    m_state.m_catalog = std::make_unique<caller::CatalogIndex>(std::move(aCatalog));
+    base::log::Info("configuration in force", { { "version", std::to_string(version.Value()) } });
+    m_onCatalog();
+  }
+
+  void OnUpstreams(objectstore::ObjectChanges const& aChanges)
+  {
+    auto const now = m_state.m_loop.Now();
+    bool const mayHaveLapsed = now < m_storeAwayUntil;
+    for (auto const& change : aChanges.m_changes) {
+      if (auto const* const deleted = std::get_if<objectstore::ObjectDeleted>(&change)) {
+        auto const instance = engine::InstanceId::FromValidated(deleted->m_key.m_name.Text());
+        m_state.m_directory.OnRemoved(instance, mayHaveLapsed, now);
+        base::log::Info("upstream unlisted", { { "upstream", instance.Text() } });
+        continue;
+      }
+      auto const& object = std::get<objectstore::ObjectPut>(change).m_object;
+      auto entry = Wire::DecodeUpstream(object.m_key.m_name.Text(), object.m_value);
+      if (!entry) {
+        base::log::Warning(
+          "upstream entry is unusable",
+          { { "upstream", object.m_key.m_name.Text() }, { "error", entry.error() } });
+        continue;
+      }
+      base::log::Info("upstream listed", { { "upstream", entry->m_instance.Text() },
+                                           { "deployment", entry->m_deployment.Text() },
+                                           { "leaving", entry->m_isLeaving ? "true" : "false" } });
+      m_state.m_directory.OnListed(std::move(*entry), now);
+    }
+    m_state.NotifyAll();
+  }
+
+  void TakeNews(agent::StoreNews const& aNews, base::Instant aNow)
+  {
+    m_duty.OnNews(aNews.m_host, aNews.m_listAge, aNews.m_catalogAge, aNow);
+    if (m_duty.IsWatcher(aNow)) {
+      return;
+    }
+    auto const changes =
+      m_upstreamWatch.TakeRelayed(aNews.m_from, aNews.m_changes, aNow - aNews.m_listAge);
+    // Should this process have followers next, its news starts from here.
+    m_toldFollowers = m_upstreamWatch.State().Version();
+    if (!changes.m_changes.empty()) {
+      OnUpstreams(changes);
+    }
+    bool const hasOlder =
+      !m_state.m_catalog || m_state.m_catalog->Catalog().m_version < aNews.m_catalog;
+    if (hasOlder) {
+      m_catalogWatch.CatchUp();
+    }
+  }
+
+  /// Tells the neighbours that follow this process what has changed, or only
+  /// how fresh its news is.
+  void TellFollowers(objectstore::ObjectChanges const& aChanges)
+  {
+    auto const now = m_state.m_loop.Now();
+    auto const from = std::exchange(m_toldFollowers, aChanges.m_version);
+    auto const followers = m_duty.Followers(now);
+    if (followers.empty()) {
+      return;
+    }
+    agent::StoreNews news;
+    news.m_host = m_state.m_profile.m_host;
+    news.m_from = from;
+    news.m_changes = aChanges;
+    news.m_catalog =
+      m_state.m_catalog ? m_state.m_catalog->Catalog().m_version : base::CatalogVersion();
+    news.m_listAge = now - m_upstreamWatch.State().LastHeard();
+    news.m_catalogAge = now - m_catalogWatch.State().LastHeard();
+    for (auto const& part : agent::SplitNews(news)) {
+      for (auto const& follower : followers) {
+        m_state.m_post.Send(follower, part);
+      }
+    }
+  }
+
+  void NoteStore(bool aIsAway, base::Duration aSilence)
+  {
+    if (aIsAway == m_isStoreAway) {
+      return;
+    }
+    m_isStoreAway = aIsAway;
+    base::LogField const silence{ "silent_ms", std::to_string(base::ToMilliseconds(aSilence)) };
+    if (aIsAway) {
+      base::log::Warning("store is lost", { silence });
+    } else {
+      base::log::Info("store is back", { silence });
+    }
+  }
+
+  GatewayState& m_state;
+  StoreAccess<typename Wire::StoreClient> m_store;
+  objectstore::WatchSession<typename Wire::StoreClient> m_catalogWatch;
+  objectstore::WatchSession<typename Wire::StoreClient> m_upstreamWatch;
+  entry::WatchDuty m_duty;
+  agent::NewsParts m_newsParts;
+  std::function<void()> m_onCatalog;
+  /// Version of the list up to which followers were told.
+  base::ObjectVersion m_toldFollowers;
+  base::Instant m_storeAwayUntil{};
+  bool m_isStoreAway = false;
+  unsigned m_ticks = 0;
+};
+
+} // namespace sardinefold::programs
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -1,6 +1,5 @@
 #include "Programs/Loader/FleetPlanning.h"
 
-#include "Agent/Fleet/FleetCodec.h"
 #include "Base/Log.h"
 
 #include <algorithm>
@@ -21,12 +20,14 @@
 constexpr base::Duration kLoaderSilence = std::chrono::milliseconds(1500);
 
 constexpr std::size_t kEpochBytes = 6;
+/// Summaries without the list of neighbours for each one with it.
+constexpr unsigned kNeighboursEvery = 5;
 
 } // namespace
 
-FleetPlanning::FleetPlanning(base::ProcessProfile const& aProfile, base::DatagramEndpoint& aPeers)
+FleetPlanning::FleetPlanning(base::ProcessProfile const& aProfile, FleetPost& aPost)
   : m_profile(aProfile)
-  , m_peers(aPeers)
+  , m_post(aPost)
   , m_planner({ .m_parallelStoreLoads = aProfile.m_bounds.m_parallelLoads })
   , m_epoch(base::RandomHex(kEpochBytes))
 {
@@ -43,6 +44,7 @@
   auto& gateway = m_gateways[aReport.m_host];
   m_grants.OnReport(aReport.m_host, aReport.m_incarnation, aReport.m_granted);
   gateway.m_endpoint = aSender;
+  gateway.m_failureDomain = aReport.m_failureDomain;
   gateway.m_deaths = aReport.m_deaths;
   gateway.m_heardAt = aNow;
   m_present[aReport.m_host] = aNow;
@@ -57,7 +59,7 @@
 void FleetPlanning::OnStatus(agent::EngineStatus const& aStatus, base::Endpoint const& aSender,
                              base::Instant aNow)
 {
-  m_loaders[aStatus.m_host] = { aSender, aNow };
+  m_loaders[aStatus.m_host] = { aSender, aNow, aStatus.m_number };
   if (!aStatus.m_canOrder) {
     m_planner.RemoveEngine(aStatus.m_host);
     return;
@@ -68,6 +70,28 @@
                      aNow);
 }
 
+bool FleetPlanning::OnAlive(agent::EngineAlive const& aAlive, base::Instant aNow)
+{
+  auto const found = m_loaders.find(aAlive.m_host);
+  if (found == m_loaders.end() || found->second.m_number != aAlive.m_number) {
+    return false;
+  }
+  found->second.m_heardAt = aNow;
+  return true;
+}
+
+std::map<base::HostId, base::Endpoint> FleetPlanning::NeighboursIn(
+  base::FailureDomainId const& aDomain, base::Instant aNow) const
+{
+  std::map<base::HostId, base::Endpoint> neighbours;
+  for (auto const& [host, gateway] : m_gateways) {
+    if (gateway.m_failureDomain == aDomain && IsReporting(gateway, aNow)) {
+      neighbours.emplace(host, gateway.m_endpoint);
+    }
+  }
+  return neighbours;
+}
+
 void FleetPlanning::Expire(base::Instant aNow)
 {
   for (auto const& [host, gateway] : m_gateways) {
@@ -106,13 +130,17 @@
                                    static_cast<unsigned>(reporting),
                                    m_grants.GrantedByOthers(host),
                                    m_planner.OutlooksFor(host, aNow),
+                                   {},
                                    {} };
+    if (m_ticks % kNeighboursEvery == 0) {
+      summary.m_neighbours = NeighboursIn(gateway.m_failureDomain, aNow);
+    }
     for (auto const& [otherHost, other] : m_gateways) {
       if (otherHost != host && IsReporting(other, aNow)) {
         std::ranges::copy(other.m_deaths, std::back_inserter(summary.m_deaths));
       }
     }
-    m_peers.Send(gateway.m_endpoint, agent::EncodeFleetMessage(summary));
+    m_post.Send(gateway.m_endpoint, summary);
   }
 }
 
@@ -131,13 +159,14 @@
   }
   auto const swaps = m_planner.Plan(aNow);
   SendSummaries(aNow);
+  ++m_ticks;
   for (auto const& swap : swaps) {
     auto const loader = m_loaders.find(swap.m_loader);
     if (loader == m_loaders.end()) {
       continue;
     }
     agent::SwapRequest const request{ swap.m_load, swap.m_unload };
-    m_peers.Send(loader->second.m_endpoint, agent::EncodeFleetMessage(request));
+    m_post.Send(loader->second.m_endpoint, request);
     base::log::Info("swap planned",
                     { { "loader", swap.m_loader.Text() },
                       { "load", swap.m_load.Text() },
--- /dev/null
+++ b/Programs/Loader/GatewayBook.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Agent/Fleet/FleetCast.h"
+#include "Agent/Fleet/FleetMessages.h"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace sardinefold::programs {
+
+/// The gateways that a loader hears, and the planners that they name.
+class GatewayBook
+{
+public:
+  void OnPresence(agent::GatewayPresence const& aPresence, base::Endpoint const& aOrigin,
+                  base::Instant aNow)
+  {
+    m_gateways[aPresence.m_host] = { aOrigin, aPresence.m_failureDomain, aPresence.m_planner,
+                                     aNow };
+  }
+
+  void Expire(base::Instant aNow)
+  {
+    // Gateways tell of themselves once a second.
+    static constexpr base::Duration kSilence = std::chrono::seconds(4);
+    std::erase_if(m_gateways,
+                  [aNow](auto const& aItem) { return aNow - aItem.second.m_heardAt > kSilence; });
+  }
+
+  std::size_t Size() const { return m_gateways.size(); }
+
+  bool Contains(base::Endpoint const& aEndpoint) const
+  {
+    return std::ranges::any_of(
+      m_gateways, [&aEndpoint](auto const& aItem) { return aItem.second.m_endpoint == aEndpoint; });
+  }
+
+  std::vector<agent::CastReceiver> Gateways() const
+  {
+    std::vector<agent::CastReceiver> receivers;
+    for (auto const& [host, gateway] : m_gateways) {
+      receivers.push_back({ gateway.m_endpoint, gateway.m_failureDomain });
+    }
+    return receivers;
+  }
+
+  /// As a rule there is one, so that each gets a datagram of its own: the
+  /// domain is the sender's.
+  std::vector<agent::CastReceiver> Planners(base::FailureDomainId const& aHome) const
+  {
+    std::vector<agent::CastReceiver> planners;
+    for (auto const& [host, gateway] : m_gateways) {
+      bool const isKnown = std::ranges::any_of(
+        planners, [&](auto const& aPlanner) { return aPlanner.m_endpoint == gateway.m_planner; });
+      if (gateway.m_planner.m_port != 0 && !isKnown) {
+        planners.push_back({ gateway.m_planner, aHome });
+      }
+    }
+    return planners;
+  }
+
+private:
+  struct Gateway
+  {
+    base::Endpoint m_endpoint;
+    base::FailureDomainId m_failureDomain;
+    base::Endpoint m_planner;
+    base::Instant m_heardAt{};
+  };
+
+  std::map<base::HostId, Gateway> m_gateways;
+};
+
+} // namespace sardinefold::programs
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "Agent/Fleet/FleetCodec.h"
-#include "Base/DatagramEndpoint.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpClient.h"
 #include "Base/Log.h"
@@ -10,13 +8,15 @@
 #include "Base/Signal.h"
 #include "Engine/OrderDesk.h"
 #include "ObjectStore/WriteSession.h"
+#include "Programs/FleetPost.h"
 #include "Programs/Loader/FleetPlanning.h"
+#include "Programs/Loader/GatewayBook.h"
 #include "Programs/Loader/StatusStream.h"
 #include "Programs/ServingWire.h"
 #include "Programs/SettingsFollower.h"
 #include "Programs/StoreAccess.h"
 
-#include <map>
+#include <algorithm>
 #include <optional>
 
 namespace sardinefold::programs {
@@ -33,9 +33,11 @@
     , m_profile(std::move(aProfile))
     , m_store(aLoop, m_profile.m_objectStore, m_metrics)
     , m_http(aLoop, {})
-    , m_peers(aLoop)
+    , m_post(aLoop)
     , m_desk({})
-    , m_planning(m_profile, m_peers)
+    , m_planning(m_profile, m_post)
+    , m_toGateways(m_post, m_profile.m_failureDomain)
+    , m_toPlanners(m_post, m_profile.m_failureDomain)
   {
   }
 
@@ -44,10 +46,9 @@
     if (!m_profile.m_engine) {
       return tl::make_unexpected("the settings name no engine on this host");
     }
-    auto const onMessage = [this](std::string_view aText, base::Endpoint const& aSender) {
-      OnMessage(aText, aSender);
-    };
-    if (auto bound = m_peers.Listen({ m_profile.m_address, m_profile.m_peerPort }, onMessage);
+    auto const onMessage = [this](agent::FleetMessage const& aMessage,
+                                  base::Endpoint const& aOrigin) { OnMessage(aMessage, aOrigin); };
+    if (auto bound = m_post.Listen({ m_profile.m_address, m_profile.m_peerPort }, onMessage);
         !bound) {
       return bound;
     }
@@ -139,6 +140,7 @@
       return;
     }
     m_catalogVersion = catalog->m_version;
+    m_engineSpecs = operators::EngineSpecsDigest(*catalog);
     for (auto const& [id, deployment] : catalog->m_deployments) {
       if (deployment.m_engine) {
         m_planning.SetSpec(id, *deployment.m_engine);
@@ -249,7 +251,7 @@
     status.m_change.m_readyIn = state.m_loading ? state.m_readyAt - now : base::Duration::zero();
     status.m_change.m_unloading = state.m_unloading;
     status.m_canOrder = CanOrder();
-    status.m_gatewaysPresent = static_cast<unsigned>(m_gateways.size());
+    status.m_gatewaysPresent = static_cast<unsigned>(m_gateways.Size());
     return status;
   }
 
@@ -268,58 +270,70 @@
   {
     auto const status = MakeStatus();
     auto const forGateways = ForGateways(status);
-    std::set<base::Endpoint> gateways;
-    std::set<base::Endpoint> planners;
-    for (auto const& [host, gateway] : m_gateways) {
-      gateways.insert(gateway.m_endpoint);
-      if (gateway.m_planner.m_port != 0) {
-        planners.insert(gateway.m_planner);
-      }
-    }
-    m_toGateways.Send(m_peers, gateways, forGateways, aIsDue);
-    m_toPlanners.Send(m_peers, planners, status, aIsDue);
+    m_toGateways.Send(m_gateways.Gateways(), forGateways, aIsDue);
+    m_toPlanners.Send(m_gateways.Planners(m_profile.m_failureDomain), status, aIsDue);
   }
 
-  void OnMessage(std::string_view aText, base::Endpoint const& aSender)
+  void OnMessage(agent::FleetMessage const& aMessage, base::Endpoint const& aOrigin)
   {
-    auto const message = agent::DecodeFleetMessage(aText);
-    if (!message) {
-      base::log::Warning("message is unusable",
-                         { { "sender", aSender.Text() }, { "error", message.error() } });
-      return;
-    }
     auto const now = m_loop.Now();
-    if (auto const* const presence = std::get_if<agent::GatewayPresence>(&*message)) {
-      OnPresence(*presence, aSender, now);
-    } else if (auto const* const report = std::get_if<agent::GatewayReport>(&*message)) {
-      m_planning.OnReport(*report, aSender, now);
-    } else if (auto const* const status = std::get_if<agent::EngineStatus>(&*message)) {
-      m_planning.OnStatus(*status, aSender, now);
-    } else if (auto const* const swap = std::get_if<agent::SwapRequest>(&*message)) {
+    if (auto const* const presence = std::get_if<agent::GatewayPresence>(&aMessage)) {
+      OnPresence(*presence, aOrigin, now);
+    } else if (auto const* const report = std::get_if<agent::GatewayReport>(&aMessage)) {
+      m_planning.OnReport(*report, aOrigin, now);
+    } else if (auto const* const status = std::get_if<agent::EngineStatus>(&aMessage)) {
+      m_planning.OnStatus(*status, aOrigin, now);
+    } else if (auto const* const alive = std::get_if<agent::EngineAlive>(&aMessage)) {
+      if (!m_planning.OnAlive(*alive, now)) {
+        m_post.Send(aOrigin, agent::StatusWanted{ m_profile.m_host });
+      }
+    } else if (std::holds_alternative<agent::StatusWanted>(aMessage)) {
+      OnStatusWanted(aOrigin);
+    } else if (auto const* const swap = std::get_if<agent::SwapRequest>(&aMessage)) {
       m_desk.Swap(swap->m_load, swap->m_unload, now);
       SendStatus(false);
       m_wake.Notify();
-    } else if (auto const* const adapter = std::get_if<agent::AdapterRequest>(&*message)) {
+    } else if (auto const* const adapter = std::get_if<agent::AdapterRequest>(&aMessage)) {
       m_desk.WantAdapter(adapter->m_model, adapter->m_adapter, now);
       m_wantsAdapter = true;
       m_wake.Notify();
     }
   }
 
-  void OnPresence(agent::GatewayPresence const& aPresence, base::Endpoint const& aSender,
+  void OnStatusWanted(base::Endpoint const& aOrigin)
+  {
+    auto const status = MakeStatus();
+    if (m_gateways.Contains(aOrigin)) {
+      m_toGateways.SendAgain(aOrigin, ForGateways(status));
+    } else {
+      m_toPlanners.SendAgain(aOrigin, status);
+    }
+  }
+
+  void OnPresence(agent::GatewayPresence const& aPresence, base::Endpoint const& aOrigin,
                   base::Instant aNow)
   {
-    auto& gateway = m_gateways[aPresence.m_host];
-    bool const isNew = gateway.m_incarnation != aPresence.m_incarnation;
-    gateway = { aSender, aPresence.m_incarnation, aPresence.m_planner, aNow };
-    m_catalogTold = std::max(m_catalogTold, aPresence.m_catalog);
-    m_instance = aPresence.m_engine;
+    m_gateways.OnPresence(aPresence, aOrigin, aNow);
+    NoteCatalog(aPresence);
+    auto const engine = aPresence.m_engines.find(*m_profile.m_engine);
+    if (engine != aPresence.m_engines.end()) {
+      m_instance = engine->second;
+    }
     m_planning.OnPresence(aPresence.m_host, aNow);
     // A gateway that has just started knows nothing of the fleet yet.
     SendStatus(false);
-    if (isNew) {
-      m_peers.Send(aSender, agent::EncodeFleetMessage(ForGateways(MakeStatus())));
+  }
+
+  /// A newer catalog is read only if it changes what the engines may hold.
+  void NoteCatalog(agent::GatewayPresence const& aPresence)
+  {
+    if (!m_catalogVersion || aPresence.m_catalog <= *m_catalogVersion) {
+      return;
+    }
+    if (aPresence.m_engineSpecs == m_engineSpecs) {
+      m_catalogVersion = aPresence.m_catalog;
     }
+    m_catalogTold = std::max(m_catalogTold, aPresence.m_catalog);
   }
 
   boost::asio::awaitable<void> Tick()
@@ -327,12 +341,9 @@
     constexpr base::Duration kInterval = std::chrono::milliseconds(100);
     constexpr unsigned kStatusEvery = 8;
     constexpr unsigned kLogInterval = 10;
-    constexpr base::Duration kGatewaySilence = std::chrono::seconds(4);
     for (unsigned tick = 0;; ++tick) {
       auto const now = m_loop.Now();
-      std::erase_if(m_gateways, [&](auto const& aItem) {
-        return now - aItem.second.m_heardAt > kGatewaySilence;
-      });
+      m_gateways.Expire(now);
       if (tick % kLogInterval == 0) {
         base::log::StartInterval();
       }
@@ -344,28 +355,22 @@
     }
   }
 
-  struct Gateway
-  {
-    base::Endpoint m_endpoint;
-    base::IncarnationId m_incarnation;
-    base::Endpoint m_planner;
-    base::Instant m_heardAt{};
-  };
-
   base::EventLoop& m_loop;
   base::ProcessProfile m_profile;
   base::Metrics m_metrics;
   StoreAccess<typename Wire::StoreClient> m_store;
   base::HttpClient m_http;
-  base::DatagramEndpoint m_peers;
+  FleetPost m_post;
   engine::OrderDesk m_desk;
   FleetPlanning m_planning;
   base::Signal m_wake{ m_loop.Context() };
-  std::map<base::HostId, Gateway> m_gateways;
+  GatewayBook m_gateways;
   std::optional<base::FencingNumber> m_fence;
   std::optional<agent::EngineIdentity> m_instance;
   std::optional<base::CatalogVersion> m_catalogVersion;
   base::CatalogVersion m_catalogTold;
+  /// Of the catalog that was read last.
+  std::uint64_t m_engineSpecs = 0;
   StatusStream m_toGateways;
   StatusStream m_toPlanners;
   bool m_hasReport = false;
--- a/Programs/Loader/StatusStream.h
+++ b/Programs/Loader/StatusStream.h
@@ -1,43 +1,91 @@
 #pragma once
 
-#include "Agent/Fleet/FleetCodec.h"
-#include "Base/DatagramEndpoint.h"
+#include "Programs/FleetPost.h"
 
-#include <set>
+#include <algorithm>
 #include <string>
+#include <vector>
 
 namespace sardinefold::programs {
 
-/// Sends an engine's status to one kind of receivers when it is due or when
-/// something has changed that they act on, they themselves included.
+/// Tells one kind of receivers of an engine's status: the whole of it when
+/// something has changed that they act on, and to those that are new; in between
+/// only that it still holds.
 class StatusStream
 {
 public:
-  void Send(base::DatagramEndpoint& aPeers, std::set<base::Endpoint> const& aReceivers,
-            agent::EngineStatus const& aStatus, bool aIsDue)
+  StatusStream(FleetPost& aPost, base::FailureDomainId aHome)
+    : m_post(aPost)
+    , m_home(std::move(aHome))
   {
-    // Load and time left change all the time and are worth no message.
-    auto steady = aStatus;
-    steady.m_gatewaysPresent = 0;
-    steady.m_running = 0;
-    steady.m_waiting = 0;
-    steady.m_cacheUsed = base::Tokens();
-    steady.m_change.m_readyIn = base::Duration::zero();
-    auto steadyText = agent::EncodeFleetMessage(steady);
-    if (!aIsDue && steadyText == m_lastSteady && aReceivers == m_lastReceivers) {
-      return;
+  }
+
+  void Send(std::vector<agent::CastReceiver> aReceivers, agent::EngineStatus aStatus, bool aIsDue)
+  {
+    auto steadyText = agent::EncodeFleetMessage(SteadyPart(aStatus));
+    bool const hasChanged = steadyText != m_lastSteady;
+    if (hasChanged) {
+      m_lastSteady = std::move(steadyText);
+      ++m_number;
     }
-    m_lastSteady = std::move(steadyText);
-    m_lastReceivers = aReceivers;
-    auto const text = agent::EncodeFleetMessage(aStatus);
-    for (auto const& receiver : aReceivers) {
-      aPeers.Send(receiver, text);
+    aStatus.m_number = m_number;
+    if (hasChanged) {
+      m_post.Cast(m_home, aReceivers, aStatus);
+    } else {
+      m_post.Cast(m_home, NewAmong(aReceivers), aStatus);
+      if (aIsDue) {
+        m_post.Cast(m_home, aReceivers, AliveOf(aStatus));
+      }
     }
+    m_lastReceivers = std::move(aReceivers);
+  }
+
+  /// To a receiver that has missed the last one.
+  void SendAgain(base::Endpoint const& aReceiver, agent::EngineStatus aStatus)
+  {
+    aStatus.m_number = m_number;
+    m_post.Send(aReceiver, aStatus);
   }
 
 private:
+  /// Load and time left change all the time and are worth no message.
+  static agent::EngineStatus SteadyPart(agent::EngineStatus aStatus)
+  {
+    aStatus.m_gatewaysPresent = 0;
+    aStatus.m_running = 0;
+    aStatus.m_waiting = 0;
+    aStatus.m_cacheUsed = base::Tokens();
+    aStatus.m_change.m_readyIn = base::Duration::zero();
+    return aStatus;
+  }
+
+  static agent::EngineAlive AliveOf(agent::EngineStatus const& aStatus)
+  {
+    return { aStatus.m_host,    aStatus.m_engine,   aStatus.m_number,         aStatus.m_running,
+             aStatus.m_waiting, aStatus.m_canOrder, aStatus.m_gatewaysPresent };
+  }
+
+  std::vector<agent::CastReceiver> NewAmong(
+    std::vector<agent::CastReceiver> const& aReceivers) const
+  {
+    std::vector<agent::CastReceiver> found;
+    for (auto const& receiver : aReceivers) {
+      bool const isKnown =
+        std::ranges::any_of(m_lastReceivers, [&receiver](agent::CastReceiver const& aKnown) {
+          return aKnown.m_endpoint == receiver.m_endpoint;
+        });
+      if (!isKnown) {
+        found.push_back(receiver);
+      }
+    }
+    return found;
+  }
+
+  FleetPost& m_post;
+  base::FailureDomainId m_home;
   std::string m_lastSteady;
-  std::set<base::Endpoint> m_lastReceivers;
+  std::uint64_t m_number = 0;
+  std::vector<agent::CastReceiver> m_lastReceivers;
 };
 
 } // namespace sardinefold::programs
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -1,5 +1,7 @@
 #define BOOST_TEST_MODULE FleetMessages
+#include "Agent/Fleet/FleetCast.h"
 #include "Agent/Fleet/FleetCodec.h"
+#include "Agent/Fleet/NewsParts.h"
 #include "Programs/Gateway/EventBuffer.h"
 #include "Programs/Gateway/PlannerChoice.h"
 
@@ -14,13 +16,42 @@
 constexpr base::Instant kStart{ std::chrono::seconds(1000) };
 auto const kModel = base::ModelId::FromValidated("m1");
 
+auto const kDomain = base::FailureDomainId::FromValidated("a");
+
+objectstore::ObjectKey Key(std::string aName)
+{
+  return { objectstore::ObjectKind::Upstream,
+           objectstore::ObjectName::FromValidated(std::move(aName)) };
+}
+
+/// News with as many objects, and one that was deleted.
+StoreNews News(unsigned aObjects, std::size_t aValueBytes = 10)
+{
+  StoreNews news;
+  news.m_host = base::HostId::FromValidated("front-1");
+  news.m_from = base::ObjectVersion(10);
+  news.m_changes.m_version = base::ObjectVersion(100);
+  news.m_catalog = base::CatalogVersion(9);
+  news.m_listAge = milliseconds(12);
+  for (unsigned number = 0; number < aObjects; ++number) {
+    news.m_changes.m_changes.emplace_back(
+      objectstore::ObjectPut{ { Key("i-" + std::to_string(number)),
+                                base::ObjectVersion(11 + number),
+                                std::string(aValueBytes, 'x'),
+                                {} } });
+  }
+  news.m_changes.m_changes.emplace_back(
+    objectstore::ObjectDeleted{ Key("gone"), base::ObjectVersion(99) });
+  return news;
+}
+
 /// Encodes, decodes and encodes again: the texts have to be the same.
 void CheckRoundTrip(FleetMessage const& aMessage)
 {
   auto const text = EncodeFleetMessage(aMessage);
   auto const decoded = DecodeFleetMessage(text);
   BOOST_REQUIRE(decoded.has_value());
-  BOOST_TEST(decoded->index() == aMessage.index());
+  BOOST_TEST(decoded->m_message.index() == aMessage.index());
   BOOST_TEST(EncodeFleetMessage(*decoded) == text);
 }
 
@@ -42,6 +73,7 @@
   GatewayReport report;
   report.m_host = base::HostId::FromValidated("front-1");
   report.m_incarnation = base::IncarnationId::FromValidated("abc");
+  report.m_failureDomain = kDomain;
   engine::WaitingDemand demand;
   demand.m_model = kModel;
   demand.m_waiting = 2;
@@ -52,13 +84,24 @@
   report.m_deaths = { { base::FingerprintId::FromValidated("77"),
                         base::UpstreamId::FromValidated("i-1"), milliseconds(30) } };
   CheckRoundTrip(report);
-  CheckRoundTrip(GatewayPresence{ report.m_host,
-                                  report.m_incarnation,
-                                  { "10.0.0.2", 7600 },
-                                  base::CatalogVersion(9),
-                                  { engine::InstanceId::FromValidated("i-1"), 123 } });
-  CheckRoundTrip(PlannerSummary{
-    "epoch", 4, 3, report.m_granted, { { kModel, milliseconds(70) } }, report.m_deaths });
+  CheckRoundTrip(EngineAlive{ status.m_host, status.m_engine, 7, 1, 2, true, 4 });
+  CheckRoundTrip(StatusWanted{ status.m_host });
+  CheckRoundTrip(
+    GatewayPresence{ report.m_host,
+                     report.m_incarnation,
+                     kDomain,
+                     { "10.0.0.2", 7600 },
+                     base::CatalogVersion(9),
+                     77,
+                     { { status.m_engine, { engine::InstanceId::FromValidated("i-1"), 123 } } } });
+  CheckRoundTrip(PlannerSummary{ "epoch",
+                                 4,
+                                 3,
+                                 report.m_granted,
+                                 { { kModel, milliseconds(70) } },
+                                 report.m_deaths,
+                                 { { report.m_host, { "10.0.0.2", 7600 } } } });
+  CheckRoundTrip(News(2));
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
 }
@@ -77,6 +120,62 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AMessageCarriesWhomItComesFromAndGoesTo)
+{
+  FleetEnvelope const envelope{ StatusWanted{ base::HostId::FromValidated("h") },
+                                base::Endpoint{ "10.0.0.1", 7600 },
+                                { { "10.0.0.2", 7600 }, { "10.0.0.3", 7600 } } };
+  auto const decoded = DecodeFleetMessage(EncodeFleetMessage(envelope));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST((decoded->m_origin == envelope.m_origin));
+  BOOST_TEST((decoded->m_forwardTo == envelope.m_forwardTo));
+}
+
+BOOST_AUTO_TEST_CASE(ACastCrossesToEachOtherDomainOnceAndReachesAll)
+{
+  std::vector<CastReceiver> receivers;
+  for (std::uint16_t number = 0; number < 40; ++number) {
+    receivers.push_back(
+      { { "10.0.0.1", number },
+        base::FailureDomainId::FromValidated(std::string(1, "abcd"[number % 4])) });
+  }
+  std::set<base::Endpoint> relays;
+  for (std::size_t turn = 0; turn < 10; ++turn) {
+    auto const legs = PlanCast(kDomain, receivers, turn);
+    // Ten of its own, and one for each of three others.
+    BOOST_TEST(legs.size() == 13U);
+    std::set<base::Endpoint> reached;
+    for (auto const& leg : legs) {
+      BOOST_TEST(reached.insert(leg.m_receiver).second);
+      for (auto const& further : leg.m_forwardTo) {
+        BOOST_TEST(reached.insert(further).second);
+      }
+      if (!leg.m_forwardTo.empty()) {
+        relays.insert(leg.m_receiver);
+      }
+    }
+    BOOST_TEST(reached.size() == 40U);
+  }
+  // The one that passes it on changes, so that none is needed.
+  BOOST_TEST(relays.size() == 30U);
+}
+
+BOOST_AUTO_TEST_CASE(NewsTooLargeForADatagramComesInParts)
+{
+  auto const parts = SplitNews(News(60, 1'000));
+  BOOST_TEST(parts.size() == 3U);
+  NewsParts assembly;
+  BOOST_TEST(!assembly.Add(parts[2]).has_value());
+  BOOST_TEST(!assembly.Add(parts[0]).has_value());
+  BOOST_TEST(!assembly.Add(parts[0]).has_value());
+  auto const whole = assembly.Add(parts[1]);
+  BOOST_REQUIRE(whole.has_value());
+  BOOST_TEST(whole->m_changes.m_changes.size() == 61U);
+  for (auto const& part : parts) {
+    BOOST_TEST(EncodeFleetMessage(part).size() < 60'000U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(GatewaysPickTheFirstLoaderThatTheyHear)
 {
   programs::PlannerChoice choice;
--- /dev/null
+++ b/Tests/StoreRelayTest.cpp
@@ -0,0 +1,127 @@
+#define BOOST_TEST_MODULE StoreRelay
+#include "Entry/Relay/WatchDuty.h"
+#include "ObjectStore/ObjectWatch.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using entry::WatchDuty;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::Instant kStart{ seconds(1000) };
+
+base::HostId Host(std::string aName)
+{
+  return base::HostId::FromValidated(std::move(aName));
+}
+
+std::map<base::HostId, base::Endpoint> Neighbours()
+{
+  return { { Host("a"), { "10.0.0.1", 1 } },
+           { Host("b"), { "10.0.0.2", 1 } },
+           { Host("c"), { "10.0.0.3", 1 } },
+           { Host("d"), { "10.0.0.4", 1 } } };
+}
+
+objectstore::ObjectKey Key(std::string aName)
+{
+  return { objectstore::ObjectKind::Upstream,
+           objectstore::ObjectName::FromValidated(std::move(aName)) };
+}
+
+objectstore::ObjectPut Put(std::string aName, std::uint64_t aVersion)
+{
+  return { { Key(std::move(aName)), base::ObjectVersion(aVersion), "{}", {} } };
+}
+
+/// A watch that knows the objects "one" and "two" at version 10.
+objectstore::ObjectWatch Listed()
+{
+  objectstore::ObjectWatch watch({}, 1);
+  objectstore::ObjectList list{ base::ObjectVersion(10),
+                                { Put("one", 3).m_object, Put("two", 5).m_object } };
+  watch.Next(kStart);
+  watch.OnList(list, kStart);
+  return watch;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(TheFirstTwoOfADomainWatchAndTellTheOthers)
+{
+  WatchDuty first({}, Host("a"));
+  WatchDuty third({}, Host("c"));
+  // Whoever knows of nobody watches.
+  BOOST_TEST(third.IsWatcher(kStart));
+  BOOST_TEST(!third.MayRestList(kStart));
+  first.OnNeighbours(Neighbours(), kStart);
+  third.OnNeighbours(Neighbours(), kStart);
+  BOOST_TEST(first.IsWatcher(kStart));
+  BOOST_TEST(!third.IsWatcher(kStart));
+  BOOST_TEST(first.Followers(kStart).size() == 2U);
+  BOOST_TEST(third.Followers(kStart).empty());
+  // Old word of the neighbours counts no more.
+  BOOST_TEST(third.IsWatcher(kStart + seconds(4)));
+  BOOST_TEST(first.Followers(kStart + seconds(4)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(AFollowerRestsOnlyWhileAWatcherHearsTheStore)
+{
+  entry::WatchDutyLimits limits;
+  limits.m_listAge = milliseconds(1500);
+  limits.m_catalogAge = milliseconds(1900);
+  WatchDuty duty(limits, Host("d"));
+  duty.OnNeighbours(Neighbours(), kStart);
+  BOOST_TEST(!duty.MayRestList(kStart));
+  duty.OnNews(Host("a"), milliseconds(200), milliseconds(600), kStart);
+  BOOST_TEST(duty.MayRestList(kStart));
+  BOOST_TEST(duty.MayRestList(kStart + milliseconds(1200)));
+  // The watcher's own age of its news counts, not only the way to here.
+  BOOST_TEST(!duty.MayRestList(kStart + milliseconds(1400)));
+  BOOST_TEST(duty.MayRestCatalog(kStart + milliseconds(1200)));
+  BOOST_TEST(!duty.MayRestCatalog(kStart + milliseconds(1400)));
+  // A watcher that is cut off says so; the other one is enough.
+  duty.OnNews(Host("a"), seconds(3), seconds(3), kStart + milliseconds(1400));
+  BOOST_TEST(!duty.MayRestList(kStart + milliseconds(1400)));
+  duty.OnNews(Host("b"), milliseconds(0), milliseconds(0), kStart + milliseconds(1400));
+  BOOST_TEST(duty.MayRestList(kStart + milliseconds(1400)));
+  // Strangers are not believed.
+  duty.OnNews(Host("x"), milliseconds(0), milliseconds(0), kStart + seconds(3));
+  BOOST_TEST(!duty.MayRestList(kStart + seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(RelayedChangesFollowOnWhatIsKnownOrNotAtAll)
+{
+  auto watch = Listed();
+  auto const heardAt = kStart + seconds(1);
+  // A gap: something between 10 and 20 is not known here.
+  BOOST_TEST(!watch.OnRelayed(base::ObjectVersion(20), { base::ObjectVersion(30), {} }, heardAt)
+                .has_value());
+  auto const changes =
+    watch.OnRelayed(base::ObjectVersion(8),
+                    { base::ObjectVersion(30),
+                      { Put("one", 9), Put("two", 12),
+                        objectstore::ObjectDeleted{ Key("one"), base::ObjectVersion(25) } } },
+                    heardAt);
+  BOOST_REQUIRE(changes.has_value());
+  // What was known at version 10 is not handed out again.
+  BOOST_TEST(changes->m_changes.size() == 2U);
+  BOOST_TEST(watch.Version().Value() == 30U);
+  BOOST_TEST((watch.LastHeard() == heardAt));
+  // Older news changes nothing and never goes back.
+  auto const older = watch.OnRelayed(base::ObjectVersion(8),
+                                     { base::ObjectVersion(20), { Put("one", 15) } }, heardAt);
+  BOOST_REQUIRE(older.has_value());
+  BOOST_TEST(older->m_changes.empty());
+  BOOST_TEST(watch.Version().Value() == 30U);
+}
+
+BOOST_AUTO_TEST_CASE(BeforeItsFirstListAProcessTakesNothingFromOthers)
+{
+  objectstore::ObjectWatch watch({}, 1);
+  BOOST_TEST(
+    !watch.OnRelayed(base::ObjectVersion(0), { base::ObjectVersion(5), {} }, kStart).has_value());
+}
