Agent: Take no broken connection for a crash once its upstream answers; add a soak

Ruled out: engines that restarted, as the refusals also named ones that had not.

Change: an answer to a later request shows that the upstream did not die, and a request that is served is no suspect; a start of an upstream counts, not its name. Two new tests fail without it.

Meta/soak.py runs the real gateways and loaders as processes on loopback between proxies that delay, reset, cut one way and silence, ends, pauses and restarts them by signals, changes configuration, keys and settings, makes the store go away, forget and lose answers, and checks from what callers and engines saw: whole answers in order, no second run, true refusals, keys, allowance, one giver of orders, answers in time, service after the faults, no process that ends by itself.

GatewayTest and UpstreamHealthTest pass.

--- a/Agent/SuspectRegistry.cpp
+++ b/Agent/SuspectRegistry.cpp
@@ -1,6 +1,7 @@
 #include "Agent/SuspectRegistry.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sardinefold::agent {
 
@@ -60,6 +61,18 @@
   return news;
 }
 
+void SuspectRegistry::OnAlive(base::UpstreamId const& aUpstream, base::Instant aSentAt)
+{
+  for (auto entry = m_deaths.begin(); entry != m_deaths.end();) {
+    auto& deaths = entry->second;
+    auto const death = deaths.find(aUpstream);
+    if (death != deaths.end() && death->second < aSentAt) {
+      deaths.erase(death);
+    }
+    entry = deaths.empty() ? m_deaths.erase(entry) : std::next(entry);
+  }
+}
+
 bool SuspectRegistry::OnNews(SuspectNews const& aNews, base::Instant aNow)
 {
   if (aNews.m_age >= m_limits.m_memory || aNews.m_age < base::Duration::zero()) {
--- a/Agent/SuspectRegistry.h
+++ b/Agent/SuspectRegistry.h
@@ -50,6 +50,11 @@
   void NoteEnded(base::FingerprintId const& aFingerprint, base::UpstreamId const& aUpstream);
   /// The upstream died. Gives the news to tell the other entries.
   std::vector<SuspectNews> NoteDeath(base::UpstreamId const& aUpstream, base::Instant aNow);
+  /// An upstream answered a request that was sent at the given time: what was
+  /// taken for its death before was only a connection that broke.
+  void OnAlive(base::UpstreamId const& aUpstream, base::Instant aSentAt);
+  /// The request was served, so that it does not crash those that run it.
+  void OnServed(base::FingerprintId const& aFingerprint) { m_deaths.erase(aFingerprint); }
   /// News of another entry. False if nothing in it is new.
   bool OnNews(SuspectNews const& aNews, base::Instant aNow);
 
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -173,8 +173,8 @@
     }
     double const cost = CostOf(upstream, lacksAdapter, aNow);
     if (!best || cost < bestCost) {
-      best = UpstreamChoice{ instance, upstream.m_entry.m_endpoint, lacksAdapter,
-                             StandingOf(upstream, aNow) };
+      best = UpstreamChoice{ instance, upstream.m_entry.m_startedAt, upstream.m_entry.m_endpoint,
+                             lacksAdapter, StandingOf(upstream, aNow) };
       bestCost = cost;
     }
   }
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -58,6 +58,8 @@
 struct UpstreamChoice
 {
   InstanceId m_instance;
+  /// Of the start that the list names; see UpstreamEntry.
+  std::int64_t m_startedAt = 0;
   base::Endpoint m_endpoint;
   /// The model is there and its adapter is not.
   bool m_lacksAdapter = false;
--- /dev/null
+++ b/Meta/soak.py
@@ -0,0 +1,288 @@
+#!/usr/bin/env python3
+"""A randomized soak: the real gateways and loaders as separate processes on
+loopback, with faults from outside them, while clients check what was promised.
+
+  Meta/soak.py --seeds 1-50 --jobs 4    many seeds
+  Meta/soak.py --regression             the seeds of Tests/SoakSeeds.txt
+  Meta/soak.py --seeds 7 --keep DIR     one seed, its logs kept
+
+Everything but the timing of the processes follows from the seed. Ends with
+status 1 if a promise was broken.
+"""
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+
+from fleet import ROOT
+from soak_client import Client, request_text
+from soak_site import SoakSite
+
+# What the site's pages allow a process that was disturbed before it counts
+# as in touch again.
+STABLE_S = 3.0
+# Longest time after a withdrawal for which a key may still be honoured.
+KEY_S = 2.0
+# Longest time after the last fault in which the site serves again.
+RECOVERY_S = 12.0
+# A caller hears within this time after its deadline.
+LATE_S = 1.0
+GUEST_RATE, GUEST_BURST, GUEST_TOKENS, QUOTA_WINDOW_S = 10, 40, 10, 8
+QUOTA_OVERAGE = 0.1
+MODELS = ["common", "own1", "own2", "rare"]
+
+
+class Soak:
+    def __init__(self, seed, folder, gateways, engines, seconds):
+        self.random = random.Random(seed)
+        self.site = SoakSite(folder, gateways, engines, self.random)
+        self.seconds = seconds
+        self.violations = []
+        self.answers = {}
+        self.withdrawn = {}
+        self.counts = {}
+        self.number = 0
+        self.clients = []
+
+    def break_promise(self, what, detail):
+        self.violations.append(f"{time.monotonic() - self.start:.3f} s: {what}: {detail}")
+
+    def next_id(self, kind):
+        self.number += 1
+        return f"{kind}-{self.number}"
+
+    # Clients
+
+    async def call_in_turn(self, kind, interval):
+        """One caller with a connection of its own that it keeps while it can."""
+        client = Client(self.site)
+        self.clients.append(client)
+        while not self.over:
+            await asyncio.sleep(self.random.uniform(0.5, 1.5) * interval)
+            gateway = self.random.choice(self.site.gateways)
+            await self.ask(client, kind, gateway)
+        client.close()
+
+    async def ask(self, client, kind, gateway, key="key-1"):
+        request = self.next_id(kind)
+        model = self.random.choice(MODELS) if kind in ("chat", "once") else None
+        deadline = 5.0 if model else 1.5
+        text = request_text(kind, request, key, deadline, model)
+        began = time.monotonic()
+        answer = await client.ask(gateway, text, deadline + LATE_S)
+        took = time.monotonic() - began
+        self.counts[answer.status] = self.counts.get(answer.status, 0) + 1
+        self.answers[request] = answer
+        answer.at_stop = gateway.is_only_stopping(began - STABLE_S)
+        if answer.timed_out and not gateway.was_disturbed(began - STABLE_S):
+            self.break_promise("no answer in time", f"{request} at {gateway.name} after {took:.2f} s")
+        if answer.status == 200 and model:
+            self.check_stream(request, answer)
+        if answer.status == 200 and not model and answer.body != f"done /{kind}/x":
+            self.break_promise("answer is not the service's", f"{request}: {answer.body[:60]!r}")
+        return answer
+
+    def check_stream(self, request, answer):
+        events = [line.split(".")[-1] for line in answer.body.split("\n") if line.startswith("data: ")]
+        foreign = [line for line in answer.body.split("\n") if line.startswith("data: ") and f" {request}." not in line]
+        if foreign:
+            self.break_promise("events of another request", f"{request}: {foreign[0]}")
+        wanted = [str(number) for number in range(1, 9)]
+        if answer.is_whole and events != wanted:
+            self.break_promise("a whole stream lacks or repeats events", f"{request}: {events}")
+        if not answer.is_whole and events != wanted[:len(events)]:
+            self.break_promise("events out of order", f"{request}: {events}")
+
+    async def use_withdrawn_keys(self):
+        client = Client(self.site)
+        self.clients.append(client)
+        while not self.over:
+            await asyncio.sleep(0.4)
+            gateway = self.random.choice(self.site.gateways)
+            for key, at in list(self.withdrawn.items())[-3:]:
+                sent = time.monotonic()
+                answer = await self.ask(client, "look", gateway, key)
+                is_late = sent - max(at, self.site.store_disturbed_until) > KEY_S + STABLE_S
+                if answer.status == 200 and is_late and not gateway.was_disturbed(at):
+                    self.break_promise("a withdrawn key works", f"{key} at {gateway.name}, {sent - at:.2f} s later")
+        client.close()
+
+    async def press_the_allowance(self):
+        client = Client(self.site)
+        self.clients.append(client)
+        while not self.over:
+            await asyncio.sleep(0.12)
+            await self.ask(client, "look", self.random.choice(self.site.gateways), "key-2")
+        client.close()
+
+    # Changes by operators
+
+    async def change_configuration(self):
+        version = 1
+        while not self.over:
+            await asyncio.sleep(self.random.uniform(0.7, 2.5))
+            version += self.random.randint(1, 3)
+            keys = ["key-1", f"key-v{version}"]
+            former = await self.site.put_configuration(version, keys, self.random.choice([1500, 1800]))
+            if former is None:
+                continue
+            for key in former:
+                if key not in keys:
+                    self.withdrawn[key] = time.monotonic()
+
+    # Faults
+
+    async def disturb(self):
+        faults = [self.site.kill_process, self.site.pause_process, self.site.stop_process, self.site.reset_links,
+                  self.site.silence_links, self.site.delay_links, self.site.cut_one_way, self.site.store_outage,
+                  self.site.lose_store_answers, self.site.restart_engine, self.site.break_streams,
+                  self.site.lose_orders, self.site.change_settings, self.site.forget_history]
+        end = time.monotonic() + self.seconds
+        tasks = []
+        while time.monotonic() < end:
+            await asyncio.sleep(self.random.uniform(0.1, 1.2))
+            tasks.append(asyncio.create_task(self.random.choice(faults)()))
+        await asyncio.gather(*tasks)
+
+    # The run
+
+    async def run(self):
+        self.over = False
+        self.start = time.monotonic()
+        await self.site.start()
+        callers = [self.call_in_turn(kind, interval)
+                   for kind, interval in [("chat", 0.15), ("chat", 0.15), ("once", 0.3), ("order", 0.1), ("look", 0.1)]]
+        callers += [self.use_withdrawn_keys(), self.press_the_allowance(), self.change_configuration()]
+        tasks = [asyncio.create_task(caller) for caller in callers]
+        await self.disturb()
+        await self.site.heal()
+        healed = time.monotonic()
+        await self.recover(healed)
+        self.over = True
+        await asyncio.gather(*tasks)
+        await self.check_runs()
+        for name, code in self.site.unexpected_ends():
+            self.break_promise("a process ended by itself", f"{name} with status {code}")
+        await self.site.stop()
+
+    async def recover(self, healed):
+        client = Client(self.site)
+        for gateway in self.site.gateways:
+            for kind in ("order", "look", "chat", "once"):
+                while True:
+                    answer = await self.ask(client, kind, gateway)
+                    if answer.status == 200:
+                        break
+                    if time.monotonic() - healed > RECOVERY_S:
+                        self.break_promise("not served after the faults", f"{kind} at {gateway.name}: {answer.status}")
+                        break
+                    await asyncio.sleep(0.2)
+        client.close()
+
+    async def check_runs(self):
+        runs = []
+        for state in await self.site.engine_states():
+            runs += state["runs"]
+            if state["overfull"]:
+                self.break_promise("an engine was ordered to load more than it holds", state["holders"])
+            if len(state["holders"]) > 1:
+                self.break_promise("two hosts gave orders to one engine", state["holders"])
+        times = {}
+        for run in runs:
+            times.setdefault(run["request"], []).append(run["at_ms"])
+            if run["had_key"]:
+                self.break_promise("a key reached an engine", run["request"])
+            if run["request"] not in self.answers:
+                self.break_promise("a request ran that nobody sent", run["request"])
+        for request, answer in self.answers.items():
+            ran = len(times.get(request, []))
+            if request.startswith(("order", "once")) and ran > 1:
+                self.break_promise("ran more than once", f"{request}: {ran} times")
+            if answer.status in (408, 429, 503) and ran > 0:
+                self.break_promise("refused as not run and ran", f"{request}: {answer.status}")
+            if answer.at_stop and not answer.timed_out and not answer.is_whole and ran > 0:
+                self.break_promise("a graceful stop cut a request off", f"{request}: {answer.status}")
+        self.check_allowance([run["at_ms"] / 1000 for run in runs if run["workspace"] == "guests"])
+
+    def check_allowance(self, times):
+        # The site's slack is a third of a second's rate and more; here one burst.
+        bound = (GUEST_RATE * QUOTA_WINDOW_S + GUEST_BURST) * (1 + QUOTA_OVERAGE) + GUEST_BURST
+        times.sort()
+        for first, at in enumerate(times):
+            tokens = GUEST_TOKENS * sum(1 for other in times[first:] if other - at < QUOTA_WINDOW_S)
+            if tokens > bound:
+                self.break_promise("more tokens than allowed", f"{tokens} of {bound} in {QUOTA_WINDOW_S} s")
+                return
+
+
+def run_seed(seed, options):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"sardinefold-soak-{seed}-"))
+    dice = random.Random(seed)
+    gateways = options.gateways or dice.randint(3, 6)
+    engines = options.engines or dice.randint(2, 4)
+    soak = Soak(seed, folder, gateways, engines, options.seconds)
+    try:
+        asyncio.run(soak.run())
+    except Exception as error:  # A run that cannot go on is a finding, too.
+        soak.violations.append(f"the run broke off: {type(error).__name__}: {error}")
+    finally:
+        soak.site.kill_all()
+    print(json.dumps({"seed": seed, "gateways": gateways, "engines": engines, "requests": soak.number,
+                      "statuses": {str(key): value for key, value in sorted(soak.counts.items())},
+                      "faults": soak.site.fault_counts, "broken": soak.violations}), flush=True)
+    if soak.violations and options.keep:
+        shutil.copytree(folder, pathlib.Path(options.keep) / f"seed-{seed}", dirs_exist_ok=True)
+    shutil.rmtree(folder, ignore_errors=True)
+    return len(soak.violations)
+
+
+def parse_seeds(text):
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def regression_seeds():
+    lines = (ROOT / "Tests/SoakSeeds.txt").read_text().splitlines()
+    return [int(line.split()[0]) for line in lines if line.strip() and not line.startswith("#")]
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", default="1")
+    parser.add_argument("--regression", action="store_true")
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--gateways", type=int)
+    parser.add_argument("--engines", type=int)
+    parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument("--keep")
+    options = parser.parse_args()
+    seeds = regression_seeds() if options.regression else parse_seeds(options.seeds)
+    if len(seeds) == 1:
+        return 1 if run_seed(seeds[0], options) else 0
+    # One process a seed, as a loop that is busy with one would delay another.
+    broken = 0
+    waiting, running = list(seeds), []
+    forwarded = ["--seconds", str(options.seconds)]
+    for name in ("gateways", "engines", "keep"):
+        if getattr(options, name):
+            forwarded += [f"--{name}", str(getattr(options, name))]
+    while waiting or running:
+        while waiting and len(running) < options.jobs:
+            running.append(subprocess.Popen([sys.executable, __file__, "--seeds", str(waiting.pop(0)), *forwarded]))
+        for child in list(running):
+            if child.poll() is not None:
+                running.remove(child)
+                broken += child.returncode != 0
+        time.sleep(0.1)
+    print(f"{len(seeds) - broken} seeds kept every promise, {broken} did not")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/Meta/soak_site.py
@@ -0,0 +1,374 @@
+"""The soak's site: the real programs, a stand-in of the platform, and proxies
+between them that delay, reset, cut one way and silence."""
+import asyncio
+import contextlib
+import http.client
+import json
+import pathlib
+import signal
+import subprocess
+import time
+
+from fleet import BUILD, free_port
+
+STORE, SERVICE = "127.0.1.1", "127.0.3.1"
+
+
+class Connection:
+    def __init__(self):
+        # Directions that carry nothing any more.
+        self.dead = set()
+
+
+class Proxy:
+    """Passes bytes between callers and a target, or doesn't."""
+
+    def __init__(self, address, port, target):
+        self.address, self.port, self.target = address, port, target
+        self.connections = set()
+        self.delay = 0.0
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.address, self.port)
+
+    def stop(self):
+        self.server.close()
+        self.reset()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def silence(self, directions):
+        """The connections open now never carry data again."""
+        for connection in self.connections:
+            connection.dead |= directions
+
+    async def serve(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        entry = Connection()
+        self.connections.add(entry)
+        self.writers |= {writer, far_writer}
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(self.pump(reader, far_writer, entry, "there"),
+                                 self.pump(far_reader, writer, entry, "back"))
+        self.connections.discard(entry)
+        self.writers -= {writer, far_writer}
+
+    async def pump(self, reader, writer, connection, direction):
+        try:
+            while data := await reader.read(65536):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                if direction not in connection.dead:
+                    writer.write(data)
+                    await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            # Cancelled at the end of the run.
+            writer.transport.abort()
+            return
+        # A close does not pass a connection that was forgotten either.
+        if not connection.dead:
+            writer.close()
+
+
+class Node:
+    """One process of the system."""
+
+    def __init__(self, name, address, command, log):
+        self.name, self.address, self.command, self.log = name, address, command, log
+        self.child = None
+        self.is_down = False
+        self.is_stopping = False
+        self.disturbed_until = 0.0
+        self.ended_by_us = False
+        self.bad_ends = []
+
+    def start(self):
+        self.child = subprocess.Popen(self.command, stdout=open(self.log, "a"), stderr=subprocess.STDOUT,
+                                      stdin=subprocess.DEVNULL)
+        self.ended_by_us = False
+
+    def disturb(self, seconds):
+        self.disturbed_until = max(self.disturbed_until, time.monotonic() + seconds)
+
+    def was_disturbed(self, since):
+        return self.is_down or self.disturbed_until > since
+
+    def is_only_stopping(self, since):
+        return self.is_stopping and self.disturbed_until < since
+
+    def note_end(self):
+        code = self.child.poll()
+        if code is not None and not self.ended_by_us:
+            self.bad_ends.append(code)
+
+
+class SoakSite:
+    def __init__(self, folder, gateways, engines, dice):
+        self.folder, self.random, self.engine_count = pathlib.Path(folder), dice, engines
+        self.ports = {name: free_port() for name in ("store", "store_proxy", "engine", "listed", "peer", "front",
+                                                     "ready", "metrics")}
+        self.ports["service"] = self.ports["engine"]
+        self.fault_counts = {}
+        self.proxies, self.store_proxies = [], {}
+        self.store_disturbed_until = 0.0
+        self.former_keys = ["key-1"]
+        self.retry_allowance = 52
+        self.standin = None
+        self.gateways = [self.make_node("sardinefold-gateway", f"front-{number}", f"127.0.4.{number}",
+                                        "ab"[number % 4 == 0], None) for number in range(1, gateways + 1)]
+        self.loaders = [self.make_node("sardinefold-loader", f"side-{number}", f"127.0.2.{number}", "ab"[number % 2],
+                                       f"127.0.2.{number}:{self.ports['listed']}") for number in range(1, engines + 1)]
+
+    def make_node(self, program, name, address, domain, engine):
+        self.write_settings(name, address, domain, engine)
+        return Node(name, address, [BUILD / program, f"--node-file={self.folder / name}.yaml",
+                                    f"--metrics-port={self.ports['metrics']}"], self.folder / f"{name}.log")
+
+    def write_settings(self, name, address, domain, engine):
+        lines = [f'nodeName: "{name}"', f'zone: "{domain}"', f'ip: "{address}"',
+                 f"innerPortRange: [{self.ports['peer']}, {self.ports['peer'] + 1}]",
+                 f'platform: {{address: "{address}:{self.ports["store_proxy"]}"}}',
+                 f"bounds: {{graceS: 6, retrySlack: {self.retry_allowance}}}"]
+        if engine:
+            lines += [f'app: "{engine}"', 'service: "llm"', "listenAddrs: {}"]
+        else:
+            lines += [f'listenAddrs: {{front: "{address}:{self.ports["front"]}", ready: "{address}:{self.ports["ready"]}"}}']
+        path = self.folder / f"{name}.yaml"
+        path.with_suffix(".new").write_text("\n".join(lines) + "\n")
+        path.with_suffix(".new").replace(path)
+
+    def nodes(self):
+        return self.gateways + self.loaders
+
+    async def start(self):
+        ports = self.ports
+        self.standin = subprocess.Popen(
+            [BUILD / "standin-site", f"--listen={STORE}:{ports['store']}", f"--engines={self.engine_count}",
+             f"--port={ports['engine']}", f"--listed-port={ports['listed']}", "--domains=2"],
+            stdout=open(self.folder / "standin.log", "w"), stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+        hosts = [f"127.0.2.{number}" for number in range(1, self.engine_count + 1)] + [SERVICE]
+        self.proxies = [Proxy(host, ports["listed"], (host, ports["engine"])) for host in hosts]
+        self.store_proxies = {node.name: Proxy(node.address, ports["store_proxy"], (STORE, ports["store"]))
+                              for node in self.nodes()}
+        for proxy in self.proxies + list(self.store_proxies.values()):
+            await proxy.start()
+        for node in self.nodes():
+            node.start()
+        await self.wait_ready(20)
+
+    async def wait_ready(self, seconds):
+        end = time.monotonic() + seconds
+        for gateway in self.gateways:
+            while not await self.is_ready(gateway):
+                if time.monotonic() > end:
+                    raise TimeoutError(f"{gateway.name} is not ready")
+                await asyncio.sleep(0.1)
+
+    async def is_ready(self, gateway):
+        try:
+            status, _ = await asyncio.wait_for(
+                self.fetch(gateway.address, self.ports["ready"], "GET", "/v1/ready"), 1)
+            return status == 200
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+            return False
+
+    async def fetch(self, address, port, method, path, body=None):
+        """One request on a connection of its own, as operators make them."""
+        def call():
+            connection = http.client.HTTPConnection(address, port, timeout=5)
+            try:
+                connection.request(method, path, json.dumps(body) if body is not None else None)
+                response = connection.getresponse()
+                return response.status, response.read().decode()
+            finally:
+                connection.close()
+        return await asyncio.get_running_loop().run_in_executor(None, call)
+
+    async def put_configuration(self, version, keys, timeout_ms):
+        """The keys that were in force before; none if the store did not take it."""
+        try:
+            status, text = await self.fetch(STORE, self.ports["store"], "GET", "/v1/objects/config/main")
+            if status != 200:
+                return None
+            spec = json.loads(text)["spec"]
+            former = spec["tenants"][0]["apiKeys"]
+            spec["version"] = version
+            spec["tenants"][0]["apiKeys"] = keys
+            spec["routes"][2]["timeoutMs"] = timeout_ms
+            status, _ = await self.fetch(STORE, self.ports["store"], "PUT", "/v1/objects/config/main", {"spec": spec})
+            return former if status == 200 else None
+        except (OSError, http.client.HTTPException, ValueError):
+            return None
+
+    async def engine_states(self):
+        hosts = [f"127.0.2.{number}" for number in range(1, self.engine_count + 1)] + [SERVICE]
+        return [json.loads((await self.fetch(host, self.ports["engine"], "GET", "/admin/ran"))[1]) for host in hosts]
+
+    def unexpected_ends(self):
+        for node in self.nodes():
+            node.note_end()
+        return [(node.name, code) for node in self.nodes() for code in node.bad_ends]
+
+    def count(self, fault):
+        self.fault_counts[fault] = self.fault_counts.get(fault, 0) + 1
+
+    # Faults of processes
+
+    def pick_node(self):
+        running = [node for node in self.nodes() if not node.is_down]
+        return self.random.choice(running) if running else None
+
+    async def end_and_restart(self, node, sent, wait, pause):
+        node.is_down = True
+        node.is_stopping = sent == signal.SIGTERM
+        node.note_end()
+        node.ended_by_us = True
+        node.child.send_signal(sent)
+        await asyncio.get_running_loop().run_in_executor(None, node.child.wait, wait)
+        await asyncio.sleep(pause)
+        node.start()
+        node.is_down = node.is_stopping = False
+        node.disturb(1.0)
+
+    async def kill_process(self):
+        if node := self.pick_node():
+            self.count("kill")
+            await self.end_and_restart(node, signal.SIGKILL, 10, self.random.uniform(0.0, 1.5))
+
+    async def stop_process(self):
+        if node := self.pick_node():
+            self.count("stop")
+            await self.end_and_restart(node, signal.SIGTERM, 20, self.random.uniform(0.0, 0.5))
+
+    async def pause_process(self):
+        if node := self.pick_node():
+            self.count("pause")
+            seconds = self.random.uniform(0.2, 4.0)
+            node.disturb(seconds)
+            child = node.child
+            child.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            child.send_signal(signal.SIGCONT)
+
+    async def change_settings(self):
+        if node := self.pick_node():
+            self.count("settings")
+            self.retry_allowance = self.random.choice([20, 52, 90])
+            text = (self.folder / f"{node.name}.yaml").read_text()
+            lines = [line if not line.startswith("bounds") else f"bounds: {{graceS: 6, retrySlack: {self.retry_allowance}}}"
+                     for line in text.splitlines()]
+            (self.folder / f"{node.name}.yaml").write_text("\n".join(lines) + "\n")
+            if self.random.random() < 0.5:
+                node.child.send_signal(signal.SIGHUP)
+
+    # Faults of links
+
+    def pick_proxies(self):
+        everything = self.proxies + list(self.store_proxies.values())
+        chosen = self.random.sample(everything, self.random.randint(1, max(1, len(everything) // 3)))
+        for node in self.nodes():
+            if self.store_proxies[node.name] in chosen:
+                node.disturb(1.0)
+        if any(proxy in self.proxies for proxy in chosen):
+            for gateway in self.gateways:
+                gateway.disturb(1.0)
+        return chosen
+
+    async def reset_links(self):
+        self.count("reset")
+        for proxy in self.pick_proxies():
+            proxy.reset()
+
+    async def silence_links(self):
+        self.count("silence")
+        for proxy in self.pick_proxies():
+            proxy.silence({"there", "back"})
+
+    async def cut_one_way(self):
+        self.count("one way")
+        for proxy in self.pick_proxies():
+            proxy.silence({self.random.choice(["there", "back"])})
+
+    async def delay_links(self):
+        self.count("delay")
+        chosen = self.pick_proxies()
+        delay = self.random.uniform(0.02, 0.4)
+        for proxy in chosen:
+            proxy.delay = delay
+        seconds = self.random.uniform(0.5, 2.0)
+        for node in self.nodes():
+            node.disturb(seconds + 1.0)
+        await asyncio.sleep(seconds)
+        for proxy in chosen:
+            proxy.delay = 0.0
+
+    # Faults of the store and of engines
+
+    async def switch(self, address, port, **faults):
+        try:
+            await self.fetch(address, port, "PUT", "/admin/faults", faults)
+        except (OSError, http.client.HTTPException):
+            self.count("switch failed")
+
+    async def store_outage(self):
+        self.count("outage")
+        seconds = self.random.uniform(0.5, 4.0)
+        self.store_disturbed_until = max(self.store_disturbed_until, time.monotonic() + seconds)
+        await self.switch(STORE, self.ports["store"], outage=True)
+        await asyncio.sleep(seconds)
+        await self.switch(STORE, self.ports["store"], outage=False)
+        self.store_disturbed_until = max(self.store_disturbed_until, time.monotonic())
+
+    async def lose_store_answers(self):
+        self.count("lost answers")
+        await self.switch(STORE, self.ports["store"], lose_answers=self.random.randint(1, 4))
+
+    async def forget_history(self):
+        self.count("forget")
+        await self.switch(STORE, self.ports["store"], forget_history=True)
+
+    def pick_engine(self):
+        return f"127.0.2.{self.random.randint(1, self.engine_count)}"
+
+    async def restart_engine(self):
+        self.count("engine restart")
+        await self.switch(self.pick_engine(), self.ports["engine"], restart=True)
+
+    async def break_streams(self):
+        self.count("break streams")
+        await self.switch(self.pick_engine(), self.ports["engine"], break_streams=self.random.randint(1, 3))
+
+    async def lose_orders(self):
+        self.count("lose orders")
+        await self.switch(self.pick_engine(), self.ports["engine"], lose_orders=self.random.randint(1, 2))
+
+    # The end
+
+    async def heal(self):
+        for proxy in self.proxies + list(self.store_proxies.values()):
+            proxy.delay = 0.0
+        await self.switch(STORE, self.ports["store"], outage=False, lose_answers=0)
+        for node in self.nodes():
+            node.child.send_signal(signal.SIGCONT)
+
+    async def stop(self):
+        for node in self.nodes():
+            node.ended_by_us = True
+            node.child.send_signal(signal.SIGTERM)
+        for node in self.nodes():
+            await asyncio.get_running_loop().run_in_executor(None, node.child.wait, 15)
+        for proxy in self.proxies + list(self.store_proxies.values()):
+            proxy.stop()
+
+    def kill_all(self):
+        for child in [node.child for node in self.nodes()] + [self.standin]:
+            if child and child.poll() is None:
+                child.kill()
+                child.wait()
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -26,6 +26,8 @@
 step tests ctest --test-dir Build -j 8 --output-on-failure
 step 'demonstration on the platform' python3 Meta/demo_platform.py
 step 'faults with real processes' Meta/process_faults.py
+step 'soak: seeds that failed once' Meta/soak.py --regression
+step 'soak: a short run' Meta/soak.py --seeds 1-3 --jobs 3 --seconds 6
 step 'bounds that do not depend on the clock' Meta/bench.py --deterministic
 if [ -s KNOWN-RED.txt ]; then
   echo "Known faults (not counted):"
--- a/Programs/Gateway/AnswerRelay.h
+++ b/Programs/Gateway/AnswerRelay.h
@@ -70,7 +70,11 @@
 
   /// The upstream of the attempt under way has begun to answer.
   bool HasBegunHere() const { return m_hasBegunHere; }
-  void OnNewAttempt() { m_hasBegunHere = false; }
+  void OnNewAttempt()
+  {
+    m_hasBegunHere = false;
+    m_sentAt = Now();
+  }
   /// A failure that an upstream answered with, kept while another one is tried.
   std::optional<base::HttpResponse> TakeHeldFailure()
   {
@@ -154,9 +158,8 @@
     bool const isFailure = aHead.m_status >= 500;
     if (isFailure) {
       m_state.NoteFailure(aChoice, "upstream answered with a failure");
-    } else {
-      m_state.m_directory.OnServed(aChoice.m_instance);
     }
+    m_state.NoteAnswer(aChoice, m_context.m_fingerprint, m_sentAt, !isFailure);
     if (isFailure && MayTryAnother()) {
       m_record.m_outcome = "upstream answered with a failure";
       m_heldFailure = std::move(response);
@@ -209,7 +212,7 @@
     if (!events.Rest().empty()) {
       co_return Fail("stream ended inside an event", aChoice);
     }
-    m_state.m_directory.OnServed(aChoice.m_instance);
+    m_state.NoteAnswer(aChoice, m_context.m_fingerprint, m_sentAt, true);
     m_record.m_outcome = "answered";
     auto const finished = co_await m_exchange.Finish();
     co_return finished ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
@@ -235,6 +238,8 @@
   RequestRecord& m_record;
   base::Cancellation const& m_cancellation;
   bool m_hasBegunHere = false;
+  /// When the attempt under way was sent.
+  base::Instant m_sentAt{};
   std::optional<base::HttpResponse> m_heldFailure;
   std::optional<base::Instant> m_passedAt;
 };
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -58,12 +58,10 @@
   }
 
   /// A request was in flight as its upstream broke the connection off.
-  void NoteDeath(base::FingerprintId const& aFingerprint, engine::InstanceId const& aUpstream,
+  void NoteDeath(base::FingerprintId const& aFingerprint, base::UpstreamId const& aUpstream,
                  base::Instant aNow)
   {
-    agent::SuspectNews const news{ aFingerprint,
-                                   base::UpstreamId::FromValidated(aUpstream.Text()),
-                                   {} };
+    agent::SuspectNews const news{ aFingerprint, aUpstream, {} };
     if (m_suspects.OnNews(news, aNow)) {
       m_deaths.emplace_back(aNow, news);
     }
@@ -103,10 +101,29 @@
     NoteFailure(aUpstream, ToText(aFailure.m_kind));
     // A connection that closes without an answer may be an upstream that died.
     if (aFailure.m_kind == Kind::ConnectionClosed) {
-      NoteDeath(aFingerprint, aUpstream.m_instance, now);
+      NoteDeath(aFingerprint, StartOf(aUpstream), now);
     }
   }
 
+  /// An upstream answered a request that was sent at the given time.
+  void NoteAnswer(engine::UpstreamChoice const& aUpstream, base::FingerprintId const& aFingerprint,
+                  base::Instant aSentAt, bool aIsServed)
+  {
+    m_suspects.OnAlive(StartOf(aUpstream), aSentAt);
+    if (aIsServed) {
+      m_suspects.OnServed(aFingerprint);
+      m_directory.OnServed(aUpstream.m_instance);
+    }
+  }
+
+  /// Names one start of an upstream: after a restart under the same name it is
+  /// another one.
+  static base::UpstreamId StartOf(engine::UpstreamChoice const& aUpstream)
+  {
+    return base::UpstreamId::FromValidated(aUpstream.m_instance.Text() + "-" +
+                                           std::to_string(aUpstream.m_startedAt));
+  }
+
   /// When a model is expected, if anyone has told.
   std::optional<caller::ExpectedModel> ExpectedAt(std::optional<base::ModelId> const& aModel) const
   {
--- a/StandIns/Site.cpp
+++ b/StandIns/Site.cpp
@@ -3,6 +3,7 @@
 #include "StandIns/Site/SiteConfiguration.h"
 #include "StandIns/Site/SiteEngine.h"
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -13,10 +14,15 @@
 base::SettingsTable Table()
 {
   using base::SettingKind;
-  return { "standin-site", "The users' platform on loopback: store, engines and a plain service.",
-           standins::WithCommonSettings(
-             { { "engines", SettingKind::Count, "Engines, at 127.0.2.1 and on", "2" },
-               { "port", SettingKind::Count, "Port of engines and service", "8080" } }) };
+  return {
+    "standin-site", "The users' platform on loopback: store, engines and a plain service.",
+    standins::WithCommonSettings(
+      { { "engines", SettingKind::Count, "Engines, at 127.0.2.1 and on", "2" },
+        { "port", SettingKind::Count, "Port of engines and service", "8080" },
+        { "listed-port", SettingKind::Count,
+          "Port that they list, where another one than theirs is called; 0 for the same", "0" },
+        { "domains", SettingKind::Count, "Failure domains that they stand in, by turns", "1" } })
+  };
 }
 
 } // namespace
@@ -36,6 +42,11 @@
   for (std::int64_t number = 0; number <= settings->Count("engines"); ++number) {
     standins::SiteEngineSettings upstream;
     bool const isService = number == 0;
+    if (settings->Count("listed-port") > 0) {
+      upstream.m_listedPort = static_cast<std::uint16_t>(settings->Count("listed-port"));
+    }
+    auto const domains = std::max<std::int64_t>(settings->Count("domains"), 1);
+    upstream.m_failureDomain = std::string(1, static_cast<char>('a' + number % domains));
     upstream.m_hasModels = !isService;
     upstream.m_instance = isService ? "i-desk" : "i-" + std::to_string(number);
     upstream.m_deployment = isService ? "desk" : "llm";
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -45,6 +45,7 @@
   m_front.Faults().AddCount("lose_orders", m_loseOrders);
   m_front.Faults().AddCount("truncate_answers", m_truncate);
   m_front.Faults().AddFlag("leaving", m_isLeaving);
+  m_front.Faults().AddAction("restart", [this] { Restart(); });
   m_front.Faults().AddMilliseconds("event_ms", m_settings.m_eventTime);
   m_front.Faults().AddMilliseconds("load_ms", m_settings.m_loadTime);
   for (auto const& model : m_settings.m_models) {
@@ -62,6 +63,15 @@
   return {};
 }
 
+void SiteEngine::Restart()
+{
+  ++m_starts;
+  ++m_settings.m_startedAt;
+  m_models.clear();
+  m_isBusy = false;
+  m_orders = 0;
+}
+
 Json::Value SiteEngine::Models() const
 {
   Json::Value list(Json::arrayValue);
@@ -82,7 +92,9 @@
 {
   Json::Value entry;
   entry["service"] = m_settings.m_deployment;
-  entry["address"] = m_settings.m_address.Text();
+  auto listed = m_settings.m_address;
+  listed.m_port = m_settings.m_listedPort.value_or(listed.m_port);
+  entry["address"] = listed.Text();
   entry["zone"] = m_settings.m_failureDomain;
   entry["version"] = "v1";
   entry["slots"] = m_settings.m_slots;
@@ -107,10 +119,14 @@
   if (co_await m_front.ServeFaults(aExchange)) {
     co_return;
   }
+  auto const& request = aExchange.Request();
+  if (request.Path() == "/admin/ran") {
+    co_await ShowRuns(aExchange);
+    co_return;
+  }
   if (!co_await m_front.Admit(aExchange)) {
     co_return;
   }
-  auto const& request = aExchange.Request();
   if (request.Path() == "/v1/report") {
     Json::Value report;
     report["stage"] = "colocated";
@@ -134,9 +150,34 @@
   co_await RunRequest(aExchange);
 }
 
+asio::awaitable<void> SiteEngine::ShowRuns(base::HttpExchange& aExchange)
+{
+  Json::Value answer;
+  answer["overfull"] = m_isOverfull;
+  answer["holders"] = Json::Value(Json::arrayValue);
+  for (auto const& holder : m_holders) {
+    answer["holders"].append(holder);
+  }
+  answer["runs"] = Json::Value(Json::arrayValue);
+  for (auto const& run : m_runs) {
+    Json::Value entry;
+    entry["request"] = run.m_request;
+    entry["workspace"] = run.m_workspace;
+    entry["had_key"] = run.m_hadKey;
+    entry["at_ms"] = Json::Int64(base::ToMilliseconds(run.m_at.time_since_epoch()));
+    answer["runs"].append(std::move(entry));
+  }
+  auto response = JsonValueResponse(200, answer);
+  co_await aExchange.Respond(std::move(response));
+}
+
 asio::awaitable<void> SiteEngine::Load(std::string aModel)
 {
+  auto const start = m_starts;
   co_await m_loop.Sleep(m_settings.m_loadTime);
+  if (start != m_starts) {
+    co_return;
+  }
   m_models[aModel];
   m_copies.insert(aModel);
   m_isBusy = false;
@@ -227,7 +268,7 @@
     co_return;
   }
   m_runs.push_back({ HeaderText(request, "Request-Id"), HeaderText(request, "Tenant"),
-                     request.m_headers.Find("Authorization").has_value() });
+                     request.m_headers.Find("Authorization").has_value(), m_loop.Now() });
   base::HttpHeaders headers;
   headers.Add("Request-Id", HeaderText(request, "Request-Id"));
   headers.Add("Server-Seal", "seal-" + m_settings.m_instance);
@@ -260,8 +301,12 @@
   if (!started) {
     co_return;
   }
+  auto const start = m_starts;
   for (unsigned event = first; event <= m_settings.m_events; ++event) {
     co_await m_loop.Sleep(m_settings.m_eventTime);
+    if (start != m_starts) {
+      co_return;
+    }
     if (isBroken && event > first + m_breakAfter) {
       co_await aExchange.Write("id: " + std::to_string(event) + "\nda");
       co_return;
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -23,6 +23,9 @@
   std::string m_deployment;
   std::string m_failureDomain = "a";
   base::Endpoint m_address;
+  /// Port of its entry in the list, if that differs: something may stand
+  /// between the engine and those who call it.
+  std::optional<std::uint16_t> m_listedPort;
   unsigned m_slots = 8;
   /// Absent for plain services, which answer at once.
   bool m_hasModels = true;
@@ -41,6 +44,7 @@
   std::string m_request;
   std::string m_workspace;
   bool m_hadKey = false;
+  base::Instant m_at{};
 };
 
 /// A model engine or a plain service of the users' platform: reports, orders,
@@ -61,6 +65,7 @@
 
 private:
   boost::asio::awaitable<void> Serve(base::HttpExchange& aExchange);
+  boost::asio::awaitable<void> ShowRuns(base::HttpExchange& aExchange);
   boost::asio::awaitable<void> TakeOrder(base::HttpExchange& aExchange);
   boost::asio::awaitable<void> RunRequest(base::HttpExchange& aExchange);
   boost::asio::awaitable<void> Stream(base::HttpExchange& aExchange, base::HttpHeaders aHeaders);
@@ -68,6 +73,7 @@
   boost::asio::awaitable<void> Heartbeat();
   base::HttpResponse Reject(base::HttpRequest const& aRequest, unsigned aStatus) const;
   std::optional<unsigned> WhyNotRun(base::HttpRequest const& aRequest) const;
+  void Restart();
   Json::Value Describe() const;
   Json::Value Models() const;
 
@@ -83,6 +89,8 @@
   bool m_isLeaving = false;
   std::uint64_t m_orders = 0;
   unsigned m_running = 0;
+  /// Streams and loads of earlier starts end without a word.
+  unsigned m_starts = 0;
   std::vector<SiteRun> m_runs;
   std::set<std::string> m_holders;
   /// Faults: the next streams break off behind this many events.
--- a/StandIns/Site/SiteStore.cpp
+++ b/StandIns/Site/SiteStore.cpp
@@ -43,6 +43,7 @@
   , m_front(aLoop)
   , m_changed(aLoop.Context())
 {
+  m_front.Faults().AddAction("forget_history", [this] { ForgetHistory(); });
 }
 
 void SiteStore::Record(std::string const& aKind, Json::Value const& aObject, bool aIsRemoved)
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -150,14 +150,14 @@
     auto const fingerprint =
       base::FingerprintId::FromValidated(std::to_string(base::FastHash("/order/x\nmarshals\n")));
     for (auto const* const upstream : { "i-1", "i-2" }) {
-      m_gateway->State().NoteDeath(fingerprint, engine::InstanceId::FromValidated(upstream),
+      m_gateway->State().NoteDeath(fingerprint, base::UpstreamId::FromValidated(upstream),
                                    m_loop.Now());
     }
-    auto second = Request("POST", "/order/x", "r1");
+    // Another one, as a request that is served is no longer suspected.
+    auto second = Request("POST", "/order/y", "r1");
     auto const served = co_await Send(std::move(second));
     BOOST_TEST(served->m_status == 200U);
-    m_gateway->State().NoteDeath(fingerprint, engine::InstanceId::FromValidated("i-3"),
-                                 m_loop.Now());
+    m_gateway->State().NoteDeath(fingerprint, base::UpstreamId::FromValidated("i-3"), m_loop.Now());
     auto third = Request("POST", "/order/x", "r2");
     auto const refused = co_await Send(std::move(third));
     BOOST_TEST(refused->m_status == 503U);
@@ -165,6 +165,27 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(ABrokenConnectionToAnUpstreamThatLivesMakesNoSuspect, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto const fingerprint =
+      base::FingerprintId::FromValidated(std::to_string(base::FastHash("/order/x\nmarshals\n")));
+    for (auto const* const upstream : { "i-1-1", "i-2-1", "i-desk-1" }) {
+      m_gateway->State().NoteDeath(fingerprint, base::UpstreamId::FromValidated(upstream),
+                                   m_loop.Now());
+    }
+    auto refused = Request("POST", "/order/x", "r1");
+    auto const first = co_await Send(std::move(refused));
+    BOOST_TEST(first->m_status == 503U);
+    // One of the three answers another request, so that it did not die.
+    auto other = Request("POST", "/order/y", "r2");
+    co_await Send(std::move(other));
+    auto again = Request("POST", "/order/x", "r3");
+    auto const second = co_await Send(std::move(again));
+    BOOST_TEST(second->m_status == 200U);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(ARefusalWithoutProofIsNotPassedOnAsNotRun, SiteFixture)
 {
   SetFault(*m_service, "refuse_after_run", 1);
--- a/Tests/UpstreamHealthTest.cpp
+++ b/Tests/UpstreamHealthTest.cpp
@@ -202,6 +202,32 @@
   BOOST_TEST(first.All(kStart + 11min).empty());
 }
 
+BOOST_AUTO_TEST_CASE(AnUpstreamThatAnswersLaterDidNotDie)
+{
+  SuspectRegistry registry(agent::SuspectLimits{});
+  for (int number = 1; number <= 3; ++number) {
+    registry.OnNews({ Fingerprint("popular"), Upstream(number), {} }, kStart);
+  }
+  BOOST_TEST(registry.RefusedFor(Fingerprint("popular"), kStart).has_value());
+  // Answers to what was sent before prove nothing.
+  registry.OnAlive(Upstream(1), kStart - 1s);
+  BOOST_TEST(registry.RefusedFor(Fingerprint("popular"), kStart).has_value());
+  registry.OnAlive(Upstream(1), kStart + 1s);
+  registry.OnAlive(Upstream(2), kStart + 1s);
+  BOOST_TEST(!registry.RefusedFor(Fingerprint("popular"), kStart + 1s).has_value());
+  BOOST_TEST(registry.IsSuspect(Fingerprint("popular"), kStart + 1s));
+  registry.OnAlive(Upstream(3), kStart + 1s);
+  BOOST_TEST(!registry.IsSuspect(Fingerprint("popular"), kStart + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatIsServedIsNoSuspect)
+{
+  SuspectRegistry registry(agent::SuspectLimits{});
+  registry.OnNews({ Fingerprint("popular"), Upstream(1), {} }, kStart);
+  registry.OnServed(Fingerprint("popular"));
+  BOOST_TEST(!registry.IsSuspect(Fingerprint("popular"), kStart));
+}
+
 BOOST_AUTO_TEST_CASE(SameUpstreamDyingTwiceCondemnsNobody)
 {
   SuspectRegistry registry(agent::SuspectLimits{});
