--- /dev/null
+++ b/Bench/Workload/ScheduleBound.cpp
@@ -0,0 +1,105 @@
+#include "Bench/Workload/ScheduleBound.h"
+
+#include <algorithm>
+#include <map>
+
+namespace sardinefold::bench {
+
+namespace {
+
+/// One request with the least time of a place that serving it takes.
+struct Load
+{
+  base::Instant m_arrival;
+  double m_worth;
+  double m_placeSeconds;
+};
+
+using ByModel = std::map<base::ModelId, std::vector<ScheduledRequest>>;
+
+/// Requests for one model that a single load could serve together with one of
+/// them.
+std::size_t CountTogether(std::vector<ScheduledRequest> const& aOfModel,
+                          ScheduledRequest const& aRequest)
+{
+  return static_cast<std::size_t>(std::ranges::count_if(aOfModel, [&](auto const& aOther) {
+    return aOther.m_arrival <= aRequest.m_goal && aOther.m_goal >= aRequest.m_arrival;
+  }));
+}
+
+std::vector<Load> ToLoads(ByModel const& aRequests, base::Duration aSwapTime)
+{
+  std::vector<Load> loads;
+  for (auto const& [model, requests] : aRequests) {
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+      auto const& request = requests[index];
+      // Keeping the model since the request before may take less than a load.
+      auto const kept = index == 0 ? aSwapTime : request.m_arrival - requests[index - 1].m_arrival;
+      double const seconds = base::ToSeconds(std::min(aSwapTime, kept)) /
+                             static_cast<double>(CountTogether(requests, request));
+      loads.push_back({ request.m_arrival, request.m_worth, seconds });
+    }
+  }
+  std::ranges::sort(loads, {}, &Load::m_arrival);
+  return loads;
+}
+
+/// The most worth of the loads that fit into the seconds, parts of loads
+/// included.
+double Fill(std::vector<Load> aLoads, double aSeconds)
+{
+  std::ranges::sort(aLoads, [](Load const& aLeft, Load const& aRight) {
+    return aLeft.m_worth * aRight.m_placeSeconds > aRight.m_worth * aLeft.m_placeSeconds;
+  });
+  double worth = 0;
+  for (auto const& load : aLoads) {
+    if (load.m_placeSeconds > aSeconds) {
+      return worth + load.m_worth * aSeconds / load.m_placeSeconds;
+    }
+    aSeconds -= load.m_placeSeconds;
+    worth += load.m_worth;
+  }
+  return worth;
+}
+
+/// The bound with time cut into windows of one length.
+double WorthInWindows(std::vector<Load> const& aLoads, base::Duration aWindow,
+                      base::Duration aSpill, unsigned aPlaces)
+{
+  double worth = 0;
+  for (auto first = aLoads.begin(); first != aLoads.end();) {
+    auto const end = first->m_arrival + aWindow;
+    auto const last = std::find_if(first, aLoads.end(),
+                                   [end](Load const& aLoad) { return aLoad.m_arrival >= end; });
+    // Loads for these requests may begin before the window and end behind it.
+    worth += Fill({ first, last }, aPlaces * base::ToSeconds(aWindow + aSpill));
+    first = last;
+  }
+  return worth;
+}
+
+} // namespace
+
+double LargestWorth(std::vector<ScheduledRequest> aRequests, ScheduledFleet aFleet)
+{
+  if (aRequests.empty()) {
+    return 0;
+  }
+  std::ranges::sort(aRequests, {}, &ScheduledRequest::m_arrival);
+  base::Duration longestGoal{};
+  ByModel byModel;
+  for (auto const& request : aRequests) {
+    longestGoal = std::max(longestGoal, request.m_goal - request.m_arrival);
+    byModel[request.m_model].push_back(request);
+  }
+  auto const loads = ToLoads(byModel, aFleet.m_swapTime);
+  auto const length = loads.back().m_arrival - loads.front().m_arrival + base::Duration(1);
+  auto const spill = longestGoal + aFleet.m_swapTime;
+  double best = WorthInWindows(loads, length, spill, aFleet.m_places);
+  for (base::Duration window = std::chrono::seconds(1); window < length; window *= 2) {
+    best = std::min(best, WorthInWindows(loads, window, spill, aFleet.m_places));
+  }
+  return best;
+}
+
+} // namespace sardinefold::bench
