Loader: Count orders and loads; explain three failed requests by a test

Cause: the loader served no metrics of its own, said nothing when its engine's report was lost, and told gateways so only with its next status; nothing checked that the steps of docs/OPERATIONS.md lead from a request's id to its cause.

Change: LoadMetrics counts orders by answer and times loads by where the weights were; a report lost or regained is one line and is told at once.

--- a/Meta/demo_platform.py
+++ b/Meta/demo_platform.py
@@ -48,7 +48,7 @@
     def __init__(self, folder):
         self.folder = folder
         self.children = {}
-        self.ports = {name: free_port() for name in ("store", "engine", "peer", "front", "ready")}
+        self.ports = {name: free_port() for name in ("store", "engine", "peer", "front", "ready", "metrics")}
 
     def start(self, name, *command):
         log = open(pathlib.Path(self.folder) / f"{name}.log", "w")
@@ -61,10 +61,12 @@
         for number in range(1, ENGINES + 1):
             address = f"127.0.2.{number}"
             path = node_file(self.folder, f"side-{number}", address, ports, f"{address}:{ports['engine']}")
-            self.start(f"side-{number}", BUILD / "sardinefold-loader", f"--node-file={path}")
+            self.start(f"side-{number}", BUILD / "sardinefold-loader", f"--node-file={path}",
+                       f"--metrics-port={ports['metrics']}")
         for name, address in GATEWAYS.items():
             path = node_file(self.folder, name, address, ports)
-            self.start(name, BUILD / "sardinefold-gateway", f"--node-file={path}")
+            self.start(name, BUILD / "sardinefold-gateway", f"--node-file={path}",
+                       f"--metrics-port={ports['metrics']}")
         for address in GATEWAYS.values():
             wait_until(lambda a=address: self.is_ready(a), 10, f"readiness of {address}")
 
--- /dev/null
+++ b/Meta/explain_failures.py
@@ -0,0 +1,132 @@
+#!/usr/bin/env python3
+"""Plays the three failed requests of docs/OPERATIONS.md with real processes and
+follows its steps from a request's id to the cause, in logs and metrics only."""
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+
+from demo_platform import GATEWAYS, Site, call
+
+FAILED = []
+
+
+def check(what, good, seen):
+    print(f"  {'ok ' if good else 'NO '} {what}: {seen}", flush=True)
+    if not good:
+        FAILED.append(what)
+
+
+class Investigation:
+    """What an engineer has: the processes' logs and metrics."""
+
+    def __init__(self, site):
+        self.site = site
+
+    def lines(self, process, message, **fields):
+        found = []
+        for line in (pathlib.Path(self.site.folder) / f"{process}.log").read_text().splitlines():
+            if not line.startswith("{"):
+                continue
+            entry = json.loads(line)
+            context = entry.get("context_map", {})
+            if entry["message"] == message and fields.items() <= context.items():
+                found.append(context)
+        return found
+
+    def last(self, process, message, **fields):
+        end = time.monotonic() + 5
+        while time.monotonic() < end:
+            if found := self.lines(process, message, **fields):
+                return found[-1]
+            time.sleep(0.1)
+        return {}
+
+    def metric(self, address, beginning):
+        text = call(address, self.site.ports["metrics"], "GET", "/metrics")[2]
+        return sum(float(line.rsplit(" ", 1)[1]) for line in text.splitlines() if line.startswith(beginning))
+
+
+def switch(site, address, **faults):
+    status, _, body = call(address, site.ports["engine"], "PUT", "/admin/faults", body=json.dumps(faults))
+    assert status in (200, 204), body
+
+
+def late_rare_model(site, logs):
+    print("a rare model answered late")
+    for number in (1, 2):
+        switch(site, f"127.0.2.{number}", load_ms=1200)
+    status, _, _ = site.ask("/chat/x", "late", Model="rare", **{"Token-Count": "100,10"})
+    end = logs.last("front-1", "request ended", request="late")
+    check("its end says that it waited", status == 200 and int(end["waited_ms"]) > 600, end)
+    wait = logs.last("front-1", "request waits for its model", request="late")
+    check("its wait names the model and when it was expected", wait.get("model") == "rare", wait)
+    swaps = [logs.last(f"side-{number}", "swap planned", load="rare") for number in (1, 2)]
+    swap = next((found for found in swaps if found), {})
+    check("the planner's swap names the loader", swap.get("loader", "").startswith("side-"), swap)
+    order = logs.last(swap["loader"], "order given", operation="load", model="rare")
+    check("the loader's order was taken", order.get("status") == "202", order)
+    check("the wait is counted", logs.metric(GATEWAYS["front-1"], "sardinefold_gateway_model_wait_seconds_count") >= 1, "")
+    loads = sum(logs.metric(f"127.0.2.{number}", "sardinefold_loader_load_seconds_count") for number in (1, 2))
+    check("the load is counted", loads >= 1, loads)
+
+
+def broken_stream(site, logs):
+    print("a stream broken off")
+    for number in (1, 2):
+        switch(site, f"127.0.2.{number}", break_streams=1, event_ms=30)
+    try:
+        site.ask("/once/x", "broken", Model="common", **{"Token-Count": "100,10"})
+    except OSError:
+        pass
+    except Exception as error:  # http.client's own error for a body without an end.
+        check("the caller sees that it is not whole", "IncompleteRead" in type(error).__name__, type(error).__name__)
+    end = logs.last("front-1", "request ended", request="broken")
+    check("its end says so and names the upstream", end.get("outcome") == "stream broken off" and end.get("upstream"), end)
+    attempt = logs.last("front-1", "attempt failed", request="broken")
+    check("its attempt says why", attempt.get("reason") in ("connection closed", "stream ended inside an event"), attempt)
+    sent = logs.last("front-1", "request sent", request="broken")
+    check("its sending says what the choice was based on", "account_age_ms" in sent, sent)
+    count = logs.metric(GATEWAYS["front-1"], "sardinefold_gateway_failed_attempts_total")
+    check("the attempt is counted", count >= 1, count)
+
+
+def refused_within_allowance(site, logs):
+    print("refused within its allowance")
+    for name in ("side-1", "side-2"):
+        site.children[name].send_signal(signal.SIGSTOP)
+    time.sleep(1.0)
+    refused = next((number for number in range(12)
+                    if site.ask("/order/x", f"over-{number}", key="key-2")[0] == 429), None)
+    for name in ("side-1", "side-2"):
+        site.children[name].send_signal(signal.SIGCONT)
+    check("one of twelve is refused", refused is not None, refused)
+    line = logs.last("front-1", "allowance is used up", request=f"over-{refused}")
+    check("the line says that this gateway kept to its share", float(line.get("share", 1)) < 1, line)
+    check("and that its news of the others was old", int(line.get("news_age_ms", 0)) > 300, line.get("news_age_ms"))
+    planner = logs.last("front-1", "planner chosen", planner="")
+    check("it had no planner", planner == {"planner": ""}, planner)
+    count = logs.metric(GATEWAYS["front-1"], 'sardinefold_gateway_requests_total{class="0",outcome="allowance used up"')
+    check("the refusal is counted", count >= 1, count)
+
+
+def main():
+    with tempfile.TemporaryDirectory() as folder:
+        site = Site(folder)
+        try:
+            site.start_all()
+            time.sleep(1.0)
+            logs = Investigation(site)
+            late_rare_model(site, logs)
+            broken_stream(site, logs)
+            refused_within_allowance(site, logs)
+        finally:
+            site.stop()
+    print(f"{len(FAILED)} steps failed")
+    return 1 if FAILED else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -25,6 +25,7 @@
 step lint Meta/lint.py
 step tests ctest --test-dir Build -j 8 --output-on-failure
 step 'demonstration on the platform' python3 Meta/demo_platform.py
+step 'failed requests explained' Meta/explain_failures.py
 step 'faults with real processes' Meta/process_faults.py
 step 'soak: seeds that failed once' Meta/soak.py --regression
 step 'soak: a short run' Meta/soak.py --seeds 1-3 --jobs 3 --seconds 6
--- /dev/null
+++ b/Programs/Loader/LoadMetrics.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "Base/Metrics.h"
+#include "Engine/EngineFacts.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+namespace sardinefold::programs {
+
+/// Counts a loader's orders by what came of them, and the time that loads of
+/// models take by where the weights were.
+class LoadMetrics
+{
+public:
+  explicit LoadMetrics(base::Metrics& aMetrics)
+    : m_metrics(aMetrics)
+  {
+  }
+
+  void OnOrder(engine::EngineOrderRequest const& aOrder, engine::OrderAnswer aAnswer,
+               engine::EngineReport const& aReport, base::Instant aNow)
+  {
+    bool const isLoad = aOrder.m_operation == engine::EngineOrderRequest::Operation::Load;
+    m_metrics
+      .Counter("sardinefold_loader_orders_total", "Orders to the engine by their answer.",
+               { { "operation", isLoad ? "load" : "unload" },
+                 { "of", aOrder.m_adapter ? "adapter" : "model" },
+                 { "answer", ToText(aAnswer) } })
+      .Increment();
+    if (isLoad && !aOrder.m_adapter && aAnswer == engine::OrderAnswer::Accepted) {
+      m_underWay = Load{ aOrder.m_model, TierOf(aOrder.m_model, aReport), aNow };
+    }
+  }
+
+  void OnReport(engine::EngineReport const& aReport, base::Instant aNow)
+  {
+    bool const isThere =
+      m_underWay && std::ranges::any_of(aReport.m_models, [this](auto const& aHeld) {
+        return aHeld.m_model == m_underWay->m_model;
+      });
+    if (isThere) {
+      base::Observe(m_metrics.Seconds("sardinefold_loader_load_seconds",
+                                      "Time from the order to load a model until it is there.",
+                                      { { "from", m_underWay->m_from } }),
+                    aNow - m_underWay->m_since);
+      m_underWay.reset();
+    }
+  }
+
+private:
+  struct Load
+  {
+    base::ModelId m_model;
+    std::string m_from;
+    base::Instant m_since{};
+  };
+
+  static std::string TierOf(base::ModelId const& aModel, engine::EngineReport const& aReport)
+  {
+    if (aReport.m_copies.m_inMemory.contains(aModel)) {
+      return "memory";
+    }
+    return aReport.m_copies.m_onDisk.contains(aModel) ? "disk" : "store";
+  }
+
+  static std::string ToText(engine::OrderAnswer aAnswer)
+  {
+    switch (aAnswer) {
+      case engine::OrderAnswer::Accepted:
+        return "accepted";
+      case engine::OrderAnswer::AlreadyHolds:
+        return "holds already";
+      case engine::OrderAnswer::Conflict:
+        return "conflict";
+      case engine::OrderAnswer::WrongEngine:
+        return "wrong engine";
+      case engine::OrderAnswer::Rejected:
+        return "rejected";
+      case engine::OrderAnswer::Unknown:
+        break;
+    }
+    return "none";
+  }
+
+  base::Metrics& m_metrics;
+  std::optional<Load> m_underWay;
+};
+
+} // namespace sardinefold::programs
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -11,6 +11,7 @@
 #include "Programs/FleetPost.h"
 #include "Programs/Loader/FleetPlanning.h"
 #include "Programs/Loader/GatewayBook.h"
+#include "Programs/Loader/LoadMetrics.h"
 #include "Programs/Loader/StatusStream.h"
 #include "Programs/ServingWire.h"
 #include "Programs/SettingsFollower.h"
@@ -35,6 +36,7 @@
     , m_http(aLoop, {})
     , m_post(aLoop)
     , m_desk({})
+    , m_loads(m_metrics)
     , m_planning(m_profile, m_post)
     , m_toGateways(m_post, m_profile.m_failureDomain)
     , m_toPlanners(m_post, m_profile.m_failureDomain)
@@ -177,20 +179,40 @@
     auto const response =
       co_await m_http.Fetch(std::move(endpoint), std::move(request), kReportTime);
     if (!response || response->m_status != 200) {
-      m_hasReport = false;
+      NoteReport(response ? "status " + std::to_string(response->m_status)
+                          : std::string(ToText(response.error().m_kind)));
       co_return;
     }
     auto report = Wire::DecodeReport(response->m_body);
     if (!report) {
-      base::log::Warning("report is unusable", { { "error", report.error() } });
-      m_hasReport = false;
+      NoteReport(report.error());
       co_return;
     }
-    m_hasReport = true;
+    NoteReport("");
     m_desk.OnReport(std::move(*report), m_loop.Now());
+    m_loads.OnReport(*m_desk.Report(), m_loop.Now());
     SendStatus(false);
   }
 
+  /// Without a report nothing is known of the engine, and gateways are told so.
+  void NoteReport(std::string const& aError)
+  {
+    bool const hasReport = aError.empty();
+    if (hasReport != m_hasReport) {
+      if (hasReport) {
+        base::log::Info("engine reports");
+      } else {
+        base::log::Warning("engine gives no report", { { "error", aError } });
+      }
+    }
+    m_hasReport = hasReport;
+    m_metrics.Gauge("sardinefold_loader_has_report", "Whether the engine's last report was read.")
+      .Set(hasReport ? 1 : 0);
+    if (!hasReport) {
+      SendStatus(false);
+    }
+  }
+
   boost::asio::awaitable<void> GiveOrder()
   {
     if (!CanOrder()) {
@@ -218,6 +240,7 @@
         { "adapter", full.m_adapter ? full.m_adapter->Text() : "" },
         { "expected", std::to_string(full.m_expected.Value()) },
         { "status", response ? std::to_string(response->m_status) : "none" } });
+    m_loads.OnOrder(full, answer, *m_desk.Report(), m_loop.Now());
     m_desk.OnAnswer(full, answer, m_loop.Now());
     SendStatus(false);
   }
@@ -362,6 +385,7 @@
   base::HttpClient m_http;
   FleetPost m_post;
   engine::OrderDesk m_desk;
+  LoadMetrics m_loads;
   FleetPlanning m_planning;
   base::Signal m_wake{ m_loop.Context() };
   GatewayBook m_gateways;
