Loader: Wait out the orders of a loader on another host

Cause: a loader that replaces one on another host took a higher fencing number and ordered at once; an order of the former one may still arrive, and where engines ignore fencing numbers the two then give orders by turns.

Change: when the host's object names another address, the loader gives its first order only after the site's lease time. A restart on the same host waits for nothing, as its orders are the same holder's. The log line names the former address. The new GatewayTest case fails without the change.

--- a/Base/ProcessProfile.h
+++ b/Base/ProcessProfile.h
@@ -22,6 +22,8 @@
   double m_retryRatio = 0.2;
   /// Retries allowed besides, in each window, over all processes.
   double m_retryAllowance = 50;
+  /// Time in which orders of two hosts to one engine count as given by turns.
+  Duration m_lease = std::chrono::seconds(3);
   /// Loads of weights from the store that run at full speed side by side.
   unsigned m_parallelLoads = 4;
 };
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -106,8 +106,10 @@
           m_store.Objects(), m_loop, std::move(write), std::chrono::seconds(5), purpose);
         if (written) {
           m_fence = base::FencingNumber(written->Value());
-          base::log::Info("fencing number taken",
-                          { { "number", std::to_string(m_fence->Value()) } });
+          m_hasPredecessor = before && before->m_value != m_profile.m_address;
+          m_registeredAt = m_loop.Now();
+          base::log::Info("fencing number taken", { { "number", std::to_string(m_fence->Value()) },
+                                                    { "after", before ? before->m_value : "" } });
           co_return;
         }
       }
@@ -245,11 +247,13 @@
     SendStatus(false);
   }
 
-  /// Only while the engine that the list names is the one that reports here.
+  /// Only while the engine that the list names is the one that reports here, and
+  /// no order of a loader on another host before this one can be on its way.
   bool CanOrder() const
   {
     return m_fence && m_instance && m_hasReport && m_desk.Report() &&
-           (m_instance->m_startedAt == m_desk.Report()->m_startedAt);
+           (m_instance->m_startedAt == m_desk.Report()->m_startedAt) &&
+           (!m_hasPredecessor || m_loop.Now() - m_registeredAt >= m_profile.m_bounds.m_lease);
   }
 
   agent::EngineStatus MakeStatus() const
@@ -390,6 +394,9 @@
   base::Signal m_wake{ m_loop.Context() };
   GatewayBook m_gateways;
   std::optional<base::FencingNumber> m_fence;
+  /// The fencing number before was another host's.
+  bool m_hasPredecessor = false;
+  base::Instant m_registeredAt{};
   std::optional<agent::EngineIdentity> m_instance;
   std::optional<base::CatalogVersion> m_catalogVersion;
   base::CatalogVersion m_catalogTold;
--- a/StandIns/Site/SiteStore.cpp
+++ b/StandIns/Site/SiteStore.cpp
@@ -124,7 +124,10 @@
                        : ErrorResponse(404, "not_found", "no such object");
   }
   auto const& expected = (*body)["metadata"]["revision"];
-  if (exists && !expected.isNull() && expected != found->second["metadata"]["revision"]) {
+  // By value: a parsed number has another type than one that was set.
+  bool const isOther = exists && expected.isUInt64() &&
+                       expected.asUInt64() != found->second["metadata"]["revision"].asUInt64();
+  if (isOther) {
     return JsonValueResponse(409, found->second);
   }
   Put(aKind, aName, (*body)["spec"]);
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -100,6 +100,28 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(ALoaderThatReplacesOneOnAnotherHostWaitsOutItsOrders, SiteFixture)
+{
+  for (auto const* const host : { "side-1", "side-2" }) {
+    Json::Value object;
+    object["writeNonce"] = "earlier";
+    object["value"] = "127.0.9.9";
+    m_store.Put("sardinefold-agent", host, object);
+  }
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "r1", "rare");
+    auto const first = co_await Send(std::move(request));
+    BOOST_TEST(first->m_status == 503U);
+    for (auto const& engine : m_engines) {
+      BOOST_TEST(engine->HoldersSeen().empty());
+    }
+    co_await m_loop.Sleep(1'500ms);
+    auto again = ModelRequest("/chat/x", "r2", "rare");
+    auto const second = co_await Send(std::move(again));
+    BOOST_TEST(second->m_status == 200U);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(ABrokenStreamGoesOnElsewhereWithoutALostOrDoubledEvent, SiteFixture)
 {
   for (auto const& engine : m_engines) {
