--- a/Agent/Fleet/NewsParts.cpp
+++ b/Agent/Fleet/NewsParts.cpp
@@ -1,5 +1,6 @@
 #include "Agent/Fleet/NewsParts.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace sardinefold::agent {
--- a/Programs/Entry.cpp
+++ b/Programs/Entry.cpp
@@ -64,5 +64,5 @@
   }
   loop.Start(programs::FollowSignals(loop, program, [&program] { program.ReloadCertificate(); }));
   loop.Run();
-  return EXIT_SUCCESS;
+  programs::EndProgram(EXIT_SUCCESS);
 }
--- a/Programs/Loader/GatewayBook.h
+++ b/Programs/Loader/GatewayBook.h
@@ -50,11 +50,12 @@
   std::vector<agent::CastReceiver> Planners(base::FailureDomainId const& aHome) const
   {
     std::vector<agent::CastReceiver> planners;
-    for (auto const& [host, gateway] : m_gateways) {
+    for (auto const& item : m_gateways) {
+      auto const& planner = item.second.m_planner;
       bool const isKnown = std::ranges::any_of(
-        planners, [&](auto const& aPlanner) { return aPlanner.m_endpoint == gateway.m_planner; });
-      if (gateway.m_planner.m_port != 0 && !isKnown) {
-        planners.push_back({ gateway.m_planner, aHome });
+        planners, [&planner](auto const& aOther) { return aOther.m_endpoint == planner; });
+      if (planner.m_port != 0 && !isKnown) {
+        planners.push_back({ planner, aHome });
       }
     }
     return planners;
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -71,7 +71,7 @@
   }
 
   /// Puts new settings in force, as far as they may change while it runs.
-  void Reload(base::ProcessProfile aProfile)
+  void Reload(base::ProcessProfile const& aProfile)
   {
     ApplyReload(m_profile, aProfile);
     m_store.MoveTo(m_profile.m_objectStore);
--- a/Programs/ProgramEdge.h
+++ b/Programs/ProgramEdge.h
@@ -62,4 +62,14 @@
   return { std::move(*settings), EXIT_SUCCESS };
 }
 
+/// Ends a program whose loop has stopped. Coroutines that are still suspended
+/// refer to parts of the program that would be destroyed before them, so that
+/// nothing is destroyed.
+[[noreturn]] inline void EndProgram(int aExitStatus)
+{
+  std::cout.flush();
+  std::cerr.flush();
+  std::quick_exit(aExitStatus);
+}
+
 } // namespace sardinefold::programs
--- a/Programs/SettingsFollower.h
+++ b/Programs/SettingsFollower.h
@@ -78,7 +78,7 @@
                        { { "error", profile.error() } });
       return;
     }
-    aProgram.Reload(std::move(*profile));
+    aProgram.Reload(*profile);
   }
 
   base::EventLoop& m_loop;
--- a/Tests/SettingsFollowerTest.cpp
+++ b/Tests/SettingsFollowerTest.cpp
@@ -35,7 +35,7 @@
 {
   std::vector<double> m_reloads;
 
-  void Reload(base::ProcessProfile aProfile)
+  void Reload(base::ProcessProfile const& aProfile)
   {
     m_reloads.push_back(aProfile.m_bounds.m_retryAllowance);
   }
--- a/Tests/YardstickTest.cpp
+++ b/Tests/YardstickTest.cpp
@@ -35,6 +35,7 @@
 BOOST_AUTO_TEST_CASE(WithRoomForAllEverythingCanBeEarned)
 {
   std::vector<ScheduledRequest> requests;
+  requests.reserve(20);
   for (int number = 0; number < 20; ++number) {
     requests.push_back(Request("m" + std::to_string(number), seconds(number), seconds(3)));
   }
@@ -46,6 +47,7 @@
   // A hundred models at one moment, one place, a second for each load, one
   // second to the goal: no more than about two loads fit.
   std::vector<ScheduledRequest> requests;
+  requests.reserve(100);
   for (int number = 0; number < 100; ++number) {
     requests.push_back(Request("m" + std::to_string(number), seconds(0), seconds(1)));
   }
@@ -63,6 +65,7 @@
 BOOST_AUTO_TEST_CASE(TheMostWorthGoesFirst)
 {
   std::vector<ScheduledRequest> requests;
+  requests.reserve(51);
   for (int number = 0; number < 50; ++number) {
     requests.push_back(Request("cheap" + std::to_string(number), seconds(0), seconds(0), 0.1));
   }
