Gateway: Log what a removal from the list is taken for, and how long the store was away

An on-call engineer could not tell an upstream kept as lapsed from one whose leaving was not heard: 'upstream unlisted' did not say what it was taken for, and 'store is back' gave the silence after the answer (52 ms) in place of the outage's length. Now the removal carries taken_for, the time since the store's return and the outage's length, 'request sent' says whether its upstream is still listed, and a counter sums removals by reading. No decision is changed.

--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -19,6 +19,19 @@
   return aAbsence == UpstreamAbsence::NoUpstream ? "no upstream" : "model not loaded";
 }
 
+std::string_view ToText(RemovalReading aReading)
+{
+  switch (aReading) {
+    case RemovalReading::Unknown:
+      return "unknown";
+    case RemovalReading::Left:
+      return "left";
+    case RemovalReading::Lapsed:
+      return "lapsed";
+  }
+  return "unknown";
+}
+
 UpstreamDirectory::UpstreamDirectory(DirectoryLimits aLimits, base::FailureDomainId aHome,
                                      std::uint64_t aSeed)
   : m_limits(aLimits)
@@ -42,14 +55,16 @@
   upstream.m_usableUntil.reset();
 }
 
-void UpstreamDirectory::OnRemoved(InstanceId const& aInstance, bool aMayHaveLapsed,
-                                  base::Instant aNow)
+RemovalReading UpstreamDirectory::OnRemoved(InstanceId const& aInstance, bool aMayHaveLapsed,
+                                            base::Instant aNow)
 {
   auto const found = m_upstreams.find(aInstance);
-  if (found != m_upstreams.end() && !found->second.m_usableUntil) {
-    bool const isLapse = aMayHaveLapsed && !found->second.m_entry.m_isLeaving;
-    found->second.m_usableUntil = isLapse ? aNow + m_limits.m_lapse : aNow;
+  if (found == m_upstreams.end() || found->second.m_usableUntil) {
+    return RemovalReading::Unknown;
   }
+  bool const isLapse = aMayHaveLapsed && !found->second.m_entry.m_isLeaving;
+  found->second.m_usableUntil = isLapse ? aNow + m_limits.m_lapse : aNow;
+  return isLapse ? RemovalReading::Lapsed : RemovalReading::Left;
 }
 
 bool UpstreamDirectory::OnAccount(LoaderAccount aAccount, base::Instant aNow)
@@ -138,6 +153,7 @@
   if (aUpstream.m_account) {
     standing.m_accountAge = aNow - aUpstream.m_accountAt;
   }
+  standing.m_isUnlisted = aUpstream.m_usableUntil.has_value();
   return standing;
 }
 
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -52,8 +52,21 @@
   unsigned m_running = 0;
   /// Age of the account by the loader beside it, if there is one.
   std::optional<base::Duration> m_accountAge;
+  /// No longer listed, and kept in use as its entry may have lapsed.
+  bool m_isUnlisted = false;
 };
 
+/// What a removal from the list was taken for.
+enum class RemovalReading
+{
+  /// The upstream was not listed before.
+  Unknown,
+  Left,
+  /// The store did not take its heartbeats; it stays in use for a while.
+  Lapsed
+};
+std::string_view ToText(RemovalReading aReading);
+
 /// The upstream for a request.
 struct UpstreamChoice
 {
@@ -102,7 +115,7 @@
   void OnListed(UpstreamEntry aEntry, base::Instant aNow);
   /// The entry is no longer listed. It may have lapsed for want of a store that
   /// takes heartbeats; else the upstream has left.
-  void OnRemoved(InstanceId const& aInstance, bool aMayHaveLapsed, base::Instant aNow);
+  RemovalReading OnRemoved(InstanceId const& aInstance, bool aMayHaveLapsed, base::Instant aNow);
   /// Returns whether models became available.
   bool OnAccount(LoaderAccount aAccount, base::Instant aNow);
   /// The loader's account with that number still holds. False if another one
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -134,6 +134,7 @@
         { "account_age_ms", standing.m_accountAge
                               ? std::to_string(base::ToMilliseconds(*standing.m_accountAge))
                               : "" },
+        { "listed", standing.m_isUnlisted ? "false" : "true" },
         { "time_left_ms", std::to_string(base::ToMilliseconds(m_context.m_end - Now())) } });
   }
 
--- a/Programs/Gateway/StoreFeed.h
+++ b/Programs/Gateway/StoreFeed.h
@@ -70,14 +70,11 @@
   void Tick(base::Instant aNow)
   {
     constexpr unsigned kNewsInterval = 2;
-    // A watch that ends in time, and the pause after it, take less.
-    auto const silenceLimit =
-      kWatchTime + GatheringTime(m_state.m_profile.m_bounds) + std::chrono::milliseconds(600);
     // What lapsed while the store was away is gone from its first answer; what
     // goes later has left.
     constexpr base::Duration kReturnTime = std::chrono::milliseconds(1000);
-    bool const isAway = m_upstreamWatch.State().HasListed() && ListAge(aNow) > silenceLimit;
-    NoteStore(isAway, ListAge(aNow));
+    bool const isAway = IsAway(aNow);
+    NoteStore(isAway, aNow);
     if (isAway) {
       m_storeAwayUntil = aNow + kReturnTime;
     }
@@ -168,15 +165,23 @@
     m_onCatalog();
   }
 
+  bool IsAway(base::Instant aNow) const
+  {
+    // A watch that ends in time, and the pause after it, take less.
+    auto const silenceLimit =
+      kWatchTime + GatheringTime(m_state.m_profile.m_bounds) + std::chrono::milliseconds(600);
+    return m_upstreamWatch.State().HasListed() && ListAge(aNow) > silenceLimit;
+  }
+
   void OnUpstreams(objectstore::ObjectChanges const& aChanges)
   {
     auto const now = m_state.m_loop.Now();
+    NoteStore(IsAway(now), now);
     bool const mayHaveLapsed = now < m_storeAwayUntil;
     for (auto const& change : aChanges.m_changes) {
       if (auto const* const deleted = std::get_if<objectstore::ObjectDeleted>(&change)) {
         auto const instance = engine::InstanceId::FromValidated(deleted->m_key.m_name.Text());
-        m_state.m_directory.OnRemoved(instance, mayHaveLapsed, now);
-        base::log::Info("upstream unlisted", { { "upstream", instance.Text() } });
+        NoteRemoval(instance, m_state.m_directory.OnRemoved(instance, mayHaveLapsed, now), now);
         continue;
       }
       auto const& object = std::get<objectstore::ObjectPut>(change).m_object;
@@ -195,6 +200,24 @@
     m_state.NotifyAll();
   }
 
+  void NoteRemoval(engine::InstanceId const& aInstance, engine::RemovalReading aReading,
+                   base::Instant aNow)
+  {
+    auto const sinceBack = aNow - m_storeBackAt;
+    base::log::Info(
+      "upstream unlisted",
+      { { "upstream", aInstance.Text() },
+        { "taken_for", std::string(ToText(aReading)) },
+        { "store_back_ms",
+          m_storeBackAt == base::Instant() ? "" : std::to_string(base::ToMilliseconds(sinceBack)) },
+        { "outage_ms", std::to_string(base::ToMilliseconds(m_outage)) } });
+    m_state.m_metrics
+      .Counter("sardinefold_gateway_upstreams_unlisted_total",
+               "Upstreams that went from the list, by what that was taken for.",
+               { { "taken_for", std::string(ToText(aReading)) } })
+      .Increment();
+  }
+
   void TakeNews(agent::StoreNews const& aNews, base::Instant aNow)
   {
     m_duty.OnNews(aNews.m_host, aNews.m_listAge, aNews.m_catalogAge, aNow);
@@ -240,18 +263,23 @@
     }
   }
 
-  void NoteStore(bool aIsAway, base::Duration aSilence)
+  /// Tells when the store falls silent and when it answers again, and for how
+  /// long it had been silent.
+  void NoteStore(bool aIsAway, base::Instant aNow)
   {
-    if (aIsAway == m_isStoreAway) {
-      return;
+    auto const heard = m_upstreamWatch.State().LastHeard();
+    if (aIsAway && !m_isStoreAway) {
+      m_lostSince = heard;
+      base::log::Warning("store is lost",
+                         { { "silent_ms", std::to_string(base::ToMilliseconds(aNow - heard)) } });
     }
-    m_isStoreAway = aIsAway;
-    base::LogField const silence{ "silent_ms", std::to_string(base::ToMilliseconds(aSilence)) };
-    if (aIsAway) {
-      base::log::Warning("store is lost", { silence });
-    } else {
-      base::log::Info("store is back", { silence });
+    if (!aIsAway && m_isStoreAway) {
+      m_storeBackAt = heard;
+      m_outage = heard - m_lostSince;
+      base::log::Info("store is back",
+                      { { "silent_ms", std::to_string(base::ToMilliseconds(m_outage)) } });
     }
+    m_isStoreAway = aIsAway;
   }
 
   GatewayState& m_state;
@@ -264,6 +292,10 @@
   /// Version of the list up to which followers were told.
   base::ObjectVersion m_toldFollowers;
   base::Instant m_storeAwayUntil{};
+  /// Before the last outage that was noticed, its end and its length.
+  base::Instant m_lostSince{};
+  base::Instant m_storeBackAt{};
+  base::Duration m_outage{};
   bool m_isStoreAway = false;
   unsigned m_ticks = 0;
 };
