--- /dev/null
+++ b/StandIns/Site/EndlessServer.cpp
@@ -0,0 +1,142 @@
+#include "StandIns/Site/EndlessServer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace sardinefold::standins {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kMostRequestBytes = 64UL * 1024;
+
+std::string AsChunk(std::string const& aData)
+{
+  std::array<char, 2 * sizeof(std::size_t)> digits{};
+  auto const end =
+    std::to_chars(digits.data(), digits.data() + digits.size(), aData.size(), 16).ptr;
+  return std::string(digits.data(), end) + "\r\n" + aData + "\r\n";
+}
+
+/// The line of the request's head with its id.
+std::string IdLine(std::string const& aRequest)
+{
+  constexpr std::string_view kName = "Request-Id:";
+  auto const start = aRequest.find(kName);
+  if (start == std::string::npos) {
+    return "";
+  }
+  return aRequest.substr(start, aRequest.find("\r\n", start) + 2 - start);
+}
+
+} // namespace
+
+EndlessServer::EndlessServer(base::EventLoop& aLoop, EndlessAnswer aAnswer)
+  : m_loop(aLoop)
+  , m_answer(std::move(aAnswer))
+  , m_acceptor(aLoop.Context())
+{
+}
+
+tl::expected<void, std::string> EndlessServer::Listen(base::Endpoint const& aAddress)
+{
+  boost::system::error_code error;
+  asio::ip::tcp::endpoint const endpoint(asio::ip::make_address(aAddress.m_address, error),
+                                         aAddress.m_port);
+  m_acceptor.open(asio::ip::tcp::v4(), error);
+  m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  m_acceptor.bind(endpoint, error);
+  if (!error) {
+    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return tl::make_unexpected(aAddress.Text() + ": " + error.message());
+  }
+  m_loop.Start(Accept());
+  return {};
+}
+
+asio::awaitable<void> EndlessServer::Accept()
+{
+  while (true) {
+    auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
+    if (error) {
+      co_return;
+    }
+    m_loop.Start(Answer(std::move(socket)));
+  }
+}
+
+std::string EndlessServer::Head(std::string const& aRequest) const
+{
+  auto const status = "HTTP/1.1 " + std::to_string(m_answer.m_status) + " X\r\n" + IdLine(aRequest);
+  switch (m_answer.m_part) {
+    case EndlessPart::InterimResponses:
+      return "";
+    case EndlessPart::Head:
+      return status;
+    case EndlessPart::UnframedBody:
+      return status + m_answer.m_fields + "Connection: close\r\n\r\n";
+    case EndlessPart::OtherAnswer:
+      return "HTTP/1.1 200 X\r\nRequest-Id: another\r\nTransfer-Encoding: chunked\r\n\r\n";
+    case EndlessPart::ChunkExtension:
+      return status + m_answer.m_fields + "Transfer-Encoding: chunked\r\n\r\n1;extension=";
+    case EndlessPart::Trailer:
+      return status + m_answer.m_fields + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+    default:
+      return status + m_answer.m_fields + "Transfer-Encoding: chunked\r\n\r\n";
+  }
+}
+
+std::string EndlessServer::Piece() const
+{
+  std::string const filling(m_answer.m_pieceBytes, 'x');
+  switch (m_answer.m_part) {
+    case EndlessPart::InterimResponses:
+      return "HTTP/1.1 102 Processing\r\n\r\n";
+    case EndlessPart::Head:
+    case EndlessPart::Trailer:
+      return "Field: " + filling + "\r\n";
+    case EndlessPart::ChunkedBody:
+    case EndlessPart::OtherAnswer:
+    case EndlessPart::Event:
+      return AsChunk(filling);
+    default:
+      return filling;
+  }
+}
+
+asio::awaitable<void> EndlessServer::Answer(asio::ip::tcp::socket aSocket)
+{
+  std::string request;
+  auto const [readError, size] = co_await asio::async_read_until(
+    aSocket, asio::dynamic_buffer(request, kMostRequestBytes), "\r\n\r\n", kAwait);
+  if (readError) {
+    co_return;
+  }
+  ++m_requests;
+  ++m_open;
+  auto text = Head(request);
+  auto const piece = Piece();
+  boost::system::error_code error;
+  while (!error) {
+    auto const [writeError, written] =
+      co_await asio::async_write(aSocket, asio::buffer(text), kAwait);
+    error = writeError;
+    m_bytesWritten += written;
+    text = piece;
+    if (m_answer.m_pause > base::Duration::zero()) {
+      co_await m_loop.Sleep(m_answer.m_pause);
+    }
+  }
+  --m_open;
+}
+
+} // namespace sardinefold::standins
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -45,6 +45,8 @@
   m_front.Faults().AddCount("lose_orders", m_loseOrders);
   m_front.Faults().AddCount("truncate_answers", m_truncate);
   m_front.Faults().AddFlag("leaving", m_isLeaving);
+  m_front.Faults().AddFlag("unlisted", m_isUnlisted);
+  m_front.Faults().AddFlag("torn_entry", m_hasTornEntry);
   m_front.Faults().AddAction("restart", [this] { Restart(); });
   m_front.Faults().AddMilliseconds("event_ms", m_settings.m_eventTime);
   m_front.Faults().AddMilliseconds("load_ms", m_settings.m_loadTime);
@@ -99,6 +101,9 @@
   entry["version"] = "v1";
   entry["slots"] = m_settings.m_slots;
   entry["state"] = m_isLeaving ? "draining" : "ready";
+  if (m_hasTornEntry) {
+    entry["state"] = 17;
+  }
   entry["born"] = Json::Int64(m_settings.m_startedAt);
   if (m_settings.m_hasModels) {
     entry["models"] = Models();
@@ -109,7 +114,11 @@
 asio::awaitable<void> SiteEngine::Heartbeat()
 {
   while (true) {
-    m_store.Put("servers", m_settings.m_instance, Describe());
+    if (m_isUnlisted) {
+      m_store.Remove("servers", m_settings.m_instance);
+    } else {
+      m_store.Put("servers", m_settings.m_instance, Describe());
+    }
     co_await m_loop.Sleep(kHeartbeat);
   }
 }
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -87,6 +87,9 @@
   bool m_isBusy = false;
   bool m_isOverfull = false;
   bool m_isLeaving = false;
+  /// Faults: the engine has no entry in the list, or one that cannot be read.
+  bool m_isUnlisted = false;
+  bool m_hasTornEntry = false;
   std::uint64_t m_orders = 0;
   unsigned m_running = 0;
   /// Streams and loads of earlier starts end without a word.
--- /dev/null
+++ b/Tests/EndlessAnswerTest.cpp
@@ -0,0 +1,177 @@
+#define BOOST_TEST_MODULE EndlessAnswer
+#include "StandIns/Site/EndlessServer.h"
+#include "Tests/Support/SiteFixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+
+using namespace sardinefold;
+using standins::EndlessAnswer;
+using standins::EndlessPart;
+using tests::SiteFixture;
+using namespace std::chrono_literals;
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr int kCallers = 8;
+/// Of the route to the plain service.
+constexpr base::Duration kRouteTime = 1'500ms;
+constexpr base::Duration kSlack = 500ms;
+/// Some answers at once, and what their connections buffer.
+constexpr long kMostGrowthKilobytes = 96 * 1024;
+
+long ResidentKilobytes()
+{
+  std::ifstream status("/proc/self/status");
+  std::string word;
+  long kilobytes = 0;
+  while (status >> word) {
+    if (word == "VmRSS:") {
+      status >> kilobytes;
+      break;
+    }
+  }
+  return kilobytes;
+}
+
+struct Case
+{
+  char const* m_name;
+  EndlessAnswer m_answer;
+};
+
+std::ostream& operator<<(std::ostream& aStream, Case const& aCase)
+{
+  return aStream << aCase.m_name;
+}
+
+std::string const kNotRun = "Not-Executed: 1\r\n";
+std::string const kSigned = "Server-Seal: 1.2.3\r\n";
+
+std::vector<Case> const kCases = {
+  { "interim responses", { EndlessPart::InterimResponses, 200, "" } },
+  { "a head", { EndlessPart::Head, 200, "" } },
+  { "a head that drips", { EndlessPart::Head, 200, "", 20ms, 1 } },
+  { "the body of a refusal", { EndlessPart::ChunkedBody, 503, kNotRun } },
+  { "the dripping body of a refusal", { EndlessPart::ChunkedBody, 503, kNotRun, 50ms, 1 } },
+  { "the body of a failure", { EndlessPart::ChunkedBody, 500, "" } },
+  { "the dripping body of a failure", { EndlessPart::ChunkedBody, 500, "", 50ms, 1 } },
+  { "the body of a rejection", { EndlessPart::ChunkedBody, 404, "" } },
+  { "the body of a success", { EndlessPart::ChunkedBody, 200, kSigned } },
+  { "an unframed body", { EndlessPart::UnframedBody, 500, "" } },
+  { "a chunk extension", { EndlessPart::ChunkExtension, 500, "" } },
+  { "a trailer", { EndlessPart::Trailer, 500, "" } },
+  { "the body of another answer", { EndlessPart::OtherAnswer, 200, "" } },
+};
+
+class EndlessFixture : public SiteFixture
+{
+public:
+  /// Lists a second upstream of the given deployment that answers without end.
+  void Start(EndlessAnswer aAnswer, char const* aDeployment, char const* aModel = nullptr)
+  {
+    m_endless = std::make_unique<standins::EndlessServer>(m_loop, std::move(aAnswer));
+    base::Endpoint const address{ "127.0.3.1", Callers().m_port };
+    BOOST_REQUIRE(m_endless->Listen(address).has_value());
+    Json::Value entry;
+    entry["service"] = aDeployment;
+    entry["address"] = address.Text();
+    entry["zone"] = "a";
+    entry["slots"] = 8;
+    entry["state"] = "ready";
+    entry["born"] = 1;
+    if (aModel) {
+      entry["models"][0]["name"] = aModel;
+      entry["models"][0]["adapters"] = Json::Value(Json::arrayValue);
+    }
+    m_store.Put("servers", "i-endless", entry);
+  }
+
+  /// Sends a request and notes its status and how long it took.
+  awaitable<void> Ask(base::HttpRequest aRequest, unsigned& aStatus, base::Duration& aTime)
+  {
+    auto const start = m_loop.Now();
+    auto const answer = co_await Send(std::move(aRequest), 8s);
+    aStatus = answer ? answer->m_status : 0;
+    aTime = m_loop.Now() - start;
+    ++m_answered;
+  }
+
+  awaitable<void> WaitForAnswers(int aCount)
+  {
+    for (int waits = 0; waits < 900 && m_answered < aCount; ++waits) {
+      co_await m_loop.Sleep(10ms);
+    }
+  }
+
+  std::unique_ptr<standins::EndlessServer> m_endless;
+  int m_answered = 0;
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE_F(EndlessFixture, AnAnswerWithoutEndEndsInTimeAndInBoundedMemory,
+                       boost::unit_test::data::make(kCases), aCase)
+{
+  Start(aCase.m_answer, "desk");
+  Run([&]() -> awaitable<void> {
+    auto const before = ResidentKilobytes();
+    std::array<unsigned, kCallers> statuses{};
+    std::array<base::Duration, kCallers> times{};
+    for (int caller = 0; caller < kCallers; ++caller) {
+      auto request = Request("POST", "/order/x", "r" + std::to_string(caller));
+      m_loop.Start(Ask(std::move(request), statuses.at(caller), times.at(caller)));
+    }
+    unsigned streamStatus = 0;
+    base::Duration streamTime{};
+    auto stream = ModelRequest("/chat/x", "other", "common");
+    m_loop.Start(Ask(std::move(stream), streamStatus, streamTime));
+    co_await WaitForAnswers(kCallers + 1);
+    BOOST_TEST(m_endless->Requests() > 0U);
+    for (int caller = 0; caller < kCallers; ++caller) {
+      auto const status = statuses.at(caller);
+      BOOST_TEST((status == 200U || status == 502U || status == 503U || status == 504U), status);
+      BOOST_TEST((times.at(caller) < kRouteTime + kSlack), base::ToMilliseconds(times.at(caller))
+                                                             << " ms");
+    }
+    BOOST_TEST(streamStatus == 200U);
+    BOOST_TEST((streamTime < 1s), base::ToMilliseconds(streamTime) << " ms");
+    BOOST_TEST(ResidentKilobytes() - before < kMostGrowthKilobytes);
+    co_await m_loop.Sleep(100ms);
+    BOOST_TEST(m_endless->Open() == 0U);
+    // The other upstream is left, so that the callers' next requests succeed.
+    auto const requests = m_endless->Requests();
+    auto next = Request("POST", "/order/x", "next");
+    auto const answer = co_await Send(std::move(next));
+    BOOST_TEST((answer && answer->m_status == 200U));
+    BOOST_TEST(m_endless->Requests() == requests);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEventWithoutEndEndsItsStreamInBoundedMemory, EndlessFixture)
+{
+  Start({ EndlessPart::Event, 200, kSigned + "Content-Type: text/event-stream\r\n" }, "llm",
+        "common");
+  Run([&]() -> awaitable<void> {
+    auto const before = ResidentKilobytes();
+    std::array<unsigned, kCallers> statuses{};
+    std::array<base::Duration, kCallers> times{};
+    for (int caller = 0; caller < kCallers; ++caller) {
+      auto request = ModelRequest("/chat/x", "r" + std::to_string(caller), "common");
+      m_loop.Start(Ask(std::move(request), statuses.at(caller), times.at(caller)));
+    }
+    co_await WaitForAnswers(kCallers);
+    BOOST_TEST(m_endless->Requests() > 0U);
+    for (int caller = 0; caller < kCallers; ++caller) {
+      // A stream that may resume goes on elsewhere.
+      BOOST_TEST(statuses.at(caller) == 200U);
+      BOOST_TEST((times.at(caller) < 2s), base::ToMilliseconds(times.at(caller)) << " ms");
+    }
+    BOOST_TEST(ResidentKilobytes() - before < kMostGrowthKilobytes);
+    BOOST_TEST(m_endless->Open() == 0U);
+  });
+}
