Gateway: Take no leaving for a lapse while the store serves others

Callers' requests reached engines up to 3,410 ms after the store had their leaving (bound 2,000 ms).

Cause: entries of live upstreams lapse while the store is away, so a removal soon after an outage keeps the upstream in use. A gateway took its own silence for that outage. The store that turns one gateway away goes on taking everybody's heartbeats, and what it removes then has left. Class of fault: a process takes that it hears nothing for what is true of the fleet.

Ruled out: late news, as the other gateways heard at the same moment.

Change: gateways tell the planner how long the store has not answered them, and the planner tells each one the least of the others. OutageRecord counts an outage only while the store answered nobody. Where others' word is missing, the list tells: a store that kept most entries has taken heartbeats. What lapsed stays in use for two seconds from the outage's end, no longer from each removal.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -205,6 +205,7 @@
   report.m_isComplete = Member(aParams, "complete").asBool();
   report.m_granted = ToGrants(Member(aParams, "granted"));
   report.m_deaths = ToDeaths(aParams);
+  report.m_storeAge = Milliseconds(Member(aParams, "store_age_ms"));
   return report;
 }
 
@@ -216,7 +217,11 @@
                           ToGrants(Member(aParams, "granted")),
                           ToOutlooks(Member(aParams, "outlooks")),
                           ToDeaths(aParams),
-                          {} };
+                          {},
+                          std::nullopt };
+  if (aParams.isMember("store_age_ms")) {
+    summary.m_storeAge = Milliseconds(aParams["store_age_ms"]);
+  }
   auto const& neighbours = Member(aParams, "neighbours");
   if (!neighbours.isObject()) {
     throw FieldError{ "neighbours are expected" };
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -163,6 +163,7 @@
     }
     params["complete"] = aReport.m_isComplete;
     params["granted"] = FromGrants(aReport.m_granted);
+    params["store_age_ms"] = FromMilliseconds(aReport.m_storeAge);
     if (!aReport.m_deaths.empty()) {
       params["deaths"] = FromDeaths(aReport.m_deaths);
     }
@@ -182,6 +183,9 @@
     if (!aSummary.m_deaths.empty()) {
       params["deaths"] = FromDeaths(aSummary.m_deaths);
     }
+    if (aSummary.m_storeAge) {
+      params["store_age_ms"] = FromMilliseconds(*aSummary.m_storeAge);
+    }
     params["neighbours"] = Json::Value(Json::objectValue);
     for (auto const& [host, endpoint] : aSummary.m_neighbours) {
       params["neighbours"][host.Text()] = endpoint.Text();
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -111,6 +111,8 @@
   entry::GrantedTokens m_granted;
   /// Requests that were in flight here as their upstream broke off, of late.
   std::vector<SuspectNews> m_deaths;
+  /// Time since the object store last answered the gateway.
+  base::Duration m_storeAge{};
 };
 
 /// Expected time until models that a gateway's requests wait for are ready.
@@ -132,6 +134,8 @@
   /// Gateways of the receiver's failure domain that report to this planner, the
   /// receiver included, by name.
   std::map<base::HostId, base::Endpoint> m_neighbours;
+  /// Time since the object store last answered any other gateway.
+  std::optional<base::Duration> m_storeAge;
 };
 
 /// From a gateway that watches the object store to others of its failure
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -55,18 +55,36 @@
   upstream.m_usableUntil.reset();
 }
 
-RemovalReading UpstreamDirectory::OnRemoved(InstanceId const& aInstance, bool aMayHaveLapsed,
+RemovalReading UpstreamDirectory::OnRemoved(InstanceId const& aInstance,
+                                            std::optional<base::Instant> aLapseEnd,
                                             base::Instant aNow)
 {
   auto const found = m_upstreams.find(aInstance);
   if (found == m_upstreams.end() || found->second.m_usableUntil) {
     return RemovalReading::Unknown;
   }
-  bool const isLapse = aMayHaveLapsed && !found->second.m_entry.m_isLeaving;
-  found->second.m_usableUntil = isLapse ? aNow + m_limits.m_lapse : aNow;
+  bool const isLapse = aLapseEnd && !found->second.m_entry.m_isLeaving;
+  found->second.m_usableUntil = isLapse ? *aLapseEnd : aNow;
   return isLapse ? RemovalReading::Lapsed : RemovalReading::Left;
 }
 
+bool UpstreamDirectory::IsListed(Upstream const& aUpstream)
+{
+  return !aUpstream.m_usableUntil && !aUpstream.m_entry.m_isLeaving;
+}
+
+bool UpstreamDirectory::IsListed(InstanceId const& aInstance) const
+{
+  auto const found = m_upstreams.find(aInstance);
+  return found != m_upstreams.end() && IsListed(found->second);
+}
+
+std::size_t UpstreamDirectory::CountListed() const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(m_upstreams, [](auto const& aItem) { return IsListed(aItem.second); }));
+}
+
 bool UpstreamDirectory::OnAccount(LoaderAccount aAccount, base::Instant aNow)
 {
   bool hasNews = false;
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -15,9 +15,6 @@
 
 struct DirectoryLimits
 {
-  /// Entries that lapsed while the list's store was away are back within two
-  /// seconds of its return, so upstreams stay in use for this long.
-  base::Duration m_lapse = std::chrono::milliseconds(2200);
   /// How long a loader's account of its engine counts.
   base::Duration m_statusAge = std::chrono::milliseconds(2500);
   /// First pause after failures; doubles with each further one.
@@ -114,8 +111,10 @@
   /// An entry was listed or has changed.
   void OnListed(UpstreamEntry aEntry, base::Instant aNow);
   /// The entry is no longer listed. It may have lapsed for want of a store that
-  /// takes heartbeats; else the upstream has left.
-  RemovalReading OnRemoved(InstanceId const& aInstance, bool aMayHaveLapsed, base::Instant aNow);
+  /// takes heartbeats, and the upstream stays in use until the given time; else
+  /// it has left.
+  RemovalReading OnRemoved(InstanceId const& aInstance, std::optional<base::Instant> aLapseEnd,
+                           base::Instant aNow);
   /// Returns whether models became available.
   bool OnAccount(LoaderAccount aAccount, base::Instant aNow);
   /// The loader's account with that number still holds. False if another one
@@ -148,6 +147,9 @@
   /// The listed upstreams, for those who talk to the loaders beside them.
   std::vector<UpstreamEntry> Entries() const;
   std::size_t Size() const { return m_upstreams.size(); }
+  /// Whether the upstream is listed and not known to be leaving.
+  bool IsListed(InstanceId const& aInstance) const;
+  std::size_t CountListed() const;
   bool HasUpstreamOf(base::DeploymentId const& aDeployment) const;
 
 private:
@@ -169,6 +171,7 @@
     std::map<base::ModelId, base::Instant> m_missing;
   };
 
+  static bool IsListed(Upstream const& aUpstream);
   bool IsUsable(Upstream const& aUpstream, base::Instant aNow) const;
   HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
                              base::Instant aNow) const;
--- /dev/null
+++ b/Entry/Relay/OutageRecord.cpp
@@ -0,0 +1,28 @@
+#include "Entry/Relay/OutageRecord.h"
+
+namespace sardinefold::entry {
+
+void OutageRecord::OnAnswered(base::Instant aAt)
+{
+  if (aAt <= m_lastAnswer) {
+    return;
+  }
+  auto const silence = aAt - m_lastAnswer;
+  if (m_lastAnswer != base::Instant() && silence > m_limits.m_shortest) {
+    m_end = aAt;
+    m_length = silence;
+  }
+  m_lastAnswer = aAt;
+}
+
+std::optional<base::Instant> OutageRecord::LapseEnd(ListLosses const& aLosses,
+                                                    base::Instant aNow) const
+{
+  // While the others' answers are unknown here, the list itself tells: a store
+  // that kept most entries has taken heartbeats.
+  bool const mayHaveLapsed =
+    m_end && aNow - *m_end < m_limits.m_returnTime && aLosses.m_missing > aLosses.m_kept;
+  return mayHaveLapsed ? std::optional(*m_end + m_limits.m_lapse) : std::nullopt;
+}
+
+} // namespace sardinefold::entry
--- a/Programs/Gateway/FleetLink.h
+++ b/Programs/Gateway/FleetLink.h
@@ -48,8 +48,8 @@
 
   base::Duration PlannerAge(base::Instant aNow) const { return aNow - m_summaryAt; }
 
-  /// To be called ten times a second.
-  void Report(base::Instant aNow)
+  /// To be called ten times a second. The store last answered so long ago.
+  void Report(base::Duration aStoreAge, base::Instant aNow)
   {
     constexpr unsigned kPresenceEvery = 10;
     auto const planner = m_planner.Planner(aNow);
@@ -62,7 +62,7 @@
     m_mustTellAll = false;
     SendPresence(isForAll);
     if (planner) {
-      SendReport(*planner, isNewPlanner, aNow);
+      SendReport(*planner, isNewPlanner, aStoreAge, aNow);
     }
   }
 
@@ -70,7 +70,8 @@
   using Engines = std::map<base::Endpoint, agent::EngineIdentity>;
 
   /// Names all demand once a second, and in between what has changed.
-  void SendReport(base::Endpoint const& aPlanner, bool aIsFirst, base::Instant aNow)
+  void SendReport(base::Endpoint const& aPlanner, bool aIsFirst, base::Duration aStoreAge,
+                  base::Instant aNow)
   {
     constexpr unsigned kCompleteEvery = 10;
     bool const isComplete = m_ticks % kCompleteEvery == 0 || aIsFirst;
@@ -80,7 +81,8 @@
                                  isComplete,
                                  {},
                                  m_state.m_allowance.Granted(),
-                                 m_state.TakeDeaths(aNow) };
+                                 m_state.TakeDeaths(aNow),
+                                 aStoreAge };
     std::map<base::ModelId, unsigned> waiting;
     for (auto& demand : m_state.m_demand.Summary(aNow)) {
       if (demand.m_waiting > 0) {
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -163,6 +163,9 @@
     if (!aSummary.m_neighbours.empty()) {
       m_store.OnNeighbours(aSummary.m_neighbours, aNow);
     }
+    if (aSummary.m_storeAge) {
+      m_store.OnAnsweredElsewhere(aNow - *aSummary.m_storeAge);
+    }
     OnOutlooks(aSummary.m_outlooks, aNow);
     for (auto const& death : aSummary.m_deaths) {
       if (m_state.m_suspects.OnNews(death, aNow)) {
@@ -200,7 +203,7 @@
       m_store.Tick(now);
       m_state.m_directory.Expire(now);
       m_state.m_suspects.Forget(now);
-      m_fleet.Report(now);
+      m_fleet.Report(m_store.Age(now), now);
       co_await m_loop.Sleep(kInterval);
     }
   }
--- a/Programs/Gateway/StoreFeed.h
+++ b/Programs/Gateway/StoreFeed.h
@@ -3,6 +3,7 @@
 #include "Agent/Fleet/NewsParts.h"
 #include "Base/Digest.h"
 #include "Base/Log.h"
+#include "Entry/Relay/OutageRecord.h"
 #include "Entry/Relay/WatchDuty.h"
 #include "ObjectStore/WatchSession.h"
 #include "Programs/Gateway/GatewayState.h"
@@ -33,6 +34,7 @@
                       objectstore::CallPurpose::Membership,
                       WatchingUpstreams(aState.m_profile.m_bounds), base::RandomNumber())
     , m_duty(DutyLimits(aState.m_profile.m_bounds), aState.m_profile.m_host)
+    , m_outages(OutagesWith(aState.m_profile.m_bounds))
   {
   }
 
@@ -66,24 +68,22 @@
     }
   }
 
+  /// The store answered another gateway at that time.
+  void OnAnsweredElsewhere(base::Instant aAt) { m_outages.OnAnswered(aAt); }
+
   /// To be called ten times a second.
   void Tick(base::Instant aNow)
   {
     constexpr unsigned kNewsInterval = 2;
-    // What lapsed while the store was away is gone from its first answer; what
-    // goes later has left.
-    constexpr base::Duration kReturnTime = std::chrono::milliseconds(1000);
-    bool const isAway = IsAway(aNow);
-    NoteStore(isAway, aNow);
-    if (isAway) {
-      m_storeAwayUntil = aNow + kReturnTime;
-    }
+    NoteStore(aNow);
     if (m_ticks++ % kNewsInterval == 0) {
       TellFollowers({ m_upstreamWatch.State().Version(), {} });
     }
   }
 
   /// Time since the store last answered, here or to a neighbour.
+  base::Duration Age(base::Instant aNow) const { return std::min(ListAge(aNow), CatalogAge(aNow)); }
+  /// The same, about the list of upstreams.
   base::Duration ListAge(base::Instant aNow) const
   {
     return aNow - m_upstreamWatch.State().LastHeard();
@@ -108,6 +108,19 @@
     return std::max<base::Duration>(aBounds.m_drain - kDrainReserve, base::Duration::zero());
   }
 
+  /// A watch that ends in time, and the pause after it, take less.
+  static base::Duration SilenceLimit(base::SiteBounds const& aBounds)
+  {
+    return kWatchTime + GatheringTime(aBounds) + std::chrono::milliseconds(600);
+  }
+
+  static entry::OutageLimits OutagesWith(base::SiteBounds const& aBounds)
+  {
+    entry::OutageLimits limits;
+    limits.m_shortest = SilenceLimit(aBounds);
+    return limits;
+  }
+
   static objectstore::WatchLimits WatchingUpstreams(base::SiteBounds const& aBounds)
   {
     auto limits = Watching();
@@ -165,23 +178,15 @@
     m_onCatalog();
   }
 
-  bool IsAway(base::Instant aNow) const
-  {
-    // A watch that ends in time, and the pause after it, take less.
-    auto const silenceLimit =
-      kWatchTime + GatheringTime(m_state.m_profile.m_bounds) + std::chrono::milliseconds(600);
-    return m_upstreamWatch.State().HasListed() && ListAge(aNow) > silenceLimit;
-  }
-
   void OnUpstreams(objectstore::ObjectChanges const& aChanges)
   {
     auto const now = m_state.m_loop.Now();
-    NoteStore(IsAway(now), now);
-    bool const mayHaveLapsed = now < m_storeAwayUntil;
+    NoteStore(now);
+    auto const lapseEnd = m_outages.LapseEnd(LossesOf(aChanges), now);
     for (auto const& change : aChanges.m_changes) {
       if (auto const* const deleted = std::get_if<objectstore::ObjectDeleted>(&change)) {
         auto const instance = engine::InstanceId::FromValidated(deleted->m_key.m_name.Text());
-        NoteRemoval(instance, m_state.m_directory.OnRemoved(instance, mayHaveLapsed, now), now);
+        NoteRemoval(instance, m_state.m_directory.OnRemoved(instance, lapseEnd, now));
         continue;
       }
       auto const& object = std::get<objectstore::ObjectPut>(change).m_object;
@@ -200,17 +205,28 @@
     m_state.NotifyAll();
   }
 
-  void NoteRemoval(engine::InstanceId const& aInstance, engine::RemovalReading aReading,
-                   base::Instant aNow)
+  entry::ListLosses LossesOf(objectstore::ObjectChanges const& aChanges) const
+  {
+    entry::ListLosses losses;
+    for (auto const& change : aChanges.m_changes) {
+      auto const* const deleted = std::get_if<objectstore::ObjectDeleted>(&change);
+      bool const isMissing =
+        deleted && m_state.m_directory.IsListed(
+                     engine::InstanceId::FromValidated(deleted->m_key.m_name.Text()));
+      losses.m_missing += isMissing ? 1 : 0;
+    }
+    losses.m_kept = m_state.m_directory.CountListed() - losses.m_missing;
+    return losses;
+  }
+
+  void NoteRemoval(engine::InstanceId const& aInstance, engine::RemovalReading aReading)
   {
-    auto const sinceBack = aNow - m_storeBackAt;
     base::log::Info(
       "upstream unlisted",
       { { "upstream", aInstance.Text() },
         { "taken_for", std::string(ToText(aReading)) },
-        { "store_back_ms",
-          m_storeBackAt == base::Instant() ? "" : std::to_string(base::ToMilliseconds(sinceBack)) },
-        { "outage_ms", std::to_string(base::ToMilliseconds(m_outage)) } });
+        { "outage_ms", std::to_string(base::ToMilliseconds(m_silence)) },
+        { "outage_for_all_ms", std::to_string(base::ToMilliseconds(m_outages.Length())) } });
     m_state.m_metrics
       .Counter("sardinefold_gateway_upstreams_unlisted_total",
                "Upstreams that went from the list, by what that was taken for.",
@@ -265,21 +281,27 @@
 
   /// Tells when the store falls silent and when it answers again, and for how
   /// long it had been silent.
-  void NoteStore(bool aIsAway, base::Instant aNow)
+  void NoteStore(base::Instant aNow)
   {
     auto const heard = m_upstreamWatch.State().LastHeard();
-    if (aIsAway && !m_isStoreAway) {
+    m_outages.OnAnswered(std::max(heard, m_catalogWatch.State().LastHeard()));
+    bool const isAway = m_upstreamWatch.State().HasListed() &&
+                        aNow - heard > SilenceLimit(m_state.m_profile.m_bounds);
+    if (isAway && !m_isStoreAway) {
       m_lostSince = heard;
-      base::log::Warning("store is lost",
-                         { { "silent_ms", std::to_string(base::ToMilliseconds(aNow - heard)) } });
+      base::log::Warning(
+        "store is lost",
+        { { "silent_ms", std::to_string(base::ToMilliseconds(aNow - heard)) },
+          { "silent_to_all_ms", std::to_string(base::ToMilliseconds(m_outages.Silence(aNow))) } });
     }
-    if (!aIsAway && m_isStoreAway) {
-      m_storeBackAt = heard;
-      m_outage = heard - m_lostSince;
-      base::log::Info("store is back",
-                      { { "silent_ms", std::to_string(base::ToMilliseconds(m_outage)) } });
+    if (!isAway && m_isStoreAway) {
+      m_silence = heard - m_lostSince;
+      base::log::Info(
+        "store is back",
+        { { "silent_ms", std::to_string(base::ToMilliseconds(m_silence)) },
+          { "silent_to_all_ms", std::to_string(base::ToMilliseconds(m_outages.Length())) } });
     }
-    m_isStoreAway = aIsAway;
+    m_isStoreAway = isAway;
   }
 
   GatewayState& m_state;
@@ -291,11 +313,10 @@
   std::function<void()> m_onCatalog;
   /// Version of the list up to which followers were told.
   base::ObjectVersion m_toldFollowers;
-  base::Instant m_storeAwayUntil{};
-  /// Before the last outage that was noticed, its end and its length.
+  entry::OutageRecord m_outages;
+  /// Before the last silence towards this process, and its length.
   base::Instant m_lostSince{};
-  base::Instant m_storeBackAt{};
-  base::Duration m_outage{};
+  base::Duration m_silence{};
   bool m_isStoreAway = false;
   unsigned m_ticks = 0;
 };
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -46,6 +46,7 @@
   gateway.m_endpoint = aSender;
   gateway.m_failureDomain = aReport.m_failureDomain;
   gateway.m_deaths = aReport.m_deaths;
+  gateway.m_storeHeardAt = aNow - aReport.m_storeAge;
   gateway.m_heardAt = aNow;
   m_present[aReport.m_host] = aNow;
   m_planner.OnDemand(aReport.m_host, aReport.m_demand, aReport.m_isComplete);
@@ -131,13 +132,16 @@
                                    m_grants.GrantedByOthers(host),
                                    m_planner.OutlooksFor(host, aNow),
                                    {},
-                                   {} };
+                                   {},
+                                   std::nullopt };
     if (m_ticks % kNeighboursEvery == 0) {
       summary.m_neighbours = NeighboursIn(gateway.m_failureDomain, aNow);
     }
     for (auto const& [otherHost, other] : m_gateways) {
       if (otherHost != host && IsReporting(other, aNow)) {
         std::ranges::copy(other.m_deaths, std::back_inserter(summary.m_deaths));
+        auto const age = aNow - other.m_storeHeardAt;
+        summary.m_storeAge = std::min(summary.m_storeAge.value_or(age), age);
       }
     }
     m_post.Send(gateway.m_endpoint, summary);
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -37,6 +37,8 @@
     base::Endpoint m_endpoint;
     base::FailureDomainId m_failureDomain;
     std::vector<agent::SuspectNews> m_deaths;
+    /// When the object store last answered it.
+    base::Instant m_storeHeardAt{};
     base::Instant m_heardAt{};
   };
   struct Loader
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -83,6 +83,7 @@
   report.m_granted = { { base::WorkspaceId::FromValidated("t1"), base::Tokens(77) } };
   report.m_deaths = { { base::FingerprintId::FromValidated("77"),
                         base::UpstreamId::FromValidated("i-1"), milliseconds(30) } };
+  report.m_storeAge = milliseconds(40);
   CheckRoundTrip(report);
   CheckRoundTrip(EngineAlive{ status.m_host, status.m_engine, 7, 1, 2, true, 4 });
   CheckRoundTrip(StatusWanted{ status.m_host });
@@ -100,7 +101,8 @@
                                  report.m_granted,
                                  { { kModel, milliseconds(70) } },
                                  report.m_deaths,
-                                 { { report.m_host, { "10.0.0.2", 7600 } } } });
+                                 { { report.m_host, { "10.0.0.2", 7600 } } },
+                                 milliseconds(30) });
   CheckRoundTrip(News(2));
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
--- a/Tests/UpstreamDirectoryTest.cpp
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -93,21 +93,21 @@
   entry.m_isLeaving = true;
   m_directory.OnListed(entry, kStart);
   BOOST_TEST(!Find(std::nullopt, kStart).has_value());
-  m_directory.OnRemoved(entry.m_instance, true, kStart);
+  m_directory.OnRemoved(entry.m_instance, kStart + seconds(2), kStart);
   BOOST_TEST(!Find(std::nullopt, kStart).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(AnEntryThatIsGoneEndsItsUseAtOnce, Fixture)
 {
   m_directory.OnListed(Entry("one", 1), kStart);
-  m_directory.OnRemoved(Instance("one"), false, kStart);
+  m_directory.OnRemoved(Instance("one"), std::nullopt, kStart);
   BOOST_TEST(!Find(std::nullopt, kStart).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(EntriesThatLapsedInAnOutageStayInUseForAWhile, Fixture)
 {
   m_directory.OnListed(Entry("one", 1), kStart);
-  m_directory.OnRemoved(Instance("one"), true, kStart);
+  m_directory.OnRemoved(Instance("one"), kStart + milliseconds(2'200), kStart);
   BOOST_TEST(Find(std::nullopt, kStart + milliseconds(2'000)).has_value());
   BOOST_TEST(!Find(std::nullopt, kStart + milliseconds(2'500)).has_value());
   m_directory.Expire(kStart + milliseconds(2'500));
