ObjectStore: Begin with a list after an outage, not with a watch that waits

Cause: after an outage the circuit lets one call through. That call may be the catalog's watch, which waits 1.5 s when nothing has changed, and until it answers the list is refused. A long poll is a poor probe.

Change: a watch whose call got no answer lists next. A list answers at once, with or without changes, and finds deletions whose history is gone. Changes relayed by neighbours are taken meanwhile: they follow on what is known, whatever this process's own next call is.

--- a/ObjectStore/ObjectWatch.cpp
+++ b/ObjectStore/ObjectWatch.cpp
@@ -82,7 +82,11 @@
 {
   ObjectChanges changes{ m_version, {} };
   if (!aAnswer) {
-    m_mustList = m_mustList || aAnswer.error().m_kind == ReadError::Kind::Compacted;
+    auto const kind = aAnswer.error().m_kind;
+    // A list answers at once, also when nothing has changed: a watch that waits
+    // as the first call after an outage would hold up the calls behind it.
+    m_mustList =
+      m_mustList || kind == ReadError::Kind::Compacted || kind == ReadError::Kind::Unavailable;
     PauseAfterFailure(aNow);
     return changes;
   }
@@ -99,7 +103,7 @@
                                                     ObjectChanges const& aChanges,
                                                     base::Instant aHeardAt)
 {
-  if (!m_hasListed || m_mustList || aFrom > m_version) {
+  if (!m_hasListed || aFrom > m_version) {
     return std::nullopt;
   }
   m_lastHeard = std::max(m_lastHeard, aHeardAt);
--- a/Tests/PlatformDecisionsTest.cpp
+++ b/Tests/PlatformDecisionsTest.cpp
@@ -216,6 +216,20 @@
   BOOST_TEST((std::get<ObjectDeleted>(changes.m_changes[0]).m_key == Key("a")));
 }
 
+BOOST_AUTO_TEST_CASE(TheFirstCallAfterAnOutageDoesNotWaitForChanges)
+{
+  ObjectWatch watch({}, 1);
+  watch.OnList(ObjectList{ base::ObjectVersion(7), { MakeObject("a", 3) } }, kStart);
+  watch.OnChanges(tl::make_unexpected(ReadError{ ReadError::Kind::Unavailable, "" }), kStart);
+  watch.OnChanges(tl::make_unexpected(ReadError{ ReadError::Kind::CircuitOpen, "" }),
+                  kStart + seconds(1));
+  auto const later = kStart + seconds(2);
+  BOOST_TEST(std::holds_alternative<ListObjects>(watch.Next(later)));
+  watch.OnList(ObjectList{ base::ObjectVersion(7), { MakeObject("a", 3) } }, later);
+  BOOST_TEST((watch.LastHeard() == later));
+  BOOST_TEST(std::holds_alternative<WatchAfter>(watch.Next(later)));
+}
+
 BOOST_AUTO_TEST_CASE(NeverGoesBack)
 {
   ObjectWatch watch({}, 1);
--- a/Tests/StoreRelayTest.cpp
+++ b/Tests/StoreRelayTest.cpp
@@ -119,6 +119,19 @@
   BOOST_TEST(watch.Version().Value() == 30U);
 }
 
+BOOST_AUTO_TEST_CASE(AProcessThatTheStoreTurnedAwayTakesRelayedChanges)
+{
+  auto watch = Listed();
+  watch.OnChanges(tl::make_unexpected(objectstore::ReadError{}), kStart);
+  auto const changes =
+    watch.OnRelayed(base::ObjectVersion(10),
+                    { base::ObjectVersion(30),
+                      { objectstore::ObjectDeleted{ Key("one"), base::ObjectVersion(25) } } },
+                    kStart + seconds(1));
+  BOOST_REQUIRE(changes.has_value());
+  BOOST_TEST(changes->m_changes.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(BeforeItsFirstListAProcessTakesNothingFromOthers)
 {
   objectstore::ObjectWatch watch({}, 1);
