Gateway: Send nothing to an upstream whose entry cannot be read

An entry whose state has another type left the last good one in use, so that an engine that was leaving kept its callers until its removal.

Cause: a change that cannot be decoded was logged and passed over. Such an entry names no upstream to use, and what it says may be that the upstream leaves.

Change: it ends the use of its upstream, as a removal does; the next entry that can be read lists it again.

Measured: AnEntryThatCannotBeReadNamesNoUpstream failed before (200 where 503 was expected) and passes.

--- a/Programs/Gateway/StoreFeed.h
+++ b/Programs/Gateway/StoreFeed.h
@@ -195,6 +195,9 @@
         base::log::Warning(
           "upstream entry is unusable",
           { { "upstream", object.m_key.m_name.Text() }, { "error", entry.error() } });
+        // What it says may be that the upstream leaves.
+        auto const instance = engine::InstanceId::FromValidated(object.m_key.m_name.Text());
+        NoteRemoval(instance, m_state.m_directory.OnRemoved(instance, std::nullopt, now));
         continue;
       }
       base::log::Info("upstream listed", { { "upstream", entry->m_instance.Text() },
