Gateway: Ask again whether an upstream may be used once its connection is ready

Change: HttpClient asks the sender before the first byte is written, and the wait for the head counts from the start of the sending.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -279,6 +280,8 @@
       return "response too large";
     case HttpFailure::Kind::CrossedResponse:
       return "response to another request";
+    case HttpFailure::Kind::Withdrawn:
+      return "withdrawn before it was sent";
   }
   return "failed";
 }
@@ -430,7 +433,7 @@
                                                                        Duration aHeadLimit,
                                                                        Cancellation* aCancellation)
 {
-  HttpSendOptions options{ aHeadLimit, aCancellation, std::nullopt, std::nullopt };
+  HttpSendOptions options{ aHeadLimit, aCancellation, std::nullopt, std::nullopt, nullptr };
   co_return co_await Send(std::move(aEndpoint), std::move(aRequest), std::move(options));
 }
 
@@ -440,6 +443,7 @@
 {
   auto* const cancellation = aOptions.m_cancellation;
   auto const longestIdle = aOptions.m_longestIdle.value_or(m_limits.m_idleTime);
+  auto const end = m_loop.Now() + aOptions.m_headLimit;
   auto connection = co_await TakeWorking(aEndpoint, longestIdle);
   if (!connection) {
     connection = std::make_unique<HttpConnection>(m_loop.Context(), aEndpoint);
@@ -458,8 +462,14 @@
     HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false, "cancelled" };
     co_return tl::make_unexpected(std::move(failure));
   }
+  if (aOptions.m_mayStillSend && !aOptions.m_mayStillSend()) {
+    StopCancelling(cancellation);
+    Return(std::move(connection));
+    HttpFailure failure{ HttpFailure::Kind::Withdrawn, false, aEndpoint.Text() };
+    co_return tl::make_unexpected(std::move(failure));
+  }
   CancelWith(cancellation, *connection);
-  connection->m_stream.expires_after(aOptions.m_headLimit);
+  connection->m_stream.expires_after(std::max(end - m_loop.Now(), Duration::zero()));
   StartWriting(*connection,
                RenderRequestHead(aRequest, aEndpoint, FramingOf(aRequest)) + aRequest.m_body);
   bool const isHead = aRequest.m_method == "HEAD";
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -10,6 +10,7 @@
 #include <tl/expected.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,7 +30,9 @@
     MalformedResponse,
     TooLarge,
     /// The answer named another request.
-    CrossedResponse
+    CrossedResponse,
+    /// The sender no longer wanted it when the connection was ready.
+    Withdrawn
   };
 
   Kind m_kind;
@@ -72,7 +75,7 @@
 /// How one request is sent.
 struct HttpSendOptions
 {
-  /// Longest wait for the head of the response.
+  /// Longest wait for the head of the response, the connection's set-up included.
   Duration m_headLimit;
   /// Closes the connection until the response has ended; outlives the reply.
   Cancellation* m_cancellation = nullptr;
@@ -82,6 +85,8 @@
   /// A field that the response echoes. Final responses that carry another
   /// value answer an earlier request: they are read and dropped.
   std::optional<HttpHeaders::Field> m_echo;
+  /// Asked once a connection is ready, before the first byte is written.
+  std::function<bool()> m_mayStillSend;
 };
 
 class HttpClient;
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -79,6 +79,12 @@
   return found != m_upstreams.end() && IsListed(found->second);
 }
 
+bool UpstreamDirectory::IsUsable(InstanceId const& aInstance, base::Instant aNow) const
+{
+  auto const found = m_upstreams.find(aInstance);
+  return found != m_upstreams.end() && IsUsable(found->second, aNow);
+}
+
 std::size_t UpstreamDirectory::CountListed() const
 {
   return static_cast<std::size_t>(
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -150,6 +150,8 @@
   /// Whether the upstream is listed and not known to be leaving.
   bool IsListed(InstanceId const& aInstance) const;
   std::size_t CountListed() const;
+  /// Whether requests may be sent to the upstream.
+  bool IsUsable(InstanceId const& aInstance, base::Instant aNow) const;
   bool HasUpstreamOf(base::DeploymentId const& aDeployment) const;
 
 private:
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -208,7 +208,9 @@
     base::HttpSendOptions options{
       terms.m_timeLeft + AnswerRelay<Wire>::kAnswerGrace, &m_cancellation,
       m_context.m_route.MayRepeat() ? kRepeatableIdle : kFreshConnection,
-      base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_context.m_request.m_id.Text() }
+      base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_context.m_request.m_id.Text() },
+      // It may have left while the connection was set up.
+      [this, &aChoice] { return m_state.m_directory.IsUsable(aChoice.m_instance, Now()); }
     };
     auto endpoint = aChoice.m_endpoint;
     auto reply =
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -89,6 +89,9 @@
                  engine::UpstreamChoice const& aUpstream, base::Instant aEnd)
   {
     using Kind = base::HttpFailure::Kind;
+    if (aFailure.m_kind == Kind::Withdrawn) {
+      return;
+    }
     auto const now = m_loop.Now();
     bool const isSilent =
       now < aEnd && !aFailure.m_isRefused &&
--- a/Tests/HttpTest.cpp
+++ b/Tests/HttpTest.cpp
@@ -176,6 +176,30 @@
   RunWithServer(Echo, {}, body);
 }
 
+BOOST_AUTO_TEST_CASE(ARequestThatIsNotWantedOnceItsConnectionIsReadyIsNotSent)
+{
+  int served = 0;
+  auto const count = [&served](HttpExchange& aExchange) -> awaitable<void> {
+    ++served;
+    return Echo(aExchange);
+  };
+  auto const body = [&served](auto& aLoop, auto& aClient, auto aEndpoint,
+                              auto&) -> awaitable<void> {
+    base::HttpSendOptions options{ std::chrono::seconds(1), nullptr, std::nullopt, std::nullopt,
+                                   [] { return false; } };
+    base::HttpRequest request;
+    auto const reply = co_await aClient.Send(aEndpoint, std::move(request), std::move(options));
+    BOOST_REQUIRE(!reply.has_value());
+    BOOST_TEST(!reply.error().m_mayHaveBeenSent);
+    BOOST_TEST((reply.error().m_kind == base::HttpFailure::Kind::Withdrawn));
+    co_await aLoop.Sleep(std::chrono::milliseconds(20));
+    BOOST_TEST(served == 0);
+    // The connection serves the next request.
+    BOOST_TEST(aClient.IdleConnections(aEndpoint) == 1U);
+  };
+  RunWithServer(count, {}, body);
+}
+
 BOOST_AUTO_TEST_CASE(RemoteCallsNeedTheFleetSecret)
 {
   base::PeerAuthentication const fleet("secret");
