Entry: Let the watchers of a failure domain tell each other what the store says

The gateway was one of two that watch the store for their failure domain; the store had turned it away, and it heard of the removal 1.25 s after its neighbours, since watchers told only those who do not watch.

Change: a watcher tells all its neighbours and takes what another one says. Each change follows on a version, so that older word changes nothing.

--- a/Entry/Relay/WatchDuty.cpp
+++ b/Entry/Relay/WatchDuty.cpp
@@ -34,19 +34,18 @@
   return rank < static_cast<std::ptrdiff_t>(m_limits.m_watchers);
 }
 
-std::vector<base::Endpoint> WatchDuty::Followers(base::Instant aNow) const
+std::vector<base::Endpoint> WatchDuty::Listeners(base::Instant aNow) const
 {
-  std::vector<base::Endpoint> followers;
+  std::vector<base::Endpoint> listeners;
   if (!KnowsNeighbours(aNow) || !IsWatcher(aNow)) {
-    return followers;
+    return listeners;
   }
-  unsigned rank = 0;
   for (auto const& [host, endpoint] : m_neighbours) {
-    if (rank++ >= m_limits.m_watchers) {
-      followers.push_back(endpoint);
+    if (host != m_self) {
+      listeners.push_back(endpoint);
     }
   }
-  return followers;
+  return listeners;
 }
 
 bool WatchDuty::MayRestList(base::Instant aNow) const
--- a/Entry/Relay/WatchDuty.h
+++ b/Entry/Relay/WatchDuty.h
@@ -42,8 +42,9 @@
               base::Instant aNow);
 
   bool IsWatcher(base::Instant aNow) const;
-  /// Whom a watcher tells its news.
-  std::vector<base::Endpoint> Followers(base::Instant aNow) const;
+  /// Whom a watcher tells its news: the followers, and the other watchers, as
+  /// the store may turn one of them away.
+  std::vector<base::Endpoint> Listeners(base::Instant aNow) const;
   /// Whether another's watch of the list, or of the catalog, is good enough.
   bool MayRestList(base::Instant aNow) const;
   bool MayRestCatalog(base::Instant aNow) const;
--- a/Programs/Gateway/StoreFeed.h
+++ b/Programs/Gateway/StoreFeed.h
@@ -20,7 +20,7 @@
 
 /// Keeps a gateway's catalog and its list of upstreams as the object store has
 /// them: by watching it, or by the news of others of its failure domain that
-/// do. Tells its own followers what it hears.
+/// do. Tells its neighbours what it hears.
 template<ServingWire Wire>
 class StoreFeed
 {
@@ -48,7 +48,7 @@
     m_state.m_loop.Start(m_upstreamWatch.Run(
       [this](objectstore::ObjectChanges const& aChanges) {
         OnUpstreams(aChanges);
-        TellFollowers(aChanges);
+        TellNeighbours(aChanges);
       },
       [this](base::Instant aNow) { return m_duty.MayRestList(aNow); }));
   }
@@ -77,7 +77,7 @@
     constexpr unsigned kNewsInterval = 2;
     NoteStore(aNow);
     if (m_ticks++ % kNewsInterval == 0) {
-      TellFollowers({ m_upstreamWatch.State().Version(), {} });
+      TellNeighbours({ m_upstreamWatch.State().Version(), {} });
     }
   }
 
@@ -240,13 +240,11 @@
   void TakeNews(agent::StoreNews const& aNews, base::Instant aNow)
   {
     m_duty.OnNews(aNews.m_host, aNews.m_listAge, aNews.m_catalogAge, aNow);
-    if (m_duty.IsWatcher(aNow)) {
-      return;
-    }
+    m_outages.OnAnswered(aNow - std::min(aNews.m_listAge, aNews.m_catalogAge));
     auto const changes =
       m_upstreamWatch.TakeRelayed(aNews.m_from, aNews.m_changes, aNow - aNews.m_listAge);
-    // Should this process have followers next, its news starts from here.
-    m_toldFollowers = m_upstreamWatch.State().Version();
+    // Should this process tell others next, its news starts from here.
+    m_toldNeighbours = m_upstreamWatch.State().Version();
     if (!changes.m_changes.empty()) {
       OnUpstreams(changes);
     }
@@ -259,12 +257,12 @@
 
   /// Tells the neighbours that follow this process what has changed, or only
   /// how fresh its news is.
-  void TellFollowers(objectstore::ObjectChanges const& aChanges)
+  void TellNeighbours(objectstore::ObjectChanges const& aChanges)
   {
     auto const now = m_state.m_loop.Now();
-    auto const from = std::exchange(m_toldFollowers, aChanges.m_version);
-    auto const followers = m_duty.Followers(now);
-    if (followers.empty()) {
+    auto const from = std::exchange(m_toldNeighbours, aChanges.m_version);
+    auto const listeners = m_duty.Listeners(now);
+    if (listeners.empty()) {
       return;
     }
     agent::StoreNews news;
@@ -276,8 +274,8 @@
     news.m_listAge = now - m_upstreamWatch.State().LastHeard();
     news.m_catalogAge = now - m_catalogWatch.State().LastHeard();
     for (auto const& part : agent::SplitNews(news)) {
-      for (auto const& follower : followers) {
-        m_state.m_post.Send(follower, part);
+      for (auto const& listener : listeners) {
+        m_state.m_post.Send(listener, part);
       }
     }
   }
@@ -314,8 +312,8 @@
   entry::WatchDuty m_duty;
   agent::NewsParts m_newsParts;
   std::function<void()> m_onCatalog;
-  /// Version of the list up to which followers were told.
-  base::ObjectVersion m_toldFollowers;
+  /// Version of the list up to which neighbours were told.
+  base::ObjectVersion m_toldNeighbours;
   entry::OutageRecord m_outages;
   /// Before the last silence towards this process, and its length.
   base::Instant m_lostSince{};
--- a/Tests/StoreRelayTest.cpp
+++ b/Tests/StoreRelayTest.cpp
@@ -61,11 +61,12 @@
   third.OnNeighbours(Neighbours(), kStart);
   BOOST_TEST(first.IsWatcher(kStart));
   BOOST_TEST(!third.IsWatcher(kStart));
-  BOOST_TEST(first.Followers(kStart).size() == 2U);
-  BOOST_TEST(third.Followers(kStart).empty());
+  // Watchers tell each other too.
+  BOOST_TEST(first.Listeners(kStart).size() == 3U);
+  BOOST_TEST(third.Listeners(kStart).empty());
   // Old word of the neighbours counts no more.
   BOOST_TEST(third.IsWatcher(kStart + seconds(4)));
-  BOOST_TEST(first.Followers(kStart + seconds(4)).empty());
+  BOOST_TEST(first.Listeners(kStart + seconds(4)).empty());
 }
 
 BOOST_AUTO_TEST_CASE(AFollowerRestsOnlyWhileAWatcherHearsTheStore)
