Gateway: Write no other answer into a stream that has begun

Found while answers without end were mended: a stream that broke off and was resumed elsewhere got the other upstream's 500 or 404 as a second head in the middle of its body, bytes that are no answer.

Cause: an answer that is no success was passed on whole, whether or not the caller had the beginning of a stream.

Change: it counts as a failed attempt, and the caller's connection closes without the body's end.

Measured: AFailureInPlaceOfTheRestOfAStreamIsNotWrittenIntoIt: "bad chunk" before, a closed connection after.

--- a/Programs/Gateway/AnswerRelay.h
+++ b/Programs/Gateway/AnswerRelay.h
@@ -59,6 +59,10 @@
       // The upstream gave no proof, so the caller must not read it as one.
       co_return Fail("upstream refused without proof", aChoice);
     }
+    if (m_exchange.HasStarted() && !head.IsSuccess()) {
+      // The caller has the beginning of a stream, which nothing else can follow.
+      co_return Fail("stream was not resumed", aChoice);
+    }
     if (head.IsSuccess() && (!head.m_isGenuine || head.m_isEncoded)) {
       co_return Fail("answer is not the upstream's", aChoice);
     }
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -42,6 +42,7 @@
   m_front.Faults().AddCount("break_after_events", m_breakAfter);
   m_front.Faults().AddCount("reject_requests", m_rejectRequests);
   m_front.Faults().AddCount("refuse_after_run", m_refuseAfterRun);
+  m_front.Faults().AddCount("fail_resumed", m_failResumed);
   m_front.Faults().AddCount("lose_orders", m_loseOrders);
   m_front.Faults().AddCount("truncate_answers", m_truncate);
   m_front.Faults().AddFlag("leaving", m_isLeaving);
@@ -304,6 +305,11 @@
   auto const& request = aExchange.Request();
   auto const resume = HeaderText(request, "Last-Event-Id");
   unsigned const first = resume.empty() ? 1 : static_cast<unsigned>(std::stoul(resume)) + 1;
+  if (!resume.empty() && TakeFault(m_failResumed)) {
+    base::HttpResponse response{ 500, std::move(aHeaders), "failed" };
+    co_await m_front.Respond(aExchange, std::move(response));
+    co_return;
+  }
   bool const isBroken = TakeFault(m_breakStreams);
   aHeaders.Add("Content-Type", "text/event-stream");
   auto const started = co_await aExchange.StartStream(200, std::move(aHeaders));
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -100,6 +100,8 @@
   std::uint64_t m_breakStreams = 0;
   std::uint64_t m_breakAfter = 3;
   std::uint64_t m_rejectRequests = 0;
+  /// The next streams that are resumed are answered with a 500.
+  std::uint64_t m_failResumed = 0;
   /// The next requests run and are answered with a bare 503.
   std::uint64_t m_refuseAfterRun = 0;
   std::uint64_t m_loseOrders = 0;
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -141,6 +141,35 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(AFailureInPlaceOfTheRestOfAStreamIsNotWrittenIntoIt, SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "break_streams", 1);
+    SetFault(*engine, "fail_resumed", 1);
+  }
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "r1", "common");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(!answer.has_value());
+    BOOST_TEST((answer.error().m_kind == base::HttpFailure::Kind::ConnectionClosed),
+               answer.error().m_detail);
+    BOOST_TEST(RunsOf("r1") == 2U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AStreamMayTakeMostOfItsRequestsTime, SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "event_ms", 300);
+  }
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "r1", "common");
+    auto const answer = co_await Send(std::move(request));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_body == WholeStream("r1"));
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(ABrokenStreamThatMayNotResumeDoesNotLookWhole, SiteFixture)
 {
   for (auto const& engine : m_engines) {
