Base, Gateway: Bound answers without end in bytes and in time

An upstream that never stopped answering ended its gateway: memory grew to 3 GB (a limit of 160 to 512 MB) and callers got no answer within 8 s on a route of 1.5 s.

Causes, all of one class, a bound that moves with what arrives: - A deadline was set anew with each piece, and reads that complete at once never let a stream's timer run. - Bodies that are read as a whole, an event, a chunk's extension and a trailer were held at any length. - Interim responses, the rest of a refusal and the body of another request's answer were read without counting them.

Change: AnswerDeadline keeps the end of an answer where it is; a process that stood still past it still reads what is ready. AnswerMemory gives one answer no more than it leaves to the others, an eighth of the process's limit in all. Connections read at most 64 KB ahead, so that extensions, trailers and heads end; interim responses, skipped answers and refusals are bounded in number, bytes and time. The upstream is paused at once and its connection closed. Answers of the object store are bounded at 16 MB (256 MB before, more than a process has), and callers' chunk extensions at 256 KB. A resumable stream that broke off before its first event now goes on elsewhere.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -22,6 +22,9 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+/// Bounds what the parser waits for as a whole: a head, a chunk's head, a trailer.
+constexpr std::size_t kMostBufferedBytes = 64UL * 1024;
+
 /// How the write of a request went.
 struct HttpWriteState
 {
@@ -40,7 +43,7 @@
   }
 
   boost::beast::tcp_stream m_stream;
-  boost::beast::flat_buffer m_buffer;
+  boost::beast::flat_buffer m_buffer{ kMostBufferedBytes };
   std::optional<http::response_parser<http::buffer_body>> m_parser;
   Endpoint m_endpoint;
   Instant m_idleSince{};
@@ -55,8 +58,12 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t kProbeAnswerBytes = std::uint64_t(1024) * 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
-/// Responses to earlier requests that one connection may deliver first.
+/// Responses to earlier requests that one connection may deliver first, and
+/// their bytes.
 constexpr int kMostSkippedResponses = 4;
+constexpr std::size_t kMostSkippedBytes = 1024UL * 1024;
+/// Servers send one or two interim responses, if any.
+constexpr int kMostInterimResponses = 16;
 
 HttpFailure ToFailure(boost::system::error_code aError, bool aMayHaveBeenSent)
 {
@@ -68,7 +75,11 @@
       aError.category() != make_error_code(http::error::end_of_stream).category()) {
     return { Kind::ConnectionClosed, aMayHaveBeenSent, aError.message() };
   }
-  return { Kind::MalformedResponse, aMayHaveBeenSent, aError.message() };
+  bool const isTooLarge = aError == http::error::header_limit ||
+                          aError == http::error::body_limit ||
+                          aError == http::error::buffer_overflow;
+  return { isTooLarge ? Kind::TooLarge : Kind::MalformedResponse, aMayHaveBeenSent,
+           aError.message() };
 }
 
 bool IsStillOpen(tcp::socket& aSocket)
@@ -139,11 +150,20 @@
 }
 
 /// Reads the rest of a response and drops it.
-asio::awaitable<boost::system::error_code> SkipBody(HttpConnection& aConnection)
+asio::awaitable<boost::system::error_code> SkipBody(EventLoop const& aLoop,
+                                                    HttpConnection& aConnection, Instant aEnd)
 {
   auto& parser = *aConnection.m_parser;
-  std::array<char, 4096> storage;
+  std::array<char, kReadBytes> storage;
+  std::size_t skipped = 0;
   while (!parser.is_done()) {
+    // Reads that complete at once never let the stream's own timer run.
+    if (aLoop.Now() >= aEnd) {
+      co_return boost::beast::error::timeout;
+    }
+    if (skipped > kMostSkippedBytes) {
+      co_return http::error::body_limit;
+    }
     parser.get().body().data = storage.data();
     parser.get().body().size = storage.size();
     auto const [error, size] =
@@ -151,6 +171,7 @@
     if (error && error != http::error::need_buffer) {
       co_return error;
     }
+    skipped += storage.size() - parser.get().body().size;
   }
   if (!parser.keep_alive()) {
     co_return http::error::end_of_stream;
@@ -191,10 +212,12 @@
 }
 
 /// Reads heads until one that is not an interim response.
-asio::awaitable<boost::system::error_code> ReadHead(HttpConnection& aConnection, bool aIsHead,
-                                                    Bytes aHeaderLimit,
+asio::awaitable<boost::system::error_code> ReadHead(EventLoop const& aLoop,
+                                                    HttpConnection& aConnection, bool aIsHead,
+                                                    Bytes aHeaderLimit, Instant aEnd,
                                                     std::optional<HttpHeaders::Field> const& aEcho)
 {
+  int interim = 0;
   for (int skipped = 0; skipped <= kMostSkippedResponses;) {
     auto& parser = aConnection.m_parser.emplace();
     parser.header_limit(static_cast<std::uint32_t>(aHeaderLimit.Value()));
@@ -206,13 +229,16 @@
       co_return error;
     }
     if (parser.get().result_int() < 200) {
+      if (++interim > kMostInterimResponses) {
+        co_return http::error::header_limit;
+      }
       continue;
     }
     if (!aEcho || IsEchoedBy(*aEcho, parser)) {
       co_return error;
     }
     ++skipped;
-    auto const skipError = co_await SkipBody(aConnection);
+    auto const skipError = co_await SkipBody(aLoop, aConnection, aEnd);
     if (skipError) {
       co_return skipError;
     }
@@ -474,7 +500,7 @@
                RenderRequestHead(aRequest, aEndpoint, FramingOf(aRequest)) + aRequest.m_body);
   bool const isHead = aRequest.m_method == "HEAD";
   auto const readError =
-    co_await ReadHead(*connection, isHead, m_limits.m_headerBytes, aOptions.m_echo);
+    co_await ReadHead(m_loop, *connection, isHead, m_limits.m_headerBytes, end, aOptions.m_echo);
   if (readError) {
     StopCancelling(cancellation);
     // The system tells one of the two operations that the peer fell silent.
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -64,6 +64,7 @@
   /// than the servers' idle time, so that the two ends seldom race.
   Duration m_idleTime = std::chrono::seconds(20);
   std::size_t m_idlePerEndpoint = 64;
+  /// At most 64 KB, as a connection reads no more ahead.
   Bytes m_headerBytes{ 32 * 1024 };
   std::optional<HttpProbe> m_probe;
   /// A connection whose peer acknowledges nothing for this long is closed, also
@@ -105,7 +106,10 @@
   HttpHeaders const& Headers() const { return m_headers; }
 
   /// The next bytes of the body as they arrive; empty at its end. Fails with
-  /// TimedOut if nothing arrives for the given time.
+  /// TimedOut if nothing arrives for the given time, and with TooLarge if what
+  /// arrives besides the body, such as a chunk's extension, is too long.
+  /// NOTE: A body may go on for ever; whoever reads it bounds its size and its
+  /// whole time.
   boost::asio::awaitable<tl::expected<std::string, HttpFailure>> Read(Duration aSilenceLimit);
   /// Whether the body has been read to its end.
   bool IsComplete() const { return m_complete; }
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -219,7 +219,10 @@
   HttpServer& m_server;
   Stream& m_stream;
   std::uint64_t m_number;
-  boost::beast::flat_buffer m_buffer;
+  /// Bounds what the parser waits for as a whole, such as a chunk's extension,
+  /// and what a caller sends ahead.
+  static constexpr std::size_t kMostBufferedBytes = 256UL * 1024;
+  boost::beast::flat_buffer m_buffer{ kMostBufferedBytes };
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
   boost::asio::steady_timer m_watchEnded{ m_server.m_loop.Context() };
   bool m_keepAlive = false;
--- a/Base/ProcessProfile.h
+++ b/Base/ProcessProfile.h
@@ -46,6 +46,8 @@
   std::optional<Endpoint> m_engine;
   std::optional<DeploymentId> m_engineDeployment;
   SiteBounds m_bounds;
+  /// A process that uses more is ended.
+  Bytes m_memory{ 256 * 1024 * 1024 };
 };
 
 } // namespace sardinefold::base
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -285,8 +285,8 @@
   return Pause(found->second, aNow);
 }
 
-std::optional<base::Duration> UpstreamDirectory::OnSilent(InstanceId const& aInstance,
-                                                          base::Instant aNow)
+std::optional<base::Duration> UpstreamDirectory::OnStuck(InstanceId const& aInstance,
+                                                         base::Instant aNow)
 {
   auto const found = m_upstreams.find(aInstance);
   if (found == m_upstreams.end()) {
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -134,9 +134,9 @@
   void OnServed(InstanceId const& aInstance);
   /// Returns for how long the upstream is paused, if it is from now on.
   std::optional<base::Duration> OnFailed(InstanceId const& aInstance, base::Instant aNow);
-  /// The upstream did not even acknowledge what was sent, so that it is paused
-  /// at once.
-  std::optional<base::Duration> OnSilent(InstanceId const& aInstance, base::Instant aNow);
+  /// The upstream did not even acknowledge what was sent, or answers without end,
+  /// so that it is paused at once.
+  std::optional<base::Duration> OnStuck(InstanceId const& aInstance, base::Instant aNow);
   /// Another engine answered at the address; the entry is out of date.
   void OnWrongInstance(InstanceId const& aInstance, base::Instant aNow);
   /// The engine does not hold a model that it was believed to hold.
--- a/ObjectStore/ObjectClientCalls.h
+++ b/ObjectStore/ObjectClientCalls.h
@@ -9,8 +9,9 @@
 
 namespace detail {
 
-/// A list of all of a kind's objects may be long.
-inline constexpr base::Bytes kMaxAnswerBytes{ 256 * 1024 * 1024 };
+/// Sixteen values of the largest size; a process has ten times that for all it
+/// does.
+inline constexpr base::Bytes kMaxAnswerBytes{ 16 * 1024 * 1024 };
 /// A watch that has been silent for this much longer than it asked for is lost.
 /// A slow platform takes a quarter of a second for an answer.
 inline constexpr std::chrono::milliseconds kWatchGrace{ 500 };
--- a/Programs/Gateway/AnswerRelay.h
+++ b/Programs/Gateway/AnswerRelay.h
@@ -3,6 +3,7 @@
 #include "Base/Cancellation.h"
 #include "Base/Http/HttpClient.h"
 #include "Base/Http/HttpExchange.h"
+#include "Caller/AnswerDeadline.h"
 #include "Caller/AttemptHistory.h"
 #include "Programs/Gateway/EventBuffer.h"
 #include "Programs/Gateway/GatewayState.h"
@@ -78,6 +79,7 @@
   {
     m_hasBegunHere = false;
     m_sentAt = Now();
+    m_deadline.emplace(m_context.m_end, kAnswerGrace);
   }
   /// A failure that an upstream answered with, kept while another one is tried.
   std::optional<base::HttpResponse> TakeHeldFailure()
@@ -114,23 +116,50 @@
     } else if (aHead.m_isWrongEngine) {
       m_state.m_directory.OnWrongInstance(aChoice.m_instance, Now());
     }
-    // Reading the rest, which is short, keeps the connection usable.
-    constexpr base::Duration kRestLimit = std::chrono::milliseconds(200);
+    co_await SkipRest(aReply, aChoice);
+    co_return AttemptEnd::NotRun;
+  }
+
+  /// Reads the rest of a refusal, which is short, to keep the connection usable.
+  boost::asio::awaitable<void> SkipRest(base::HttpReply& aReply,
+                                        engine::UpstreamChoice const& aChoice)
+  {
+    constexpr base::Duration kRestTime = std::chrono::milliseconds(200);
+    constexpr std::size_t kRestBytes = 64UL * 1024;
+    auto const end = Now() + kRestTime;
+    std::size_t skipped = 0;
     while (!aReply.IsComplete()) {
-      auto const piece = co_await aReply.Read(kRestLimit);
+      auto const left = end - Now();
+      if (left <= base::Duration::zero() || skipped > kRestBytes) {
+        m_state.NoteStuck(aChoice, "refusal without end");
+        co_return;
+      }
+      auto const piece = co_await aReply.Read(left);
       if (!piece) {
-        break;
+        if (piece.error().m_kind == base::HttpFailure::Kind::TimedOut) {
+          m_state.NoteStuck(aChoice, "refusal without end");
+        }
+        co_return;
       }
+      skipped += piece->size();
     }
-    co_return AttemptEnd::NotRun;
+  }
+
+  AttemptEnd Stuck(std::string_view aOutcome, engine::UpstreamChoice const& aChoice)
+  {
+    m_record.m_outcome = aOutcome;
+    m_state.NoteStuck(aChoice, aOutcome);
+    return AttemptEnd::Unknown;
   }
 
   /// The next piece of the answer, or how the attempt ends without it.
   boost::asio::awaitable<tl::expected<std::string, AttemptEnd>> ReadPiece(
     base::HttpReply& aReply, engine::UpstreamChoice const& aChoice)
   {
-    auto const limit =
-      std::max<base::Duration>(m_context.m_end - Now(), base::Duration::zero()) + kAnswerGrace;
+    auto const limit = m_deadline->Left(Now());
+    if (limit <= base::Duration::zero()) {
+      co_return tl::make_unexpected(Stuck("answer without end", aChoice));
+    }
     auto piece = co_await aReply.Read(limit);
     if (m_cancellation.IsCancelled()) {
       co_return tl::make_unexpected(AttemptEnd::CallerGone);
@@ -149,6 +178,7 @@
                                                caller::UpstreamAnswerHead const& aHead,
                                                engine::UpstreamChoice const& aChoice)
   {
+    caller::AnswerMemory::Lease lease(m_state.m_answerMemory);
     base::HttpResponse response;
     response.m_status = aHead.m_status;
     response.m_headers = Wire::EncodeAnswerHeaders(aReply.Headers());
@@ -158,6 +188,9 @@
         co_return piece.error();
       }
       response.m_body += *piece;
+      if (!lease.Resize(base::Bytes(static_cast<std::int64_t>(response.m_body.size())))) {
+        co_return Stuck("answer is too large", aChoice);
+      }
     }
     bool const isFailure = aHead.m_status >= 500;
     if (isFailure) {
@@ -167,6 +200,7 @@
     if (isFailure && MayTryAnother()) {
       m_record.m_outcome = "upstream answered with a failure";
       m_heldFailure = std::move(response);
+      m_heldLease = std::move(lease);
       co_return AttemptEnd::Failed;
     }
     m_record.m_status = response.m_status;
@@ -196,7 +230,6 @@
       }
       m_record.m_status = aReply.Status();
     }
-    m_history.OnPassed(std::nullopt);
     EventBuffer events;
     while (!aReply.IsComplete()) {
       auto const piece = co_await ReadPiece(aReply, aChoice);
@@ -204,6 +237,9 @@
         co_return piece.error();
       }
       auto const complete = events.Add(*piece);
+      if (events.IsTooLong()) {
+        co_return Stuck("event is too long", aChoice);
+      }
       if (complete.empty()) {
         continue;
       }
@@ -244,7 +280,11 @@
   bool m_hasBegunHere = false;
   /// When the attempt under way was sent.
   base::Instant m_sentAt{};
+  /// Of the attempt under way.
+  std::optional<caller::AnswerDeadline> m_deadline;
   std::optional<base::HttpResponse> m_heldFailure;
+  /// Of the failure that is held.
+  caller::AnswerMemory::Lease m_heldLease{ m_state.m_answerMemory };
   std::optional<base::Instant> m_passedAt;
 };
 
--- a/Programs/Gateway/EventBuffer.h
+++ b/Programs/Gateway/EventBuffer.h
@@ -13,6 +13,9 @@
 class EventBuffer
 {
 public:
+  /// An event holds a few tokens.
+  static constexpr std::size_t kLongestEvent = 256UL * 1024;
+
   /// Adds bytes and returns the complete events among what is held.
   std::string Add(std::string_view aBytes)
   {
@@ -23,6 +26,7 @@
     return complete;
   }
 
+  bool IsTooLong() const { return m_held.size() > kLongestEvent; }
   /// Bytes behind the last complete event.
   std::string const& Rest() const { return m_held; }
   void Clear() { m_held.clear(); }
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -8,6 +8,7 @@
 #include "Base/Metrics.h"
 #include "Base/ProcessProfile.h"
 #include "Base/Signal.h"
+#include "Caller/AnswerMemory.h"
 #include "Caller/CatalogIndex.h"
 #include "Caller/WaitPolicy.h"
 #include "Engine/DemandBoard.h"
@@ -28,6 +29,7 @@
     : m_loop(aLoop)
     , m_profile(std::move(aProfile))
     , m_http(aLoop, EngineClientLimits())
+    , m_answerMemory(AnswerShareOf(m_profile.m_memory))
     , m_directory({}, m_profile.m_failureDomain, aSeed)
     , m_demand(aLoop.Now())
     , m_allowance({})
@@ -57,6 +59,14 @@
     return limits;
   }
 
+  /// Held answers may take twice their size while they grow, and connections,
+  /// the catalog and the list need the larger part.
+  static base::Bytes AnswerShareOf(base::Bytes aMemory)
+  {
+    constexpr std::int64_t kShare = 8;
+    return base::Bytes(aMemory.Value() / kShare);
+  }
+
   /// A request was in flight as its upstream broke the connection off.
   void NoteDeath(base::FingerprintId const& aFingerprint, base::UpstreamId const& aUpstream,
                  base::Instant aNow)
@@ -73,6 +83,13 @@
     LogPause(aUpstream, aReason, m_directory.OnFailed(aUpstream.m_instance, m_loop.Now()));
   }
 
+  /// An upstream's answer has no end, or none in time.
+  void NoteStuck(engine::UpstreamChoice const& aUpstream, std::string_view aReason)
+  {
+    LogPause(aUpstream, aReason, m_directory.OnStuck(aUpstream.m_instance, m_loop.Now()));
+    m_http.CloseIdle(aUpstream.m_endpoint);
+  }
+
   static void LogPause(engine::UpstreamChoice const& aUpstream, std::string_view aReason,
                        std::optional<base::Duration> aPause)
   {
@@ -96,9 +113,8 @@
     bool const isSilent =
       now < aEnd && !aFailure.m_isRefused &&
       (aFailure.m_kind == Kind::TimedOut || aFailure.m_kind == Kind::ConnectFailed);
-    if (isSilent) {
-      LogPause(aUpstream, ToText(aFailure.m_kind), m_directory.OnSilent(aUpstream.m_instance, now));
-      m_http.CloseIdle(aUpstream.m_endpoint);
+    if (isSilent || aFailure.m_kind == Kind::TooLarge) {
+      NoteStuck(aUpstream, ToText(aFailure.m_kind));
       return;
     }
     NoteFailure(aUpstream, ToText(aFailure.m_kind));
@@ -215,6 +231,7 @@
   base::ProcessProfile m_profile;
   base::Metrics m_metrics;
   base::HttpClient m_http;
+  caller::AnswerMemory m_answerMemory;
   /// Absent until the first catalog has arrived.
   std::unique_ptr<caller::CatalogIndex> m_catalog;
   engine::UpstreamDirectory m_directory;
--- a/Tests/ForwardDecisionsTest.cpp
+++ b/Tests/ForwardDecisionsTest.cpp
@@ -1,5 +1,7 @@
 #define BOOST_TEST_MODULE ForwardDecisions
 #include "Agent/RetryBudget.h"
+#include "Caller/AnswerDeadline.h"
+#include "Caller/AnswerMemory.h"
 #include "Caller/AttemptHistory.h"
 #include "Caller/WaitPolicy.h"
 
@@ -115,3 +117,39 @@
   budget.SetLimits(limits);
   BOOST_TEST(budget.Available() == 4.0);
 }
+
+BOOST_AUTO_TEST_CASE(AnAnswersEndDoesNotMoveWhilePiecesArrive)
+{
+  AnswerDeadline deadline(kStart + seconds(1), milliseconds(150));
+  BOOST_TEST((deadline.Left(kStart) == milliseconds(1150)));
+  BOOST_TEST((deadline.Left(kStart + milliseconds(990)) == milliseconds(160)));
+  BOOST_TEST((deadline.Left(kStart + milliseconds(1100)) == milliseconds(150)));
+  BOOST_TEST((deadline.Left(kStart + milliseconds(1200)) == milliseconds(50)));
+  BOOST_TEST((deadline.Left(kStart + milliseconds(1300)) == milliseconds(0)));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerThatCameWhileTheProcessStoodStillIsRead)
+{
+  AnswerDeadline deadline(kStart + seconds(1), milliseconds(150));
+  BOOST_TEST((deadline.Left(kStart + seconds(5)) == milliseconds(150)));
+  BOOST_TEST((deadline.Left(kStart + milliseconds(5150)) == milliseconds(0)));
+}
+
+BOOST_AUTO_TEST_CASE(OneAnswerLeavesMemoryForTheOthers)
+{
+  AnswerMemory memory(base::Bytes(100));
+  AnswerMemory::Lease endless(memory);
+  BOOST_TEST(endless.Resize(base::Bytes(50)));
+  BOOST_TEST(!endless.Resize(base::Bytes(51)));
+  {
+    AnswerMemory::Lease other(memory);
+    BOOST_TEST(other.Resize(base::Bytes(25)));
+    BOOST_TEST(!other.Resize(base::Bytes(26)));
+    // What is given back is there for the next one.
+    BOOST_TEST(endless.Resize(base::Bytes(10)));
+    BOOST_TEST(other.Resize(base::Bytes(45)));
+  }
+  BOOST_TEST(memory.Used() == base::Bytes(10));
+  AnswerMemory::Lease moved(std::move(endless));
+  BOOST_TEST(memory.Used() == base::Bytes(10));
+}
--- a/Tests/UpstreamDirectoryTest.cpp
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -168,17 +168,17 @@
   m_directory.OnListed(Entry("one", 1), kStart);
   m_directory.OnListed(Entry("two", 2), kStart);
   BOOST_TEST(!m_directory.OnFailed(Instance("two"), kStart).has_value());
-  auto const pause = m_directory.OnSilent(Instance("one"), kStart);
+  auto const pause = m_directory.OnStuck(Instance("one"), kStart);
   BOOST_REQUIRE(pause.has_value());
   for (int round = 0; round < 20; ++round) {
     BOOST_TEST((Find(std::nullopt, kStart) == Instance("two")));
   }
   // Silence after the pause costs a longer one.
-  auto const longer = m_directory.OnSilent(Instance("one"), kStart + *pause);
+  auto const longer = m_directory.OnStuck(Instance("one"), kStart + *pause);
   BOOST_REQUIRE(longer.has_value());
   BOOST_TEST((*longer > *pause));
   // Never more than half.
-  BOOST_TEST(!m_directory.OnSilent(Instance("two"), kStart + *pause).has_value());
+  BOOST_TEST(!m_directory.OnStuck(Instance("two"), kStart + *pause).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(ARestartUnderTheSameInstanceForgetsWhatItHeld, Fixture)
