--- a/Tests/HostileCallerTest.cpp
+++ b/Tests/HostileCallerTest.cpp
@@ -35,10 +35,12 @@
     BOOST_REQUIRE(!error);
   }
 
-  awaitable<void> Write(std::string aText)
+  /// Returns whether all of it was written.
+  awaitable<bool> Write(std::string aText)
   {
-    [[maybe_unused]] auto const [error, size] =
+    auto const [error, size] =
       co_await boost::asio::async_write(m_socket, boost::asio::buffer(aText), kAwait);
+    co_return !error;
   }
 
   /// All that comes until the gateway closes the connection.
@@ -107,6 +109,26 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(AChunkExtensionOrTrailerWithoutEndIsRefused, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    for (std::string const chunk : { "1;extension=", "1\r\nx\r\n0\r\nTrailer: " }) {
+      RawCaller caller(*this);
+      co_await caller.Connect();
+      co_await caller.Write(Head("endless", "Transfer-Encoding: chunked\r\n") + chunk);
+      // Ends once the gateway closes the connection.
+      std::size_t written = 0;
+      constexpr std::size_t kPiece = 64UL * 1024;
+      constexpr std::size_t kMost = 64UL * 1024 * 1024;
+      while (written < kMost && co_await caller.Write(std::string(kPiece, 'x'))) {
+        written += kPiece;
+      }
+      BOOST_TEST(written < kMost);
+      BOOST_TEST(RunsOf("endless") == 0U);
+    }
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(ARequestHiddenInAnothersFramingIsNotRead, SiteFixture)
 {
   Run([&]() -> awaitable<void> {
