Gateway: Keep the feed's times in one place and check their sum against the drain bound

The longest way of a leaving to a gateway is a chain of a pause, a call, a connection and a message. Nothing checked that their sum keeps the bound, and a changed constant could have broken it unseen. FeedTiming holds them; TheLongestWayOfALeavingToAGatewayIsWithinItsBound adds them up for both kinds of site: 1.5 s of 2 s without faults, a first answer within 1 s of the store's return, and lapsed upstreams out of use 3 s after it. No time is changed.

--- a/Programs/Gateway/StoreFeed.h
+++ b/Programs/Gateway/StoreFeed.h
@@ -3,9 +3,8 @@
 #include "Agent/Fleet/NewsParts.h"
 #include "Base/Digest.h"
 #include "Base/Log.h"
-#include "Entry/Relay/OutageRecord.h"
-#include "Entry/Relay/WatchDuty.h"
 #include "ObjectStore/WatchSession.h"
+#include "Programs/Gateway/FeedTiming.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/ServingWire.h"
 #include "Programs/StoreAccess.h"
@@ -29,12 +28,13 @@
     : m_state(aState)
     , m_store(aState.m_loop, aState.m_profile.m_objectStore, aState.m_metrics)
     , m_catalogWatch(aState.m_loop, m_store.Objects(), objectstore::ObjectKind::Catalog, {},
-                     objectstore::CallPurpose::Configuration, Watching(), base::RandomNumber())
+                     objectstore::CallPurpose::Configuration, FeedTiming::Catalog(),
+                     base::RandomNumber())
     , m_upstreamWatch(aState.m_loop, m_store.Objects(), objectstore::ObjectKind::Upstream, {},
                       objectstore::CallPurpose::Membership,
-                      WatchingUpstreams(aState.m_profile.m_bounds), base::RandomNumber())
-    , m_duty(DutyLimits(aState.m_profile.m_bounds), aState.m_profile.m_host)
-    , m_outages(OutagesWith(aState.m_profile.m_bounds))
+                      FeedTiming::Upstreams(aState.m_profile.m_bounds), base::RandomNumber())
+    , m_duty(FeedTiming::Duty(aState.m_profile.m_bounds), aState.m_profile.m_host)
+    , m_outages(FeedTiming::Outages(aState.m_profile.m_bounds))
   {
   }
 
@@ -94,58 +94,6 @@
   }
 
 private:
-  /// Longest wait of one watch. A connection may go silent; a configuration has
-  /// to be in force within two seconds all the same.
-  static constexpr base::Duration kWatchTime = std::chrono::milliseconds(1500);
-  /// Of the time in which a leaving upstream has to be known, what is left for
-  /// the call itself and for requests on their way.
-  static constexpr base::Duration kDrainReserve = std::chrono::milliseconds(1300);
-
-  /// The list changes with each model that an engine loads, so changes are
-  /// gathered: each answer is a call that is paid for.
-  static base::Duration GatheringTime(base::SiteBounds const& aBounds)
-  {
-    return std::max<base::Duration>(aBounds.m_drain - kDrainReserve, base::Duration::zero());
-  }
-
-  /// A watch that ends in time, and the pause after it, take less.
-  static base::Duration SilenceLimit(base::SiteBounds const& aBounds)
-  {
-    return kWatchTime + GatheringTime(aBounds) + std::chrono::milliseconds(600);
-  }
-
-  static entry::OutageLimits OutagesWith(base::SiteBounds const& aBounds)
-  {
-    entry::OutageLimits limits;
-    limits.m_shortest = SilenceLimit(aBounds);
-    return limits;
-  }
-
-  static objectstore::WatchLimits WatchingUpstreams(base::SiteBounds const& aBounds)
-  {
-    auto limits = Watching();
-    limits.m_pause = GatheringTime(aBounds);
-    return limits;
-  }
-
-  static entry::WatchDutyLimits DutyLimits(base::SiteBounds const& aBounds)
-  {
-    // A follower asks the store itself in time to learn of a leaving upstream.
-    constexpr base::Duration kReserve = std::chrono::milliseconds(500);
-    entry::WatchDutyLimits limits;
-    limits.m_listAge = std::max<base::Duration>(aBounds.m_drain - kReserve, kReserve);
-    return limits;
-  }
-
-  static objectstore::WatchLimits Watching()
-  {
-    objectstore::WatchLimits limits;
-    limits.m_watchTime = kWatchTime;
-    limits.m_listTime = kWatchTime;
-    limits.m_backoff = { std::chrono::milliseconds(50), std::chrono::milliseconds(400) };
-    return limits;
-  }
-
   void OnCatalog(objectstore::ObjectChanges const& aChanges)
   {
     for (auto const& change : aChanges.m_changes) {
@@ -287,7 +235,7 @@
     auto const heard = m_upstreamWatch.State().LastHeard();
     m_outages.OnAnswered(std::max(heard, m_catalogWatch.State().LastHeard()));
     bool const isAway = m_upstreamWatch.State().HasListed() &&
-                        aNow - heard > SilenceLimit(m_state.m_profile.m_bounds);
+                        aNow - heard > FeedTiming::SilenceLimit(m_state.m_profile.m_bounds);
     if (isAway && !m_isStoreAway) {
       m_lostSince = heard;
       base::log::Warning(
--- a/Programs/StoreAccess.h
+++ b/Programs/StoreAccess.h
@@ -26,6 +26,16 @@
   Client& Objects() { return m_client; }
   void MoveTo(base::Endpoint aStore) { m_client.MoveTo(std::move(aStore)); }
 
+  static objectstore::CircuitLimits Circuit()
+  {
+    objectstore::CircuitLimits limits;
+    // A configuration has to be in force two seconds after the store's return,
+    // so probes are never further apart than half a second.
+    limits.m_backoff = { std::chrono::milliseconds(100), std::chrono::milliseconds(500) };
+    limits.m_probeTime = std::chrono::seconds(3);
+    return limits;
+  }
+
 private:
   static base::HttpClientLimits ClientLimits()
   {
@@ -39,16 +49,6 @@
     return limits;
   }
 
-  static objectstore::CircuitLimits Circuit()
-  {
-    objectstore::CircuitLimits limits;
-    // A configuration has to be in force two seconds after the store's return,
-    // so probes are never further apart than half a second.
-    limits.m_backoff = { std::chrono::milliseconds(100), std::chrono::milliseconds(500) };
-    limits.m_probeTime = std::chrono::seconds(3);
-    return limits;
-  }
-
   /// A process follows two kinds of objects and writes one, so a small part of
   /// the site's rates is plenty.
   static objectstore::CallRates Rates()
