--- a/Bench/ConfigurationBench.cpp
+++ b/Bench/ConfigurationBench.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iostream>
 #include <string>
 
 using namespace sardinefold;
@@ -86,16 +87,27 @@
 int main(int aCount, char** aArguments)
 {
   cxxopts::Options options("ConfigurationBench", "Spreads versions over fleets in virtual time.");
-  options.add_options()("only", "entries of the one fleet to run", cxxopts::value<std::size_t>())(
+  options.add_options()("only", "run only if this is \"configuration\"",
+                        cxxopts::value<std::string>()->default_value("configuration"))(
+    "entries", "entries of the one fleet to run", cxxopts::value<std::size_t>())(
     "seed", "seed of losses and delays", cxxopts::value<std::uint64_t>()->default_value("1"));
-  auto const parsed = options.parse(aCount, aArguments);
+  cxxopts::ParseResult parsed;
+  try {
+    parsed = options.parse(aCount, aArguments);
+  } catch (cxxopts::exceptions::exception const& error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  }
+  if (parsed["only"].as<std::string>() != "configuration") {
+    return 0;
+  }
   auto const seed = parsed["seed"].as<std::uint64_t>();
   std::vector<fakes::FleetShape> const shapes{ { 4, 4, 14, kLoss, seed },
                                                { 3, 23, 23, kLoss, seed },
                                                { 13, 1400, 10'000, kLoss, seed } };
   bool isWithin = true;
   for (auto const& shape : shapes) {
-    if (parsed.count("only") && parsed["only"].as<std::size_t>() != shape.m_entries) {
+    if (parsed.count("entries") && parsed["entries"].as<std::size_t>() != shape.m_entries) {
       continue;
     }
     isWithin &= MeasureFleet(shape, shape.m_entries > 1000 ? 2 : 20);
