--- a/StandIns/Site/EndlessServer.cpp
+++ b/StandIns/Site/EndlessServer.cpp
@@ -76,7 +76,7 @@
 
 std::string EndlessServer::Head(std::string const& aRequest) const
 {
-  auto const status = "HTTP/1.1 " + std::to_string(m_answer.m_status) + " X\r\n" + IdLine(aRequest);
+  auto status = "HTTP/1.1 " + std::to_string(m_answer.m_status) + " X\r\n" + IdLine(aRequest);
   switch (m_answer.m_part) {
     case EndlessPart::InterimResponses:
       return "";
@@ -97,7 +97,7 @@
 
 std::string EndlessServer::Piece() const
 {
-  std::string const filling(m_answer.m_pieceBytes, 'x');
+  std::string filling(m_answer.m_pieceBytes, 'x');
   switch (m_answer.m_part) {
     case EndlessPart::InterimResponses:
       return "HTTP/1.1 102 Processing\r\n\r\n";
