--- a/Meta/soak.py
+++ b/Meta/soak.py
@@ -31,6 +31,10 @@
 KEY_S = 2.0
 # Longest time after the last fault in which the site serves again.
 RECOVERY_S = 12.0
+# A leaving engine gets no new request later than this, and what a message takes
+# on a busy machine.
+DRAIN_S = 2.0
+ON_THE_WAY_S = 0.3
 # A caller hears within this time after its deadline.
 LATE_S = 1.0
 GUEST_RATE, GUEST_BURST, GUEST_TOKENS, QUOTA_WINDOW_S = 10, 40, 10, 8
@@ -40,6 +44,7 @@
 
 class Soak:
     def __init__(self, seed, folder, gateways, engines, seconds):
+        self.seed = seed
         self.random = random.Random(seed)
         self.site = SoakSite(folder, gateways, engines, self.random)
         self.seconds = seconds
@@ -80,6 +85,7 @@
         self.counts[answer.status] = self.counts.get(answer.status, 0) + 1
         self.answers[request] = answer
         answer.at_stop = gateway.is_only_stopping(began - STABLE_S)
+        answer.was_calm = not gateway.was_disturbed(began - STABLE_S)
         if answer.timed_out and not gateway.was_disturbed(began - STABLE_S):
             self.break_promise("no answer in time", f"{request} at {gateway.name} after {took:.2f} s")
         if answer.status == 200 and model:
@@ -150,6 +156,16 @@
             tasks.append(asyncio.create_task(self.random.choice(faults)()))
         await asyncio.gather(*tasks)
 
+    async def move_engines(self):
+        dice = random.Random(f"leavings of {self.seed}")
+        end = time.monotonic() + self.seconds
+        tasks = []
+        while time.monotonic() < end:
+            tasks.append(asyncio.create_task(self.site.turn_gateway_away(dice)))
+            await asyncio.sleep(dice.uniform(0.5, 3.0))
+            await self.site.take_engine_away(dice)
+        await asyncio.gather(*tasks)
+
     # The run
 
     async def run(self):
@@ -160,7 +176,7 @@
                    for kind, interval in [("chat", 0.15), ("chat", 0.15), ("once", 0.3), ("order", 0.1), ("look", 0.1)]]
         callers += [self.use_withdrawn_keys(), self.press_the_allowance(), self.change_configuration()]
         tasks = [asyncio.create_task(caller) for caller in callers]
-        await self.disturb()
+        await asyncio.gather(self.disturb(), self.move_engines())
         await self.site.heal()
         healed = time.monotonic()
         await self.recover(healed)
@@ -187,8 +203,9 @@
 
     async def check_runs(self):
         runs = []
-        for state in await self.site.engine_states():
+        for engine, state in enumerate(await self.site.engine_states()):
             runs += state["runs"]
+            self.check_leavings(engine, state["runs"])
             if state["overfull"]:
                 self.break_promise("an engine was ordered to load more than it holds", state["holders"])
             if len(state["holders"]) > 1:
@@ -210,6 +227,16 @@
                 self.break_promise("a graceful stop cut a request off", f"{request}: {answer.status}")
         self.check_allowance([run["at_ms"] / 1000 for run in runs if run["workspace"] == "guests"])
 
+    def check_leavings(self, engine, runs):
+        for number, left, back in self.site.leavings:
+            if number != engine or self.site.was_store_away(left - STABLE_S, left + DRAIN_S):
+                continue
+            for run in runs:
+                at = run["at_ms"] / 1000
+                answer = self.answers.get(run["request"])
+                if left + DRAIN_S + ON_THE_WAY_S < at < back and answer and answer.was_calm:
+                    self.break_promise("sent to an engine that had left", f"{run['request']}, {at - left:.2f} s later")
+
     def check_allowance(self, times):
         # The site's slack is a third of a second's rate and more; here one burst.
         bound = (GUEST_RATE * QUOTA_WINDOW_S + GUEST_BURST) * (1 + QUOTA_OVERAGE) + GUEST_BURST
--- a/Meta/soak_site.py
+++ b/Meta/soak_site.py
@@ -12,6 +12,8 @@
 from fleet import BUILD, free_port
 
 STORE, SERVICE = "127.0.1.1", "127.0.3.1"
+# Of the stand-in engines.
+HEARTBEAT_S = 0.3
 
 
 class Connection:
@@ -27,6 +29,7 @@
         self.address, self.port, self.target = address, port, target
         self.connections = set()
         self.delay = 0.0
+        self.is_refusing = False
         self.writers = set()
 
     async def start(self):
@@ -46,6 +49,9 @@
             connection.dead |= directions
 
     async def serve(self, reader, writer):
+        if self.is_refusing:
+            writer.transport.abort()
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.target)
         except OSError:
@@ -118,6 +124,9 @@
         self.fault_counts = {}
         self.proxies, self.store_proxies = [], {}
         self.store_disturbed_until = 0.0
+        # When the store was down, and which engine was gone from its list, from
+        # when to when.
+        self.outages, self.leavings = [], []
         self.former_keys = ["key-1"]
         self.retry_allowance = 52
         self.standin = None
@@ -321,6 +330,7 @@
         self.count("outage")
         seconds = self.random.uniform(0.5, 4.0)
         self.store_disturbed_until = max(self.store_disturbed_until, time.monotonic() + seconds)
+        self.outages.append((time.monotonic(), time.monotonic() + seconds))
         await self.switch(STORE, self.ports["store"], outage=True)
         await asyncio.sleep(seconds)
         await self.switch(STORE, self.ports["store"], outage=False)
@@ -349,11 +359,39 @@
         self.count("lose orders")
         await self.switch(self.pick_engine(), self.ports["engine"], lose_orders=self.random.randint(1, 2))
 
+    # Leavings, with dice of their own: what else a seed plays stays the same
+
+    async def take_engine_away(self, dice):
+        self.count("leaving")
+        number = dice.randint(1, self.engine_count)
+        host = f"127.0.2.{number}"
+        await self.switch(host, self.ports["engine"], unlisted=True)
+        # Its next heartbeat takes the entry away.
+        left = time.monotonic() + HEARTBEAT_S
+        await asyncio.sleep(dice.uniform(3.0, 5.0))
+        self.leavings.append((number - 1, left, time.monotonic()))
+        await self.switch(host, self.ports["engine"], unlisted=False)
+
+    async def turn_gateway_away(self, dice):
+        self.count("turned away")
+        gateway = dice.choice(self.gateways)
+        proxy = self.store_proxies[gateway.name]
+        seconds = dice.uniform(2.5, 5.0)
+        gateway.disturb(seconds)
+        proxy.is_refusing = True
+        proxy.reset()
+        await asyncio.sleep(seconds)
+        proxy.is_refusing = False
+
+    def was_store_away(self, since, until):
+        return any(start < until and end > since for start, end in self.outages)
+
     # The end
 
     async def heal(self):
         for proxy in self.proxies + list(self.store_proxies.values()):
             proxy.delay = 0.0
+            proxy.is_refusing = False
         await self.switch(STORE, self.ports["store"], outage=False, lose_answers=0)
         for node in self.nodes():
             node.child.send_signal(signal.SIGCONT)
