--- a/Tests/EndlessAnswerTest.cpp
+++ b/Tests/EndlessAnswerTest.cpp
@@ -152,6 +152,28 @@
   });
 }
 
+BOOST_DATA_TEST_CASE_F(EndlessFixture, AStoresAnswerWithoutEndFailsInTimeAndInBoundedMemory,
+                       boost::unit_test::data::make(kCases), aCase)
+{
+  Start(aCase.m_answer, "none");
+  Run([&]() -> awaitable<void> {
+    base::Metrics metrics;
+    base::Endpoint const store{ "127.0.3.1", Callers().m_port };
+    programs::StoreAccess<platform::Wire::StoreClient> access(m_loop, store, metrics);
+    auto const before = ResidentKilobytes();
+    auto const start = m_loop.Now();
+    constexpr base::Duration kLimit = 1'500ms;
+    auto const list = co_await access.Objects().List(objectstore::ObjectKind::Upstream, {}, kLimit,
+                                                     objectstore::CallPurpose::Membership);
+    BOOST_TEST(!list.has_value());
+    BOOST_TEST((m_loop.Now() - start < kLimit + kSlack));
+    BOOST_TEST(ResidentKilobytes() - before < kMostGrowthKilobytes);
+    // A server that drips notices at its second piece from here.
+    co_await m_loop.Sleep(300ms);
+    BOOST_TEST(m_endless->Open() == 0U);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(AnEventWithoutEndEndsItsStreamInBoundedMemory, EndlessFixture)
 {
   Start({ EndlessPart::Event, 200, kSigned + "Content-Type: text/event-stream\r\n" }, "llm",
