soak: Count no stream that its restarted engine broke off as cut by a stop

Trace: engine i-2 restarted at 15:18:54.93 while front-4 was stopping; its connection closed under the stream, the model was gone with the restart and could not be back before the stop ended. The site's rules do not count what the engine broke off.

--- a/Meta/soak.py
+++ b/Meta/soak.py
@@ -84,7 +84,8 @@
         took = time.monotonic() - began
         self.counts[answer.status] = self.counts.get(answer.status, 0) + 1
         self.answers[request] = answer
-        answer.at_stop = gateway.is_only_stopping(began - STABLE_S)
+        engine_broke_off = any(began < at < began + took for at in self.site.engine_restarts)
+        answer.at_stop = gateway.is_only_stopping(began - STABLE_S) and not engine_broke_off
         answer.was_calm = not gateway.was_disturbed(began - STABLE_S)
         if answer.timed_out and not gateway.was_disturbed(began - STABLE_S):
             self.break_promise("no answer in time", f"{request} at {gateway.name} after {took:.2f} s")
--- a/Meta/soak_site.py
+++ b/Meta/soak_site.py
@@ -127,6 +127,8 @@
         # When the store was down, and which engine was gone from its list, from
         # when to when.
         self.outages, self.leavings = [], []
+        # When an engine restarted, which breaks its streams off.
+        self.engine_restarts = []
         self.former_keys = ["key-1"]
         self.retry_allowance = 52
         self.standin = None
@@ -349,6 +351,7 @@
 
     async def restart_engine(self):
         self.count("engine restart")
+        self.engine_restarts.append(time.monotonic())
         await self.switch(self.pick_engine(), self.ports["engine"], restart=True)
 
     async def break_streams(self):
