Base: Move the HTTP client's connection into a file of its own

What one connection does, connecting, probing, writing a request, reading heads, is in HttpConnection now; pool and replies stay. No behaviour is changed.

--- /dev/null
+++ b/Base/Http/HttpConnection.cpp
@@ -0,0 +1,190 @@
+#include "Base/Http/HttpConnection.h"
+
+#include "Base/Http/HttpHead.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace sardinefold::base {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t kProbeAnswerBytes = std::uint64_t(1024) * 1024;
+/// Responses to earlier requests that one connection may deliver first, and
+/// their bytes.
+constexpr int kMostSkippedResponses = 4;
+constexpr std::size_t kMostSkippedBytes = 1024UL * 1024;
+/// Servers send one or two interim responses, if any.
+constexpr int kMostInterimResponses = 16;
+
+/// Options that Asio has no class for. They are best effort: without them a
+/// silent peer is found by the limits of each request.
+void SetTcpOption(tcp::socket& aSocket, int aName, int aValue)
+{
+  ::setsockopt(aSocket.native_handle(), IPPROTO_TCP, aName, &aValue, sizeof(aValue));
+}
+
+/// Makes the system close the connection when its peer falls silent.
+void CloseWhenSilent(tcp::socket& aSocket, Duration aAcknowledgeTime)
+{
+  // The shortest time that the system offers.
+  constexpr int kProbeSeconds = 1;
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  SetTcpOption(aSocket, TCP_KEEPIDLE, kProbeSeconds);
+  SetTcpOption(aSocket, TCP_KEEPINTVL, kProbeSeconds);
+  SetTcpOption(aSocket, TCP_USER_TIMEOUT, static_cast<int>(ToMilliseconds(aAcknowledgeTime)));
+}
+
+bool IsEchoedBy(HttpHeaders::Field const& aEcho,
+                http::response_parser<http::buffer_body> const& aParser)
+{
+  auto const found = aParser.get().find(aEcho.m_name);
+  return found == aParser.get().end() || found->value() == std::string_view(aEcho.m_value);
+}
+
+/// Reads the rest of a response and drops it.
+asio::awaitable<boost::system::error_code> SkipBody(EventLoop const& aLoop,
+                                                    HttpConnection& aConnection, Instant aEnd)
+{
+  auto& parser = *aConnection.m_parser;
+  std::array<char, kHttpReadBytes> storage;
+  std::size_t skipped = 0;
+  while (!parser.is_done()) {
+    // Reads that complete at once never let the stream's own timer run.
+    if (aLoop.Now() >= aEnd) {
+      co_return boost::beast::error::timeout;
+    }
+    if (skipped > kMostSkippedBytes) {
+      co_return http::error::body_limit;
+    }
+    parser.get().body().data = storage.data();
+    parser.get().body().size = storage.size();
+    auto const [error, size] =
+      co_await http::async_read_some(aConnection.m_stream, aConnection.m_buffer, parser, kAwait);
+    if (error && error != http::error::need_buffer) {
+      co_return error;
+    }
+    skipped += storage.size() - parser.get().body().size;
+  }
+  if (!parser.keep_alive()) {
+    co_return http::error::end_of_stream;
+  }
+  co_return boost::system::error_code{};
+}
+
+} // namespace
+
+asio::awaitable<boost::system::error_code> Connect(HttpConnection& aConnection, Duration aLimit,
+                                                   std::optional<Duration> aAcknowledgeTime)
+{
+  boost::system::error_code error;
+  tcp::endpoint const endpoint(asio::ip::make_address(aConnection.m_endpoint.m_address, error),
+                               aConnection.m_endpoint.m_port);
+  if (error) {
+    co_return error;
+  }
+  aConnection.m_stream.expires_after(aLimit);
+  auto const [connectError] = co_await aConnection.m_stream.async_connect(endpoint, kAwait);
+  if (!connectError) {
+    boost::system::error_code ignored;
+    aConnection.m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    if (aAcknowledgeTime) {
+      CloseWhenSilent(aConnection.m_stream.socket(), *aAcknowledgeTime);
+    }
+  }
+  co_return connectError;
+}
+
+bool IsStillOpen(HttpConnection& aConnection)
+{
+  char byte = 0;
+  auto const received = ::recv(aConnection.m_stream.socket().native_handle(), &byte, sizeof(byte),
+                               MSG_PEEK | MSG_DONTWAIT);
+  // Input on an idle connection answers no request, so it is not reused.
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+asio::awaitable<bool> Probe(HttpConnection& aConnection, HttpProbe const& aProbe)
+{
+  HttpRequest request;
+  request.m_target = aProbe.m_target;
+  auto const head = RenderRequestHead(request, aConnection.m_endpoint, {});
+  aConnection.m_stream.expires_after(aProbe.m_limit);
+  auto const [writeError, written] =
+    co_await asio::async_write(aConnection.m_stream, asio::buffer(head), kAwait);
+  if (writeError) {
+    co_return false;
+  }
+  http::response_parser<http::string_body> answer;
+  answer.body_limit(kProbeAnswerBytes);
+  auto const [readError, size] =
+    co_await http::async_read(aConnection.m_stream, aConnection.m_buffer, answer, kAwait);
+  co_return !readError && answer.keep_alive();
+}
+
+void StartWriting(HttpConnection& aConnection, std::string aMessage)
+{
+  // Shared: the buffer has to last until the write's handler has run, which may
+  // be after the connection was closed.
+  auto const message = std::make_shared<std::string const>(std::move(aMessage));
+  *aConnection.m_write = {};
+  asio::async_write(
+    aConnection.m_stream, asio::buffer(*message),
+    [message, state = aConnection.m_write](boost::system::error_code aError, std::size_t) {
+      *state = { !aError, aError };
+    });
+}
+
+asio::awaitable<boost::system::error_code> ReadHead(EventLoop const& aLoop,
+                                                    HttpConnection& aConnection, bool aIsHead,
+                                                    Bytes aHeaderLimit, Instant aEnd,
+                                                    std::optional<HttpHeaders::Field> const& aEcho)
+{
+  int interim = 0;
+  for (int skipped = 0; skipped <= kMostSkippedResponses;) {
+    auto& parser = aConnection.m_parser.emplace();
+    parser.header_limit(static_cast<std::uint32_t>(aHeaderLimit.Value()));
+    parser.body_limit(boost::none);
+    parser.skip(aIsHead);
+    auto const [error, size] =
+      co_await http::async_read_header(aConnection.m_stream, aConnection.m_buffer, parser, kAwait);
+    if (error) {
+      co_return error;
+    }
+    if (parser.get().result_int() < 200) {
+      if (++interim > kMostInterimResponses) {
+        co_return http::error::header_limit;
+      }
+      continue;
+    }
+    if (!aEcho || IsEchoedBy(*aEcho, parser)) {
+      co_return error;
+    }
+    ++skipped;
+    auto const skipError = co_await SkipBody(aLoop, aConnection, aEnd);
+    if (skipError) {
+      co_return skipError;
+    }
+  }
+  co_return http::error::unexpected_body;
+}
+
+void Abort(HttpConnection& aConnection)
+{
+  boost::system::error_code ignored;
+  aConnection.m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  aConnection.m_stream.close();
+}
+
+} // namespace sardinefold::base
