Base: Send nothing once no time is left, and say so

Found by reading the change: a connection that took all of a request's time was still written to, and the attempt then ended as one that may have run, so that an order was answered 504 in place of a refusal that it did not run.

Measured: ARequestWithoutTimeLeftIsNotSent.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -285,8 +285,14 @@
     HttpFailure failure{ HttpFailure::Kind::Withdrawn, false, aEndpoint.Text() };
     co_return tl::make_unexpected(std::move(failure));
   }
+  if (m_loop.Now() >= end) {
+    StopCancelling(cancellation);
+    Return(std::move(connection));
+    HttpFailure failure{ HttpFailure::Kind::TimedOut, false, "no time is left to send it" };
+    co_return tl::make_unexpected(std::move(failure));
+  }
   CancelWith(cancellation, *connection);
-  connection->m_stream.expires_after(std::max(end - m_loop.Now(), Duration::zero()));
+  connection->m_stream.expires_after(end - m_loop.Now());
   StartWriting(*connection,
                RenderRequestHead(aRequest, aEndpoint, FramingOf(aRequest)) + aRequest.m_body);
   bool const isHead = aRequest.m_method == "HEAD";
--- a/Tests/HttpTest.cpp
+++ b/Tests/HttpTest.cpp
@@ -200,6 +200,20 @@
   RunWithServer(count, {}, body);
 }
 
+BOOST_AUTO_TEST_CASE(ARequestWithoutTimeLeftIsNotSent)
+{
+  auto const body = [](auto&, auto& aClient, auto aEndpoint, auto&) -> awaitable<void> {
+    // A connection that is ready at once.
+    base::HttpRequest first;
+    co_await aClient.Fetch(aEndpoint, std::move(first), std::chrono::seconds(1));
+    base::HttpRequest request;
+    auto const reply = co_await aClient.Send(aEndpoint, std::move(request), base::Duration::zero());
+    BOOST_REQUIRE(!reply.has_value());
+    BOOST_TEST(!reply.error().m_mayHaveBeenSent);
+  };
+  RunWithServer(Echo, {}, body);
+}
+
 BOOST_AUTO_TEST_CASE(RemoteCallsNeedTheFleetSecret)
 {
   base::PeerAuthentication const fleet("secret");
