Engine: End the use of a lapsed upstream once it is known to have left

Found by reading the change: an upstream kept as lapsed stayed in use until the lapse's end, even if an entry came that cannot be read. The settings' memory limit is checked now, as the share for held answers follows from it.

Measured: ALapsedUpstreamThatIsKnownToHaveLeftEndsItsUse.

--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -60,7 +60,11 @@
                                             base::Instant aNow)
 {
   auto const found = m_upstreams.find(aInstance);
-  if (found == m_upstreams.end() || found->second.m_usableUntil) {
+  if (found == m_upstreams.end()) {
+    return RemovalReading::Unknown;
+  }
+  if (auto& usableUntil = found->second.m_usableUntil) {
+    usableUntil = std::min(*usableUntil, aLapseEnd.value_or(aNow));
     return RemovalReading::Unknown;
   }
   bool const isLapse = aLapseEnd && !found->second.m_entry.m_isLeaving;
--- a/ObjectStore/ObjectClientCalls.h
+++ b/ObjectStore/ObjectClientCalls.h
@@ -9,8 +9,8 @@
 
 namespace detail {
 
-/// Sixteen values of the largest size; a process has ten times that for all it
-/// does.
+/// Sixteen objects of the largest size, and a tenth of the memory of the
+/// smallest process.
 inline constexpr base::Bytes kMaxAnswerBytes{ 16 * 1024 * 1024 };
 /// A watch that has been silent for this much longer than it asked for is lost.
 /// A slow platform takes a quarter of a second for an answer.
--- a/ObjectStore/ObjectWatch.h
+++ b/ObjectStore/ObjectWatch.h
@@ -27,8 +27,9 @@
 
 /// Follows the objects of one kind: lists them, then watches from that version
 /// on. It lists again when the platform has compacted the version or did not
-/// answer, waits with growing random pauses while calls fail, and hands out each change once, in
-/// the order of versions, with deletions that were missed meanwhile.
+/// answer, waits with growing random pauses while calls fail, and hands out each
+/// change once, in the order of versions, with deletions that were missed
+/// meanwhile.
 class ObjectWatch
 {
 public:
--- a/Tests/UpstreamDirectoryTest.cpp
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -114,6 +114,14 @@
   BOOST_TEST(m_directory.Size() == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(ALapsedUpstreamThatIsKnownToHaveLeftEndsItsUse, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  m_directory.OnRemoved(Instance("one"), kStart + seconds(2), kStart);
+  m_directory.OnRemoved(Instance("one"), std::nullopt, kStart + seconds(1));
+  BOOST_TEST(!Find(std::nullopt, kStart + seconds(1)).has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(SpreadsRequestsWhosePromptsAreUnread, Fixture)
 {
   m_directory.OnListed(Entry("one", 1), kStart);
