soak: Choose other ports where another program took one

Seed 526 of 500 to 549 broke off with "front-1 is not ready": standin.log says "cannot listen on 127.0.2.1:59289: Address already in use". Four seeds run side by side, and a port that was free when it was chosen was another's when it was used. That one case is tried again with other ports; a stand-in that ends for another reason still breaks the run.

--- a/Meta/soak.py
+++ b/Meta/soak.py
@@ -22,7 +22,7 @@
 
 from fleet import ROOT
 from soak_client import Client, request_text
-from soak_site import SoakSite
+from soak_site import PortTaken, SoakSite
 
 # What the site's pages allow a process that was disturbed before it counts
 # as in touch again.
@@ -250,6 +250,14 @@
 
 
 def run_seed(seed, options):
+    while True:
+        try:
+            return run_seed_once(seed, options)
+        except PortTaken:
+            print(f"seed {seed}: a port was taken, once more with others", flush=True)
+
+
+def run_seed_once(seed, options):
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"sardinefold-soak-{seed}-"))
     dice = random.Random(seed)
     gateways = options.gateways or dice.randint(3, 6)
@@ -257,6 +265,9 @@
     soak = Soak(seed, folder, gateways, engines, options.seconds)
     try:
         asyncio.run(soak.run())
+    except PortTaken:
+        shutil.rmtree(folder, ignore_errors=True)
+        raise
     except Exception as error:  # A run that cannot go on is a finding, too.
         soak.violations.append(f"the run broke off: {type(error).__name__}: {error}")
     finally:
--- a/Meta/soak_site.py
+++ b/Meta/soak_site.py
@@ -16,6 +16,10 @@
 HEARTBEAT_S = 0.3
 
 
+class PortTaken(Exception):
+    """Another program took a port between its choice and its use."""
+
+
 class Connection:
     def __init__(self):
         # Directions that carry nothing any more.
@@ -178,6 +182,8 @@
         end = time.monotonic() + seconds
         for gateway in self.gateways:
             while not await self.is_ready(gateway):
+                if self.standin.poll() is not None and "already in use" in (self.folder / "standin.log").read_text():
+                    raise PortTaken
                 if time.monotonic() > end:
                     raise TimeoutError(f"{gateway.name} is not ready")
                 await asyncio.sleep(0.1)
