Meta: Vary the idle limit and overlap signals in the soak

Nothing in the soak changed the limits of connections, and signals came one at a time. Configurations now change the idle limit, callers reuse connections that were idle for up to four fifths of it, and gateways get series of SIGHUP and SIGTERM that overlap. A request that ends without an answer more than 0.2 s after it was sent, at a gateway that has no fault or is only stopping, violates a guarantee.

--- a/Meta/soak.py
+++ b/Meta/soak.py
@@ -37,6 +37,9 @@
 IN_FLIGHT_S = 0.3
 # Longest time after its deadline until a caller must have a response.
 RESPONSE_GRACE_S = 1.0
+# Longest time after its last byte within which a request may still cross the
+# close of its connection.
+LOSS_SLACK_S = 0.2
 GUEST_RATE, GUEST_BURST, GUEST_TOKENS, QUOTA_WINDOW_S = 10, 40, 10, 8
 QUOTA_OVERAGE = 0.1
 MODELS = ["common", "own1", "own2", "rare"]
@@ -87,6 +90,9 @@
         engine_restarted = any(started_at < at < started_at + elapsed for at in self.site.engine_restarts)
         response.during_graceful_stop = gateway.is_only_stopping(started_at - SETTLE_TIME_S) and not engine_restarted
         response.was_undisturbed = not gateway.was_disturbed(started_at - SETTLE_TIME_S)
+        is_lost = response.status == 0 and not response.timed_out and elapsed > LOSS_SLACK_S
+        if is_lost and (response.during_graceful_stop or response.was_undisturbed):
+            self.record_violation("neither an answer nor a refusal", f"{request} at {gateway.name} after {elapsed:.2f} s")
         if response.timed_out and not gateway.was_disturbed(started_at - SETTLE_TIME_S):
             self.record_violation("no response in time", f"{request} at {gateway.name} after {elapsed:.2f} s")
         if response.status == 200 and model:
@@ -128,15 +134,29 @@
             await self.send_request(client, "look", self.random.choice(self.site.gateways), "key-2")
         client.close()
 
+    async def reuse_idle_connections(self):
+        """Reuses connections that were idle for up to four fifths of the limit."""
+        rng = random.Random(f"idle connections of {self.seed}")
+        client = Client(self.site)
+        self.clients.append(client)
+        while not self.is_over:
+            gateway = rng.choice(self.site.gateways)
+            for _ in range(rng.randint(1, 4)):
+                await self.send_request(client, rng.choice(["look", "order"]), gateway)
+                await asyncio.sleep(rng.uniform(0.5, 0.8) * min(self.site.idle_timeout_ms, 2000) / 1000)
+        client.close()
+
     # Configuration changes
 
     async def change_configuration(self):
+        idle_timeouts = random.Random(f"idle timeouts of {self.seed}")
         version = 1
         while not self.is_over:
             await asyncio.sleep(self.random.uniform(0.7, 2.5))
             version += self.random.randint(1, 3)
             keys = ["key-1", f"key-v{version}"]
-            former = await self.site.put_configuration(version, keys, self.random.choice([1500, 1800]))
+            timeout_ms = self.random.choice([1500, 1800])
+            former = await self.site.put_configuration(version, keys, timeout_ms, idle_timeouts.choice([400, 1000, 5000]))
             if former is None:
                 continue
             for key in former:
@@ -168,6 +188,15 @@
             await self.site.unlist_engine(rng)
         await asyncio.gather(*tasks)
 
+    async def send_signal_series(self):
+        rng = random.Random(f"signals of {self.seed}")
+        end = time.monotonic() + self.seconds
+        tasks = []
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            tasks.append(asyncio.create_task(self.site.send_signal_series(rng)))
+        await asyncio.gather(*tasks)
+
     # Test run
 
     async def run(self):
@@ -176,9 +205,10 @@
         await self.site.start()
         callers = [self.run_caller(kind, interval)
                    for kind, interval in [("chat", 0.15), ("chat", 0.15), ("once", 0.3), ("order", 0.1), ("look", 0.1)]]
-        callers += [self.use_withdrawn_keys(), self.exceed_allowance(), self.change_configuration()]
+        callers += [self.use_withdrawn_keys(), self.exceed_allowance(), self.change_configuration(),
+                    self.reuse_idle_connections()]
         tasks = [asyncio.create_task(caller) for caller in callers]
-        await asyncio.gather(self.inject_faults(), self.drain_engines())
+        await asyncio.gather(self.inject_faults(), self.drain_engines(), self.send_signal_series())
         await self.site.clear_faults()
         cleared_at = time.monotonic()
         await self.check_recovery(cleared_at)
--- a/Meta/soak_client.py
+++ b/Meta/soak_client.py
@@ -51,6 +51,8 @@
             connection[1].close()
 
     async def exchange(self, gateway, text, response):
+        if gateway.name in self.connections and self.connections[gateway.name][0].at_eof():
+            self.close_connection(gateway)
         if gateway.name not in self.connections:
             self.connections[gateway.name] = await asyncio.open_connection(gateway.address, self.site.ports["front"])
         reader, writer = self.connections[gateway.name]
--- a/Meta/soak_site.py
+++ b/Meta/soak_site.py
@@ -135,6 +135,8 @@
         self.engine_restarts = []
         self.former_keys = ["key-1"]
         self.retry_allowance = 52
+        # Of the latest configuration that the store has accepted.
+        self.idle_timeout_ms = 5000
         self.standin = None
         self.gateways = [self.make_node("sardinefold-gateway", f"front-{number}", f"127.0.4.{number}",
                                         "ab"[number % 4 == 0], None) for number in range(1, gateways + 1)]
@@ -208,7 +210,7 @@
                 connection.close()
         return await asyncio.get_running_loop().run_in_executor(None, call)
 
-    async def put_configuration(self, version, keys, timeout_ms):
+    async def put_configuration(self, version, keys, timeout_ms, idle_timeout_ms):
         """Returns the keys that were in force before, or None if the store did not
         accept the configuration."""
         try:
@@ -220,8 +222,12 @@
             spec["version"] = version
             spec["tenants"][0]["apiKeys"] = keys
             spec["routes"][2]["timeoutMs"] = timeout_ms
+            spec["limits"]["idleTimeoutMs"] = idle_timeout_ms
             status, _ = await self.fetch(STORE, self.ports["store"], "PUT", "/v1/objects/config/main", {"spec": spec})
-            return former if status == 200 else None
+            if status != 200:
+                return None
+            self.idle_timeout_ms = idle_timeout_ms
+            return former
         except (OSError, http.client.HTTPException, ValueError):
             return None
 
@@ -265,6 +271,23 @@
             self.count("stop")
             await self.exit_and_restart(node, signal.SIGTERM, 20, self.random.uniform(0.0, 0.5))
 
+    async def send_signal_series(self, rng):
+        """Sends overlapping signals to a gateway; half of the series stop it."""
+        running = [node for node in self.gateways if not node.is_down]
+        if not running:
+            return
+        node = rng.choice(running)
+        self.count("signals")
+        is_stop = rng.random() < 0.5
+        stop = asyncio.create_task(self.exit_and_restart(node, signal.SIGTERM, 20, 0.0)) if is_stop else None
+        child = node.child
+        for _ in range(rng.randint(2, 6)):
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+            if child.poll() is None:
+                child.send_signal(rng.choice([signal.SIGHUP, signal.SIGHUP, signal.SIGTERM]) if is_stop else signal.SIGHUP)
+        if stop:
+            await stop
+
     async def pause_process(self):
         if node := self.pick_node():
             self.count("pause")
