Base, Gateway: Report why each caller's connection ends

Callers of two deployments missed responses, and nothing was logged when a connection closed in a wait for a request, in a request that was being read, or in a drain, so that the hypotheses could not be told apart.

HttpServer reports the end of each connection to an observer: the reason, the time since the last wait for a request began and the bytes that were received and not served. The gateway counts and logs it, as a warning if a caller may miss a response, and logs the connection limits when a configuration sets them.

--- a/Base/Http/HttpServer.cpp
+++ b/Base/Http/HttpServer.cpp
@@ -123,6 +123,11 @@
       co_return;
     }
     if (error || m_connections >= m_limits.m_connections) {
+      if (!error) {
+        HttpConnectionClose close;
+        close.m_reason = HttpCloseReason::ConnectionLimit;
+        ReportClose(close);
+      }
       // The process is out of file descriptors or over its connection limit. Close
       // the connection and pause, so that the loop does not spin.
       boost::system::error_code ignored;
--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/EventLoop.h"
+#include "Base/Http/HttpConnectionClose.h"
 #include "Base/Http/HttpExchange.h"
 #include "Base/Http/HttpMessage.h"
 #include "Base/Units.h"
@@ -48,6 +49,7 @@
 public:
   using Handler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
   using ErrorRenderer = std::function<HttpResponse(HttpRequestError const&)>;
+  using CloseObserver = std::function<void(HttpConnectionClose const&)>;
 
   HttpServer(EventLoop& aLoop, HttpServerLimits aLimits, Handler aHandler,
              ErrorRenderer aErrorRenderer);
@@ -56,6 +58,9 @@
   /// Uses TLS for new connections. Open connections keep their certificate.
   void UseTls(std::shared_ptr<boost::asio::ssl::context> aContext);
 
+  /// Sets a callback that is called at the end of each connection.
+  void OnConnectionClosed(CloseObserver aObserver) { m_closeObserver = std::move(aObserver); }
+
   /// Binds and starts to accept connections. The error carries the operating
   /// system's message.
   tl::expected<void, std::string> Listen(Endpoint const& aEndpoint);
@@ -83,6 +88,13 @@
   template<typename Stream>
   class Session;
 
+  void ReportClose(HttpConnectionClose const& aClose) const
+  {
+    if (m_closeObserver) {
+      m_closeObserver(aClose);
+    }
+  }
+
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> ServePlain(boost::asio::ip::tcp::socket aSocket);
   boost::asio::awaitable<void> ServeTls(boost::asio::ip::tcp::socket aSocket,
@@ -92,6 +104,7 @@
   HttpServerLimits m_limits;
   Handler m_handler;
   ErrorRenderer m_errorRenderer;
+  CloseObserver m_closeObserver;
   // Shared with each pending handshake, which may outlast a reload.
   std::shared_ptr<boost::asio::ssl::context> m_tls;
   boost::asio::ip::tcp::acceptor m_acceptor;
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -55,22 +55,39 @@
 
   boost::asio::awaitable<void> Run()
   {
+    m_waitBegan = m_server.m_loop.Now();
     co_await ServeAll();
+    ReportClose();
     co_await StopWatching();
   }
 
 private:
+  void ReportClose()
+  {
+    boost::system::error_code ignored;
+    HttpConnectionClose close;
+    close.m_reason = m_closeReason;
+    close.m_connection = m_number;
+    close.m_requests = m_requests;
+    close.m_sinceWait = m_server.m_loop.Now() - m_waitBegan;
+    close.m_pendingBytes = m_buffer.size() + Socket().available(ignored);
+    m_server.ReportClose(close);
+  }
+
   boost::asio::awaitable<void> ServeAll()
   {
     while (!m_server.m_draining) {
+      m_waitBegan = m_server.m_loop.Now();
       if (m_buffer.size() == 0 && !co_await WaitForRequest()) {
         co_return;
       }
+      m_closeReason = HttpCloseReason::PeerClosed;
       auto request = co_await ReadRequest();
       if (!request || !co_await Serve(std::move(*request))) {
         co_return;
       }
     }
+    m_closeReason = HttpCloseReason::Drain;
   }
 
   boost::asio::ip::tcp::socket& Socket()
@@ -88,6 +105,11 @@
     auto const [error, size] = co_await m_stream.async_read_some(prepared, detail::kAwait);
     m_server.m_idle.erase(position);
     m_buffer.commit(size);
+    if (error == boost::beast::error::timeout) {
+      m_closeReason = HttpCloseReason::IdleLimit;
+    } else if (error == boost::asio::error::operation_aborted) {
+      m_closeReason = HttpCloseReason::Drain;
+    }
     co_return !error;
   }
 
@@ -138,6 +160,7 @@
         aError == boost::asio::error::operation_aborted || aError == boost::asio::error::eof) {
       co_return;
     }
+    m_closeReason = HttpCloseReason::RequestRefused;
     auto response = m_server.m_errorRenderer(detail::ToRequestError(aError));
     HttpRequest noRequest;
     HttpExchange exchange(&m_stream, std::move(noRequest), false, true,
@@ -167,6 +190,7 @@
   boost::asio::awaitable<bool> Serve(HttpRequest aRequest)
   {
     detail::CountGuard const guard(m_server.m_exchanges);
+    ++m_requests;
     bool const keepAlive = m_keepAlive && !m_server.m_draining && !m_server.m_isClosing;
     HttpExchange exchange(&m_stream, std::move(aRequest), keepAlive, m_mayChunk,
                           m_server.m_limits.m_writeTimeout);
@@ -178,6 +202,12 @@
     if (m_server.m_draining) {
       exchange.CloseAfterResponse();
     }
+    if (exchange.IsPeerDisconnected()) {
+      m_closeReason = HttpCloseReason::PeerClosed;
+    } else {
+      m_closeReason = exchange.HasFinished() ? HttpCloseReason::AfterResponse
+                                             : HttpCloseReason::ResponseIncomplete;
+    }
     co_return exchange.IsReusable();
   }
 
@@ -228,6 +258,9 @@
   boost::beast::flat_buffer m_buffer{ kMaximumBufferedBytes };
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
   boost::asio::steady_timer m_watchEnded{ m_server.m_loop.Context() };
+  HttpCloseReason m_closeReason = HttpCloseReason::PeerClosed;
+  Instant m_waitBegan{};
+  std::uint64_t m_requests = 0;
   bool m_keepAlive = false;
   bool m_mayChunk = true;
   HttpExchange* m_current = nullptr;
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -38,6 +38,8 @@
     if (!profile.m_callers || !profile.m_readiness) {
       return tl::make_unexpected("the settings give no address for callers or for readiness");
     }
+    m_callers.OnConnectionClosed(
+      [this](base::HttpConnectionClose const& aClose) { RecordConnectionClose(aClose); });
     if (auto bound = m_callers.Listen(*profile.m_callers); !bound) {
       return bound;
     }
@@ -101,6 +103,22 @@
     co_await session.Run();
   }
 
+  void RecordConnectionClose(base::HttpConnectionClose const& aClose)
+  {
+    m_state.m_metrics
+      .Counter("sardinefold_gateway_connections_closed_total", "Callers' connections by their end.",
+               { { "reason", std::string(ToText(aClose.m_reason)) },
+                 { "pending", aClose.m_pendingBytes > 0 ? "yes" : "no" } })
+      .Increment();
+    base::log::Write(
+      aClose.IsSuspect() ? base::LogLevel::Warning : base::LogLevel::Info, "connection closed",
+      { { "connection", std::to_string(aClose.m_connection) },
+        { "reason", std::string(ToText(aClose.m_reason)) },
+        { "requests", std::to_string(aClose.m_requests) },
+        { "since_wait_ms", std::to_string(base::ToMilliseconds(aClose.m_sinceWait)) },
+        { "pending_bytes", std::to_string(aClose.m_pendingBytes) } });
+  }
+
   bool IsReady() const
   {
     return m_state.m_catalog && m_state.m_directory.Size() > 0 && !m_isStopping;
@@ -123,6 +141,12 @@
     serverLimits.m_headerTimeout = limits.m_headerTimeout;
     serverLimits.m_idleTimeout = limits.m_idleTimeout;
     m_callers.SetLimits(serverLimits);
+    base::log::Info(
+      "connection limits in force",
+      { { "version", std::to_string(m_state.m_catalog->Catalog().m_version.Value()) },
+        { "header_ms", std::to_string(base::ToMilliseconds(serverLimits.m_headerTimeout)) },
+        { "body_ms", std::to_string(base::ToMilliseconds(serverLimits.m_bodyTimeout)) },
+        { "idle_ms", std::to_string(base::ToMilliseconds(serverLimits.m_idleTimeout)) } });
     m_fleet.OnCatalog();
   }
 
