Base: Let a read's deadline hold between two reads

Callers whose body stopped arriving got neither a response nor a close: ReadDeadline cancelled the pending read once. A body is read by several reads, and a read that completes at once is queued, so that a deadline that expired between two of them cancelled nothing; the next read then waited without any limit.

The cancellation is repeated until Stop(). The time that is left is asked anew as the timer expires, which also lets a limit be extended.

--- a/Base/Http/ReadDeadline.h
+++ b/Base/Http/ReadDeadline.h
@@ -9,6 +9,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <functional>
+#include <utility>
+
 namespace sardinefold::base {
 
 /// Cancels the pending reads of a socket when a timeout expires. The socket stays
@@ -16,6 +19,9 @@
 class ReadDeadline
 {
 public:
+  /// Returns the time that is left, which may grow while the deadline is pending.
+  using TimeLeft = std::function<Duration()>;
+
   explicit ReadDeadline(boost::asio::ip::tcp::socket& aSocket)
     : m_socket(aSocket)
     , m_timer(aSocket.get_executor())
@@ -26,24 +32,31 @@
 
   /// Starts the timer. Stop() has to complete before the next Start() and before
   /// the destruction.
-  void Start(Duration aTimeout)
+  void Start(TimeLeft aTimeLeft)
   {
+    m_timeLeft = std::move(aTimeLeft);
     m_hasExpired = false;
-    m_isArmed = true;
-    m_timer.expires_after(aTimeout);
-    m_timer.async_wait([this](boost::system::error_code aError) {
-      m_isArmed = false;
-      if (!aError) {
-        m_hasExpired = true;
-        boost::system::error_code ignored;
-        m_socket.cancel(ignored);
-      }
+    m_isStopped = false;
+    Arm(m_timeLeft());
+  }
+  void Start(Duration aTimeout)
+  {
+    Start([isFirst = true, aTimeout]() mutable {
+      return std::exchange(isFirst, false) ? aTimeout : Duration::zero();
     });
   }
 
+  /// Ends the time that is left.
+  void Expire()
+  {
+    m_timeLeft = [] { return Duration::zero(); };
+    m_timer.cancel();
+  }
+
   /// Stops the timer and returns whether it had expired.
   boost::asio::awaitable<bool> Stop()
   {
+    m_isStopped = true;
     m_timer.cancel();
     // The handler refers to this object and may be queued already.
     while (m_isArmed) {
@@ -53,9 +66,38 @@
   }
 
 private:
+  /// An operation of several reads starts another one if its last read had completed
+  /// before the cancellation, so that the cancellation is repeated.
+  static constexpr Duration kRepeatInterval = std::chrono::milliseconds(50);
+
+  void Arm(Duration aTimeout)
+  {
+    m_isArmed = true;
+    m_timer.expires_after(aTimeout);
+    m_timer.async_wait([this](boost::system::error_code) { OnTimer(); });
+  }
+
+  void OnTimer()
+  {
+    m_isArmed = false;
+    if (m_isStopped) {
+      return;
+    }
+    if (auto const left = m_timeLeft(); left > Duration::zero()) {
+      Arm(left);
+      return;
+    }
+    m_hasExpired = true;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+    Arm(kRepeatInterval);
+  }
+
   boost::asio::ip::tcp::socket& m_socket;
   boost::asio::steady_timer m_timer;
+  TimeLeft m_timeLeft;
   bool m_isArmed = false;
+  bool m_isStopped = false;
   bool m_hasExpired = false;
 };
 
--- /dev/null
+++ b/Tests/HttpServerCloseTest.cpp
@@ -0,0 +1,159 @@
+#define BOOST_TEST_MODULE HttpServerClose
+#include "Base/Http/HttpServer.h"
+#include "Base/Json.h"
+#include "Programs/SystemClock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <stdexcept>
+#include <thread>
+
+using namespace sardinefold;
+using namespace std::chrono_literals;
+using base::HttpExchange;
+using boost::asio::awaitable;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+base::HttpResponse RenderError(base::HttpRequestError const& aError)
+{
+  return base::JsonResponse(aError.m_status, "{}");
+}
+
+/// A server and its callers on one loop.
+class ServerFixture
+{
+public:
+  base::EventLoop m_loop{ programs::SystemClock::Monotonic, programs::SystemClock::Wall };
+  base::HttpServerLimits m_limits;
+  base::HttpServer::Handler m_handler = [](HttpExchange& aExchange) -> awaitable<void> {
+    base::HttpResponse response;
+    response.m_body = aExchange.Request().m_target + aExchange.Request().m_body;
+    co_await aExchange.Respond(std::move(response));
+  };
+  std::vector<base::HttpConnectionClose> m_closes;
+  std::optional<base::HttpServer> m_server;
+  bool m_isDrained = false;
+
+  template<typename Body>
+  void Run(Body aBody)
+  {
+    m_server.emplace(
+      m_loop, m_limits, [this](HttpExchange& aExchange) { return m_handler(aExchange); },
+      RenderError);
+    m_server->OnConnectionClosed(
+      [this](base::HttpConnectionClose const& aClose) { m_closes.push_back(aClose); });
+    BOOST_REQUIRE(m_server->Listen({ "127.0.0.1", 0 }));
+    auto run = [&]() -> awaitable<void> {
+      co_await aBody();
+      m_loop.Stop();
+    };
+    m_loop.Start(run());
+    m_loop.Run();
+  }
+
+  void StartDrain()
+  {
+    auto drain = [this]() -> awaitable<void> {
+      co_await m_server->Drain(2s);
+      m_isDrained = true;
+    };
+    m_loop.Start(drain());
+  }
+};
+
+/// A caller that writes bytes of its own choice.
+class RawCaller
+{
+public:
+  explicit RawCaller(ServerFixture& aFixture)
+    : m_fixture(aFixture)
+    , m_socket(aFixture.m_loop.Context())
+  {
+    tcp::endpoint const server(boost::asio::ip::make_address("127.0.0.1"),
+                               aFixture.m_server->Port());
+    m_socket.connect(server);
+  }
+
+  /// Hands the text to the kernel in this turn of the loop.
+  void Send(std::string const& aText)
+  {
+    m_socket.non_blocking(true);
+    boost::system::error_code error;
+    boost::asio::write(m_socket, boost::asio::buffer(aText), error);
+  }
+
+  /// Returns whether the whole text was written.
+  awaitable<bool> SendAll(std::string aText)
+  {
+    auto const [error, size] =
+      co_await boost::asio::async_write(m_socket, boost::asio::buffer(aText), kAwait);
+    co_return !error;
+  }
+
+  /// Returns what arrives until it ends with aEnd, the connection ends or the time is
+  /// over.
+  awaitable<std::string> Receive(std::string aEnd, base::Duration aTime = 3s)
+  {
+    std::string text;
+    bool isLate = false;
+    boost::asio::steady_timer timer(m_fixture.m_loop.Context());
+    timer.expires_after(aTime);
+    timer.async_wait([&](boost::system::error_code aError) {
+      boost::system::error_code ignored;
+      isLate = true;
+      if (!aError) {
+        m_socket.cancel(ignored);
+      }
+    });
+    while (!m_isClosed && !isLate && (aEnd.empty() || !text.ends_with(aEnd))) {
+      std::array<char, 4096> part{};
+      auto const [error, size] =
+        co_await m_socket.async_read_some(boost::asio::buffer(part), kAwait);
+      text.append(part.data(), size);
+      m_isClosed = error && error != boost::asio::error::operation_aborted;
+    }
+    timer.cancel();
+    while (!isLate) {
+      co_await m_fixture.m_loop.Sleep(1ms);
+    }
+    co_return text;
+  }
+
+  bool IsClosed() const { return m_isClosed; }
+
+private:
+  ServerFixture& m_fixture;
+  tcp::socket m_socket;
+  bool m_isClosed = false;
+};
+
+/// Keeps the loop busy, so that all that becomes due meanwhile is due in its next turn.
+void Block(base::Duration aTime)
+{
+  std::this_thread::sleep_for(aTime);
+}
+
+} // namespace
+
+// The body's deadline expires between two reads that complete at once, so that it cancels none.
+BOOST_FIXTURE_TEST_CASE(ABodyWhoseDeadlineExpiresBetweenTwoReadsEndsInTime, ServerFixture)
+{
+  m_limits.m_bodyTimeout = 100ms;
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send("POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n");
+    co_await m_loop.Sleep(20ms);
+    caller.Send(std::string(400'000, 'x'));
+    Block(150ms);
+    BOOST_TEST((co_await caller.Receive("")).starts_with("HTTP/1.1 408"));
+  });
+}
