Base: Serve a request that arrives as its connection's wait ends

What callers saw: a whole request got neither a response nor a refusal. The wait for the next request read from the socket, and the idle timer and Drain() closed the socket meanwhile. Bytes that the wait had read, or that the kernel held, went with it: Beast reports a time-out although the read had completed, and a completed read queues behind the timer while a wait for the peer's close is pending on the same socket. A drain also dropped a pipelined request in the session's buffer, and connections that the kernel had set up and the server had not accepted.

The idle limit and the drain now cancel the wait and leave the socket open. The session looks once whether input has arrived, in its buffer, in the TLS stream or in the kernel, and serves it; only without input does it close. The drain accepts what is set up, and responses that have not begun announce the close. A request whose last bytes arrive in the turn of its read deadline is read in the same way.

--- a/Base/Http/HttpServer.cpp
+++ b/Base/Http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Base/Http/HttpServer.h"
 
 #include "Base/Http/HttpSession.h"
+#include "Base/Http/IdleWait.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -119,7 +120,7 @@
 {
   while (!m_draining) {
     auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
-    if (error == asio::error::operation_aborted || m_draining) {
+    if (error == asio::error::operation_aborted || (error && m_draining)) {
       co_return;
     }
     if (error || m_connections >= m_limits.m_connections) {
@@ -135,12 +136,32 @@
       co_await m_loop.Sleep(std::chrono::milliseconds(5));
       continue;
     }
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    if (m_tls) {
-      m_loop.Start(ServeTls(std::move(socket), m_tls));
-    } else {
-      m_loop.Start(ServePlain(std::move(socket)));
+    StartSession(std::move(socket));
+  }
+}
+
+void HttpServer::StartSession(tcp::socket aSocket)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  if (m_tls) {
+    m_loop.Start(ServeTls(std::move(aSocket), m_tls));
+  } else {
+    m_loop.Start(ServePlain(std::move(aSocket)));
+  }
+}
+
+/// Accepts the connections that the operating system has set up already. Closing the
+/// acceptor would reset them.
+void HttpServer::AcceptPending()
+{
+  boost::system::error_code error;
+  m_acceptor.non_blocking(true, error);
+  for (auto accepted = m_connections; !error && accepted < m_limits.m_connections; ++accepted) {
+    tcp::socket socket(m_loop.Context());
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      StartSession(std::move(socket));
     }
   }
 }
@@ -153,18 +174,31 @@
   co_await session.Run();
 }
 
+void HttpServer::CloseAfterResponses()
+{
+  m_isClosing = true;
+  for (auto* const exchange : m_open) {
+    if (!exchange->HasStarted()) {
+      exchange->CloseAfterResponse();
+    }
+  }
+}
+
 asio::awaitable<std::size_t> HttpServer::Drain(Duration aTimeout)
 {
   m_draining = true;
+  CloseAfterResponses();
+  AcceptPending();
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
-  for (auto* const socket : m_idle) {
-    socket->close(ignored);
+  for (auto* const wait : m_idle) {
+    wait->Cancel();
   }
   auto const end = m_loop.Now() + aTimeout;
-  while (m_exchanges > 0 && m_loop.Now() < end) {
+  // New sessions and cancelled waits look for a request in the next turns of the loop.
+  do {
     co_await m_loop.Sleep(kDrainPollInterval);
-  }
+  } while ((m_exchanges > 0 || !m_idle.empty()) && m_loop.Now() < end);
   co_return m_exchanges;
 }
 
--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -42,6 +42,8 @@
   std::string m_message;
 };
 
+class IdleWait;
+
 /// Accepts HTTP/1.1 connections and passes each request to a handler once it is
 /// completely read. Requests on one connection are served one after the other.
 class HttpServer
@@ -72,10 +74,11 @@
   void SetLimits(HttpServerLimits aLimits) { m_limits = aLimits; }
 
   /// Closes each connection after its next response, while serving continues.
-  void CloseAfterResponses() { m_isClosing = true; }
+  void CloseAfterResponses();
 
   /// Stops accepting, closes idle connections and waits until the open exchanges
-  /// have ended or the timeout has expired. Returns how many are still open.
+  /// have ended or the timeout has expired. A request that has arrived, also in part,
+  /// is still served. Returns how many exchanges are still open.
   boost::asio::awaitable<std::size_t> Drain(Duration aTimeout);
 
   std::size_t OpenConnections() const { return m_connections; }
@@ -96,6 +99,8 @@
   }
 
   boost::asio::awaitable<void> Accept();
+  void StartSession(boost::asio::ip::tcp::socket aSocket);
+  void AcceptPending();
   boost::asio::awaitable<void> ServePlain(boost::asio::ip::tcp::socket aSocket);
   boost::asio::awaitable<void> ServeTls(boost::asio::ip::tcp::socket aSocket,
                                         std::shared_ptr<boost::asio::ssl::context> aContext);
@@ -108,7 +113,8 @@
   // Shared with each pending handshake, which may outlast a reload.
   std::shared_ptr<boost::asio::ssl::context> m_tls;
   boost::asio::ip::tcp::acceptor m_acceptor;
-  std::list<boost::asio::ip::tcp::socket*> m_idle;
+  std::list<IdleWait*> m_idle;
+  std::list<HttpExchange*> m_open;
   std::size_t m_connections = 0;
   std::size_t m_exchanges = 0;
   std::uint64_t m_accepted = 0;
--- a/Base/Http/HttpServerTls.cpp
+++ b/Base/Http/HttpServerTls.cpp
@@ -8,6 +8,16 @@
 using boost::asio::ip::tcp;
 using detail::kAwait;
 
+namespace detail {
+
+bool HasDecryptedInput(HttpExchange::TlsStream& aStream)
+{
+  auto* const handle = aStream.native_handle();
+  return SSL_has_pending(handle) == 1 || BIO_ctrl_pending(SSL_get_rbio(handle)) > 0;
+}
+
+} // namespace detail
+
 asio::awaitable<void> HttpServer::ServeTls(tcp::socket aSocket,
                                            std::shared_ptr<asio::ssl::context> aContext)
 {
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Http/HttpServer.h"
+#include "Base/Http/IdleWait.h"
 #include "Base/Http/ReadDeadline.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -20,6 +21,12 @@
 HttpRequestError ToRequestError(boost::system::error_code aError);
 bool IsPeerClosed(boost::asio::ip::tcp::socket& aSocket);
 bool HasInput(boost::asio::ip::tcp::socket& aSocket);
+/// Whether the stream holds input that it has taken from its socket.
+inline bool HasDecryptedInput(boost::beast::tcp_stream&)
+{
+  return false;
+}
+bool HasDecryptedInput(HttpExchange::TlsStream& aStream);
 HttpRequest ToRequest(boost::beast::http::request<boost::beast::http::string_body>& aMessage);
 
 /// Increments a counter for the lifetime of the guard.
@@ -55,7 +62,6 @@
 
   boost::asio::awaitable<void> Run()
   {
-    m_waitBegan = m_server.m_loop.Now();
     co_await ServeAll();
     ReportClose();
     co_await StopWatching();
@@ -76,18 +82,16 @@
 
   boost::asio::awaitable<void> ServeAll()
   {
-    while (!m_server.m_draining) {
-      m_waitBegan = m_server.m_loop.Now();
-      if (m_buffer.size() == 0 && !co_await WaitForRequest()) {
+    while (true) {
+      bool const hasNext = co_await HasNextRequest();
+      if (!hasNext) {
         co_return;
       }
-      m_closeReason = HttpCloseReason::PeerClosed;
       auto request = co_await ReadRequest();
       if (!request || !co_await Serve(std::move(*request))) {
         co_return;
       }
     }
-    m_closeReason = HttpCloseReason::Drain;
   }
 
   boost::asio::ip::tcp::socket& Socket()
@@ -95,22 +99,47 @@
     return boost::beast::get_lowest_layer(m_stream).socket();
   }
 
-  /// Waits for the first bytes of the next request. The connection is listed as idle
-  /// meanwhile, so that Drain() can close it.
-  boost::asio::awaitable<bool> WaitForRequest()
+  /// Whether bytes of a next request have arrived.
+  bool HasPendingInput()
+  {
+    return m_buffer.size() > 0 || detail::HasDecryptedInput(m_stream) || detail::HasInput(Socket());
+  }
+
+  /// Waits for a next request. A connection closes only after a last look whether one
+  /// has begun to arrive, whichever ended the wait.
+  boost::asio::awaitable<bool> HasNextRequest()
   {
-    boost::beast::get_lowest_layer(m_stream).expires_after(m_server.m_limits.m_idleTimeout);
-    auto const position = m_server.m_idle.insert(m_server.m_idle.end(), &Socket());
+    m_waitBegan = m_server.m_loop.Now();
+    m_closeReason = HttpCloseReason::PeerClosed;
+    if (m_buffer.size() > 0) {
+      co_return true;
+    }
+    if (!m_server.m_draining) {
+      bool const isCancelled = co_await WaitForInput();
+      if (!isCancelled) {
+        co_return m_buffer.size() > 0;
+      }
+    }
+    if (HasPendingInput()) {
+      co_return true;
+    }
+    m_closeReason = m_server.m_draining ? HttpCloseReason::Drain : HttpCloseReason::IdleLimit;
+    co_return false;
+  }
+
+  /// Returns whether the wait was cancelled. The connection is listed as idle meanwhile,
+  /// so that Drain() can cancel the wait.
+  boost::asio::awaitable<bool> WaitForInput()
+  {
+    boost::beast::get_lowest_layer(m_stream).expires_never();
+    IdleWait wait(Socket(), m_server.m_limits.m_idleTimeout);
+    auto const position = m_server.m_idle.insert(m_server.m_idle.end(), &wait);
     auto const prepared = m_buffer.prepare(4096);
     auto const [error, size] = co_await m_stream.async_read_some(prepared, detail::kAwait);
     m_server.m_idle.erase(position);
+    co_await wait.Stop();
     m_buffer.commit(size);
-    if (error == boost::beast::error::timeout) {
-      m_closeReason = HttpCloseReason::IdleLimit;
-    } else if (error == boost::asio::error::operation_aborted) {
-      m_closeReason = HttpCloseReason::Drain;
-    }
-    co_return !error;
+    co_return error == boost::asio::error::operation_aborted;
   }
 
   boost::asio::awaitable<std::optional<HttpRequest>> ReadRequest()
@@ -119,13 +148,14 @@
     m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.m_headerBytes.Value()));
     m_parser->body_limit(static_cast<std::uint64_t>(m_server.m_limits.m_bodyBytes.Value()));
     boost::beast::get_lowest_layer(m_stream).expires_never();
-    ReadDeadline deadline(Socket());
-    deadline.Start(m_server.m_limits.m_headerTimeout);
-    auto const [headerError, headerSize] =
-      co_await boost::beast::http::async_read_header(m_stream, m_buffer, *m_parser, detail::kAwait);
-    bool const isHeaderLate = co_await deadline.Stop();
+    auto const readHead = [this]() -> boost::asio::awaitable<boost::system::error_code> {
+      auto const [error, size] = co_await boost::beast::http::async_read_header(
+        m_stream, m_buffer, *m_parser, detail::kAwait);
+      co_return error;
+    };
+    auto const headerError = co_await ReadWithin(m_server.m_limits.m_headerTimeout, readHead);
     if (headerError) {
-      co_await Reject(isHeaderLate ? boost::beast::error::timeout : headerError);
+      co_await Reject(headerError);
       co_return std::nullopt;
     }
     if (boost::beast::iequals(m_parser->get()[boost::beast::http::field::expect], "100-continue")) {
@@ -138,12 +168,14 @@
         co_return std::nullopt;
       }
     }
-    deadline.Start(m_server.m_limits.m_bodyTimeout);
-    auto const [bodyError, bodySize] =
-      co_await boost::beast::http::async_read(m_stream, m_buffer, *m_parser, detail::kAwait);
-    bool const isBodyLate = co_await deadline.Stop();
+    auto const readBody = [this]() -> boost::asio::awaitable<boost::system::error_code> {
+      auto const [error, size] =
+        co_await boost::beast::http::async_read(m_stream, m_buffer, *m_parser, detail::kAwait);
+      co_return error;
+    };
+    auto const bodyError = co_await ReadWithin(m_server.m_limits.m_bodyTimeout, readBody);
     if (bodyError) {
-      co_await Reject(isBodyLate ? boost::beast::error::timeout : bodyError);
+      co_await Reject(bodyError);
       co_return std::nullopt;
     }
     m_keepAlive = m_parser->get().keep_alive();
@@ -153,6 +185,23 @@
     co_return request;
   }
 
+  /// Reads a part of a request. At the deadline, input that has arrived is still read.
+  template<typename Read>
+  boost::asio::awaitable<boost::system::error_code> ReadWithin(Duration aTimeout, Read const& aRead)
+  {
+    constexpr Duration kLastLook = std::chrono::milliseconds(10);
+    ReadDeadline deadline(Socket());
+    deadline.Start(aTimeout);
+    boost::system::error_code error = co_await aRead();
+    bool isLate = co_await deadline.Stop();
+    if (error && isLate && HasPendingInput()) {
+      deadline.Start(kLastLook);
+      error = co_await aRead();
+      isLate = co_await deadline.Stop();
+    }
+    co_return error&& isLate ? boost::beast::error::timeout : error;
+  }
+
   boost::asio::awaitable<void> Reject(boost::system::error_code aError)
   {
     if (aError == boost::beast::http::error::end_of_stream ||
@@ -196,12 +245,11 @@
                           m_server.m_limits.m_writeTimeout);
     exchange.SetConnectionNumber(m_number);
     m_current = &exchange;
+    auto const position = m_server.m_open.insert(m_server.m_open.end(), &exchange);
     WatchPeer();
     co_await m_server.m_handler(exchange);
     m_current = nullptr;
-    if (m_server.m_draining) {
-      exchange.CloseAfterResponse();
-    }
+    m_server.m_open.erase(position);
     if (exchange.IsPeerDisconnected()) {
       m_closeReason = HttpCloseReason::PeerClosed;
     } else {
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -136,6 +136,11 @@
   bool m_isClosed = false;
 };
 
+std::string Get(std::string const& aTarget)
+{
+  return "GET " + aTarget + " HTTP/1.1\r\nHost: x\r\n\r\n";
+}
+
 /// Keeps the loop busy, so that all that becomes due meanwhile is due in its next turn.
 void Block(base::Duration aTime)
 {
@@ -144,6 +149,87 @@
 
 } // namespace
 
+// The read's completion queues behind the idle timer while a wait for the peer's close is pending.
+BOOST_FIXTURE_TEST_CASE(ARequestInTheTurnInWhichTheIdleLimitExpiresIsServed, ServerFixture)
+{
+  m_limits.m_idleTimeout = 500ms;
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send(Get("/first"));
+    BOOST_TEST((co_await caller.Receive("/first")).ends_with("/first"));
+    caller.Send(Get("/second"));
+    Block(600ms);
+    BOOST_TEST((co_await caller.Receive("/second")).ends_with("/second"));
+    BOOST_TEST((co_await caller.Receive("")).empty());
+    BOOST_TEST(caller.IsClosed());
+    BOOST_REQUIRE(m_closes.size() == 1U);
+    BOOST_TEST((m_closes[0].m_reason == base::HttpCloseReason::IdleLimit));
+    BOOST_TEST(m_closes[0].m_pendingBytes == 0U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestThatWaitsInTheKernelAsTheDrainBeginsIsServed, ServerFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send(Get("/first"));
+    co_await caller.Receive("/first");
+    caller.Send(Get("/second"));
+    StartDrain();
+    auto const response = co_await caller.Receive("");
+    BOOST_TEST(response.ends_with("/second"));
+    BOOST_TEST(response.find("Connection: close") != std::string::npos);
+    BOOST_TEST(caller.IsClosed());
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestOnAConnectionThatIsNotAcceptedAsTheDrainBeginsIsServed,
+                        ServerFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RawCaller first(*this);
+    RawCaller second(*this);
+    first.Send(Get("/first"));
+    second.Send(Get("/second"));
+    StartDrain();
+    BOOST_TEST((co_await first.Receive("")).ends_with("/first"));
+    BOOST_TEST((co_await second.Receive("")).ends_with("/second"));
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(APipelinedRequestIsServedIfTheDrainBeginsAfterTheFormerResponse,
+                        ServerFixture)
+{
+  auto const respond = m_handler;
+  m_handler = [&](HttpExchange& aExchange) -> awaitable<void> {
+    co_await respond(aExchange);
+    if (aExchange.Request().m_target == "/first") {
+      StartDrain();
+    }
+  };
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send(Get("/first") + Get("/second"));
+    BOOST_TEST((co_await caller.Receive("")).ends_with("/second"));
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AResponseThatBeginsAfterTheDrainAnnouncesTheClose, ServerFixture)
+{
+  auto const respond = m_handler;
+  m_handler = [&](HttpExchange& aExchange) -> awaitable<void> {
+    StartDrain();
+    co_await m_loop.Sleep(30ms);
+    co_await respond(aExchange);
+  };
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send(Get("/first"));
+    auto const response = co_await caller.Receive("");
+    BOOST_TEST(response.find("Connection: close") != std::string::npos);
+  });
+}
+
 // The body's deadline expires between two reads that complete at once, so that it cancels none.
 BOOST_FIXTURE_TEST_CASE(ABodyWhoseDeadlineExpiresBetweenTwoReadsEndsInTime, ServerFixture)
 {
