--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/EventLoop.h"
+#include "Base/Http/HttpConnectionClose.h"
 #include "Base/Http/HttpExchange.h"
 #include "Base/Http/HttpMessage.h"
 #include "Base/Units.h"
@@ -41,6 +42,8 @@
   std::string m_message;
 };
 
+class IdleWait;
+
 /// Accepts HTTP/1.1 connections and passes each request to a handler once it is
 /// completely read. Requests on one connection are served one after the other.
 class HttpServer
@@ -48,6 +51,7 @@
 public:
   using Handler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
   using ErrorRenderer = std::function<HttpResponse(HttpRequestError const&)>;
+  using CloseObserver = std::function<void(HttpConnectionClose const&)>;
 
   HttpServer(EventLoop& aLoop, HttpServerLimits aLimits, Handler aHandler,
              ErrorRenderer aErrorRenderer);
@@ -56,6 +60,9 @@
   /// Uses TLS for new connections. Open connections keep their certificate.
   void UseTls(std::shared_ptr<boost::asio::ssl::context> aContext);
 
+  /// Sets a callback that is called at the end of each connection.
+  void OnConnectionClosed(CloseObserver aObserver) { m_closeObserver = std::move(aObserver); }
+
   /// Binds and starts to accept connections. The error carries the operating
   /// system's message.
   tl::expected<void, std::string> Listen(Endpoint const& aEndpoint);
@@ -67,10 +74,11 @@
   void SetLimits(HttpServerLimits aLimits) { m_limits = aLimits; }
 
   /// Closes each connection after its next response, while serving continues.
-  void CloseAfterResponses() { m_isClosing = true; }
+  void CloseAfterResponses();
 
   /// Stops accepting, closes idle connections and waits until the open exchanges
-  /// have ended or the timeout has expired. Returns how many are still open.
+  /// have ended or the timeout has expired. A request that has arrived, also in part,
+  /// is still served. Returns how many exchanges are still open.
   boost::asio::awaitable<std::size_t> Drain(Duration aTimeout);
 
   std::size_t OpenConnections() const { return m_connections; }
@@ -83,7 +91,16 @@
   template<typename Stream>
   class Session;
 
+  void ReportClose(HttpConnectionClose const& aClose) const
+  {
+    if (m_closeObserver) {
+      m_closeObserver(aClose);
+    }
+  }
+
   boost::asio::awaitable<void> Accept();
+  void StartSession(boost::asio::ip::tcp::socket aSocket);
+  void AcceptPending();
   boost::asio::awaitable<void> ServePlain(boost::asio::ip::tcp::socket aSocket);
   boost::asio::awaitable<void> ServeTls(boost::asio::ip::tcp::socket aSocket,
                                         std::shared_ptr<boost::asio::ssl::context> aContext);
@@ -92,10 +109,12 @@
   HttpServerLimits m_limits;
   Handler m_handler;
   ErrorRenderer m_errorRenderer;
+  CloseObserver m_closeObserver;
   // Shared with each pending handshake, which may outlast a reload.
   std::shared_ptr<boost::asio::ssl::context> m_tls;
   boost::asio::ip::tcp::acceptor m_acceptor;
-  std::list<boost::asio::ip::tcp::socket*> m_idle;
+  std::list<IdleWait*> m_idle;
+  std::list<HttpExchange*> m_open;
   std::size_t m_connections = 0;
   std::size_t m_exchanges = 0;
   std::uint64_t m_accepted = 0;
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Http/HttpServer.h"
+#include "Base/Http/IdleWait.h"
 #include "Base/Http/ReadDeadline.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -20,6 +21,12 @@
 HttpRequestError ToRequestError(boost::system::error_code aError);
 bool IsPeerClosed(boost::asio::ip::tcp::socket& aSocket);
 bool HasInput(boost::asio::ip::tcp::socket& aSocket);
+/// Whether the stream holds input that it has taken from its socket.
+inline bool HasDecryptedInput(boost::beast::tcp_stream&)
+{
+  return false;
+}
+bool HasDecryptedInput(HttpExchange::TlsStream& aStream);
 HttpRequest ToRequest(boost::beast::http::request<boost::beast::http::string_body>& aMessage);
 
 /// Increments a counter for the lifetime of the guard.
@@ -56,14 +63,28 @@
   boost::asio::awaitable<void> Run()
   {
     co_await ServeAll();
+    ReportClose();
     co_await StopWatching();
   }
 
 private:
+  void ReportClose()
+  {
+    boost::system::error_code ignored;
+    HttpConnectionClose close;
+    close.m_reason = m_closeReason;
+    close.m_connection = m_number;
+    close.m_requests = m_requests;
+    close.m_sinceWait = m_server.m_loop.Now() - m_waitBegan;
+    close.m_pendingBytes = m_buffer.size() + Socket().available(ignored);
+    m_server.ReportClose(close);
+  }
+
   boost::asio::awaitable<void> ServeAll()
   {
-    while (!m_server.m_draining) {
-      if (m_buffer.size() == 0 && !co_await WaitForRequest()) {
+    while (true) {
+      bool const hasNext = co_await HasNextRequest();
+      if (!hasNext) {
         co_return;
       }
       auto request = co_await ReadRequest();
@@ -78,17 +99,47 @@
     return boost::beast::get_lowest_layer(m_stream).socket();
   }
 
-  /// Waits for the first bytes of the next request. The connection is listed as idle
-  /// meanwhile, so that Drain() can close it.
-  boost::asio::awaitable<bool> WaitForRequest()
+  /// Whether bytes of a next request have arrived.
+  bool HasPendingInput()
+  {
+    return m_buffer.size() > 0 || detail::HasDecryptedInput(m_stream) || detail::HasInput(Socket());
+  }
+
+  /// Waits for a next request. A connection closes only after a last look whether one
+  /// has begun to arrive, whichever ended the wait.
+  boost::asio::awaitable<bool> HasNextRequest()
+  {
+    m_waitBegan = m_server.m_loop.Now();
+    m_closeReason = HttpCloseReason::PeerClosed;
+    if (m_buffer.size() > 0) {
+      co_return true;
+    }
+    if (!m_server.m_draining) {
+      bool const isCancelled = co_await WaitForInput();
+      if (!isCancelled) {
+        co_return m_buffer.size() > 0;
+      }
+    }
+    if (HasPendingInput()) {
+      co_return true;
+    }
+    m_closeReason = m_server.m_draining ? HttpCloseReason::Drain : HttpCloseReason::IdleLimit;
+    co_return false;
+  }
+
+  /// Returns whether the wait was cancelled. The connection is listed as idle meanwhile,
+  /// so that Drain() can cancel the wait.
+  boost::asio::awaitable<bool> WaitForInput()
   {
-    boost::beast::get_lowest_layer(m_stream).expires_after(m_server.m_limits.m_idleTimeout);
-    auto const position = m_server.m_idle.insert(m_server.m_idle.end(), &Socket());
+    boost::beast::get_lowest_layer(m_stream).expires_never();
+    IdleWait wait(Socket(), m_server.m_limits.m_idleTimeout);
+    auto const position = m_server.m_idle.insert(m_server.m_idle.end(), &wait);
     auto const prepared = m_buffer.prepare(4096);
     auto const [error, size] = co_await m_stream.async_read_some(prepared, detail::kAwait);
     m_server.m_idle.erase(position);
+    co_await wait.Stop();
     m_buffer.commit(size);
-    co_return !error;
+    co_return error == boost::asio::error::operation_aborted;
   }
 
   boost::asio::awaitable<std::optional<HttpRequest>> ReadRequest()
@@ -97,13 +148,14 @@
     m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.m_headerBytes.Value()));
     m_parser->body_limit(static_cast<std::uint64_t>(m_server.m_limits.m_bodyBytes.Value()));
     boost::beast::get_lowest_layer(m_stream).expires_never();
-    ReadDeadline deadline(Socket());
-    deadline.Start(m_server.m_limits.m_headerTimeout);
-    auto const [headerError, headerSize] =
-      co_await boost::beast::http::async_read_header(m_stream, m_buffer, *m_parser, detail::kAwait);
-    bool const isHeaderLate = co_await deadline.Stop();
+    auto const readHead = [this]() -> boost::asio::awaitable<boost::system::error_code> {
+      auto const [error, size] = co_await boost::beast::http::async_read_header(
+        m_stream, m_buffer, *m_parser, detail::kAwait);
+      co_return error;
+    };
+    auto const headerError = co_await ReadWithin(m_server.m_limits.m_headerTimeout, readHead);
     if (headerError) {
-      co_await Reject(isHeaderLate ? boost::beast::error::timeout : headerError);
+      co_await Reject(headerError);
       co_return std::nullopt;
     }
     if (boost::beast::iequals(m_parser->get()[boost::beast::http::field::expect], "100-continue")) {
@@ -116,12 +168,14 @@
         co_return std::nullopt;
       }
     }
-    deadline.Start(m_server.m_limits.m_bodyTimeout);
-    auto const [bodyError, bodySize] =
-      co_await boost::beast::http::async_read(m_stream, m_buffer, *m_parser, detail::kAwait);
-    bool const isBodyLate = co_await deadline.Stop();
+    auto const readBody = [this]() -> boost::asio::awaitable<boost::system::error_code> {
+      auto const [error, size] =
+        co_await boost::beast::http::async_read(m_stream, m_buffer, *m_parser, detail::kAwait);
+      co_return error;
+    };
+    auto const bodyError = co_await ReadWithin(m_server.m_limits.m_bodyTimeout, readBody);
     if (bodyError) {
-      co_await Reject(isBodyLate ? boost::beast::error::timeout : bodyError);
+      co_await Reject(bodyError);
       co_return std::nullopt;
     }
     m_keepAlive = m_parser->get().keep_alive();
@@ -131,6 +185,23 @@
     co_return request;
   }
 
+  /// Reads a part of a request. At the deadline, input that has arrived is still read.
+  template<typename Read>
+  boost::asio::awaitable<boost::system::error_code> ReadWithin(Duration aTimeout, Read const& aRead)
+  {
+    constexpr Duration kLastLook = std::chrono::milliseconds(10);
+    ReadDeadline deadline(Socket());
+    deadline.Start(aTimeout);
+    boost::system::error_code error = co_await aRead();
+    bool isLate = co_await deadline.Stop();
+    if (error && isLate && HasPendingInput()) {
+      deadline.Start(kLastLook);
+      error = co_await aRead();
+      isLate = co_await deadline.Stop();
+    }
+    co_return error&& isLate ? boost::beast::error::timeout : error;
+  }
+
   boost::asio::awaitable<void> Reject(boost::system::error_code aError)
   {
     if (aError == boost::beast::http::error::end_of_stream ||
@@ -138,6 +209,7 @@
         aError == boost::asio::error::operation_aborted || aError == boost::asio::error::eof) {
       co_return;
     }
+    m_closeReason = HttpCloseReason::RequestRefused;
     auto response = m_server.m_errorRenderer(detail::ToRequestError(aError));
     HttpRequest noRequest;
     HttpExchange exchange(&m_stream, std::move(noRequest), false, true,
@@ -167,16 +239,22 @@
   boost::asio::awaitable<bool> Serve(HttpRequest aRequest)
   {
     detail::CountGuard const guard(m_server.m_exchanges);
+    ++m_requests;
     bool const keepAlive = m_keepAlive && !m_server.m_draining && !m_server.m_isClosing;
     HttpExchange exchange(&m_stream, std::move(aRequest), keepAlive, m_mayChunk,
                           m_server.m_limits.m_writeTimeout);
     exchange.SetConnectionNumber(m_number);
     m_current = &exchange;
+    auto const position = m_server.m_open.insert(m_server.m_open.end(), &exchange);
     WatchPeer();
     co_await m_server.m_handler(exchange);
     m_current = nullptr;
-    if (m_server.m_draining) {
-      exchange.CloseAfterResponse();
+    m_server.m_open.erase(position);
+    if (exchange.IsPeerDisconnected()) {
+      m_closeReason = HttpCloseReason::PeerClosed;
+    } else {
+      m_closeReason = exchange.HasFinished() ? HttpCloseReason::AfterResponse
+                                             : HttpCloseReason::ResponseIncomplete;
     }
     co_return exchange.IsReusable();
   }
@@ -228,6 +306,9 @@
   boost::beast::flat_buffer m_buffer{ kMaximumBufferedBytes };
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
   boost::asio::steady_timer m_watchEnded{ m_server.m_loop.Context() };
+  HttpCloseReason m_closeReason = HttpCloseReason::PeerClosed;
+  Instant m_waitBegan{};
+  std::uint64_t m_requests = 0;
   bool m_keepAlive = false;
   bool m_mayChunk = true;
   HttpExchange* m_current = nullptr;
