Base: Let a drain wait for requests that are being read

What callers saw: neither a response nor a refusal for a request whose head or body was still arriving as the process stopped. Only requests that were being served counted as open exchanges, so that Drain() returned and the loop stopped while a request was being read.

A request counts from its first bytes to the end of its response. TheDrainWaitsForARequestThatArrivesInPieces failed before: the drain had ended 100 ms after it began.

--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -82,6 +82,7 @@
   boost::asio::awaitable<std::size_t> Drain(Duration aTimeout);
 
   std::size_t OpenConnections() const { return m_connections; }
+  /// Returns the number of requests that are being read or served.
   std::size_t OpenExchanges() const { return m_exchanges; }
   /// Returns the number of connections accepted so far, which is also the sequence
   /// number of the latest one.
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -87,8 +87,14 @@
       if (!hasNext) {
         co_return;
       }
+      // A drain also waits for a request that is being read.
+      detail::CountGuard const guard(m_server.m_exchanges);
       auto request = co_await ReadRequest();
-      if (!request || !co_await Serve(std::move(*request))) {
+      if (!request) {
+        co_return;
+      }
+      bool const isReusable = co_await Serve(std::move(*request));
+      if (!isReusable) {
         co_return;
       }
     }
@@ -238,7 +244,6 @@
 
   boost::asio::awaitable<bool> Serve(HttpRequest aRequest)
   {
-    detail::CountGuard const guard(m_server.m_exchanges);
     ++m_requests;
     bool const keepAlive = m_keepAlive && !m_server.m_draining && !m_server.m_isClosing;
     HttpExchange exchange(&m_stream, std::move(aRequest), keepAlive, m_mayChunk,
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -62,11 +62,12 @@
 
   void StartDrain()
   {
-    auto drain = [this]() -> awaitable<void> {
-      co_await m_server->Drain(2s);
-      m_isDrained = true;
-    };
-    m_loop.Start(drain());
+    m_loop.Start(Drain());
+  }
+  awaitable<void> Drain()
+  {
+    co_await m_server->Drain(2s);
+    m_isDrained = true;
   }
 };
 
@@ -230,6 +231,26 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(TheDrainWaitsForARequestThatArrivesInPieces, ServerFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RawCaller head(*this);
+    RawCaller body(*this);
+    head.Send("POST /head HTTP/1.1\r\nContent-");
+    body.Send("POST /body HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    co_await m_loop.Sleep(30ms);
+    StartDrain();
+    co_await m_loop.Sleep(100ms);
+    BOOST_TEST(!m_isDrained);
+    head.Send("Length: 0\r\n\r\n");
+    body.Send("cd");
+    BOOST_TEST((co_await head.Receive("")).ends_with("/head"));
+    BOOST_TEST((co_await body.Receive("")).ends_with("/bodyabcd"));
+    co_await m_loop.Sleep(100ms);
+    BOOST_TEST(m_isDrained);
+  });
+}
+
 // The body's deadline expires between two reads that complete at once, so that it cancels none.
 BOOST_FIXTURE_TEST_CASE(ABodyWhoseDeadlineExpiresBetweenTwoReadsEndsInTime, ServerFixture)
 {
