Base, Gateway: Let a changed idle limit hold for open connections

What callers saw: connections closed under requests beside a change of the configuration. Each wait for a request was armed with the idle limit in force as it began. Callers go by the last limit that they know: after a raise they reuse connections for longer than the old waits lasted, and after a lowering they reuse them as long as before while new waits are short already.

IdleLimit decides when a wait expires: by the present limit, and by a former, longer one for its own length after the change. A wait asks as its timer expires, so a raise extends it.

--- a/Base/Http/HttpServer.cpp
+++ b/Base/Http/HttpServer.cpp
@@ -73,6 +73,7 @@
                        ErrorRenderer aErrorRenderer)
   : m_loop(aLoop)
   , m_limits(aLimits)
+  , m_idleLimit(aLimits.m_idleTimeout)
   , m_handler(std::move(aHandler))
   , m_errorRenderer(std::move(aErrorRenderer))
   , m_acceptor(aLoop.Context())
@@ -81,6 +82,12 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::SetLimits(HttpServerLimits aLimits, Instant aNow)
+{
+  m_limits = aLimits;
+  m_idleLimit.Set(aLimits.m_idleTimeout, aNow);
+}
+
 void HttpServer::UseTls(std::shared_ptr<asio::ssl::context> aContext)
 {
   m_tls = std::move(aContext);
--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -4,6 +4,7 @@
 #include "Base/Http/HttpConnectionClose.h"
 #include "Base/Http/HttpExchange.h"
 #include "Base/Http/HttpMessage.h"
+#include "Base/Http/IdleLimit.h"
 #include "Base/Units.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -70,8 +71,10 @@
   /// port was 0.
   std::uint16_t Port() const;
 
-  /// Replaces the limits. A request that is being read keeps its former size limits.
-  void SetLimits(HttpServerLimits aLimits) { m_limits = aLimits; }
+  /// Replaces the limits. A request that is being read keeps its former limits. A raised
+  /// idle time-out also holds for connections that wait already; a lowered one closes
+  /// none earlier than the former until that has passed.
+  void SetLimits(HttpServerLimits aLimits, Instant aNow);
 
   /// Closes each connection after its next response, while serving continues.
   void CloseAfterResponses();
@@ -108,6 +111,7 @@
 
   EventLoop& m_loop;
   HttpServerLimits m_limits;
+  IdleLimit m_idleLimit;
   Handler m_handler;
   ErrorRenderer m_errorRenderer;
   CloseObserver m_closeObserver;
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -138,7 +138,7 @@
   boost::asio::awaitable<bool> WaitForInput()
   {
     boost::beast::get_lowest_layer(m_stream).expires_never();
-    IdleWait wait(Socket(), m_server.m_limits.m_idleTimeout);
+    IdleWait wait(m_server.m_loop, Socket(), m_server.m_idleLimit);
     auto const position = m_server.m_idle.insert(m_server.m_idle.end(), &wait);
     auto const prepared = m_buffer.prepare(4096);
     auto const [error, size] = co_await m_stream.async_read_some(prepared, detail::kAwait);
--- a/Base/Http/IdleWait.h
+++ b/Base/Http/IdleWait.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Base/EventLoop.h"
+#include "Base/Http/IdleLimit.h"
 #include "Base/Http/ReadDeadline.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -12,10 +14,14 @@
 class IdleWait
 {
 public:
-  IdleWait(boost::asio::ip::tcp::socket& aSocket, Duration aLimit)
-    : m_deadline(aSocket)
+  /// The arguments must outlive the wait.
+  IdleWait(EventLoop& aLoop, boost::asio::ip::tcp::socket& aSocket, IdleLimit const& aLimit)
+    : m_loop(aLoop)
+    , m_limit(aLimit)
+    , m_began(aLoop.Now())
+    , m_deadline(aSocket)
   {
-    m_deadline.Start(aLimit);
+    m_deadline.Start([this] { return m_limit.ExpiryOf(m_began) - m_loop.Now(); });
   }
 
   void Cancel() { m_deadline.Expire(); }
@@ -23,6 +29,9 @@
   boost::asio::awaitable<bool> Stop() { return m_deadline.Stop(); }
 
 private:
+  EventLoop& m_loop;
+  IdleLimit const& m_limit;
+  Instant m_began;
   ReadDeadline m_deadline;
 };
 
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -140,7 +140,7 @@
     serverLimits.m_bodyBytes = limits.m_bodyBytes;
     serverLimits.m_headerTimeout = limits.m_headerTimeout;
     serverLimits.m_idleTimeout = limits.m_idleTimeout;
-    m_callers.SetLimits(serverLimits);
+    m_callers.SetLimits(serverLimits, m_loop.Now());
     base::log::Info(
       "connection limits in force",
       { { "version", std::to_string(m_state.m_catalog->Catalog().m_version.Value()) },
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -69,6 +69,12 @@
     co_await m_server->Drain(2s);
     m_isDrained = true;
   }
+
+  void SetIdleTimeout(base::Duration aTimeout)
+  {
+    m_limits.m_idleTimeout = aTimeout;
+    m_server->SetLimits(m_limits, m_loop.Now());
+  }
 };
 
 /// A caller that writes bytes of its own choice.
@@ -251,6 +257,40 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(ARaisedIdleLimitHoldsForConnectionsThatWait, ServerFixture)
+{
+  m_limits.m_idleTimeout = 500ms;
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send(Get("/first"));
+    co_await caller.Receive("/first");
+    SetIdleTimeout(5s);
+    co_await m_loop.Sleep(700ms);
+    caller.Send(Get("/second"));
+    BOOST_TEST((co_await caller.Receive("/second")).ends_with("/second"));
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(CallersMayGoByTheFormerIdleLimitForItsLength, ServerFixture)
+{
+  m_limits.m_idleTimeout = 1s;
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    auto const changedAt = m_loop.Now();
+    SetIdleTimeout(100ms);
+    caller.Send(Get("/first"));
+    co_await caller.Receive("/first");
+    co_await m_loop.Sleep(400ms);
+    caller.Send(Get("/second"));
+    BOOST_TEST((co_await caller.Receive("/second")).ends_with("/second"));
+    co_await m_loop.Sleep(changedAt + 1s - m_loop.Now());
+    RawCaller later(*this);
+    later.Send(Get("/third"));
+    co_await later.Receive("", 700ms);
+    BOOST_TEST(later.IsClosed());
+  });
+}
+
 // The body's deadline expires between two reads that complete at once, so that it cancels none.
 BOOST_FIXTURE_TEST_CASE(ABodyWhoseDeadlineExpiresBetweenTwoReadsEndsInTime, ServerFixture)
 {
