Base: Let an exception in a handler cost its request only

What callers saw: all open requests of a process ended at once. EventLoop::Start() rethrows what escapes a coroutine, so that an exception that one request brought on ended the process. A handler's exception is now logged as an error; its caller gets 500 if nothing was sent, and the connection closes. std::bad_alloc still ends the process, as do exceptions outside of handlers. The test failed before: the exception left Run().

--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -3,6 +3,7 @@
 #include "Base/Http/HttpServer.h"
 #include "Base/Http/IdleWait.h"
 #include "Base/Http/ReadDeadline.h"
+#include "Base/Log.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,7 +11,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <new>
 #include <optional>
+#include <string>
 
 namespace sardinefold::base {
 
@@ -252,9 +255,21 @@
     m_current = &exchange;
     auto const position = m_server.m_open.insert(m_server.m_open.end(), &exchange);
     WatchPeer();
-    co_await m_server.m_handler(exchange);
+    // The state of the loop is unknown once memory has run out; that ends the program.
+    std::optional<std::string> failure;
+    try {
+      co_await m_server.m_handler(exchange);
+    } catch (std::bad_alloc const&) {
+      throw;
+    } catch (std::exception const& error) {
+      failure = error.what();
+    }
     m_current = nullptr;
     m_server.m_open.erase(position);
+    exchange.OnPeerDisconnected(nullptr);
+    if (failure) {
+      co_await FailExchange(exchange, *failure);
+    }
     if (exchange.IsPeerDisconnected()) {
       m_closeReason = HttpCloseReason::PeerClosed;
     } else {
@@ -264,6 +279,19 @@
     co_return exchange.IsReusable();
   }
 
+  /// Ends an exchange whose handler has thrown an exception.
+  boost::asio::awaitable<void> FailExchange(HttpExchange& aExchange, std::string const& aFailure)
+  {
+    log::Error("request handler failed", { { "connection", std::to_string(m_number) },
+                                           { "started", aExchange.HasStarted() ? "true" : "false" },
+                                           { "error", aFailure } });
+    aExchange.CloseAfterResponse();
+    if (!aExchange.HasStarted()) {
+      auto response = m_server.m_errorRenderer({ 500, "internal error" });
+      co_await aExchange.Respond(std::move(response));
+    }
+  }
+
   /// Keeps one wait for input pending while a request is served, to detect that the
   /// peer closes the connection. The wait may outlast the request; it then ends with
   /// the next input.
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -291,6 +291,37 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(AnExceptionInAHandlerEndsItsConnectionOnly, ServerFixture)
+{
+  auto const respond = m_handler;
+  m_handler = [&](HttpExchange& aExchange) -> awaitable<void> {
+    if (aExchange.Request().m_target == "/stream") {
+      base::HttpHeaders headers;
+      co_await aExchange.StartStream(200, headers);
+    }
+    if (aExchange.Request().m_target != "/sound") {
+      throw std::runtime_error("fault");
+    }
+    co_await respond(aExchange);
+  };
+  Run([&]() -> awaitable<void> {
+    RawCaller sound(*this);
+    sound.Send(Get("/sound"));
+    co_await sound.Receive("/sound");
+    RawCaller before(*this);
+    before.Send(Get("/before"));
+    BOOST_TEST((co_await before.Receive("")).starts_with("HTTP/1.1 500"));
+    BOOST_TEST(before.IsClosed());
+    RawCaller stream(*this);
+    stream.Send(Get("/stream"));
+    BOOST_TEST(!(co_await stream.Receive("")).ends_with("0\r\n\r\n"));
+    BOOST_TEST(stream.IsClosed());
+    sound.Send(Get("/sound"));
+    BOOST_TEST((co_await sound.Receive("/sound")).ends_with("/sound"));
+    BOOST_TEST(m_server->OpenExchanges() == 0U);
+  });
+}
+
 // The body's deadline expires between two reads that complete at once, so that it cancels none.
 BOOST_FIXTURE_TEST_CASE(ABodyWhoseDeadlineExpiresBetweenTwoReadsEndsInTime, ServerFixture)
 {
