--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -3,6 +3,7 @@
 #include "Base/Http/HttpServer.h"
 #include "Base/Http/IdleWait.h"
 #include "Base/Http/ReadDeadline.h"
+#include "Base/Log.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,7 +11,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <new>
 #include <optional>
+#include <string>
 
 namespace sardinefold::base {
 
@@ -87,8 +90,14 @@
       if (!hasNext) {
         co_return;
       }
+      // A drain also waits for a request that is being read.
+      detail::CountGuard const guard(m_server.m_exchanges);
       auto request = co_await ReadRequest();
-      if (!request || !co_await Serve(std::move(*request))) {
+      if (!request) {
+        co_return;
+      }
+      bool const isReusable = co_await Serve(std::move(*request));
+      if (!isReusable) {
         co_return;
       }
     }
@@ -132,7 +141,7 @@
   boost::asio::awaitable<bool> WaitForInput()
   {
     boost::beast::get_lowest_layer(m_stream).expires_never();
-    IdleWait wait(Socket(), m_server.m_limits.m_idleTimeout);
+    IdleWait wait(m_server.m_loop, Socket(), m_server.m_idleLimit);
     auto const position = m_server.m_idle.insert(m_server.m_idle.end(), &wait);
     auto const prepared = m_buffer.prepare(4096);
     auto const [error, size] = co_await m_stream.async_read_some(prepared, detail::kAwait);
@@ -238,7 +247,6 @@
 
   boost::asio::awaitable<bool> Serve(HttpRequest aRequest)
   {
-    detail::CountGuard const guard(m_server.m_exchanges);
     ++m_requests;
     bool const keepAlive = m_keepAlive && !m_server.m_draining && !m_server.m_isClosing;
     HttpExchange exchange(&m_stream, std::move(aRequest), keepAlive, m_mayChunk,
@@ -247,9 +255,21 @@
     m_current = &exchange;
     auto const position = m_server.m_open.insert(m_server.m_open.end(), &exchange);
     WatchPeer();
-    co_await m_server.m_handler(exchange);
+    // The state of the loop is unknown once memory has run out; that ends the program.
+    std::optional<std::string> failure;
+    try {
+      co_await m_server.m_handler(exchange);
+    } catch (std::bad_alloc const&) {
+      throw;
+    } catch (std::exception const& error) {
+      failure = error.what();
+    }
     m_current = nullptr;
     m_server.m_open.erase(position);
+    exchange.OnPeerDisconnected(nullptr);
+    if (failure) {
+      co_await FailExchange(exchange, *failure);
+    }
     if (exchange.IsPeerDisconnected()) {
       m_closeReason = HttpCloseReason::PeerClosed;
     } else {
@@ -259,6 +279,19 @@
     co_return exchange.IsReusable();
   }
 
+  /// Ends an exchange whose handler has thrown an exception.
+  boost::asio::awaitable<void> FailExchange(HttpExchange& aExchange, std::string const& aFailure)
+  {
+    log::Error("request handler failed", { { "connection", std::to_string(m_number) },
+                                           { "started", aExchange.HasStarted() ? "true" : "false" },
+                                           { "error", aFailure } });
+    aExchange.CloseAfterResponse();
+    if (!aExchange.HasStarted()) {
+      auto response = m_server.m_errorRenderer({ 500, "internal error" });
+      co_await aExchange.Respond(std::move(response));
+    }
+  }
+
   /// Keeps one wait for input pending while a request is served, to detect that the
   /// peer closes the connection. The wait may outlast the request; it then ends with
   /// the next input.
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -62,11 +62,18 @@
 
   void StartDrain()
   {
-    auto drain = [this]() -> awaitable<void> {
-      co_await m_server->Drain(2s);
-      m_isDrained = true;
-    };
-    m_loop.Start(drain());
+    m_loop.Start(Drain());
+  }
+  awaitable<void> Drain()
+  {
+    co_await m_server->Drain(2s);
+    m_isDrained = true;
+  }
+
+  void SetIdleTimeout(base::Duration aTimeout)
+  {
+    m_limits.m_idleTimeout = aTimeout;
+    m_server->SetLimits(m_limits, m_loop.Now());
   }
 };
 
@@ -230,6 +237,91 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(TheDrainWaitsForARequestThatArrivesInPieces, ServerFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RawCaller head(*this);
+    RawCaller body(*this);
+    head.Send("POST /head HTTP/1.1\r\nContent-");
+    body.Send("POST /body HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    co_await m_loop.Sleep(30ms);
+    StartDrain();
+    co_await m_loop.Sleep(100ms);
+    BOOST_TEST(!m_isDrained);
+    head.Send("Length: 0\r\n\r\n");
+    body.Send("cd");
+    BOOST_TEST((co_await head.Receive("")).ends_with("/head"));
+    BOOST_TEST((co_await body.Receive("")).ends_with("/bodyabcd"));
+    co_await m_loop.Sleep(100ms);
+    BOOST_TEST(m_isDrained);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ARaisedIdleLimitHoldsForConnectionsThatWait, ServerFixture)
+{
+  m_limits.m_idleTimeout = 500ms;
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send(Get("/first"));
+    co_await caller.Receive("/first");
+    SetIdleTimeout(5s);
+    co_await m_loop.Sleep(700ms);
+    caller.Send(Get("/second"));
+    BOOST_TEST((co_await caller.Receive("/second")).ends_with("/second"));
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(CallersMayGoByTheFormerIdleLimitForItsLength, ServerFixture)
+{
+  m_limits.m_idleTimeout = 1s;
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    auto const changedAt = m_loop.Now();
+    SetIdleTimeout(100ms);
+    caller.Send(Get("/first"));
+    co_await caller.Receive("/first");
+    co_await m_loop.Sleep(400ms);
+    caller.Send(Get("/second"));
+    BOOST_TEST((co_await caller.Receive("/second")).ends_with("/second"));
+    co_await m_loop.Sleep(changedAt + 1s - m_loop.Now());
+    RawCaller later(*this);
+    later.Send(Get("/third"));
+    co_await later.Receive("", 700ms);
+    BOOST_TEST(later.IsClosed());
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnExceptionInAHandlerEndsItsConnectionOnly, ServerFixture)
+{
+  auto const respond = m_handler;
+  m_handler = [&](HttpExchange& aExchange) -> awaitable<void> {
+    if (aExchange.Request().m_target == "/stream") {
+      base::HttpHeaders headers;
+      co_await aExchange.StartStream(200, headers);
+    }
+    if (aExchange.Request().m_target != "/sound") {
+      throw std::runtime_error("fault");
+    }
+    co_await respond(aExchange);
+  };
+  Run([&]() -> awaitable<void> {
+    RawCaller sound(*this);
+    sound.Send(Get("/sound"));
+    co_await sound.Receive("/sound");
+    RawCaller before(*this);
+    before.Send(Get("/before"));
+    BOOST_TEST((co_await before.Receive("")).starts_with("HTTP/1.1 500"));
+    BOOST_TEST(before.IsClosed());
+    RawCaller stream(*this);
+    stream.Send(Get("/stream"));
+    BOOST_TEST(!(co_await stream.Receive("")).ends_with("0\r\n\r\n"));
+    BOOST_TEST(stream.IsClosed());
+    sound.Send(Get("/sound"));
+    BOOST_TEST((co_await sound.Receive("/sound")).ends_with("/sound"));
+    BOOST_TEST(m_server->OpenExchanges() == 0U);
+  });
+}
+
 // The body's deadline expires between two reads that complete at once, so that it cancels none.
 BOOST_FIXTURE_TEST_CASE(ABodyWhoseDeadlineExpiresBetweenTwoReadsEndsInTime, ServerFixture)
 {
