platform: Read the other entries of a list that holds an odd one

Another writer may leave an entry among those of the engines that cannot be read. One value nested deeper than 64 levels, a number such as 1e999, NaN, an invalid escape or a repeated name made the parser reject the whole page or batch, so that the list was followed no more. An entry that is no object as the last one of a page raised an exception of the JSON library, which ended the process.

Responses of the store are now split into their entries as text, without recursion and without parsing values. Each entry is parsed by itself.

--- /dev/null
+++ b/Base/JsonText.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sardinefold::base {
+
+/// The members of a JSON object as unparsed text, in the object's order.
+class JsonMembers
+{
+public:
+  void Add(std::string_view aName, std::string_view aText) { m_members.emplace_back(aName, aText); }
+  /// Returns the text of a member's value, or an empty text if there is none.
+  std::string_view Find(std::string_view aName) const;
+
+private:
+  std::vector<std::pair<std::string_view, std::string_view>> m_members;
+};
+
+/// Splits the text of an object into its members, or of an array into its items,
+/// without parsing their values, so that a value that cannot be parsed affects no
+/// other one. Uses no recursion: values may be nested to any depth. Returns nothing
+/// if the text is no complete object or array. The results refer to the text.
+std::optional<JsonMembers> SplitJsonObject(std::string_view aText);
+std::optional<std::vector<std::string_view>> SplitJsonArray(std::string_view aText);
+
+} // namespace sardinefold::base
