Agent/Fleet: Reject flags and times of other types in messages of peers

A datagram whose "can_order" or "complete" is no boolean raised an exception of the JSON library that no one caught, which ended the process that received it. Times were converted without a bound and could overflow.

Flags are now checked like the other fields, and times are limited to a century, as an age may be as long as its host has run.

OddEntryTest/AMessageOfAPeerWithAnOddFieldIsAnErrorAndNoException failed before with 15 exceptions.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -61,6 +61,14 @@
   return aValue.asUInt();
 }
 
+bool Flag(Json::Value const& aValue)
+{
+  if (!aValue.isBool()) {
+    throw FieldError{ "a boolean is expected" };
+  }
+  return aValue.asBool();
+}
+
 base::Endpoint Address(Json::Value const& aValue)
 {
   auto endpoint = base::Endpoint::Parse(Text(aValue));
@@ -72,7 +80,13 @@
 
 base::Duration Milliseconds(Json::Value const& aValue)
 {
-  return std::chrono::milliseconds(Integer(aValue));
+  // A century: times may be as long as a host runs, and sums of these do not overflow.
+  constexpr std::int64_t kMaximum = 36525LL * 24 * 3600 * 1000;
+  auto const milliseconds = Integer(aValue);
+  if (milliseconds < -kMaximum || milliseconds > kMaximum) {
+    throw FieldError{ "a time is out of range" };
+  }
+  return std::chrono::milliseconds(milliseconds);
 }
 
 template<typename Id>
@@ -147,7 +161,7 @@
   status.m_waiting = Count(Member(aParams, "waiting"));
   status.m_cacheUsed = base::Tokens(Integer(Member(aParams, "cache_used")));
   status.m_cacheTotal = base::Tokens(Integer(Member(aParams, "cache_total")));
-  status.m_canOrder = Member(aParams, "can_order").asBool();
+  status.m_canOrder = Flag(Member(aParams, "can_order"));
   status.m_gatewaysPresent = Count(Member(aParams, "gateways"));
   status.m_number = UnsignedInteger(Member(aParams, "number"));
   return status;
@@ -157,7 +171,7 @@
 {
   return { Name<base::HostId>(Member(aParams, "host")), Address(Member(aParams, "engine")),
            UnsignedInteger(Member(aParams, "number")),  Count(Member(aParams, "running")),
-           Count(Member(aParams, "waiting")),           Member(aParams, "can_order").asBool(),
+           Count(Member(aParams, "waiting")),           Flag(Member(aParams, "can_order")),
            Count(Member(aParams, "gateways")) };
 }
 
@@ -203,7 +217,7 @@
     report.m_demand.push_back(std::move(demand));
   }
   report.m_failureDomain = Name<base::FailureDomainId>(Member(aParams, "failure_domain"));
-  report.m_isComplete = Member(aParams, "complete").asBool();
+  report.m_isComplete = Flag(Member(aParams, "complete"));
   report.m_granted = ToGrants(Member(aParams, "granted"));
   report.m_crashes = ToCrashes(aParams);
   report.m_storeAge = Milliseconds(Member(aParams, "store_age_ms"));
--- a/Tests/OddEntryTest.cpp
+++ b/Tests/OddEntryTest.cpp
@@ -230,6 +230,51 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AMessageOfAPeerWithAnOddFieldIsAnErrorAndNoException)
+{
+  auto const host = base::HostId::FromValidated("h");
+  auto const domain = base::FailureDomainId::FromValidated("a");
+  auto const incarnation = base::IncarnationId::FromValidated("n");
+  base::Endpoint const endpoint{ "127.0.0.1", 80 };
+  agent::EngineStatus status;
+  status.m_host = host;
+  status.m_engine = endpoint;
+  status.m_deployment = base::DeploymentId::FromValidated("llm");
+  status.m_failureDomain = domain;
+  agent::EngineHeartbeat heartbeat;
+  heartbeat.m_host = host;
+  heartbeat.m_engine = endpoint;
+  agent::GatewayPresence presence;
+  presence.m_host = host;
+  presence.m_incarnation = incarnation;
+  presence.m_failureDomain = domain;
+  presence.m_planner = endpoint;
+  agent::GatewayReport report;
+  report.m_host = host;
+  report.m_incarnation = incarnation;
+  report.m_failureDomain = domain;
+  agent::PlannerSummary summary;
+  summary.m_epoch = "e";
+  agent::StoreUpdate update;
+  update.m_host = host;
+  std::vector<std::string> texts;
+  for (auto const& message :
+       std::vector<agent::FleetMessage>{ status, heartbeat, presence, report, summary, update }) {
+    texts.push_back(agent::EncodeFleetMessage(message));
+    BOOST_REQUIRE(agent::DecodeFleetMessage(texts.back()).has_value());
+  }
+  for (auto const& text : texts) {
+    for (auto colon = text.find(':'); colon != std::string::npos;
+         colon = text.find(':', colon + 1)) {
+      auto const end = text.find_first_of(",}]", colon);
+      for (auto const& value : kOddValues) {
+        auto const odd = text.substr(0, colon + 1) + value + text.substr(end);
+        BOOST_CHECK_NO_THROW(static_cast<void>(agent::DecodeFleetMessage(odd)));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ASettingsFileWithAnOddValueIsAnErrorOrItsDefaultAndNoException)
 {
   std::string const valid =
