Programs: Log from whom and between which versions the list advances

The incident of the lost leavings cannot be traced without it: a gateway's log did not say where a batch came from, which versions it spanned, or that an update was rejected.

--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -48,6 +48,7 @@
       [this](base::Instant aNow) { return m_role.MaySuspendCatalogWatch(aNow); }));
     m_state.m_loop.Start(m_upstreamWatch.Run(
       [this](objectstore::ObjectChanges const& aChanges) {
+        LogProgress("store", m_notifiedVersion, aChanges);
         OnUpstreams(aChanges);
         NotifyNeighbours(aChanges);
       },
@@ -190,8 +191,17 @@
   {
     m_role.OnUpdate(aUpdate.m_host, aUpdate.m_listAge, aUpdate.m_catalogAge, aNow);
     m_outages.OnResponse(aNow - std::min(aUpdate.m_listAge, aUpdate.m_catalogAge));
+    auto const known = m_upstreamWatch.State().Version();
     auto const changes =
       m_upstreamWatch.ApplyRelayed(aUpdate.m_from, aUpdate.m_changes, aNow - aUpdate.m_listAge);
+    if (aUpdate.m_from > known) {
+      base::log::Info("relayed update leaves a gap",
+                      { { "source", aUpdate.m_host.Text() },
+                        { "from", std::to_string(aUpdate.m_from.Value()) },
+                        { "known", std::to_string(known.Value()) } });
+    } else if (m_upstreamWatch.State().Version() > known) {
+      LogProgress(aUpdate.m_host.Text(), aUpdate.m_from, aUpdate.m_changes);
+    }
     // If this process starts to relay changes, its updates start from here.
     m_notifiedVersion = m_upstreamWatch.State().Version();
     if (!changes.m_changes.empty()) {
@@ -204,6 +214,17 @@
     }
   }
 
+  /// Logs from which version to which a batch leads.
+  static void LogProgress(std::string const& aSource, base::ObjectVersion aFrom,
+                          objectstore::ObjectChanges const& aChanges)
+  {
+    base::log::Info("upstream list advanced",
+                    { { "source", aSource },
+                      { "from", std::to_string(aFrom.Value()) },
+                      { "to", std::to_string(aChanges.m_version.Value()) },
+                      { "changes", std::to_string(aChanges.m_changes.size()) } });
+  }
+
   /// Sends changes to the neighbours that follow this process, or only the age of
   /// its data if there are none.
   void NotifyNeighbours(objectstore::ObjectChanges const& aChanges)
