ObjectStore, Agent, Programs: Relay what the store reported, not what was new

Cause: the first list of a process that becomes a watcher was relayed as changes from version 0. Its neighbours were allowed to apply it, took its version, and never heard of the deletions since their own. Updates also left out changes that their sender knew already or had never known, so receivers with another state missed them.

An update now holds everything that the store reported after a version, or a whole list, from which the receiver derives the deletions. So a version means that every change up to it has been applied, and a gap shows at the next update. It is read from the store within 200 ms, at a random time, unless another update fills it before.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -253,7 +253,9 @@
 {
   StoreUpdate update;
   update.m_host = Name<base::HostId>(Member(aParams, "host"));
-  update.m_from = base::ObjectVersion(UnsignedInteger(Member(aParams, "from")));
+  if (!aParams.isMember("complete")) {
+    update.m_from = base::ObjectVersion(UnsignedInteger(Member(aParams, "from")));
+  }
   update.m_changes.m_version = base::ObjectVersion(UnsignedInteger(Member(aParams, "to")));
   update.m_part = Count(Member(aParams, "part"));
   update.m_parts = Count(Member(aParams, "parts"));
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -197,8 +197,13 @@
   {
     auto& params = Start("store.news");
     params["host"] = aUpdate.m_host.Text();
-    params["from"] = Json::UInt64(aUpdate.m_from.Value());
+    // A receiver that does not know "complete" misses the changes before "from" and
+    // reads the store.
+    params["from"] = Json::UInt64(aUpdate.m_from.value_or(aUpdate.m_changes.m_version).Value());
     params["to"] = Json::UInt64(aUpdate.m_changes.m_version.Value());
+    if (!aUpdate.m_from) {
+      params["complete"] = true;
+    }
     params["part"] = aUpdate.m_part;
     params["parts"] = aUpdate.m_parts;
     params["catalog"] = Json::UInt64(aUpdate.m_catalog.Value());
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -147,8 +147,9 @@
 struct StoreUpdate
 {
   base::HostId m_host;
-  /// The changes lead from version m_from to m_changes.m_version.
-  base::ObjectVersion m_from;
+  /// The changes lead from this version to m_changes.m_version; none if m_changes
+  /// holds every object that exists, whatever the receiver knows.
+  std::optional<base::ObjectVersion> m_from;
   objectstore::ObjectChanges m_changes;
   unsigned m_part = 0;
   unsigned m_parts = 1;
--- a/Agent/Fleet/StoreUpdateAssembler.cpp
+++ b/Agent/Fleet/StoreUpdateAssembler.cpp
@@ -46,10 +46,11 @@
     return aPart;
   }
   auto& batch = m_batches[aPart.m_host];
-  if (batch.m_from != aPart.m_from || batch.m_to != aPart.m_changes.m_version) {
-    batch = { aPart.m_from, aPart.m_changes.m_version, {} };
-  }
   auto const parts = aPart.m_parts;
+  BatchId const id{ aPart.m_from, aPart.m_changes.m_version, parts };
+  if (batch.m_id != id) {
+    batch = { id, {} };
+  }
   auto const host = aPart.m_host;
   batch.m_parts.insert_or_assign(aPart.m_part, std::move(aPart));
   if (batch.m_parts.size() < parts) {
--- a/Agent/Fleet/StoreUpdateAssembler.h
+++ b/Agent/Fleet/StoreUpdateAssembler.h
@@ -21,10 +21,17 @@
   std::optional<StoreUpdate> Add(StoreUpdate aPart);
 
 private:
-  struct Batch
+  struct BatchId
   {
-    base::ObjectVersion m_from;
+    std::optional<base::ObjectVersion> m_from;
     base::ObjectVersion m_to;
+    unsigned m_parts = 0;
+    bool operator==(BatchId const&) const = default;
+  };
+
+  struct Batch
+  {
+    BatchId m_id;
     std::map<unsigned, StoreUpdate> m_parts;
   };
 
--- a/ObjectStore/ObjectWatch.cpp
+++ b/ObjectStore/ObjectWatch.cpp
@@ -1,6 +1,7 @@
 #include "ObjectStore/ObjectWatch.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace sardinefold::objectstore {
@@ -52,29 +53,10 @@
     PauseAfterFailure(aNow);
     return changes;
   }
-  std::set<ObjectKey> listed;
-  for (auto const& object : aResponse->m_objects) {
-    listed.insert(object.m_key);
-    if (ObjectChange change = ObjectPut{ object }; Apply(change)) {
-      changes.m_changes.push_back(std::move(change));
-    }
-  }
-  std::vector<ObjectKey> missing;
-  for (auto const& [key, version] : m_known) {
-    if (!listed.contains(key)) {
-      missing.push_back(key);
-    }
-  }
-  for (auto const& key : missing) {
-    m_known.erase(key);
-    changes.m_changes.emplace_back(ObjectDeleted{ key, aResponse->m_version });
-  }
   RecordContact(aNow);
   m_mustList = false;
   m_hasListed = true;
-  m_version = aResponse->m_version;
-  changes.m_version = m_version;
-  return changes;
+  return ApplyAll(aResponse->m_objects, aResponse->m_version);
 }
 
 ObjectChanges ObjectWatch::OnChanges(tl::expected<ObjectChanges, ReadError> const& aResponse,
@@ -100,18 +82,81 @@
   return ApplyNew(*aResponse);
 }
 
-std::optional<ObjectChanges> ObjectWatch::OnRelayed(base::ObjectVersion aFrom,
-                                                    ObjectChanges const& aChanges,
+std::optional<ObjectUpdate> ObjectWatch::UpdateOf(
+  tl::expected<ObjectList, ReadError> const& aResponse) const
+{
+  if (!aResponse || aResponse->m_version <= m_version) {
+    return std::nullopt;
+  }
+  ObjectUpdate update{ std::nullopt, { aResponse->m_version, {} } };
+  for (auto const& object : aResponse->m_objects) {
+    update.m_changes.m_changes.emplace_back(ObjectPut{ object });
+  }
+  return update;
+}
+
+std::optional<ObjectUpdate> ObjectWatch::UpdateOf(
+  tl::expected<ObjectChanges, ReadError> const& aResponse) const
+{
+  if (!aResponse || aResponse->m_version <= m_version) {
+    return std::nullopt;
+  }
+  ObjectUpdate update{ m_version, { aResponse->m_version, {} } };
+  std::ranges::copy_if(aResponse->m_changes, std::back_inserter(update.m_changes.m_changes),
+                       [&](auto const& aChange) { return VersionOf(aChange) > m_version; });
+  return update;
+}
+
+std::optional<ObjectChanges> ObjectWatch::OnRelayed(ObjectUpdate const& aUpdate,
                                                     base::Instant aReceivedAt)
 {
-  if (!m_hasListed || aFrom > m_version) {
+  auto const& changes = aUpdate.m_changes;
+  // Changes from version zero are a list without the deletions before it.
+  bool const hasGap = aUpdate.m_from && changes.m_version > m_version &&
+                      (*aUpdate.m_from > m_version || *aUpdate.m_from == base::ObjectVersion());
+  if (!m_hasListed || hasGap) {
     return std::nullopt;
   }
   m_lastContact = std::max(m_lastContact, aReceivedAt);
-  if (aChanges.m_version <= m_version) {
+  if (changes.m_version <= m_version) {
     return ObjectChanges{ m_version, {} };
   }
-  return ApplyNew(aChanges);
+  if (aUpdate.m_from) {
+    return ApplyNew(changes);
+  }
+  std::vector<Object> objects;
+  for (auto const& change : changes.m_changes) {
+    if (auto const* const put = std::get_if<ObjectPut>(&change)) {
+      objects.push_back(put->m_object);
+    }
+  }
+  return ApplyAll(objects, changes.m_version);
+}
+
+/// Replaces what is known by all objects of a list.
+ObjectChanges ObjectWatch::ApplyAll(std::vector<Object> const& aObjects,
+                                    base::ObjectVersion aVersion)
+{
+  ObjectChanges changes{ aVersion, {} };
+  std::set<ObjectKey> listed;
+  for (auto const& object : aObjects) {
+    listed.insert(object.m_key);
+    if (ObjectChange change = ObjectPut{ object }; Apply(change)) {
+      changes.m_changes.push_back(std::move(change));
+    }
+  }
+  std::vector<ObjectKey> missing;
+  for (auto const& [key, version] : m_known) {
+    if (!listed.contains(key)) {
+      missing.push_back(key);
+    }
+  }
+  for (auto const& key : missing) {
+    m_known.erase(key);
+    changes.m_changes.emplace_back(ObjectDeleted{ key, aVersion });
+  }
+  m_version = aVersion;
+  return changes;
 }
 
 ObjectChanges ObjectWatch::ApplyNew(ObjectChanges const& aChanges)
--- a/ObjectStore/ObjectWatch.h
+++ b/ObjectStore/ObjectWatch.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <variant>
+#include <vector>
 
 namespace sardinefold::objectstore {
 
@@ -42,11 +43,17 @@
   ObjectChanges OnChanges(tl::expected<ObjectChanges, ReadError> const& aResponse,
                           base::Instant aNow);
 
-  /// Applies changes from another process that watches the same objects and
-  /// received them at aReceivedAt. Returns nothing if they do not continue from
-  /// the version that is known here.
-  std::optional<ObjectChanges> OnRelayed(base::ObjectVersion aFrom, ObjectChanges const& aChanges,
-                                         base::Instant aReceivedAt);
+  /// Returns what another process may apply of a response; none if it holds nothing
+  /// new. To be called before the response is applied here. What it holds depends on
+  /// the version that is known here, but not on which objects are.
+  std::optional<ObjectUpdate> UpdateOf(tl::expected<ObjectList, ReadError> const& aResponse) const;
+  std::optional<ObjectUpdate> UpdateOf(
+    tl::expected<ObjectChanges, ReadError> const& aResponse) const;
+
+  /// Applies an update from another process that watches the same objects and
+  /// received it at aReceivedAt. Returns nothing if changes before it are missing
+  /// here.
+  std::optional<ObjectChanges> OnRelayed(ObjectUpdate const& aUpdate, base::Instant aReceivedAt);
 
   /// All changes up to this version have been returned.
   base::ObjectVersion Version() const { return m_version; }
@@ -59,6 +66,7 @@
   void PauseAfterFailure(base::Instant aNow) { m_next = aNow + m_backoff.Next(); }
   bool Apply(ObjectChange const& aChange);
   ObjectChanges ApplyNew(ObjectChanges const& aChanges);
+  ObjectChanges ApplyAll(std::vector<Object> const& aObjects, base::ObjectVersion aVersion);
 
   Backoff m_backoff;
   bool m_mustList = true;
--- a/ObjectStore/PlatformObject.h
+++ b/ObjectStore/PlatformObject.h
@@ -2,6 +2,7 @@
 
 #include "ObjectStore/ObjectKey.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -48,6 +49,16 @@
   std::vector<ObjectChange> m_changes;
 };
 
+/// Changes as the store reported them, for processes that may know more or less
+/// than the one that received them.
+struct ObjectUpdate
+{
+  /// m_changes holds all changes after this version; none if it holds every object
+  /// that exists, whatever was known before.
+  std::optional<base::ObjectVersion> m_from;
+  ObjectChanges m_changes;
+};
+
 /// The object must not exist.
 struct IfAbsent
 {};
--- a/ObjectStore/WatchSession.h
+++ b/ObjectStore/WatchSession.h
@@ -4,8 +4,11 @@
 #include "Base/Signal.h"
 #include "ObjectStore/ObjectStoreClient.h"
 #include "ObjectStore/ObjectWatch.h"
+#include "ObjectStore/VersionGap.h"
 
+#include <algorithm>
 #include <concepts>
+#include <optional>
 #include <utility>
 
 namespace sardinefold::objectstore {
@@ -17,6 +20,9 @@
   base::Duration m_listTime = std::chrono::seconds(10);
   /// Pause after each response with changes, which batches further changes.
   base::Duration m_pause{};
+  /// A gap in relayed updates is read from the store within this time. The reads of
+  /// several processes are spread over it.
+  base::Duration m_gapTime = std::chrono::milliseconds(200);
   BackoffLimits m_backoff;
 };
 
@@ -35,6 +41,7 @@
     , m_purpose(aPurpose)
     , m_limits(aLimits)
     , m_watch(aLimits.m_backoff, aSeed)
+    , m_gap(aLimits.m_gapTime, aSeed)
     , m_wake(aLoop.Context())
   {
   }
@@ -50,49 +57,74 @@
   /// the updates relayed to ApplyRelayed() are recent enough.
   template<std::invocable<ObjectChanges const&> Handler, std::predicate<base::Instant> MaySuspend>
   boost::asio::awaitable<void> Run(Handler aHandler, MaySuspend aMaySuspend)
+  {
+    co_await Run(std::move(aHandler), std::move(aMaySuspend), [](ObjectUpdate const&) {});
+  }
+
+  /// The same; aOnUpdate is called after the handler with what other processes may
+  /// apply of a response.
+  template<std::invocable<ObjectChanges const&> Handler, std::predicate<base::Instant> MaySuspend,
+           std::invocable<ObjectUpdate const&> UpdateHandler>
+  boost::asio::awaitable<void> Run(Handler aHandler, MaySuspend aMaySuspend,
+                                   UpdateHandler aOnUpdate)
   {
     while (!m_isStopped) {
-      if (m_watch.HasListed() && !m_isBehind && aMaySuspend(m_loop.Now())) {
-        co_await m_wake.Wait(kSuspendedPollInterval);
+      auto const now = m_loop.Now();
+      if (m_watch.HasListed() && !m_isBehind && !m_gap.IsDue(now) && aMaySuspend(now)) {
+        co_await m_wake.Wait(std::min(kSuspendedPollInterval, m_gap.TimeUntilDue(now)));
         continue;
       }
-      auto const step = m_watch.Next(m_loop.Now());
+      auto const step = m_watch.Next(now);
       if (auto const* const wait = std::get_if<WatchAgainAt>(&step)) {
-        co_await m_loop.Sleep(wait->m_time - m_loop.Now());
+        co_await m_loop.Sleep(wait->m_time - now);
         continue;
       }
       auto prefix = m_prefix;
       ObjectChanges changes;
+      std::optional<ObjectUpdate> update;
       if (auto const* const watch = std::get_if<WatchAfter>(&step)) {
         auto const response = co_await m_store.Watch(m_kind, std::move(prefix), watch->m_version,
                                                      m_limits.m_watchTime, m_purpose);
+        update = m_watch.UpdateOf(response);
         changes = m_watch.OnChanges(response, m_loop.Now());
         m_isBehind = m_isBehind && !response;
       } else {
         auto const response =
           co_await m_store.List(m_kind, std::move(prefix), m_limits.m_listTime, m_purpose);
+        update = m_watch.UpdateOf(response);
         changes = m_watch.OnList(response, m_loop.Now());
         m_isBehind = m_isBehind && !response;
       }
-      if (!changes.m_changes.empty() && !m_isStopped) {
+      m_gap.OnVersion(m_watch.Version());
+      if (m_isStopped) {
+        continue;
+      }
+      if (!changes.m_changes.empty()) {
         aHandler(changes);
-        if (m_limits.m_pause > base::Duration::zero()) {
-          co_await m_loop.Sleep(m_limits.m_pause);
-        }
+      }
+      if (update) {
+        aOnUpdate(*update);
+      }
+      // A process that only fills a gap has no further calls to delay.
+      bool const mustPause = !changes.m_changes.empty() && !aMaySuspend(m_loop.Now());
+      if (mustPause && m_limits.m_pause > base::Duration::zero()) {
+        co_await m_loop.Sleep(m_limits.m_pause);
       }
     }
   }
 
-  /// Applies changes that another process relays. If they do not continue from the
-  /// known version, the session calls the store itself.
-  ObjectChanges ApplyRelayed(base::ObjectVersion aFrom, ObjectChanges const& aChanges,
-                             base::Instant aReceivedAt)
+  /// Applies an update that another process relays. If changes before it are
+  /// missing, the session calls the store itself unless another update has brought
+  /// them by then.
+  ObjectChanges ApplyRelayed(ObjectUpdate const& aUpdate, base::Instant aReceivedAt)
   {
-    auto changes = m_watch.OnRelayed(aFrom, aChanges, aReceivedAt);
+    auto changes = m_watch.OnRelayed(aUpdate, aReceivedAt);
     if (!changes) {
-      CatchUp();
+      m_gap.OnGap(aUpdate.m_changes.m_version, m_loop.Now());
+      m_wake.Notify();
       return { m_watch.Version(), {} };
     }
+    m_gap.OnVersion(m_watch.Version());
     return std::move(*changes);
   }
 
@@ -119,6 +151,7 @@
   CallPurpose m_purpose;
   WatchLimits m_limits;
   ObjectWatch m_watch;
+  VersionGap m_gap;
   base::Signal m_wake;
   bool m_isBehind = false;
   bool m_isStopped = false;
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -47,12 +47,12 @@
       [this](objectstore::ObjectChanges const& aChanges) { OnCatalog(aChanges); },
       [this](base::Instant aNow) { return m_role.MaySuspendCatalogWatch(aNow); }));
     m_state.m_loop.Start(m_upstreamWatch.Run(
-      [this](objectstore::ObjectChanges const& aChanges) {
-        LogProgress("store", m_notifiedVersion, aChanges);
-        OnUpstreams(aChanges);
-        NotifyNeighbours(aChanges);
-      },
-      [this](base::Instant aNow) { return m_role.MaySuspendListWatch(aNow); }));
+      [this](objectstore::ObjectChanges const& aChanges) { OnUpstreams(aChanges); },
+      [this](base::Instant aNow) { return m_role.MaySuspendListWatch(aNow); },
+      [this](objectstore::ObjectUpdate const& aUpdate) {
+        LogProgress("store", aUpdate);
+        NotifyNeighbours(aUpdate);
+      }));
   }
 
   void SetEndpoint(base::Endpoint aStore) { m_store.SetEndpoint(std::move(aStore)); }
@@ -76,10 +76,12 @@
   /// To be called ten times a second.
   void Tick(base::Instant aNow)
   {
-    constexpr unsigned kUpdateTicks = 2;
+    constexpr unsigned kUpdateTicks =
+      StoreFollowerTiming::kUpdateInterval / std::chrono::milliseconds(100);
     UpdateAvailability(aNow);
     if (m_ticks++ % kUpdateTicks == 0) {
-      NotifyNeighbours({ m_upstreamWatch.State().Version(), {} });
+      auto const version = m_upstreamWatch.State().Version();
+      NotifyNeighbours({ version, { version, {} } });
     }
   }
 
@@ -192,18 +194,17 @@
     m_role.OnUpdate(aUpdate.m_host, aUpdate.m_listAge, aUpdate.m_catalogAge, aNow);
     m_outages.OnResponse(aNow - std::min(aUpdate.m_listAge, aUpdate.m_catalogAge));
     auto const known = m_upstreamWatch.State().Version();
-    auto const changes =
-      m_upstreamWatch.ApplyRelayed(aUpdate.m_from, aUpdate.m_changes, aNow - aUpdate.m_listAge);
-    if (aUpdate.m_from > known) {
+    objectstore::ObjectUpdate const update{ aUpdate.m_from, aUpdate.m_changes };
+    auto const changes = m_upstreamWatch.ApplyRelayed(update, aNow - aUpdate.m_listAge);
+    if (m_upstreamWatch.State().Version() > known) {
+      LogProgress(aUpdate.m_host.Text(), update);
+    } else if (aUpdate.m_changes.m_version > known) {
       base::log::Info("relayed update leaves a gap",
                       { { "source", aUpdate.m_host.Text() },
-                        { "from", std::to_string(aUpdate.m_from.Value()) },
+                        { "from", FromText(update) },
+                        { "to", std::to_string(aUpdate.m_changes.m_version.Value()) },
                         { "known", std::to_string(known.Value()) } });
-    } else if (m_upstreamWatch.State().Version() > known) {
-      LogProgress(aUpdate.m_host.Text(), aUpdate.m_from, aUpdate.m_changes);
     }
-    // If this process starts to relay changes, its updates start from here.
-    m_notifiedVersion = m_upstreamWatch.State().Version();
     if (!changes.m_changes.empty()) {
       OnUpstreams(changes);
     }
@@ -214,31 +215,34 @@
     }
   }
 
-  /// Logs from which version to which a batch leads.
-  static void LogProgress(std::string const& aSource, base::ObjectVersion aFrom,
-                          objectstore::ObjectChanges const& aChanges)
+  static std::string FromText(objectstore::ObjectUpdate const& aUpdate)
+  {
+    return aUpdate.m_from ? std::to_string(aUpdate.m_from->Value()) : "list";
+  }
+
+  /// Logs from which version to which an update leads.
+  static void LogProgress(std::string const& aSource, objectstore::ObjectUpdate const& aUpdate)
   {
     base::log::Info("upstream list advanced",
                     { { "source", aSource },
-                      { "from", std::to_string(aFrom.Value()) },
-                      { "to", std::to_string(aChanges.m_version.Value()) },
-                      { "changes", std::to_string(aChanges.m_changes.size()) } });
+                      { "from", FromText(aUpdate) },
+                      { "to", std::to_string(aUpdate.m_changes.m_version.Value()) },
+                      { "changes", std::to_string(aUpdate.m_changes.m_changes.size()) } });
   }
 
-  /// Sends changes to the neighbours that follow this process, or only the age of
-  /// its data if there are none.
-  void NotifyNeighbours(objectstore::ObjectChanges const& aChanges)
+  /// Sends an update to the neighbours that follow this process, or only the age
+  /// of its data if the update holds nothing new.
+  void NotifyNeighbours(objectstore::ObjectUpdate const& aUpdate)
   {
     auto const now = m_state.m_loop.Now();
-    auto const from = std::exchange(m_notifiedVersion, aChanges.m_version);
     auto const listeners = m_role.UpdateRecipients(now);
     if (listeners.empty()) {
       return;
     }
     agent::StoreUpdate news;
     news.m_host = m_state.m_profile.m_host;
-    news.m_from = from;
-    news.m_changes = aChanges;
+    news.m_from = aUpdate.m_from;
+    news.m_changes = aUpdate.m_changes;
     news.m_catalog =
       m_state.m_catalog ? m_state.m_catalog->Catalog().m_version : base::CatalogVersion();
     news.m_listAge = now - m_upstreamWatch.State().LastContact();
@@ -284,8 +288,6 @@
   entry::WatchRole m_role;
   agent::StoreUpdateAssembler m_updateAssembler;
   std::function<void()> m_onCatalog;
-  /// Version of the list up to which neighbours were notified.
-  base::ObjectVersion m_notifiedVersion;
   entry::OutageTracker m_outages;
   /// When the store last responded before its latest outage as seen by this
   /// process, and the length of that outage.
--- a/Programs/Gateway/StoreFollowerTiming.h
+++ b/Programs/Gateway/StoreFollowerTiming.h
@@ -20,6 +20,10 @@
   /// for requests in flight.
   static constexpr base::Duration kDrainReserve = std::chrono::milliseconds(1300);
 
+  /// Interval between the updates that a watcher sends even without changes. A
+  /// process notices within this time that it lacks some.
+  static constexpr base::Duration kUpdateInterval = std::chrono::milliseconds(200);
+
   /// How long changes to the list of upstreams are batched. The list changes with
   /// each model that an engine loads, and each response uses up a call of the
   /// budget.
--- a/Tests/PlatformClientTest.cpp
+++ b/Tests/PlatformClientTest.cpp
@@ -290,6 +290,30 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(ASuspendedSessionReadsEachGapWithoutABatchPause, ClientFixture)
+{
+  WatchLimits limits;
+  limits.m_pause = seconds(2);
+  WatchSession<ObjectClient> session(m_loop, *m_client, ObjectKind::Placement, ObjectName(),
+                                     CallPurpose::Placement, limits, 1);
+  std::size_t seen = 0;
+  auto handler = [&](ObjectChanges const& aChanges) { seen += aChanges.m_changes.size(); };
+  auto& objects = m_standIn.Objects();
+  Run([&]() -> awaitable<void> {
+    BOOST_REQUIRE(objects.Put("placement", "m0", "", base::ObjectVersion()));
+    m_loop.Start(session.Run(handler, [](base::Instant) { return true; }));
+    for (std::size_t change = 1; change < 5; ++change) {
+      co_await m_loop.Sleep(milliseconds(300));
+      BOOST_TEST(seen == change);
+      auto const name = "m" + std::to_string(change);
+      BOOST_REQUIRE(objects.Put("placement", name, "", base::ObjectVersion()));
+      auto const version = session.State().Version().Next();
+      session.ApplyRelayed({ version, { version, {} } }, m_loop.Now());
+    }
+    session.Stop();
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(HostListChangesAreReported, ClientFixture)
 {
   HostListLimits limits;
