Engine: Lengthen the pause of an upstream that keeps failing

Cause: MayPause counted the upstream itself among those that are paused, so its further failures looked like the pause of one more upstream.

Evidence: FailuresOfAPausedUpstreamLengthenItsPause failed before.

Now the share is taken of the other upstreams that are paused, plus this one.

--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -270,14 +270,14 @@
 bool UpstreamDirectory::MayPause(Upstream const& aUpstream, base::Instant aNow) const
 {
   std::size_t all = 0;
-  std::size_t paused = 0;
+  std::size_t othersPaused = 0;
   for (auto const& [instance, other] : m_upstreams) {
     if (other.m_entry.m_deployment == aUpstream.m_entry.m_deployment) {
       ++all;
-      paused += other.m_pausedUntil > aNow ? 1 : 0;
+      othersPaused += &other != &aUpstream && other.m_pausedUntil > aNow ? 1 : 0;
     }
   }
-  return static_cast<double>(paused + 1) <=
+  return static_cast<double>(othersPaused + 1) <=
          static_cast<double>(all) * m_limits.m_maximumPausedShare;
 }
 
--- a/Tests/UpstreamDirectoryTest.cpp
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -189,6 +189,22 @@
   BOOST_TEST(!m_directory.OnStuck(Instance("two"), kStart + *pause).has_value());
 }
 
+BOOST_FIXTURE_TEST_CASE(FailuresOfAPausedUpstreamLengthenItsPause, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  m_directory.OnListed(Entry("two", 2), kStart);
+  auto const pause = m_directory.OnStuck(Instance("one"), kStart);
+  BOOST_REQUIRE(pause.has_value());
+  auto const longer = m_directory.OnStuck(Instance("one"), kStart);
+  BOOST_REQUIRE(longer.has_value());
+  BOOST_TEST((*longer > *pause));
+  for (int round = 0; round < 20; ++round) {
+    BOOST_TEST((Find(std::nullopt, kStart + *pause) == Instance("two")));
+  }
+  // It does not count against the share itself, but against the others'.
+  BOOST_TEST(!m_directory.OnStuck(Instance("two"), kStart).has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(RestartOfAnInstanceClearsItsModels, Fixture)
 {
   auto entry = Entry("one", 1);
