StandIns, Tests: Notice closed connections between fragments

EndlessAnswerTest, cases 4 and 6, were red at times: 100 ms after the last response the endless server still counted connections as open. It noticed a closed connection only when it sent its second fragment after that, and counted it out another interval later: up to 150 ms with fragments 50 ms apart. The gateway had closed the connections.

The stand-in now looks for the end of the connection between fragments. The check stays as it is, that no connection is open 100 ms after the responses, and the one for the store goes from 300 ms to the same 100 ms.

--- a/StandIns/Site/EndlessServer.cpp
+++ b/StandIns/Site/EndlessServer.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -16,6 +17,7 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaximumRequestBytes = 64UL * 1024;
+constexpr base::Duration kClosePollInterval = std::chrono::milliseconds(10);
 
 std::string AsChunk(std::string const& aData)
 {
@@ -113,6 +115,21 @@
   }
 }
 
+asio::awaitable<bool> EndlessServer::WaitForClose(asio::ip::tcp::socket& aSocket)
+{
+  auto const end = m_loop.Now() + m_response.m_interval;
+  while (m_loop.Now() < end) {
+    std::array<char, 1024> ignored{};
+    boost::system::error_code error;
+    aSocket.read_some(asio::buffer(ignored), error);
+    if (error && error != asio::error::would_block) {
+      co_return true;
+    }
+    co_await m_loop.Sleep(std::min(end - m_loop.Now(), kClosePollInterval));
+  }
+  co_return false;
+}
+
 asio::awaitable<void> EndlessServer::Respond(asio::ip::tcp::socket aSocket)
 {
   std::string request;
@@ -125,16 +142,13 @@
   ++m_open;
   auto text = Head(request);
   auto const fragment = Fragment();
-  boost::system::error_code error;
-  while (!error) {
-    auto const [writeError, written] =
-      co_await asio::async_write(aSocket, asio::buffer(text), kAwait);
-    error = writeError;
+  aSocket.non_blocking(true);
+  bool isClosed = false;
+  while (!isClosed) {
+    auto const [error, written] = co_await asio::async_write(aSocket, asio::buffer(text), kAwait);
     m_bytesWritten += written;
     text = fragment;
-    if (m_response.m_interval > base::Duration::zero()) {
-      co_await m_loop.Sleep(m_response.m_interval);
-    }
+    isClosed = error || co_await WaitForClose(aSocket);
   }
   --m_open;
 }
--- a/StandIns/Site/EndlessServer.h
+++ b/StandIns/Site/EndlessServer.h
@@ -57,6 +57,9 @@
 private:
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Respond(boost::asio::ip::tcp::socket aSocket);
+  /// Waits until the next fragment is due. Returns at once, and true, when the peer
+  /// has closed the connection.
+  boost::asio::awaitable<bool> WaitForClose(boost::asio::ip::tcp::socket& aSocket);
   /// Renders the start of the response. It echoes the request's id, unless it
   /// responds to another request.
   std::string Head(std::string const& aRequest) const;
--- a/Tests/EndlessAnswerTest.cpp
+++ b/Tests/EndlessAnswerTest.cpp
@@ -169,9 +169,7 @@
     BOOST_TEST(!list.has_value());
     BOOST_TEST((m_loop.Now() - start < kTimeout + kTolerance));
     BOOST_TEST(ResidentKilobytes() - residentBefore < kMaximumGrowthKilobytes);
-    // A server that sends slowly notices the closed connection only at its second
-    // chunk from here.
-    co_await m_loop.Sleep(300ms);
+    co_await m_loop.Sleep(100ms);
     BOOST_TEST(m_endless->Open() == 0U);
   });
 }
