Tests: Claim ports that are free on all hosts of the site fixture

Fixtures could not start at times when two test runs, or a test and a build, ran side by side: FreePort() chose a port that was free on the store's host and assumed it to be free on the other hosts, and for UDP. The port for readiness of one fixture was never bound on the store's host, so another fixture could choose it as well.

A claim binds its port on a host that only claims use, for as long as the fixture exists, and checks that the port is free for TCP and UDP on all hosts of the site.

--- a/Tests/Support/SiteFixture.cpp
+++ b/Tests/Support/SiteFixture.cpp
@@ -15,36 +15,34 @@
 constexpr char kGatewayHost[] = "127.0.1.2";
 constexpr char kServiceHost[] = "127.0.1.3";
 
-/// Returns a port that is free on the store's host. It is assumed to be free on
-/// the other hosts as well.
-std::uint16_t FreePort()
+/// Returns the hosts of the site, and that of a further upstream.
+std::vector<std::string> Hosts()
 {
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(context,
-                                          { boost::asio::ip::make_address(kStoreHost), 0 });
-  return acceptor.local_endpoint().port();
+  return { kStoreHost, kGatewayHost, kServiceHost, "127.0.2.1", "127.0.2.2", "127.0.3.1" };
 }
 
 } // namespace
 
 SiteFixture::SiteFixture()
-  : m_storeServer(
+  : m_port(Hosts())
+  , m_peerPort(Hosts())
+  , m_readinessPort(Hosts())
+  , m_storeServer(
       m_loop, {}, [this](base::HttpExchange& aExchange) { return m_store.Serve(aExchange); },
       standins::RenderRequestError)
 {
   // Only errors are logged unless the environment sets another level.
   auto const level = programs::ReadEnvironment("SARDINEFOLD_LOG_LEVEL").value_or("error");
   BOOST_REQUIRE(base::log::Configure("site", level).has_value());
-  auto const port = FreePort();
-  auto const peerPort = static_cast<std::uint16_t>(FreePort());
+  auto const port = m_port.Port();
   m_callers = { kGatewayHost, port };
-  m_readiness = { kGatewayHost, FreePort() };
+  m_readiness = { kGatewayHost, m_readinessPort.Port() };
   BOOST_REQUIRE(m_storeServer.Listen({ kStoreHost, port }).has_value());
   m_store.Attach(m_storeServer);
   m_store.Put("config", "main", standins::SiteConfiguration(1));
   base::ProcessProfile profile;
   profile.m_failureDomain = base::FailureDomainId::FromValidated("a");
-  profile.m_peerPort = peerPort;
+  profile.m_peerPort = m_peerPort.Port();
   profile.m_objectStore = { kStoreHost, port };
   for (int number = 1; number <= 2; ++number) {
     standins::SiteEngineSettings settings;
--- a/Tests/Support/SiteFixture.h
+++ b/Tests/Support/SiteFixture.h
@@ -7,6 +7,7 @@
 #include "StandIns/Common/StandInProgram.h"
 #include "StandIns/Site/SiteConfiguration.h"
 #include "StandIns/Site/SiteEngine.h"
+#include "Tests/Support/PortClaim.h"
 
 #include <memory>
 #include <string>
@@ -58,6 +59,9 @@
   base::Endpoint const& Callers() const { return m_callers; }
 
 private:
+  PortClaim m_port;
+  PortClaim m_peerPort;
+  PortClaim m_readinessPort;
   base::HttpServer m_storeServer;
   base::Endpoint m_callers;
   base::Endpoint m_readiness;
