Base: Let a caller with a long body receive its refusal

What callers saw: a reset in place of the refusal of a body over the limit. The lingering close read 64 times 4 KiB at most; the rest of a longer body then met a closed socket. The close now lasts up to 2 s; after 16 MiB nothing more is read, but the socket stays open until then. The test failed before: the write of a body of 8 MiB was reset.

--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -227,22 +227,28 @@
     co_await Linger();
   }
 
-  /// Performs a lingering close: reads for up to 1 s before closing, so that a peer
-  /// that is still sending receives the response and not a reset.
+  /// Performs a lingering close: reads for up to 2 s before closing, so that a peer
+  /// that is still sending receives the response and not a reset. A peer that sends
+  /// without end is no longer read from after kMaximumLingerBytes.
   boost::asio::awaitable<void> Linger()
   {
+    constexpr Duration kLingerTime = std::chrono::seconds(2);
+    constexpr std::size_t kReadBytes = 16UL * 1024;
     auto& lowest = boost::beast::get_lowest_layer(m_stream);
     boost::system::error_code ignored;
     lowest.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    lowest.expires_after(std::chrono::seconds(1));
-    for (int reads = 0; reads < 64; ++reads) {
+    auto const end = m_server.m_loop.Now() + kLingerTime;
+    lowest.expires_after(kLingerTime);
+    for (std::size_t total = 0; total < kMaximumLingerBytes;) {
       m_buffer.clear();
-      auto const prepared = m_buffer.prepare(4096);
+      auto const prepared = m_buffer.prepare(kReadBytes);
       auto const [error, size] = co_await lowest.async_read_some(prepared, detail::kAwait);
       if (error) {
         co_return;
       }
+      total += size;
     }
+    co_await m_server.m_loop.Sleep(end - m_server.m_loop.Now());
   }
 
   boost::asio::awaitable<bool> Serve(HttpRequest aRequest)
@@ -336,6 +342,7 @@
   /// Limits each part that the parser needs in one piece, such as a chunk extension,
   /// and the data that a caller sends ahead.
   static constexpr std::size_t kMaximumBufferedBytes = 256UL * 1024;
+  static constexpr std::size_t kMaximumLingerBytes = 16UL * 1024 * 1024;
   boost::beast::flat_buffer m_buffer{ kMaximumBufferedBytes };
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
   boost::asio::steady_timer m_watchEnded{ m_server.m_loop.Context() };
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -322,6 +322,21 @@
   });
 }
 
+// The caller sends all of its body before it reads, and a reset would fail its write.
+BOOST_FIXTURE_TEST_CASE(ACallerThatSendsALongBodyReceivesItsRefusal, ServerFixture)
+{
+  m_limits.m_bodyBytes = base::Bytes(10);
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    std::string request = "POST / HTTP/1.1\r\nContent-Length: 8388608\r\n\r\n";
+    request.append(8UL * 1024 * 1024, 'x');
+    BOOST_TEST(co_await caller.SendAll(std::move(request)));
+    auto const response = co_await caller.Receive("");
+    BOOST_TEST(response.starts_with("HTTP/1.1 413"));
+    BOOST_TEST(response.ends_with("{}"));
+  });
+}
+
 // The body's deadline expires between two reads that complete at once, so that it cancels none.
 BOOST_FIXTURE_TEST_CASE(ABodyWhoseDeadlineExpiresBetweenTwoReadsEndsInTime, ServerFixture)
 {
