Gateway: Choose a usable upstream after the end of waits

What callers saw: from 2.3 s after a stop began, 503 for requests on open connections, and streams that broke off although an upstream could continue them. The end of waits bounded the whole search, so that the directory was not asked at all. It bounds waiting for a model or an adapter now; an upstream that can be used at once is chosen until the request's deadline. The same held for a stream whose last event was older than its wait. The test failed before: 503, "upstream failed".

--- a/Programs/Gateway/UpstreamSelection.h
+++ b/Programs/Gateway/UpstreamSelection.h
@@ -40,20 +40,25 @@
     auto const startedAt = Now();
     std::optional<engine::WaitTicket> ticket;
     std::optional<engine::UpstreamChoice> result;
-    while (!m_cancellation.IsCancelled() && Now() < WaitEnd(policy)) {
+    // The end of the wait bounds waiting only: a usable upstream is chosen until the
+    // request's deadline.
+    while (!m_cancellation.IsCancelled() && Now() < m_context.m_end) {
       auto const found = m_state.m_directory.Find(m_context.m_query, Now());
       if (auto const* const choice = std::get_if<engine::UpstreamChoice>(&found)) {
         if (!choice->m_lacksAdapter) {
           result = *choice;
           break;
         }
+        if (Now() >= WaitEnd(policy)) {
+          break;
+        }
         RequestAdapter(*choice);
         co_await m_state.ModelSignal(*m_context.m_query.m_model).Wait(kAdapterWait);
         continue;
       }
       auto const absence = std::get<engine::UpstreamAbsence>(found);
       m_record.m_outcome = ToText(absence);
-      if (absence != engine::UpstreamAbsence::ModelNotLoaded ||
+      if (absence != engine::UpstreamAbsence::ModelNotLoaded || Now() >= WaitEnd(policy) ||
           !policy.MayWait(m_state.ForecastFor(m_context.m_query.m_model), Now())) {
         break;
       }
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -142,6 +142,27 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(ARequestAfterTheEndOfWaitsIsForwardedAndItsStreamResumed, SiteFixture)
+{
+  SetFault(*m_engines[0], "break_streams", 4);
+  Run([&]() -> awaitable<void> {
+    m_gateway->State().m_waitDeadline = m_loop.Now();
+    for (int number = 0; number < 4; ++number) {
+      auto const id = "r" + std::to_string(number);
+      auto request = ModelRequest("/chat/x", id, "common");
+      auto const response = co_await Send(std::move(request));
+      BOOST_REQUIRE(response.has_value());
+      BOOST_TEST(response->m_status == 200U);
+      BOOST_TEST(response->m_body == CompleteStream(id));
+    }
+    // The end of waits still holds for a model that no engine holds.
+    auto request = ModelRequest("/chat/x", "rare", "rare");
+    auto const refused = co_await Send(std::move(request));
+    BOOST_REQUIRE(refused.has_value());
+    BOOST_TEST(refused->m_status == 503U);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(AFailedResumptionIsNotWrittenIntoTheStream, SiteFixture)
 {
   for (auto const& engine : m_engines) {
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -60,10 +60,7 @@
     m_loop.Run();
   }
 
-  void StartDrain()
-  {
-    m_loop.Start(Drain());
-  }
+  void StartDrain() { m_loop.Start(Drain()); }
   awaitable<void> Drain()
   {
     co_await m_server->Drain(2s);
