Base/Http, Gateway: Take only a response to this request as its proof

A faulty upstream may send an earlier refusal once more on a kept connection. If it bore no ID, the gateway took it for the response to the next request: the caller was told "not run" although the upstream ran the request, or the request was sent to a second upstream. Refusals with another ID were skipped already, but the status 421 and the header of a refusal were believed without looking at the ID, and errors without an ID were passed on.

Upstreams echo the ID. A response without one counts as this request's only if it is the first on its connection, where no earlier request can have caused it. On a used connection it proves nothing: the attempt ends as unknown, so that a request that may run once ends as 502, and the connection is not reused, as the real response may still follow. Refusals with two IDs prove nothing either.

Input that lies on a connection before a request is written is now checked at the moment of sending, after all that may wait or be decided in between. A kept connection with such input is replaced.

Responses of the store name no call; a call without an answer aborts its connection, and input on an idle one is noticed before the next call, so that none can arrive late.

RepeatedResponseTest failed before: nine of its fifteen cases (503, 429, 400, 421, 404 and 500 without ID on a kept connection, two IDs, an early refusal, and a refusal behind one of another request), and the case of input before the request. The other cases held and show what stays: refusals with the ID, and one without on a new connection.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -111,6 +111,8 @@
 {
   auto const& head = m_connection->m_parser->get();
   m_status = head.result_int();
+  m_isFirstOnConnection = !m_connection->m_hasResponded;
+  m_connection->m_hasResponded = true;
   for (auto const& field : head) {
     m_headers.Add(std::string(field.name_string()), std::string(field.value()));
   }
@@ -139,7 +141,8 @@
   if (m_cancellation) {
     m_cancellation->ClearAction();
   }
-  bool const keepAlive = m_connection->m_parser->keep_alive() && m_connection->m_write->m_isDone;
+  bool const keepAlive = m_connection->m_parser->keep_alive() && m_connection->m_write->m_isDone &&
+                         !m_connection->m_isResponseUnidentified;
   if (auto const keepAliveField = m_headers.Find("Keep-Alive")) {
     m_connection->m_serverIdleTimeout = ParseKeepAlive(*keepAliveField);
   }
@@ -201,7 +204,7 @@
     auto const limit =
       std::min(aMaximumIdleTime, connection->m_serverIdleTimeout.value_or(aMaximumIdleTime) / 2);
     bool const isFresh = m_loop.Now() - connection->m_idleSince < limit;
-    if (isFresh && IsStillOpen(*connection)) {
+    if (isFresh && CheckIdleInput(*connection) == HttpIdleInput::None) {
       return connection;
     }
   }
@@ -254,48 +257,98 @@
   co_return co_await Send(std::move(aEndpoint), std::move(aRequest), std::move(options));
 }
 
+asio::awaitable<HttpClient::OpenResult> HttpClient::Connect(Endpoint aEndpoint,
+                                                            HttpSendOptions const& aOptions,
+                                                            Instant aEnd)
+{
+  auto connection = std::make_unique<HttpConnection>(m_loop.Context(), aEndpoint);
+  AbortOnCancellation(aOptions.m_cancellation, *connection);
+  auto const timeout = std::min<Duration>(m_limits.m_connectTimeout, aEnd - m_loop.Now());
+  auto const error = co_await base::Connect(*connection, timeout, m_limits.m_acknowledgeTimeout);
+  if (error) {
+    ClearCancellation(aOptions.m_cancellation);
+    HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false,
+                         aEndpoint.Text() + ": " + error.message(),
+                         error == asio::error::connection_refused };
+    co_return tl::make_unexpected(std::move(failure));
+  }
+  co_return connection;
+}
+
+std::optional<HttpFailure> HttpClient::CheckBeforeSending(
+  std::unique_ptr<HttpConnection>& aConnection, HttpSendOptions const& aOptions, Instant aEnd)
+{
+  if (aOptions.m_cancellation && aOptions.m_cancellation->IsCancelled()) {
+    return HttpFailure{ HttpFailure::Kind::ConnectFailed, false, "cancelled" };
+  }
+  if (aOptions.m_mayStillSend && !aOptions.m_mayStillSend()) {
+    ClearCancellation(aOptions.m_cancellation);
+    HttpFailure failure{ HttpFailure::Kind::Withdrawn, false, aConnection->m_endpoint.Text() };
+    Return(std::move(aConnection));
+    return failure;
+  }
+  if (m_loop.Now() >= aEnd) {
+    ClearCancellation(aOptions.m_cancellation);
+    Return(std::move(aConnection));
+    return HttpFailure{ HttpFailure::Kind::TimedOut, false,
+                        "timed out before the request was sent" };
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<HttpClient::OpenResult> HttpClient::Open(Endpoint aEndpoint,
+                                                         HttpSendOptions const& aOptions)
+{
+  auto const end = m_loop.Now() + aOptions.m_headTimeout;
+  auto const maximumIdleTime = aOptions.m_maximumIdleTime.value_or(m_limits.m_idleTimeout);
+  auto connection = co_await TakeProbed(aEndpoint, maximumIdleTime);
+  bool isNew = false;
+  while (true) {
+    if (!connection) {
+      auto opened = co_await Connect(aEndpoint, aOptions, end);
+      if (!opened) {
+        co_return opened;
+      }
+      connection = std::move(*opened);
+      isNew = true;
+    }
+    if (auto failure = CheckBeforeSending(connection, aOptions, end)) {
+      co_return tl::make_unexpected(std::move(*failure));
+    }
+    auto const input = CheckIdleInput(*connection);
+    if (input == HttpIdleInput::None) {
+      co_return connection;
+    }
+    ClearCancellation(aOptions.m_cancellation);
+    connection.reset();
+    if (isNew && input == HttpIdleInput::Closed) {
+      co_return tl::make_unexpected(HttpFailure{ HttpFailure::Kind::ConnectFailed, false,
+                                                 "closed before the request was sent", true });
+    }
+    if (isNew) {
+      co_return tl::make_unexpected(HttpFailure{ HttpFailure::Kind::MalformedResponse, false,
+                                                 "response before the request was sent" });
+    }
+  }
+}
+
 asio::awaitable<tl::expected<HttpReply, HttpFailure>> HttpClient::Send(Endpoint aEndpoint,
                                                                        HttpRequest aRequest,
                                                                        HttpSendOptions aOptions)
 {
   auto* const cancellation = aOptions.m_cancellation;
-  auto const maximumIdleTime = aOptions.m_maximumIdleTime.value_or(m_limits.m_idleTimeout);
   auto const end = m_loop.Now() + aOptions.m_headTimeout;
-  auto connection = co_await TakeProbed(aEndpoint, maximumIdleTime);
-  if (!connection) {
-    connection = std::make_unique<HttpConnection>(m_loop.Context(), aEndpoint);
-    AbortOnCancellation(cancellation, *connection);
-    auto const connectTimeout = std::min(m_limits.m_connectTimeout, aOptions.m_headTimeout);
-    auto const error = co_await Connect(*connection, connectTimeout, m_limits.m_acknowledgeTimeout);
-    if (error) {
-      ClearCancellation(cancellation);
-      HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false,
-                           aEndpoint.Text() + ": " + error.message(),
-                           error == asio::error::connection_refused };
-      co_return tl::make_unexpected(std::move(failure));
-    }
-  }
-  if (cancellation && cancellation->IsCancelled()) {
-    HttpFailure failure{ HttpFailure::Kind::ConnectFailed, false, "cancelled" };
-    co_return tl::make_unexpected(std::move(failure));
-  }
-  if (aOptions.m_mayStillSend && !aOptions.m_mayStillSend()) {
+  auto opened = co_await Open(std::move(aEndpoint), aOptions);
+  if (!opened) {
     ClearCancellation(cancellation);
-    Return(std::move(connection));
-    HttpFailure failure{ HttpFailure::Kind::Withdrawn, false, aEndpoint.Text() };
-    co_return tl::make_unexpected(std::move(failure));
-  }
-  if (m_loop.Now() >= end) {
-    ClearCancellation(cancellation);
-    Return(std::move(connection));
-    HttpFailure failure{ HttpFailure::Kind::TimedOut, false,
-                         "timed out before the request was sent" };
-    co_return tl::make_unexpected(std::move(failure));
+    co_return tl::make_unexpected(opened.error());
   }
+  auto connection = std::move(*opened);
   AbortOnCancellation(cancellation, *connection);
   connection->m_stream.expires_after(end - m_loop.Now());
   StartWriting(*connection,
-               RenderRequestHead(aRequest, aEndpoint, FramingOf(aRequest)) + aRequest.m_body);
+               RenderRequestHead(aRequest, connection->m_endpoint, FramingOf(aRequest)) +
+                 aRequest.m_body);
   bool const isHead = aRequest.m_method == "HEAD";
   auto const readError =
     co_await ReadHead(m_loop, *connection, isHead, m_limits.m_headerBytes, end, aOptions.m_echo);
@@ -316,8 +369,18 @@
                                                                            Duration aTimeout,
                                                                            Bytes aBodyLimit)
 {
-  auto const end = m_loop.Now() + aTimeout;
-  auto reply = co_await Send(std::move(aEndpoint), std::move(aRequest), aTimeout);
+  HttpSendOptions options{ aTimeout, nullptr, std::nullopt, std::nullopt, nullptr };
+  co_return co_await Fetch(std::move(aEndpoint), std::move(aRequest), std::move(options),
+                           aBodyLimit);
+}
+
+asio::awaitable<tl::expected<HttpResponse, HttpFailure>> HttpClient::Fetch(Endpoint aEndpoint,
+                                                                           HttpRequest aRequest,
+                                                                           HttpSendOptions aOptions,
+                                                                           Bytes aBodyLimit)
+{
+  auto const end = m_loop.Now() + aOptions.m_headTimeout;
+  auto reply = co_await Send(std::move(aEndpoint), std::move(aRequest), std::move(aOptions));
   if (!reply) {
     co_return tl::make_unexpected(reply.error());
   }
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -87,7 +87,8 @@
   /// always opens a new connection. If absent, the client's own timeout applies.
   std::optional<Duration> m_maximumIdleTime;
   /// A field that the response echoes. Final responses with another value belong
-  /// to an earlier request and are discarded.
+  /// to an earlier request and are discarded. One without the field is returned, but
+  /// its connection is not reused.
   std::optional<HttpHeaders::Field> m_echo;
   /// Called when a connection is ready, before the first byte is written. If it
   /// returns false, the request is not sent.
@@ -109,6 +110,10 @@
   unsigned Status() const { return m_status; }
   HttpHeaders const& Headers() const { return m_headers; }
 
+  /// Returns whether no earlier response came on the connection, so that this one
+  /// cannot belong to an earlier request.
+  bool IsFirstOnConnection() const { return m_isFirstOnConnection; }
+
   /// Returns the next bytes of the body as they arrive, or an empty text at its
   /// end. Fails with TimedOut if nothing arrives within the timeout, and with
   /// TooLarge if data other than the body, such as a chunk extension, is too long.
@@ -129,6 +134,7 @@
   std::unique_ptr<HttpConnection> m_connection;
   unsigned m_status = 0;
   HttpHeaders m_headers;
+  bool m_isFirstOnConnection = false;
   bool m_complete = false;
 };
 
@@ -137,6 +143,8 @@
 class HttpClient
 {
 public:
+  static constexpr Bytes kDefaultBodyLimit{ 8 * 1024 * 1024 };
+
   HttpClient(EventLoop& aLoop, HttpClientLimits aLimits);
   ~HttpClient();
 
@@ -155,7 +163,11 @@
   /// the given size, within the timeout.
   boost::asio::awaitable<tl::expected<HttpResponse, HttpFailure>> Fetch(
     Endpoint aEndpoint, HttpRequest aRequest, Duration aTimeout,
-    Bytes aBodyLimit = Bytes(8 * 1024 * 1024));
+    Bytes aBodyLimit = kDefaultBodyLimit);
+  /// The same with options, whose timeout applies to the complete response.
+  boost::asio::awaitable<tl::expected<HttpResponse, HttpFailure>> Fetch(
+    Endpoint aEndpoint, HttpRequest aRequest, HttpSendOptions aOptions,
+    Bytes aBodyLimit = kDefaultBodyLimit);
 
   /// Closes the idle connections to an endpoint, for use after one of them was
   /// found unresponsive.
@@ -164,6 +176,18 @@
 
 private:
   friend class HttpReply;
+  using OpenResult = tl::expected<std::unique_ptr<HttpConnection>, HttpFailure>;
+
+  /// Returns a connection on which a request may be sent without further delay. A
+  /// kept connection with unsolicited input is replaced, at the last moment before
+  /// the request is sent, since the input would be taken for the response.
+  boost::asio::awaitable<OpenResult> Open(Endpoint aEndpoint, HttpSendOptions const& aOptions);
+  boost::asio::awaitable<OpenResult> Connect(Endpoint aEndpoint, HttpSendOptions const& aOptions,
+                                             Instant aEnd);
+  /// Returns why the request is no longer to be sent, if so, and keeps the unused
+  /// connection for another one.
+  std::optional<HttpFailure> CheckBeforeSending(std::unique_ptr<HttpConnection>& aConnection,
+                                                HttpSendOptions const& aOptions, Instant aEnd);
   std::unique_ptr<HttpConnection> TakeIdle(Endpoint const& aEndpoint, Duration aMaximumIdleTime);
   /// Returns an idle connection, probed if it was idle for long, or null. If the
   /// probe fails, all idle connections to the endpoint are closed.
--- a/Base/Http/HttpConnection.cpp
+++ b/Base/Http/HttpConnection.cpp
@@ -47,11 +47,21 @@
   SetTcpOption(aSocket, TCP_USER_TIMEOUT, static_cast<int>(ToMilliseconds(aAcknowledgeTimeout)));
 }
 
-bool IsEchoedBy(HttpHeaders::Field const& aEcho,
-                http::response_parser<http::buffer_body> const& aParser)
+enum class EchoMatch
+{
+  Same,
+  Absent,
+  Other
+};
+
+EchoMatch MatchEcho(HttpHeaders::Field const& aEcho,
+                    http::response_parser<http::buffer_body> const& aParser)
 {
   auto const found = aParser.get().find(aEcho.m_name);
-  return found == aParser.get().end() || found->value() == std::string_view(aEcho.m_value);
+  if (found == aParser.get().end()) {
+    return EchoMatch::Absent;
+  }
+  return found->value() == std::string_view(aEcho.m_value) ? EchoMatch::Same : EchoMatch::Other;
 }
 
 /// Reads the rest of a response and discards it.
@@ -107,13 +117,19 @@
   co_return connectError;
 }
 
-bool IsStillOpen(HttpConnection& aConnection)
+HttpIdleInput CheckIdleInput(HttpConnection& aConnection)
 {
+  if (aConnection.m_buffer.size() > 0) {
+    return HttpIdleInput::Unsolicited;
+  }
   char byte = 0;
   auto const received = ::recv(aConnection.m_stream.socket().native_handle(), &byte, sizeof(byte),
                                MSG_PEEK | MSG_DONTWAIT);
-  // An idle connection with unsolicited input is not reused.
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (received > 0) {
+    return HttpIdleInput::Unsolicited;
+  }
+  bool const isWaiting = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return isWaiting ? HttpIdleInput::None : HttpIdleInput::Closed;
 }
 
 asio::awaitable<bool> Probe(HttpConnection& aConnection, HttpProbe const& aProbe)
@@ -127,6 +143,7 @@
   if (writeError) {
     co_return false;
   }
+  aConnection.m_hasResponded = true;
   http::response_parser<http::string_body> response;
   response.body_limit(kMaximumProbeResponseBytes);
   auto const [readError, size] =
@@ -169,10 +186,14 @@
       }
       continue;
     }
-    if (!aEcho || IsEchoedBy(*aEcho, parser)) {
+    auto const match = aEcho ? MatchEcho(*aEcho, parser) : EchoMatch::Same;
+    if (match != EchoMatch::Other) {
+      aConnection.m_isResponseUnidentified =
+        match == EchoMatch::Absent && aConnection.m_hasResponded;
       co_return error;
     }
     ++skipped;
+    aConnection.m_hasResponded = true;
     auto const skipError = co_await SkipBody(aLoop, aConnection, aEnd);
     if (skipError) {
       co_return skipError;
--- a/Base/Http/HttpConnection.h
+++ b/Base/Http/HttpConnection.h
@@ -43,6 +43,11 @@
   Instant m_idleSince{};
   /// The server's own idle timeout, if the response stated one.
   std::optional<Duration> m_serverIdleTimeout;
+  /// Whether a final response has been received on this connection.
+  bool m_hasResponded = false;
+  /// Whether the response may belong to another request. The connection is then not
+  /// reused, since the response to this request may still follow.
+  bool m_isResponseUnidentified = false;
   // Shared with the write's handler, which may run after the connection is destroyed.
   std::shared_ptr<HttpWriteState> m_write = std::make_shared<HttpWriteState>();
 };
@@ -55,8 +60,16 @@
 boost::asio::awaitable<boost::system::error_code> Connect(
   HttpConnection& aConnection, Duration aTimeout, std::optional<Duration> aAcknowledgeTimeout);
 
-/// Returns whether an idle connection may be reused.
-bool IsStillOpen(HttpConnection& aConnection);
+/// What a connection on which no response is awaited has received.
+enum class HttpIdleInput
+{
+  None,
+  Closed,
+  /// Bytes that belong to no request, such as a second response to the last one.
+  Unsolicited
+};
+
+HttpIdleInput CheckIdleInput(HttpConnection& aConnection);
 
 /// Sends the probe and returns whether a response arrives within its timeout.
 boost::asio::awaitable<bool> Probe(HttpConnection& aConnection, HttpProbe const& aProbe);
@@ -67,7 +80,8 @@
 
 /// Reads the head of the final response. Interim responses are skipped, as are
 /// responses that echo another value of the given field, which belong to earlier
-/// requests. Both are limited in number and size, and skipping ends by aEnd.
+/// requests. Both are limited in number and size, and skipping ends by aEnd. A
+/// response without the field is returned and marked as unidentified.
 boost::asio::awaitable<boost::system::error_code> ReadHead(
   EventLoop const& aLoop, HttpConnection& aConnection, bool aIsHead, Bytes aHeaderLimit,
   Instant aEnd, std::optional<HttpHeaders::Field> const& aEcho);
--- a/Caller/ForwardRequest.h
+++ b/Caller/ForwardRequest.h
@@ -77,6 +77,9 @@
 struct UpstreamResponseHead
 {
   unsigned m_status = 0;
+  /// The response is for this request. Otherwise it may be for an earlier one on the
+  /// connection, so that it says nothing about this one.
+  bool m_isForRequest = false;
   /// The engine states that it did not run the request.
   bool m_isNotRun = false;
   /// The response carries the header that marks engine responses, and names
--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -47,8 +47,11 @@
   boost::asio::awaitable<AttemptEnd> Relay(base::HttpReply& aReply,
                                            engine::UpstreamChoice const& aChoice)
   {
-    auto const head =
-      Wire::DecodeResponseHead(aReply.Status(), aReply.Headers(), m_context.m_request.m_id);
+    auto const head = Wire::DecodeResponseHead(
+      aReply.Status(), aReply.Headers(), m_context.m_request.m_id, aReply.IsFirstOnConnection());
+    if (!head.m_isForRequest) {
+      co_return FailAttempt("answer may be for another request", aChoice);
+    }
     if (head.m_load) {
       m_state.m_directory.OnLoadReported(aChoice.m_instance, head.m_load->m_running,
                                          head.m_load->m_waiting);
--- a/Programs/ServingWire.h
+++ b/Programs/ServingWire.h
@@ -41,7 +41,7 @@
     Wire::EncodeForEngine(aRequest, aTerms)
     } -> std::same_as<base::HttpRequest>;
   {
-    Wire::DecodeResponseHead(0U, aHeaders, aId)
+    Wire::DecodeResponseHead(0U, aHeaders, aId, true)
     } -> std::same_as<caller::UpstreamResponseHead>;
   {
     Wire::EncodeResponseHeaders(aHeaders)
--- a/Tests/AdapterTest.cpp
+++ b/Tests/AdapterTest.cpp
@@ -258,17 +258,17 @@
   base::HttpHeaders headers;
   headers.Add("Request-Id", "r1");
   headers.Add("Server-Seal", "s");
-  BOOST_TEST(Wire::DecodeResponseHead(200, headers, id).m_isGenuine);
-  BOOST_TEST(
-    !Wire::DecodeResponseHead(200, headers, base::RequestId::FromValidated("r2")).m_isGenuine);
-  BOOST_TEST(Wire::DecodeResponseHead(421, headers, id).m_isNotRun);
-  BOOST_TEST(!Wire::DecodeResponseHead(503, headers, id).m_isNotRun);
+  BOOST_TEST(Wire::DecodeResponseHead(200, headers, id, true).m_isGenuine);
+  BOOST_TEST(!Wire::DecodeResponseHead(200, headers, base::RequestId::FromValidated("r2"), true)
+                .m_isGenuine);
+  BOOST_TEST(Wire::DecodeResponseHead(421, headers, id, true).m_isNotRun);
+  BOOST_TEST(!Wire::DecodeResponseHead(503, headers, id, true).m_isNotRun);
   headers.Add("Not-Executed", "1");
-  BOOST_TEST(Wire::DecodeResponseHead(503, headers, id).m_isNotRun);
+  BOOST_TEST(Wire::DecodeResponseHead(503, headers, id, true).m_isNotRun);
   headers.Add("Content-Encoding", "gzip");
-  BOOST_TEST(Wire::DecodeResponseHead(200, headers, id).m_isEncoded);
+  BOOST_TEST(Wire::DecodeResponseHead(200, headers, id, true).m_isEncoded);
   headers.Remove("Server-Seal");
-  BOOST_TEST(!Wire::DecodeResponseHead(200, headers, id).m_isGenuine);
+  BOOST_TEST(!Wire::DecodeResponseHead(200, headers, id, true).m_isGenuine);
 }
 
 BOOST_AUTO_TEST_CASE(RefusalCarriesRetryAfter)
--- /dev/null
+++ b/Tests/RepeatedResponseTest.cpp
@@ -0,0 +1,184 @@
+#define BOOST_TEST_MODULE RepeatedResponse
+#include "StandIns/Site/ScriptedServer.h"
+#include "Tests/Support/SiteFixture.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+// A faulty upstream may send an earlier refusal once more on a kept connection. Taken
+// for the response to the next request, it told the caller that a request had not run
+// that the upstream was running, or had the request sent to a second upstream.
+
+using namespace sardinefold;
+using standins::ScriptedResponse;
+using standins::ScriptedServer;
+using tests::SiteFixture;
+using namespace std::chrono_literals;
+using boost::asio::awaitable;
+
+namespace {
+
+std::string const kNamed = "Request-Id: {id}\r\n";
+std::string const kNotRun = "Not-Executed: 1\r\n";
+
+std::string Response(std::string const& aStatus, std::string const& aFields)
+{
+  return "HTTP/1.1 " + aStatus + " X\r\n" + aFields + "Content-Length: 2\r\n\r\nok";
+}
+
+ScriptedResponse Success()
+{
+  return { Response("200", kNamed + "Server-Seal: 1.2.3\r\n") };
+}
+
+struct Case
+{
+  char const* m_name;
+  /// The first response on the connection; without it, the second one comes first.
+  std::optional<ScriptedResponse> m_first;
+  ScriptedResponse m_second;
+  unsigned m_status;
+};
+
+std::ostream& operator<<(std::ostream& aStream, Case const& aCase)
+{
+  return aStream << aCase.m_name;
+}
+
+std::vector<Case> const kCases = {
+  { "a refusal without ID", Success(), { Response("503", kNotRun) }, 502 },
+  { "a throttling without ID", Success(), { Response("429", kNotRun) }, 502 },
+  { "a rejection without ID", Success(), { Response("400", kNotRun) }, 502 },
+  { "a misdirection without ID", Success(), { Response("421", "") }, 502 },
+  { "an error without ID", Success(), { Response("404", "") }, 502 },
+  { "a failure without ID", Success(), { Response("500", "") }, 502 },
+  { "a refusal with two IDs",
+    Success(),
+    { Response("503", kNamed + "Request-Id: {previous}\r\n" + kNotRun) },
+    502 },
+  { "an early refusal without ID",
+    Success(),
+    { Response("503", kNotRun), ScriptedResponse::End::KeepOpen, true },
+    502 },
+  { "a refusal of the previous request",
+    Success(),
+    { Response("503", "Request-Id: {previous}\r\n" + kNotRun) + Success().m_text },
+    200 },
+  { "a misdirection of the previous request",
+    Success(),
+    { Response("421", "Request-Id: {previous}\r\n") + Success().m_text },
+    200 },
+  { "a refusal behind the response",
+    ScriptedResponse{ Success().m_text + Response("503", kNotRun) }, Success(), 200 },
+  { "a refusal of the previous request, then one without ID",
+    std::nullopt,
+    { Response("503", "Request-Id: other\r\n" + kNotRun) + Response("503", kNotRun) },
+    502 },
+  { "a refusal with ID", Success(), { Response("503", kNamed + kNotRun) }, 503 },
+  { "a misdirection with ID", Success(), { Response("421", kNamed) }, 503 },
+  // No earlier request used the connection, so that the refusal is of this one.
+  { "a refusal without ID on a new connection", std::nullopt, { Response("503", kNotRun) }, 503 },
+};
+
+class RepeatedFixture : public SiteFixture
+{
+public:
+  /// Lists the server as an upstream of the service "desk", besides the usual one.
+  void Start(std::vector<ScriptedResponse> aScript)
+  {
+    m_server = std::make_unique<ScriptedServer>(m_loop, std::move(aScript));
+    base::Endpoint const address{ "127.0.3.2", Callers().m_port };
+    BOOST_REQUIRE(m_server->Listen(address).has_value());
+    Json::Value entry;
+    entry["service"] = "extra";
+    entry["address"] = address.Text();
+    entry["zone"] = "a";
+    entry["slots"] = 8;
+    entry["state"] = "ready";
+    entry["born"] = 1;
+    m_store.Put("servers", "i-scripted", entry);
+    auto configuration = standins::SiteConfiguration(2);
+    configuration["services"][2]["name"] = "extra";
+    for (auto& route : configuration["routes"]) {
+      if (route["service"] == "desk") {
+        route["service"] = "extra";
+      }
+    }
+    m_store.Put("config", "main", configuration);
+  }
+
+  std::unique_ptr<ScriptedServer> m_server;
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE_F(RepeatedFixture, OnlyAResponseToThisRequestProvesThatItDidNotRun,
+                       boost::unit_test::data::make(kCases), aCase)
+{
+  std::vector<ScriptedResponse> script;
+  if (aCase.m_first) {
+    script.push_back(*aCase.m_first);
+  }
+  script.push_back(aCase.m_second);
+  Start(script);
+  Run([&]() -> awaitable<void> {
+    if (aCase.m_first) {
+      auto first = Request("POST", "/order/x", "r1");
+      auto const response = co_await Send(std::move(first));
+      BOOST_REQUIRE(response.has_value());
+      BOOST_TEST(response->m_status == 200U);
+    }
+    auto second = Request("POST", "/order/x", "r2");
+    second.m_body.assign(10'000, 'x');
+    auto const response = co_await Send(std::move(second));
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->m_status == aCase.m_status);
+    BOOST_TEST(m_server->Requests() == script.size());
+  });
+}
+
+BOOST_AUTO_TEST_CASE(InputBeforeTheRequestIsNotTakenForItsResponse)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  boost::asio::ip::tcp::acceptor acceptor(loop.Context(),
+                                          { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  base::HttpClient client(loop, {});
+  base::Endpoint const endpoint{ "127.0.0.1", acceptor.local_endpoint().port() };
+  std::vector<boost::asio::ip::tcp::socket> sockets;
+  auto const serve = [&]() -> awaitable<void> {
+    for (std::string const body : { "1", "2" }) {
+      sockets.push_back(co_await acceptor.async_accept(boost::asio::use_awaitable));
+      std::array<char, 4096> request{};
+      co_await sockets.back().async_read_some(boost::asio::buffer(request),
+                                              boost::asio::use_awaitable);
+      auto const response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body;
+      co_await boost::asio::async_write(sockets.back(), boost::asio::buffer(response),
+                                        boost::asio::use_awaitable);
+    }
+  };
+  loop.Start(serve());
+  auto const run = [&]() -> awaitable<void> {
+    base::HttpRequest request;
+    auto const first = co_await client.Fetch(endpoint, std::move(request), 1s);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(client.IdleConnections(endpoint) == 1U);
+    base::HttpSendOptions options{ 1s, nullptr, std::nullopt, std::nullopt, [&] {
+                                    std::string const extra =
+                                      "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+                                    boost::system::error_code error;
+                                    boost::asio::write(sockets.at(0), boost::asio::buffer(extra),
+                                                       error);
+                                    return true;
+                                  } };
+    base::HttpRequest next;
+    auto const second = co_await client.Send(endpoint, std::move(next), std::move(options));
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->Status() == 200U);
+    BOOST_TEST(sockets.size() == 2U);
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+}
