Engine, Programs: Stop requests to an upstream that announces that it leaves

An upstream that leaves announces so in the headers of all its responses. Gateways did not read the header: with the store out of reach, or an entry that was late or lost, they went on sending requests to the upstream until it exited.

The platform's adapter decodes the header from every response. The gateway that reads it prefers other upstreams at once, a request that is being prepared chooses again without a charge to the retry budget, and after the bound on draining none reaches that start of the upstream. No entry, relayed update or lapse of the same start revokes this; a new start is not affected. Loaders read the header from their engine's reports and tell it in their status, gateways tell it the planner, which passes it on; both in optional fields, and a gateway that has not read it itself only ranks the upstream last. The planner loads nothing onto a leaving engine and counts none of its copies, so that models that only leaving engines hold are loaded elsewhere. The header is passed on to callers as before.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -121,6 +121,19 @@
   return crashes;
 }
 
+std::vector<engine::UpstreamStart> ToLeaving(Json::Value const& aParams)
+{
+  std::vector<engine::UpstreamStart> starts;
+  for (auto const& entry : aParams["leaving"]) {
+    constexpr Json::ArrayIndex kFields = 3;
+    if (!entry.isArray() || entry.size() != kFields) {
+      throw FieldError{ "a leaving upstream must be an array of three fields" };
+    }
+    starts.push_back({ Name<engine::InstanceId>(entry[0]), Address(entry[1]), Integer(entry[2]) });
+  }
+  return starts;
+}
+
 EngineStatus ToEngineStatus(Json::Value const& aParams)
 {
   EngineStatus status;
@@ -148,6 +161,9 @@
   status.m_cacheUsed = base::Tokens(Integer(Member(aParams, "cache_used")));
   status.m_cacheTotal = base::Tokens(Integer(Member(aParams, "cache_total")));
   status.m_canOrder = Member(aParams, "can_order").asBool();
+  if (aParams.isMember("leaving_start")) {
+    status.m_leavingStart = Integer(aParams["leaving_start"]);
+  }
   status.m_gatewaysPresent = Count(Member(aParams, "gateways"));
   status.m_number = UnsignedInteger(Member(aParams, "number"));
   return status;
@@ -206,6 +222,7 @@
   report.m_isComplete = Member(aParams, "complete").asBool();
   report.m_granted = ToGrants(Member(aParams, "granted"));
   report.m_crashes = ToCrashes(aParams);
+  report.m_leaving = ToLeaving(aParams);
   report.m_storeAge = Milliseconds(Member(aParams, "store_age_ms"));
   return report;
 }
@@ -219,7 +236,8 @@
                           ToForecasts(Member(aParams, "outlooks")),
                           ToCrashes(aParams),
                           {},
-                          std::nullopt };
+                          std::nullopt,
+                          ToLeaving(aParams) };
   if (aParams.isMember("store_age_ms")) {
     summary.m_storeAge = Milliseconds(aParams["store_age_ms"]);
   }
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -44,6 +44,19 @@
   return list;
 }
 
+Json::Value FromStarts(std::vector<engine::UpstreamStart> const& aStarts)
+{
+  Json::Value list(Json::arrayValue);
+  for (auto const& start : aStarts) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(start.m_instance.Text());
+    entry.append(start.m_endpoint.Text());
+    entry.append(Json::Int64(start.m_startedAt));
+    list.append(std::move(entry));
+  }
+  return list;
+}
+
 /// Encodes a change; a deletion has no value.
 Json::Value FromChange(objectstore::ObjectChange const& aChange)
 {
@@ -101,6 +114,9 @@
     params["cache_used"] = Json::Int64(aStatus.m_cacheUsed.Value());
     params["cache_total"] = Json::Int64(aStatus.m_cacheTotal.Value());
     params["can_order"] = aStatus.m_canOrder;
+    if (aStatus.m_leavingStart) {
+      params["leaving_start"] = Json::Int64(*aStatus.m_leavingStart);
+    }
     params["gateways"] = aStatus.m_gatewaysPresent;
     params["number"] = Json::UInt64(aStatus.m_number);
   }
@@ -168,6 +184,9 @@
     if (!aReport.m_crashes.empty()) {
       params["deaths"] = FromCrashes(aReport.m_crashes);
     }
+    if (!aReport.m_leaving.empty()) {
+      params["leaving"] = FromStarts(aReport.m_leaving);
+    }
   }
 
   void operator()(PlannerSummary const& aSummary)
@@ -184,6 +203,9 @@
     if (!aSummary.m_crashes.empty()) {
       params["deaths"] = FromCrashes(aSummary.m_crashes);
     }
+    if (!aSummary.m_leaving.empty()) {
+      params["leaving"] = FromStarts(aSummary.m_leaving);
+    }
     if (aSummary.m_storeAge) {
       params["store_age_ms"] = FromMilliseconds(*aSummary.m_storeAge);
     }
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -7,6 +7,7 @@
 #include "Base/Units.h"
 #include "Engine/DemandTracker.h"
 #include "Engine/EngineTypes.h"
+#include "Engine/UpstreamNotice.h"
 #include "Entry/Allowance/GrantLedger.h"
 #include "ObjectStore/PlatformObject.h"
 
@@ -46,6 +47,9 @@
   base::Tokens m_cacheTotal;
   /// Whether the loader may issue orders to the engine.
   bool m_canOrder = false;
+  /// The start of the engine that has announced that it leaves, in Unix
+  /// milliseconds.
+  std::optional<std::int64_t> m_leavingStart;
   /// Number of gateways that the loader receives messages from.
   unsigned m_gatewaysPresent = 0;
   /// Number of status changes that the loader has sent since its start.
@@ -115,6 +119,8 @@
   std::vector<CrashReport> m_crashes;
   /// Time since the object store last responded to this gateway.
   base::Duration m_storeAge{};
+  /// Upstreams that recently announced to this gateway that they leave.
+  std::vector<engine::UpstreamStart> m_leaving;
 };
 
 /// Expected time until the models that a gateway's requests wait for are ready.
@@ -139,6 +145,8 @@
   std::map<base::HostId, base::Endpoint> m_neighbours;
   /// Time since the object store last responded to any other gateway.
   std::optional<base::Duration> m_storeAge;
+  /// Upstreams that recently announced to other gateways that they leave.
+  std::vector<engine::UpstreamStart> m_leaving;
 };
 
 /// From a gateway that watches the object store to others of its failure
--- a/Caller/AttemptHistory.cpp
+++ b/Caller/AttemptHistory.cpp
@@ -9,6 +9,8 @@
   switch (aEnd) {
     case AttemptEnd::Delivered:
       return "delivered";
+    case AttemptEnd::NotSent:
+      return "not sent";
     case AttemptEnd::NotRun:
       return "not run";
     case AttemptEnd::Unknown:
@@ -23,7 +25,8 @@
 
 void AttemptHistory::OnEnd(AttemptEnd aEnd)
 {
-  m_lastWasNotRun = aEnd == AttemptEnd::NotRun;
+  m_attempts -= aEnd == AttemptEnd::NotSent ? 1 : 0;
+  m_lastWasNotRun = aEnd == AttemptEnd::NotRun || aEnd == AttemptEnd::NotSent;
   m_runs += m_lastWasNotRun ? 0 : 1;
 }
 
--- a/Caller/AttemptHistory.h
+++ b/Caller/AttemptHistory.h
@@ -13,6 +13,8 @@
 {
   /// A response, successful or not, has been delivered to the caller.
   Delivered,
+  /// The request was not sent, as its upstream had become unusable meanwhile.
+  NotSent,
   /// The upstream did not run the request.
   NotRun,
   /// The upstream may have run the request, and no usable response arrived.
--- a/Engine/SwapPlanner.cpp
+++ b/Engine/SwapPlanner.cpp
@@ -41,7 +41,7 @@
     if (isAccepted) {
       engine.m_assignedAt = aNow;
     }
-    if (isLoaded) {
+    if (isLoaded || aEngine.m_isLeaving) {
       engine.m_assigned.reset();
     }
   }
@@ -95,8 +95,9 @@
   m_copies.clear();
   for (auto const& [loader, engine] : m_engines) {
     for (auto const& held : engine.m_status.m_models) {
-      bool const isUnloading = engine.m_status.m_unloading == held.m_model;
-      m_copies[held.m_model] += isUnloading ? 0 : 1;
+      bool const isGoing =
+        engine.m_status.m_isLeaving || engine.m_status.m_unloading == held.m_model;
+      m_copies[held.m_model] += isGoing ? 0 : 1;
     }
   }
 }
@@ -112,8 +113,8 @@
 
 bool SwapPlanner::IsFree(Engine const& aEngine) const
 {
-  return !aEngine.m_assigned && !aEngine.m_status.m_loading && !aEngine.m_status.m_unloading &&
-         m_specs.contains(aEngine.m_status.m_deployment);
+  return !aEngine.m_status.m_isLeaving && !aEngine.m_assigned && !aEngine.m_status.m_loading &&
+         !aEngine.m_status.m_unloading && m_specs.contains(aEngine.m_status.m_deployment);
 }
 
 std::optional<base::Duration> SwapPlanner::TimeToReady(base::ModelId const& aModel,
@@ -122,6 +123,9 @@
   std::optional<base::Duration> earliest;
   for (auto const& [loader, engine] : m_engines) {
     std::optional<base::Duration> arrival;
+    if (engine.m_status.m_isLeaving) {
+      continue;
+    }
     if (engine.m_status.m_loading == aModel) {
       arrival = std::max<base::Duration>(engine.m_reportedAt + engine.m_status.m_readyIn - aNow,
                                          base::Duration::zero());
@@ -185,11 +189,21 @@
 bool SwapPlanner::IsCachedSomewhere(base::ModelId const& aModel) const
 {
   return std::ranges::any_of(m_engines, [&](auto const& aItem) {
-    return aItem.second.m_loadedAt.contains(aModel) ||
-           TierAt(aItem.second, aModel) != WeightTier::Remote;
+    return !aItem.second.m_status.m_isLeaving &&
+           (aItem.second.m_loadedAt.contains(aModel) ||
+            TierAt(aItem.second, aModel) != WeightTier::Remote);
   });
 }
 
+bool SwapPlanner::IsHeldOnlyByLeaving(base::ModelId const& aModel) const
+{
+  auto const copies = m_copies.find(aModel);
+  return copies != m_copies.end() && copies->second == 0 &&
+         std::ranges::any_of(m_engines, [&](auto const& aItem) {
+           return aItem.second.m_status.m_isLeaving && aItem.second.m_loadedAt.contains(aModel);
+         });
+}
+
 unsigned SwapPlanner::StoreLoads() const
 {
   return static_cast<unsigned>(std::ranges::count_if(m_engines, [&](auto const& aItem) {
@@ -326,7 +340,8 @@
 {
   std::vector<std::pair<double, base::ModelId>> order;
   for (auto const& [model, total] : m_totals) {
-    if (total.m_waiting > 0 && !IsBeingLoaded(model) && m_copies[model] == 0) {
+    bool const isWanted = total.m_waiting > 0 || IsHeldOnlyByLeaving(model);
+    if (isWanted && !IsBeingLoaded(model) && m_copies[model] == 0) {
       // Requests whose goal has passed rank behind those whose goal can still
       // be met.
       bool const isAhead = total.m_timeToGoal > base::Duration::zero();
--- a/Engine/SwapPlanner.h
+++ b/Engine/SwapPlanner.h
@@ -40,6 +40,9 @@
   std::optional<base::ModelId> m_loading;
   base::Duration m_readyIn{};
   std::optional<base::ModelId> m_unloading;
+  /// Whether the engine will exit soon: it gets no models, and those that it holds
+  /// are to be loaded elsewhere.
+  bool m_isLeaving = false;
 };
 
 /// A model for one engine to load, and the models that it may unload to make
@@ -117,6 +120,7 @@
   std::optional<base::Duration> TimeToReady(base::ModelId const& aModel, base::Instant aNow) const;
   base::Duration StoreLoadTime(base::ModelId const& aModel) const;
   bool IsBeingLoaded(base::ModelId const& aModel) const;
+  bool IsHeldOnlyByLeaving(base::ModelId const& aModel) const;
   bool IsCachedSomewhere(base::ModelId const& aModel) const;
   unsigned StoreLoads() const;
   WeightTier TierAt(Engine const& aEngine, base::ModelId const& aModel) const;
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -1,6 +1,7 @@
 #include "Engine/UpstreamDirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sardinefold::engine {
 
@@ -17,7 +18,15 @@
 
 std::string_view ToText(UpstreamAbsence aAbsence)
 {
-  return aAbsence == UpstreamAbsence::NoUpstream ? "no upstream" : "model not loaded";
+  switch (aAbsence) {
+    case UpstreamAbsence::NoUpstream:
+      return "no upstream";
+    case UpstreamAbsence::Leaving:
+      return "upstreams are leaving";
+    case UpstreamAbsence::ModelNotLoaded:
+      return "model not loaded";
+  }
+  return "unknown";
 }
 
 std::string_view ToText(RemovalCause aReading)
@@ -47,6 +56,7 @@
   bool const isRestart = upstream.m_entry.m_startedAt != aEntry.m_startedAt ||
                          upstream.m_entry.m_endpoint != aEntry.m_endpoint;
   if (isRestart) {
+    OnStartEnded(upstream.m_entry, true);
     upstream.m_loaderStatus.reset();
     upstream.m_missing.clear();
     upstream.m_failures = 0;
@@ -84,10 +94,58 @@
   return found != m_upstreams.end() && IsListed(found->second);
 }
 
-bool UpstreamDirectory::IsUsable(InstanceId const& aInstance, base::Instant aNow) const
+bool UpstreamDirectory::MaySend(UpstreamChoice const& aChoice, base::Instant aNow) const
 {
-  auto const found = m_upstreams.find(aInstance);
-  return found != m_upstreams.end() && IsUsable(found->second, aNow);
+  auto const found = m_upstreams.find(aChoice.m_instance);
+  if (found == m_upstreams.end()) {
+    return false;
+  }
+  auto const& upstream = found->second;
+  // An upstream that has begun to leave since it was chosen serves only requests
+  // that no other one can serve, which another choice finds out.
+  return upstream.m_entry.m_startedAt == aChoice.m_startedAt && IsUsable(upstream, aNow) &&
+         (aChoice.m_isLeaving || !IsLeaving(upstream));
+}
+
+UpstreamStart UpstreamDirectory::StartOf(UpstreamEntry const& aEntry)
+{
+  return { aEntry.m_instance, aEntry.m_endpoint, aEntry.m_startedAt };
+}
+
+bool UpstreamDirectory::IsLeaving(Upstream const& aUpstream) const
+{
+  return m_leaving.Find(StartOf(aUpstream.m_entry)) != nullptr;
+}
+
+bool UpstreamDirectory::OnLeaving(UpstreamStart const& aStart, NoticeSource aSource,
+                                  base::Instant aNow)
+{
+  return m_leaving.OnNotice(aStart, aSource, aNow);
+}
+
+std::optional<UpstreamStart> UpstreamDirectory::FindStart(base::Endpoint const& aEndpoint,
+                                                          std::int64_t aStartedAt) const
+{
+  for (auto const& [instance, upstream] : m_upstreams) {
+    auto const& entry = upstream.m_entry;
+    if (entry.m_endpoint == aEndpoint && entry.m_startedAt == aStartedAt) {
+      return StartOf(entry);
+    }
+  }
+  return std::nullopt;
+}
+
+void UpstreamDirectory::OnStartEnded(UpstreamEntry const& aEntry, bool aIsRestart)
+{
+  auto const start = StartOf(aEntry);
+  if (auto const* const notice = m_leaving.Find(start)) {
+    m_leavingEnds.push_back({ start, *notice, aIsRestart });
+  }
+}
+
+std::vector<LeavingEnd> UpstreamDirectory::TakeLeavingEnds()
+{
+  return std::exchange(m_leavingEnds, {});
 }
 
 std::size_t UpstreamDirectory::CountListed() const
@@ -152,12 +210,18 @@
     aWaiting > aUpstream.m_unanswered ? aWaiting - aUpstream.m_unanswered : 0;
 }
 
-bool UpstreamDirectory::IsUsable(Upstream const& aUpstream, base::Instant aNow) const
+bool UpstreamDirectory::IsAvailable(Upstream const& aUpstream, base::Instant aNow)
 {
   bool const isListed = !aUpstream.m_usableUntil || aNow < *aUpstream.m_usableUntil;
   return isListed && !aUpstream.m_entry.m_isDraining && aUpstream.m_pausedUntil <= aNow;
 }
 
+bool UpstreamDirectory::IsUsable(Upstream const& aUpstream, base::Instant aNow) const
+{
+  return IsAvailable(aUpstream, aNow) &&
+         !m_leaving.IsExcluded(StartOf(aUpstream.m_entry), m_limits.m_maximumDrainDelay, aNow);
+}
+
 HeldModel const* UpstreamDirectory::FindModel(Upstream const& aUpstream,
                                               base::ModelId const& aModel, base::Instant aNow) const
 {
@@ -205,10 +269,14 @@
   double bestCost = 0;
   for (auto const& [instance, upstream] : m_upstreams) {
     bool const isCandidate = upstream.m_entry.m_deployment == aQuery.m_deployment &&
-                             IsUsable(upstream, aNow) && !aQuery.m_excluded.contains(instance);
+                             IsAvailable(upstream, aNow) && !aQuery.m_excluded.contains(instance);
     if (!isCandidate) {
       continue;
     }
+    if (!IsUsable(upstream, aNow)) {
+      absence = absence == UpstreamAbsence::NoUpstream ? UpstreamAbsence::Leaving : absence;
+      continue;
+    }
     bool lacksAdapter = false;
     if (aQuery.m_model) {
       absence = UpstreamAbsence::ModelNotLoaded;
@@ -219,9 +287,13 @@
       lacksAdapter = aQuery.m_adapter && !held->m_adapters.contains(*aQuery.m_adapter);
     }
     double const cost = CostOf(upstream, lacksAdapter, aNow);
-    if (!best || cost < bestCost) {
-      best = UpstreamChoice{ instance, upstream.m_entry.m_startedAt, upstream.m_entry.m_endpoint,
-                             lacksAdapter, EstimateLoad(upstream, aNow) };
+    bool const isLeaving = IsLeaving(upstream);
+    bool const isBetter = !best || (isLeaving == best->m_isLeaving ? cost < bestCost : !isLeaving);
+    if (isBetter) {
+      best = UpstreamChoice{
+        instance,  upstream.m_entry.m_startedAt, upstream.m_entry.m_endpoint, lacksAdapter,
+        isLeaving, EstimateLoad(upstream, aNow)
+      };
       bestCost = cost;
     }
   }
@@ -336,8 +408,17 @@
 {
   std::erase_if(m_upstreams, [&](auto const& aItem) {
     auto const& usableUntil = aItem.second.m_usableUntil;
-    return usableUntil && aNow >= *usableUntil && aItem.second.m_inFlight == 0;
+    bool const isExpired = usableUntil && aNow >= *usableUntil && aItem.second.m_inFlight == 0;
+    if (isExpired) {
+      OnStartEnded(aItem.second.m_entry, false);
+    }
+    return isExpired;
   });
+  auto const isKnown = [this](UpstreamStart const& aStart) {
+    auto const found = m_upstreams.find(aStart.m_instance);
+    return found != m_upstreams.end() && StartOf(found->second.m_entry) == aStart;
+  };
+  m_leaving.Expire(isKnown, aNow);
 }
 
 std::vector<UpstreamEntry> UpstreamDirectory::Entries() const
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Engine/EngineTypes.h"
+#include "Engine/LeavingUpstreams.h"
 
 #include <cstdint>
 #include <map>
@@ -15,6 +16,9 @@
 
 struct DirectoryLimits
 {
+  /// Longest time for which an upstream may get new requests after it announced
+  /// that it leaves.
+  base::Duration m_maximumDrainDelay = std::chrono::seconds(2);
   /// Age from which a loader's status report is no longer used.
   base::Duration m_maximumStatusAge = std::chrono::milliseconds(2500);
   /// Initial pause after failures; doubles with each further failure.
@@ -80,6 +84,8 @@
   base::Endpoint m_endpoint;
   /// Whether the model is loaded but the adapter is not.
   bool m_lacksAdapter = false;
+  /// Whether the upstream leaves and was chosen for want of another one.
+  bool m_isLeaving = false;
   /// The load that the choice was based on.
   UpstreamLoadEstimate m_loadEstimate;
 };
@@ -89,12 +95,24 @@
 {
   /// No usable upstream of the deployment is known.
   NoUpstream,
+  /// All upstreams of the deployment that could be used have announced that they
+  /// leave.
+  Leaving,
   /// Usable upstreams are known, but none of them holds the model.
   ModelNotLoaded
 };
 
 std::string_view ToText(UpstreamAbsence aAbsence);
 
+/// An announcement of leaving that no longer matters.
+struct LeavingEnd
+{
+  UpstreamStart m_start;
+  LeavingNotice m_notice;
+  /// Whether the instance has started again; otherwise it is out of use.
+  bool m_isRestart = false;
+};
+
 /// A loader's status report about its engine.
 struct LoaderStatus
 {
@@ -133,6 +151,17 @@
   /// A response reported how many requests run and wait at the upstream.
   void OnLoadReported(InstanceId const& aInstance, unsigned aRunning, unsigned aWaiting);
 
+  /// Takes an announcement that a start of an upstream leaves. Returns whether it
+  /// is news; see LeavingUpstreams.
+  bool OnLeaving(UpstreamStart const& aStart, NoticeSource aSource, base::Instant aNow);
+  /// The known start of the engine at the endpoint, if it began at aStartedAt.
+  std::optional<UpstreamStart> FindStart(base::Endpoint const& aEndpoint,
+                                         std::int64_t aStartedAt) const;
+  LeavingUpstreams const& Leaving() const { return m_leaving; }
+  /// The announcements that ended since the last call.
+  std::vector<LeavingEnd> TakeLeavingEnds();
+  void SetMaximumDrainDelay(base::Duration aDelay) { m_limits.m_maximumDrainDelay = aDelay; }
+
   std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
                                                      base::Instant aNow);
 
@@ -160,8 +189,9 @@
   /// Whether the upstream is listed and not draining.
   bool IsListed(InstanceId const& aInstance) const;
   std::size_t CountListed() const;
-  /// Whether requests may be sent to the upstream.
-  bool IsUsable(InstanceId const& aInstance, base::Instant aNow) const;
+  /// Whether a request that has been prepared may still be sent to the chosen
+  /// upstream. If not, another one should be chosen.
+  bool MaySend(UpstreamChoice const& aChoice, base::Instant aNow) const;
   bool HasUpstreamOf(base::DeploymentId const& aDeployment) const;
 
 private:
@@ -184,6 +214,11 @@
   };
 
   static bool IsListed(Upstream const& aUpstream);
+  static UpstreamStart StartOf(UpstreamEntry const& aEntry);
+  bool IsLeaving(Upstream const& aUpstream) const;
+  void OnStartEnded(UpstreamEntry const& aEntry, bool aIsRestart);
+  /// Whether the list and the upstream's failures allow requests to it.
+  static bool IsAvailable(Upstream const& aUpstream, base::Instant aNow);
   bool IsUsable(Upstream const& aUpstream, base::Instant aNow) const;
   HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
                              base::Instant aNow) const;
@@ -197,6 +232,8 @@
   base::FailureDomainId m_localFailureDomain;
   std::mt19937_64 m_random;
   std::map<InstanceId, Upstream> m_upstreams;
+  LeavingUpstreams m_leaving;
+  std::vector<LeavingEnd> m_leavingEnds;
 };
 
 } // namespace sardinefold::engine
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -83,7 +83,8 @@
                                  {},
                                  m_state.m_allowance.Granted(),
                                  m_state.CrashesToReport(aNow),
-                                 aStoreAge };
+                                 aStoreAge,
+                                 m_state.LeavingToReport(aNow) };
     std::map<base::ModelId, unsigned> waiting;
     for (auto& demand : m_state.m_demand.Summary(aNow)) {
       if (demand.m_waiting > 0) {
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -109,6 +109,9 @@
       }
       m_history.OnEnd(end);
       RecordFailedAttempt(*choice, end);
+      if (end == AttemptEnd::NotSent) {
+        continue;
+      }
       m_context.m_query.m_excluded.insert(choice->m_instance);
       if (!m_history.MayRetry(m_context.m_route)) {
         co_await FailRequest();
@@ -213,7 +216,7 @@
       m_context.m_route.MayRepeat() ? kRepeatableIdle : kNonRepeatableIdle,
       base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_context.m_request.m_id.Text() },
       // The upstream may have become unusable while the connection was set up.
-      [this, &aChoice] { return m_state.m_directory.IsUsable(aChoice.m_instance, Now()); }
+      [this, &aChoice] { return m_state.m_directory.MaySend(aChoice, Now()); }
     };
     auto endpoint = aChoice.m_endpoint;
     auto reply =
@@ -225,6 +228,9 @@
       m_record.m_outcome = ToText(reply.error().m_kind);
       m_state.RecordTransportFailure(reply.error(), m_context.m_fingerprint, aChoice,
                                      m_context.m_end);
+      if (reply.error().m_kind == base::HttpFailure::Kind::Withdrawn) {
+        co_return AttemptEnd::NotSent;
+      }
       co_return reply.error().m_mayHaveBeenSent ? AttemptEnd::Unknown : AttemptEnd::NotRun;
     }
     co_return co_await m_relay.Relay(*reply, aChoice);
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -84,6 +84,7 @@
     ApplyReload(m_state.m_profile, aProfile);
     m_store.SetEndpoint(m_state.m_profile.m_objectStore);
     m_state.OnRetryBoundsChanged();
+    m_state.m_directory.SetMaximumDrainDelay(m_state.m_profile.m_bounds.m_maximumDrainDelay);
   }
 
   base::Metrics const& Metrics() const { return m_state.m_metrics; }
@@ -147,6 +148,13 @@
 
   void OnLoaderStatus(agent::EngineStatus const& aStatus, base::Instant aNow)
   {
+    auto const leaving =
+      aStatus.m_leavingStart
+        ? m_state.m_directory.FindStart(aStatus.m_engine, *aStatus.m_leavingStart)
+        : std::nullopt;
+    if (leaving) {
+      RecordLeaving(m_state, *leaving, engine::NoticeSource::Loader);
+    }
     engine::LoaderStatus account{
       aStatus.m_engine,  aStatus.m_models,  aStatus.m_change.m_unloading,
       aStatus.m_running, aStatus.m_waiting, aStatus.m_number
@@ -170,6 +178,9 @@
       m_store.OnStoreResponseElsewhere(aNow - *aSummary.m_storeAge);
     }
     OnForecasts(aSummary.m_forecasts, aNow);
+    for (auto const& start : aSummary.m_leaving) {
+      RecordLeaving(m_state, start, engine::NoticeSource::Gateway);
+    }
     for (auto const& crash : aSummary.m_crashes) {
       if (m_state.m_suspects.OnCrashReport(crash, aNow)) {
         base::log::Warning("request may have ended its upstream",
@@ -203,9 +214,11 @@
       if (tick % kLogInterval == 0) {
         base::log::StartInterval();
         UpdateGauges(now);
+        LogMalformedNotice(m_state);
       }
       m_store.Tick(now);
       m_state.m_directory.Expire(now);
+      LogEndedNotices(m_state, now);
       m_state.m_suspects.DiscardExpired(now);
       m_fleet.Report(m_store.Age(now), now);
       co_await m_loop.Sleep(kInterval);
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -30,7 +30,7 @@
     , m_profile(std::move(aProfile))
     , m_http(aLoop, EngineClientLimits())
     , m_responseMemory(ResponseMemoryOf(m_profile.m_memoryLimit))
-    , m_directory({}, m_profile.m_failureDomain, aSeed)
+    , m_directory(DirectoryPolicy(m_profile.m_bounds), m_profile.m_failureDomain, aSeed)
     , m_demand(aLoop.Now())
     , m_allowance({})
     , m_suspects(SuspectPolicy())
@@ -47,6 +47,13 @@
     return limits;
   }
 
+  static engine::DirectoryLimits DirectoryPolicy(base::SiteBounds const& aBounds)
+  {
+    engine::DirectoryLimits limits;
+    limits.m_maximumDrainDelay = aBounds.m_maximumDrainDelay;
+    return limits;
+  }
+
   static base::HttpClientLimits EngineClientLimits()
   {
     base::HttpClientLimits limits;
@@ -170,6 +177,14 @@
     return news;
   }
 
+  /// Returns the upstreams to report to the planner as leaving. Each one is
+  /// reported several times, since messages may be lost.
+  std::vector<engine::UpstreamStart> LeavingToReport(base::Instant aNow) const
+  {
+    static constexpr base::Duration kReportTime = std::chrono::milliseconds(500);
+    return m_directory.Leaving().ReadSince(aNow - kReportTime);
+  }
+
   /// The signal that wakes requests waiting for a model.
   base::Signal& ModelSignal(base::ModelId const& aModel)
   {
@@ -243,6 +258,8 @@
   engine::UpstreamDirectory m_directory;
   engine::DemandTracker m_demand;
   entry::SharedAllowance m_allowance;
+  /// The latest upstream with a malformed announcement that has not been logged.
+  std::optional<engine::InstanceId> m_malformedNotice;
   agent::SuspectRegistry m_suspects;
   std::vector<std::pair<base::Instant, agent::CrashReport>> m_recentCrashes;
   FleetMessenger m_messenger;
--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -9,6 +9,7 @@
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/RequestContext.h"
 #include "Programs/Gateway/RequestRecord.h"
+#include "Programs/Gateway/UpstreamNotices.h"
 #include "Programs/ServingWire.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -49,6 +50,7 @@
   {
     auto const head =
       Wire::DecodeResponseHead(aReply.Status(), aReply.Headers(), m_context.m_request.m_id);
+    RecordNotice(m_state, Wire::DecodeNotice(aReply.Status(), aReply.Headers()), aChoice);
     if (head.m_load) {
       m_state.m_directory.OnLoadReported(aChoice.m_instance, head.m_load->m_running,
                                          head.m_load->m_waiting);
--- /dev/null
+++ b/Programs/Gateway/UpstreamNotices.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Base/Log.h"
+#include "Engine/UpstreamNotice.h"
+#include "Programs/Gateway/GatewayState.h"
+
+#include <string>
+#include <utility>
+
+namespace sardinefold::programs {
+
+/// Records that a start of an upstream leaves. Requests that are being prepared
+/// for it choose again.
+inline void RecordLeaving(GatewayState& aState, engine::UpstreamStart const& aStart,
+                          engine::NoticeSource aSource)
+{
+  if (!aState.m_directory.OnLeaving(aStart, aSource, aState.m_loop.Now())) {
+    return;
+  }
+  std::string const source(ToText(aSource));
+  auto const bound = aState.m_profile.m_bounds.m_maximumDrainDelay;
+  base::log::Info("upstream announced that it leaves",
+                  { { "upstream", aStart.m_instance.Text() },
+                    { "started_at", std::to_string(aStart.m_startedAt) },
+                    { "source", source },
+                    { "age_ms", "0" },
+                    { "bound_ms", std::to_string(base::ToMilliseconds(bound)) } });
+  aState.m_metrics
+    .Counter("sardinefold_gateway_upstreams_leaving_total",
+             "Upstreams that announced that they leave, by who read it.", { { "source", source } })
+    .Increment();
+}
+
+/// Takes what an upstream announced in the headers of a response.
+inline void RecordNotice(GatewayState& aState, engine::UpstreamNotice const& aNotice,
+                         engine::UpstreamChoice const& aUpstream)
+{
+  if (aNotice.m_isMalformed) {
+    aState.m_metrics
+      .Counter("sardinefold_gateway_malformed_notices_total",
+               "Responses with an announcement that could not be decoded.")
+      .Increment();
+    aState.m_malformedNotice = aUpstream.m_instance;
+  }
+  if (aNotice.m_isLeaving) {
+    RecordLeaving(aState, { aUpstream.m_instance, aUpstream.m_endpoint, aUpstream.m_startedAt },
+                  engine::NoticeSource::Response);
+  }
+}
+
+/// Logs the announcements that have ended. To be called regularly.
+inline void LogEndedNotices(GatewayState& aState, base::Instant aNow)
+{
+  for (auto const& end : aState.m_directory.TakeLeavingEnds()) {
+    auto const age = aNow - end.m_notice.m_learnedAt;
+    base::log::Info("upstream no longer leaves",
+                    { { "upstream", end.m_start.m_instance.Text() },
+                      { "started_at", std::to_string(end.m_start.m_startedAt) },
+                      { "source", std::string(ToText(end.m_notice.m_source)) },
+                      { "age_ms", std::to_string(base::ToMilliseconds(age)) },
+                      { "reason", end.m_isRestart ? "started again" : "gone" } });
+  }
+}
+
+/// Logs at most one malformed announcement of those since the last call.
+inline void LogMalformedNotice(GatewayState& aState)
+{
+  if (auto const upstream = std::exchange(aState.m_malformedNotice, std::nullopt)) {
+    base::log::Warning("announcement of an upstream is malformed",
+                       { { "upstream", upstream->Text() } });
+  }
+}
+
+} // namespace sardinefold::programs
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -46,6 +46,7 @@
   gateway.m_endpoint = aSender;
   gateway.m_failureDomain = aReport.m_failureDomain;
   gateway.m_crashes = aReport.m_crashes;
+  gateway.m_leaving = aReport.m_leaving;
   gateway.m_storeLastContactAt = aNow - aReport.m_storeAge;
   gateway.m_lastContactAt = aNow;
   m_lastPresence[aReport.m_host] = aNow;
@@ -67,7 +68,7 @@
   }
   m_planner.OnEngine({ aStatus.m_host, aStatus.m_deployment, aStatus.m_models, aStatus.m_copies,
                        aStatus.m_change.m_loading, aStatus.m_change.m_readyIn,
-                       aStatus.m_change.m_unloading },
+                       aStatus.m_change.m_unloading, aStatus.m_leavingStart.has_value() },
                      aNow);
 }
 
@@ -133,13 +134,15 @@
                                    m_planner.ForecastsFor(host, aNow),
                                    {},
                                    {},
-                                   std::nullopt };
+                                   std::nullopt,
+                                   {} };
     if (m_ticks % kTicksPerNeighbourList == 0) {
       summary.m_neighbours = NeighboursIn(gateway.m_failureDomain, aNow);
     }
     for (auto const& [otherHost, other] : m_gateways) {
       if (otherHost != host && IsReporting(other, aNow)) {
         std::ranges::copy(other.m_crashes, std::back_inserter(summary.m_crashes));
+        std::ranges::copy(other.m_leaving, std::back_inserter(summary.m_leaving));
         auto const age = aNow - other.m_storeLastContactAt;
         summary.m_storeAge = std::min(summary.m_storeAge.value_or(age), age);
       }
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -39,6 +39,7 @@
     base::Endpoint m_endpoint;
     base::FailureDomainId m_failureDomain;
     std::vector<agent::CrashReport> m_crashes;
+    std::vector<engine::UpstreamStart> m_leaving;
     /// When the object store last responded to this gateway.
     base::Instant m_storeLastContactAt{};
     base::Instant m_lastContactAt{};
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -182,6 +182,9 @@
     auto endpoint = *m_profile.m_engine;
     auto const response =
       co_await m_http.Fetch(std::move(endpoint), std::move(request), kEngineReportTimeout);
+    auto const notice = response ? Wire::DecodeNotice(response->m_status, response->m_headers)
+                                 : engine::UpstreamNotice{};
+    OnNotice(notice);
     if (!response || response->m_status != 200) {
       OnReportResult(response ? "status " + std::to_string(response->m_status)
                               : std::string(ToText(response.error().m_kind)));
@@ -193,11 +196,24 @@
       co_return;
     }
     OnReportResult("");
+    bool const isRestart =
+      m_orderScheduler.Report() && m_orderScheduler.Report()->m_startedAt != report->m_startedAt;
+    if (isRestart) {
+      m_isLeaving = notice.m_isLeaving;
+    }
     m_orderScheduler.OnReport(std::move(*report), m_loop.Now());
     m_loadMetrics.OnReport(*m_orderScheduler.Report(), m_loop.Now());
     SendStatus(false);
   }
 
+  void OnNotice(engine::UpstreamNotice const& aNotice)
+  {
+    if (aNotice.m_isLeaving && !m_isLeaving) {
+      base::log::Info("engine announced that it leaves");
+    }
+    m_isLeaving = m_isLeaving || aNotice.m_isLeaving;
+  }
+
   /// Records whether the engine's report could be read. Without one nothing is
   /// known of the engine, and gateways are notified of that.
   void OnReportResult(std::string const& aError)
@@ -282,6 +298,9 @@
     status.m_change.m_readyIn = state.m_loading ? state.m_readyAt - now : base::Duration::zero();
     status.m_change.m_unloading = state.m_unloading;
     status.m_canOrder = CanOrder();
+    if (m_isLeaving && report) {
+      status.m_leavingStart = report->m_startedAt;
+    }
     status.m_gatewaysPresent = static_cast<unsigned>(m_gateways.Size());
     return status;
   }
@@ -409,6 +428,8 @@
   StatusSender m_gatewayStatus;
   StatusSender m_plannerStatus;
   bool m_hasReport = false;
+  /// Whether the engine has announced since its start that it leaves.
+  bool m_isLeaving = false;
   bool m_hasAdapterRequest = false;
 };
 
--- a/Programs/ServingWire.h
+++ b/Programs/ServingWire.h
@@ -3,6 +3,7 @@
 #include "Base/Http/HttpMessage.h"
 #include "Caller/ForwardRequest.h"
 #include "Engine/EngineTypes.h"
+#include "Engine/UpstreamNotice.h"
 #include "ObjectStore/ObjectStoreClient.h"
 #include "Operator/ServingCatalog.h"
 
@@ -43,6 +44,10 @@
   {
     Wire::DecodeResponseHead(0U, aHeaders, aId)
     } -> std::same_as<caller::UpstreamResponseHead>;
+  /// What an engine announces about itself beside the response.
+  {
+    Wire::DecodeNotice(0U, aHeaders)
+    } -> std::same_as<engine::UpstreamNotice>;
   {
     Wire::EncodeResponseHeaders(aHeaders)
     } -> std::same_as<base::HttpHeaders>;
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -48,6 +48,7 @@
   m_faultInjector.Faults().AddFlag("leaving", m_isDraining);
   m_faultInjector.Faults().AddFlag("unlisted", m_isUnlisted);
   m_faultInjector.Faults().AddFlag("torn_entry", m_hasInvalidEntry);
+  m_faultInjector.Faults().AddText("leaving_header", m_leavingHeader);
   m_faultInjector.Faults().AddAction("restart", [this] { Restart(); });
   m_faultInjector.Faults().AddMilliseconds("event_ms", m_settings.m_eventTime);
   m_faultInjector.Faults().AddMilliseconds("load_ms", m_settings.m_loadTime);
@@ -73,6 +74,21 @@
   m_models.clear();
   m_isBusy = false;
   m_orderSequence = 0;
+  m_leavingHeader.clear();
+}
+
+void SiteEngine::AddNotices(base::HttpHeaders& aHeaders) const
+{
+  if (!m_leavingHeader.empty()) {
+    aHeaders.Add("Server-Leaving", m_leavingHeader);
+  }
+}
+
+asio::awaitable<void> SiteEngine::Respond(base::HttpExchange& aExchange,
+                                          base::HttpResponse aResponse)
+{
+  AddNotices(aResponse.m_headers);
+  co_await m_faultInjector.Respond(aExchange, std::move(aResponse));
 }
 
 Json::Value SiteEngine::Models() const
@@ -150,7 +166,7 @@
       report["atHand"]["onDisk"].append(model);
     }
     auto response = JsonValueResponse(200, report);
-    co_await m_faultInjector.Respond(aExchange, std::move(response));
+    co_await Respond(aExchange, std::move(response));
     co_return;
   }
   if (request.Path() == "/v1/order") {
@@ -199,12 +215,12 @@
   auto const body = base::ParseJson(request.m_body);
   if (HeaderText(request, "Expect-Instance") != m_settings.m_instance) {
     auto response = Reject(request, 421);
-    co_await m_faultInjector.Respond(aExchange, std::move(response));
+    co_await Respond(aExchange, std::move(response));
     co_return;
   }
   if (!body || !(*body)["holder"].isString() || !(*body)["fenceToken"].isUInt64()) {
     auto response = Reject(request, 400);
-    co_await m_faultInjector.Respond(aExchange, std::move(response));
+    co_await Respond(aExchange, std::move(response));
     co_return;
   }
   m_holders.insert((*body)["holder"].asString());
@@ -213,7 +229,7 @@
     body->isMember("expected") && (*body)["expected"].asUInt64() != m_orderSequence;
   if (isStale || (m_isBusy && !isAdapter)) {
     auto response = Reject(request, 409);
-    co_await m_faultInjector.Respond(aExchange, std::move(response));
+    co_await Respond(aExchange, std::move(response));
     co_return;
   }
   ++m_orderSequence;
@@ -234,7 +250,7 @@
     co_return;
   }
   auto response = JsonValueResponse(202, Json::Value(Json::objectValue));
-  co_await m_faultInjector.Respond(aExchange, std::move(response));
+  co_await Respond(aExchange, std::move(response));
 }
 
 std::optional<unsigned> SiteEngine::RejectionStatus(base::HttpRequest const& aRequest) const
@@ -275,7 +291,7 @@
   }
   if (rejection) {
     auto response = Reject(request, *rejection);
-    co_await m_faultInjector.Respond(aExchange, std::move(response));
+    co_await Respond(aExchange, std::move(response));
     co_return;
   }
   m_runs.push_back({ HeaderText(request, "Request-Id"), HeaderText(request, "Tenant"),
@@ -290,12 +306,13 @@
     base::HttpResponse response{ 200, std::move(headers), "done " + std::string(request.Path()) };
     if (ConsumeFault(m_runsToRefuse)) {
       response.m_status = 503;
-      co_await m_faultInjector.Respond(aExchange, std::move(response));
+      co_await Respond(aExchange, std::move(response));
     } else if (ConsumeFault(m_responsesToTruncate)) {
+      AddNotices(response.m_headers);
       co_await aExchange.StartStream(200, response.m_headers);
       co_await aExchange.Write("do");
     } else {
-      co_await m_faultInjector.Respond(aExchange, std::move(response));
+      co_await Respond(aExchange, std::move(response));
     }
   }
   --m_running;
@@ -308,11 +325,12 @@
   unsigned const first = resume.empty() ? 1 : static_cast<unsigned>(std::stoul(resume)) + 1;
   if (!resume.empty() && ConsumeFault(m_resumesToFail)) {
     base::HttpResponse response{ 500, std::move(aHeaders), "failed" };
-    co_await m_faultInjector.Respond(aExchange, std::move(response));
+    co_await Respond(aExchange, std::move(response));
     co_return;
   }
   bool const isInterrupted = ConsumeFault(m_streamsToInterrupt);
   aHeaders.Add("Content-Type", "text/event-stream");
+  AddNotices(aHeaders);
   auto const started = co_await aExchange.StartStream(200, std::move(aHeaders));
   if (!started) {
     co_return;
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -70,6 +70,9 @@
   boost::asio::awaitable<void> ServeOrder(base::HttpExchange& aExchange);
   boost::asio::awaitable<void> RunRequest(base::HttpExchange& aExchange);
   boost::asio::awaitable<void> Stream(base::HttpExchange& aExchange, base::HttpHeaders aHeaders);
+  /// Sends a response with the engine's announcements.
+  boost::asio::awaitable<void> Respond(base::HttpExchange& aExchange, base::HttpResponse aResponse);
+  void AddNotices(base::HttpHeaders& aHeaders) const;
   boost::asio::awaitable<void> Load(std::string aModel);
   boost::asio::awaitable<void> Heartbeat();
   base::HttpResponse Reject(base::HttpRequest const& aRequest, unsigned aStatus) const;
@@ -91,6 +94,8 @@
   /// Faults: the engine has no entry in the list, or one that cannot be decoded.
   bool m_isUnlisted = false;
   bool m_hasInvalidEntry = false;
+  /// Value of the header that announces leaving in every response; none if empty.
+  std::string m_leavingHeader;
   std::uint64_t m_orderSequence = 0;
   unsigned m_running = 0;
   /// Streams and loads that began before the latest restart end silently.
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -71,6 +71,9 @@
   status.m_running = 3;
   status.m_canOrder = true;
   CheckRoundTrip(status);
+  status.m_leavingStart = 123;
+  CheckRoundTrip(status);
+  BOOST_TEST(EncodeFleetMessage(status).find(R"("leaving_start":123)") != std::string::npos);
   GatewayReport report;
   report.m_host = base::HostId::FromValidated("front-1");
   report.m_incarnation = base::IncarnationId::FromValidated("abc");
@@ -86,6 +89,10 @@
                          base::UpstreamId::FromValidated("i-1"), milliseconds(30) } };
   report.m_storeAge = milliseconds(40);
   CheckRoundTrip(report);
+  report.m_leaving = { { engine::InstanceId::FromValidated("i-1"), { "10.0.0.1", 80 }, 123 } };
+  CheckRoundTrip(report);
+  BOOST_TEST(EncodeFleetMessage(report).find(R"("leaving":[["i-1","10.0.0.1:80",123]])") !=
+             std::string::npos);
   CheckRoundTrip(EngineHeartbeat{ status.m_host, status.m_engine, 7, 1, 2, true, 4 });
   CheckRoundTrip(StatusRequest{ status.m_host });
   CheckRoundTrip(
@@ -103,7 +110,8 @@
                                  { { kModel, milliseconds(70) } },
                                  report.m_crashes,
                                  { { report.m_host, { "10.0.0.2", 7600 } } },
-                                 milliseconds(30) });
+                                 milliseconds(30),
+                                 report.m_leaving });
   CheckRoundTrip(MakeUpdate(2));
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
--- a/Tests/SwapPlannerTest.cpp
+++ b/Tests/SwapPlannerTest.cpp
@@ -292,3 +292,21 @@
   BOOST_TEST(tracker.WaitingFor(model) == 0U);
   BOOST_TEST(tracker.Summary(kStart + seconds(120)).empty());
 }
+
+BOOST_FIXTURE_TEST_CASE(ALeavingEngineGetsNoModelAndItsOnlyCopyIsLoadedElsewhere, Fixture)
+{
+  auto leaving = EngineWith("one", { "a" }, { "a", "c" });
+  leaving.m_isLeaving = true;
+  m_planner.OnEngine(leaving, kStart);
+  m_planner.OnEngine(EngineWith("two", { "b" }, { "b" }), kStart);
+  m_planner.OnDemand(kGateway, { MakeWaitingDemand("c", 1, 1, seconds(9)), MakeDemand("a", 2.0) },
+                     true);
+  auto swaps = m_planner.Plan(m_planTime);
+  BOOST_REQUIRE(FindSwap(swaps, "c").has_value());
+  BOOST_TEST(FindSwap(swaps, "c")->m_loader == Loader("two"));
+  m_planner.OnEngine(EngineWith("two", { "b", "c" }, { "a", "b", "c" }), m_planTime);
+  m_planner.OnDemand(kGateway, { MakeDemand("a", 2.0) }, true);
+  swaps = m_planner.Plan(m_planTime + seconds(1));
+  BOOST_REQUIRE(FindSwap(swaps, "a").has_value());
+  BOOST_TEST(FindSwap(swaps, "a")->m_loader == Loader("two"));
+}
--- a/Tests/UpstreamDirectoryTest.cpp
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -33,6 +33,11 @@
   return entry;
 }
 
+UpstreamStart StartOf(UpstreamEntry const& aEntry)
+{
+  return { aEntry.m_instance, aEntry.m_endpoint, aEntry.m_startedAt };
+}
+
 /// Returns the status report of the loader beside the engine at port 1.
 LoaderStatus MakeLoaderStatus(std::vector<HeldModel> aModels)
 {
@@ -208,3 +213,77 @@
   BOOST_TEST(!Find(kModel, kStart).has_value());
   BOOST_TEST(Find(kModel, kStart + seconds(1)).has_value());
 }
+
+BOOST_FIXTURE_TEST_CASE(AnUpstreamThatAnnouncedLeavingIsUsedOnlyIfNoOtherServes, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  m_directory.OnListed(Entry("two", 2), kStart);
+  BOOST_TEST(m_directory.OnLeaving(StartOf(Entry("one", 1)), NoticeSource::Response, kStart));
+  BOOST_TEST(!m_directory.OnLeaving(StartOf(Entry("one", 1)), NoticeSource::Loader, kStart));
+  for (int request = 0; request < 30; ++request) {
+    m_directory.OnSent(Instance("two"));
+    BOOST_TEST((Find(std::nullopt, kStart) == Instance("two")));
+  }
+  m_directory.OnRemoved(Instance("two"), std::nullopt, kStart);
+  BOOST_TEST((Find(std::nullopt, kStart + milliseconds(1'999)) == Instance("one")));
+  UpstreamQuery const query{ kDeployment, std::nullopt, std::nullopt, {} };
+  BOOST_TEST((std::get<UpstreamAbsence>(m_directory.Find(query, kStart + seconds(2))) ==
+              UpstreamAbsence::Leaving));
+}
+
+BOOST_FIXTURE_TEST_CASE(NoEntryOfTheSameStartRevokesAnAnnouncementOfLeaving, Fixture)
+{
+  auto entry = Entry("one", 1);
+  entry.m_startedAt = 5;
+  auto const later = kStart + seconds(3);
+  m_directory.OnListed(entry, kStart);
+  m_directory.OnLeaving(StartOf(entry), NoticeSource::Response, kStart);
+  m_directory.OnListed(entry, later);
+  BOOST_TEST(!Find(std::nullopt, later).has_value());
+  m_directory.OnRemoved(entry.m_instance, later + seconds(1), later);
+  m_directory.Expire(later + seconds(2));
+  BOOST_TEST(m_directory.TakeLeavingEnds().size() == 1U);
+  m_directory.OnListed(entry, later + seconds(3));
+  BOOST_TEST(!Find(std::nullopt, later + seconds(3)).has_value());
+  // An older entry arrives late, then the present one again.
+  auto older = entry;
+  older.m_startedAt = 4;
+  m_directory.OnListed(older, later + seconds(3));
+  m_directory.OnListed(entry, later + seconds(3));
+  BOOST_TEST(!Find(std::nullopt, later + seconds(3)).has_value());
+  m_directory.Expire(later + seconds(7'200));
+  BOOST_TEST(!Find(std::nullopt, later + seconds(7'200)).has_value());
+  for (bool const isSameAddress : { true, false }) {
+    auto restarted = entry;
+    restarted.m_startedAt = isSameAddress ? 6 : 5;
+    restarted.m_endpoint.m_port = isSameAddress ? 1 : 2;
+    m_directory.OnListed(restarted, later + seconds(4));
+    BOOST_TEST(Find(std::nullopt, later + seconds(4)).has_value());
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnnouncementReadByAnotherProcessOnlyRanksTheUpstreamLast, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  BOOST_TEST(m_directory.OnLeaving(StartOf(Entry("one", 1)), NoticeSource::Gateway, kStart));
+  BOOST_TEST((Find(std::nullopt, kStart + seconds(60)) == Instance("one")));
+  m_directory.OnListed(Entry("two", 2), kStart);
+  m_directory.OnSent(Instance("two"));
+  BOOST_TEST((Find(std::nullopt, kStart + seconds(60)) == Instance("two")));
+  BOOST_TEST(m_directory.Leaving().ReadSince(kStart).empty());
+  BOOST_TEST(m_directory.OnLeaving(StartOf(Entry("one", 1)), NoticeSource::Response, kStart));
+  BOOST_TEST(m_directory.Leaving().ReadSince(kStart).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(APreparedRequestIsNotSentToAnUpstreamThatBeganToLeave, Fixture)
+{
+  m_directory.OnListed(Entry("one", 1), kStart);
+  UpstreamQuery const query{ kDeployment, std::nullopt, std::nullopt, {} };
+  auto const before = std::get<UpstreamChoice>(m_directory.Find(query, kStart));
+  BOOST_TEST(m_directory.MaySend(before, kStart));
+  m_directory.OnLeaving(StartOf(Entry("one", 1)), NoticeSource::Response, kStart);
+  BOOST_TEST(!m_directory.MaySend(before, kStart));
+  auto const after = std::get<UpstreamChoice>(m_directory.Find(query, kStart));
+  BOOST_TEST(m_directory.MaySend(after, kStart + milliseconds(1'999)));
+  BOOST_TEST(!m_directory.MaySend(after, kStart + seconds(2)));
+}
