Engine, Programs: Send nothing to an upstream that asks for no requests

An upstream that refuses a request with 503 may say for how long it wants none from that process. Gateways took such a refusal for a full upstream and went on sending; without the proof that the request did not run, they counted it as a failure as well and paused the upstream.

The platform's adapter decodes the time, beside 503 only. Until its end, spread by up to a quarter (at most one second) and never earlier, no request of that gateway is sent to that start of the upstream; one that is being prepared chooses again. Then one trial goes first, and the others once it is answered. Waiting requests look elsewhere or are refused at once, with the soonest end among the upstreams that could serve them, unless a load of their model is expected in time. A later and shorter time does not end an earlier one; a restart of the upstream does, a lapse or an entry of the same start does not. It is no failure and counts neither towards a pause nor in the paused share. A loader whose engine refuses it reads no report and gives no order until then, and keeps its last report. A malformed time restricts nothing; it is counted and logged.

Mutations of the end, the spread, the trial, the revision that binds a choice, the retention, the decoder, the loader's wait, the wait for a load elsewhere and the refusal's time each fail a case of UpstreamDirectoryTest or UpstreamNoticeTest.

--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -23,6 +23,8 @@
       return "no upstream";
     case UpstreamAbsence::Leaving:
       return "upstreams are leaving";
+    case UpstreamAbsence::BackingOff:
+      return "upstreams want no requests";
     case UpstreamAbsence::ModelNotLoaded:
       return "model not loaded";
   }
@@ -104,6 +106,7 @@
   // An upstream that has begun to leave since it was chosen serves only requests
   // that no other one can serve, which another choice finds out.
   return upstream.m_entry.m_startedAt == aChoice.m_startedAt && IsUsable(upstream, aNow) &&
+         m_backoffs.Revision(aChoice.Start()) == aChoice.m_backoffRevision &&
          (aChoice.m_isLeaving || !IsLeaving(upstream));
 }
 
@@ -143,6 +146,70 @@
   }
 }
 
+bool UpstreamDirectory::OnBackoff(UpstreamChoice const& aChoice, base::Duration aRetryAfter,
+                                  base::Instant aNow)
+{
+  double const spread = std::uniform_real_distribution<>(0, 1)(m_random);
+  return m_backoffs.OnRefused(aChoice.Start(), aRetryAfter, spread, aNow);
+}
+
+std::optional<base::Instant> UpstreamDirectory::BackoffEndFor(UpstreamQuery const& aQuery,
+                                                              base::Instant aNow) const
+{
+  std::optional<base::Instant> earliest;
+  for (auto const& [instance, upstream] : m_upstreams) {
+    bool const couldServe = upstream.m_entry.m_deployment == aQuery.m_deployment &&
+                            IsUsable(upstream, aNow) &&
+                            (!aQuery.m_model || FindModel(upstream, *aQuery.m_model, aNow));
+    if (!couldServe) {
+      continue;
+    }
+    auto const start = StartOf(upstream.m_entry);
+    if (m_backoffs.IsOpen(start, aNow)) {
+      return std::nullopt;
+    }
+    auto const opensAt = m_backoffs.Find(start)->OpensAt();
+    earliest = std::min(earliest.value_or(opensAt), opensAt);
+  }
+  return earliest;
+}
+
+void UpstreamDirectory::OnTrialStarted(UpstreamChoice const& aChoice, base::Instant aNow)
+{
+  if (aChoice.m_isTrial) {
+    m_backoffs.OnTrialStarted(aChoice.Start(), aNow);
+  }
+}
+
+void UpstreamDirectory::OnTrialAnswered(UpstreamChoice const& aChoice, bool aIsFull)
+{
+  if (!IsCurrentTrial(aChoice)) {
+    return;
+  }
+  if (aIsFull) {
+    m_backoffs.OnTrialEnded(aChoice.Start());
+  } else if (auto const backoff = m_backoffs.OnTrialAnswered(aChoice.Start())) {
+    m_backoffEnds.push_back({ aChoice.Start(), *backoff, BackoffEnd::Reason::TrialAnswered });
+  }
+}
+
+void UpstreamDirectory::OnTrialEnded(UpstreamChoice const& aChoice)
+{
+  if (IsCurrentTrial(aChoice)) {
+    m_backoffs.OnTrialEnded(aChoice.Start());
+  }
+}
+
+bool UpstreamDirectory::IsCurrentTrial(UpstreamChoice const& aChoice) const
+{
+  return aChoice.m_isTrial && m_backoffs.Revision(aChoice.Start()) == aChoice.m_backoffRevision;
+}
+
+std::vector<BackoffEnd> UpstreamDirectory::TakeBackoffEnds()
+{
+  return std::exchange(m_backoffEnds, {});
+}
+
 std::vector<LeavingEnd> UpstreamDirectory::TakeLeavingEnds()
 {
   return std::exchange(m_leavingEnds, {});
@@ -286,21 +353,29 @@
       }
       lacksAdapter = aQuery.m_adapter && !held->m_adapters.contains(*aQuery.m_adapter);
     }
+    auto const start = StartOf(upstream.m_entry);
+    if (!m_backoffs.IsOpen(start, aNow)) {
+      continue;
+    }
     double const cost = CostOf(upstream, lacksAdapter, aNow);
     bool const isLeaving = IsLeaving(upstream);
     bool const isBetter = !best || (isLeaving == best->m_isLeaving ? cost < bestCost : !isLeaving);
     if (isBetter) {
-      best = UpstreamChoice{
-        instance,  upstream.m_entry.m_startedAt, upstream.m_entry.m_endpoint, lacksAdapter,
-        isLeaving, EstimateLoad(upstream, aNow)
-      };
+      best = UpstreamChoice{ instance,
+                             upstream.m_entry.m_startedAt,
+                             upstream.m_entry.m_endpoint,
+                             lacksAdapter,
+                             isLeaving,
+                             m_backoffs.Find(start) != nullptr,
+                             m_backoffs.Revision(start),
+                             EstimateLoad(upstream, aNow) };
       bestCost = cost;
     }
   }
-  if (!best) {
-    return absence;
+  if (best) {
+    return *best;
   }
-  return *best;
+  return BackoffEndFor(aQuery, aNow) ? UpstreamAbsence::BackingOff : absence;
 }
 
 void UpstreamDirectory::OnSent(InstanceId const& aInstance)
@@ -419,6 +494,9 @@
     return found != m_upstreams.end() && StartOf(found->second.m_entry) == aStart;
   };
   m_leaving.Expire(isKnown, aNow);
+  for (auto const& [start, backoff] : m_backoffs.Expire(isKnown, aNow)) {
+    m_backoffEnds.push_back({ start, backoff, BackoffEnd::Reason::Gone });
+  }
 }
 
 std::vector<UpstreamEntry> UpstreamDirectory::Entries() const
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -2,6 +2,7 @@
 
 #include "Engine/EngineTypes.h"
 #include "Engine/LeavingUpstreams.h"
+#include "Engine/UpstreamBackoff.h"
 
 #include <cstdint>
 #include <map>
@@ -82,10 +83,15 @@
   /// Start of the listed instance; see UpstreamEntry::m_startedAt.
   std::int64_t m_startedAt = 0;
   base::Endpoint m_endpoint;
+  UpstreamStart Start() const { return { m_instance, m_endpoint, m_startedAt }; }
   /// Whether the model is loaded but the adapter is not.
   bool m_lacksAdapter = false;
   /// Whether the upstream leaves and was chosen for want of another one.
   bool m_isLeaving = false;
+  /// Whether the request is a trial after a time without requests.
+  bool m_isTrial = false;
+  /// See BackoffTable::Revision().
+  std::uint64_t m_backoffRevision = 0;
   /// The load that the choice was based on.
   UpstreamLoadEstimate m_loadEstimate;
 };
@@ -98,6 +104,8 @@
   /// All upstreams of the deployment that could be used have announced that they
   /// leave.
   Leaving,
+  /// All upstreams that could serve the request want no requests for some time.
+  BackingOff,
   /// Usable upstreams are known, but none of them holds the model.
   ModelNotLoaded
 };
@@ -113,6 +121,20 @@
   bool m_isRestart = false;
 };
 
+/// A time without requests that has ended.
+struct BackoffEnd
+{
+  enum class Reason
+  {
+    TrialAnswered,
+    /// The upstream is out of use or has started again.
+    Gone
+  };
+  UpstreamStart m_start;
+  Backoff m_backoff;
+  Reason m_reason = Reason::Gone;
+};
+
 /// A loader's status report about its engine.
 struct LoaderStatus
 {
@@ -160,6 +182,19 @@
   LeavingUpstreams const& Leaving() const { return m_leaving; }
   /// The announcements that ended since the last call.
   std::vector<LeavingEnd> TakeLeavingEnds();
+  /// The upstream refused a request and wants none for some time. Returns whether
+  /// requests were allowed until now.
+  bool OnBackoff(UpstreamChoice const& aChoice, base::Duration aRetryAfter, base::Instant aNow);
+  /// If all upstreams that could serve such a request want no requests, the time
+  /// at which the first of them may get one.
+  std::optional<base::Instant> BackoffEndFor(UpstreamQuery const& aQuery, base::Instant aNow) const;
+  Backoff const* FindBackoff(UpstreamStart const& aStart) const { return m_backoffs.Find(aStart); }
+  void OnTrialStarted(UpstreamChoice const& aChoice, base::Instant aNow);
+  /// The upstream answered a trial request; aIsFull if it refused it again without
+  /// a time.
+  void OnTrialAnswered(UpstreamChoice const& aChoice, bool aIsFull);
+  void OnTrialEnded(UpstreamChoice const& aChoice);
+  std::vector<BackoffEnd> TakeBackoffEnds();
   void SetMaximumDrainDelay(base::Duration aDelay) { m_limits.m_maximumDrainDelay = aDelay; }
 
   std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
@@ -216,6 +251,7 @@
   static bool IsListed(Upstream const& aUpstream);
   static UpstreamStart StartOf(UpstreamEntry const& aEntry);
   bool IsLeaving(Upstream const& aUpstream) const;
+  bool IsCurrentTrial(UpstreamChoice const& aChoice) const;
   void OnStartEnded(UpstreamEntry const& aEntry, bool aIsRestart);
   /// Whether the list and the upstream's failures allow requests to it.
   static bool IsAvailable(Upstream const& aUpstream, base::Instant aNow);
@@ -234,6 +270,8 @@
   std::map<InstanceId, Upstream> m_upstreams;
   LeavingUpstreams m_leaving;
   std::vector<LeavingEnd> m_leavingEnds;
+  BackoffTable m_backoffs;
+  std::vector<BackoffEnd> m_backoffEnds;
 };
 
 } // namespace sardinefold::engine
--- a/Engine/UpstreamNotice.h
+++ b/Engine/UpstreamNotice.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace sardinefold::engine {
@@ -13,6 +14,9 @@
 {
   /// The upstream will exit and should get no new requests.
   bool m_isLeaving = false;
+  /// With a refusal: the upstream wants no requests from this process for this
+  /// long.
+  std::optional<base::Duration> m_retryAfter;
   /// A header of an announcement was present and could not be decoded.
   bool m_isMalformed = false;
 };
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -126,6 +126,7 @@
     m_history.OnSent();
     m_relay.OnNewAttempt();
     m_state.m_directory.OnSent(aChoice.m_instance);
+    m_state.m_directory.OnTrialStarted(aChoice, Now());
     if (m_context.m_query.m_model) {
       m_state.m_demand.StartRunning(*m_context.m_query.m_model);
     }
@@ -147,6 +148,7 @@
   void OnAttemptEnded(engine::UpstreamChoice const& aChoice)
   {
     m_state.m_directory.OnDone(aChoice.m_instance, m_relay.HasResponseStarted());
+    m_state.m_directory.OnTrialEnded(aChoice);
     if (m_context.m_query.m_model) {
       m_state.m_demand.StopRunning(*m_context.m_query.m_model);
     }
@@ -194,8 +196,11 @@
     if (m_history.MayHaveRun()) {
       refusal.m_status = isPastDeadline ? 504 : 502;
     } else {
+      auto const backoffEnd = m_state.m_directory.BackoffEndFor(m_context.m_query, Now());
       refusal.m_retryAfter =
-        caller::WaitPolicy::RetryAfter(m_state.ForecastFor(m_context.m_query.m_model), Now());
+        backoffEnd
+          ? *backoffEnd - Now()
+          : caller::WaitPolicy::RetryAfter(m_state.ForecastFor(m_context.m_query.m_model), Now());
     }
     co_await Refuse(refusal);
   }
--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -50,13 +50,21 @@
   {
     auto const head =
       Wire::DecodeResponseHead(aReply.Status(), aReply.Headers(), m_context.m_request.m_id);
-    RecordNotice(m_state, Wire::DecodeNotice(aReply.Status(), aReply.Headers()), aChoice);
+    auto const notice = Wire::DecodeNotice(aReply.Status(), aReply.Headers());
+    RecordNotice(m_state, notice, aChoice);
+    m_state.m_directory.OnTrialAnswered(aChoice, ImpliesNotRun(head.m_status));
     if (head.m_load) {
       m_state.m_directory.OnLoadReported(aChoice.m_instance, head.m_load->m_running,
                                          head.m_load->m_waiting);
     }
     if (head.m_isNotRun) {
-      co_return co_await OnRejection(aReply, head, aChoice);
+      co_return co_await OnRejection(aReply, head, aChoice, notice.m_retryAfter.has_value());
+    }
+    if (notice.m_retryAfter) {
+      // Not a failure of the upstream, but no proof that the request did not run.
+      m_record.m_outcome = kBackoffReason;
+      co_await DiscardBody(aReply, aChoice);
+      co_return AttemptEnd::Unknown;
     }
     if (ImpliesNotRun(head.m_status)) {
       // Without proof from the upstream, the caller must not take the status as a
@@ -95,6 +103,8 @@
   std::optional<base::Instant> LastRelayedAt() const { return m_lastRelayedAt; }
 
 private:
+  static constexpr std::string_view kBackoffReason = "upstream wants no requests";
+
   base::Instant Now() const { return m_state.m_loop.Now(); }
 
   /// Whether callers take the status as proof that a request has not run and never
@@ -113,10 +123,14 @@
 
   boost::asio::awaitable<AttemptEnd> OnRejection(base::HttpReply& aReply,
                                                  caller::UpstreamResponseHead const& aHead,
-                                                 engine::UpstreamChoice const& aChoice)
+                                                 engine::UpstreamChoice const& aChoice,
+                                                 bool aIsBackoff)
   {
     auto const& model = m_context.m_query.m_model;
     m_record.m_outcome = aHead.m_isWrongEngine ? "misdirected" : "upstream is full";
+    if (aIsBackoff) {
+      m_record.m_outcome = kBackoffReason;
+    }
     if (aHead.m_isWrongEngine && model) {
       m_state.m_directory.OnModelMissing(aChoice.m_instance, *model, Now());
     } else if (aHead.m_isWrongEngine) {
--- a/Programs/Gateway/UpstreamNotices.h
+++ b/Programs/Gateway/UpstreamNotices.h
@@ -31,10 +31,36 @@
     .Increment();
 }
 
+/// Records that an upstream refused a request and wants none for some time.
+/// Requests that wait or are being prepared for it choose again.
+inline void RecordBackoff(GatewayState& aState, base::Duration aRetryAfter,
+                          engine::UpstreamChoice const& aUpstream)
+{
+  auto const now = aState.m_loop.Now();
+  if (!aState.m_directory.OnBackoff(aUpstream, aRetryAfter, now)) {
+    return;
+  }
+  auto const bound = aState.m_directory.FindBackoff(aUpstream.Start())->m_end - now;
+  base::log::Info("upstream wants no requests",
+                  { { "upstream", aUpstream.m_instance.Text() },
+                    { "started_at", std::to_string(aUpstream.m_startedAt) },
+                    { "source", std::string(ToText(engine::NoticeSource::Response)) },
+                    { "age_ms", "0" },
+                    { "bound_ms", std::to_string(base::ToMilliseconds(bound)) } });
+  aState.m_metrics
+    .Counter("sardinefold_gateway_upstream_backoffs_total",
+             "Times in which an upstream wanted no requests.")
+    .Increment();
+  aState.NotifyAll();
+}
+
 /// Takes what an upstream announced in the headers of a response.
 inline void RecordNotice(GatewayState& aState, engine::UpstreamNotice const& aNotice,
                          engine::UpstreamChoice const& aUpstream)
 {
+  if (aNotice.m_retryAfter) {
+    RecordBackoff(aState, *aNotice.m_retryAfter, aUpstream);
+  }
   if (aNotice.m_isMalformed) {
     aState.m_metrics
       .Counter("sardinefold_gateway_malformed_notices_total",
@@ -43,14 +69,26 @@
     aState.m_malformedNotice = aUpstream.m_instance;
   }
   if (aNotice.m_isLeaving) {
-    RecordLeaving(aState, { aUpstream.m_instance, aUpstream.m_endpoint, aUpstream.m_startedAt },
-                  engine::NoticeSource::Response);
+    RecordLeaving(aState, aUpstream.Start(), engine::NoticeSource::Response);
   }
 }
 
 /// Logs the announcements that have ended. To be called regularly.
 inline void LogEndedNotices(GatewayState& aState, base::Instant aNow)
 {
+  for (auto const& end : aState.m_directory.TakeBackoffEnds()) {
+    auto const milliseconds = [](base::Duration aTime) {
+      return std::to_string(base::ToMilliseconds(aTime));
+    };
+    bool const isAnswered = end.m_reason == engine::BackoffEnd::Reason::TrialAnswered;
+    base::log::Info("upstream takes requests again",
+                    { { "upstream", end.m_start.m_instance.Text() },
+                      { "started_at", std::to_string(end.m_start.m_startedAt) },
+                      { "source", std::string(ToText(engine::NoticeSource::Response)) },
+                      { "age_ms", milliseconds(aNow - end.m_backoff.m_learnedAt) },
+                      { "bound_ms", milliseconds(end.m_backoff.m_end - end.m_backoff.m_learnedAt) },
+                      { "reason", isAnswered ? "trial answered" : "gone" } });
+  }
   for (auto const& end : aState.m_directory.TakeLeavingEnds()) {
     auto const age = aNow - end.m_notice.m_learnedAt;
     base::log::Info("upstream no longer leaves",
--- a/Programs/Gateway/UpstreamSelection.h
+++ b/Programs/Gateway/UpstreamSelection.h
@@ -40,6 +40,8 @@
     auto const startedAt = Now();
     std::optional<engine::WaitTicket> ticket;
     std::optional<engine::UpstreamChoice> result;
+    /// When another load of the model was expected to end at the first refusal.
+    std::optional<base::Instant> loadedAt;
     while (!m_cancellation.IsCancelled() && Now() < WaitEnd(policy)) {
       auto const found = m_state.m_directory.Find(m_context.m_query, Now());
       if (auto const* const choice = std::get_if<engine::UpstreamChoice>(&found)) {
@@ -53,6 +55,19 @@
       }
       auto const absence = std::get<engine::UpstreamAbsence>(found);
       m_record.m_outcome = ToText(absence);
+      if (absence == engine::UpstreamAbsence::BackingOff) {
+        if (ticket) {
+          // The model is loaded, so the planner need not load it for this request.
+          m_state.m_demand.StopWaiting(*m_context.m_query.m_model, *ticket);
+          ticket.reset();
+        }
+        auto const waitEnd = BackoffWaitEnd(policy, loadedAt);
+        if (!waitEnd || Now() >= *waitEnd) {
+          break;
+        }
+        co_await m_state.ModelSignal(*m_context.m_query.m_model).Wait(*waitEnd - Now());
+        continue;
+      }
       if (absence != engine::UpstreamAbsence::ModelNotLoaded ||
           !policy.MayWait(m_state.ForecastFor(m_context.m_query.m_model), Now())) {
         break;
@@ -80,6 +95,20 @@
     return std::min(aPolicy.End(), m_state.m_waitDeadline.value_or(aPolicy.End()));
   }
 
+  /// Returns until when to wait although all upstreams that hold the model want no
+  /// requests: another one may be loading it in time.
+  std::optional<base::Instant> BackoffWaitEnd(caller::WaitPolicy const& aPolicy,
+                                              std::optional<base::Instant>& aLoadedAt) const
+  {
+    auto const forecast = m_state.ForecastFor(m_context.m_query.m_model);
+    auto const opensAt = m_state.m_directory.BackoffEndFor(m_context.m_query, Now());
+    if (!aLoadedAt) {
+      aLoadedAt = forecast && aPolicy.MayWait(forecast, Now()) ? forecast->m_readyAt : Now();
+    }
+    return opensAt ? std::optional(std::min({ *aLoadedAt, *opensAt, WaitEnd(aPolicy) }))
+                   : std::nullopt;
+  }
+
   engine::WaitTicket StartWaiting(caller::WaitPolicy const& aPolicy)
   {
     auto const& model = *m_context.m_query.m_model;
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -166,6 +166,7 @@
     constexpr base::Duration kIdleInterval = std::chrono::milliseconds(100);
     constexpr base::Duration kBusyInterval = std::chrono::milliseconds(25);
     while (true) {
+      co_await WaitForBackoff();
       co_await ReadReport();
       co_await SendNextOrder();
       auto const state = m_orderScheduler.State(m_loop.Now());
@@ -185,6 +186,9 @@
     auto const notice = response ? Wire::DecodeNotice(response->m_status, response->m_headers)
                                  : engine::UpstreamNotice{};
     OnNotice(notice);
+    if (notice.m_retryAfter) {
+      co_return;
+    }
     if (!response || response->m_status != 200) {
       OnReportResult(response ? "status " + std::to_string(response->m_status)
                               : std::string(ToText(response.error().m_kind)));
@@ -206,8 +210,22 @@
     SendStatus(false);
   }
 
+  /// Sends nothing to the engine while it wants no requests from this host.
+  boost::asio::awaitable<void> WaitForBackoff()
+  {
+    while (m_loop.Now() < m_backoffEnd) {
+      co_await m_wake.Wait(m_backoffEnd - m_loop.Now());
+    }
+  }
+
   void OnNotice(engine::UpstreamNotice const& aNotice)
   {
+    if (aNotice.m_retryAfter) {
+      m_backoffEnd = std::max(m_backoffEnd, m_loop.Now() + *aNotice.m_retryAfter);
+      base::log::Info(
+        "engine wants no requests",
+        { { "bound_ms", std::to_string(base::ToMilliseconds(*aNotice.m_retryAfter)) } });
+    }
     if (aNotice.m_isLeaving && !m_isLeaving) {
       base::log::Info("engine announced that it leaves");
     }
@@ -236,7 +254,7 @@
 
   boost::asio::awaitable<void> SendNextOrder()
   {
-    if (!CanOrder()) {
+    if (!CanOrder() || m_loop.Now() < m_backoffEnd) {
       co_return;
     }
     auto const order = m_orderScheduler.Next(m_loop.Now());
@@ -251,6 +269,9 @@
     auto endpoint = *m_profile.m_engine;
     auto const response =
       co_await m_http.Fetch(std::move(endpoint), std::move(request), kOrderTimeout);
+    if (response) {
+      OnNotice(Wire::DecodeNotice(response->m_status, response->m_headers));
+    }
     auto const answer =
       response ? Wire::DecodeOrderResponse(response->m_status) : engine::OrderResponse::Unknown;
     base::log::Info(
@@ -367,6 +388,11 @@
     OnCatalogAnnounced(aPresence);
     auto const engine = aPresence.m_engines.find(*m_profile.m_engine);
     if (engine != aPresence.m_engines.end()) {
+      if (m_instance && m_instance->m_startedAt < engine->second.m_startedAt) {
+        // What an earlier start of the engine asked for does not hold for this one.
+        m_backoffEnd = {};
+        m_wake.Notify();
+      }
       m_instance = engine->second;
     }
     m_planning.OnPresence(aPresence.m_host, aNow);
@@ -430,6 +456,8 @@
   bool m_hasReport = false;
   /// Whether the engine has announced since its start that it leaves.
   bool m_isLeaving = false;
+  /// Until when the engine wants no requests from this host.
+  base::Instant m_backoffEnd{};
   bool m_hasAdapterRequest = false;
 };
 
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -48,6 +48,8 @@
   m_faultInjector.Faults().AddFlag("leaving", m_isDraining);
   m_faultInjector.Faults().AddFlag("unlisted", m_isUnlisted);
   m_faultInjector.Faults().AddFlag("torn_entry", m_hasInvalidEntry);
+  m_faultInjector.Faults().AddText("retry_after_header", m_retryAfterHeader);
+  m_faultInjector.Faults().AddCount("reject_reports", m_reportsToRefuse);
   m_faultInjector.Faults().AddText("leaving_header", m_leavingHeader);
   m_faultInjector.Faults().AddAction("restart", [this] { Restart(); });
   m_faultInjector.Faults().AddMilliseconds("event_ms", m_settings.m_eventTime);
@@ -75,10 +77,14 @@
   m_isBusy = false;
   m_orderSequence = 0;
   m_leavingHeader.clear();
+  m_retryAfterHeader.clear();
 }
 
-void SiteEngine::AddNotices(base::HttpHeaders& aHeaders) const
+void SiteEngine::AddNotices(unsigned aStatus, base::HttpHeaders& aHeaders) const
 {
+  if (aStatus == 503 && !m_retryAfterHeader.empty()) {
+    aHeaders.Add("Retry-After", m_retryAfterHeader);
+  }
   if (!m_leavingHeader.empty()) {
     aHeaders.Add("Server-Leaving", m_leavingHeader);
   }
@@ -87,7 +93,7 @@
 asio::awaitable<void> SiteEngine::Respond(base::HttpExchange& aExchange,
                                           base::HttpResponse aResponse)
 {
-  AddNotices(aResponse.m_headers);
+  AddNotices(aResponse.m_status, aResponse.m_headers);
   co_await m_faultInjector.Respond(aExchange, std::move(aResponse));
 }
 
@@ -154,6 +160,12 @@
     co_return;
   }
   if (request.Path() == "/v1/report") {
+    m_reportReads.push_back(m_loop.Now());
+    if (ConsumeFault(m_reportsToRefuse)) {
+      auto response = Reject(request, 503);
+      co_await Respond(aExchange, std::move(response));
+      co_return;
+    }
     Json::Value report;
     report["stage"] = "colocated";
     report["models"] = Models();
@@ -285,6 +297,7 @@
 asio::awaitable<void> SiteEngine::RunRequest(base::HttpExchange& aExchange)
 {
   auto const& request = aExchange.Request();
+  m_arrivals.push_back(m_loop.Now());
   auto rejection = RejectionStatus(request);
   if (!rejection && ConsumeFault(m_requestsToReject)) {
     rejection = 503;
@@ -308,7 +321,7 @@
       response.m_status = 503;
       co_await Respond(aExchange, std::move(response));
     } else if (ConsumeFault(m_responsesToTruncate)) {
-      AddNotices(response.m_headers);
+      AddNotices(200, response.m_headers);
       co_await aExchange.StartStream(200, response.m_headers);
       co_await aExchange.Write("do");
     } else {
@@ -330,7 +343,7 @@
   }
   bool const isInterrupted = ConsumeFault(m_streamsToInterrupt);
   aHeaders.Add("Content-Type", "text/event-stream");
-  AddNotices(aHeaders);
+  AddNotices(200, aHeaders);
   auto const started = co_await aExchange.StartStream(200, std::move(aHeaders));
   if (!started) {
     co_return;
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -57,6 +57,10 @@
 
   tl::expected<void, std::string> Start();
   std::vector<SiteRun> const& Runs() const { return m_runs; }
+  /// When requests arrived, refused ones included.
+  std::vector<base::Instant> const& Arrivals() const { return m_arrivals; }
+  /// When the engine's report was read.
+  std::vector<base::Instant> const& ReportReads() const { return m_reportReads; }
   std::set<std::string> const& Holders() const { return m_holders; }
   /// Whether an order ever loaded a model beyond the engine's capacity.
   bool HasExceededCapacity() const { return m_hasExceededCapacity; }
@@ -72,7 +76,7 @@
   boost::asio::awaitable<void> Stream(base::HttpExchange& aExchange, base::HttpHeaders aHeaders);
   /// Sends a response with the engine's announcements.
   boost::asio::awaitable<void> Respond(base::HttpExchange& aExchange, base::HttpResponse aResponse);
-  void AddNotices(base::HttpHeaders& aHeaders) const;
+  void AddNotices(unsigned aStatus, base::HttpHeaders& aHeaders) const;
   boost::asio::awaitable<void> Load(std::string aModel);
   boost::asio::awaitable<void> Heartbeat();
   base::HttpResponse Reject(base::HttpRequest const& aRequest, unsigned aStatus) const;
@@ -96,6 +100,11 @@
   bool m_hasInvalidEntry = false;
   /// Value of the header that announces leaving in every response; none if empty.
   std::string m_leavingHeader;
+  /// Value of the header with which refusals ask for no requests; none if empty.
+  std::string m_retryAfterHeader;
+  std::uint64_t m_reportsToRefuse = 0;
+  std::vector<base::Instant> m_arrivals;
+  std::vector<base::Instant> m_reportReads;
   std::uint64_t m_orderSequence = 0;
   unsigned m_running = 0;
   /// Streams and loads that began before the latest restart end silently.
--- a/Tests/UpstreamDirectoryTest.cpp
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -287,3 +287,133 @@
   BOOST_TEST(m_directory.MaySend(after, kStart + milliseconds(1'999)));
   BOOST_TEST(!m_directory.MaySend(after, kStart + seconds(2)));
 }
+
+struct BackoffFixture : Fixture
+{
+  BackoffFixture() { m_directory.OnListed(Entry("one", 1), kStart); }
+
+  std::variant<UpstreamChoice, UpstreamAbsence> Choose(base::Instant aNow)
+  {
+    return m_directory.Find(m_query, aNow);
+  }
+  bool IsOpen(base::Instant aNow) { return std::holds_alternative<UpstreamChoice>(Choose(aNow)); }
+  /// Returns the end of the time without requests.
+  base::Instant Refuse(base::Duration aRetryAfter, base::Instant aNow)
+  {
+    UpstreamChoice choice;
+    choice.m_instance = Instance("one");
+    choice.m_endpoint = { "10.0.0.1", 1 };
+    m_directory.OnBackoff(choice, aRetryAfter, aNow);
+    return m_directory.BackoffEndFor(m_query, aNow).value();
+  }
+
+  UpstreamQuery const m_query{ kDeployment, std::nullopt, std::nullopt, {} };
+};
+
+BOOST_FIXTURE_TEST_CASE(NoRequestIsAllowedBeforeTheTimeWithoutRequestsEnds, BackoffFixture)
+{
+  auto const end = Refuse(seconds(2), kStart);
+  BOOST_TEST((end >= kStart + seconds(2)));
+  BOOST_TEST((end <= kStart + milliseconds(2'500)));
+  BOOST_TEST((std::get<UpstreamAbsence>(Choose(kStart)) == UpstreamAbsence::BackingOff));
+  BOOST_TEST(!IsOpen(end - milliseconds(1)));
+  BOOST_TEST(IsOpen(end));
+  // A shorter time in a later refusal does not end it, a longer one extends it.
+  BOOST_TEST((Refuse(milliseconds(10), kStart + seconds(1)) == end));
+  BOOST_TEST((Refuse(seconds(3), kStart + seconds(1)) >= kStart + seconds(4)));
+}
+
+BOOST_FIXTURE_TEST_CASE(OneTrialIsSentFirstAfterTheTimeWithoutRequests, BackoffFixture)
+{
+  auto const end = Refuse(seconds(2), kStart);
+  auto const trial = std::get<UpstreamChoice>(Choose(end));
+  BOOST_TEST(trial.m_isTrial);
+  m_directory.OnTrialStarted(trial, end);
+  BOOST_TEST(m_directory.MaySend(trial, end));
+  BOOST_TEST(!IsOpen(end + milliseconds(999)));
+  BOOST_TEST(IsOpen(end + seconds(1)));
+  // One that ends without an answer, or with a refusal, is followed by another.
+  m_directory.OnTrialEnded(trial);
+  BOOST_TEST(IsOpen(end));
+  m_directory.OnTrialStarted(trial, end);
+  m_directory.OnTrialAnswered(trial, true);
+  BOOST_TEST(std::get<UpstreamChoice>(Choose(end)).m_isTrial);
+  m_directory.OnTrialStarted(trial, end);
+  m_directory.OnTrialAnswered(trial, false);
+  BOOST_TEST(!std::get<UpstreamChoice>(Choose(end)).m_isTrial);
+  BOOST_TEST(m_directory.TakeBackoffEnds().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnswerFromBeforeTheRefusalEndsNoTimeWithoutRequests, BackoffFixture)
+{
+  auto const before = std::get<UpstreamChoice>(Choose(kStart));
+  auto const end = Refuse(seconds(2), kStart);
+  BOOST_TEST(!m_directory.MaySend(before, kStart));
+  BOOST_TEST(!m_directory.MaySend(before, end));
+  m_directory.OnTrialAnswered(before, false);
+  BOOST_TEST(!IsOpen(kStart + seconds(1)));
+  auto const trial = std::get<UpstreamChoice>(Choose(end));
+  Refuse(seconds(2), end);
+  m_directory.OnTrialAnswered(trial, false);
+  m_directory.OnTrialEnded(trial);
+  BOOST_TEST(!IsOpen(end + seconds(1)));
+}
+
+BOOST_FIXTURE_TEST_CASE(OnlyARestartEndsTheTimeWithoutRequestsEarly, BackoffFixture)
+{
+  Refuse(seconds(60), kStart);
+  m_directory.OnListed(Entry("one", 1), kStart);
+  BOOST_TEST(!IsOpen(kStart));
+  m_directory.OnRemoved(Instance("one"), kStart + seconds(1), kStart);
+  m_directory.Expire(kStart + seconds(2));
+  m_directory.OnListed(Entry("one", 1), kStart + seconds(3));
+  BOOST_TEST(!IsOpen(kStart + seconds(3)));
+  auto restarted = Entry("one", 1);
+  restarted.m_startedAt = 7;
+  m_directory.OnListed(restarted, kStart + seconds(4));
+  BOOST_TEST(IsOpen(kStart + seconds(4)));
+}
+
+BOOST_FIXTURE_TEST_CASE(ATimeWithoutRequestsIsNoFailure, BackoffFixture)
+{
+  auto const end = Refuse(milliseconds(100), kStart);
+  m_directory.OnListed(Entry("two", 2), kStart);
+  // The other upstream may still be paused, and this one is not.
+  BOOST_TEST(m_directory.OnStuck(Instance("two"), kStart).has_value());
+  BOOST_TEST(!IsOpen(kStart));
+  BOOST_TEST((Find(std::nullopt, end) == Instance("one")));
+}
+
+BOOST_AUTO_TEST_CASE(ProcessesDoNotReturnAtTheSameTime)
+{
+  std::set<base::Instant> ends;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    BackoffFixture fixture;
+    fixture.m_directory = UpstreamDirectory({}, kLocalFailureDomain, seed);
+    fixture.m_directory.OnListed(Entry("one", 1), kStart);
+    ends.insert(fixture.Refuse(seconds(2), kStart));
+  }
+  BOOST_TEST(ends.size() == 10U);
+}
+
+BOOST_FIXTURE_TEST_CASE(TheSoonestEndAmongUpstreamsThatHoldTheModelIsReported, Fixture)
+{
+  UpstreamQuery const query{ kDeployment, kModel, std::nullopt, { Instance("one") } };
+  for (std::uint16_t port = 1; port <= 3; ++port) {
+    auto const name = std::string(port == 1 ? "one" : port == 2 ? "two" : "other");
+    auto const models =
+      port == 3 ? std::vector<HeldModel>{} : std::vector<HeldModel>{ { kModel, {} } };
+    m_directory.OnListed(Entry(name, port, models), kStart);
+  }
+  BOOST_TEST(!m_directory.BackoffEndFor(query, kStart).has_value());
+  UpstreamChoice choice;
+  for (std::uint16_t port = 1; port <= 2; ++port) {
+    choice.m_instance = Instance(port == 1 ? "one" : "two");
+    choice.m_endpoint = { "10.0.0.1", port };
+    m_directory.OnBackoff(choice, seconds(port * 4), kStart);
+    BOOST_TEST(m_directory.BackoffEndFor(query, kStart).has_value() == (port == 2));
+  }
+  BOOST_TEST((m_directory.BackoffEndFor(query, kStart) < kStart + milliseconds(5'001)));
+  BOOST_TEST(
+    (std::get<UpstreamAbsence>(m_directory.Find(query, kStart)) == UpstreamAbsence::BackingOff));
+}
--- a/Tests/UpstreamNoticeTest.cpp
+++ b/Tests/UpstreamNoticeTest.cpp
@@ -45,6 +45,18 @@
     return static_cast<unsigned>(aEngine.Runs().size());
   }
 
+  /// Returns the seconds in the response's Retry-After, or 0.
+  static double RetryAfter(base::HttpResponse const& aResponse)
+  {
+    return std::stod(std::string(aResponse.m_headers.Find("Retry-After").value_or("0")));
+  }
+
+  void RefuseOnce(standins::SiteEngine& aEngine, char const* aRetryAfter)
+  {
+    SetFault(aEngine, "retry_after_header", aRetryAfter);
+    SetFault(aEngine, "reject_requests", 1);
+  }
+
   bool HasMetric(std::string const& aLine) const
   {
     return m_gateway->Metrics().Render().find(aLine) != std::string::npos;
@@ -68,6 +80,30 @@
   BOOST_TEST(!Wire::DecodeNotice(200, {}).m_isMalformed);
 }
 
+BOOST_AUTO_TEST_CASE(RetryAfterIsReadFrom503OnlyAndMalformedValuesCountAsAbsent)
+{
+  auto const decode = [](char const* aText, unsigned aStatus = 503) {
+    return Wire::DecodeNotice(aStatus, Headers("Retry-After", aText));
+  };
+  BOOST_TEST((decode("3").m_retryAfter == 3s));
+  BOOST_TEST((decode("0.25").m_retryAfter == 250ms));
+  BOOST_TEST((decode("100000000000000000000").m_retryAfter == 24h));
+  for (auto const* const text :
+       { "", "-1", "-0", "nan", "inf", "1e3", "3 s", "1, 2", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+    BOOST_TEST(!decode(text).m_retryAfter.has_value(), text);
+    BOOST_TEST(decode(text).m_isMalformed, text);
+  }
+  BOOST_TEST(!decode("0").m_retryAfter.has_value());
+  BOOST_TEST(!decode("0").m_isMalformed);
+  for (auto const status : { 200U, 429U, 500U }) {
+    BOOST_TEST(!decode("3", status).m_retryAfter.has_value());
+    BOOST_TEST(!decode("soon", status).m_isMalformed);
+  }
+  auto repeated = Headers("Retry-After", "3");
+  repeated.Add("Retry-After", "5");
+  BOOST_TEST(!Wire::DecodeNotice(503, repeated).m_retryAfter.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(AnUpstreamThatAnnouncedLeavingGetsNoRequestAfterTheDrainDelay,
                         NoticeFixture)
 {
@@ -167,3 +203,149 @@
     BOOST_TEST(RunsOf("r1") == 1U);
   });
 }
+
+BOOST_FIXTURE_TEST_CASE(AnUpstreamThatWantsNoRequestsGetsNoneUntilItsTimeEnds, NoticeFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RefuseOnce(*m_service, "1.5");
+    auto const refusedAt = m_loop.Now();
+    auto const first = co_await Order("r0");
+    BOOST_TEST(first.m_status == 503U);
+    BOOST_TEST(RetryAfter(first) >= 1.4);
+    BOOST_TEST(RetryAfter(first) <= 1.9);
+    for (auto const* const id : { "r1", "r2", "r3", "r4", "r5" }) {
+      co_await m_loop.Sleep(250ms);
+      auto const response = co_await Order(id);
+      BOOST_TEST(response.m_status == 503U);
+      BOOST_TEST(response.m_body.find("upstreams want no requests") != std::string::npos);
+      double const elapsed = base::ToSeconds(m_loop.Now() - refusedAt);
+      BOOST_TEST(RetryAfter(response) >= 1.5 - elapsed);
+      BOOST_TEST(RetryAfter(response) <= 1.9 - elapsed + 0.1);
+    }
+    // Each was refused at once.
+    BOOST_TEST((m_loop.Now() - refusedAt < 1'500ms));
+    BOOST_TEST(m_service->Arrivals().size() == 1U);
+    co_await m_loop.Sleep(refusedAt + 1'950ms - m_loop.Now());
+    auto const served = co_await Order("r6");
+    BOOST_TEST(served.m_status == 200U);
+    BOOST_TEST(HasMetric("sardinefold_gateway_upstream_backoffs_total 1"));
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ARefusalWithoutProofThatAsksForNoRequestsIsObeyedAndMakesNoRetry,
+                        NoticeFixture)
+{
+  Run([&]() -> awaitable<void> {
+    SetFault(*m_service, "retry_after_header", "2");
+    SetFault(*m_service, "refuse_after_run", 1);
+    auto const first = co_await Order("r0");
+    BOOST_TEST(first.m_status == 502U);
+    auto const second = co_await Order("r1");
+    BOOST_TEST(second.m_status == 503U);
+    BOOST_TEST(m_service->Arrivals().size() == 1U);
+    BOOST_TEST(!HasMetric(R"(reason="upstream refused without proof")"));
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ARestartEndsTheTimeInWhichAnUpstreamWantsNoRequests, NoticeFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RefuseOnce(*m_service, "60");
+    auto const refused = co_await Order("r0");
+    BOOST_TEST(refused.m_status == 503U);
+    SetFault(*m_service, "restart", true);
+    co_await m_loop.Sleep(700ms);
+    auto const served = co_await Order("r1");
+    BOOST_TEST(served.m_status == 200U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AMalformedRetryAfterRestrictsNothing, NoticeFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RefuseOnce(*m_service, "tomorrow");
+    auto const refused = co_await Order("r0");
+    BOOST_TEST(refused.m_status == 503U);
+    auto const served = co_await Order("r1");
+    BOOST_TEST(served.m_status == 200U);
+    BOOST_TEST(HasMetric("sardinefold_gateway_malformed_notices_total 1"));
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(RequestsGoElsewhereWhileAnEngineWantsNone, NoticeFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RefuseOnce(*m_engines[0], "4");
+    for (int number = 0; number < 12; ++number) {
+      co_await Ask("common", "r" + std::to_string(number));
+    }
+    BOOST_TEST(m_engines[0]->Arrivals().size() == 1U);
+    BOOST_TEST(RunsAt(*m_engines[1]) == 12U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(RequestsThatWaitedForAModelAreRefusedAtOnceIfItsEngineWantsNone,
+                        NoticeFixture)
+{
+  unsigned served = 0;
+  unsigned refused = 0;
+  unsigned ended = 0;
+  for (auto const& engine : m_engines) {
+    RefuseOnce(*engine, "6");
+  }
+  auto ask = [&](std::string aId) -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", std::move(aId), "rare");
+    auto const response = co_await Send(std::move(request));
+    ++ended;
+    served += response && response->m_status == 200 ? 1 : 0;
+    bool const isTrue = response && response->m_status == 503 && RetryAfter(*response) > 4;
+    refused += isTrue ? 1 : 0;
+  };
+  Run([&]() -> awaitable<void> {
+    for (int number = 0; number < 4; ++number) {
+      m_loop.Start(ask("r" + std::to_string(number)));
+    }
+    co_await m_loop.Sleep(1'500ms);
+    BOOST_TEST(ended == 4U);
+    BOOST_TEST(served == 3U);
+    BOOST_TEST(refused == 1U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestWaitsForALoadElsewhereNoLongerThanItWasForecast, NoticeFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RefuseOnce(*m_engines[0], "6");
+    for (auto const wait : { 0ms, 400ms }) {
+      auto const start = m_loop.Now();
+      if (wait > 0ms) {
+        auto const model = base::ModelId::FromValidated("own1");
+        m_gateway->State().m_modelForecasts[model] = { start + wait, start };
+      }
+      auto request = ModelRequest("/chat/x", "r" + std::to_string(wait.count()), "own1");
+      auto const response = co_await Send(std::move(request));
+      BOOST_REQUIRE(response.has_value());
+      BOOST_TEST(response->m_status == 503U);
+      BOOST_TEST(RetryAfter(*response) > 4);
+      BOOST_TEST((m_loop.Now() - start >= wait));
+      BOOST_TEST((m_loop.Now() - start < wait + 350ms));
+    }
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(ALoaderReadsNoReportWhileItsEngineWantsNoRequests, NoticeFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto& engine = *m_engines[0];
+    SetFault(engine, "retry_after_header", "1");
+    SetFault(engine, "reject_reports", 1);
+    co_await m_loop.Sleep(300ms);
+    auto const reads = engine.ReportReads().size();
+    co_await m_loop.Sleep(500ms);
+    BOOST_TEST(engine.ReportReads().size() == reads);
+    // The engine still serves the gateway, and is read again later.
+    co_await Ask("own1", "r1");
+    co_await m_loop.Sleep(700ms);
+    BOOST_TEST(engine.ReportReads().size() > reads);
+  });
+}
