--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -109,6 +109,9 @@
       }
       m_history.OnEnd(end);
       RecordFailedAttempt(*choice, end);
+      if (end == AttemptEnd::NotSent) {
+        continue;
+      }
       m_context.m_query.m_excluded.insert(choice->m_instance);
       if (!m_history.MayRetry(m_context.m_route)) {
         co_await FailRequest();
@@ -123,6 +126,7 @@
     m_history.OnSent();
     m_relay.OnNewAttempt();
     m_state.m_directory.OnSent(aChoice.m_instance);
+    m_state.m_directory.OnTrialStarted(aChoice, Now());
     if (m_context.m_query.m_model) {
       m_state.m_demand.StartRunning(*m_context.m_query.m_model);
     }
@@ -144,6 +148,7 @@
   void OnAttemptEnded(engine::UpstreamChoice const& aChoice)
   {
     m_state.m_directory.OnDone(aChoice.m_instance, m_relay.HasResponseStarted());
+    m_state.m_directory.OnTrialEnded(aChoice);
     if (m_context.m_query.m_model) {
       m_state.m_demand.StopRunning(*m_context.m_query.m_model);
     }
@@ -191,8 +196,11 @@
     if (m_history.MayHaveRun()) {
       refusal.m_status = isPastDeadline ? 504 : 502;
     } else {
+      auto const backoffEnd = m_state.m_directory.BackoffEndFor(m_context.m_query, Now());
       refusal.m_retryAfter =
-        caller::WaitPolicy::RetryAfter(m_state.ForecastFor(m_context.m_query.m_model), Now());
+        backoffEnd
+          ? *backoffEnd - Now()
+          : caller::WaitPolicy::RetryAfter(m_state.ForecastFor(m_context.m_query.m_model), Now());
     }
     co_await Refuse(refusal);
   }
@@ -213,7 +221,7 @@
       m_context.m_route.MayRepeat() ? kRepeatableIdle : kNonRepeatableIdle,
       base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_context.m_request.m_id.Text() },
       // The upstream may have become unusable while the connection was set up.
-      [this, &aChoice] { return m_state.m_directory.IsUsable(aChoice.m_instance, Now()); }
+      [this, &aChoice] { return m_state.m_directory.MaySend(aChoice, Now()); }
     };
     auto endpoint = aChoice.m_endpoint;
     auto reply =
@@ -225,6 +233,9 @@
       m_record.m_outcome = ToText(reply.error().m_kind);
       m_state.RecordTransportFailure(reply.error(), m_context.m_fingerprint, aChoice,
                                      m_context.m_end);
+      if (reply.error().m_kind == base::HttpFailure::Kind::Withdrawn) {
+        co_return AttemptEnd::NotSent;
+      }
       co_return reply.error().m_mayHaveBeenSent ? AttemptEnd::Unknown : AttemptEnd::NotRun;
     }
     co_return co_await m_relay.Relay(*reply, aChoice);
--- a/Programs/Gateway/UpstreamSelection.h
+++ b/Programs/Gateway/UpstreamSelection.h
@@ -40,6 +40,8 @@
     auto const startedAt = Now();
     std::optional<engine::WaitTicket> ticket;
     std::optional<engine::UpstreamChoice> result;
+    // When another load of the model was expected to end at the first refusal.
+    std::optional<base::Instant> loadedAt;
     // The end of the wait bounds waiting only: a usable upstream is chosen until the
     // request's deadline.
     while (!m_cancellation.IsCancelled() && Now() < m_context.m_end) {
@@ -58,6 +60,19 @@
       }
       auto const absence = std::get<engine::UpstreamAbsence>(found);
       m_record.m_outcome = ToText(absence);
+      if (absence == engine::UpstreamAbsence::BackingOff) {
+        if (ticket) {
+          // The model is loaded, so the planner need not load it for this request.
+          m_state.m_demand.StopWaiting(*m_context.m_query.m_model, *ticket);
+          ticket.reset();
+        }
+        auto const waitEnd = BackoffWaitEnd(policy, loadedAt);
+        if (!waitEnd || Now() >= *waitEnd) {
+          break;
+        }
+        co_await m_state.ModelSignal(*m_context.m_query.m_model).Wait(*waitEnd - Now());
+        continue;
+      }
       if (absence != engine::UpstreamAbsence::ModelNotLoaded || Now() >= WaitEnd(policy) ||
           !policy.MayWait(m_state.ForecastFor(m_context.m_query.m_model), Now())) {
         break;
@@ -85,6 +100,20 @@
     return std::min(aPolicy.End(), m_state.m_waitDeadline.value_or(aPolicy.End()));
   }
 
+  /// Returns until when to wait although all upstreams that hold the model want no
+  /// requests: another one may be loading it in time.
+  std::optional<base::Instant> BackoffWaitEnd(caller::WaitPolicy const& aPolicy,
+                                              std::optional<base::Instant>& aLoadedAt) const
+  {
+    auto const forecast = m_state.ForecastFor(m_context.m_query.m_model);
+    auto const opensAt = m_state.m_directory.BackoffEndFor(m_context.m_query, Now());
+    if (!aLoadedAt) {
+      aLoadedAt = forecast && aPolicy.MayWait(forecast, Now()) ? forecast->m_readyAt : Now();
+    }
+    return opensAt ? std::optional(std::min({ *aLoadedAt, *opensAt, WaitEnd(aPolicy) }))
+                   : std::nullopt;
+  }
+
   engine::WaitTicket StartWaiting(caller::WaitPolicy const& aPolicy)
   {
     auto const& model = *m_context.m_query.m_model;
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -167,6 +167,7 @@
     constexpr base::Duration kIdleInterval = std::chrono::milliseconds(100);
     constexpr base::Duration kBusyInterval = std::chrono::milliseconds(25);
     while (true) {
+      co_await WaitForBackoff();
       co_await ReadReport();
       co_await SendNextOrder();
       auto const state = m_orderScheduler.State(m_loop.Now());
@@ -183,6 +184,12 @@
     auto endpoint = *m_profile.m_engine;
     auto const response =
       co_await m_http.Fetch(std::move(endpoint), std::move(request), kEngineReportTimeout);
+    auto const notice = response ? Wire::DecodeNotice(response->m_status, response->m_headers)
+                                 : engine::UpstreamNotice{};
+    OnNotice(notice);
+    if (notice.m_retryAfter) {
+      co_return;
+    }
     if (!response || response->m_status != 200) {
       OnReportResult(response ? "status " + std::to_string(response->m_status)
                               : std::string(ToText(response.error().m_kind)));
@@ -194,11 +201,38 @@
       co_return;
     }
     OnReportResult("");
+    bool const isRestart =
+      m_orderScheduler.Report() && m_orderScheduler.Report()->m_startedAt != report->m_startedAt;
+    if (isRestart) {
+      m_isLeaving = notice.m_isLeaving;
+    }
     m_orderScheduler.OnReport(std::move(*report), m_loop.Now());
     m_loadMetrics.OnReport(*m_orderScheduler.Report(), m_loop.Now());
     SendStatus(false);
   }
 
+  /// Sends nothing to the engine while it wants no requests from this host.
+  boost::asio::awaitable<void> WaitForBackoff()
+  {
+    while (m_loop.Now() < m_backoffEnd) {
+      co_await m_wake.Wait(m_backoffEnd - m_loop.Now());
+    }
+  }
+
+  void OnNotice(engine::UpstreamNotice const& aNotice)
+  {
+    if (aNotice.m_retryAfter) {
+      m_backoffEnd = std::max(m_backoffEnd, m_loop.Now() + *aNotice.m_retryAfter);
+      base::log::Info(
+        "engine wants no requests",
+        { { "bound_ms", std::to_string(base::ToMilliseconds(*aNotice.m_retryAfter)) } });
+    }
+    if (aNotice.m_isLeaving && !m_isLeaving) {
+      base::log::Info("engine announced that it leaves");
+    }
+    m_isLeaving = m_isLeaving || aNotice.m_isLeaving;
+  }
+
   /// Records whether the engine's report could be read. Without one nothing is
   /// known of the engine, and gateways are notified of that.
   void OnReportResult(std::string const& aError)
@@ -221,7 +255,7 @@
 
   boost::asio::awaitable<void> SendNextOrder()
   {
-    if (!CanOrder()) {
+    if (!CanOrder() || m_loop.Now() < m_backoffEnd) {
       co_return;
     }
     auto const order = m_orderScheduler.Next(m_loop.Now());
@@ -241,6 +275,9 @@
     base::HttpSendOptions options{ kOrderTimeout, nullptr, std::nullopt, id, nullptr };
     auto const response =
       co_await m_http.Fetch(std::move(endpoint), std::move(request), std::move(options));
+    if (response) {
+      OnNotice(Wire::DecodeNotice(response->m_status, response->m_headers));
+    }
     auto const answer =
       response ? Wire::DecodeOrderResponse(response->m_status) : engine::OrderResponse::Unknown;
     base::log::Info(
@@ -288,6 +325,9 @@
     status.m_change.m_readyIn = state.m_loading ? state.m_readyAt - now : base::Duration::zero();
     status.m_change.m_unloading = state.m_unloading;
     status.m_canOrder = CanOrder();
+    if (m_isLeaving && report) {
+      status.m_leavingStart = report->m_startedAt;
+    }
     status.m_gatewaysPresent = static_cast<unsigned>(m_gateways.Size());
     return status;
   }
@@ -354,6 +394,11 @@
     OnCatalogAnnounced(aPresence);
     auto const engine = aPresence.m_engines.find(*m_profile.m_engine);
     if (engine != aPresence.m_engines.end()) {
+      if (m_instance && m_instance->m_startedAt < engine->second.m_startedAt) {
+        // What an earlier start of the engine asked for does not hold for this one.
+        m_backoffEnd = {};
+        m_wake.Notify();
+      }
       m_instance = engine->second;
     }
     m_planning.OnPresence(aPresence.m_host, aNow);
@@ -415,6 +460,10 @@
   StatusSender m_gatewayStatus;
   StatusSender m_plannerStatus;
   bool m_hasReport = false;
+  /// Whether the engine has announced since its start that it leaves.
+  bool m_isLeaving = false;
+  /// Until when the engine wants no requests from this host.
+  base::Instant m_backoffEnd{};
   bool m_hasAdapterRequest = false;
 };
 
