--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -53,10 +53,11 @@
     if (!head.m_isForRequest) {
       co_return FailAttempt("answer may be for another request", aChoice);
     }
-    if (!head.m_isWrongEngine) {
-      auto const notice = Wire::DecodeNotice(aReply.Status(), aReply.Headers());
-      RecordNotice(m_state, notice, aChoice);
-    }
+    // Another engine at the address speaks for itself.
+    auto const notice = head.m_isWrongEngine
+                          ? engine::UpstreamNotice{}
+                          : Wire::DecodeNotice(aReply.Status(), aReply.Headers());
+    RecordNotice(m_state, notice, aChoice);
     m_state.m_directory.OnTrialAnswered(aChoice, ImpliesNotRun(head.m_status));
     if (head.m_load) {
       m_state.m_directory.OnLoadReported(aChoice.m_instance, head.m_load->m_running,
