--- a/Meta/explain_failures.py
+++ b/Meta/explain_failures.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Reproduces the three failed requests of docs/OPERATIONS.md with real processes
+"""Reproduces the failed requests of docs/OPERATIONS.md with real processes
 and follows the steps of that page from a request's id to the cause, using only
 logs and metrics."""
 import json
@@ -12,6 +12,7 @@
 from demo_platform import GATEWAYS, Site, call
 from fleet import ROOT
 
+SERVICE = "127.0.3.1"
 FAILED = []
 # A line "explain_failures STEP: ..." excuses a failure of that step only.
 KNOWN_RED = (ROOT / "KNOWN-RED.txt").read_text().splitlines()
@@ -117,6 +118,33 @@
     check("the refusal is counted", count >= 1, count)
 
 
+def refused_by_announcements(site, logs):
+    print("refused because its upstream wants no requests")
+    set_faults(site, SERVICE, retry_after_header="1.5", reject_requests=1)
+    site.send_request("/order/x", "first")
+    status, headers, _ = site.send_request("/order/x", "unwanted")
+    check("the next one is refused at once", status == 503, status)
+    end = logs.wait_for_line("front-1", "request ended", request="unwanted")
+    check("its end says so", end.get("outcome") == "upstreams want no requests" and end.get("sends") == "0", end)
+    line = logs.wait_for_line("front-1", "upstream wants no requests")
+    check("a line names the upstream and the time", 1500 <= int(line.get("bound_ms", 0)) <= 1900, line)
+    count = logs.sum_metric(GATEWAYS["front-1"], "sardinefold_gateway_upstream_backoffs_total")
+    check("the time is counted", count == 1, count)
+    time.sleep(2.0)
+    site.send_request("/order/x", "trial")
+    again = logs.wait_for_line("front-1", "upstream takes requests again", upstream=line.get("upstream"))
+    check("a line says when it ended", again.get("reason") == "trial answered", again)
+    print("refused because its upstream leaves")
+    set_faults(site, SERVICE, leaving_header="1")
+    site.send_request("/order/x", "last")
+    time.sleep(2.2)
+    status, _, _ = site.send_request("/order/x", "late-order")
+    end = logs.wait_for_line("front-1", "request ended", request="late-order")
+    check("its end says so", status == 503 and end.get("outcome") == "upstreams are leaving", end)
+    line = logs.wait_for_line("front-1", "upstream announced that it leaves", source="response")
+    check("a line names the upstream and the bound", line.get("bound_ms") == "2000", line)
+
+
 def main():
     with tempfile.TemporaryDirectory() as folder:
         site = Site(folder)
@@ -127,6 +155,7 @@
             response_delayed_by_model_load(site, logs)
             interrupted_stream(site, logs)
             refused_within_allowance(site, logs)
+            refused_by_announcements(site, logs)
         finally:
             site.stop()
     print(f"{len(FAILED)} steps failed")
