Gateway: Continue a stream only with the events that follow

A stream had begun and broken off, and the next upstream answered with a success that was not its continuation. Callers found the other answer's body in their stream, missed or repeated events, or took the stream for complete after a 204 or an empty answer that ended with its connection. Errors were kept out already.

An answer of a streaming route is now relayed only if it is a 200 whose type is an event stream. The first event of an attempt that resumes a stream, the gateway's own or a caller's, must have the number after the last one that the caller has, and numbers must increase; anything else ends the attempt. A stream without events is complete only if it resumes one and its framing shows its end. The head goes to the caller with the first events, so that an answer that turns out to be no stream can still be replaced or refused.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -111,6 +111,7 @@
 {
   auto const& head = m_connection->m_parser->get();
   m_status = head.result_int();
+  m_endsWithConnection = m_connection->m_parser->need_eof();
   m_isFirstOnConnection = !m_connection->m_hasResponded;
   m_connection->m_hasResponded = true;
   for (auto const& field : head) {
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -114,6 +114,10 @@
   /// cannot belong to an earlier request.
   bool IsFirstOnConnection() const { return m_isFirstOnConnection; }
 
+  /// Returns whether the body has neither a length nor chunks, so that its end cannot
+  /// be told from a closed connection.
+  bool EndsWithConnection() const { return m_endsWithConnection; }
+
   /// Returns the next bytes of the body as they arrive, or an empty text at its
   /// end. Fails with TimedOut if nothing arrives within the timeout, and with
   /// TooLarge if data other than the body, such as a chunk extension, is too long.
@@ -135,6 +139,7 @@
   unsigned m_status = 0;
   HttpHeaders m_headers;
   bool m_isFirstOnConnection = false;
+  bool m_endsWithConnection = false;
   bool m_complete = false;
 };
 
--- a/Programs/Gateway/EventBuffer.h
+++ b/Programs/Gateway/EventBuffer.h
@@ -2,9 +2,11 @@
 
 #include "Caller/ForwardRequest.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sardinefold::programs {
 
@@ -45,6 +47,22 @@
   std::string m_pending;
 };
 
+/// Splits a sequence of complete events into the events.
+inline std::vector<std::string_view> SplitEvents(std::string_view aEvents)
+{
+  std::vector<std::string_view> events;
+  while (!aEvents.empty()) {
+    auto const lf = aEvents.find("\n\n");
+    auto const crlf = aEvents.find("\r\n\r\n");
+    auto const lfEnd = lf == std::string_view::npos ? aEvents.size() : lf + 2;
+    auto const crlfEnd = crlf == std::string_view::npos ? aEvents.size() : crlf + 4;
+    auto const end = std::min(lfEnd, crlfEnd);
+    events.push_back(aEvents.substr(0, end));
+    aEvents.remove_prefix(end);
+  }
+  return events;
+}
+
 /// Returns the last event of a sequence of complete events.
 inline std::string_view LastEvent(std::string_view aEvents)
 {
--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Cancellation.h"
+#include "Base/CaseInsensitive.h"
 #include "Base/Http/HttpClient.h"
 #include "Base/Http/HttpExchange.h"
 #include "Caller/AttemptHistory.h"
@@ -73,6 +74,9 @@
       co_return FailAttempt("answer is not the upstream's", aChoice);
     }
     if (head.IsSuccess() && m_context.m_route.m_repeatability == operators::Repeatability::Stream) {
+      if (!IsEventStream(aReply)) {
+        co_return FailAttempt("answer is no event stream", aChoice);
+      }
       co_return co_await RelayStream(aReply, aChoice);
     }
     co_return co_await RelayComplete(aReply, head, aChoice);
@@ -231,14 +235,6 @@
   boost::asio::awaitable<AttemptEnd> RelayStream(base::HttpReply& aReply,
                                                  engine::UpstreamChoice const& aChoice)
   {
-    if (!m_exchange.HasStarted()) {
-      auto headers = Wire::EncodeResponseHeaders(aReply.Headers());
-      auto const started = co_await m_exchange.StartStream(aReply.Status(), std::move(headers));
-      if (!started) {
-        co_return AttemptEnd::CallerGone;
-      }
-      m_record.m_status = aReply.Status();
-    }
     EventBuffer events;
     while (!aReply.IsComplete()) {
       auto const chunk = co_await ReadChunk(aReply, aChoice);
@@ -252,6 +248,15 @@
       if (complete.empty()) {
         continue;
       }
+      if (!ContinuesStream(complete)) {
+        co_return FailAttempt("stream continues at another event", aChoice);
+      }
+      if (!m_exchange.HasStarted()) {
+        auto const started = co_await StartStream(aReply);
+        if (!started) {
+          co_return AttemptEnd::CallerGone;
+        }
+      }
       OnEvents(complete, aChoice);
       auto const written = co_await m_exchange.Write(complete);
       if (!written) {
@@ -261,12 +266,53 @@
     if (!events.PartialEvent().empty()) {
       co_return FailAttempt("stream ended inside an event", aChoice);
     }
+    if (!m_hasResponseStarted && (!m_history.HasBegun() || aReply.EndsWithConnection())) {
+      // Nothing tells such a stream from one that was broken off at its start.
+      co_return FailAttempt("stream without events", aChoice);
+    }
     m_state.RecordResponse(aChoice, m_context.m_fingerprint, m_sentAt, true);
     m_record.m_outcome = "answered";
     auto const finished = co_await m_exchange.Finish();
     co_return finished ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
   }
 
+  static bool IsEventStream(base::HttpReply const& aReply)
+  {
+    constexpr unsigned kOk = 200;
+    auto const type = aReply.Headers().Find("Content-Type").value_or("text/event-stream");
+    auto const media = type.substr(0, type.find_first_of("; \t"));
+    return aReply.Status() == kOk && base::EqualIgnoringCase(media, "text/event-stream");
+  }
+
+  boost::asio::awaitable<base::HttpExchange::Result> StartStream(base::HttpReply const& aReply)
+  {
+    auto headers = Wire::EncodeResponseHeaders(aReply.Headers());
+    m_record.m_status = aReply.Status();
+    co_return co_await m_exchange.StartStream(aReply.Status(), std::move(headers));
+  }
+
+  /// Whether the numbers of the events increase. The first event of an attempt that
+  /// resumes a stream must have the number after the last one that the caller has.
+  bool ContinuesStream(std::string_view aEvents) const
+  {
+    auto last = m_history.LastEvent();
+    bool mustFollow = !m_hasResponseStarted;
+    if (!last && m_context.m_request.m_resumeAfter) {
+      last = m_context.m_request.m_resumeAfter;
+    }
+    for (auto const event : SplitEvents(aEvents)) {
+      auto const number = Wire::DecodeEventNumber(event);
+      bool const isNext =
+        !last || (number ? (mustFollow ? *number == last->Next() : *number > *last) : !mustFollow);
+      if (!isNext) {
+        return false;
+      }
+      mustFollow = false;
+      last = number ? number : last;
+    }
+    return true;
+  }
+
   void OnEvents(std::string_view aEvents, engine::UpstreamChoice const& aChoice)
   {
     m_history.OnForwarded(Wire::DecodeEventNumber(LastEvent(aEvents)));
