Programs: Start a caller's stream with its first event

Callers whose upstream ended before it had sent an event got a response head and then a broken stream, in place of an honest 502 or of the whole answer of another upstream.

Cause: ResponseRelay started the caller's stream when the head of the upstream's response arrived. From then on a failure can only be shown by closing the connection.

Evidence: the new test in GatewayTest failed before: the response to a request whose engine closed the connection between head and first event was broken off.

Now the response starts with the first events, under the head of the upstream that sent them. An empty stream that ends properly is still answered.

--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -228,14 +228,6 @@
   boost::asio::awaitable<AttemptEnd> RelayStream(base::HttpReply& aReply,
                                                  engine::UpstreamChoice const& aChoice)
   {
-    if (!m_exchange.HasStarted()) {
-      auto headers = Wire::EncodeResponseHeaders(aReply.Headers());
-      auto const started = co_await m_exchange.StartStream(aReply.Status(), std::move(headers));
-      if (!started) {
-        co_return AttemptEnd::CallerGone;
-      }
-      m_record.m_status = aReply.Status();
-    }
     EventBuffer events;
     while (!aReply.IsComplete()) {
       auto const chunk = co_await ReadChunk(aReply, aChoice);
@@ -250,6 +242,9 @@
         continue;
       }
       OnEvents(complete, aChoice);
+      if (!co_await StartCallersStream(aReply)) {
+        co_return AttemptEnd::CallerGone;
+      }
       auto const written = co_await m_exchange.Write(complete);
       if (!written) {
         co_return AttemptEnd::CallerGone;
@@ -258,12 +253,28 @@
     if (!events.PartialEvent().empty()) {
       co_return FailAttempt("stream ended inside an event", aChoice);
     }
+    if (!co_await StartCallersStream(aReply)) {
+      co_return AttemptEnd::CallerGone;
+    }
     m_state.RecordResponse(aChoice, m_context.m_fingerprint, m_sentAt, true);
     m_record.m_outcome = "answered";
     auto const finished = co_await m_exchange.Finish();
     co_return finished ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
   }
 
+  /// Starts the caller's response with the head of the upstream whose events it
+  /// gets. Until the first event, the request may still be refused or sent again.
+  boost::asio::awaitable<bool> StartCallersStream(base::HttpReply const& aReply)
+  {
+    if (m_exchange.HasStarted()) {
+      co_return true;
+    }
+    auto headers = Wire::EncodeResponseHeaders(aReply.Headers());
+    auto const started = co_await m_exchange.StartStream(aReply.Status(), std::move(headers));
+    m_record.m_status = aReply.Status();
+    co_return started.has_value();
+  }
+
   void OnEvents(std::string_view aEvents, engine::UpstreamChoice const& aChoice)
   {
     m_history.OnForwarded(Wire::DecodeEventNumber(LastEvent(aEvents)));
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -45,6 +45,8 @@
   m_faultInjector.Faults().AddCount("fail_resumed", m_resumesToFail);
   m_faultInjector.Faults().AddCount("lose_orders", m_orderResponsesToLose);
   m_faultInjector.Faults().AddCount("truncate_answers", m_responsesToTruncate);
+  m_faultInjector.Faults().AddCount("cut_streams", m_streamsToCut);
+  m_faultInjector.Faults().AddCount("empty_streams", m_streamsToEmpty);
   m_faultInjector.Faults().AddFlag("leaving", m_isDraining);
   m_faultInjector.Faults().AddFlag("unlisted", m_isUnlisted);
   m_faultInjector.Faults().AddFlag("torn_entry", m_hasInvalidEntry);
@@ -317,6 +319,13 @@
   if (!started) {
     co_return;
   }
+  if (ConsumeFault(m_streamsToCut)) {
+    co_return;
+  }
+  if (ConsumeFault(m_streamsToEmpty)) {
+    co_await aExchange.Finish();
+    co_return;
+  }
   auto const restarts = m_restarts;
   for (unsigned event = first; event <= m_settings.m_events; ++event) {
     co_await m_loop.Sleep(m_settings.m_eventTime);
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -110,6 +110,10 @@
   std::uint64_t m_orderResponsesToLose = 0;
   /// Responses to this many of the next requests end inside their body.
   std::uint64_t m_responsesToTruncate = 0;
+  /// This many of the next streams end before their first event: with their
+  /// connection, or properly.
+  std::uint64_t m_streamsToCut = 0;
+  std::uint64_t m_streamsToEmpty = 0;
 };
 
 } // namespace sardinefold::standins
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -409,3 +409,43 @@
   BOOST_TEST(body == CompleteStream("r1"));
   BOOST_TEST(waitStatus == 503U);
 }
+
+BOOST_FIXTURE_TEST_CASE(AStreamThatBreaksBeforeItsFirstEventDoesNotBreakTheCallersResponse,
+                        SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    for (auto const& engine : m_engines) {
+      SetFault(*engine, "cut_streams", 1);
+    }
+    auto request = ModelRequest("/once/x", "r1", "common");
+    auto const failed = co_await Send(std::move(request));
+    BOOST_REQUIRE(failed.has_value());
+    BOOST_TEST(failed->m_status == 502U);
+    BOOST_TEST(RunsOf("r1") == 1U);
+    // The other engine serves a request that may be repeated, under its own headers.
+    SetFault(*m_engines[0], "cut_streams", 1);
+    SetFault(*m_engines[1], "cut_streams", 0);
+    for (int number = 2; number < 6; ++number) {
+      auto const id = "r" + std::to_string(number);
+      auto again = ModelRequest("/chat/x", id, "common");
+      auto const served = co_await Send(std::move(again));
+      BOOST_REQUIRE(served.has_value());
+      BOOST_TEST(served->m_body == CompleteStream(id));
+      BOOST_TEST((RunsOf(id) == 1U || served->m_headers.Find("Server-Seal") == "seal-i-2"));
+    }
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEmptyStreamThatEndsProperlyIsAnswered, SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "empty_streams", 1);
+  }
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/once/x", "r1", "common");
+    auto const response = co_await Send(std::move(request));
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->m_status == 200U);
+    BOOST_TEST(response->m_body == "");
+  });
+}
