--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -121,6 +121,28 @@
   return crashes;
 }
 
+std::vector<PartCrashReport> ToPartCrashes(Json::Value const& aParams)
+{
+  std::vector<PartCrashReport> crashes;
+  for (auto const& entry : aParams["part_deaths"]) {
+    crashes.push_back({ Name<base::PromptPartId>(Member(entry, "part")),
+                        Name<base::UpstreamId>(Member(entry, "upstream")),
+                        Milliseconds(Member(entry, "age_ms")),
+                        Milliseconds(Member(entry, "sent_age_ms")) });
+  }
+  return crashes;
+}
+
+std::vector<PartAcquittal> ToPartAcquittals(Json::Value const& aParams)
+{
+  std::vector<PartAcquittal> acquittals;
+  for (auto const& entry : aParams["part_beginnings"]) {
+    acquittals.push_back(
+      { Name<base::PromptPartId>(Member(entry, "part")), Milliseconds(Member(entry, "age_ms")) });
+  }
+  return acquittals;
+}
+
 EngineStatus ToEngineStatus(Json::Value const& aParams)
 {
   EngineStatus status;
@@ -207,6 +229,8 @@
   report.m_granted = ToGrants(Member(aParams, "granted"));
   report.m_crashes = ToCrashes(aParams);
   report.m_storeAge = Milliseconds(Member(aParams, "store_age_ms"));
+  report.m_partCrashes = ToPartCrashes(aParams);
+  report.m_partAcquittals = ToPartAcquittals(aParams);
   return report;
 }
 
@@ -219,7 +243,9 @@
                           ToForecasts(Member(aParams, "outlooks")),
                           ToCrashes(aParams),
                           {},
-                          std::nullopt };
+                          std::nullopt,
+                          ToPartCrashes(aParams),
+                          ToPartAcquittals(aParams) };
   if (aParams.isMember("store_age_ms")) {
     summary.m_storeAge = Milliseconds(aParams["store_age_ms"]);
   }
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -31,6 +31,26 @@
   return object;
 }
 
+/// Adds the news on prompt parts, if there is any.
+template<typename Message>
+void AddPartNews(Json::Value& aParams, Message const& aMessage)
+{
+  for (auto const& crash : aMessage.m_partCrashes) {
+    Json::Value entry;
+    entry["part"] = crash.m_part.Text();
+    entry["upstream"] = crash.m_upstream.Text();
+    entry["age_ms"] = FromMilliseconds(crash.m_age);
+    entry["sent_age_ms"] = FromMilliseconds(crash.m_sentAge);
+    aParams["part_deaths"].append(std::move(entry));
+  }
+  for (auto const& acquittal : aMessage.m_partAcquittals) {
+    Json::Value entry;
+    entry["part"] = acquittal.m_part.Text();
+    entry["age_ms"] = FromMilliseconds(acquittal.m_age);
+    aParams["part_beginnings"].append(std::move(entry));
+  }
+}
+
 Json::Value FromCrashes(std::vector<CrashReport> const& aCrashes)
 {
   Json::Value list(Json::arrayValue);
@@ -168,6 +188,7 @@
     if (!aReport.m_crashes.empty()) {
       params["deaths"] = FromCrashes(aReport.m_crashes);
     }
+    AddPartNews(params, aReport);
   }
 
   void operator()(PlannerSummary const& aSummary)
@@ -184,6 +205,7 @@
     if (!aSummary.m_crashes.empty()) {
       params["deaths"] = FromCrashes(aSummary.m_crashes);
     }
+    AddPartNews(params, aSummary);
     if (aSummary.m_storeAge) {
       params["store_age_ms"] = FromMilliseconds(*aSummary.m_storeAge);
     }
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Agent/SuspectPartRegistry.h"
 #include "Agent/SuspectRegistry.h"
 #include "Base/Endpoint.h"
 #include "Base/Identifiers.h"
@@ -115,6 +116,10 @@
   std::vector<CrashReport> m_crashes;
   /// Time since the object store last responded to this gateway.
   base::Duration m_storeAge{};
+  /// Prompt parts accused here or refused here, and accused parts that an
+  /// upstream began to answer here.
+  std::vector<PartCrashReport> m_partCrashes;
+  std::vector<PartAcquittal> m_partAcquittals;
 };
 
 /// Expected time until the models that a gateway's requests wait for are ready.
@@ -139,6 +144,9 @@
   std::map<base::HostId, base::Endpoint> m_neighbours;
   /// Time since the object store last responded to any other gateway.
   std::optional<base::Duration> m_storeAge;
+  /// News on prompt parts, as in GatewayReport.
+  std::vector<PartCrashReport> m_partCrashes;
+  std::vector<PartAcquittal> m_partAcquittals;
 };
 
 /// From a gateway that watches the object store to others of its failure
--- a/Base/Identifiers.h
+++ b/Base/Identifiers.h
@@ -33,6 +33,8 @@
 using ClaimId = Identifier<struct ClaimTag>;
 /// A hash of a request's body, equal for all resends of the request.
 using FingerprintId = Identifier<struct FingerprintTag>;
+/// A part of a prompt that many requests may share.
+using PromptPartId = Identifier<struct PromptPartTag>;
 /// A caller's Idempotency-Key.
 using IdempotencyKey = Identifier<struct IdempotencyKeyTag>;
 /// A conversation whose requests share a prompt prefix.
--- a/Caller/ForwardRequest.h
+++ b/Caller/ForwardRequest.h
@@ -5,6 +5,7 @@
 #include "Base/Units.h"
 #include "Engine/EngineTypes.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,6 +39,8 @@
 /// itself is forwarded unchanged.
 struct ForwardRequest
 {
+  static constexpr std::size_t kMaximumSharedParts = 16;
+
   /// Identifies one request of a caller; a retry by the caller has another
   /// identifier.
   base::RequestId m_id;
@@ -47,8 +50,9 @@
   std::optional<base::Duration> m_deadline;
   std::optional<ModelChoice> m_model;
   std::optional<TokenCount> m_tokens;
-  /// Identifies the longest prefix of the prompt that other requests share.
-  std::optional<std::uint64_t> m_promptPrefix;
+  /// The first parts of the prompt, in order, which other requests may share; at
+  /// most kMaximumSharedParts.
+  std::vector<base::PromptPartId> m_sharedParts;
   /// The caller resumes a stream after this event.
   std::optional<EventNumber> m_resumeAfter;
 };
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -187,14 +187,18 @@
   return estimate;
 }
 
-double UpstreamDirectory::CostOf(Upstream const& aUpstream, bool aLacksAdapter, base::Instant aNow)
+double UpstreamDirectory::CostOf(Upstream const& aUpstream, bool aLacksAdapter, bool aIsSuspected,
+                                 base::Instant aNow)
 {
   auto const estimate = EstimateLoad(aUpstream, aNow);
   double const busy = estimate.m_unanswered + m_limits.m_running * estimate.m_running;
   double const remote =
     aUpstream.m_entry.m_failureDomain == m_localFailureDomain ? 0 : m_limits.m_remoteDomainCost;
   double const adapter = aLacksAdapter ? kAdapterCost : 0;
-  return busy + remote + adapter + std::uniform_real_distribution<>(0, 0.5)(m_random);
+  bool const isBesideSuspected =
+    aUpstream.m_suspected > 0 || (aIsSuspected && aUpstream.m_unanswered > 0);
+  double const suspected = isBesideSuspected ? m_limits.m_suspectedCost : 0;
+  return busy + remote + adapter + suspected + std::uniform_real_distribution<>(0, 0.5)(m_random);
 }
 
 std::variant<UpstreamChoice, UpstreamAbsence> UpstreamDirectory::Find(UpstreamQuery const& aQuery,
@@ -218,7 +222,7 @@
       }
       lacksAdapter = aQuery.m_adapter && !held->m_adapters.contains(*aQuery.m_adapter);
     }
-    double const cost = CostOf(upstream, lacksAdapter, aNow);
+    double const cost = CostOf(upstream, lacksAdapter, aQuery.m_isSuspected, aNow);
     if (!best || cost < bestCost) {
       best = UpstreamChoice{ instance, upstream.m_entry.m_startedAt, upstream.m_entry.m_endpoint,
                              lacksAdapter, EstimateLoad(upstream, aNow) };
@@ -240,6 +244,22 @@
   }
 }
 
+void UpstreamDirectory::OnSuspectedSent(InstanceId const& aInstance)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found != m_upstreams.end()) {
+    ++found->second.m_suspected;
+  }
+}
+
+void UpstreamDirectory::OnSuspectedAnswered(InstanceId const& aInstance)
+{
+  auto const found = m_upstreams.find(aInstance);
+  if (found != m_upstreams.end() && found->second.m_suspected > 0) {
+    --found->second.m_suspected;
+  }
+}
+
 void UpstreamDirectory::OnResponseStarted(InstanceId const& aInstance)
 {
   auto const found = m_upstreams.find(aInstance);
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -29,6 +29,9 @@
   /// that awaits prefill. Traffic between failure domains is expensive, but a
   /// missed goal costs more.
   double m_remoteDomainCost = 1.5;
+  /// Cost of sending a request to an upstream at which another awaits its answer,
+  /// if one of the two is suspected of crashing upstreams.
+  double m_suspectedCost = 8;
   /// Cost of a running request in the same unit; each running request slows
   /// down every step slightly.
   double m_running = 0.15;
@@ -42,6 +45,9 @@
   std::optional<base::AdapterId> m_adapter;
   /// Upstreams that the request has already been sent to.
   std::set<InstanceId> m_excluded;
+  /// Whether the request is suspected of crashing upstreams, and should run where
+  /// no other request awaits its answer.
+  bool m_isSuspected = false;
 };
 
 /// An upstream's load, estimated from this process's own requests and from
@@ -137,6 +143,10 @@
                                                      base::Instant aNow);
 
   void OnSent(InstanceId const& aInstance);
+  /// Called when a request that is suspected of crashing its upstream is sent, and
+  /// when its answer begins or its attempt ends without one.
+  void OnSuspectedSent(InstanceId const& aInstance);
+  void OnSuspectedAnswered(InstanceId const& aInstance);
   /// The upstream has begun to answer one of the requests.
   void OnResponseStarted(InstanceId const& aInstance);
   void OnDone(InstanceId const& aInstance, bool aHasBegun);
@@ -178,6 +188,8 @@
     unsigned m_unanswered = 0;
     unsigned m_othersRunning = 0;
     unsigned m_othersWaiting = 0;
+    /// Unanswered requests of this process that are suspected of crashing it.
+    unsigned m_suspected = 0;
     unsigned m_failures = 0;
     base::Instant m_pausedUntil{};
     std::map<base::ModelId, base::Instant> m_missing;
@@ -188,7 +200,8 @@
   HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
                              base::Instant aNow) const;
   static UpstreamLoadEstimate EstimateLoad(Upstream const& aUpstream, base::Instant aNow);
-  double CostOf(Upstream const& aUpstream, bool aLacksAdapter, base::Instant aNow);
+  double CostOf(Upstream const& aUpstream, bool aLacksAdapter, bool aIsSuspected,
+                base::Instant aNow);
   std::optional<base::Duration> Pause(Upstream& aUpstream, base::Instant aNow);
   static void UpdateOthersLoad(Upstream& aUpstream, unsigned aRunning, unsigned aWaiting);
   bool MayPause(Upstream const& aUpstream, base::Instant aNow) const;
--- /dev/null
+++ b/Programs/Gateway/Attempt.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Base/Identifiers.h"
+#include "Base/Time.h"
+#include "Engine/UpstreamDirectory.h"
+
+#include <vector>
+
+namespace sardinefold::programs {
+
+/// One attempt of a request at an upstream, as far as the crash of that upstream
+/// concerns it.
+struct Attempt
+{
+  engine::UpstreamChoice m_upstream;
+  base::Instant m_sentAt{};
+  base::FingerprintId m_fingerprint;
+  std::vector<base::PromptPartId> m_parts;
+  /// Whether one of the parts was suspected when the request was sent.
+  bool m_isSuspected = false;
+};
+
+} // namespace sardinefold::programs
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -83,7 +83,9 @@
                                  {},
                                  m_state.m_allowance.Granted(),
                                  m_state.CrashesToReport(aNow),
-                                 aStoreAge };
+                                 aStoreAge,
+                                 m_state.m_suspectParts.CrashesToReport(isComplete, aNow),
+                                 m_state.m_suspectParts.AcquittalsToReport(aNow) };
     std::map<base::ModelId, unsigned> waiting;
     for (auto& demand : m_state.m_demand.Summary(aNow)) {
       if (demand.m_waiting > 0) {
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -47,6 +47,7 @@
       if (m_context.m_query.m_model) {
         m_state.ModelSignal(*m_context.m_query.m_model).Notify();
       }
+      m_state.m_suspectSignal.Notify();
     });
     co_await Serve();
     m_exchange.OnPeerDisconnected(nullptr);
@@ -86,17 +87,26 @@
     retries.OnRequest(m_context.m_start);
     UpstreamSelection selection(m_state, m_context, m_record, m_cancellation);
     while (true) {
-      auto const choice =
-        co_await selection.Run(m_relay.LastRelayedAt().value_or(m_context.m_start));
-      if (!choice) {
+      co_await AwaitTurn();
+      m_context.m_query.m_isSuspected = m_state.m_suspectParts.IsSuspected(Parts(), Now());
+      std::optional<engine::UpstreamChoice> choice;
+      if (IsTurn()) {
+        choice = co_await selection.Run(m_relay.LastRelayedAt().value_or(m_context.m_start));
+      }
+      if (!choice || IsRefused()) {
         co_await FailRequest();
         co_return;
       }
+      if (!IsTurn()) {
+        continue;
+      }
       if (m_history.Attempts() > 0 && !retries.TryTake(Now())) {
         m_record.m_outcome = "retry budget used up";
         co_await FailRequest();
         co_return;
       }
+      m_attempt = Attempt{ *choice, Now(), m_context.m_fingerprint, Parts(),
+                           m_context.m_query.m_isSuspected };
       OnAttemptStarted(*choice);
       auto const end = co_await RunAttempt(*choice);
       OnAttemptEnded(*choice);
@@ -117,12 +127,36 @@
     }
   }
 
+  std::vector<base::PromptPartId> const& Parts() const { return m_context.m_request.m_sharedParts; }
+
+  bool IsTurn() const { return !IsRefused() && m_state.m_suspectParts.MaySend(Parts(), Now()); }
+
+  bool IsRefused() const { return m_state.m_suspectParts.FindRefused(Parts(), Now()).has_value(); }
+
+  /// Waits while the request has a suspected part and another one with a suspected
+  /// part awaits its answer.
+  boost::asio::awaitable<void> AwaitTurn()
+  {
+    auto const startedAt = Now();
+    caller::WaitPolicy const policy(
+      m_context.m_route, m_relay.LastRelayedAt().value_or(m_context.m_start), m_context.m_end);
+    while (!IsTurn() && !IsRefused() && !m_cancellation.IsCancelled()) {
+      auto const end = std::min(policy.End(), m_state.m_waitDeadline.value_or(policy.End()));
+      if (Now() >= end) {
+        m_record.m_outcome = kSuspectedOutcome;
+        break;
+      }
+      co_await m_state.m_suspectSignal.Wait(end - Now());
+    }
+    m_record.m_waited += Now() - startedAt;
+  }
+
   void OnAttemptStarted(engine::UpstreamChoice const& aChoice)
   {
     m_record.m_upstream = aChoice.m_instance;
     m_history.OnSent();
-    m_relay.OnNewAttempt();
-    m_state.m_directory.OnSent(aChoice.m_instance);
+    m_relay.OnNewAttempt(m_attempt);
+    m_state.RecordSent(m_attempt);
     if (m_context.m_query.m_model) {
       m_state.m_demand.StartRunning(*m_context.m_query.m_model);
     }
@@ -144,6 +178,9 @@
   void OnAttemptEnded(engine::UpstreamChoice const& aChoice)
   {
     m_state.m_directory.OnDone(aChoice.m_instance, m_relay.HasResponseStarted());
+    if (!m_relay.HasResponseStarted()) {
+      m_state.RecordAnswered(m_attempt);
+    }
     if (m_context.m_query.m_model) {
       m_state.m_demand.StopRunning(*m_context.m_query.m_model);
     }
@@ -151,10 +188,13 @@
 
   void RecordFailedAttempt(engine::UpstreamChoice const& aChoice, AttemptEnd aEnd)
   {
-    base::log::Info("attempt failed", { { "request", m_context.m_request.m_id.Text() },
-                                        { "upstream", aChoice.m_instance.Text() },
-                                        { "end", std::string(ToText(aEnd)) },
-                                        { "reason", std::string(m_record.m_outcome) } });
+    base::log::Info("attempt failed",
+                    { { "request", m_context.m_request.m_id.Text() },
+                      { "upstream", aChoice.m_instance.Text() },
+                      { "end", std::string(ToText(aEnd)) },
+                      { "begun", m_relay.HasResponseStarted() ? "true" : "false" },
+                      { "parts", PartsText() },
+                      { "reason", std::string(m_record.m_outcome) } });
     m_state.m_metrics
       .Counter("sardinefold_gateway_failed_attempts_total", "Sendings without a usable answer.",
                { { "deployment", m_context.m_query.m_deployment.Text() },
@@ -163,6 +203,15 @@
       .Increment();
   }
 
+  std::string PartsText() const
+  {
+    std::string text;
+    for (auto const& part : Parts()) {
+      text += (text.empty() ? "" : " ") + part.Text();
+    }
+    return text;
+  }
+
   /// Ends a request that no upstream will serve.
   boost::asio::awaitable<void> FailRequest()
   {
@@ -184,7 +233,11 @@
       co_return;
     }
     bool const isPastDeadline = Now() >= m_context.m_end;
-    if (m_record.m_outcome.empty()) {
+    auto const refused = m_state.m_suspectParts.FindRefused(Parts(), Now());
+    if (refused) {
+      LogRefusedPart(m_context, *refused);
+      m_record.m_outcome = kRefusedPartOutcome;
+    } else if (m_record.m_outcome.empty()) {
       m_record.m_outcome = isPastDeadline ? "timed out" : "upstream failed";
     }
     RequestRefusal refusal{ 503, m_record.m_outcome, std::nullopt };
@@ -192,7 +245,9 @@
       refusal.m_status = isPastDeadline ? 504 : 502;
     } else {
       refusal.m_retryAfter =
-        caller::WaitPolicy::RetryAfter(m_state.ForecastFor(m_context.m_query.m_model), Now());
+        refused
+          ? refused->m_timeLeft
+          : caller::WaitPolicy::RetryAfter(m_state.ForecastFor(m_context.m_query.m_model), Now());
     }
     co_await Refuse(refusal);
   }
@@ -213,7 +268,9 @@
       m_context.m_route.MayRepeat() ? kRepeatableIdle : kNonRepeatableIdle,
       base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_context.m_request.m_id.Text() },
       // The upstream may have become unusable while the connection was set up.
-      [this, &aChoice] { return m_state.m_directory.IsUsable(aChoice.m_instance, Now()); }
+      [this, &aChoice] {
+        return m_state.m_directory.IsUsable(aChoice.m_instance, Now()) && !IsRefused();
+      }
     };
     auto endpoint = aChoice.m_endpoint;
     auto reply =
@@ -223,8 +280,7 @@
     }
     if (!reply) {
       m_record.m_outcome = ToText(reply.error().m_kind);
-      m_state.RecordTransportFailure(reply.error(), m_context.m_fingerprint, aChoice,
-                                     m_context.m_end);
+      m_state.RecordTransportFailure(reply.error(), m_attempt, false, m_context.m_end);
       co_return reply.error().m_mayHaveBeenSent ? AttemptEnd::Unknown : AttemptEnd::NotRun;
     }
     co_return co_await m_relay.Relay(*reply, aChoice);
@@ -242,6 +298,7 @@
   RequestContext m_context;
   caller::AttemptHistory m_history;
   RequestRecord m_record;
+  Attempt m_attempt;
   base::Cancellation m_cancellation;
   ResponseRelay<Wire> m_relay{
     m_state, m_exchange, m_context, m_history, m_record, m_cancellation
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -178,6 +178,7 @@
                              { "told_by", aOrigin.Text() } });
       }
     }
+    m_state.OnPartNews(aSummary.m_partCrashes, aSummary.m_partAcquittals, aOrigin);
     m_state.m_allowance.OnPeerGrants(aSummary.m_epoch,
                                      { aSummary.m_gatewaysPresent, aSummary.m_gatewaysReporting },
                                      aSummary.m_grantedByOthers, aNow);
@@ -206,7 +207,7 @@
       }
       m_store.Tick(now);
       m_state.m_directory.Expire(now);
-      m_state.m_suspects.DiscardExpired(now);
+      m_state.ExpireSuspects();
       m_fleet.Report(m_store.Age(now), now);
       co_await m_loop.Sleep(kInterval);
     }
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Agent/RetryBudget.h"
+#include "Agent/SuspectPartRegistry.h"
 #include "Agent/SuspectRegistry.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpClient.h"
@@ -15,6 +16,7 @@
 #include "Engine/UpstreamDirectory.h"
 #include "Entry/Allowance/SharedAllowance.h"
 #include "Programs/FleetMessenger.h"
+#include "Programs/Gateway/Attempt.h"
 
 #include <map>
 #include <memory>
@@ -34,6 +36,8 @@
     , m_demand(aLoop.Now())
     , m_allowance({})
     , m_suspects(SuspectPolicy())
+    , m_suspectParts({}, aSeed)
+    , m_suspectSignal(aLoop.Context())
     , m_messenger(aLoop)
   {
   }
@@ -79,6 +83,79 @@
     }
   }
 
+  void RecordSent(Attempt const& aAttempt)
+  {
+    m_directory.OnSent(aAttempt.m_upstream.m_instance);
+    m_suspectParts.OnSent(aAttempt.m_parts);
+    if (aAttempt.m_isSuspected) {
+      m_directory.OnSuspectedSent(aAttempt.m_upstream.m_instance);
+    }
+  }
+
+  /// Records that the answer of an attempt begins, or that the attempt ends without
+  /// one.
+  void RecordAnswered(Attempt const& aAttempt)
+  {
+    m_suspectParts.OnAnswered(aAttempt.m_parts);
+    if (aAttempt.m_isSuspected) {
+      m_directory.OnSuspectedAnswered(aAttempt.m_upstream.m_instance);
+    }
+    m_suspectSignal.Notify();
+  }
+
+  /// Records that an upstream began to answer.
+  void RecordBeginning(Attempt const& aAttempt)
+  {
+    m_suspectParts.OnBegun(aAttempt.m_parts, IncarnationOf(aAttempt.m_upstream), aAttempt.m_sentAt,
+                           m_loop.Now());
+    OnPartChanges("own");
+  }
+
+  /// Handles the news of other gateways on prompt parts.
+  void OnPartNews(std::vector<agent::PartCrashReport> const& aCrashes,
+                  std::vector<agent::PartAcquittal> const& aAcquittals,
+                  base::Endpoint const& aToldBy)
+  {
+    m_suspectParts.OnAcquittals(aAcquittals, m_loop.Now());
+    m_suspectParts.OnCrashReports(aCrashes, m_loop.Now());
+    OnPartChanges(aToldBy.Text());
+  }
+
+  void ExpireSuspects()
+  {
+    m_suspects.DiscardExpired(m_loop.Now());
+    m_suspectParts.Tick(m_loop.Now());
+    OnPartChanges("own");
+  }
+
+  /// Logs and counts the changes of state of prompt parts, and wakes the requests
+  /// that wait for one.
+  void OnPartChanges(std::string const& aToldBy)
+  {
+    auto const changes = m_suspectParts.TakeChanges();
+    for (auto const& change : changes) {
+      std::string upstreams;
+      for (auto const& upstream : change.m_upstreams) {
+        upstreams += (upstreams.empty() ? "" : " ") + upstream.Text();
+      }
+      std::string const state(ToText(change.m_state));
+      base::log::Warning("prompt part changed its state", { { "part", change.m_part.Text() },
+                                                            { "state", state },
+                                                            { "upstreams", upstreams },
+                                                            { "told_by", aToldBy } });
+      m_metrics
+        .Counter("sardinefold_gateway_part_changes_total",
+                 "Changes of state of prompt parts that may crash upstreams.",
+                 { { "state", state } })
+        .Increment();
+    }
+    if (!changes.empty()) {
+      m_metrics.Gauge("sardinefold_gateway_parts_refused", "Prompt parts refused.")
+        .Set(static_cast<double>(m_suspectParts.CountRefused()));
+      NotifyAll();
+    }
+  }
+
   void RecordFailure(engine::UpstreamChoice const& aUpstream, std::string_view aReason)
   {
     LogPause(aUpstream, aReason, m_directory.OnFailed(aUpstream.m_instance, m_loop.Now()));
@@ -103,12 +180,24 @@
     }
   }
 
+  /// Accuses the parts of an attempt whose connection was closed. One that had
+  /// begun shows only that the upstream may have crashed for another reason.
+  void RecordPartCrash(Attempt const& aAttempt, bool aHasBegun)
+  {
+    if (aHasBegun || aAttempt.m_parts.empty()) {
+      return;
+    }
+    m_suspectParts.OnCrash(aAttempt.m_parts, IncarnationOf(aAttempt.m_upstream), aAttempt.m_sentAt,
+                           m_loop.Now());
+    OnPartChanges("own");
+  }
+
   /// Records that an attempt failed with a transport error. aEnd is the deadline
   /// of the request.
-  void RecordTransportFailure(base::HttpFailure const& aFailure,
-                              base::FingerprintId const& aFingerprint,
-                              engine::UpstreamChoice const& aUpstream, base::Instant aEnd)
+  void RecordTransportFailure(base::HttpFailure const& aFailure, Attempt const& aAttempt,
+                              bool aHasBegun, base::Instant aEnd)
   {
+    auto const& upstream = aAttempt.m_upstream;
     using Kind = base::HttpFailure::Kind;
     if (aFailure.m_kind == Kind::Withdrawn) {
       return;
@@ -118,26 +207,25 @@
       now < aEnd && !aFailure.m_isConnectionRefused &&
       (aFailure.m_kind == Kind::TimedOut || aFailure.m_kind == Kind::ConnectFailed);
     if (isUnresponsive || aFailure.m_kind == Kind::TooLarge) {
-      RecordUnresponsive(aUpstream, ToText(aFailure.m_kind));
+      RecordUnresponsive(upstream, ToText(aFailure.m_kind));
       return;
     }
-    RecordFailure(aUpstream, ToText(aFailure.m_kind));
+    RecordFailure(upstream, ToText(aFailure.m_kind));
     // A connection that closes without a response may mean that the upstream has
     // crashed.
     if (aFailure.m_kind == Kind::ConnectionClosed) {
-      RecordCrash(aFingerprint, IncarnationOf(aUpstream), now);
+      RecordCrash(aAttempt.m_fingerprint, IncarnationOf(upstream), now);
+      RecordPartCrash(aAttempt, aHasBegun);
     }
   }
 
-  /// Records that an upstream responded to a request that was sent at aSentAt.
-  void RecordResponse(engine::UpstreamChoice const& aUpstream,
-                      base::FingerprintId const& aFingerprint, base::Instant aSentAt,
-                      bool aIsServed)
+  /// Records that an upstream responded.
+  void RecordResponse(Attempt const& aAttempt, bool aIsServed)
   {
-    m_suspects.OnResponse(IncarnationOf(aUpstream), aSentAt);
+    m_suspects.OnResponse(IncarnationOf(aAttempt.m_upstream), aAttempt.m_sentAt);
     if (aIsServed) {
-      m_suspects.OnServed(aFingerprint);
-      m_directory.OnServed(aUpstream.m_instance);
+      m_suspects.OnServed(aAttempt.m_fingerprint);
+      m_directory.OnServed(aAttempt.m_upstream.m_instance);
     }
   }
 
@@ -180,12 +268,13 @@
     return *signal;
   }
 
-  /// Wakes all requests that wait for a model.
+  /// Wakes all requests that wait.
   void NotifyAll()
   {
     for (auto const& [model, signal] : m_modelSignals) {
       signal->Notify();
     }
+    m_suspectSignal.Notify();
   }
 
   /// The budget for this process's retries to a deployment.
@@ -244,6 +333,9 @@
   engine::DemandTracker m_demand;
   entry::SharedAllowance m_allowance;
   agent::SuspectRegistry m_suspects;
+  agent::SuspectPartRegistry m_suspectParts;
+  /// Wakes requests with suspected parts, of which one runs at a time.
+  base::Signal m_suspectSignal;
   std::vector<std::pair<base::Instant, agent::CrashReport>> m_recentCrashes;
   FleetMessenger m_messenger;
   /// While the process shuts down, the end of all waits for a model.
--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -5,6 +5,7 @@
 #include "Base/Log.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/RequestContext.h"
+#include "Programs/Gateway/RequestRecord.h"
 #include "Programs/ServingWire.h"
 
 #include <algorithm>
@@ -60,6 +61,11 @@
           m_state.m_suspects.RefusedFor(m_context.m_fingerprint, m_context.m_start)) {
       return RequestRefusal{ 503, "request ended its upstreams", *refusedFor };
     }
+    auto const& parts = m_context.m_request.m_sharedParts;
+    if (auto const refused = m_state.m_suspectParts.FindRefused(parts, m_context.m_start)) {
+      LogRefusedPart(m_context, *refused);
+      return RequestRefusal{ 503, kRefusedPartOutcome, refused->m_timeLeft };
+    }
     if (auto refusal = workspace ? TakeTokens(*workspace) : std::nullopt) {
       return refusal;
     }
--- a/Programs/Gateway/RequestRecord.h
+++ b/Programs/Gateway/RequestRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Agent/SuspectPartRegistry.h"
 #include "Base/Log.h"
 #include "Base/Metrics.h"
 #include "Caller/AttemptHistory.h"
@@ -11,6 +12,10 @@
 
 namespace sardinefold::programs {
 
+/// Outcomes of requests with a prompt part that crashes upstreams, or may do so.
+inline constexpr std::string_view kRefusedPartOutcome = "prompt part crashes upstreams";
+inline constexpr std::string_view kSuspectedOutcome = "prompt part is suspected";
+
 /// The result of one request, for its final log line and the metrics. Outcomes
 /// and reasons are string constants, which bounds the number of label values.
 struct RequestRecord
@@ -25,6 +30,14 @@
   std::optional<base::Instant> m_firstEventAt;
 };
 
+inline void LogRefusedPart(RequestContext const& aContext, agent::PartRefusal const& aRefusal)
+{
+  base::log::Info("prompt part is refused",
+                  { { "request", aContext.m_request.m_id.Text() },
+                    { "part", aRefusal.m_part.Text() },
+                    { "left_ms", std::to_string(base::ToMilliseconds(aRefusal.m_timeLeft)) } });
+}
+
 inline void LogRequestEnd(RequestContext const& aContext, caller::AttemptHistory const& aHistory,
                           RequestRecord const& aRecord, base::Instant aNow)
 {
--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -77,10 +77,11 @@
 
   /// Whether the upstream of the current attempt has sent its first event.
   bool HasResponseStarted() const { return m_hasResponseStarted; }
-  void OnNewAttempt()
+  /// Called before each attempt. aAttempt must outlive it.
+  void OnNewAttempt(Attempt const& aAttempt)
   {
     m_hasResponseStarted = false;
-    m_sentAt = Now();
+    m_attempt = &aAttempt;
     m_deadline.emplace(m_context.m_end, kResponseGrace);
   }
   /// Returns the buffered failure response of an earlier attempt, if any, and
@@ -171,7 +172,7 @@
     }
     if (!chunk) {
       m_record.m_outcome = ToText(chunk.error().m_kind);
-      m_state.RecordTransportFailure(chunk.error(), m_context.m_fingerprint, aChoice,
+      m_state.RecordTransportFailure(chunk.error(), *m_attempt, m_hasResponseStarted,
                                      m_context.m_end);
       co_return tl::make_unexpected(AttemptEnd::Unknown);
     }
@@ -202,7 +203,10 @@
     if (isFailure) {
       m_state.RecordFailure(aChoice, "upstream answered with a failure");
     }
-    m_state.RecordResponse(aChoice, m_context.m_fingerprint, m_sentAt, !isFailure);
+    m_state.RecordResponse(*m_attempt, !isFailure);
+    if (aHead.IsSuccess()) {
+      m_state.RecordBeginning(*m_attempt);
+    }
     if (isFailure && IsRetryAllowed()) {
       m_record.m_outcome = "upstream answered with a failure";
       m_bufferedFailure = std::move(response);
@@ -256,7 +260,7 @@
     if (!co_await StartCallersStream(aReply)) {
       co_return AttemptEnd::CallerGone;
     }
-    m_state.RecordResponse(aChoice, m_context.m_fingerprint, m_sentAt, true);
+    m_state.RecordResponse(*m_attempt, true);
     m_record.m_outcome = "answered";
     auto const finished = co_await m_exchange.Finish();
     co_return finished ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
@@ -285,6 +289,8 @@
     if (!m_hasResponseStarted) {
       m_hasResponseStarted = true;
       m_state.m_directory.OnResponseStarted(aChoice.m_instance);
+      m_state.RecordAnswered(*m_attempt);
+      m_state.RecordBeginning(*m_attempt);
     }
   }
 
@@ -295,8 +301,7 @@
   RequestRecord& m_record;
   base::Cancellation const& m_cancellation;
   bool m_hasResponseStarted = false;
-  /// When the current attempt was sent.
-  base::Instant m_sentAt{};
+  Attempt const* m_attempt = nullptr;
   /// The deadline of the current attempt's response.
   std::optional<caller::ResponseDeadline> m_deadline;
   std::optional<base::HttpResponse> m_bufferedFailure;
--- a/Programs/Gateway/UpstreamSelection.h
+++ b/Programs/Gateway/UpstreamSelection.h
@@ -41,6 +41,9 @@
     std::optional<engine::WaitTicket> ticket;
     std::optional<engine::UpstreamChoice> result;
     while (!m_cancellation.IsCancelled() && Now() < WaitEnd(policy)) {
+      if (m_state.m_suspectParts.FindRefused(m_context.m_request.m_sharedParts, Now())) {
+        break;
+      }
       auto const found = m_state.m_directory.Find(m_context.m_query, Now());
       if (auto const* const choice = std::get_if<engine::UpstreamChoice>(&found)) {
         if (!choice->m_lacksAdapter) {
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace sardinefold::programs {
 
@@ -43,6 +44,10 @@
 {
   auto& gateway = m_gateways[aReport.m_host];
   m_grants.OnReport(aReport.m_host, aReport.m_incarnation, aReport.m_granted);
+  gateway.m_isNew = gateway.m_isNew || gateway.m_incarnation != aReport.m_incarnation ||
+                    !IsReporting(gateway, aNow);
+  gateway.m_incarnation = aReport.m_incarnation;
+  m_partNews.OnReport(aReport.m_partCrashes, aReport.m_partAcquittals, aNow);
   gateway.m_endpoint = aSender;
   gateway.m_failureDomain = aReport.m_failureDomain;
   gateway.m_crashes = aReport.m_crashes;
@@ -122,10 +127,12 @@
 {
   auto const reporting = std::ranges::count_if(
     m_gateways, [&](auto const& aItem) { return IsReporting(aItem.second, aNow); });
-  for (auto const& [host, gateway] : m_gateways) {
+  auto const partNews = m_partNews.TakeDue(aNow);
+  for (auto& [host, gateway] : m_gateways) {
     if (!IsReporting(gateway, aNow)) {
       continue;
     }
+    bool const isNew = std::exchange(gateway.m_isNew, false);
     agent::PlannerSummary summary{ m_epoch,
                                    static_cast<unsigned>(m_lastPresence.size()),
                                    static_cast<unsigned>(reporting),
@@ -133,7 +140,9 @@
                                    m_planner.ForecastsFor(host, aNow),
                                    {},
                                    {},
-                                   std::nullopt };
+                                   std::nullopt,
+                                   isNew ? m_partNews.AllCrashes(aNow) : partNews.m_crashes,
+                                   partNews.m_acquittals };
     if (m_ticks % kTicksPerNeighbourList == 0) {
       summary.m_neighbours = NeighboursIn(gateway.m_failureDomain, aNow);
     }
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Agent/Fleet/FleetMessages.h"
+#include "Agent/Fleet/PartNewsBoard.h"
 #include "Base/Digest.h"
 #include "Base/ProcessProfile.h"
 #include "Engine/SwapPlanner.h"
@@ -38,6 +39,9 @@
   {
     base::Endpoint m_endpoint;
     base::FailureDomainId m_failureDomain;
+    base::IncarnationId m_incarnation;
+    /// Whether it has started, or chosen this planner, since the last summary.
+    bool m_isNew = true;
     std::vector<agent::CrashReport> m_crashes;
     /// When the object store last responded to this gateway.
     base::Instant m_storeLastContactAt{};
@@ -64,6 +68,7 @@
   std::map<base::HostId, Loader> m_loaders;
   std::map<base::HostId, base::Instant> m_lastPresence;
   entry::GrantLedger m_grants;
+  agent::PartNewsBoard m_partNews;
   /// Identifies the grant totals of this planner; another planner's totals start
   /// from different values and can't be compared with them.
   std::string m_epoch;
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -3,6 +3,9 @@
 #include "Base/Json.h"
 #include "StandIns/Common/StandInProgram.h"
 
+#include <array>
+#include <charconv>
+
 namespace sardinefold::standins {
 
 namespace asio = boost::asio;
@@ -47,6 +50,7 @@
   m_faultInjector.Faults().AddCount("truncate_answers", m_responsesToTruncate);
   m_faultInjector.Faults().AddCount("cut_streams", m_streamsToCut);
   m_faultInjector.Faults().AddCount("empty_streams", m_streamsToEmpty);
+  m_faultInjector.Faults().AddCount("crash_on_part", m_crashingPart);
   m_faultInjector.Faults().AddFlag("leaving", m_isDraining);
   m_faultInjector.Faults().AddFlag("unlisted", m_isUnlisted);
   m_faultInjector.Faults().AddFlag("torn_entry", m_hasInvalidEntry);
@@ -68,6 +72,15 @@
   return {};
 }
 
+bool SiteEngine::HasCrashingPart(base::HttpRequest const& aRequest) const
+{
+  std::array<char, 17> id{};
+  auto const end = std::to_chars(id.data(), id.data() + id.size(), m_crashingPart, 16).ptr;
+  auto const name = "," + std::string(id.data(), end) + ":";
+  return m_crashingPart != 0 &&
+         ("," + HeaderText(aRequest, "Prompt-Prefix")).find(name) != std::string::npos;
+}
+
 void SiteEngine::Restart()
 {
   ++m_restarts;
@@ -327,6 +340,10 @@
     co_return;
   }
   auto const restarts = m_restarts;
+  if (HasCrashingPart(request)) {
+    co_await m_loop.Sleep(m_settings.m_eventTime);
+    Restart();
+  }
   for (unsigned event = first; event <= m_settings.m_events; ++event) {
     co_await m_loop.Sleep(m_settings.m_eventTime);
     if (restarts != m_restarts) {
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -74,6 +74,7 @@
   boost::asio::awaitable<void> Heartbeat();
   base::HttpResponse Reject(base::HttpRequest const& aRequest, unsigned aStatus) const;
   std::optional<unsigned> RejectionStatus(base::HttpRequest const& aRequest) const;
+  bool HasCrashingPart(base::HttpRequest const& aRequest) const;
   void Restart();
   Json::Value Describe() const;
   Json::Value Models() const;
@@ -114,6 +115,9 @@
   /// connection, or properly.
   std::uint64_t m_streamsToCut = 0;
   std::uint64_t m_streamsToEmpty = 0;
+  /// A request with this part of a prompt crashes the engine before its first event;
+  /// zero for none.
+  std::uint64_t m_crashingPart = 0;
 };
 
 } // namespace sardinefold::standins
--- a/Tests/AdapterTest.cpp
+++ b/Tests/AdapterTest.cpp
@@ -218,7 +218,9 @@
   BOOST_TEST(*decoded->m_key == "k1");
   BOOST_TEST(decoded->m_model->m_adapter->Text() == "a3");
   BOOST_TEST(decoded->m_tokens->Total() == base::Tokens(1540));
-  BOOST_TEST(*decoded->m_promptPrefix == 0x91bdU);
+  std::vector<base::PromptPartId> const shared{ base::PromptPartId::FromValidated("5c"),
+                                                base::PromptPartId::FromValidated("91bd") };
+  BOOST_TEST(decoded->m_sharedParts == shared, boost::test_tools::per_element());
   caller::ForwardParameters terms;
   terms.m_instance = engine::InstanceId::FromValidated("i-1");
   terms.m_timeLeft = std::chrono::milliseconds(900);
@@ -239,6 +241,32 @@
   BOOST_TEST(sent.m_headers.Count("Tenant") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(DecodesAllPromptPartsButTheLast)
+{
+  auto const partsOf = [](std::string aText) {
+    auto request = CallerRequest();
+    request.m_headers.Set("Prompt-Prefix", std::move(aText));
+    auto const decoded = Wire::DecodeRequest(request);
+    std::string parts;
+    for (auto const& part : decoded->m_sharedParts) {
+      parts += part.Text() + " ";
+    }
+    return parts;
+  };
+  BOOST_TEST(partsOf("5c:800") == "");
+  BOOST_TEST(partsOf("") == "");
+  // One part has one identifier, however it is written.
+  BOOST_TEST(partsOf("00AB:1, ab:2,0:3,c:4") == "ab 0 ");
+  BOOST_TEST(partsOf("x:1,:2,,ab c:3,5:6,7:8") == "5 ");
+  BOOST_TEST(partsOf(std::string(33, 'a') + ":1," + std::string(32, 'b') + ":2,c:3") ==
+             std::string(32, 'b') + " ");
+  std::string many;
+  for (int number = 0; number < 1'000; ++number) {
+    many += std::to_string(number) + ":1,";
+  }
+  BOOST_TEST(partsOf(many) == "0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 ");
+}
+
 BOOST_AUTO_TEST_CASE(RefusesRequestsWithAmbiguousFraming)
 {
   for (auto const* const name : { "Host", "Content-Length", "Transfer-Encoding" }) {
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -85,6 +85,10 @@
   report.m_crashes = { { base::FingerprintId::FromValidated("77"),
                          base::UpstreamId::FromValidated("i-1"), milliseconds(30) } };
   report.m_storeAge = milliseconds(40);
+  report.m_partCrashes = { { base::PromptPartId::FromValidated("91bd"),
+                             base::UpstreamId::FromValidated("i-1"), milliseconds(30),
+                             milliseconds(90) } };
+  report.m_partAcquittals = { { base::PromptPartId::FromValidated("5c"), milliseconds(20) } };
   CheckRoundTrip(report);
   CheckRoundTrip(EngineHeartbeat{ status.m_host, status.m_engine, 7, 1, 2, true, 4 });
   CheckRoundTrip(StatusRequest{ status.m_host });
@@ -103,12 +107,34 @@
                                  { { kModel, milliseconds(70) } },
                                  report.m_crashes,
                                  { { report.m_host, { "10.0.0.2", 7600 } } },
-                                 milliseconds(30) });
+                                 milliseconds(30),
+                                 report.m_partCrashes,
+                                 report.m_partAcquittals });
   CheckRoundTrip(MakeUpdate(2));
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
 }
 
+BOOST_AUTO_TEST_CASE(NewsOnPromptPartsIsOptionalAndComplete)
+{
+  std::string const start =
+    R"({"method":"planner.summary","params":{"epoch":"e","present":1,"reporting":1,"granted":{},"outlooks":{},"neighbours":{})";
+  auto const earlier = DecodeFleetMessage(start + "}}");
+  BOOST_REQUIRE(earlier.has_value());
+  BOOST_TEST(std::get<PlannerSummary>(earlier->m_message).m_partCrashes.empty());
+  auto const decoded = DecodeFleetMessage(
+    start +
+    R"(,"part_deaths":[{"part":"9","upstream":"i-1","age_ms":3,"sent_age_ms":5}],"part_beginnings":[{"part":"7","age_ms":2}]}})");
+  BOOST_REQUIRE(decoded.has_value());
+  auto const& summary = std::get<PlannerSummary>(decoded->m_message);
+  BOOST_REQUIRE(summary.m_partCrashes.size() == 1U);
+  BOOST_TEST((summary.m_partCrashes[0].m_age == milliseconds(3)));
+  BOOST_TEST((summary.m_partCrashes[0].m_sentAge == milliseconds(5)));
+  BOOST_REQUIRE(summary.m_partAcquittals.size() == 1U);
+  BOOST_TEST((summary.m_partAcquittals[0].m_age == milliseconds(2)));
+  BOOST_TEST(!DecodeFleetMessage(start + R"(,"part_deaths":[{"part":"9"}]}})").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(MalformedMessagesAreErrors)
 {
   for (
--- a/Tests/FleetPlanningTest.cpp
+++ b/Tests/FleetPlanningTest.cpp
@@ -25,6 +25,12 @@
   return report;
 }
 
+agent::PartCrashReport PartCrash(char const* aUpstream)
+{
+  return { base::PromptPartId::FromValidated("dead"), base::UpstreamId::FromValidated(aUpstream),
+           100ms, 300ms };
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(AGatewayRefusedByTheStoreLearnsTheStoreAgeOfAnother)
@@ -56,3 +62,53 @@
   BOOST_TEST((*receivedAge >= 40ms));
   BOOST_TEST((*receivedAge < 1s));
 }
+
+BOOST_AUTO_TEST_CASE(GatewaysLearnTheCrashesOfPartsOnceAndAStartedOneAtOnce)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  programs::FleetMessenger messenger(loop);
+  std::vector<agent::PlannerSummary> summaries;
+  auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
+    if (auto const* const summary = std::get_if<agent::PlannerSummary>(&aMessage)) {
+      summaries.push_back(*summary);
+    }
+  };
+  BOOST_REQUIRE(messenger.Listen(kListening, onMessage).has_value());
+  base::ProcessProfile const profile;
+  programs::FleetPlanning planning(profile, messenger);
+  auto const start = loop.Now();
+  auto const tick = [&](base::Duration aAfter, agent::GatewayReport aListener) -> awaitable<void> {
+    auto other = Report("front-2", 40ms);
+    other.m_partCrashes = { PartCrash("i-1"), PartCrash("i-1"), PartCrash("i-2") };
+    other.m_partAcquittals = { { base::PromptPartId::FromValidated("50d"), 10ms } };
+    auto third = other;
+    third.m_host = base::HostId::FromValidated("front-3");
+    auto const now = start + aAfter;
+    planning.OnReport(aListener, kListening, now);
+    planning.OnReport(other, kOther, now);
+    planning.OnReport(third, kOther, now);
+    planning.Tick(now);
+    co_await loop.Sleep(20ms);
+  };
+  auto run = [&]() -> awaitable<void> {
+    auto const listener = Report("front-1", 5s);
+    co_await tick(0ms, listener);
+    co_await tick(600ms, listener);
+    auto restarted = listener;
+    restarted.m_incarnation = base::IncarnationId::FromValidated("two");
+    co_await tick(700ms, restarted);
+    co_await tick(800ms, restarted);
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  BOOST_REQUIRE(summaries.size() == 4U);
+  BOOST_REQUIRE(summaries[0].m_partCrashes.size() == 2U);
+  BOOST_TEST(summaries[0].m_partAcquittals.size() == 1U);
+  BOOST_TEST((summaries[0].m_partCrashes[0].m_sentAge == 300ms));
+  BOOST_TEST(summaries[1].m_partCrashes.empty());
+  BOOST_REQUIRE(summaries[2].m_partCrashes.size() == 2U);
+  // The planner adds the time that has passed since the first report.
+  BOOST_TEST((summaries[2].m_partCrashes[0].m_age == 800ms));
+  BOOST_TEST(summaries[3].m_partCrashes.empty());
+}
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -449,3 +449,42 @@
     BOOST_TEST(response->m_body == "");
   });
 }
+
+BOOST_FIXTURE_TEST_CASE(APartThatCrashesEnginesIsRefusedAndSoundRequestsBesideItAreServed,
+                        SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "crash_on_part", 0xdead);
+  }
+  auto send = [&](std::string aId, std::string aParts) -> awaitable<unsigned> {
+    auto request = ModelRequest("/chat/x", aId, "common");
+    request.m_headers.Add("Prompt-Prefix", aParts + aId.substr(1) + ":10");
+    request.m_body = aId;
+    auto const response = co_await Send(std::move(request));
+    bool const isRefusal = response && response->m_status == 503;
+    BOOST_TEST((!isRefusal || response->m_headers.Find("Retry-After").has_value()));
+    co_return response ? response->m_status : 0;
+  };
+  Run([&]() -> awaitable<void> {
+    std::size_t crashes = 0;
+    unsigned status = 0;
+    for (int number = 1; number <= 8; ++number) {
+      auto deadly = "d" + std::to_string(number);
+      std::string deadlyParts = "5c:10,dead:10,";
+      status = co_await send(deadly, deadlyParts);
+      BOOST_TEST(status >= 502U);
+      // The engine is listed with its new start within this time.
+      co_await m_loop.Sleep(700ms);
+      auto sound = "a" + std::to_string(number);
+      std::string soundParts = "5c:10,";
+      auto const served = co_await send(sound, soundParts);
+      BOOST_TEST(served == 200U);
+      crashes += RunsOf(deadly);
+    }
+    BOOST_TEST(status == 503U);
+    BOOST_TEST(crashes <= 4U);
+    auto const metrics = m_gateway->Metrics().Render();
+    BOOST_TEST(metrics.find("sardinefold_gateway_parts_refused 1") != std::string::npos);
+    BOOST_TEST(metrics.find(R"(outcome="prompt part crashes upstreams")") != std::string::npos);
+  });
+}
--- /dev/null
+++ b/Tests/SuspectPartTest.cpp
@@ -0,0 +1,271 @@
+#define BOOST_TEST_MODULE SuspectPart
+#include "Agent/Fleet/PartNewsBoard.h"
+#include "Agent/SuspectPartRegistry.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinefold;
+using namespace std::chrono_literals;
+using agent::SuspectPartRegistry;
+
+namespace {
+
+constexpr base::Instant kStart{ 1000s };
+constexpr agent::SuspectPartLimits kLimits;
+
+base::PromptPartId Part(std::string aName)
+{
+  return base::PromptPartId::FromValidated(std::move(aName));
+}
+
+base::UpstreamId Upstream(int aNumber)
+{
+  return base::UpstreamId::FromValidated("i-" + std::to_string(aNumber));
+}
+
+auto const kDeadly = Part("dead");
+auto const kSound = Part("50d");
+
+/// Crashes an upstream that was sent the parts 100 ms before.
+void Crash(SuspectPartRegistry& aRegistry, std::vector<base::PromptPartId> const& aParts,
+           int aUpstream, base::Instant aAt)
+{
+  aRegistry.OnCrash(aParts, Upstream(aUpstream), aAt - 100ms, aAt);
+}
+
+bool IsRefused(SuspectPartRegistry const& aRegistry, base::PromptPartId const& aPart,
+               base::Instant aNow)
+{
+  return aRegistry.FindRefused({ aPart }, aNow).has_value();
+}
+
+/// Returns a registry that refuses kDeadly since kStart + 2s.
+SuspectPartRegistry RegistryWithRefusal()
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  for (int number = 0; number < 3; ++number) {
+    Crash(registry, { kDeadly }, number, kStart + number * 1s);
+  }
+  return registry;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(APartIsSuspectedAfterTwoCrashesAndRefusedAfterThree)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  Crash(registry, { kSound, kDeadly }, 1, kStart);
+  BOOST_TEST(!registry.IsSuspected({ kDeadly }, kStart));
+  registry.OnBegun({ kSound }, Upstream(2), kStart, kStart + 100ms);
+  Crash(registry, { kSound, kDeadly }, 2, kStart + 1s);
+  BOOST_TEST(registry.IsSuspected({ kSound, kDeadly }, kStart + 1s));
+  BOOST_TEST(!registry.IsSuspected({ kSound }, kStart + 1s));
+  BOOST_TEST(!IsRefused(registry, kDeadly, kStart + 1s));
+  Crash(registry, { kSound, kDeadly }, 3, kStart + 2s);
+  BOOST_TEST(IsRefused(registry, kDeadly, kStart + 2s));
+  BOOST_TEST(!IsRefused(registry, kSound, kStart + 2s));
+  // The crashes of the refused part are explained.
+  Crash(registry, { kSound, kDeadly }, 4, kStart + 3s);
+  BOOST_TEST(!registry.IsSuspected({ kSound }, kStart + 3s));
+  BOOST_TEST(registry.Size() == 1U);
+  BOOST_TEST(registry.CountRefused() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CrashesOfOneIncarnationCountOnce)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  for (int number = 0; number < 5; ++number) {
+    Crash(registry, { kDeadly }, 1, kStart + number * 1s);
+  }
+  BOOST_TEST(!registry.IsSuspected({ kDeadly }, kStart + 4s));
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamsThatFailTogetherDoNotGetSoundPartsRefused)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  for (int number = 0; number < 9; ++number) {
+    registry.OnCrash({ kSound }, Upstream(number), kStart - 300ms, kStart + number * 20ms);
+  }
+  BOOST_TEST(!registry.IsSuspected({ kSound }, kStart + 200ms));
+  // Crashes half a second apart are independent.
+  registry.OnCrash({ kSound }, Upstream(20), kStart - 300ms, kStart + 499ms);
+  BOOST_TEST(!registry.IsSuspected({ kSound }, kStart + 500ms));
+  registry.OnCrash({ kSound }, Upstream(21), kStart - 300ms, kStart + 500ms);
+  BOOST_TEST(registry.IsSuspected({ kSound }, kStart + 500ms));
+}
+
+BOOST_AUTO_TEST_CASE(ResetConnectionsOfUpstreamsThatAnswerDoNotCount)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  for (int number = 0; number < 3; ++number) {
+    Crash(registry, { kSound }, number, kStart + number * 1s);
+  }
+  BOOST_TEST(IsRefused(registry, kSound, kStart + 2s));
+  registry.OnBegun({}, Upstream(0), kStart - 1s, kStart + 3s);
+  BOOST_TEST(IsRefused(registry, kSound, kStart + 3s));
+  registry.OnBegun({}, Upstream(0), kStart + 1s, kStart + 3s);
+  BOOST_TEST(!IsRefused(registry, kSound, kStart + 3s));
+}
+
+BOOST_AUTO_TEST_CASE(TheBeginningOfAnAnswerAcquits)
+{
+  auto registry = RegistryWithRefusal();
+  registry.OnAcquittals({ { kDeadly, 200ms } }, kStart + 2'100ms);
+  BOOST_TEST(IsRefused(registry, kDeadly, kStart + 2'100ms) == false);
+  BOOST_TEST(registry.Size() == 1U);
+  registry.OnBegun({ kDeadly }, Upstream(9), kStart + 2s, kStart + 3s);
+  BOOST_TEST(registry.Size() == 0U);
+  // A report that is older than the beginning has no effect and is answered.
+  registry.Tick(kStart + 10s);
+  BOOST_TEST(registry.AcquittalsToReport(kStart + 10s).empty());
+  registry.OnCrashReports({ { kDeadly, Upstream(1), 9s, 10s } }, kStart + 10s);
+  BOOST_TEST(registry.Size() == 0U);
+  auto const acquittals = registry.AcquittalsToReport(kStart + 10s);
+  BOOST_REQUIRE(acquittals.size() == 1U);
+  BOOST_TEST((acquittals[0].m_age == 7s));
+  BOOST_TEST(registry.AcquittalsToReport(kStart + 10s + kLimits.m_reportTime).empty());
+}
+
+BOOST_AUTO_TEST_CASE(OfPartsWithTheSameCrashesTheOneThatNeverBeganIsRefused)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  registry.OnAcquittals({ { kSound, 5s } }, kStart);
+  for (int number = 0; number < 3; ++number) {
+    Crash(registry, { kSound, kDeadly }, number, kStart + number * 1s);
+  }
+  BOOST_TEST(IsRefused(registry, kDeadly, kStart + 2s));
+  BOOST_TEST(!IsRefused(registry, kSound, kStart + 2s));
+  BOOST_TEST(!registry.IsSuspected({ kSound }, kStart + 2s));
+}
+
+BOOST_AUTO_TEST_CASE(OneRequestWithASuspectedPartRunsAtATime)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  auto const other = Part("0ther");
+  for (int number = 0; number < 2; ++number) {
+    Crash(registry, { kDeadly, other }, number, kStart + number * 1s);
+  }
+  auto const now = kStart + 2s;
+  BOOST_TEST(registry.MaySend({ kDeadly }, now));
+  registry.OnSent({ kDeadly });
+  BOOST_TEST(!registry.MaySend({ kDeadly }, now));
+  BOOST_TEST(!registry.MaySend({ kSound, other }, now));
+  BOOST_TEST(registry.MaySend({ kSound }, now));
+  registry.OnAnswered({ kDeadly });
+  BOOST_TEST(registry.MaySend({ other }, now));
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalEndsInATrial)
+{
+  auto registry = RegistryWithRefusal();
+  auto const latest = kStart + 2s;
+  BOOST_TEST(IsRefused(registry, kDeadly, latest + kLimits.m_refusalTime - 1s));
+  auto const trial = latest + kLimits.m_refusalTime + kLimits.m_refusalJitter;
+  registry.Tick(trial);
+  BOOST_TEST(!IsRefused(registry, kDeadly, trial));
+  BOOST_TEST(registry.IsSuspected({ kDeadly }, trial));
+  auto const changes = registry.TakeChanges();
+  BOOST_TEST((changes.back().m_state == agent::PartState::HalfOpen));
+  BOOST_TEST(changes.back().m_upstreams.size() == 3U);
+  // Another crash, also one at another gateway, refuses the part again.
+  registry.OnCrashReports({ { kDeadly, Upstream(9), 0ms, 100ms } }, trial);
+  BOOST_TEST(IsRefused(registry, kDeadly, trial));
+  registry.Tick(trial + kLimits.m_retention);
+  BOOST_TEST(registry.Size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AnotherGatewayLearnsARefusalInAnyOrderOfReports)
+{
+  auto const first = RegistryWithRefusal();
+  auto const now = kStart + 5s;
+  BOOST_TEST(first.CrashesToReport(false, now).empty());
+  auto reports = first.CrashesToReport(true, now);
+  BOOST_REQUIRE(reports.size() == 3U);
+  std::ranges::sort(reports, {}, &agent::PartCrashReport::m_upstream);
+  do {
+    SuspectPartRegistry second(kLimits, 2);
+    for (auto const& report : reports) {
+      BOOST_TEST(!IsRefused(second, kDeadly, now));
+      second.OnCrashReports({ report }, now);
+      second.OnCrashReports({ report, { kSound, report.m_upstream, 0ms, 0ms } }, now + 50ms);
+    }
+    BOOST_TEST(IsRefused(second, kDeadly, now));
+    BOOST_TEST(!second.IsSuspected({ kSound }, now));
+    BOOST_TEST(second.CrashesToReport(false, now).empty());
+  } while (std::ranges::next_permutation(reports, {}, &agent::PartCrashReport::m_upstream).found);
+}
+
+BOOST_AUTO_TEST_CASE(InvalidReportsAreIgnored)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  registry.OnCrashReports({ { kDeadly, Upstream(1), -1ms, 0ms },
+                            { kDeadly, Upstream(2), kLimits.m_retention, kLimits.m_retention },
+                            { kDeadly, Upstream(3), 10ms, 9ms } },
+                          kStart);
+  registry.OnAcquittals({ { kDeadly, -1ms }, { kDeadly, kLimits.m_retention } }, kStart);
+  BOOST_TEST(registry.Size() == 0U);
+  BOOST_TEST(registry.CountBeginnings() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(PartsChosenByAHostileCallerTakeLimitedMemory)
+{
+  auto limits = kLimits;
+  limits.m_maximumParts = 10;
+  limits.m_maximumBeginnings = 10;
+  limits.m_maximumCrashes = 4;
+  limits.m_maximumReported = 3;
+  SuspectPartRegistry registry(limits, 1);
+  for (int number = 0; number < 3; ++number) {
+    Crash(registry, { kDeadly }, number, kStart + number * 1s);
+  }
+  auto const now = kStart + 3s;
+  registry.OnBegun({ kSound }, Upstream(1), now, now);
+  for (int number = 0; number < 50; ++number) {
+    auto const part = Part(std::to_string(number));
+    Crash(registry, { part }, 100 + number, now);
+    registry.OnBegun({ Part("b" + std::to_string(number)), kSound }, Upstream(1), now, now);
+    Crash(registry, { kDeadly }, 200 + number, now + number * 1s);
+    BOOST_TEST(registry.Size() <= 10U);
+  }
+  BOOST_TEST(registry.CountBeginnings() == 10U);
+  BOOST_TEST(IsRefused(registry, kDeadly, now + 50s));
+  // Crashes of the deadly part come first in a report.
+  auto const reports = registry.CrashesToReport(true, now + 50s);
+  BOOST_REQUIRE(reports.size() == 3U);
+  BOOST_TEST(reports[0].m_part == kDeadly);
+  // A part that keeps beginning is not forgotten.
+  registry.OnCrashReports({ { kSound, Upstream(7), 60s, 61s } }, now + 50s);
+  BOOST_TEST(!registry.AcquittalsToReport(now + 50s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ThePlannerPassesNewsOnOnceAndRepeatsItWhileItLasts)
+{
+  agent::PartNewsBoard board;
+  auto const reports = RegistryWithRefusal().CrashesToReport(true, kStart + 3s);
+  auto now = kStart + 3s;
+  unsigned passedOn = 0;
+  for (int tick = 0; tick < 40; ++tick, now += 100ms) {
+    // Four gateways repeat the same crashes.
+    auto aged = reports;
+    for (auto& report : aged) {
+      report.m_age += now - (kStart + 3s);
+      report.m_sentAge += now - (kStart + 3s);
+    }
+    board.OnReport(aged, {}, now);
+    board.OnReport(aged, {}, now);
+    auto const news = board.TakeDue(now);
+    BOOST_TEST(news.m_crashes.size() <= 3U);
+    passedOn += static_cast<unsigned>(news.m_crashes.size());
+  }
+  // Five times while new, and once a second then.
+  BOOST_TEST(passedOn == 3U * (5 + 3));
+  BOOST_TEST(board.AllCrashes(now).size() == 3U);
+  // An acquittal ends it, also for older reports that come later.
+  auto const late = board.AllCrashes(now);
+  board.OnReport({}, { { kDeadly, 100ms } }, now);
+  board.OnReport(late, {}, now);
+  auto const news = board.TakeDue(now);
+  BOOST_TEST(news.m_acquittals.size() == 1U);
+  BOOST_TEST(news.m_crashes.empty());
+  BOOST_TEST(board.AllCrashes(now).empty());
+}
