Merge the refusal of prompt parts that crash upstreams

A stream without events is answered if it ends properly, and fails if its end is that of its connection.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -148,6 +148,28 @@
   return starts;
 }
 
+std::vector<PartCrashReport> ToPartCrashes(Json::Value const& aParams)
+{
+  std::vector<PartCrashReport> crashes;
+  for (auto const& entry : aParams["part_deaths"]) {
+    crashes.push_back({ Name<base::PromptPartId>(Member(entry, "part")),
+                        Name<base::UpstreamId>(Member(entry, "upstream")),
+                        Milliseconds(Member(entry, "age_ms")),
+                        Milliseconds(Member(entry, "sent_age_ms")) });
+  }
+  return crashes;
+}
+
+std::vector<PartAcquittal> ToPartAcquittals(Json::Value const& aParams)
+{
+  std::vector<PartAcquittal> acquittals;
+  for (auto const& entry : aParams["part_beginnings"]) {
+    acquittals.push_back(
+      { Name<base::PromptPartId>(Member(entry, "part")), Milliseconds(Member(entry, "age_ms")) });
+  }
+  return acquittals;
+}
+
 EngineStatus ToEngineStatus(Json::Value const& aParams)
 {
   EngineStatus status;
@@ -238,6 +260,8 @@
   report.m_crashes = ToCrashes(aParams);
   report.m_leaving = ToLeaving(aParams);
   report.m_storeAge = Milliseconds(Member(aParams, "store_age_ms"));
+  report.m_partCrashes = ToPartCrashes(aParams);
+  report.m_partAcquittals = ToPartAcquittals(aParams);
   return report;
 }
 
@@ -251,7 +275,9 @@
                           ToCrashes(aParams),
                           {},
                           std::nullopt,
-                          ToLeaving(aParams) };
+                          ToLeaving(aParams),
+                          ToPartCrashes(aParams),
+                          ToPartAcquittals(aParams) };
   if (aParams.isMember("store_age_ms")) {
     summary.m_storeAge = Milliseconds(aParams["store_age_ms"]);
   }
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Agent/SuspectPartRegistry.h"
 #include "Agent/SuspectRegistry.h"
 #include "Base/Endpoint.h"
 #include "Base/Identifiers.h"
@@ -121,6 +122,10 @@
   base::Duration m_storeAge{};
   /// Upstreams that recently announced to this gateway that they leave.
   std::vector<engine::UpstreamStart> m_leaving;
+  /// Prompt parts accused here or refused here, and accused parts that an
+  /// upstream began to answer here.
+  std::vector<PartCrashReport> m_partCrashes;
+  std::vector<PartAcquittal> m_partAcquittals;
 };
 
 /// Expected time until the models that a gateway's requests wait for are ready.
@@ -147,6 +152,9 @@
   std::optional<base::Duration> m_storeAge;
   /// Upstreams that recently announced to other gateways that they leave.
   std::vector<engine::UpstreamStart> m_leaving;
+  /// News on prompt parts, as in GatewayReport.
+  std::vector<PartCrashReport> m_partCrashes;
+  std::vector<PartAcquittal> m_partAcquittals;
 };
 
 /// From a gateway that watches the object store to others of its failure
--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -97,10 +97,11 @@
 
   /// Whether the upstream of the current attempt has sent its first event.
   bool HasResponseStarted() const { return m_hasResponseStarted; }
-  void OnNewAttempt()
+  /// Called before each attempt. aAttempt must outlive it.
+  void OnNewAttempt(Attempt const& aAttempt)
   {
     m_hasResponseStarted = false;
-    m_sentAt = Now();
+    m_attempt = &aAttempt;
     m_deadline.emplace(m_context.m_end, kResponseGrace);
   }
   /// Returns the buffered failure response of an earlier attempt, if any, and
@@ -197,7 +198,7 @@
     }
     if (!chunk) {
       m_record.m_outcome = ToText(chunk.error().m_kind);
-      m_state.RecordTransportFailure(chunk.error(), m_context.m_fingerprint, aChoice,
+      m_state.RecordTransportFailure(chunk.error(), *m_attempt, m_hasResponseStarted,
                                      m_context.m_end);
       co_return tl::make_unexpected(AttemptEnd::Unknown);
     }
@@ -228,7 +229,10 @@
     if (isFailure) {
       m_state.RecordFailure(aChoice, "upstream answered with a failure");
     }
-    m_state.RecordResponse(aChoice, m_context.m_fingerprint, m_sentAt, !isFailure);
+    m_state.RecordResponse(*m_attempt, !isFailure);
+    if (aHead.IsSuccess()) {
+      m_state.RecordBeginning(*m_attempt);
+    }
     if (isFailure && IsRetryAllowed()) {
       m_record.m_outcome = "upstream answered with a failure";
       m_bufferedFailure = std::move(response);
@@ -270,13 +274,11 @@
       if (!ContinuesStream(complete)) {
         co_return FailAttempt("stream continues at another event", aChoice);
       }
-      if (!m_exchange.HasStarted()) {
-        auto const started = co_await StartStream(aReply);
-        if (!started) {
-          co_return AttemptEnd::CallerGone;
-        }
-      }
       OnEvents(complete, aChoice);
+      bool const isStarted = co_await StartCallersStream(aReply);
+      if (!isStarted) {
+        co_return AttemptEnd::CallerGone;
+      }
       auto const written = co_await m_exchange.Write(complete);
       if (!written) {
         co_return AttemptEnd::CallerGone;
@@ -285,11 +287,15 @@
     if (!events.PartialEvent().empty()) {
       co_return FailAttempt("stream ended inside an event", aChoice);
     }
-    if (!m_hasResponseStarted && (!m_history.HasBegun() || aReply.EndsWithConnection())) {
+    if (!m_hasResponseStarted && aReply.EndsWithConnection()) {
       // Nothing tells such a stream from one that was broken off at its start.
       co_return FailAttempt("stream without events", aChoice);
     }
-    m_state.RecordResponse(aChoice, m_context.m_fingerprint, m_sentAt, true);
+    bool const isStarted = co_await StartCallersStream(aReply);
+    if (!isStarted) {
+      co_return AttemptEnd::CallerGone;
+    }
+    m_state.RecordResponse(*m_attempt, true);
     m_record.m_outcome = "answered";
     auto const finished = co_await m_exchange.Finish();
     co_return finished ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
@@ -303,13 +309,6 @@
     return aReply.Status() == kOk && base::EqualIgnoringCase(media, "text/event-stream");
   }
 
-  boost::asio::awaitable<base::HttpExchange::Result> StartStream(base::HttpReply const& aReply)
-  {
-    auto headers = Wire::EncodeResponseHeaders(aReply.Headers());
-    m_record.m_status = aReply.Status();
-    co_return co_await m_exchange.StartStream(aReply.Status(), std::move(headers));
-  }
-
   /// Whether the numbers of the events increase. The first event of an attempt that
   /// resumes a stream must have the number after the last one that the caller has.
   bool ContinuesStream(std::string_view aEvents) const
@@ -332,6 +331,19 @@
     return true;
   }
 
+  /// Starts the caller's response with the head of the upstream whose events it
+  /// gets. Until the first event, the request may still be refused or sent again.
+  boost::asio::awaitable<bool> StartCallersStream(base::HttpReply const& aReply)
+  {
+    if (m_exchange.HasStarted()) {
+      co_return true;
+    }
+    auto headers = Wire::EncodeResponseHeaders(aReply.Headers());
+    auto const started = co_await m_exchange.StartStream(aReply.Status(), std::move(headers));
+    m_record.m_status = aReply.Status();
+    co_return started.has_value();
+  }
+
   void OnEvents(std::string_view aEvents, engine::UpstreamChoice const& aChoice)
   {
     m_history.OnForwarded(Wire::DecodeEventNumber(LastEvent(aEvents)));
@@ -342,6 +354,8 @@
     if (!m_hasResponseStarted) {
       m_hasResponseStarted = true;
       m_state.m_directory.OnResponseStarted(aChoice.m_instance);
+      m_state.RecordAnswered(*m_attempt);
+      m_state.RecordBeginning(*m_attempt);
     }
   }
 
@@ -352,8 +366,7 @@
   RequestRecord& m_record;
   base::Cancellation const& m_cancellation;
   bool m_hasResponseStarted = false;
-  /// When the current attempt was sent.
-  base::Instant m_sentAt{};
+  Attempt const* m_attempt = nullptr;
   /// The deadline of the current attempt's response.
   std::optional<caller::ResponseDeadline> m_deadline;
   std::optional<base::HttpResponse> m_bufferedFailure;
--- a/Programs/Gateway/UpstreamSelection.h
+++ b/Programs/Gateway/UpstreamSelection.h
@@ -45,6 +45,9 @@
     // The end of the wait bounds waiting only: a usable upstream is chosen until the
     // request's deadline.
     while (!m_cancellation.IsCancelled() && Now() < m_context.m_end) {
+      if (m_state.m_suspectParts.FindRefused(m_context.m_request.m_sharedParts, Now())) {
+        break;
+      }
       auto const found = m_state.m_directory.Find(m_context.m_query, Now());
       if (auto const* const choice = std::get_if<engine::UpstreamChoice>(&found)) {
         if (!choice->m_lacksAdapter) {
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -81,6 +81,7 @@
   boost::asio::awaitable<void> Heartbeat();
   base::HttpResponse Reject(base::HttpRequest const& aRequest, unsigned aStatus) const;
   std::optional<unsigned> RejectionStatus(base::HttpRequest const& aRequest) const;
+  bool HasCrashingPart(base::HttpRequest const& aRequest) const;
   void Restart();
   Json::Value Describe() const;
   Json::Value Models() const;
@@ -124,6 +125,13 @@
   std::uint64_t m_orderResponsesToLose = 0;
   /// Responses to this many of the next requests end inside their body.
   std::uint64_t m_responsesToTruncate = 0;
+  /// This many of the next streams end before their first event: with their
+  /// connection, or properly.
+  std::uint64_t m_streamsToCut = 0;
+  std::uint64_t m_streamsToEmpty = 0;
+  /// A request with this part of a prompt crashes the engine before its first event;
+  /// zero for none.
+  std::uint64_t m_crashingPart = 0;
 };
 
 } // namespace sardinefold::standins
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -430,3 +430,82 @@
   BOOST_TEST(body == CompleteStream("r1"));
   BOOST_TEST(waitStatus == 503U);
 }
+
+BOOST_FIXTURE_TEST_CASE(AStreamThatBreaksBeforeItsFirstEventDoesNotBreakTheCallersResponse,
+                        SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    for (auto const& engine : m_engines) {
+      SetFault(*engine, "cut_streams", 1);
+    }
+    auto request = ModelRequest("/once/x", "r1", "common");
+    auto const failed = co_await Send(std::move(request));
+    BOOST_REQUIRE(failed.has_value());
+    BOOST_TEST(failed->m_status == 502U);
+    BOOST_TEST(RunsOf("r1") == 1U);
+    // The other engine serves a request that may be repeated, under its own headers.
+    SetFault(*m_engines[0], "cut_streams", 1);
+    SetFault(*m_engines[1], "cut_streams", 0);
+    for (int number = 2; number < 6; ++number) {
+      auto const id = "r" + std::to_string(number);
+      auto again = ModelRequest("/chat/x", id, "common");
+      auto const served = co_await Send(std::move(again));
+      BOOST_REQUIRE(served.has_value());
+      BOOST_TEST(served->m_body == CompleteStream(id));
+      BOOST_TEST((RunsOf(id) == 1U || served->m_headers.Find("Server-Seal") == "seal-i-2"));
+    }
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEmptyStreamThatEndsProperlyIsAnswered, SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "empty_streams", 1);
+  }
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/once/x", "r1", "common");
+    auto const response = co_await Send(std::move(request));
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->m_status == 200U);
+    BOOST_TEST(response->m_body == "");
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(APartThatCrashesEnginesIsRefusedAndSoundRequestsBesideItAreServed,
+                        SiteFixture)
+{
+  for (auto const& engine : m_engines) {
+    SetFault(*engine, "crash_on_part", 0xdead);
+  }
+  auto send = [&](std::string aId, std::string aParts) -> awaitable<unsigned> {
+    auto request = ModelRequest("/chat/x", aId, "common");
+    request.m_headers.Add("Prompt-Prefix", aParts + aId.substr(1) + ":10");
+    request.m_body = aId;
+    auto const response = co_await Send(std::move(request));
+    bool const isRefusal = response && response->m_status == 503;
+    BOOST_TEST((!isRefusal || response->m_headers.Find("Retry-After").has_value()));
+    co_return response ? response->m_status : 0;
+  };
+  Run([&]() -> awaitable<void> {
+    std::size_t crashes = 0;
+    unsigned status = 0;
+    for (int number = 1; number <= 8; ++number) {
+      auto deadly = "d" + std::to_string(number);
+      std::string deadlyParts = "5c:10,dead:10,";
+      status = co_await send(deadly, deadlyParts);
+      BOOST_TEST(status >= 502U);
+      // The engine is listed with its new start within this time.
+      co_await m_loop.Sleep(700ms);
+      auto sound = "a" + std::to_string(number);
+      std::string soundParts = "5c:10,";
+      auto const served = co_await send(sound, soundParts);
+      BOOST_TEST(served == 200U);
+      crashes += RunsOf(deadly);
+    }
+    BOOST_TEST(status == 503U);
+    BOOST_TEST(crashes <= 4U);
+    auto const metrics = m_gateway->Metrics().Render();
+    BOOST_TEST(metrics.find("sardinefold_gateway_parts_refused 1") != std::string::npos);
+    BOOST_TEST(metrics.find(R"(outcome="prompt part crashes upstreams")") != std::string::npos);
+  });
+}
