Programs: Do not answer a stream without length that ends before an event

A caller got an empty stream as a complete answer if the upstream's answer had neither a length nor chunks and its connection ended after the head.

Cause: the end of such an answer is the end of its connection, as that of an upstream that crashes; ResponseRelay took it for the end of the stream.

Evidence: the new test in EndlessAnswerTest failed before: the caller got 200 with an empty body, and no part of the prompt was accused. Now it gets 502. The rest of a resumed stream may still be empty.

--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -254,8 +254,14 @@
         co_return AttemptEnd::CallerGone;
       }
     }
-    if (!events.PartialEvent().empty()) {
-      co_return FailAttempt("stream ended inside an event", aChoice);
+    bool const isUnfinished = !events.PartialEvent().empty() || IsMissingFirstEvent(aReply);
+    if (isUnfinished && EndsWithConnection(aReply)) {
+      m_state.RecordPartCrash(*m_attempt, m_hasResponseStarted);
+    }
+    if (isUnfinished) {
+      co_return FailAttempt(events.PartialEvent().empty() ? "stream ended before its first event"
+                                                          : "stream ended inside an event",
+                            aChoice);
     }
     if (!co_await StartCallersStream(aReply)) {
       co_return AttemptEnd::CallerGone;
@@ -266,6 +272,21 @@
     co_return finished ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
   }
 
+  static bool EndsWithConnection(base::HttpReply const& aReply)
+  {
+    auto const& headers = aReply.Headers();
+    return !headers.Find("Content-Length") && !headers.Find("Transfer-Encoding");
+  }
+
+  /// Whether the response ended without an event, and only by the end of its
+  /// connection, so that nothing shows that it was complete. The rest of a resumed
+  /// stream may be empty.
+  bool IsMissingFirstEvent(base::HttpReply const& aReply) const
+  {
+    bool const isResumed = m_history.LastEvent() || m_context.m_request.m_resumeAfter;
+    return !m_hasResponseStarted && !isResumed && EndsWithConnection(aReply);
+  }
+
   /// Starts the caller's response with the head of the upstream whose events it
   /// gets. Until the first event, the request may still be refused or sent again.
   boost::asio::awaitable<bool> StartCallersStream(base::HttpReply const& aReply)
--- a/StandIns/Site/EndlessServer.cpp
+++ b/StandIns/Site/EndlessServer.cpp
@@ -126,7 +126,7 @@
   auto text = Head(request);
   auto const fragment = Fragment();
   boost::system::error_code error;
-  while (!error) {
+  while (!error && (text != fragment || !m_response.m_endsAfterHead)) {
     auto const [writeError, written] =
       co_await asio::async_write(aSocket, asio::buffer(text), kAwait);
     error = writeError;
--- a/StandIns/Site/EndlessServer.h
+++ b/StandIns/Site/EndlessServer.h
@@ -38,6 +38,8 @@
   /// Pause between fragments; with zero they are sent as fast as they are read.
   base::Duration m_interval{};
   std::size_t m_fragmentBytes = 64UL * 1024;
+  /// Whether the connection is closed after the head.
+  bool m_endsAfterHead = false;
 };
 
 /// Faulty upstream that reads a request and responds until its peer closes the
--- a/Tests/EndlessAnswerTest.cpp
+++ b/Tests/EndlessAnswerTest.cpp
@@ -199,3 +199,25 @@
     BOOST_TEST(m_endless->Open() == 0U);
   });
 }
+
+BOOST_FIXTURE_TEST_CASE(AStreamWithoutLengthThatEndsAfterItsHeadIsNotAnsweredAsEmpty,
+                        EndlessFixture)
+{
+  EndlessResponse response{ EndlessPart::UnframedBody, 200, kSealHeader };
+  response.m_endsAfterHead = true;
+  Start(response, "llm", "unframed");
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/once/x", "r1", "unframed");
+    request.m_headers.Add("Prompt-Prefix", "dead:10,1:10");
+    auto const failed = co_await Send(std::move(request));
+    BOOST_REQUIRE(failed.has_value());
+    BOOST_TEST(failed->m_status == 502U);
+    BOOST_TEST(m_gateway->State().m_suspectParts.Size() == 1U);
+    // The rest of a resumed stream may be empty.
+    auto resumed = ModelRequest("/once/x", "r2", "unframed");
+    resumed.m_headers.Add("Last-Event-Id", "8");
+    auto const rest = co_await Send(std::move(resumed));
+    BOOST_REQUIRE(rest.has_value());
+    BOOST_TEST(rest->m_status == 200U);
+  });
+}
