--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -284,12 +284,17 @@
         co_return AttemptEnd::CallerGone;
       }
     }
-    if (!events.PartialEvent().empty()) {
-      co_return FailAttempt("stream ended inside an event", aChoice);
+    // Nothing tells a stream without events from one that was broken off at its start
+    // if it ends with its connection.
+    bool const isMissingFirstEvent = !m_hasResponseStarted && aReply.EndsWithConnection();
+    bool const isUnfinished = !events.PartialEvent().empty() || isMissingFirstEvent;
+    if (isUnfinished && aReply.EndsWithConnection()) {
+      m_state.RecordPartCrash(*m_attempt, m_hasResponseStarted);
     }
-    if (!m_hasResponseStarted && aReply.EndsWithConnection()) {
-      // Nothing tells such a stream from one that was broken off at its start.
-      co_return FailAttempt("stream without events", aChoice);
+    if (isUnfinished) {
+      co_return FailAttempt(events.PartialEvent().empty() ? "stream without events"
+                                                          : "stream ended inside an event",
+                            aChoice);
     }
     bool const isStarted = co_await StartCallersStream(aReply);
     if (!isStarted) {
--- a/StandIns/Site/EndlessServer.cpp
+++ b/StandIns/Site/EndlessServer.cpp
@@ -144,7 +144,7 @@
   auto const fragment = Fragment();
   aSocket.non_blocking(true);
   bool isClosed = false;
-  while (!isClosed) {
+  while (!isClosed && (text != fragment || !m_response.m_endsAfterHead)) {
     auto const [error, written] = co_await asio::async_write(aSocket, asio::buffer(text), kAwait);
     m_bytesWritten += written;
     text = fragment;
