Loader: Keep the connection on which an order was answered

Orders had been given an ID, so that a late answer to an earlier order is told from the answer to this one. Engines do not echo it on orders, and an answer without the ID closes its connection, so each order cost a new one.

What an order has done is read from the engine's report and its count of orders afterwards, and unsolicited input on a kept connection is still noticed before the next order is sent.

--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Base/Digest.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpClient.h"
 #include "Base/Log.h"
@@ -268,13 +267,8 @@
     constexpr base::Duration kOrderTimeout = std::chrono::milliseconds(500);
     auto request = Wire::EncodeOrder(full, m_instance->m_instance);
     auto endpoint = *m_profile.m_engine;
-    // The ID tells a late response to an earlier order from the response to this one.
-    constexpr std::size_t kIdBytes = 8;
-    base::HttpHeaders::Field const id{ Wire::RequestIdHeader(), base::RandomHex(kIdBytes) };
-    request.m_headers.Add(id.m_name, id.m_value);
-    base::HttpSendOptions options{ kOrderTimeout, nullptr, std::nullopt, id, nullptr };
     auto const response =
-      co_await m_http.Fetch(std::move(endpoint), std::move(request), std::move(options));
+      co_await m_http.Fetch(std::move(endpoint), std::move(request), kOrderTimeout);
     if (response) {
       OnNotice(Wire::DecodeNotice(response->m_status, response->m_headers));
     }
