--- a/Tests/OddEntryTest.cpp
+++ b/Tests/OddEntryTest.cpp
@@ -217,6 +217,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AFractionOfAMillisecondMakesNoCatalogUnusable)
+{
+  auto text = base::RenderJson(standins::SiteConfiguration(1));
+  std::string const idle = "\"idleTimeoutMs\":5000";
+  auto const start = text.find(idle);
+  BOOST_REQUIRE(start != std::string::npos);
+  text.replace(start, idle.size(), "\"idleTimeoutMs\":2500.5");
+  auto const catalog = Wire::DecodeCatalog(text);
+  BOOST_REQUIRE(catalog.has_value());
+  BOOST_TEST((catalog->m_limits.m_idleTimeout == std::chrono::microseconds(2'500'500)));
+}
+
 BOOST_AUTO_TEST_CASE(AReportWithAnOddNumberIsRejected)
 {
   std::string const start = R"({"seqNo":2,"models":[],"running":1,"kvTotal":9)";
