Agent: Count only crashes that happened, and each at its own time

Found by a reviewer, by reading; tests show it. Sound prompt parts could be refused for minutes: a report of a crash is late by its transit time, and the merge of reports took the latest time of sending, so that crashes of one moment looked as if each request had been sent after the crash before it. A crash that an answer had refuted came back with the next repeat of its report. And an answer of a restarted upstream refuted a real crash, if the list still had the former start.

Reports are shifted by what they are late before they are merged. The latest refuted crash of each upstream is remembered, up to 1,000, and an answer refutes a crash only if its request was sent before the upstream can have restarted. Parts with too few crashes are passed over before their crashes are copied and sorted.

ARepeatedReportDoesNotRestoreARefutedCrash, AnAnswerAfterARestartRefutesNoCrash and LateReportsOfOneMomentAreNotIndependentCrashes failed before.

--- a/Agent/SuspectPartRegistry.cpp
+++ b/Agent/SuspectPartRegistry.cpp
@@ -11,6 +11,11 @@
 /// Reports of one crash differ by the transit times. A later crash under the same
 /// identity is one of a restarted upstream whose new start is not listed yet.
 constexpr base::Duration kSameCrashWindow = std::chrono::seconds(30);
+/// Upstreams need longer than this to restart, so that an answer to a request sent
+/// within this time after a closed connection shows that the upstream has not crashed.
+constexpr base::Duration kMinimumRestartTime = std::chrono::seconds(2);
+/// By how much a crash that another gateway reports may seem later than it was.
+constexpr base::Duration kMaximumTransitTime = std::chrono::milliseconds(500);
 
 base::Duration RandomUpTo(base::Duration aMaximum, std::uint64_t aSeed)
 {
@@ -92,7 +97,7 @@
 {
   auto const begun = m_beginnings.find(aPart);
   bool const isOutdated = begun != m_beginnings.end() && begun->second.m_at >= aCrash.m_at;
-  if (isOutdated || IsExplained(aPart, aUpstream)) {
+  if (isOutdated || IsRefuted(aUpstream, aCrash.m_at) || IsExplained(aPart, aUpstream)) {
     return;
   }
   if (!m_parts.contains(aPart) && m_parts.size() >= m_limits.m_maximumParts) {
@@ -104,8 +109,11 @@
   if (!isNew && aCrash.m_at - crash.m_at >= kSameCrashWindow) {
     crash = aCrash;
   } else if (!isNew) {
-    crash.m_at = std::min(crash.m_at, aCrash.m_at);
-    crash.m_sentAt = std::min(std::max(crash.m_sentAt, aCrash.m_sentAt), crash.m_at);
+    // Both instants of a report are late by its transit time.
+    auto const at = std::min(crash.m_at, aCrash.m_at);
+    crash.m_sentAt =
+      std::max(crash.m_sentAt - (crash.m_at - at), aCrash.m_sentAt - (aCrash.m_at - at));
+    crash.m_at = at;
     crash.m_reportUntil = std::max(crash.m_reportUntil, aCrash.m_reportUntil);
   }
   if (part.m_crashes.size() > m_limits.m_maximumCrashes) {
@@ -117,6 +125,12 @@
   }
 }
 
+bool SuspectPartRegistry::IsRefuted(base::UpstreamId const& aUpstream, base::Instant aAt) const
+{
+  auto const refuted = m_refutedCrashes.find(aUpstream);
+  return refuted != m_refutedCrashes.end() && aAt <= refuted->second + kMaximumTransitTime;
+}
+
 bool SuspectPartRegistry::IsExplained(base::PromptPartId const& aPart,
                                       base::UpstreamId const& aUpstream) const
 {
@@ -139,15 +153,29 @@
     Acquit(part, aNow);
   }
   for (auto& [id, part] : m_parts) {
-    // The upstream answers a request sent later, so only the connection had failed.
+    // The upstream answers a request sent soon after, so only the connection had failed.
     auto const crash = part.m_crashes.find(aUpstream);
-    if (crash != part.m_crashes.end() && crash->second.m_at < aSentAt) {
+    bool const isRefuted = crash != part.m_crashes.end() && crash->second.m_at < aSentAt &&
+                           aSentAt < crash->second.m_at + kMinimumRestartTime;
+    if (isRefuted) {
+      Refute(aUpstream, crash->second.m_at);
       part.m_crashes.erase(crash);
     }
   }
   Evaluate(aNow);
 }
 
+void SuspectPartRegistry::Refute(base::UpstreamId const& aUpstream, base::Instant aAt)
+{
+  bool const isFull = m_refutedCrashes.size() >= m_limits.m_maximumRefuted;
+  if (isFull && !m_refutedCrashes.contains(aUpstream)) {
+    m_refutedCrashes.erase(std::ranges::min_element(
+      m_refutedCrashes, {}, [](auto const& aItem) { return aItem.second; }));
+  }
+  auto& refuted = m_refutedCrashes[aUpstream];
+  refuted = std::max(refuted, aAt);
+}
+
 void SuspectPartRegistry::OnAcquittals(std::vector<PartAcquittal> const& aAcquittals,
                                        base::Instant aNow)
 {
@@ -201,6 +229,8 @@
            aNow - LatestCrash(aItem.second) >= m_limits.m_retention;
   });
   std::erase_if(m_acquittals, [&](auto const& aItem) { return aItem.second < aNow; });
+  std::erase_if(m_refutedCrashes,
+                [&](auto const& aItem) { return aNow - aItem.second >= m_limits.m_retention; });
   Evaluate(aNow);
 }
 
@@ -236,8 +266,11 @@
   std::vector<PartTable::iterator> parts;
   Rank best{};
   for (auto item = m_parts.begin(); item != m_parts.end(); ++item) {
+    if (item->second.m_isConvicted || item->second.m_crashes.size() < m_limits.m_refusal) {
+      continue;
+    }
     auto const crashes = IndependentCrashes(item->second).size();
-    if (item->second.m_isConvicted || crashes < m_limits.m_refusal) {
+    if (crashes < m_limits.m_refusal) {
       continue;
     }
     Rank const rank{ !m_beginnings.contains(item->first), crashes };
@@ -316,6 +349,9 @@
 
 PartState SuspectPartRegistry::StateOf(Part const& aPart, base::Instant aNow) const
 {
+  if (aPart.m_crashes.size() < m_limits.m_suspicion) {
+    return PartState::Sound;
+  }
   auto const crashes = IndependentCrashes(aPart).size();
   if (crashes < m_limits.m_suspicion) {
     return PartState::Sound;
--- a/Agent/SuspectPartRegistry.h
+++ b/Agent/SuspectPartRegistry.h
@@ -36,6 +36,8 @@
   std::size_t m_maximumCrashes = 8;
   std::size_t m_maximumBeginnings = 8'000;
   std::size_t m_maximumReported = 64;
+  /// Maximum number of upstreams of which a refuted crash is remembered.
+  std::size_t m_maximumRefuted = 1'000;
 };
 
 /// Report to other gateways that an upstream crashed before it began to answer
@@ -156,6 +158,9 @@
 
   void Record(base::PromptPartId const& aPart, base::UpstreamId const& aUpstream,
               Crash const& aCrash);
+  /// Whether the upstream had not crashed at that time.
+  bool IsRefuted(base::UpstreamId const& aUpstream, base::Instant aAt) const;
+  void Refute(base::UpstreamId const& aUpstream, base::Instant aAt);
   bool IsExplained(base::PromptPartId const& aPart, base::UpstreamId const& aUpstream) const;
   void Acquit(base::PromptPartId const& aPart, base::Instant aAt);
   void RememberBeginning(base::PromptPartId const& aPart, base::Instant aAt);
@@ -176,6 +181,8 @@
   SuspectPartLimits m_limits;
   base::Duration m_refusalTime;
   PartTable m_parts;
+  /// The latest time at which an upstream seemed to crash and had not.
+  std::map<base::UpstreamId, base::Instant> m_refutedCrashes;
   std::map<base::PromptPartId, unsigned> m_unanswered;
   /// The least recently begun part is at the front of m_beginningOrder.
   std::map<base::PromptPartId, Beginning> m_beginnings;
--- a/Tests/SuspectPartTest.cpp
+++ b/Tests/SuspectPartTest.cpp
@@ -107,6 +107,41 @@
   BOOST_TEST(!IsRefused(registry, kSound, kStart + 3s));
 }
 
+BOOST_AUTO_TEST_CASE(ARepeatedReportDoesNotRestoreARefutedCrash)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  Crash(registry, { kSound }, 1, kStart);
+  auto const repeat = registry.CrashesToReport(true, kStart);
+  BOOST_REQUIRE(repeat.size() == 1U);
+  registry.OnBegun({}, Upstream(1), kStart + 50ms, kStart + 100ms);
+  registry.OnCrashReports(repeat, kStart + 300ms);
+  BOOST_TEST(registry.Size() == 0U);
+  // The next crash of that upstream counts.
+  Crash(registry, { kSound }, 1, kStart + 5s);
+  BOOST_TEST(registry.Size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerAfterARestartRefutesNoCrash)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  Crash(registry, { kDeadly }, 1, kStart);
+  registry.OnBegun({}, Upstream(1), kStart + 3s, kStart + 4s);
+  BOOST_TEST(registry.Size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LateReportsOfOneMomentAreNotIndependentCrashes)
+{
+  SuspectPartRegistry registry(kLimits, 1);
+  for (int number = 0; number < 3; ++number) {
+    registry.OnCrash({ kSound }, Upstream(number), kStart - 40ms, kStart + number * 5ms);
+  }
+  auto const echo = registry.CrashesToReport(true, kStart + 10ms);
+  BOOST_REQUIRE(echo.size() == 3U);
+  registry.OnCrashReports(echo, kStart + 60ms);
+  BOOST_TEST(!registry.IsSuspected({ kSound }, kStart + 60ms));
+  BOOST_TEST(!IsRefused(registry, kSound, kStart + 60ms));
+}
+
 BOOST_AUTO_TEST_CASE(TheBeginningOfAnAnswerAcquits)
 {
   auto registry = RegistryWithRefusal();
