Agent/Fleet: Pass on the latest beginning of an answer

Found by a reviewer. The planner kept the first of two beginnings that came within half a second, so that a crash between them was passed on after the second had acquitted its part. The check in ThePlannerPassesNewsOnOnceAndRepeatsItWhileItLasts failed before.

--- a/Agent/Fleet/PartNewsBoard.cpp
+++ b/Agent/Fleet/PartNewsBoard.cpp
@@ -27,9 +27,12 @@
     auto const at = aNow - acquittal.m_age;
     auto const [position, isNew] =
       m_beginnings.try_emplace(acquittal.m_part, Beginning{ at, aNow });
-    if (!isNew && at > position->second.m_at + kNewTime) {
-      position->second = { at, aNow };
+    // Reports of one beginning differ by their transit times.
+    constexpr base::Duration kTransitTime = std::chrono::milliseconds(50);
+    if (!isNew && at > position->second.m_at + kTransitTime) {
+      position->second.m_firstReportedAt = aNow;
     }
+    position->second.m_at = std::max(position->second.m_at, at);
     // The crash must not be passed on after its acquittal.
     std::erase_if(m_crashes, [&](auto const& aItem) {
       return aItem.first.first == acquittal.m_part && aItem.second.m_at <= at;
--- a/Tests/SuspectPartTest.cpp
+++ b/Tests/SuspectPartTest.cpp
@@ -295,6 +295,11 @@
   // Five times while new, and once a second then.
   BOOST_TEST(passedOn == 3U * (5 + 3));
   BOOST_TEST(board.AllCrashes(now).size() == 3U);
+  // A later beginning counts, also if another one was reported shortly before it.
+  agent::PartNewsBoard other;
+  other.OnReport({}, { { kSound, 400ms } }, now);
+  other.OnReport({ { kSound, Upstream(1), 200ms, 300ms } }, { { kSound, 0ms } }, now);
+  BOOST_TEST(other.AllCrashes(now).empty());
   // An acquittal ends it, also for older reports that come later.
   auto const late = board.AllCrashes(now);
   board.OnReport({}, { { kDeadly, 100ms } }, now);
