Loader: Tell each leaving upstream once in a summary

Found by a reviewer, by reading. Each gateway's word was repeated for each gateway, so that many gateways and upstreams that leave together could exceed a datagram, and grants would be lost with it.

--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace sardinefold::programs {
@@ -148,14 +149,16 @@
     if (m_ticks % kTicksPerNeighbourList == 0) {
       summary.m_neighbours = NeighboursIn(gateway.m_failureDomain, aNow);
     }
+    std::set<engine::UpstreamStart> leaving;
     for (auto const& [otherHost, other] : m_gateways) {
       if (otherHost != host && IsReporting(other, aNow)) {
         std::ranges::copy(other.m_crashes, std::back_inserter(summary.m_crashes));
-        std::ranges::copy(other.m_leaving, std::back_inserter(summary.m_leaving));
+        leaving.insert(other.m_leaving.begin(), other.m_leaving.end());
         auto const age = aNow - other.m_storeLastContactAt;
         summary.m_storeAge = std::min(summary.m_storeAge.value_or(age), age);
       }
     }
+    summary.m_leaving.assign(leaving.begin(), leaving.end());
     m_messenger.Send(gateway.m_endpoint, summary);
   }
 }
