Loader: Take the word of an engine's first report for its start

Found by a reviewer, by reading. A loader that started beside a leaving engine and had no report of it took the next start for leaving, too, and gateways ranked that engine last until it started again.

--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -200,9 +200,9 @@
       co_return;
     }
     OnReportResult("");
-    bool const isRestart =
-      m_orderScheduler.Report() && m_orderScheduler.Report()->m_startedAt != report->m_startedAt;
-    if (isRestart) {
+    bool const isFirstOfStart =
+      !m_orderScheduler.Report() || m_orderScheduler.Report()->m_startedAt != report->m_startedAt;
+    if (isFirstOfStart) {
       m_isLeaving = notice.m_isLeaving;
     }
     m_orderScheduler.OnReport(std::move(*report), m_loop.Now());
