Gateway: Settle an attempt's counts and its retry token once

An exception in an attempt left the counts of its upstream, model and parts too high; a guard takes them back. An attempt that was withdrawn before it was sent used up a token of the retry budget each time; the token is kept for the attempt that is sent.

--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -86,6 +86,7 @@
     auto& retries = m_state.RetryBudgetOf(m_context.m_query.m_deployment, m_context.m_start);
     retries.OnRequest(m_context.m_start);
     UpstreamSelection selection(m_state, m_context, m_record, m_cancellation);
+    bool hasRetryToken = false;
     while (true) {
       co_await AwaitTurn();
       m_context.m_query.m_isSuspected = m_state.m_suspectParts.IsSuspected(Parts(), Now());
@@ -100,16 +101,15 @@
       if (!IsTurn()) {
         continue;
       }
-      if (m_history.Attempts() > 0 && !retries.TryTake(Now())) {
+      hasRetryToken = hasRetryToken || m_history.Attempts() == 0 || retries.TryTake(Now());
+      if (!hasRetryToken) {
         m_record.m_outcome = "retry budget used up";
         co_await FailRequest();
         co_return;
       }
       m_attempt = Attempt{ *choice, Now(), m_context.m_fingerprint, Parts(),
                            m_context.m_query.m_isSuspected };
-      OnAttemptStarted(*choice);
-      auto const end = co_await RunAttempt(*choice);
-      OnAttemptEnded(*choice);
+      auto const end = co_await CountAttempt(*choice);
       if (end == AttemptEnd::CallerGone) {
         m_record.m_outcome = "caller left";
         co_return;
@@ -122,6 +122,7 @@
       if (end == AttemptEnd::NotSent) {
         continue;
       }
+      hasRetryToken = false;
       m_context.m_query.m_excluded.insert(choice->m_instance);
       if (!m_history.MayRetry(m_context.m_route)) {
         co_await FailRequest();
@@ -154,6 +155,21 @@
     m_record.m_waited += Now() - startedAt;
   }
 
+  /// Runs an attempt, which is counted at its upstream and model until it ends, also
+  /// with an exception.
+  boost::asio::awaitable<AttemptEnd> CountAttempt(engine::UpstreamChoice aChoice)
+  {
+    struct EndGuard
+    {
+      ForwardSession& m_session;
+      engine::UpstreamChoice const& m_choice;
+      ~EndGuard() { m_session.OnAttemptEnded(m_choice); }
+    };
+    OnAttemptStarted(aChoice);
+    EndGuard const guard{ *this, aChoice };
+    co_return co_await RunAttempt(aChoice);
+  }
+
   void OnAttemptStarted(engine::UpstreamChoice const& aChoice)
   {
     m_record.m_upstream = aChoice.m_instance;
