Base: Let a drain miss no request that follows a wait or a response

Found by a reviewer. A session between the end of its wait and the count of its request was in neither list of the drain, which could end there. A stream whose head was sent before the drain did not announce the close; its caller's next request met a closed connection. A connection that was closed with unread input was reset, which may discard the end of its response.

The session leaves the list of waits only when nothing suspends it before its request is counted; after a response it waits 100 ms for one more request while draining; a finished response with input behind it ends with a lingering close.

AStreamThatEndsDuringTheDrainMayBeFollowedByARequest failed before. ADrainDoesNotEndBetweenAWaitAndItsRequest passed before as well: the order of the handlers that the reviewer describes was not brought about.

--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -98,6 +98,12 @@
       }
       bool const isReusable = co_await Serve(std::move(*request));
       if (!isReusable) {
+        bool const isFinished = m_closeReason == HttpCloseReason::AfterResponse;
+        if (isFinished && detail::HasInput(Socket())) {
+          // Closing with unread input would reset the connection and may discard the
+          // end of the response.
+          co_await Linger();
+        }
         co_return;
       }
     }
@@ -123,8 +129,11 @@
     if (m_buffer.size() > 0) {
       co_return true;
     }
-    if (!m_server.m_draining) {
-      bool const isCancelled = co_await WaitForInput();
+    // A response that began before the drain did not announce the close.
+    bool const mayFollow = m_server.m_draining && m_requests > 0;
+    if (!m_server.m_draining || mayFollow) {
+      bool const isCancelled =
+        co_await WaitForInput(mayFollow ? m_lastRequestLimit : m_server.m_idleLimit);
       if (!isCancelled) {
         co_return m_buffer.size() > 0;
       }
@@ -138,16 +147,18 @@
 
   /// Returns whether the wait was cancelled. The connection is listed as idle meanwhile,
   /// so that Drain() can cancel the wait.
-  boost::asio::awaitable<bool> WaitForInput()
+  boost::asio::awaitable<bool> WaitForInput(IdleLimit const& aLimit)
   {
     boost::beast::get_lowest_layer(m_stream).expires_never();
-    IdleWait wait(m_server.m_loop, Socket(), m_server.m_idleLimit);
+    IdleWait wait(m_server.m_loop, Socket(), aLimit);
     auto const position = m_server.m_idle.insert(m_server.m_idle.end(), &wait);
     auto const prepared = m_buffer.prepare(4096);
     auto const [error, size] = co_await m_stream.async_read_some(prepared, detail::kAwait);
-    m_server.m_idle.erase(position);
-    co_await wait.Stop();
     m_buffer.commit(size);
+    co_await wait.Stop();
+    // Nothing suspends the session between here and the count of its exchange, so that
+    // a drain always finds it in one of the two.
+    m_server.m_idle.erase(position);
     co_return error == boost::asio::error::operation_aborted;
   }
 
@@ -346,6 +357,9 @@
   boost::beast::flat_buffer m_buffer{ kMaximumBufferedBytes };
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
   boost::asio::steady_timer m_watchEnded{ m_server.m_loop.Context() };
+  /// How long a draining connection waits for a request that follows a response: some
+  /// round trips.
+  IdleLimit m_lastRequestLimit{ std::chrono::milliseconds(100) };
   HttpCloseReason m_closeReason = HttpCloseReason::PeerClosed;
   Instant m_waitBegan{};
   std::uint64_t m_requests = 0;
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -4,6 +4,7 @@
 #include "Programs/SystemClock.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -187,6 +188,58 @@
   });
 }
 
+// The drain's wake-up is due in the turn in which the cancelled wait ends.
+BOOST_FIXTURE_TEST_CASE(ADrainDoesNotEndBetweenAWaitAndItsRequest, ServerFixture)
+{
+  bool wasDrained = false;
+  m_handler = [&](HttpExchange& aExchange) -> awaitable<void> {
+    wasDrained = m_isDrained;
+    base::HttpResponse response;
+    co_await aExchange.Respond(std::move(response));
+  };
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send(Get("/first"));
+    co_await caller.Receive("\r\n\r\n");
+    StartDrain();
+    auto const sendLate = [&] {
+      caller.Send(Get("/second"));
+      Block(60ms);
+    };
+    boost::asio::post(m_loop.Context(), [&] { boost::asio::post(m_loop.Context(), sendLate); });
+    auto const response = co_await caller.Receive("");
+    BOOST_TEST(response.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(!wasDrained);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AStreamThatEndsDuringTheDrainMayBeFollowedByARequest, ServerFixture)
+{
+  m_handler = [&](HttpExchange& aExchange) -> awaitable<void> {
+    if (aExchange.Request().m_target == "/second") {
+      base::HttpResponse response;
+      co_await aExchange.Respond(std::move(response));
+      co_return;
+    }
+    base::HttpHeaders headers;
+    co_await aExchange.StartStream(200, std::move(headers));
+    co_await m_loop.Sleep(200ms);
+    co_await aExchange.Finish();
+  };
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send(Get("/first"));
+    co_await m_loop.Sleep(100ms);
+    StartDrain();
+    co_await caller.Receive("0\r\n\r\n");
+    co_await m_loop.Sleep(20ms);
+    caller.Send(Get("/second"));
+    auto const response = co_await caller.Receive("");
+    BOOST_TEST(response.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(response.find("Connection: close") != std::string::npos);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(ARequestOnAConnectionThatIsNotAcceptedAsTheDrainBeginsIsServed,
                         ServerFixture)
 {
