Base: Order object versions by the store's era first

A store that comes back from a copy gives its numbers out again, so that a bare number is no measure of time. The version gets the era as its first part; nothing sets it yet, so that nothing behaves differently.

--- a/Base/Units.h
+++ b/Base/Units.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/ObjectVersion.h"
 #include "Base/Quantity.h"
 #include "Base/Time.h"
 
@@ -21,8 +22,6 @@
 using FencingNumber = Ordinal<struct FencingTag>;
 /// The epoch of a bucket's owner. Each new owner gets a higher one.
 using Epoch = Ordinal<struct EpochTag>;
-/// The version of an object in the platform's object API.
-using ObjectVersion = Ordinal<struct ObjectVersionTag>;
 /// The version of the catalog of routes and services in force.
 using CatalogVersion = Ordinal<struct CatalogVersionTag>;
 /// The number of orders that an engine has accepted since its start.
