Programs: Log and measure how long the event loop was blocked

The timer that runs ten times a second in gateways and loaders now shows how late it fires: a histogram, and a line `event loop was blocked` with the longest delay, at most once a second. The line `configuration in force` names the routes, the bytes and how long it took to read them.

--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -4,6 +4,7 @@
 #include "Programs/Gateway/FleetReporter.h"
 #include "Programs/Gateway/ForwardSession.h"
 #include "Programs/Gateway/StoreFollower.h"
+#include "Programs/LoopMonitor.h"
 #include "Programs/SettingsFollower.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -29,6 +30,7 @@
         RenderError)
     , m_fleet(m_state, base::IncarnationId::FromValidated(base::RandomHex(8)))
     , m_store(m_state)
+    , m_loopMonitor(m_state.m_metrics, kTickInterval)
   {
   }
 
@@ -93,6 +95,8 @@
   GatewayState& State() { return m_state; }
 
 private:
+  static constexpr base::Duration kTickInterval = std::chrono::milliseconds(100);
+
   static base::HttpResponse RenderError(base::HttpRequestError const& aError)
   {
     return Wire::EncodeRefusal(aError.m_status, aError.m_message, std::nullopt, std::nullopt);
@@ -232,10 +236,10 @@
   /// Sends reports and runs the periodic work.
   boost::asio::awaitable<void> Tick()
   {
-    constexpr base::Duration kInterval = std::chrono::milliseconds(100);
     constexpr unsigned kLogInterval = 10;
     for (unsigned tick = 0;; ++tick) {
       auto const now = m_loop.Now();
+      m_loopMonitor.OnTick(now);
       if (tick % kLogInterval == 0) {
         base::log::StartInterval();
         UpdateGauges(now);
@@ -246,7 +250,7 @@
       LogEndedNotices(m_state, now);
       m_state.ExpireSuspects();
       m_fleet.Report(m_store.Age(now), now);
-      co_await m_loop.Sleep(kInterval);
+      co_await m_loop.Sleep(kTickInterval);
     }
   }
 
@@ -272,6 +276,7 @@
   base::HttpServer m_readiness;
   FleetReporter m_fleet;
   StoreFollower<Wire> m_store;
+  LoopMonitor m_loopMonitor;
   bool m_isStopping = false;
 };
 
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -105,18 +105,22 @@
       if (!put || put->m_object.m_key.m_name != Wire::CatalogName()) {
         continue;
       }
+      auto const start = m_state.m_loop.Now();
+      auto const bytes = put->m_object.m_value.size();
       auto catalog = Wire::DecodeCatalog(put->m_object.m_value);
       if (!catalog) {
         base::log::Error("configuration is unusable", { { "error", catalog.error() } });
         continue;
       }
-      ApplyCatalog(std::move(*catalog));
+      ApplyCatalog(std::move(*catalog), bytes, start);
     }
   }
 
-  void ApplyCatalog(operators::ServingCatalog aCatalog)
+  /// aBytes is the size of the configuration's text, aStart when its decoding began.
+  void ApplyCatalog(operators::ServingCatalog aCatalog, std::size_t aBytes, base::Instant aStart)
   {
     auto const version = aCatalog.m_version;
+    auto const routes = aCatalog.m_routes.size();
     if (m_state.m_catalog && m_state.m_catalog->Catalog().m_version >= version) {
       return;
     }
@@ -126,7 +130,12 @@
     }
     m_state.m_allowance.SetLimits(allowances, m_state.m_loop.Now());
     m_state.m_catalog = std::make_unique<caller::CatalogIndex>(std::move(aCatalog));
-    base::log::Info("configuration in force", { { "version", std::to_string(version.Value()) } });
+    base::log::Info(
+      "configuration in force",
+      { { "version", std::to_string(version.Value()) },
+        { "routes", std::to_string(routes) },
+        { "bytes", std::to_string(aBytes) },
+        { "read_ms", std::to_string(base::ToMilliseconds(m_state.m_loop.Now() - aStart)) } });
     m_onCatalog();
   }
 
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -13,6 +13,7 @@
 #include "Programs/Loader/GatewayRegistry.h"
 #include "Programs/Loader/LoadMetrics.h"
 #include "Programs/Loader/StatusSender.h"
+#include "Programs/LoopMonitor.h"
 #include "Programs/ServingWire.h"
 #include "Programs/SettingsFollower.h"
 #include "Programs/StoreAccess.h"
@@ -40,6 +41,7 @@
     , m_planning(m_profile, m_messenger)
     , m_gatewayStatus(m_messenger, m_profile.m_failureDomain)
     , m_plannerStatus(m_messenger, m_profile.m_failureDomain)
+    , m_loopMonitor(m_metrics, kTickInterval)
   {
   }
 
@@ -81,6 +83,7 @@
 
 private:
   static constexpr base::Duration kStoreTimeout = std::chrono::milliseconds(1500);
+  static constexpr base::Duration kTickInterval = std::chrono::milliseconds(100);
 
   /// Acquires the fencing number. This is the version of the host's object in
   /// the store, which each start of a loader for that host increments.
@@ -140,6 +143,7 @@
 
   void OnCatalog(std::string const& aText)
   {
+    auto const start = m_loop.Now();
     auto const catalog = Wire::DecodeCatalog(aText);
     if (!catalog) {
       base::log::Error("configuration is unusable", { { "error", catalog.error() } });
@@ -156,7 +160,10 @@
       }
     }
     base::log::Info("configuration in force",
-                    { { "version", std::to_string(catalog->m_version.Value()) } });
+                    { { "version", std::to_string(catalog->m_version.Value()) },
+                      { "routes", std::to_string(catalog->m_routes.size()) },
+                      { "bytes", std::to_string(aText.size()) },
+                      { "read_ms", std::to_string(base::ToMilliseconds(m_loop.Now() - start)) } });
   }
 
   /// Polls the engine's report and sends the orders that follow from it. On the
@@ -414,11 +421,11 @@
 
   boost::asio::awaitable<void> Tick()
   {
-    constexpr base::Duration kInterval = std::chrono::milliseconds(100);
     constexpr unsigned kTicksPerHeartbeat = 8;
     constexpr unsigned kTicksPerLogInterval = 10;
     for (unsigned tick = 0;; ++tick) {
       auto const now = m_loop.Now();
+      m_loopMonitor.OnTick(now);
       m_gateways.Expire(now);
       if (tick % kTicksPerLogInterval == 0) {
         base::log::StartInterval();
@@ -427,7 +434,7 @@
         SendStatus(true);
       }
       m_planning.Tick(now);
-      co_await m_loop.Sleep(kInterval);
+      co_await m_loop.Sleep(kTickInterval);
     }
   }
 
@@ -453,6 +460,7 @@
   std::uint64_t m_engineSpecs = 0;
   StatusSender m_gatewayStatus;
   StatusSender m_plannerStatus;
+  LoopMonitor m_loopMonitor;
   bool m_hasReport = false;
   /// Whether the engine has announced since its start that it leaves.
   bool m_isLeaving = false;
