--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -4,6 +4,7 @@
 #include "Base/Digest.h"
 #include "Base/Log.h"
 #include "ObjectStore/WatchSession.h"
+#include "Programs/Gateway/CatalogReader.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/StoreFollowerTiming.h"
 #include "Programs/ServingWire.h"
@@ -34,6 +35,7 @@
                       objectstore::CallPurpose::Membership,
                       StoreFollowerTiming::Upstreams(aState.m_profile.m_bounds),
                       base::RandomNumber())
+    , m_catalogReader(aState.m_loop, aState.m_catalog, [this] { ApplyCatalog(); })
     , m_role(StoreFollowerTiming::RoleLimits(aState.m_profile.m_bounds), aState.m_profile.m_host)
     , m_outages(StoreFollowerTiming::OutageTrackerLimits(aState.m_profile.m_bounds))
   {
@@ -105,28 +107,18 @@
       if (!put || put->m_object.m_key.m_name != Wire::CatalogName()) {
         continue;
       }
-      auto catalog = Wire::DecodeCatalog(put->m_object.m_value);
-      if (!catalog) {
-        base::log::Error("configuration is unusable", { { "error", catalog.error() } });
-        continue;
-      }
-      ApplyCatalog(std::move(*catalog));
+      m_catalogReader.Read(put->m_object.m_value);
     }
   }
 
-  void ApplyCatalog(operators::ServingCatalog aCatalog)
+  /// Called when another catalog is in force.
+  void ApplyCatalog()
   {
-    auto const version = aCatalog.m_version;
-    if (m_state.m_catalog && m_state.m_catalog->Catalog().m_version >= version) {
-      return;
-    }
     std::map<base::WorkspaceId, entry::AllowanceLimit> allowances;
-    for (auto const& workspace : aCatalog.m_workspaces) {
+    for (auto const& workspace : m_state.m_catalog->Catalog().m_workspaces) {
       allowances[workspace.m_id] = { workspace.m_rate, workspace.m_burst };
     }
     m_state.m_allowance.SetLimits(allowances, m_state.m_loop.Now());
-    m_state.m_catalog = std::make_unique<caller::CatalogIndex>(std::move(aCatalog));
-    base::log::Info("configuration in force", { { "version", std::to_string(version.Value()) } });
     m_onCatalog();
   }
 
@@ -210,7 +202,7 @@
     }
     bool const hasOlder =
       !m_state.m_catalog || m_state.m_catalog->Catalog().m_version < aUpdate.m_catalog;
-    if (hasOlder) {
+    if (hasOlder && !m_catalogReader.IsReading()) {
       m_catalogWatch.CatchUp();
     }
   }
@@ -285,6 +277,7 @@
   StoreAccess<typename Wire::StoreClient> m_store;
   objectstore::WatchSession<typename Wire::StoreClient> m_catalogWatch;
   objectstore::WatchSession<typename Wire::StoreClient> m_upstreamWatch;
+  CatalogReader<Wire> m_catalogReader;
   entry::WatchRole m_role;
   agent::StoreUpdateAssembler m_updateAssembler;
   std::function<void()> m_onCatalog;
