Gateway: Answer every request before a planned stop ends

Callers of a stopping gateway lost requests: one that came late in the grace was taken and passed on whatever time it needed, and at the end of the grace the process ended with exchanges open.

Cause: only the waits for a model knew of the stop. Attempts, retries and the deadline handed to an upstream did not, and Shutdown() left what was still open to the end of the process, among it requests that were being read.

GatewayState now holds the end of the stop, and StopPolicy decides by it. A request that may run once and is answered in one piece is begun only if its deadline falls before that end; streams and idempotent requests also until the load balancer has removed the process. Others get 503 at once with a short Retry-After, as does everything before the first configuration. Upstreams are given the earlier of both deadlines. A second stop changes nothing. `stopped` counts what was refused, ended and cut off.

--- a/Base/Http/HttpServer.cpp
+++ b/Base/Http/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Http/HttpSession.h"
 #include "Base/Http/IdleWait.h"
+#include "Base/Http/ReadDeadline.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -191,6 +192,14 @@
   }
 }
 
+void HttpServer::EndReads()
+{
+  m_areReadsEnded = true;
+  for (auto* const read : m_reads) {
+    read->Expire();
+  }
+}
+
 asio::awaitable<std::size_t> HttpServer::Drain(Duration aTimeout)
 {
   m_draining = true;
@@ -206,7 +215,7 @@
   do {
     co_await m_loop.Sleep(kDrainPollInterval);
   } while ((m_exchanges > 0 || !m_idle.empty()) && m_loop.Now() < end);
-  co_return m_exchanges;
+  co_return m_exchanges - m_lingering;
 }
 
 } // namespace sardinefold::base
--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -44,6 +44,7 @@
 };
 
 class IdleWait;
+class ReadDeadline;
 
 /// Accepts HTTP/1.1 connections and passes each request to a handler once it is
 /// completely read. Requests on one connection are served one after the other.
@@ -81,9 +82,13 @@
 
   /// Stops accepting, closes idle connections and waits until the open exchanges
   /// have ended or the timeout has expired. A request that has arrived, also in part,
-  /// is still served. Returns how many exchanges are still open.
+  /// is still served. Returns how many exchanges are still open without an answer.
   boost::asio::awaitable<std::size_t> Drain(Duration aTimeout);
 
+  /// Refuses the requests that are being read, and have not arrived completely, with
+  /// status 408.
+  void EndReads();
+
   std::size_t OpenConnections() const { return m_connections; }
   /// Returns the number of requests that are being read or served.
   std::size_t OpenExchanges() const { return m_exchanges; }
@@ -119,12 +124,16 @@
   std::shared_ptr<boost::asio::ssl::context> m_tls;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::list<IdleWait*> m_idle;
+  std::list<ReadDeadline*> m_reads;
   std::list<HttpExchange*> m_open;
   std::size_t m_connections = 0;
   std::size_t m_exchanges = 0;
+  /// Exchanges that have been answered, and whose peers are still sending.
+  std::size_t m_lingering = 0;
   std::uint64_t m_accepted = 0;
   bool m_isClosing = false;
   bool m_draining = false;
+  bool m_areReadsEnded = false;
 };
 
 } // namespace sardinefold::base
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -211,8 +211,10 @@
   {
     constexpr Duration kLastLook = std::chrono::milliseconds(10);
     ReadDeadline deadline(Socket());
-    deadline.Start(aTimeout);
+    deadline.Start(m_server.m_areReadsEnded ? kLastLook : aTimeout);
+    auto const position = m_server.m_reads.insert(m_server.m_reads.end(), &deadline);
     boost::system::error_code error = co_await aRead();
+    m_server.m_reads.erase(position);
     bool isLate = co_await deadline.Stop();
     if (error && isLate && HasPendingInput()) {
       deadline.Start(kLastLook);
@@ -243,6 +245,7 @@
   /// without end is no longer read from after kMaximumLingerBytes.
   boost::asio::awaitable<void> Linger()
   {
+    detail::CountGuard const guard(m_server.m_lingering);
     constexpr Duration kLingerTime = std::chrono::seconds(2);
     constexpr std::size_t kReadBytes = 16UL * 1024;
     auto& lowest = boost::beast::get_lowest_layer(m_stream);
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -42,13 +42,8 @@
       RecordEnd();
       co_return;
     }
-    m_exchange.OnPeerDisconnected([this] {
-      m_cancellation.Cancel();
-      if (m_context.m_query.m_model) {
-        m_state.ModelSignal(*m_context.m_query.m_model).Notify();
-      }
-      m_state.m_suspectSignal.Notify();
-    });
+    m_exchange.OnPeerDisconnected([this] { Cancel(); });
+    OpenRequests::Entry const entry(m_state.m_openRequests, [this] { Cancel(); });
     co_await Serve();
     m_exchange.OnPeerDisconnected(nullptr);
     if (m_context.m_workspace && m_history.Attempts() == 0) {
@@ -70,8 +65,20 @@
 
   base::Instant Now() const { return m_state.m_loop.Now(); }
 
+  /// Ends all waits of the request, as its caller has gone or the process stops.
+  void Cancel()
+  {
+    m_cancellation.Cancel();
+    if (m_context.m_query.m_model) {
+      m_state.ModelSignal(*m_context.m_query.m_model).Notify();
+    }
+    m_state.m_suspectSignal.Notify();
+  }
+
   boost::asio::awaitable<void> Refuse(RequestRefusal aRefusal)
   {
+    bool const isRefusedByStop = aRefusal.m_reason == kStoppingOutcome && aRefusal.m_status == 503;
+    m_state.m_refusedByStop += isRefusedByStop ? 1 : 0;
     m_record.m_outcome = aRefusal.m_reason;
     m_record.m_status = aRefusal.m_status;
     auto const& id = m_context.m_request.m_id;
@@ -94,7 +101,7 @@
       if (IsTurn()) {
         choice = co_await selection.Run(m_relay.LastRelayedAt().value_or(m_context.m_start));
       }
-      if (!choice || IsRefused()) {
+      if (!choice || IsRefused() || !MayBegin()) {
         co_await FailRequest();
         co_return;
       }
@@ -131,6 +138,14 @@
     }
   }
 
+  /// Whether the process may begin an attempt. A stream that has begun is resumed until
+  /// the process stops, as it can only be broken off instead.
+  bool MayBegin() const
+  {
+    return m_exchange.HasStarted() ||
+           m_state.Stop().MayBegin(m_context.m_route, m_context.m_end, Now());
+  }
+
   std::vector<base::PromptPartId> const& Parts() const { return m_context.m_request.m_sharedParts; }
 
   bool IsTurn() const { return !IsRefused() && m_state.m_suspectParts.MaySend(Parts(), Now()); }
@@ -236,7 +251,7 @@
   /// Ends a request that no upstream will serve.
   boost::asio::awaitable<void> FailRequest()
   {
-    if (m_cancellation.IsCancelled()) {
+    if (m_exchange.IsPeerDisconnected()) {
       m_record.m_outcome = "caller left";
       co_return;
     }
@@ -253,11 +268,14 @@
       co_await m_exchange.Respond(std::move(response));
       co_return;
     }
-    bool const isPastDeadline = Now() >= m_context.m_end;
+    bool const isStopped = m_cancellation.IsCancelled() || !MayBegin();
+    bool const isPastDeadline = Now() >= m_context.m_end || m_cancellation.IsCancelled();
     auto const refused = m_state.m_suspectParts.FindRefused(Parts(), Now());
     if (refused) {
       LogRefusedPart(m_context, *refused);
       m_record.m_outcome = kRefusedPartOutcome;
+    } else if (isStopped) {
+      m_record.m_outcome = kStoppingOutcome;
     } else if (m_record.m_outcome.empty()) {
       m_record.m_outcome = isPastDeadline ? "timed out" : "upstream failed";
     }
@@ -266,6 +284,9 @@
       refusal.m_status = isPastDeadline ? 504 : 502;
     } else {
       refusal.m_retryAfter = refused ? refused->m_timeLeft : RetryDelay();
+      if (!refused && m_state.m_stopEnd) {
+        refusal.m_retryAfter = RetryDelayElsewhere();
+      }
     }
     co_await Refuse(refusal);
   }
@@ -279,19 +300,27 @@
                           m_state.ForecastFor(m_context.m_query.m_model), Now());
   }
 
+  /// Returns when the caller should retry at another gateway: at once, unless the
+  /// upstreams themselves want no requests.
+  base::Duration RetryDelayElsewhere()
+  {
+    auto const backoffEnd = m_state.m_directory.BackoffEndFor(m_context.m_query, Now());
+    return backoffEnd ? std::max(*backoffEnd - Now(), kStopRetryAfter) : kStopRetryAfter;
+  }
+
   boost::asio::awaitable<AttemptEnd> RunAttempt(engine::UpstreamChoice aChoice)
   {
     caller::ForwardParameters terms;
     terms.m_instance = aChoice.m_instance;
-    terms.m_timeLeft =
-      std::max<base::Duration>(m_context.m_end - Now(), std::chrono::milliseconds(1));
+    terms.m_timeLeft = std::max<base::Duration>(m_state.Stop().LimitOf(m_context.m_end) - Now(),
+                                                std::chrono::milliseconds(1));
     terms.m_workspace = m_context.m_workspace;
     terms.m_urgency = std::min(m_context.m_urgency, caller::ForwardParameters::kMinimumUrgency);
     terms.m_resumeAfter =
       m_history.LastEvent() ? m_history.LastEvent() : m_context.m_request.m_resumeAfter;
     auto request = Wire::EncodeForEngine(m_exchange.Request(), terms);
     base::HttpSendOptions options{
-      terms.m_timeLeft + ResponseRelay<Wire>::kResponseGrace, &m_cancellation,
+      m_context.m_end - Now() + ResponseRelay<Wire>::kResponseGrace, &m_cancellation,
       m_context.m_route.MayRepeat() ? kRepeatableIdle : kNonRepeatableIdle,
       base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_context.m_request.m_id.Text() },
       // The upstream may have become unusable while the connection was set up.
@@ -300,9 +329,13 @@
     auto endpoint = aChoice.m_endpoint;
     auto reply =
       co_await m_state.m_http.Send(std::move(endpoint), std::move(request), std::move(options));
-    if (m_cancellation.IsCancelled()) {
+    if (m_exchange.IsPeerDisconnected()) {
       co_return AttemptEnd::CallerGone;
     }
+    if (!reply && m_cancellation.IsCancelled()) {
+      m_record.m_outcome = kStoppingOutcome;
+      co_return reply.error().m_mayHaveBeenSent ? AttemptEnd::Unknown : AttemptEnd::NotRun;
+    }
     if (!reply) {
       m_record.m_outcome = ToText(reply.error().m_kind);
       m_state.RecordTransportFailure(reply.error(), m_attempt, false, m_context.m_end);
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -61,22 +61,31 @@
   }
 
   /// Waits until the load balancer has removed this process, then drains the open
-  /// requests.
+  /// requests, and ends those that are left in time to answer them. Later calls change
+  /// nothing.
   boost::asio::awaitable<void> Shutdown()
   {
-    // The load balancer polls readiness once a second and needs two responses to
-    // react.
-    constexpr base::Duration kBalancerDelay = std::chrono::milliseconds(2300);
-    constexpr base::Duration kReserve = std::chrono::milliseconds(700);
-    auto const end = m_loop.Now() + m_state.m_profile.m_bounds.m_stopGrace - kReserve;
-    m_isStopping = true;
-    m_state.m_waitDeadline = m_loop.Now() + kBalancerDelay;
+    if (m_state.m_stopEnd) {
+      co_return;
+    }
+    auto const times =
+      caller::StopTimes::Plan(m_loop.Now(), m_state.m_profile.m_bounds.m_stopGrace);
+    m_state.m_waitDeadline = times.m_waitEnd;
+    m_state.m_stopEnd = times.m_end;
     m_state.NotifyAll();
     m_callers.CloseAfterResponses();
     base::log::Info("stopping", { { "open", std::to_string(m_callers.OpenExchanges()) } });
-    co_await m_loop.Sleep(kBalancerDelay);
-    auto const open = co_await m_callers.Drain(end - m_loop.Now());
-    base::log::Info("stopped", { { "cut_off", std::to_string(open) } });
+    co_await m_loop.Sleep(times.m_waitEnd - m_loop.Now());
+    auto open = co_await m_callers.Drain(times.m_end - m_loop.Now());
+    auto const ended = m_state.m_openRequests.EndAll();
+    if (open > 0) {
+      m_callers.EndReads();
+      open = co_await m_callers.Drain(times.m_exit - m_loop.Now());
+    }
+    base::log::Info("stopped", { { "refused", std::to_string(m_state.m_refusedByStop) },
+                                 { "ended", std::to_string(ended) },
+                                 { "cut_off", std::to_string(open) } });
+    m_cutOffByStop = open;
     m_loop.Stop();
   }
 
@@ -90,6 +99,8 @@
   }
 
   base::Metrics const& Metrics() const { return m_state.m_metrics; }
+  /// The connections that were open with a request as the process stopped.
+  std::size_t CutOffByStop() const { return m_cutOffByStop; }
   GatewayState& State() { return m_state; }
 
 private:
@@ -117,12 +128,13 @@
         { "reason", std::string(ToText(aClose.m_reason)) },
         { "requests", std::to_string(aClose.m_requests) },
         { "since_wait_ms", std::to_string(base::ToMilliseconds(aClose.m_sinceWait)) },
-        { "pending_bytes", std::to_string(aClose.m_pendingBytes) } });
+        { "pending_bytes", std::to_string(aClose.m_pendingBytes) },
+        { "stopping", m_state.m_stopEnd ? "true" : "false" } });
   }
 
   bool IsReady() const
   {
-    return m_state.m_catalog && m_state.m_directory.Size() > 0 && !m_isStopping;
+    return m_state.m_catalog && m_state.m_directory.Size() > 0 && !m_state.m_stopEnd;
   }
 
   boost::asio::awaitable<void> HandleReadiness(base::HttpExchange& aExchange)
@@ -272,7 +284,7 @@
   base::HttpServer m_readiness;
   FleetReporter m_fleet;
   StoreFollower<Wire> m_store;
-  bool m_isStopping = false;
+  std::size_t m_cutOffByStop = 0;
 };
 
 } // namespace sardinefold::programs
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -11,12 +11,14 @@
 #include "Base/Signal.h"
 #include "Caller/CatalogIndex.h"
 #include "Caller/ResponseMemoryBudget.h"
+#include "Caller/StopPolicy.h"
 #include "Caller/WaitPolicy.h"
 #include "Engine/DemandTracker.h"
 #include "Engine/UpstreamDirectory.h"
 #include "Entry/Allowance/SharedAllowance.h"
 #include "Programs/FleetMessenger.h"
 #include "Programs/Gateway/Attempt.h"
+#include "Programs/Gateway/OpenRequests.h"
 
 #include <map>
 #include <memory>
@@ -337,6 +339,9 @@
     return limits;
   }
 
+  /// What the process may still begin, also while it stops.
+  caller::StopPolicy Stop() const { return { m_waitDeadline, m_stopEnd }; }
+
   base::EventLoop& m_loop;
   base::ProcessProfile m_profile;
   base::Metrics m_metrics;
@@ -357,6 +362,11 @@
   FleetMessenger m_messenger;
   /// While the process shuts down, the end of all waits for a model.
   std::optional<base::Instant> m_waitDeadline;
+  /// While the process shuts down, the end of all requests.
+  std::optional<base::Instant> m_stopEnd;
+  OpenRequests m_openRequests;
+  /// Requests that were refused as the process stops.
+  std::size_t m_refusedByStop = 0;
   std::map<base::DeploymentId, agent::RetryBudget> m_retryBudgets;
   std::map<base::ModelId, std::unique_ptr<base::Signal>> m_modelSignals;
   std::map<base::ModelId, caller::ModelForecast> m_modelForecasts;
--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -37,6 +37,9 @@
     }
     m_context.m_request = std::move(*decoded);
     auto const* const catalog = m_state.m_catalog.get();
+    if (!catalog && m_state.m_stopEnd) {
+      return RequestRefusal{ 503, kStoppingOutcome, kStopRetryAfter };
+    }
     if (!catalog) {
       return RequestRefusal{ 503, "no configuration yet", kConfigurationRetryAfter };
     }
@@ -56,6 +59,9 @@
       m_context.m_workspace = workspace->m_id;
       m_context.m_urgency = workspace->m_urgency.value_or(route->m_urgency);
     }
+    if (!m_state.Stop().MayBegin(m_context.m_route, m_context.m_end, m_context.m_start)) {
+      return RequestRefusal{ 503, kStoppingOutcome, kStopRetryAfter };
+    }
     m_context.m_fingerprint = Fingerprint();
     if (auto const refusedFor =
           m_state.m_suspects.RefusedFor(m_context.m_fingerprint, m_context.m_start)) {
--- a/Programs/Gateway/RequestRecord.h
+++ b/Programs/Gateway/RequestRecord.h
@@ -15,6 +15,10 @@
 /// Outcomes of requests with a prompt part that crashes upstreams, or may do so.
 inline constexpr std::string_view kRefusedPartOutcome = "prompt part crashes upstreams";
 inline constexpr std::string_view kSuspectedOutcome = "prompt part is suspected";
+/// Outcome of requests that a stopping process does not begin, or ends.
+inline constexpr std::string_view kStoppingOutcome = "gateway stops";
+/// Retry-After of such requests, which another gateway can take at once.
+inline constexpr base::Duration kStopRetryAfter = std::chrono::milliseconds(100);
 
 /// The result of one request, for its final log line and the metrics. Outcomes
 /// and reasons are string constants, which bounds the number of label values.
--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -193,9 +193,13 @@
       co_return tl::make_unexpected(FailUnresponsive("answer without end", aChoice));
     }
     auto chunk = co_await aReply.Read(limit);
-    if (m_cancellation.IsCancelled()) {
+    if (m_exchange.IsPeerDisconnected()) {
       co_return tl::make_unexpected(AttemptEnd::CallerGone);
     }
+    if (!chunk && m_cancellation.IsCancelled()) {
+      m_record.m_outcome = kStoppingOutcome;
+      co_return tl::make_unexpected(AttemptEnd::Unknown);
+    }
     if (!chunk) {
       m_record.m_outcome = ToText(chunk.error().m_kind);
       m_state.RecordTransportFailure(chunk.error(), *m_attempt, m_hasResponseStarted,
@@ -250,7 +254,7 @@
   {
     auto const& route = m_context.m_route;
     return route.MayRepeat() && m_history.Runs() + 1 < route.m_maximumAttempts &&
-           Now() < m_context.m_end &&
+           Now() < m_context.m_end && m_state.Stop().MayBegin(route, m_context.m_end, Now()) &&
            m_state.RetryBudgetOf(m_context.m_query.m_deployment, Now()).Available() >= 1;
   }
 
--- a/Programs/Gateway/UpstreamSelection.h
+++ b/Programs/Gateway/UpstreamSelection.h
@@ -100,6 +100,9 @@
 
   base::Instant WaitEnd(caller::WaitPolicy const& aPolicy) const
   {
+    if (!m_state.Stop().MayBegin(m_context.m_route, m_context.m_end, Now())) {
+      return Now();
+    }
     return std::min(aPolicy.End(), m_state.m_waitDeadline.value_or(aPolicy.End()));
   }
 
