StandIns: Reset a scripted connection where its script says so

A scripted server closed such connections as usual: the destructor of a socket discards the linger option that its user has set. So tests of resets saw the proper end of a connection.

ResumedStreamTest, which uses a reset, passes.

--- a/StandIns/Site/ScriptedServer.cpp
+++ b/StandIns/Site/ScriptedServer.cpp
@@ -101,6 +101,8 @@
     if (response.m_end == ScriptedResponse::End::Reset) {
       boost::system::error_code ignored;
       aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+      // The socket's destructor would discard the option.
+      aSocket.close(ignored);
     }
     if (response.m_end != ScriptedResponse::End::KeepOpen) {
       co_return;
