Tests: Cut answers at every byte under each framing

Operators of systems like ours saw clients get a 200 with an empty or short body, framed as whole, after an engine had stopped within its answer's head. Here this doesn't happen: the tests cut an answer at every byte of its head and of its body, after an interim response, with a length, with chunks and without either, by a close and by a reset, at the client; and at fifteen places through a gateway, for complete answers and streams. They stay as guards.

NOTE: A body without length and chunks that ends by a proper close is whole by HTTP, and relayed as such.

--- /dev/null
+++ b/Tests/TruncatedAnswerTest.cpp
@@ -0,0 +1,170 @@
+#define BOOST_TEST_MODULE TruncatedAnswer
+#include "StandIns/Site/ScriptedServer.h"
+#include "Tests/Support/PortClaim.h"
+#include "Tests/Support/SiteFixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+// An upstream may stop at any byte of its answer. No part of one may be taken for a
+// whole answer.
+
+using namespace sardinefold;
+using standins::ScriptedResponse;
+using standins::ScriptedServer;
+using tests::SiteFixture;
+using namespace std::chrono_literals;
+using boost::asio::awaitable;
+
+namespace {
+
+std::string const kHead = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: 1.2.3\r\n";
+std::string const kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+std::string const kLength =
+  kHead + "Content-Length: " + std::to_string(kEvents.size()) + "\r\n\r\n" + kEvents;
+std::string const kInterim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + kLength;
+std::string const kChunked = kHead + "Transfer-Encoding: chunked\r\n\r\nf;x=y\r\n" +
+                             kEvents.substr(0, 15) + "\r\n0f\r\n" + kEvents.substr(15) +
+                             "\r\n0\r\nTrailer: x\r\n\r\n";
+std::string const kUndelimited = kHead + "Connection: close\r\n\r\n" + kEvents;
+
+struct Framing
+{
+  char const* m_name;
+  std::string const* m_text;
+};
+
+std::ostream& operator<<(std::ostream& aStream, Framing const& aFraming)
+{
+  return aStream << aFraming.m_name;
+}
+
+std::vector<Framing> const kFramings = { { "length", &kLength },
+                                         { "length after an interim response", &kInterim },
+                                         { "chunks", &kChunked },
+                                         { "end of the connection", &kUndelimited } };
+
+struct Cut
+{
+  std::string const* m_text;
+  /// The response ends before this text, or at its own end if it is empty.
+  std::string m_before;
+  ScriptedResponse::End m_end = ScriptedResponse::End::Close;
+};
+
+std::ostream& operator<<(std::ostream& aStream, Cut const& aCut)
+{
+  return aStream << aCut.m_before;
+}
+
+std::vector<Cut> const kCuts = {
+  { &kLength, "\r\nRequest-Id" },
+  { &kLength, "ngth" },
+  { &kLength, "\r\n\r\nid" },
+  { &kLength, "\nid: 1" },
+  { &kLength, "id: 1" },
+  { &kLength, "id: 2" },
+  { &kInterim, "HTTP/1.1 200" },
+  { &kInterim, "Server-Seal" },
+  { &kChunked, "f;x" },
+  { &kChunked, "\r\n0f" },
+  { &kChunked, "0\r\nTrailer" },
+  { &kChunked, "Trailer" },
+  { &kChunked, "\r\n", ScriptedResponse::End::Reset },
+  { &kUndelimited, "\r\nid" },
+  { &kUndelimited, "", ScriptedResponse::End::Reset },
+};
+
+/// A site in which all routes lead to a scripted server.
+class TruncatedFixture : public SiteFixture
+{
+public:
+  void Start(ScriptedResponse aResponse)
+  {
+    m_server = std::make_unique<ScriptedServer>(m_loop, std::vector{ std::move(aResponse) });
+    base::Endpoint const address{ "127.0.3.1", Callers().m_port };
+    BOOST_REQUIRE(m_server->Listen(address).has_value());
+    Json::Value entry;
+    entry["service"] = "extra";
+    entry["address"] = address.Text();
+    entry["zone"] = "a";
+    entry["slots"] = 8;
+    entry["state"] = "ready";
+    entry["born"] = 1;
+    m_store.Put("servers", "i-scripted", entry);
+    auto configuration = standins::SiteConfiguration(2);
+    configuration["services"][2]["name"] = "extra";
+    for (auto& route : configuration["routes"]) {
+      route["service"] = "extra";
+    }
+    m_store.Put("config", "main", configuration);
+  }
+
+  std::unique_ptr<ScriptedServer> m_server;
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(AClientTakesNoPartOfAnAnswerForTheWhole,
+                     boost::unit_test::data::make(kFramings) *
+                       boost::unit_test::data::make({ false, true }),
+                     aFraming, aIsReset)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  tests::PortClaim const port({ "127.0.0.1" });
+  base::Endpoint const endpoint{ "127.0.0.1", port.Port() };
+  std::vector<ScriptedResponse> script;
+  auto const& whole = *aFraming.m_text;
+  bool const isUndelimited = aFraming.m_text == &kUndelimited;
+  auto const head = whole.rfind("\r\n\r\nid") + 4;
+  // Without a length, a close after the head is the proper end of a body.
+  auto const cuts = isUndelimited && !aIsReset ? head : whole.size();
+  for (std::size_t size = 0; size < cuts; ++size) {
+    script.push_back({ whole.substr(0, size),
+                       aIsReset ? ScriptedResponse::End::Reset : ScriptedResponse::End::Close });
+  }
+  script.push_back({ whole, ScriptedResponse::End::Close });
+  ScriptedServer server(loop, script);
+  BOOST_REQUIRE(server.Listen(endpoint).has_value());
+  base::HttpClient client(loop, {});
+  auto run = [&]() -> awaitable<void> {
+    for (std::size_t size = 0; size <= cuts; ++size) {
+      base::HttpRequest request;
+      request.m_headers.Add("Request-Id", "r1");
+      base::HttpSendOptions options{ 1s, nullptr, std::nullopt,
+                                     base::HttpHeaders::Field{ "Request-Id", "r1" }, nullptr };
+      auto target = endpoint;
+      auto const response =
+        co_await client.Fetch(std::move(target), std::move(request), std::move(options));
+      BOOST_TEST_CONTEXT("after " << size << " bytes")
+      {
+        BOOST_TEST(response.has_value() == (size == cuts));
+        if (!response) {
+          BOOST_TEST(response.error().m_mayHaveBeenSent);
+        }
+      }
+    }
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+}
+
+BOOST_DATA_TEST_CASE_F(TruncatedFixture, AGatewayRelaysNoPartOfAnAnswerAsTheWhole,
+                       boost::unit_test::data::make(kCuts), aCut)
+{
+  auto const& whole = *aCut.m_text;
+  auto const size = aCut.m_before.empty() ? whole.size() : whole.rfind(aCut.m_before);
+  BOOST_REQUIRE(size != std::string::npos);
+  Start({ whole.substr(0, size), aCut.m_end });
+  Run([&]() -> awaitable<void> {
+    for (auto const* const target : { "/order/x", "/once/x" }) {
+      auto request = Request("POST", target, "r" + std::string(target));
+      auto const response = co_await Send(std::move(request));
+      BOOST_TEST((!response || response->m_status == 502 || response->m_status == 503));
+      BOOST_TEST((response || target[1] == 'o'));
+    }
+    BOOST_TEST(m_server->Requests() >= 1U);
+  });
+}
