Engine: Send nothing to upstreams that only a restored list names

After the store came back from a copy, gateways sent requests to upstreams whose draining or removal it had acknowledged before: OnListed took each entry as it came and remembered no end.

The directory now remembers ends of starts across eras (LeftUpstreams, bounded by number and time). A start that drained stays out; one that was removed is used when it writes itself again or outlasts three heartbeats in the list; an entry of an earlier start replaces no later one. Within one era the list's latest word counts as before.

--- a/Base/ProcessProfile.h
+++ b/Base/ProcessProfile.h
@@ -16,6 +16,8 @@
 {
   /// Longest time for which a draining upstream may still receive new requests.
   Duration m_maximumDrainDelay = std::chrono::seconds(2);
+  /// Interval in which upstreams confirm their entries in the object store.
+  Duration m_heartbeatInterval = std::chrono::milliseconds(1200);
   /// Time from the termination signal until the process is killed.
   Duration m_stopGrace = std::chrono::seconds(8);
   /// Number of retries allowed per request to a deployment, over all processes.
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -44,6 +44,21 @@
   return "unknown";
 }
 
+std::string_view ToText(ListingOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ListingOutcome::Believed:
+      return "believed";
+    case ListingOutcome::Drained:
+      return "drained";
+    case ListingOutcome::Removed:
+      return "removed";
+    case ListingOutcome::Superseded:
+      return "superseded";
+  }
+  return "unknown";
+}
+
 UpstreamDirectory::UpstreamDirectory(DirectoryLimits aLimits,
                                      base::FailureDomainId aLocalFailureDomain, std::uint64_t aSeed)
   : m_limits(aLimits)
@@ -52,13 +67,49 @@
 {
 }
 
-void UpstreamDirectory::OnListed(UpstreamEntry aEntry, base::Instant aNow)
+/// Decides whether to believe an entry, and remembers what it says of the start.
+ListingOutcome UpstreamDirectory::Judge(UpstreamEntry const& aEntry, EntrySource aSource,
+                                        base::Instant aNow)
+{
+  auto const start = StartOf(aEntry);
+  bool const isRestored = aSource == EntrySource::RestoredList;
+  auto const known = m_upstreams.find(aEntry.m_instance);
+  if (isRestored && known != m_upstreams.end() &&
+      known->second.m_entry.m_startedAt > aEntry.m_startedAt) {
+    return ListingOutcome::Superseded;
+  }
+  if (aEntry.m_isDraining) {
+    m_left.OnDrained(start, aNow);
+    return ListingOutcome::Believed;
+  }
+  auto const end = m_left.FindLost(start);
+  if (end == ListedEnd::Drained) {
+    return ListingOutcome::Drained;
+  }
+  if (end == ListedEnd::Removed && isRestored) {
+    return ListingOutcome::Removed;
+  }
+  m_left.Forget(start);
+  return ListingOutcome::Believed;
+}
+
+ListingOutcome UpstreamDirectory::OnListed(UpstreamEntry aEntry, base::Instant aNow,
+                                           EntrySource aSource)
 {
-  auto& upstream = m_upstreams[aEntry.m_instance];
+  auto const outcome = Judge(aEntry, aSource, aNow);
+  if (outcome == ListingOutcome::Superseded) {
+    return outcome;
+  }
+  aEntry.m_isDraining = aEntry.m_isDraining || outcome == ListingOutcome::Drained;
+  auto const [found, isNew] = m_upstreams.try_emplace(aEntry.m_instance);
+  auto& upstream = found->second;
   bool const isRestart = upstream.m_entry.m_startedAt != aEntry.m_startedAt ||
                          upstream.m_entry.m_endpoint != aEntry.m_endpoint;
   if (isRestart) {
     OnStartEnded(upstream.m_entry, true);
+    if (!isNew) {
+      m_left.OnRemoved(StartOf(upstream.m_entry), aNow);
+    }
     upstream.m_loaderStatus.reset();
     upstream.m_missing.clear();
     upstream.m_failures = 0;
@@ -66,6 +117,11 @@
   }
   upstream.m_entry = std::move(aEntry);
   upstream.m_usableUntil.reset();
+  upstream.m_doubtedUntil.reset();
+  if (outcome == ListingOutcome::Removed) {
+    upstream.m_doubtedUntil = aNow + m_limits.m_silenceTime;
+  }
+  return outcome;
 }
 
 RemovalCause UpstreamDirectory::OnRemoved(InstanceId const& aInstance,
@@ -80,14 +136,17 @@
     usableUntil = std::min(*usableUntil, aLapseEnd.value_or(aNow));
     return RemovalCause::Unknown;
   }
-  bool const isLapse = aLapseEnd && !found->second.m_entry.m_isDraining;
+  bool const isLapse = aLapseEnd && IsListed(found->second);
   found->second.m_usableUntil = isLapse ? *aLapseEnd : aNow;
+  if (!isLapse) {
+    m_left.OnRemoved(StartOf(found->second.m_entry), aNow);
+  }
   return isLapse ? RemovalCause::Lapsed : RemovalCause::Left;
 }
 
 bool UpstreamDirectory::IsListed(Upstream const& aUpstream)
 {
-  return !aUpstream.m_usableUntil && !aUpstream.m_entry.m_isDraining;
+  return !aUpstream.m_usableUntil && !aUpstream.m_doubtedUntil && !aUpstream.m_entry.m_isDraining;
 }
 
 bool UpstreamDirectory::IsListed(InstanceId const& aInstance) const
@@ -280,7 +339,9 @@
 bool UpstreamDirectory::IsAvailable(Upstream const& aUpstream, base::Instant aNow)
 {
   bool const isListed = !aUpstream.m_usableUntil || aNow < *aUpstream.m_usableUntil;
-  return isListed && !aUpstream.m_entry.m_isDraining && aUpstream.m_pausedUntil <= aNow;
+  bool const isDoubted = aUpstream.m_doubtedUntil && aNow < *aUpstream.m_doubtedUntil;
+  return isListed && !isDoubted && !aUpstream.m_entry.m_isDraining &&
+         aUpstream.m_pausedUntil <= aNow;
 }
 
 bool UpstreamDirectory::IsUsable(Upstream const& aUpstream, base::Instant aNow) const
@@ -499,11 +560,27 @@
   }
 }
 
+void UpstreamDirectory::ExpireDoubts(base::Instant aNow)
+{
+  for (auto& [instance, upstream] : m_upstreams) {
+    if (upstream.m_doubtedUntil && aNow >= *upstream.m_doubtedUntil) {
+      upstream.m_doubtedUntil.reset();
+      m_left.Forget(StartOf(upstream.m_entry));
+    }
+  }
+  m_left.Expire(aNow);
+}
+
 void UpstreamDirectory::Expire(base::Instant aNow)
 {
+  ExpireDoubts(aNow);
   std::erase_if(m_upstreams, [&](auto const& aItem) {
     auto const& usableUntil = aItem.second.m_usableUntil;
-    bool const isExpired = usableUntil && aNow >= *usableUntil && aItem.second.m_inFlight == 0;
+    bool const isOutOfUse = usableUntil && aNow >= *usableUntil;
+    if (isOutOfUse) {
+      m_left.OnRemoved(StartOf(aItem.second.m_entry), aNow);
+    }
+    bool const isExpired = isOutOfUse && aItem.second.m_inFlight == 0;
     if (isExpired) {
       OnStartEnded(aItem.second.m_entry, false);
     }
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -2,6 +2,7 @@
 
 #include "Engine/EngineTypes.h"
 #include "Engine/LeavingUpstreams.h"
+#include "Engine/LeftUpstreams.h"
 #include "Engine/UpstreamBackoff.h"
 
 #include <cstdint>
@@ -37,6 +38,9 @@
   /// Cost of sending a request to an upstream at which another awaits its answer,
   /// if one of the two is suspected of crashing upstreams.
   double m_suspectedCost = 8;
+  /// An entry that a restored list still has after this time belongs to an upstream
+  /// that is alive: the list drops those that are silent for three heartbeats.
+  base::Duration m_silenceTime = std::chrono::milliseconds(5500);
   /// Cost of a running request in the same unit; each running request slows
   /// down every step slightly.
   double m_running = 0.15;
@@ -82,6 +86,28 @@
 };
 std::string_view ToText(RemovalCause aReading);
 
+enum class EntrySource
+{
+  /// The entry was written while the list was followed.
+  Change,
+  /// The first list after the store came back from a copy.
+  RestoredList
+};
+
+/// How an entry of the list was taken.
+enum class ListingOutcome
+{
+  Believed,
+  /// The start reported before the restoration that it drains; it does so still.
+  Drained,
+  /// The start was removed before the restoration; the upstream is not used until
+  /// it has shown that it is alive.
+  Removed,
+  /// A later start of the upstream is known; the entry changes nothing.
+  Superseded
+};
+std::string_view ToText(ListingOutcome aOutcome);
+
 /// The upstream chosen for a request.
 struct UpstreamChoice
 {
@@ -162,8 +188,13 @@
   UpstreamDirectory(DirectoryLimits aLimits, base::FailureDomainId aLocalFailureDomain,
                     std::uint64_t aSeed);
 
-  /// Takes a new or changed entry of the list.
-  void OnListed(UpstreamEntry aEntry, base::Instant aNow);
+  /// Takes a new or changed entry of the list. No entry revives a start that
+  /// reported before a restoration that it drains, and a restored list none that
+  /// was removed before.
+  ListingOutcome OnListed(UpstreamEntry aEntry, base::Instant aNow,
+                          EntrySource aSource = EntrySource::Change);
+  /// To be called before the first list after the store came back from a copy.
+  void OnStoreRestored() { m_left.OnStoreRestored(); }
   /// Handles the removal of an entry from the list. With aLapseEnd, the entry
   /// may have lapsed because the store did not accept heartbeats, and the
   /// upstream stays in use until that time unless it was draining; without it,
@@ -245,6 +276,8 @@
     UpstreamEntry m_entry;
     /// Until when an upstream that is no longer listed may be used.
     std::optional<base::Instant> m_usableUntil;
+    /// Until when an entry of a restored list is not believed.
+    std::optional<base::Instant> m_doubtedUntil;
     std::optional<LoaderStatus> m_loaderStatus;
     base::Instant m_loaderStatusAt{};
     /// Requests of this process in flight.
@@ -262,6 +295,8 @@
 
   static bool IsListed(Upstream const& aUpstream);
   static UpstreamStart StartOf(UpstreamEntry const& aEntry);
+  ListingOutcome Judge(UpstreamEntry const& aEntry, EntrySource aSource, base::Instant aNow);
+  void ExpireDoubts(base::Instant aNow);
   bool IsLeaving(Upstream const& aUpstream) const;
   bool IsCurrentTrial(UpstreamChoice const& aChoice) const;
   void OnStartEnded(UpstreamEntry const& aEntry, bool aIsRestart);
@@ -282,6 +317,7 @@
   std::mt19937_64 m_random;
   std::map<InstanceId, Upstream> m_upstreams;
   LeavingUpstreams m_leaving;
+  LeftUpstreams m_left;
   std::vector<LeavingEnd> m_leavingEnds;
   BackoffTable m_backoffs;
   std::vector<BackoffEnd> m_backoffEnds;
--- a/Entry/Relay/OutageTracker.cpp
+++ b/Entry/Relay/OutageTracker.cpp
@@ -1,5 +1,7 @@
 #include "Entry/Relay/OutageTracker.h"
 
+#include <algorithm>
+
 namespace sardinefold::entry {
 
 void OutageTracker::OnResponse(base::Instant aAt)
@@ -15,6 +17,13 @@
   m_lastResponse = aAt;
 }
 
+bool OutageTracker::OnEra(base::StoreEra aEra)
+{
+  bool const isRestored = m_era && aEra > *m_era;
+  m_era = std::max(m_era, std::optional(aEra));
+  return isRestored;
+}
+
 std::optional<base::Instant> OutageTracker::LapseEnd(ListLosses const& aLosses,
                                                      base::Instant aNow) const
 {
--- a/Entry/Relay/OutageTracker.h
+++ b/Entry/Relay/OutageTracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/ObjectVersion.h"
 #include "Base/Time.h"
 
 #include <cstddef>
@@ -41,6 +42,10 @@
   /// report, to another one.
   void OnResponse(base::Instant aAt);
 
+  /// Records the era of a list. Returns whether it is the first list after the store
+  /// came back from a copy.
+  bool OnEra(base::StoreEra aEra);
+
   /// Returns until when upstreams that a response lacks stay in use because their
   /// entries may have lapsed; none if they have left.
   std::optional<base::Instant> LapseEnd(ListLosses const& aLosses, base::Instant aNow) const;
@@ -54,6 +59,7 @@
   OutageLimits m_limits;
   base::Instant m_lastResponse{};
   std::optional<base::Instant> m_end;
+  std::optional<base::StoreEra> m_era;
   base::Duration m_length{};
 };
 
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -55,6 +55,8 @@
   {
     engine::DirectoryLimits limits;
     limits.m_maximumDrainDelay = aBounds.m_maximumDrainDelay;
+    // A removal takes up to a drain delay to arrive here.
+    limits.m_silenceTime = 3 * aBounds.m_heartbeatInterval + aBounds.m_maximumDrainDelay;
     return limits;
   }
 
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -6,6 +6,7 @@
 #include "ObjectStore/WatchSession.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/StoreFollowerTiming.h"
+#include "Programs/Gateway/UpstreamListing.h"
 #include "Programs/ServingWire.h"
 #include "Programs/StoreAccess.h"
 
@@ -134,6 +135,10 @@
   {
     auto const now = m_state.m_loop.Now();
     UpdateAvailability(now);
+    bool const isRestored = m_outages.OnEra(aChanges.m_version.Era());
+    if (isRestored) {
+      m_state.m_directory.OnStoreRestored();
+    }
     auto const lapseEnd = m_outages.LapseEnd(LossesOf(aChanges), now);
     for (auto const& change : aChanges.m_changes) {
       if (auto const* const deleted = std::get_if<objectstore::ObjectDeleted>(&change)) {
@@ -152,10 +157,13 @@
         RecordRemoval(instance, m_state.m_directory.OnRemoved(instance, std::nullopt, now));
         continue;
       }
-      base::log::Info("upstream listed", { { "upstream", entry->m_instance.Text() },
-                                           { "deployment", entry->m_deployment.Text() },
-                                           { "leaving", entry->m_isDraining ? "true" : "false" } });
-      m_state.m_directory.OnListed(std::move(*entry), now);
+      auto const source =
+        isRestored ? engine::EntrySource::RestoredList : engine::EntrySource::Change;
+      auto const outcome = RecordListed(m_state, std::move(*entry), source, now);
+      if (outcome == engine::ListingOutcome::Superseded) {
+        auto const instance = engine::InstanceId::FromValidated(object.m_key.m_name.Text());
+        RecordRemoval(instance, m_state.m_directory.OnRemoved(instance, lapseEnd, now));
+      }
     }
     m_state.NotifyAll();
   }
--- a/Tests/AdapterTest.cpp
+++ b/Tests/AdapterTest.cpp
@@ -24,6 +24,7 @@
   address: "10.200.1.7:8225"
 app: "10.1.0.26:8228"
 service: "huvo11a"
+heartbeatMs: 900
 bounds:
   drainMs: 2500
   graceS: 8
@@ -104,6 +105,7 @@
   BOOST_TEST(profile->m_objectStore.Text() == "10.200.1.7:8225");
   BOOST_TEST(profile->m_engine->Text() == "10.1.0.26:8228");
   BOOST_TEST((profile->m_bounds.m_maximumDrainDelay == std::chrono::milliseconds(2500)));
+  BOOST_TEST((profile->m_bounds.m_heartbeatInterval == std::chrono::milliseconds(900)));
   BOOST_TEST(profile->m_bounds.m_retryAllowance == 52);
 }
 
