Entry: Keep using upstreams that a restored list lacks

Upstreams that had registered since the copy went out of use with the first list after the store came back, though they were alive: LapseEnd took what is missing for a lapse only after an outage of 2.8 s that cost most entries.

Entries missing from the first list of a later era, or removed within a second of it, now lapse: they are used for the re-registration time and are gone afterwards unless they are back.

EntriesThatARestoredListLacksHaveNotLeft failed two checks without the line in LapseEnd.

--- a/Entry/Relay/OutageTracker.cpp
+++ b/Entry/Relay/OutageTracker.cpp
@@ -17,9 +17,12 @@
   m_lastResponse = aAt;
 }
 
-bool OutageTracker::OnEra(base::StoreEra aEra)
+bool OutageTracker::OnEra(base::StoreEra aEra, base::Instant aNow)
 {
   bool const isRestored = m_era && aEra > *m_era;
+  if (isRestored) {
+    m_restoredAt = aNow;
+  }
   m_era = std::max(m_era, std::optional(aEra));
   return isRestored;
 }
@@ -27,6 +30,9 @@
 std::optional<base::Instant> OutageTracker::LapseEnd(ListLosses const& aLosses,
                                                      base::Instant aNow) const
 {
+  if (m_restoredAt && aNow - *m_restoredAt < m_limits.m_removalTime) {
+    return *m_restoredAt + m_limits.m_reregistrationTime;
+  }
   // The other processes' responses may be unknown here, but the list itself shows
   // whether heartbeats arrived: a store that kept most entries has received them.
   bool const mayHaveLapsed =
--- a/Entry/Relay/OutageTracker.h
+++ b/Entry/Relay/OutageTracker.h
@@ -43,8 +43,9 @@
   void OnResponse(base::Instant aAt);
 
   /// Records the era of a list. Returns whether it is the first list after the store
-  /// came back from a copy.
-  bool OnEra(base::StoreEra aEra);
+  /// came back from a copy. Entries written since the copy are missing from it, and
+  /// others may have lapsed by its time.
+  bool OnEra(base::StoreEra aEra, base::Instant aNow);
 
   /// Returns until when upstreams that a response lacks stay in use because their
   /// entries may have lapsed; none if they have left.
@@ -60,6 +61,7 @@
   base::Instant m_lastResponse{};
   std::optional<base::Instant> m_end;
   std::optional<base::StoreEra> m_era;
+  std::optional<base::Instant> m_restoredAt;
   base::Duration m_length{};
 };
 
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -135,7 +135,7 @@
   {
     auto const now = m_state.m_loop.Now();
     UpdateAvailability(now);
-    bool const isRestored = m_outages.OnEra(aChanges.m_version.Era());
+    bool const isRestored = m_outages.OnEra(aChanges.m_version.Era(), now);
     if (isRestored) {
       m_state.m_directory.OnStoreRestored();
     }
