StandIns, platform: Let the store come back from a copy

The site's store keeps a copy and returns to it: objects, revision and history go back, numbers are assigned again, a watch from a revision that it does not have gets 410, and the header Store-Era of all its answers rises by one.

--- a/StandIns/Common/FaultInjector.cpp
+++ b/StandIns/Common/FaultInjector.cpp
@@ -102,6 +102,7 @@
     co_await HoldOpen(aExchange);
     co_return;
   }
+  m_finisher(aResponse);
   co_await aExchange.Respond(std::move(aResponse));
 }
 
--- a/StandIns/Common/FaultInjector.h
+++ b/StandIns/Common/FaultInjector.h
@@ -9,7 +9,9 @@
 #include <json/value.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
 
 namespace sardinefold::standins {
 
@@ -28,6 +30,11 @@
   FaultSwitches& Faults() { return m_faults; }
   /// Sets the server whose connections can be silenced.
   void Attach(base::HttpServer const& aServer) { m_server = &aServer; }
+  /// Sets what completes each response, errors included, just before it is sent.
+  void SetFinisher(std::function<void(base::HttpResponse&)> aFinisher)
+  {
+    m_finisher = std::move(aFinisher);
+  }
 
   /// Serves GET and PUT of /admin/faults. Returns false for any other request.
   boost::asio::awaitable<bool> ServeFaults(base::HttpExchange& aExchange);
@@ -53,6 +60,7 @@
   base::EventLoop& m_loop;
   base::HttpServer const* m_server = nullptr;
   FaultSwitches m_faults;
+  std::function<void(base::HttpResponse&)> m_finisher = [](base::HttpResponse&) {};
   bool m_outage = false;
   bool m_throttle = false;
   base::Duration m_delay{};
--- a/StandIns/Site/SiteStore.cpp
+++ b/StandIns/Site/SiteStore.cpp
@@ -3,6 +3,10 @@
 #include "Base/Json.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <set>
+#include <utility>
 
 namespace sardinefold::standins {
 
@@ -43,46 +47,100 @@
   , m_faultInjector(aLoop)
   , m_changed(aLoop.Context())
 {
-  m_faultInjector.Faults().AddAction("forget_history", [this] { DiscardHistory(); });
+  auto& faults = m_faultInjector.Faults();
+  faults.AddAction("forget_history", [this] { DiscardHistory(); });
+  faults.AddAction("take_copy", [this] { TakeCopy(); });
+  faults.AddAction("restore", [this] { Restore(); });
+  faults.AddAction("write_again", [this] { WriteAgain(); });
+  faults.AddFlag("hide_era", m_isEraHidden);
+  faults.AddFlag("cut_watches", m_cutsWatches);
+  m_faultInjector.SetFinisher([this](base::HttpResponse& aResponse) {
+    if (!m_isEraHidden) {
+      aResponse.m_headers.Set("Store-Era", std::to_string(m_era));
+    }
+  });
+}
+
+SiteStore::Objects SiteStore::State::ObjectsOf(std::string const& aKind) const
+{
+  auto const objects = m_objects.find(aKind);
+  return objects == m_objects.end() ? Objects() : objects->second;
+}
+
+Json::Value SiteStore::State::SpecOf(std::string const& aKind, std::string const& aName) const
+{
+  auto const objects = ObjectsOf(aKind);
+  auto const found = objects.find(aName);
+  return found == objects.end() ? Json::Value() : found->second["spec"];
 }
 
 void SiteStore::Record(std::string const& aKind, Json::Value const& aObject, bool aIsRemoved)
 {
-  m_history.push_back({ m_revision, aKind, aObject, aIsRemoved });
+  m_state.m_history.push_back({ m_state.m_revision, aKind, aObject, aIsRemoved });
   m_changed.Notify();
 }
 
 void SiteStore::Put(std::string const& aKind, std::string const& aName, Json::Value aSpec)
 {
-  auto& object = m_objects[aKind][aName];
+  auto& object = m_state.m_objects[aKind][aName];
   if (object["spec"] == aSpec) {
     return;
   }
-  ++m_revision;
+  ++m_state.m_revision;
   object["metadata"]["name"] = aName;
-  object["metadata"]["revision"] = Json::UInt64(m_revision);
+  object["metadata"]["revision"] = Json::UInt64(m_state.m_revision);
   object["spec"] = std::move(aSpec);
   Record(aKind, object, false);
 }
 
 void SiteStore::Remove(std::string const& aKind, std::string const& aName)
 {
-  auto& objects = m_objects[aKind];
+  auto& objects = m_state.m_objects[aKind];
   auto const found = objects.find(aName);
   if (found == objects.end()) {
     return;
   }
-  ++m_revision;
+  ++m_state.m_revision;
   auto object = found->second;
-  object["metadata"]["revision"] = Json::UInt64(m_revision);
+  object["metadata"]["revision"] = Json::UInt64(m_state.m_revision);
   objects.erase(found);
   Record(aKind, object, true);
 }
 
 void SiteStore::DiscardHistory()
 {
-  m_history.clear();
-  m_discardedUpTo = m_revision;
+  m_state.m_history.clear();
+  m_state.m_discardedUpTo = m_state.m_revision;
+}
+
+void SiteStore::Restore()
+{
+  m_replaced = std::exchange(m_state, m_copy);
+  ++m_era;
+  m_changed.Notify();
+}
+
+void SiteStore::WriteAgain()
+{
+  auto const replaced = std::exchange(m_replaced, State());
+  for (std::string const kind : { "config", "servers" }) {
+    std::set<std::string> names;
+    for (State const* const state : std::initializer_list<State const*>{ &replaced, &m_copy }) {
+      auto const objects = state->ObjectsOf(kind);
+      std::ranges::copy(std::views::keys(objects), std::inserter(names, names.end()));
+    }
+    for (auto const& name : names) {
+      // What has been written since the restoration is newer.
+      if (m_state.SpecOf(kind, name) != m_copy.SpecOf(kind, name)) {
+        continue;
+      }
+      if (auto spec = replaced.SpecOf(kind, name); spec.isNull()) {
+        Remove(kind, name);
+      } else {
+        Put(kind, name, std::move(spec));
+      }
+    }
+  }
 }
 
 base::HttpResponse SiteStore::List(std::string const& aKind, std::string const& aAfter) const
@@ -90,9 +148,9 @@
   Json::Value body;
   body["items"] = Json::Value(Json::arrayValue);
   body["hasMore"] = false;
-  body["currentRev"] = Json::UInt64(m_revision);
-  auto const objects = m_objects.find(aKind);
-  if (objects == m_objects.end()) {
+  body["currentRev"] = Json::UInt64(m_state.m_revision);
+  auto const objects = m_state.m_objects.find(aKind);
+  if (objects == m_state.m_objects.end()) {
     return JsonValueResponse(200, body);
   }
   for (auto object = objects->second.upper_bound(aAfter); object != objects->second.end();
@@ -116,7 +174,7 @@
   if (aIsCreation) {
     aName = (*body)["metadata"]["name"].asString();
   }
-  auto& objects = m_objects[aKind];
+  auto& objects = m_state.m_objects[aKind];
   auto const found = objects.find(aName);
   bool const exists = found != objects.end();
   if (exists == aIsCreation) {
@@ -138,17 +196,22 @@
 asio::awaitable<void> SiteStore::Watch(base::HttpExchange& aExchange, std::string aKind)
 {
   auto const after = QueryNumber(aExchange.Request(), "watch", 0);
+  auto const era = m_era;
   auto const end =
     m_loop.Now() + std::chrono::milliseconds(QueryNumber(aExchange.Request(), "waitMs", 1'000));
   Json::Value body;
   body["events"] = Json::Value(Json::arrayValue);
   while (true) {
-    if (after < m_discardedUpTo) {
+    if (m_era != era && m_cutsWatches) {
+      // An exchange that ends without a response closes its connection.
+      co_return;
+    }
+    if (after < m_state.m_discardedUpTo || after > m_state.m_revision) {
       auto gone = ErrorResponse(410, "gone", "this history is gone");
       co_await m_faultInjector.Respond(aExchange, std::move(gone));
       co_return;
     }
-    for (auto const& change : m_history) {
+    for (auto const& change : m_state.m_history) {
       if (change.m_revision > after && change.m_kind == aKind) {
         Json::Value event;
         event["object"] = change.m_object;
@@ -161,7 +224,7 @@
     }
     co_await m_changed.Wait(end - m_loop.Now());
   }
-  body["currentRev"] = Json::UInt64(m_revision);
+  body["currentRev"] = Json::UInt64(m_state.m_revision);
   auto response = JsonValueResponse(200, body);
   co_await m_faultInjector.Respond(aExchange, std::move(response));
 }
@@ -192,7 +255,7 @@
     co_return;
   }
   if (request.m_method == "GET") {
-    auto const& objects = m_objects[path.m_kind];
+    auto const& objects = m_state.m_objects[path.m_kind];
     auto const found = objects.find(path.m_name);
     auto response = found == objects.end() ? ErrorResponse(404, "not_found", "no such object")
                                            : JsonValueResponse(200, found->second);
--- a/StandIns/Site/SiteStore.h
+++ b/StandIns/Site/SiteStore.h
@@ -15,7 +15,8 @@
 namespace sardinefold::standins {
 
 /// Stand-in of the metadata store of the users' platform: objects by kind and
-/// name with one revision counter, conditional writes, lists and watches.
+/// name with one revision counter, conditional writes, lists and watches. It can
+/// come back from a copy of itself.
 class SiteStore
 {
 public:
@@ -28,11 +29,19 @@
   void Put(std::string const& aKind, std::string const& aName, Json::Value aSpec);
   void Remove(std::string const& aKind, std::string const& aName);
   FaultSwitches& Faults() { return m_faultInjector.Faults(); }
-  std::uint64_t Revision() const { return m_revision; }
+  std::uint64_t Revision() const { return m_state.m_revision; }
   std::uint64_t Calls() const { return m_calls; }
   /// Discards the recorded changes, so that watchers must list again.
   void DiscardHistory();
 
+  /// Keeps a copy of the objects, the revision and the history.
+  void TakeCopy() { m_copy = m_state; }
+  /// Returns to the copy, or to the initial state if none was taken.
+  void Restore();
+  /// Repeats what operators and engines wrote between the copy and the restoration.
+  void WriteAgain();
+  std::uint64_t Era() const { return m_era; }
+
 private:
   struct Change
   {
@@ -42,6 +51,17 @@
     bool m_isRemoved;
   };
   using Objects = std::map<std::string, Json::Value>;
+  struct State
+  {
+    Objects ObjectsOf(std::string const& aKind) const;
+    /// Returns null if there is no such object.
+    Json::Value SpecOf(std::string const& aKind, std::string const& aName) const;
+
+    std::map<std::string, Objects> m_objects;
+    std::vector<Change> m_history;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_discardedUpTo = 0;
+  };
 
   void Record(std::string const& aKind, Json::Value const& aObject, bool aIsRemoved);
   base::HttpResponse List(std::string const& aKind, std::string const& aAfter) const;
@@ -52,10 +72,13 @@
   base::EventLoop& m_loop;
   FaultInjector m_faultInjector;
   base::Signal m_changed;
-  std::map<std::string, Objects> m_objects;
-  std::vector<Change> m_history;
-  std::uint64_t m_revision = 1;
-  std::uint64_t m_discardedUpTo = 0;
+  State m_state;
+  State m_copy;
+  /// The state that the latest restoration replaced.
+  State m_replaced;
+  std::uint64_t m_era = 1;
+  bool m_isEraHidden = false;
+  bool m_cutsWatches = false;
   std::uint64_t m_calls = 0;
 };
 
