Loader: Never take an older catalog than the one in force

A loader set whatever version the store held, so that a store that came back from a copy could give it older engine specs while it looked for the newer version that a gateway had announced; and an announcement that arrived before its first catalog was forgotten, so that the copy's stood until the next one.

entry::CatalogProgress decides which version may come into force, and the loader goes on reading until it has the one announced. Found by reading; the rule is tested in CatalogProgressTest, the loader's use of it is not.

--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -7,6 +7,7 @@
 #include "Base/ProcessProfile.h"
 #include "Base/Signal.h"
 #include "Engine/OrderScheduler.h"
+#include "Entry/Relay/CatalogProgress.h"
 #include "ObjectStore/WriteSession.h"
 #include "Programs/FleetMessenger.h"
 #include "Programs/Loader/FleetPlanning.h"
@@ -124,7 +125,7 @@
   {
     constexpr base::Duration kPause = std::chrono::milliseconds(300);
     while (true) {
-      if (m_catalogVersion && m_announcedCatalog <= *m_catalogVersion) {
+      if (!m_catalog.IsBehind()) {
         co_await m_loop.Sleep(kPause);
         continue;
       }
@@ -145,7 +146,10 @@
       base::log::Error("configuration is unusable", { { "error", catalog.error() } });
       return;
     }
-    m_catalogVersion = catalog->m_version;
+    if (!m_catalog.MayApply(catalog->m_version)) {
+      return;
+    }
+    m_catalog.OnApplied(catalog->m_version);
     m_engineSpecs = operators::EngineSpecsDigest(*catalog);
     for (auto const& [id, deployment] : catalog->m_deployments) {
       if (deployment.m_engine) {
@@ -403,13 +407,11 @@
   /// Has a newer catalog read only if it changes what engines may hold.
   void OnCatalogAnnounced(agent::GatewayPresence const& aPresence)
   {
-    if (!m_catalogVersion || aPresence.m_catalog <= *m_catalogVersion) {
-      return;
-    }
-    if (aPresence.m_engineSpecs == m_engineSpecs) {
-      m_catalogVersion = aPresence.m_catalog;
+    auto const inForce = m_catalog.InForce();
+    if (inForce && aPresence.m_catalog > *inForce && aPresence.m_engineSpecs == m_engineSpecs) {
+      m_catalog.OnApplied(aPresence.m_catalog);
     }
-    m_announcedCatalog = std::max(m_announcedCatalog, aPresence.m_catalog);
+    m_catalog.OnAnnounced(aPresence.m_catalog);
   }
 
   boost::asio::awaitable<void> Tick()
@@ -447,8 +449,7 @@
   bool m_hasPredecessor = false;
   base::Instant m_registeredAt{};
   std::optional<agent::EngineIdentity> m_instance;
-  std::optional<base::CatalogVersion> m_catalogVersion;
-  base::CatalogVersion m_announcedCatalog;
+  entry::CatalogProgress m_catalog;
   /// Digest of the engine specs in the catalog that was read last.
   std::uint64_t m_engineSpecs = 0;
   StatusSender m_gatewayStatus;
