Gateway: Wait for the newest catalog after a start on a restored store

A gateway that started after the store had come back from a copy served with the copy's configuration, and answered 404 or 401 for what was in force at all others; only watchers of its own failure domain named their version to it, and most gateways have none.

The planner's summaries now name the newest version that any gateway has announced, and a gateway that knows of a newer one reads at once. One that finds within 3 s of its start that its first catalog is outdated is not ready and answers 503 with a Retry-After until it has read the newer one, for 8 s at most; then the store's word counts, which is logged.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -277,7 +277,11 @@
                           std::nullopt,
                           ToLeaving(aParams),
                           ToPartCrashes(aParams),
-                          ToPartAcquittals(aParams) };
+                          ToPartAcquittals(aParams),
+                          {} };
+  if (aParams.isMember("catalog")) {
+    summary.m_catalog = base::CatalogVersion(UnsignedInteger(aParams["catalog"]));
+  }
   if (aParams.isMember("store_age_ms")) {
     summary.m_storeAge = Milliseconds(aParams["store_age_ms"]);
   }
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -228,6 +228,9 @@
       params["leaving"] = FromStarts(aSummary.m_leaving);
     }
     AddPartNews(params, aSummary);
+    if (aSummary.m_catalog != base::CatalogVersion()) {
+      params["catalog"] = Json::UInt64(aSummary.m_catalog.Value());
+    }
     if (aSummary.m_storeAge) {
       params["store_age_ms"] = FromMilliseconds(*aSummary.m_storeAge);
     }
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -155,6 +155,8 @@
   /// News on prompt parts, as in GatewayReport.
   std::vector<PartCrashReport> m_partCrashes;
   std::vector<PartAcquittal> m_partAcquittals;
+  /// The newest catalog that any gateway has had in force, as far as known.
+  base::CatalogVersion m_catalog;
 };
 
 /// From a gateway that watches the object store to others of its failure
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -122,7 +122,8 @@
 
   bool IsReady() const
   {
-    return m_state.m_catalog && m_state.m_directory.Size() > 0 && !m_isStopping;
+    return m_state.m_catalog && !m_state.m_catalogProgress.IsHeld(m_loop.Now()) &&
+           m_state.m_directory.Size() > 0 && !m_isStopping;
   }
 
   boost::asio::awaitable<void> HandleReadiness(base::HttpExchange& aExchange)
@@ -201,6 +202,7 @@
     if (aSummary.m_storeAge) {
       m_store.OnStoreResponseElsewhere(aNow - *aSummary.m_storeAge);
     }
+    m_store.OnCatalogAnnounced(aSummary.m_catalog, aNow);
     OnForecasts(aSummary.m_forecasts, aNow);
     for (auto const& start : aSummary.m_leaving) {
       RecordLeaving(m_state, start, engine::NoticeSource::Gateway);
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -15,6 +15,7 @@
 #include "Engine/DemandTracker.h"
 #include "Engine/UpstreamDirectory.h"
 #include "Entry/Allowance/SharedAllowance.h"
+#include "Entry/Relay/CatalogProgress.h"
 #include "Programs/FleetMessenger.h"
 #include "Programs/Gateway/Attempt.h"
 
@@ -346,6 +347,7 @@
   caller::ResponseMemoryBudget m_responseMemory;
   /// Null until the first catalog has arrived.
   std::unique_ptr<caller::CatalogIndex> m_catalog;
+  entry::CatalogProgress m_catalogProgress;
   engine::UpstreamDirectory m_directory;
   engine::DemandTracker m_demand;
   entry::SharedAllowance m_allowance;
--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -40,6 +40,9 @@
     if (!catalog) {
       return RequestRefusal{ 503, "no configuration yet", kConfigurationRetryAfter };
     }
+    if (m_state.m_catalogProgress.IsHeld(m_state.m_loop.Now())) {
+      return RequestRefusal{ 503, "configuration is outdated", kConfigurationRetryAfter };
+    }
     m_context.m_catalog = catalog->Catalog().m_version;
     auto const* const route = catalog->FindRoute(m_context.m_request.m_host, m_request.Path());
     if (!route) {
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -71,6 +71,17 @@
     }
   }
 
+  /// Another gateway has that version of the catalog in force.
+  void OnCatalogAnnounced(base::CatalogVersion aVersion, base::Instant aNow)
+  {
+    auto& progress = m_state.m_catalogProgress;
+    progress.OnAnnounced(aVersion, aNow);
+    RecordHold(aNow);
+    if (progress.IsBehind()) {
+      m_catalogWatch.CatchUp();
+    }
+  }
+
   /// Records that the store responded to another gateway at aAt.
   void OnStoreResponseElsewhere(base::Instant aAt) { m_outages.OnResponse(aAt); }
 
@@ -80,6 +91,7 @@
     constexpr unsigned kUpdateTicks =
       StoreFollowerTiming::kUpdateInterval / std::chrono::milliseconds(100);
     UpdateAvailability(aNow);
+    RecordHold(aNow);
     if (m_ticks++ % kUpdateTicks == 0) {
       auto const version = m_upstreamWatch.State().Version();
       NotifyNeighbours({ version, { version, {} } });
@@ -99,6 +111,18 @@
   }
 
 private:
+  /// Logs when requests begin and cease to wait for a newer catalog.
+  void RecordHold(base::Instant aNow)
+  {
+    auto const& progress = m_state.m_catalogProgress;
+    bool const isHeld = progress.IsHeld(aNow);
+    if (isHeld != std::exchange(m_isCatalogHeld, isHeld)) {
+      base::log::Warning(isHeld ? "configuration is outdated" : "configuration counts again",
+                         { { "version", std::to_string(progress.InForce()->Value()) },
+                           { "newest", std::to_string(progress.Newest().Value()) } });
+    }
+  }
+
   void OnCatalog(objectstore::ObjectChanges const& aChanges)
   {
     for (auto const& change : aChanges.m_changes) {
@@ -118,9 +142,10 @@
   void ApplyCatalog(operators::ServingCatalog aCatalog)
   {
     auto const version = aCatalog.m_version;
-    if (m_state.m_catalog && m_state.m_catalog->Catalog().m_version >= version) {
+    if (!m_state.m_catalogProgress.MayApply(version)) {
       return;
     }
+    m_state.m_catalogProgress.OnApplied(version, m_state.m_loop.Now());
     std::map<base::WorkspaceId, entry::AllowanceLimit> allowances;
     for (auto const& workspace : aCatalog.m_workspaces) {
       allowances[workspace.m_id] = { workspace.m_rate, workspace.m_burst };
@@ -216,11 +241,7 @@
     if (!changes.m_changes.empty()) {
       OnUpstreams(changes);
     }
-    bool const hasOlder =
-      !m_state.m_catalog || m_state.m_catalog->Catalog().m_version < aUpdate.m_catalog;
-    if (hasOlder) {
-      m_catalogWatch.CatchUp();
-    }
+    OnCatalogAnnounced(aUpdate.m_catalog, aNow);
   }
 
   static std::string FromText(objectstore::ObjectUpdate const& aUpdate)
@@ -302,6 +323,7 @@
   base::Instant m_unavailableSince{};
   base::Duration m_lastOutage{};
   bool m_isStoreUnavailable = false;
+  bool m_isCatalogHeld = false;
   unsigned m_ticks = 0;
 };
 
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -59,9 +59,10 @@
   m_planner.OnDemand(aReport.m_host, aReport.m_demand, aReport.m_isComplete);
 }
 
-void FleetPlanning::OnPresence(base::HostId const& aGateway, base::Instant aNow)
+void FleetPlanning::OnPresence(agent::GatewayPresence const& aPresence, base::Instant aNow)
 {
-  m_lastPresence[aGateway] = aNow;
+  m_lastPresence[aPresence.m_host] = aNow;
+  m_newestCatalog = std::max(m_newestCatalog, aPresence.m_catalog);
 }
 
 void FleetPlanning::OnStatus(agent::EngineStatus const& aStatus, base::Endpoint const& aSender,
@@ -145,7 +146,8 @@
                                    std::nullopt,
                                    {},
                                    isNew ? m_partNews.AllCrashes(aNow) : partNews.m_crashes,
-                                   partNews.m_acquittals };
+                                   partNews.m_acquittals,
+                                   m_newestCatalog };
     if (m_ticks % kTicksPerNeighbourList == 0) {
       summary.m_neighbours = NeighboursIn(gateway.m_failureDomain, aNow);
     }
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -24,7 +24,7 @@
   void OnReport(agent::GatewayReport const& aReport, base::Endpoint const& aSender,
                 base::Instant aNow);
   /// Records that a gateway is running, whichever planner it uses.
-  void OnPresence(base::HostId const& aGateway, base::Instant aNow);
+  void OnPresence(agent::GatewayPresence const& aPresence, base::Instant aNow);
   void OnStatus(agent::EngineStatus const& aStatus, base::Endpoint const& aSender,
                 base::Instant aNow);
   /// Records that a loader's last status still applies. Returns false if that
@@ -68,6 +68,8 @@
   std::map<base::HostId, Gateway> m_gateways;
   std::map<base::HostId, Loader> m_loaders;
   std::map<base::HostId, base::Instant> m_lastPresence;
+  /// The newest catalog that any gateway has had in force.
+  base::CatalogVersion m_newestCatalog;
   entry::GrantLedger m_grants;
   agent::PartNewsBoard m_partNews;
   /// Identifies the grant totals of this planner; another planner's totals start
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -149,7 +149,7 @@
     if (!m_catalog.MayApply(catalog->m_version)) {
       return;
     }
-    m_catalog.OnApplied(catalog->m_version);
+    m_catalog.OnApplied(catalog->m_version, m_loop.Now());
     m_engineSpecs = operators::EngineSpecsDigest(*catalog);
     for (auto const& [id, deployment] : catalog->m_deployments) {
       if (deployment.m_engine) {
@@ -399,7 +399,7 @@
       }
       m_instance = engine->second;
     }
-    m_planning.OnPresence(aPresence.m_host, aNow);
+    m_planning.OnPresence(aPresence, aNow);
     // A gateway that has just started has no status of this engine.
     SendStatus(false);
   }
@@ -409,9 +409,9 @@
   {
     auto const inForce = m_catalog.InForce();
     if (inForce && aPresence.m_catalog > *inForce && aPresence.m_engineSpecs == m_engineSpecs) {
-      m_catalog.OnApplied(aPresence.m_catalog);
+      m_catalog.OnApplied(aPresence.m_catalog, m_loop.Now());
     }
-    m_catalog.OnAnnounced(aPresence.m_catalog);
+    m_catalog.OnAnnounced(aPresence.m_catalog, m_loop.Now());
   }
 
   boost::asio::awaitable<void> Tick()
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -117,7 +117,8 @@
                                  milliseconds(30),
                                  report.m_leaving,
                                  report.m_partCrashes,
-                                 report.m_partAcquittals });
+                                 report.m_partAcquittals,
+                                 base::CatalogVersion(9) });
   CheckRoundTrip(MakeUpdate(2));
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
--- a/Tests/FleetPlanningTest.cpp
+++ b/Tests/FleetPlanningTest.cpp
@@ -33,6 +33,38 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(AGatewayLearnsTheNewestCatalogThatAnyGatewayAnnounced)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  programs::FleetMessenger messenger(loop);
+  base::CatalogVersion newest;
+  auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
+    if (auto const* const summary = std::get_if<agent::PlannerSummary>(&aMessage)) {
+      newest = summary->m_catalog;
+    }
+  };
+  BOOST_REQUIRE(messenger.Listen(kListening, onMessage).has_value());
+  base::ProcessProfile const profile;
+  programs::FleetPlanning planning(profile, messenger);
+  auto run = [&]() -> awaitable<void> {
+    for (std::uint64_t const version : { 7U, 4U }) {
+      agent::GatewayPresence presence;
+      presence.m_host = base::HostId::FromValidated("front-2");
+      presence.m_catalog = base::CatalogVersion(version);
+      planning.OnPresence(presence, loop.Now());
+    }
+    for (int tick = 0; tick < 20 && newest == base::CatalogVersion(); ++tick) {
+      planning.OnReport(Report("front-1", 5s), kListening, loop.Now());
+      planning.Tick(loop.Now());
+      co_await loop.Sleep(20ms);
+    }
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  BOOST_TEST(newest == base::CatalogVersion(7));
+}
+
 BOOST_AUTO_TEST_CASE(AGatewayRefusedByTheStoreLearnsTheStoreAgeOfAnother)
 {
   base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
