ObjectStore: Follow a store that came back from a copy

A list whose number was below the known one counted as a failure, and so did each response to a watch, until the store's counter had passed the known number; from then on a watch went on in another history, so that changes in between were never seen.

The watch now compares versions with their eras. A list of a later era replaces what is known and says from which version it leads (ObjectChanges::m_restoredFrom). A response of a later era than the one in which its watch was sent is no continuation and has the watch list at once; history that is gone is listed at once, too, unless a list has only just named it. A response or a relayed update of an earlier era changes nothing and is no contact.

--- a/ObjectStore/ObjectWatch.cpp
+++ b/ObjectStore/ObjectWatch.cpp
@@ -32,7 +32,8 @@
     return WatchAgainAt{ m_next };
   }
   m_requestedAt = aNow;
-  if (m_mustList) {
+  m_requestedEra = m_version.Era();
+  if (m_mustList || IsOutdated()) {
     return ListObjects{};
   }
   return WatchAfter{ m_version };
@@ -55,7 +56,7 @@
   }
   RecordContact(aNow);
   m_mustList = false;
-  m_hasListed = true;
+  m_listedAt = aNow;
   return ApplyAll(aResponse->m_objects, aResponse->m_version);
 }
 
@@ -67,9 +68,19 @@
     auto const kind = aResponse.error().m_kind;
     // A list returns at once even if nothing has changed. A watch as the first
     // call after an outage would delay the calls behind it.
-    m_mustList =
-      m_mustList || kind == ReadError::Kind::Compacted || kind == ReadError::Kind::Unavailable;
-    PauseAfterFailure(aNow);
+    bool const isGone = kind == ReadError::Kind::Compacted;
+    m_mustList = m_mustList || isGone || kind == ReadError::Kind::Unavailable;
+    // History that a list has only just named may be gone again at once.
+    if (isGone && m_requestedAt - m_listedAt >= kMinimumEmptyWatch) {
+      m_next = aNow;
+    } else {
+      PauseAfterFailure(aNow);
+    }
+    return changes;
+  }
+  RecordEra(aResponse->m_version.Era());
+  if (aResponse->m_version.Era() > m_requestedEra) {
+    m_next = aNow;
     return changes;
   }
   bool const wasInterrupted =
@@ -98,7 +109,7 @@
 std::optional<ObjectUpdate> ObjectWatch::UpdateOf(
   tl::expected<ObjectChanges, ReadError> const& aResponse) const
 {
-  if (!aResponse || aResponse->m_version <= m_version) {
+  if (!aResponse || !IsContinuation(*aResponse)) {
     return std::nullopt;
   }
   ObjectUpdate update{ m_version, { aResponse->m_version, {} } };
@@ -107,13 +118,23 @@
   return update;
 }
 
+bool ObjectWatch::IsContinuation(ObjectChanges const& aResponse) const
+{
+  return aResponse.m_version > m_version && aResponse.m_version.Era() == m_requestedEra;
+}
+
 std::optional<ObjectChanges> ObjectWatch::OnRelayed(ObjectUpdate const& aUpdate,
                                                     base::Instant aReceivedAt)
 {
   auto const& changes = aUpdate.m_changes;
+  RecordEra(changes.m_version.Era());
+  if (changes.m_version.Era() < m_version.Era()) {
+    return ObjectChanges{ m_version, {} };
+  }
   // Changes from version zero are a list without the deletions before it.
   bool const hasGap = aUpdate.m_from && changes.m_version > m_version &&
-                      (*aUpdate.m_from > m_version || *aUpdate.m_from == base::ObjectVersion());
+                      (*aUpdate.m_from > m_version || aUpdate.m_from->Value() == 0 ||
+                       aUpdate.m_from->Era() != changes.m_version.Era());
   if (!m_hasListed || hasGap) {
     return std::nullopt;
   }
@@ -138,6 +159,11 @@
                                     base::ObjectVersion aVersion)
 {
   ObjectChanges changes{ aVersion, {} };
+  if (m_hasListed && aVersion.Era() > m_version.Era()) {
+    changes.m_restoredFrom = m_version;
+  }
+  m_hasListed = true;
+  RecordEra(aVersion.Era());
   std::set<ObjectKey> listed;
   for (auto const& object : aObjects) {
     listed.insert(object.m_key);
--- a/ObjectStore/ObjectWatch.h
+++ b/ObjectStore/ObjectWatch.h
@@ -7,6 +7,7 @@
 
 #include <tl/expected.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <variant>
@@ -30,15 +31,16 @@
 /// Lists again when the platform has compacted the version or did not respond,
 /// backs off exponentially with jitter while calls fail, and returns each change
 /// once, in the order of versions, including deletions that were missed in
-/// between.
+/// between. When the store has come back from a copy, lists at once and returns how
+/// all that exists differs from what was known.
 class ObjectWatch
 {
 public:
   ObjectWatch(BackoffLimits aBackoff, std::uint64_t aSeed);
 
   WatchStep Next(base::Instant aNow);
-  /// Returns the changes from the known state; empty on an error, or if the list is
-  /// older than the known state.
+  /// Returns the changes from the known state; empty on an error, or if the
+  /// response is older than the known state or does not continue it.
   ObjectChanges OnList(tl::expected<ObjectList, ReadError> const& aResponse, base::Instant aNow);
   ObjectChanges OnChanges(tl::expected<ObjectChanges, ReadError> const& aResponse,
                           base::Instant aNow);
@@ -60,10 +62,15 @@
   /// When the platform last responded.
   base::Instant LastContact() const { return m_lastContact; }
   bool HasListed() const { return m_hasListed; }
+  /// Whether the store is known to be in a later era than the known state.
+  bool IsOutdated() const { return m_latestEra > m_version.Era(); }
 
 private:
   void RecordContact(base::Instant aNow);
   void PauseAfterFailure(base::Instant aNow) { m_next = aNow + m_backoff.Next(); }
+  void RecordEra(base::StoreEra aEra) { m_latestEra = std::max(m_latestEra, aEra); }
+  /// Whether a response to the last watch reports what follows the known state.
+  bool IsContinuation(ObjectChanges const& aResponse) const;
   bool Apply(ObjectChange const& aChange);
   ObjectChanges ApplyNew(ObjectChanges const& aChanges);
   ObjectChanges ApplyAll(std::vector<Object> const& aObjects, base::ObjectVersion aVersion);
@@ -74,7 +81,10 @@
   base::ObjectVersion m_version;
   std::map<ObjectKey, base::ObjectVersion> m_known;
   base::Instant m_next{};
+  base::StoreEra m_latestEra;
+  base::StoreEra m_requestedEra;
   base::Instant m_requestedAt{};
+  base::Instant m_listedAt{};
   base::Instant m_lastContact{};
 };
 
--- a/ObjectStore/PlatformObject.h
+++ b/ObjectStore/PlatformObject.h
@@ -47,6 +47,10 @@
 {
   base::ObjectVersion m_version;
   std::vector<ObjectChange> m_changes;
+  /// Set if the store has come back from a copy: the version known before, of an
+  /// earlier era. The changes then lead from what was known to all that exists;
+  /// objects may be missing because the copy lacks them.
+  std::optional<base::ObjectVersion> m_restoredFrom{};
 };
 
 /// Changes as the store reported them, for processes that may know more or less
--- a/ObjectStore/WatchSession.h
+++ b/ObjectStore/WatchSession.h
@@ -87,19 +87,19 @@
                                                      m_limits.m_watchTime, m_purpose);
         update = m_watch.UpdateOf(response);
         changes = m_watch.OnChanges(response, m_loop.Now());
-        m_isBehind = m_isBehind && !response;
+        m_isBehind = (m_isBehind && !response) || m_watch.IsOutdated();
       } else {
         auto const response =
           co_await m_store.List(m_kind, std::move(prefix), m_limits.m_listTime, m_purpose);
         update = m_watch.UpdateOf(response);
         changes = m_watch.OnList(response, m_loop.Now());
-        m_isBehind = m_isBehind && !response;
+        m_isBehind = (m_isBehind && !response) || m_watch.IsOutdated();
       }
       m_gap.OnVersion(m_watch.Version());
       if (m_isStopped) {
         continue;
       }
-      if (!changes.m_changes.empty()) {
+      if (!changes.m_changes.empty() || changes.m_restoredFrom) {
         aHandler(changes);
       }
       if (update) {
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -205,7 +205,7 @@
                         { "to", std::to_string(aUpdate.m_changes.m_version.Value()) },
                         { "known", std::to_string(known.Value()) } });
     }
-    if (!changes.m_changes.empty()) {
+    if (!changes.m_changes.empty() || changes.m_restoredFrom) {
       OnUpstreams(changes);
     }
     bool const hasOlder =
--- a/StandIns/Site/SiteStore.cpp
+++ b/StandIns/Site/SiteStore.cpp
@@ -3,8 +3,6 @@
 #include "Base/Json.h"
 
 #include <algorithm>
-#include <iterator>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -127,7 +125,9 @@
     std::set<std::string> names;
     for (State const* const state : std::initializer_list<State const*>{ &replaced, &m_copy }) {
       auto const objects = state->ObjectsOf(kind);
-      std::ranges::copy(std::views::keys(objects), std::inserter(names, names.end()));
+      for (auto const& [name, object] : objects) {
+        names.insert(name);
+      }
     }
     for (auto const& name : names) {
       // What has been written since the restoration is newer.
