ObjectStore: Join no pages of two eras to one list

A store that comes back from a copy between two pages of a list continues it from the copy. The pages were joined and took the version of the first, so that a watch went on from a state that never was.

The list starts over when a page is of another era than the first. The new case of StoreEraTest failed before: 500 objects of the earlier era instead of the one that exists.

--- a/ObjectStore/ObjectClientCalls.h
+++ b/ObjectStore/ObjectClientCalls.h
@@ -211,6 +211,12 @@
     if (!page) {
       co_return page;
     }
+    if (complete && page->m_version.Era() != complete->m_version.Era()) {
+      // The store came back from a copy between the pages.
+      complete.reset();
+      request = Codec::EncodeList(aKind, aPrefix);
+      continue;
+    }
     request = Codec::EncodeNextPage(aKind, aPrefix, *response);
     if (!complete) {
       // The list keeps the version of its first page, from which the watch then
--- a/Tests/StoreEraTest.cpp
+++ b/Tests/StoreEraTest.cpp
@@ -130,6 +130,28 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(PagesOfTwoErasAreNotOneList, StoreFixture)
+{
+  Run([&]() -> awaitable<void> {
+    m_store.TakeCopy();
+    for (int number = 0; number < 600; ++number) {
+      m_store.Put("servers", "lost-" + std::to_string(number), "new");
+    }
+    Json::Value faults;
+    faults["delay_ms"] = 100;
+    BOOST_REQUIRE(m_store.Faults().Apply(faults).has_value());
+    auto restore = [&]() -> awaitable<void> {
+      co_await m_loop.Sleep(150ms);
+      m_store.Restore();
+    };
+    m_loop.Start(restore());
+    auto const list = co_await List();
+    BOOST_REQUIRE(list.has_value());
+    BOOST_TEST(list->m_version.Era().Value() == m_store.Era());
+    BOOST_TEST(list->m_objects.size() == 1U);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(AWaitingWatchEndsWithTheRestorationOfTheStore, StoreFixture)
 {
   Run([&]() -> awaitable<void> {
