Agent: Relay the store's era with its versions

Relayed updates named bare numbers, so that a process took versions of a store that came back from a copy for those of before, and parts of two eras with the same numbers made one batch.

An update now names the era that all its versions are of, if it is not the first; a peer of the former build names none. A late part of an earlier era leaves a batch of a later one as it is. Both new cases of FleetMessagesTest failed before: the era was lost, and the later batch was discarded.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -291,7 +291,7 @@
   return summary;
 }
 
-objectstore::ObjectChange ToChange(Json::Value const& aEntry)
+objectstore::ObjectChange ToChange(Json::Value const& aEntry, base::StoreEra aEra)
 {
   constexpr Json::ArrayIndex kPutFields = 3;
   constexpr Json::ArrayIndex kDeletedFields = 2;
@@ -300,7 +300,7 @@
   }
   objectstore::ObjectKey key{ objectstore::ObjectKind::Upstream,
                               Name<objectstore::ObjectName>(aEntry[0]) };
-  base::ObjectVersion const version(UnsignedInteger(aEntry[1]));
+  base::ObjectVersion const version(aEra, UnsignedInteger(aEntry[1]));
   if (aEntry.size() == kDeletedFields) {
     return objectstore::ObjectDeleted{ std::move(key), version };
   }
@@ -311,17 +311,19 @@
 {
   StoreUpdate update;
   update.m_host = Name<base::HostId>(Member(aParams, "host"));
+  // A peer of the former build names no era.
+  base::StoreEra const era(aParams.isMember("era") ? UnsignedInteger(aParams["era"]) : 0);
   if (!aParams.isMember("complete")) {
-    update.m_from = base::ObjectVersion(UnsignedInteger(Member(aParams, "from")));
+    update.m_from = base::ObjectVersion(era, UnsignedInteger(Member(aParams, "from")));
   }
-  update.m_changes.m_version = base::ObjectVersion(UnsignedInteger(Member(aParams, "to")));
+  update.m_changes.m_version = { era, UnsignedInteger(Member(aParams, "to")) };
   update.m_part = Count(Member(aParams, "part"));
   update.m_parts = Count(Member(aParams, "parts"));
   update.m_catalog = base::CatalogVersion(UnsignedInteger(Member(aParams, "catalog")));
   update.m_listAge = Milliseconds(Member(aParams, "list_age_ms"));
   update.m_catalogAge = Milliseconds(Member(aParams, "catalog_age_ms"));
   for (auto const& entry : Member(aParams, "changes")) {
-    update.m_changes.m_changes.push_back(ToChange(entry));
+    update.m_changes.m_changes.push_back(ToChange(entry, era));
   }
   return update;
 }
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -248,6 +248,10 @@
     if (!aUpdate.m_from) {
       params["complete"] = true;
     }
+    // All versions of an update are of one era.
+    if (auto const era = aUpdate.m_changes.m_version.Era(); era != base::StoreEra()) {
+      params["era"] = Json::UInt64(era.Value());
+    }
     params["part"] = aUpdate.m_part;
     params["parts"] = aUpdate.m_parts;
     params["catalog"] = Json::UInt64(aUpdate.m_catalog.Value());
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -159,7 +159,7 @@
 
 /// From a gateway that watches the object store to others of its failure
 /// domain: the changes in the list of upstreams, and how recent its data is. A
-/// batch too large for one datagram is split into parts.
+/// batch too large for one datagram is split into parts. All versions are of one era.
 struct StoreUpdate
 {
   base::HostId m_host;
--- a/Agent/Fleet/StoreUpdateAssembler.cpp
+++ b/Agent/Fleet/StoreUpdateAssembler.cpp
@@ -48,6 +48,9 @@
   auto& batch = m_batches[aPart.m_host];
   auto const parts = aPart.m_parts;
   BatchId const id{ aPart.m_from, aPart.m_changes.m_version, parts };
+  if (id.m_to.Era() < batch.m_id.m_to.Era()) {
+    return std::nullopt;
+  }
   if (batch.m_id != id) {
     batch = { id, {} };
   }
--- a/Agent/Fleet/StoreUpdateAssembler.h
+++ b/Agent/Fleet/StoreUpdateAssembler.h
@@ -12,7 +12,7 @@
 std::vector<StoreUpdate> SplitStoreUpdate(StoreUpdate const& aUpdate);
 
 /// Reassembles batches from their parts. Only the newest batch of each sender
-/// is kept.
+/// is kept, and none of an earlier era than the newest.
 class StoreUpdateAssembler
 {
 public:
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -213,6 +213,51 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AnUpdateKeepsTheEraOfItsVersions)
+{
+  auto update = MakeUpdate(1);
+  base::StoreEra const era(3);
+  update.m_from = base::ObjectVersion(era, 10);
+  update.m_changes.m_version = { era, 100 };
+  std::get<objectstore::ObjectPut>(update.m_changes.m_changes[0]).m_object.m_version = { era, 11 };
+  auto const text = EncodeFleetMessage(FleetMessage(update));
+  auto const decoded = DecodeFleetMessage(text);
+  BOOST_REQUIRE(decoded.has_value());
+  auto const& received = std::get<StoreUpdate>(decoded->m_message);
+  BOOST_TEST(received.m_from.value() == *update.m_from);
+  BOOST_TEST(received.m_changes.m_version == update.m_changes.m_version);
+  auto const& changes = received.m_changes.m_changes;
+  BOOST_TEST(std::get<objectstore::ObjectPut>(changes[0]).m_object.m_version ==
+             base::ObjectVersion(era, 11));
+  BOOST_TEST(std::get<objectstore::ObjectDeleted>(changes[1]).m_version ==
+             base::ObjectVersion(era, 99));
+  // A peer of the former build sends no era.
+  auto const former = DecodeFleetMessage(EncodeFleetMessage(FleetMessage(MakeUpdate(1))));
+  BOOST_REQUIRE(former.has_value());
+  BOOST_TEST(std::get<StoreUpdate>(former->m_message).m_changes.m_version ==
+             base::ObjectVersion(100));
+  for (std::string const malformed : { "\"3\"", "-3", "3.5", "null", "true", "[]" }) {
+    auto odd = text;
+    odd.replace(odd.find("\"era\":3"), 7, "\"era\":" + malformed);
+    BOOST_TEST(!DecodeFleetMessage(odd).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ALatePartOfAnEarlierEraLeavesTheBatchOfTheLaterOne)
+{
+  auto later = MakeUpdate(60, 1'000);
+  later.m_changes.m_version = { base::StoreEra(2), 100 };
+  auto const earlier = SplitStoreUpdate(MakeUpdate(60, 1'000));
+  auto const parts = SplitStoreUpdate(later);
+  StoreUpdateAssembler assembly;
+  BOOST_TEST(!assembly.Add(parts[0]).has_value());
+  BOOST_TEST(!assembly.Add(earlier[1]).has_value());
+  BOOST_TEST(!assembly.Add(parts[1]).has_value());
+  auto const assembled = assembly.Add(parts[2]);
+  BOOST_REQUIRE(assembled.has_value());
+  BOOST_TEST(assembled->m_changes.m_changes.size() == 61U);
+}
+
 BOOST_AUTO_TEST_CASE(GatewaysSelectTheFirstReachableLoader)
 {
   programs::PlannerSelector choice;
