--- a/Entry/Relay/OutageTracker.cpp
+++ b/Entry/Relay/OutageTracker.cpp
@@ -1,7 +1,5 @@
 #include "Entry/Relay/OutageTracker.h"
 
-#include <algorithm>
-
 namespace sardinefold::entry {
 
 void OutageTracker::OnResponse(base::Instant aAt)
@@ -17,16 +15,6 @@
   m_lastResponse = aAt;
 }
 
-bool OutageTracker::OnEra(base::StoreEra aEra, base::Instant aNow)
-{
-  bool const isRestored = m_era && aEra > *m_era;
-  if (isRestored) {
-    m_restoredAt = aNow;
-  }
-  m_era = std::max(m_era, std::optional(aEra));
-  return isRestored;
-}
-
 std::optional<base::Instant> OutageTracker::LapseEnd(ListLosses const& aLosses,
                                                      base::Instant aNow) const
 {
--- a/Entry/Relay/OutageTracker.h
+++ b/Entry/Relay/OutageTracker.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Base/ObjectVersion.h"
 #include "Base/Time.h"
 
 #include <cstddef>
@@ -42,10 +41,9 @@
   /// report, to another one.
   void OnResponse(base::Instant aAt);
 
-  /// Records the era of a list. Returns whether it is the first list after the store
-  /// came back from a copy. Entries written since the copy are missing from it, and
-  /// others may have lapsed by its time.
-  bool OnEra(base::StoreEra aEra, base::Instant aNow);
+  /// Records that the store came back from a copy. Entries written since the copy
+  /// are missing from it, and others may have lapsed by its time.
+  void OnRestored(base::Instant aNow) { m_restoredAt = aNow; }
 
   /// Returns until when upstreams that a response lacks stay in use because their
   /// entries may have lapsed; none if they have left.
@@ -60,7 +58,6 @@
   OutageLimits m_limits;
   base::Instant m_lastResponse{};
   std::optional<base::Instant> m_end;
-  std::optional<base::StoreEra> m_era;
   std::optional<base::Instant> m_restoredAt;
   base::Duration m_length{};
 };
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -160,8 +160,9 @@
   {
     auto const now = m_state.m_loop.Now();
     UpdateAvailability(now);
-    bool const isRestored = m_outages.OnEra(aChanges.m_version.Era(), now);
+    bool const isRestored = aChanges.m_restoredFrom.has_value();
     if (isRestored) {
+      m_outages.OnRestored(now);
       m_state.m_directory.OnStoreRestored();
     }
     auto const lapseEnd = m_outages.LapseEnd(LossesOf(aChanges), now);
--- a/Tests/OutageTrackerTest.cpp
+++ b/Tests/OutageTrackerTest.cpp
@@ -71,14 +71,10 @@
 {
   auto tracker = AfterOutage(kStart + 10s);
   entry::ListLosses const one{ 20, 1 };
-  BOOST_TEST(!tracker.OnEra(base::StoreEra(3), kStart + 10s));
   BOOST_TEST(!tracker.LapseEnd(one, kStart + 10s).has_value());
   auto const restored = kStart + 12s;
-  BOOST_TEST(tracker.OnEra(base::StoreEra(4), restored));
+  tracker.OnRestored(restored);
   BOOST_TEST((tracker.LapseEnd(one, restored) == restored + 2s));
-  // Neither a list of the same era nor one of an earlier era prolongs the time.
-  BOOST_TEST(!tracker.OnEra(base::StoreEra(4), restored + 500ms));
-  BOOST_TEST(!tracker.OnEra(base::StoreEra(3), restored + 600ms));
   BOOST_TEST((tracker.LapseEnd(one, restored + 900ms) == restored + 2s));
   BOOST_TEST(!tracker.LapseEnd(one, restored + 1'100ms).has_value());
 }
