Tests: Restore the store of a site with gateways

The lost window holds a configuration with a route and a withdrawn key, an added upstream and a drained one; a second gateway starts on the copy.

--- a/Tests/Support/SiteFixture.cpp
+++ b/Tests/Support/SiteFixture.cpp
@@ -14,11 +14,13 @@
 constexpr char kStoreHost[] = "127.0.1.1";
 constexpr char kGatewayHost[] = "127.0.1.2";
 constexpr char kServiceHost[] = "127.0.1.3";
+constexpr char kSecondGatewayHost[] = "127.0.1.4";
 
 /// Returns the hosts of the site, and that of a further upstream.
 std::vector<std::string> Hosts()
 {
-  return { kStoreHost, kGatewayHost, kServiceHost, "127.0.2.1", "127.0.2.2", "127.0.3.1" };
+  return { kStoreHost,  kGatewayHost, kServiceHost, kSecondGatewayHost,
+           "127.0.2.1", "127.0.2.2",  "127.0.3.1" };
 }
 
 } // namespace
@@ -73,6 +75,11 @@
   profile.m_readiness = m_readiness;
   m_gateway = std::make_unique<Gateway>(m_loop, profile);
   BOOST_REQUIRE(m_gateway->Start().has_value());
+  m_secondGateway = profile;
+  m_secondGateway.m_host = base::HostId::FromValidated("front-2");
+  m_secondGateway.m_address = kSecondGatewayHost;
+  m_secondGateway.m_callers = { kSecondGatewayHost, port };
+  m_secondGateway.m_readiness = { kSecondGatewayHost, m_readinessPort.Port() };
 }
 
 boost::asio::awaitable<void> SiteFixture::WaitUntilReady()
--- a/Tests/Support/SiteFixture.h
+++ b/Tests/Support/SiteFixture.h
@@ -57,6 +57,8 @@
   std::size_t RunsOf(std::string const& aId) const;
   void SetFault(standins::SiteEngine& aEngine, char const* aName, Json::Value aValue);
   base::Endpoint const& Callers() const { return m_callers; }
+  /// The profile of a second gateway, which a test may start.
+  base::ProcessProfile const& SecondGateway() const { return m_secondGateway; }
 
 private:
   PortClaim m_port;
@@ -65,6 +67,7 @@
   base::HttpServer m_storeServer;
   base::Endpoint m_callers;
   base::Endpoint m_readiness;
+  base::ProcessProfile m_secondGateway;
 };
 
 } // namespace sardinefold::tests
