--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -155,11 +155,13 @@
   /// News on prompt parts, as in GatewayReport.
   std::vector<PartCrashReport> m_partCrashes;
   std::vector<PartAcquittal> m_partAcquittals;
+  /// The newest catalog that any gateway has had in force, as far as known.
+  base::CatalogVersion m_catalog;
 };
 
 /// From a gateway that watches the object store to others of its failure
 /// domain: the changes in the list of upstreams, and how recent its data is. A
-/// batch too large for one datagram is split into parts.
+/// batch too large for one datagram is split into parts. All versions are of one era.
 struct StoreUpdate
 {
   base::HostId m_host;
--- a/Entry/Relay/OutageTracker.cpp
+++ b/Entry/Relay/OutageTracker.cpp
@@ -18,6 +18,9 @@
 std::optional<base::Instant> OutageTracker::LapseEnd(ListLosses const& aLosses,
                                                      base::Instant aNow) const
 {
+  if (m_restoredAt && aNow - *m_restoredAt < m_limits.m_removalTime) {
+    return *m_restoredAt + m_limits.m_reregistrationTime;
+  }
   // The other processes' responses may be unknown here, but the list itself shows
   // whether heartbeats arrived: a store that kept most entries has received them.
   bool const mayHaveLapsed =
--- a/Entry/Relay/OutageTracker.h
+++ b/Entry/Relay/OutageTracker.h
@@ -41,6 +41,10 @@
   /// report, to another one.
   void OnResponse(base::Instant aAt);
 
+  /// Records that the store came back from a copy. Entries written since the copy
+  /// are missing from it, and others may have lapsed by its time.
+  void OnRestored(base::Instant aNow) { m_restoredAt = aNow; }
+
   /// Returns until when upstreams that a response lacks stay in use because their
   /// entries may have lapsed; none if they have left.
   std::optional<base::Instant> LapseEnd(ListLosses const& aLosses, base::Instant aNow) const;
@@ -54,6 +58,7 @@
   OutageLimits m_limits;
   base::Instant m_lastResponse{};
   std::optional<base::Instant> m_end;
+  std::optional<base::Instant> m_restoredAt;
   base::Duration m_length{};
 };
 
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -16,6 +16,7 @@
 #include "Engine/DemandTracker.h"
 #include "Engine/UpstreamDirectory.h"
 #include "Entry/Allowance/SharedAllowance.h"
+#include "Entry/Relay/CatalogProgress.h"
 #include "Programs/FleetMessenger.h"
 #include "Programs/Gateway/Attempt.h"
 #include "Programs/Gateway/OpenRequests.h"
@@ -57,6 +58,8 @@
   {
     engine::DirectoryLimits limits;
     limits.m_maximumDrainDelay = aBounds.m_maximumDrainDelay;
+    // A removal takes up to a drain delay to arrive here.
+    limits.m_silenceTime = 3 * aBounds.m_heartbeatInterval + aBounds.m_maximumDrainDelay;
     return limits;
   }
 
@@ -349,6 +352,7 @@
   caller::ResponseMemoryBudget m_responseMemory;
   /// Null until the first catalog has arrived.
   std::unique_ptr<caller::CatalogIndex> m_catalog;
+  entry::CatalogProgress m_catalogProgress;
   engine::UpstreamDirectory m_directory;
   engine::DemandTracker m_demand;
   entry::SharedAllowance m_allowance;
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -7,6 +7,7 @@
 #include "Programs/Gateway/CatalogReader.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/StoreFollowerTiming.h"
+#include "Programs/Gateway/UpstreamListing.h"
 #include "Programs/ServingWire.h"
 #include "Programs/StoreAccess.h"
 
@@ -72,6 +73,17 @@
     }
   }
 
+  /// Another gateway has that version of the catalog in force.
+  void OnCatalogAnnounced(base::CatalogVersion aVersion, base::Instant aNow)
+  {
+    auto& progress = m_state.m_catalogProgress;
+    progress.OnAnnounced(aVersion, aNow);
+    RecordHold(aNow);
+    if (progress.IsBehind() && !m_catalogReader.IsReading()) {
+      m_catalogWatch.CatchUp();
+    }
+  }
+
   /// Records that the store responded to another gateway at aAt.
   void OnStoreResponseElsewhere(base::Instant aAt) { m_outages.OnResponse(aAt); }
 
@@ -81,6 +93,7 @@
     constexpr unsigned kUpdateTicks =
       StoreFollowerTiming::kUpdateInterval / std::chrono::milliseconds(100);
     UpdateAvailability(aNow);
+    RecordHold(aNow);
     if (m_ticks++ % kUpdateTicks == 0) {
       auto const version = m_upstreamWatch.State().Version();
       NotifyNeighbours({ version, { version, {} } });
@@ -100,6 +113,18 @@
   }
 
 private:
+  /// Logs when requests begin and cease to wait for a newer catalog.
+  void RecordHold(base::Instant aNow)
+  {
+    auto const& progress = m_state.m_catalogProgress;
+    bool const isHeld = progress.IsHeld(aNow);
+    if (isHeld != std::exchange(m_isCatalogHeld, isHeld)) {
+      base::log::Warning(isHeld ? "configuration is outdated" : "configuration counts again",
+                         { { "version", std::to_string(progress.InForce()->Value()) },
+                           { "newest", std::to_string(progress.Newest().Value()) } });
+    }
+  }
+
   void OnCatalog(objectstore::ObjectChanges const& aChanges)
   {
     for (auto const& change : aChanges.m_changes) {
@@ -114,6 +139,8 @@
   /// Called when another catalog is in force.
   void ApplyCatalog()
   {
+    auto const version = m_state.m_catalog->Catalog().m_version;
+    m_state.m_catalogProgress.OnApplied(version, m_state.m_loop.Now());
     std::map<base::WorkspaceId, entry::AllowanceLimit> allowances;
     for (auto const& workspace : m_state.m_catalog->Catalog().m_workspaces) {
       allowances[workspace.m_id] = { workspace.m_rate, workspace.m_burst };
@@ -126,6 +153,11 @@
   {
     auto const now = m_state.m_loop.Now();
     UpdateAvailability(now);
+    bool const isRestored = aChanges.m_restoredFrom.has_value();
+    if (isRestored) {
+      m_outages.OnRestored(now);
+      m_state.m_directory.OnStoreRestored();
+    }
     auto const lapseEnd = m_outages.LapseEnd(LossesOf(aChanges), now);
     for (auto const& change : aChanges.m_changes) {
       if (auto const* const deleted = std::get_if<objectstore::ObjectDeleted>(&change)) {
@@ -144,10 +176,13 @@
         RecordRemoval(instance, m_state.m_directory.OnRemoved(instance, std::nullopt, now));
         continue;
       }
-      base::log::Info("upstream listed", { { "upstream", entry->m_instance.Text() },
-                                           { "deployment", entry->m_deployment.Text() },
-                                           { "leaving", entry->m_isDraining ? "true" : "false" } });
-      m_state.m_directory.OnListed(std::move(*entry), now);
+      auto const source =
+        isRestored ? engine::EntrySource::RestoredList : engine::EntrySource::Change;
+      auto const outcome = RecordListed(m_state, std::move(*entry), source, now);
+      if (outcome == engine::ListingOutcome::Superseded) {
+        auto const instance = engine::InstanceId::FromValidated(object.m_key.m_name.Text());
+        RecordRemoval(instance, m_state.m_directory.OnRemoved(instance, lapseEnd, now));
+      }
     }
     m_state.NotifyAll();
   }
@@ -197,14 +232,10 @@
                         { "to", std::to_string(aUpdate.m_changes.m_version.Value()) },
                         { "known", std::to_string(known.Value()) } });
     }
-    if (!changes.m_changes.empty()) {
+    if (!changes.m_changes.empty() || changes.m_restoredFrom) {
       OnUpstreams(changes);
     }
-    bool const hasOlder =
-      !m_state.m_catalog || m_state.m_catalog->Catalog().m_version < aUpdate.m_catalog;
-    if (hasOlder && !m_catalogReader.IsReading()) {
-      m_catalogWatch.CatchUp();
-    }
+    OnCatalogAnnounced(aUpdate.m_catalog, aNow);
   }
 
   static std::string FromText(objectstore::ObjectUpdate const& aUpdate)
@@ -287,6 +318,7 @@
   base::Instant m_unavailableSince{};
   base::Duration m_lastOutage{};
   bool m_isStoreUnavailable = false;
+  bool m_isCatalogHeld = false;
   unsigned m_ticks = 0;
 };
 
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -7,6 +7,7 @@
 #include "Base/ProcessProfile.h"
 #include "Base/Signal.h"
 #include "Engine/OrderScheduler.h"
+#include "Entry/Relay/CatalogProgress.h"
 #include "ObjectStore/WriteSession.h"
 #include "Programs/FleetMessenger.h"
 #include "Programs/Loader/FleetPlanning.h"
@@ -127,7 +128,7 @@
   {
     constexpr base::Duration kPause = std::chrono::milliseconds(300);
     while (true) {
-      if (m_catalogVersion && m_announcedCatalog <= *m_catalogVersion) {
+      if (!m_catalog.IsBehind()) {
         co_await m_loop.Sleep(kPause);
         continue;
       }
@@ -149,13 +150,16 @@
     // What no gateway has accepted yet is checked whole.
     auto text = aText;
     auto catalog = co_await Decode(std::move(text), operators::CatalogScope::Deployments);
-    if (catalog && catalog->m_version > m_announcedCatalog) {
+    if (catalog && catalog->m_version > m_catalog.Newest()) {
       catalog = co_await Decode(std::move(aText), operators::CatalogScope::Whole);
     }
     if (!catalog) {
       base::log::Error("configuration is unusable", { { "error", catalog.error() } });
       co_return;
     }
+    if (!m_catalog.MayApply(catalog->m_version)) {
+      co_return;
+    }
     OnCatalog(*catalog);
     base::log::Info("configuration in force",
                     { { "version", std::to_string(catalog->m_version.Value()) },
@@ -179,7 +183,7 @@
 
   void OnCatalog(operators::ServingCatalog const& aCatalog)
   {
-    m_catalogVersion = aCatalog.m_version;
+    m_catalog.OnApplied(aCatalog.m_version, m_loop.Now());
     m_engineSpecs = operators::EngineSpecsDigest(aCatalog);
     for (auto const& [id, deployment] : aCatalog.m_deployments) {
       if (deployment.m_engine) {
@@ -427,7 +431,7 @@
       }
       m_instance = engine->second;
     }
-    m_planning.OnPresence(aPresence.m_host, aNow);
+    m_planning.OnPresence(aPresence, aNow);
     // A gateway that has just started has no status of this engine.
     SendStatus(false);
   }
@@ -435,13 +439,11 @@
   /// Has a newer catalog read only if it changes what engines may hold.
   void OnCatalogAnnounced(agent::GatewayPresence const& aPresence)
   {
-    if (!m_catalogVersion || aPresence.m_catalog <= *m_catalogVersion) {
-      return;
-    }
-    if (aPresence.m_engineSpecs == m_engineSpecs) {
-      m_catalogVersion = aPresence.m_catalog;
+    auto const inForce = m_catalog.InForce();
+    if (inForce && aPresence.m_catalog > *inForce && aPresence.m_engineSpecs == m_engineSpecs) {
+      m_catalog.OnApplied(aPresence.m_catalog, m_loop.Now());
     }
-    m_announcedCatalog = std::max(m_announcedCatalog, aPresence.m_catalog);
+    m_catalog.OnAnnounced(aPresence.m_catalog, m_loop.Now());
   }
 
   boost::asio::awaitable<void> Tick()
@@ -479,8 +481,7 @@
   bool m_hasPredecessor = false;
   base::Instant m_registeredAt{};
   std::optional<agent::EngineIdentity> m_instance;
-  std::optional<base::CatalogVersion> m_catalogVersion;
-  base::CatalogVersion m_announcedCatalog;
+  entry::CatalogProgress m_catalog;
   /// Digest of the engine specs in the catalog that was read last.
   std::uint64_t m_engineSpecs = 0;
   StatusSender m_gatewayStatus;
