Entry: Rely on no neighbour that knows an earlier era

A follower relied on each watcher that had reached the store lately, also on one that had not heard yet that the store came back from a copy: its updates changed nothing here, but counted as contact, so that the follower made no call itself, and the age that it reported was too low.

The role relies on watchers of the latest known era only; updates of earlier ones count for nothing. The watch of the catalog learns the era from that of the list, and the other way round through the neighbours, so that its next call lists. The new case of StoreRelayTest failed in three checks while the role did not compare eras.

--- a/Entry/Relay/WatchRole.cpp
+++ b/Entry/Relay/WatchRole.cpp
@@ -12,11 +12,12 @@
   std::erase_if(m_watchers, [&](auto const& aItem) { return !m_neighbours.contains(aItem.first); });
 }
 
-void WatchRole::OnUpdate(base::HostId const& aWatcher, base::Duration aListAge,
+void WatchRole::OnUpdate(base::HostId const& aWatcher, base::StoreEra aEra, base::Duration aListAge,
                          base::Duration aCatalogAge, base::Instant aNow)
 {
-  if (aWatcher != m_self && m_neighbours.contains(aWatcher)) {
-    m_watchers[aWatcher] = { aNow - aListAge, aNow - aCatalogAge };
+  if (aEra >= m_era && aWatcher != m_self && m_neighbours.contains(aWatcher)) {
+    m_watchers[aWatcher] = { aNow - aListAge, aNow - aCatalogAge, aEra };
+    OnEra(aEra);
   }
 }
 
@@ -52,14 +53,15 @@
 bool WatchRole::MaySuspendListWatch(base::Instant aNow) const
 {
   return !IsWatcher(aNow) && std::ranges::any_of(m_watchers, [&](auto const& aItem) {
-    return aNow - aItem.second.m_listConfirmedAt < m_limits.m_listAge;
+    return IsCurrent(aItem.second) && aNow - aItem.second.m_listConfirmedAt < m_limits.m_listAge;
   });
 }
 
 bool WatchRole::MaySuspendCatalogWatch(base::Instant aNow) const
 {
   return !IsWatcher(aNow) && std::ranges::any_of(m_watchers, [&](auto const& aItem) {
-    return aNow - aItem.second.m_catalogConfirmedAt < m_limits.m_catalogAge;
+    return IsCurrent(aItem.second) &&
+           aNow - aItem.second.m_catalogConfirmedAt < m_limits.m_catalogAge;
   });
 }
 
--- a/Entry/Relay/WatchRole.h
+++ b/Entry/Relay/WatchRole.h
@@ -2,8 +2,10 @@
 
 #include "Base/Endpoint.h"
 #include "Base/Identifiers.h"
+#include "Base/ObjectVersion.h"
 #include "Base/Time.h"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -38,9 +40,12 @@
   /// Replaces the processes of the failure domain, including this one.
   void OnNeighbours(std::map<base::HostId, base::Endpoint> aNeighbours, base::Instant aNow);
   /// Records how long ago the store last responded to a watcher, by its own
-  /// report.
-  void OnUpdate(base::HostId const& aWatcher, base::Duration aListAge, base::Duration aCatalogAge,
-                base::Instant aNow);
+  /// report, and the era that the watcher knows.
+  void OnUpdate(base::HostId const& aWatcher, base::StoreEra aEra, base::Duration aListAge,
+                base::Duration aCatalogAge, base::Instant aNow);
+  /// Records an era that the store has reached. Watchers that know only earlier ones
+  /// are not relied on.
+  void OnEra(base::StoreEra aEra) { m_era = std::max(m_era, aEra); }
 
   bool IsWatcher(base::Instant aNow) const;
   /// Returns whom a watcher sends its updates: the followers, and the other
@@ -57,8 +62,10 @@
     /// When the store last responded to the watcher, by the watcher's report.
     base::Instant m_listConfirmedAt{};
     base::Instant m_catalogConfirmedAt{};
+    base::StoreEra m_era;
   };
 
+  bool IsCurrent(Watcher const& aWatcher) const { return aWatcher.m_era >= m_era; }
   bool HasRecentNeighbours(base::Instant aNow) const;
 
   WatchRoleLimits m_limits;
@@ -66,6 +73,7 @@
   std::map<base::HostId, base::Endpoint> m_neighbours;
   base::Instant m_neighboursReceivedAt{};
   std::map<base::HostId, Watcher> m_watchers;
+  base::StoreEra m_era;
 };
 
 } // namespace sardinefold::entry
--- a/ObjectStore/ObjectWatch.cpp
+++ b/ObjectStore/ObjectWatch.cpp
@@ -78,7 +78,7 @@
     }
     return changes;
   }
-  RecordEra(aResponse->m_version.Era());
+  OnEra(aResponse->m_version.Era());
   if (aResponse->m_version.Era() > m_requestedEra) {
     m_next = aNow;
     return changes;
@@ -127,7 +127,7 @@
                                                     base::Instant aReceivedAt)
 {
   auto const& changes = aUpdate.m_changes;
-  RecordEra(changes.m_version.Era());
+  OnEra(changes.m_version.Era());
   if (changes.m_version.Era() < m_version.Era()) {
     return ObjectChanges{ m_version, {} };
   }
@@ -163,7 +163,7 @@
     changes.m_restoredFrom = m_version;
   }
   m_hasListed = true;
-  RecordEra(aVersion.Era());
+  OnEra(aVersion.Era());
   std::set<ObjectKey> listed;
   for (auto const& object : aObjects) {
     listed.insert(object.m_key);
--- a/ObjectStore/ObjectWatch.h
+++ b/ObjectStore/ObjectWatch.h
@@ -57,6 +57,9 @@
   /// here.
   std::optional<ObjectChanges> OnRelayed(ObjectUpdate const& aUpdate, base::Instant aReceivedAt);
 
+  /// Records an era that the store has reached.
+  void OnEra(base::StoreEra aEra) { m_latestEra = std::max(m_latestEra, aEra); }
+
   /// All changes up to this version have been returned.
   base::ObjectVersion Version() const { return m_version; }
   /// When the platform last responded.
@@ -68,7 +71,6 @@
 private:
   void RecordContact(base::Instant aNow);
   void PauseAfterFailure(base::Instant aNow) { m_next = aNow + m_backoff.Next(); }
-  void RecordEra(base::StoreEra aEra) { m_latestEra = std::max(m_latestEra, aEra); }
   /// Whether a response to the last watch reports what follows the known state.
   bool IsContinuation(ObjectChanges const& aResponse) const;
   bool Apply(ObjectChange const& aChange);
--- a/ObjectStore/WatchSession.h
+++ b/ObjectStore/WatchSession.h
@@ -126,6 +126,10 @@
     return std::move(*changes);
   }
 
+  /// Records an era that the store has reached. The next call lists if the known
+  /// state is of an earlier one.
+  void OnEra(base::StoreEra aEra) { m_watch.OnEra(aEra); }
+
   /// Makes the session call the store until a call succeeds, even while it may
   /// suspend.
   void CatchUp()
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -133,6 +133,8 @@
   void OnUpstreams(objectstore::ObjectChanges const& aChanges)
   {
     auto const now = m_state.m_loop.Now();
+    m_role.OnEra(aChanges.m_version.Era());
+    m_catalogWatch.OnEra(aChanges.m_version.Era());
     UpdateAvailability(now);
     auto const lapseEnd = m_outages.LapseEnd(LossesOf(aChanges), now);
     for (auto const& change : aChanges.m_changes) {
@@ -191,7 +193,13 @@
 
   void ApplyUpdate(agent::StoreUpdate const& aUpdate, base::Instant aNow)
   {
-    m_role.OnUpdate(aUpdate.m_host, aUpdate.m_listAge, aUpdate.m_catalogAge, aNow);
+    auto const era = aUpdate.m_changes.m_version.Era();
+    m_role.OnUpdate(aUpdate.m_host, era, aUpdate.m_listAge, aUpdate.m_catalogAge, aNow);
+    if (era < m_upstreamWatch.State().Version().Era()) {
+      // The neighbour has not heard yet that the store came back from a copy.
+      return;
+    }
+    m_catalogWatch.OnEra(era);
     m_outages.OnResponse(aNow - std::min(aUpdate.m_listAge, aUpdate.m_catalogAge));
     auto const known = m_upstreamWatch.State().Version();
     objectstore::ObjectUpdate const update{ aUpdate.m_from, aUpdate.m_changes };
--- a/Tests/StoreRelayTest.cpp
+++ b/Tests/StoreRelayTest.cpp
@@ -98,7 +98,7 @@
   WatchRole role(limits, Host("d"));
   role.OnNeighbours(Neighbours(), kStart);
   BOOST_TEST(!role.MaySuspendListWatch(kStart));
-  role.OnUpdate(Host("a"), milliseconds(200), milliseconds(600), kStart);
+  role.OnUpdate(Host("a"), base::StoreEra(), milliseconds(200), milliseconds(600), kStart);
   BOOST_TEST(role.MaySuspendListWatch(kStart));
   BOOST_TEST(role.MaySuspendListWatch(kStart + milliseconds(1200)));
   // The age that the watcher reports is added to the time since its update.
@@ -106,15 +106,34 @@
   BOOST_TEST(role.MaySuspendCatalogWatch(kStart + milliseconds(1200)));
   BOOST_TEST(!role.MaySuspendCatalogWatch(kStart + milliseconds(1400)));
   // A watcher without access to the store reports that; the other one suffices.
-  role.OnUpdate(Host("a"), seconds(3), seconds(3), kStart + milliseconds(1400));
+  role.OnUpdate(Host("a"), base::StoreEra(), seconds(3), seconds(3), kStart + milliseconds(1400));
   BOOST_TEST(!role.MaySuspendListWatch(kStart + milliseconds(1400)));
-  role.OnUpdate(Host("b"), milliseconds(0), milliseconds(0), kStart + milliseconds(1400));
+  role.OnUpdate(Host("b"), base::StoreEra(), milliseconds(0), milliseconds(0),
+                kStart + milliseconds(1400));
   BOOST_TEST(role.MaySuspendListWatch(kStart + milliseconds(1400)));
   // Updates from processes that are not neighbours are ignored.
-  role.OnUpdate(Host("x"), milliseconds(0), milliseconds(0), kStart + seconds(3));
+  role.OnUpdate(Host("x"), base::StoreEra(), milliseconds(0), milliseconds(0), kStart + seconds(3));
   BOOST_TEST(!role.MaySuspendListWatch(kStart + seconds(3)));
 }
 
+BOOST_AUTO_TEST_CASE(AFollowerReliesOnNoWatcherOfAnEarlierEra)
+{
+  WatchRole role({}, Host("d"));
+  role.OnNeighbours(Neighbours(), kStart);
+  role.OnUpdate(Host("a"), base::StoreEra(1), milliseconds(0), milliseconds(0), kStart);
+  BOOST_TEST(role.MaySuspendListWatch(kStart));
+  role.OnEra(base::StoreEra(2));
+  BOOST_TEST(!role.MaySuspendListWatch(kStart));
+  BOOST_TEST(!role.MaySuspendCatalogWatch(kStart));
+  role.OnUpdate(Host("b"), base::StoreEra(2), milliseconds(0), milliseconds(0), kStart);
+  BOOST_TEST(role.MaySuspendListWatch(kStart));
+  // A late update of the watcher does not count.
+  role.OnUpdate(Host("b"), base::StoreEra(1), milliseconds(0), milliseconds(0),
+                kStart + seconds(1));
+  BOOST_TEST(role.MaySuspendListWatch(kStart + seconds(1)));
+  BOOST_TEST(!role.MaySuspendListWatch(kStart + seconds(2)));
+}
+
 BOOST_AUTO_TEST_CASE(RelayedChangesThatLeaveAGapAreRejected)
 {
   auto watch = MakeListedWatch();
