Gateway: Log and count restorations of the store

Nothing said in a process's own output that the store had come back from a copy, and from when on it knew.

Each gateway logs one line with both eras and versions and whence it heard, and counts it. GatewayTest covers, over the wire, that a key withdrawn after a restoration whose numbers stay below the known ones is refused within two seconds; it fails while the store hides its era (the key is accepted and no restoration is counted).

--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -47,7 +47,10 @@
       [this](objectstore::ObjectChanges const& aChanges) { OnCatalog(aChanges); },
       [this](base::Instant aNow) { return m_role.MaySuspendCatalogWatch(aNow); }));
     m_state.m_loop.Start(m_upstreamWatch.Run(
-      [this](objectstore::ObjectChanges const& aChanges) { OnUpstreams(aChanges); },
+      [this](objectstore::ObjectChanges const& aChanges) {
+        RecordRestoration("store", aChanges);
+        OnUpstreams(aChanges);
+      },
       [this](base::Instant aNow) { return m_role.MaySuspendListWatch(aNow); },
       [this](objectstore::ObjectUpdate const& aUpdate) {
         LogProgress("store", aUpdate);
@@ -214,6 +217,7 @@
                         { "known", std::to_string(known.Value()) } });
     }
     if (!changes.m_changes.empty() || changes.m_restoredFrom) {
+      RecordRestoration(aUpdate.m_host.Text(), changes);
       OnUpstreams(changes);
     }
     bool const hasOlder =
@@ -223,6 +227,28 @@
     }
   }
 
+  /// Logs and counts that the list is the first one since the store came back from
+  /// a copy.
+  void RecordRestoration(std::string const& aSource, objectstore::ObjectChanges const& aChanges)
+  {
+    auto const known = aChanges.m_restoredFrom;
+    if (!known) {
+      return;
+    }
+    auto const& version = aChanges.m_version;
+    base::log::Warning("store came back from a copy",
+                       { { "source", aSource },
+                         { "era_before", std::to_string(known->Era().Value()) },
+                         { "era", std::to_string(version.Era().Value()) },
+                         { "known", std::to_string(known->Value()) },
+                         { "version", std::to_string(version.Value()) } });
+    m_state.m_metrics
+      .Counter("sardinefold_gateway_store_restorations_total",
+               "How often the list of upstreams was read anew because the store came back from a "
+               "copy.")
+      .Increment();
+  }
+
   static std::string FromText(objectstore::ObjectUpdate const& aUpdate)
   {
     return aUpdate.m_from ? std::to_string(aUpdate.m_from->Value()) : "list";
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -359,6 +359,29 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(AKeyWithdrawnAfterARestorationOfTheStoreIsRefusedInTime, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    m_store.TakeCopy();
+    // The store's counter does not reach the known number again in this test.
+    for (int number = 0; number < 50; ++number) {
+      m_store.Put("servers", "odd", number);
+    }
+    co_await m_loop.Sleep(1'000ms);
+    m_store.Restore();
+    auto configuration = standins::SiteConfiguration(2);
+    configuration["tenants"][0]["apiKeys"][0] = "key-3";
+    m_store.Put("config", "main", configuration);
+    co_await m_loop.Sleep(2s);
+    auto request = Request("GET", "/look/x", "r1");
+    auto const response = co_await Send(std::move(request));
+    BOOST_TEST(response->m_status == 401U);
+    auto const metrics = m_gateway->Metrics().Render();
+    BOOST_TEST(metrics.find("\nsardinefold_gateway_store_restorations_total 1\n") !=
+               std::string::npos);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(UnresponsiveStoreConnectionsDelayNoConfiguration, SiteFixture)
 {
   Run([&]() -> awaitable<void> {
