--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -50,7 +50,10 @@
       [this](objectstore::ObjectChanges const& aChanges) { OnCatalog(aChanges); },
       [this](base::Instant aNow) { return m_role.MaySuspendCatalogWatch(aNow); }));
     m_state.m_loop.Start(m_upstreamWatch.Run(
-      [this](objectstore::ObjectChanges const& aChanges) { OnUpstreams(aChanges); },
+      [this](objectstore::ObjectChanges const& aChanges) {
+        RecordRestoration("store", aChanges);
+        OnUpstreams(aChanges);
+      },
       [this](base::Instant aNow) { return m_role.MaySuspendListWatch(aNow); },
       [this](objectstore::ObjectUpdate const& aUpdate) {
         LogProgress("store", aUpdate);
@@ -152,6 +155,8 @@
   void OnUpstreams(objectstore::ObjectChanges const& aChanges)
   {
     auto const now = m_state.m_loop.Now();
+    m_role.OnEra(aChanges.m_version.Era());
+    m_catalogWatch.OnEra(aChanges.m_version.Era());
     UpdateAvailability(now);
     bool const isRestored = aChanges.m_restoredFrom.has_value();
     if (isRestored) {
@@ -218,7 +223,13 @@
 
   void ApplyUpdate(agent::StoreUpdate const& aUpdate, base::Instant aNow)
   {
-    m_role.OnUpdate(aUpdate.m_host, aUpdate.m_listAge, aUpdate.m_catalogAge, aNow);
+    auto const era = aUpdate.m_changes.m_version.Era();
+    m_role.OnUpdate(aUpdate.m_host, era, aUpdate.m_listAge, aUpdate.m_catalogAge, aNow);
+    if (era < m_upstreamWatch.State().Version().Era()) {
+      // The neighbour has not heard yet that the store came back from a copy.
+      return;
+    }
+    m_catalogWatch.OnEra(era);
     m_outages.OnResponse(aNow - std::min(aUpdate.m_listAge, aUpdate.m_catalogAge));
     auto const known = m_upstreamWatch.State().Version();
     objectstore::ObjectUpdate const update{ aUpdate.m_from, aUpdate.m_changes };
@@ -233,11 +244,34 @@
                         { "known", std::to_string(known.Value()) } });
     }
     if (!changes.m_changes.empty() || changes.m_restoredFrom) {
+      RecordRestoration(aUpdate.m_host.Text(), changes);
       OnUpstreams(changes);
     }
     OnCatalogAnnounced(aUpdate.m_catalog, aNow);
   }
 
+  /// Logs and counts that the list is the first one since the store came back from
+  /// a copy.
+  void RecordRestoration(std::string const& aSource, objectstore::ObjectChanges const& aChanges)
+  {
+    auto const known = aChanges.m_restoredFrom;
+    if (!known) {
+      return;
+    }
+    auto const& version = aChanges.m_version;
+    base::log::Warning("store came back from a copy",
+                       { { "source", aSource },
+                         { "era_before", std::to_string(known->Era().Value()) },
+                         { "era", std::to_string(version.Era().Value()) },
+                         { "known", std::to_string(known->Value()) },
+                         { "version", std::to_string(version.Value()) } });
+    m_state.m_metrics
+      .Counter("sardinefold_gateway_store_restorations_total",
+               "How often the list of upstreams was read anew because the store came back from a "
+               "copy.")
+      .Increment();
+  }
+
   static std::string FromText(objectstore::ObjectUpdate const& aUpdate)
   {
     return aUpdate.m_from ? std::to_string(aUpdate.m_from->Value()) : "list";
