Loader: Keep fencing numbers rising when the store comes back from a copy

The fencing number was the bare version of the host's object. A running loader whose registration the copy lacked stayed unknown to the store, so that a successor neither exceeded its number nor waited out its orders.

The number is now made from the version in Base/FencingNumber.h, the era in the bits above the number; it stays an integer below 2^53. When a loader learns of a new era, from a gateway's presence or the store, it reads its host's object: its own value there only raises the number, otherwise it registers again, while its orders go on. HostRegistration decides this. A write whose condition is of an earlier era met another history, so that it counts as one that replaced another loader. Where the store holds no loader of the host though the engine has taken orders, the lease is waited out. A predecessor is also remembered when the write that replaced it got no answer, which was forgotten before.

Evidence: FencingTest.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -222,6 +222,9 @@
   presence.m_planner = Address(Member(aParams, "planner"));
   presence.m_catalog = base::CatalogVersion(UnsignedInteger(Member(aParams, "catalog")));
   presence.m_engineSpecs = UnsignedInteger(Member(aParams, "engine_specs"));
+  if (aParams.isMember("store_era")) {
+    presence.m_storeEra = base::StoreEra(UnsignedInteger(Member(aParams, "store_era")));
+  }
   for (auto const& entry : Member(aParams, "engines")) {
     constexpr Json::ArrayIndex kFields = 3;
     if (!entry.isArray() || entry.size() != kFields) {
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -167,6 +167,9 @@
     params["planner"] = aPresence.m_planner.Text();
     params["catalog"] = Json::UInt64(aPresence.m_catalog.Value());
     params["engine_specs"] = Json::UInt64(aPresence.m_engineSpecs);
+    if (aPresence.m_storeEra != base::StoreEra()) {
+      params["store_era"] = Json::UInt64(aPresence.m_storeEra.Value());
+    }
     params["engines"] = Json::Value(Json::arrayValue);
     for (auto const& [endpoint, engine] : aPresence.m_engines) {
       Json::Value entry(Json::arrayValue);
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -100,6 +100,8 @@
   std::uint64_t m_engineSpecs = 0;
   /// The engines of the loaders that this message is sent to.
   std::map<base::Endpoint, EngineIdentity> m_engines;
+  /// The latest era of the store that the gateway knows of.
+  base::StoreEra m_storeEra;
 };
 
 /// From a gateway to the loader that it considers the planner: its demand and
--- a/Base/Units.h
+++ b/Base/Units.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/FencingNumber.h"
 #include "Base/ObjectVersion.h"
 #include "Base/Quantity.h"
 #include "Base/Time.h"
@@ -17,9 +18,6 @@
 /// The sustained rate that a workspace is allowed.
 using TokensPerSecond = Quantity<struct TokensPerSecondTag, double>;
 
-/// A fencing token: each new agent of an upstream gets a higher number, which its
-/// orders carry so that the engine can refuse orders of earlier agents.
-using FencingNumber = Ordinal<struct FencingTag>;
 /// The epoch of a bucket's owner. Each new owner gets a higher one.
 using Epoch = Ordinal<struct EpochTag>;
 /// The version of the catalog of routes and services in force.
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -50,8 +50,10 @@
 
   /// To be called ten times a second. aStoreAge is the time since the store last
   /// responded.
-  void Report(base::Duration aStoreAge, base::Instant aNow)
+  void Report(base::Duration aStoreAge, base::StoreEra aStoreEra, base::Instant aNow)
   {
+    m_mustAnnounceToAll = m_mustAnnounceToAll || aStoreEra > m_storeEra;
+    m_storeEra = std::max(m_storeEra, aStoreEra);
     constexpr unsigned kPresenceTicks = 10;
     auto const planner = m_planner.Planner(aNow);
     bool const isNewPlanner = planner != m_lastPlanner;
@@ -145,6 +147,7 @@
       receivers.push_back({ { endpoint.m_address, m_state.m_profile.m_peerPort }, aDomain });
     }
     presence.m_engines = std::move(aEngines);
+    presence.m_storeEra = m_storeEra;
     m_state.m_messenger.Multicast(m_state.m_profile.m_failureDomain, receivers, presence);
   }
 
@@ -163,6 +166,7 @@
   std::map<base::ModelId, unsigned> m_reportedWaiting;
   Engines m_announced;
   std::uint64_t m_engineSpecs = 0;
+  base::StoreEra m_storeEra;
   bool m_mustAnnounceToAll = true;
   unsigned m_ticks = 0;
 };
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -245,7 +245,7 @@
       m_state.m_directory.Expire(now);
       LogEndedNotices(m_state, now);
       m_state.ExpireSuspects();
-      m_fleet.Report(m_store.Age(now), now);
+      m_fleet.Report(m_store.Age(now), m_store.Era(), now);
       co_await m_loop.Sleep(kInterval);
     }
   }
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -85,6 +85,11 @@
     }
   }
 
+  /// The latest era of the store that is known here.
+  base::StoreEra Era() const
+  {
+    return std::max(m_upstreamWatch.State().Version(), m_catalogWatch.State().Version()).Era();
+  }
   /// Time since the store last responded to this process or a neighbour.
   base::Duration Age(base::Instant aNow) const { return std::min(ListAge(aNow), CatalogAge(aNow)); }
   /// The same for the list of upstreams.
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -11,6 +11,7 @@
 #include "Programs/FleetMessenger.h"
 #include "Programs/Loader/FleetPlanning.h"
 #include "Programs/Loader/GatewayRegistry.h"
+#include "Programs/Loader/HostRegistration.h"
 #include "Programs/Loader/LoadMetrics.h"
 #include "Programs/Loader/StatusSender.h"
 #include "Programs/ServingWire.h"
@@ -38,6 +39,7 @@
     , m_orderScheduler({})
     , m_loadMetrics(m_metrics)
     , m_planning(m_profile, m_messenger)
+    , m_registration(m_profile.m_address)
     , m_gatewayStatus(m_messenger, m_profile.m_failureDomain)
     , m_plannerStatus(m_messenger, m_profile.m_failureDomain)
   {
@@ -54,7 +56,7 @@
         !bound) {
       return bound;
     }
-    m_loop.Start(AcquireFencingNumber());
+    m_loop.Start(KeepRegistered());
     m_loop.Start(FollowCatalog());
     m_loop.Start(FollowEngine());
     m_loop.Start(Tick());
@@ -78,44 +80,74 @@
   }
 
   base::Metrics const& Metrics() const { return m_metrics; }
+  /// The number that orders carry; none before the first registration.
+  std::optional<base::FencingNumber> FencingNumber() const { return m_registration.Number(); }
 
 private:
   static constexpr base::Duration kStoreTimeout = std::chrono::milliseconds(1500);
 
-  /// Acquires the fencing number. This is the version of the host's object in
-  /// the store, which each start of a loader for that host increments.
-  boost::asio::awaitable<void> AcquireFencingNumber()
+  /// Registers this loader in the host's object, from which it has its fencing
+  /// number, and registers again when the store may have lost that.
+  boost::asio::awaitable<void> KeepRegistered()
   {
-    objectstore::ObjectKey const key{ objectstore::ObjectKind::Agent,
-                                      objectstore::ObjectName::FromValidated(
-                                        m_profile.m_host.Text()) };
-    constexpr base::Duration kPause = std::chrono::milliseconds(200);
-    while (!m_fence) {
-      auto const purpose = objectstore::CallPurpose::Fencing;
-      auto readKey = key;
-      auto const previous =
-        co_await m_store.Objects().Get(std::move(readKey), kStoreTimeout, purpose);
-      bool const isAbsent =
-        !previous && previous.error().m_kind == objectstore::ReadError::Kind::NotFound;
-      if (previous || isAbsent) {
-        objectstore::ObjectWrite write{ key, objectstore::IfAbsent{}, m_profile.m_address,
-                                        objectstore::NewWriteNonce() };
-        if (previous) {
-          write.m_condition = objectstore::IfVersion{ previous->m_version };
-        }
-        auto const written = co_await objectstore::WriteUntilKnown(
-          m_store.Objects(), m_loop, std::move(write), std::chrono::seconds(5), purpose);
-        if (written) {
-          m_fence = base::FencingNumber(written->Value());
-          m_hasPredecessor = previous && previous->m_value != m_profile.m_address;
-          m_registeredAt = m_loop.Now();
-          base::log::Info("fencing number acquired",
-                          { { "number", std::to_string(m_fence->Value()) },
-                            { "after", previous ? previous->m_value : "" } });
-          co_return;
-        }
+    constexpr base::Duration kMaximumPause = std::chrono::seconds(1);
+    constexpr base::Duration kIdleInterval = std::chrono::seconds(10);
+    objectstore::Backoff backoff({ std::chrono::milliseconds(200), kMaximumPause },
+                                 base::RandomNumber());
+    while (true) {
+      if (!m_registration.IsDue()) {
+        backoff.Reset();
+        co_await m_registrationDue.Wait(kIdleInterval);
+        // All loaders of the site learn of a new era at the same time.
+        co_await m_loop.Sleep(backoff.Next());
+        continue;
       }
-      co_await m_loop.Sleep(kPause);
+      co_await Register();
+      if (m_registration.IsDue()) {
+        co_await m_loop.Sleep(backoff.Next());
+      }
+    }
+  }
+
+  boost::asio::awaitable<void> Register()
+  {
+    auto const purpose = objectstore::CallPurpose::Fencing;
+    objectstore::ObjectKey key{ objectstore::ObjectKind::Agent,
+                                objectstore::ObjectName::FromValidated(m_profile.m_host.Text()) };
+    auto const before = m_registration.Number();
+    auto readKey = key;
+    auto const held = co_await m_store.Objects().Get(std::move(readKey), kStoreTimeout, purpose);
+    bool const isAbsent = !held && held.error().m_kind == objectstore::ReadError::Kind::NotFound;
+    if (!held && !isAbsent) {
+      co_return;
+    }
+    auto write =
+      m_registration.OnRead(held ? &*held : nullptr, objectstore::NewWriteNonce(), m_loop.Now());
+    if (write) {
+      auto const condition = write->m_condition;
+      objectstore::ObjectWrite full{ std::move(key), condition, m_profile.m_address,
+                                     write->m_nonce };
+      auto const written = co_await objectstore::WriteUntilKnown(
+        m_store.Objects(), m_loop, std::move(full), std::chrono::seconds(5), purpose);
+      if (!written) {
+        co_return;
+      }
+      m_registration.OnWritten(condition, *written, m_loop.Now());
+    }
+    auto const number = m_registration.Number();
+    if (!number) {
+      base::log::Error("no fencing number fits the version of the host's object", {});
+    } else if (number != before) {
+      base::log::Info("fencing number acquired", { { "number", std::to_string(number->Value()) },
+                                                   { "after", held ? held->m_value : "" } });
+    }
+  }
+
+  void OnStoreEra(base::StoreEra aEra)
+  {
+    m_registration.OnEra(aEra);
+    if (m_registration.IsDue()) {
+      m_registrationDue.Notify();
     }
   }
 
@@ -132,6 +164,7 @@
       auto const object = co_await m_store.Objects().Get(std::move(key), kStoreTimeout,
                                                          objectstore::CallPurpose::Configuration);
       if (object) {
+        OnStoreEra(object->m_version.Era());
         OnCatalog(object->m_value);
       }
       co_await m_loop.Sleep(kPause);
@@ -205,6 +238,7 @@
     if (isFirstOfStart) {
       m_isLeaving = notice.m_isLeaving;
     }
+    m_registration.OnEngineOrders(report->m_orders);
     m_orderScheduler.OnReport(std::move(*report), m_loop.Now());
     m_loadMetrics.OnReport(*m_orderScheduler.Report(), m_loop.Now());
     SendStatus(false);
@@ -263,7 +297,8 @@
     }
     auto full = *order;
     full.m_holder = m_profile.m_host;
-    full.m_fence = *m_fence;
+    full.m_fence = *m_registration.Number();
+    m_registration.OnOrderSent();
     constexpr base::Duration kOrderTimeout = std::chrono::milliseconds(500);
     auto request = Wire::EncodeOrder(full, m_instance->m_instance);
     auto endpoint = *m_profile.m_engine;
@@ -292,9 +327,9 @@
   /// host may still be in flight.
   bool CanOrder() const
   {
-    return m_fence && m_instance && m_hasReport && m_orderScheduler.Report() &&
+    return m_instance && m_hasReport && m_orderScheduler.Report() &&
            (m_instance->m_startedAt == m_orderScheduler.Report()->m_startedAt) &&
-           (!m_hasPredecessor || m_loop.Now() - m_registeredAt >= m_profile.m_bounds.m_leaseTime);
+           m_registration.MayOrder(m_loop.Now(), m_profile.m_bounds.m_leaseTime);
   }
 
   agent::EngineStatus MakeStatus() const
@@ -385,6 +420,7 @@
                   base::Instant aNow)
   {
     m_gateways.OnPresence(aPresence, aOrigin, aNow);
+    OnStoreEra(aPresence.m_storeEra);
     OnCatalogAnnounced(aPresence);
     auto const engine = aPresence.m_engines.find(*m_profile.m_engine);
     if (engine != aPresence.m_engines.end()) {
@@ -442,10 +478,8 @@
   FleetPlanning m_planning;
   base::Signal m_wake{ m_loop.Context() };
   GatewayRegistry m_gateways;
-  std::optional<base::FencingNumber> m_fence;
-  /// Whether another host held the fencing number last.
-  bool m_hasPredecessor = false;
-  base::Instant m_registeredAt{};
+  HostRegistration m_registration;
+  base::Signal m_registrationDue{ m_loop.Context() };
   std::optional<agent::EngineIdentity> m_instance;
   std::optional<base::CatalogVersion> m_catalogVersion;
   base::CatalogVersion m_announcedCatalog;
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -106,7 +106,8 @@
                      { "10.0.0.2", 7600 },
                      base::CatalogVersion(9),
                      77,
-                     { { status.m_engine, { engine::InstanceId::FromValidated("i-1"), 123 } } } });
+                     { { status.m_engine, { engine::InstanceId::FromValidated("i-1"), 123 } } },
+                     base::StoreEra(3) });
   CheckRoundTrip(PlannerSummary{ "epoch",
                                  4,
                                  3,
--- a/Tests/Support/SiteFixture.cpp
+++ b/Tests/Support/SiteFixture.cpp
@@ -57,6 +57,7 @@
     side.m_address = settings.m_address.m_address;
     side.m_engine = settings.m_address;
     side.m_engineDeployment = base::DeploymentId::FromValidated("llm");
+    m_loaderProfiles.push_back(side);
     m_loaders.push_back(std::make_unique<Loader>(m_loop, side));
     BOOST_REQUIRE(m_loaders.back()->Start().has_value());
   }
--- a/Tests/Support/SiteFixture.h
+++ b/Tests/Support/SiteFixture.h
@@ -29,6 +29,7 @@
   standins::SiteStore m_store{ m_loop };
   std::vector<std::unique_ptr<standins::SiteEngine>> m_engines;
   std::unique_ptr<standins::SiteEngine> m_service;
+  std::vector<base::ProcessProfile> m_loaderProfiles;
   std::vector<std::unique_ptr<Loader>> m_loaders;
   std::unique_ptr<Gateway> m_gateway;
   base::HttpClient m_client{ m_loop, {} };
