ObjectStore: Let no condition of an earlier era hold in a later one

In a store that came back from a copy, another value of an object may get the number that a conditional write or deletion names: the write overwrote a value that its writer had never read, a takeover of a released claim hit a running one, and the deletion of an old claim, manifest or bucket removed a new one.

The API gets an era of its own: the header Objects-Era, absent for one era, and tags ERA.NUMBER. The codec gives each version the era of its response and names it in If-Match, so that the API refuses the condition (412), which each caller already handles by reading again. Within one era all messages are as before. The stand-in's table can return to a copy; a watch after a number that it doesn't have gets 410.

Evidence: PlatformClientTest/AConditionOfAnEarlierEraHoldsForNoLaterVersion.

--- a/ObjectStore/ObjectCodec.cpp
+++ b/ObjectStore/ObjectCodec.cpp
@@ -18,9 +18,40 @@
          base::PercentEncode(aKey.m_name.Text());
 }
 
+/// The tag names the era, too, so that a condition of an earlier era holds for no
+/// version of a later one.
 std::string VersionTag(base::ObjectVersion aVersion)
 {
-  return "\"" + std::to_string(aVersion.Value()) + "\"";
+  auto const number = std::to_string(aVersion.Value());
+  auto const era = std::to_string(aVersion.Era().Value());
+  return aVersion.Era() == base::StoreEra() ? "\"" + number + "\""
+                                            : "\"" + era + "." + number + "\"";
+}
+
+std::uint64_t ParseNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return number;
+}
+
+base::ObjectVersion ParseVersionTag(std::string_view aTag)
+{
+  if (aTag.size() <= 2) {
+    return {};
+  }
+  auto const text = aTag.substr(1, aTag.size() - 2);
+  auto const dot = text.find('.');
+  if (dot == std::string_view::npos) {
+    return base::ObjectVersion(ParseNumber(text));
+  }
+  return { base::StoreEra(ParseNumber(text.substr(0, dot))), ParseNumber(text.substr(dot + 1)) };
+}
+
+/// Returns the era in which a response was given; a store that names none has one.
+base::StoreEra EraOf(base::HttpResponse const& aResponse)
+{
+  return base::StoreEra(ParseNumber(aResponse.m_headers.Find("Objects-Era").value_or("")));
 }
 
 tl::unexpected<ReadError> Malformed(std::string aDetail)
@@ -60,7 +91,7 @@
   return std::move(*body);
 }
 
-tl::expected<Object, ReadError> ReadObject(Json::Value const& aValue)
+tl::expected<Object, ReadError> ReadObject(Json::Value const& aValue, base::StoreEra aEra)
 {
   if (!aValue.isObject() || !aValue["kind"].isString() || !aValue["name"].isString()) {
     return Malformed("an object needs the texts \"kind\" and \"name\"");
@@ -75,17 +106,17 @@
   }
   Object object;
   object.m_key = { *kind, *name };
-  object.m_version = base::ObjectVersion(aValue["version"].asUInt64());
+  object.m_version = { aEra, aValue["version"].asUInt64() };
   DecodeValue(aValue["value"].asString(), object);
   return object;
 }
 
-tl::expected<ObjectChange, ReadError> ReadChange(Json::Value const& aValue)
+tl::expected<ObjectChange, ReadError> ReadChange(Json::Value const& aValue, base::StoreEra aEra)
 {
   if (!aValue.isObject() || !aValue["type"].isString()) {
     return Malformed("an event needs the text \"type\"");
   }
-  auto object = ReadObject(aValue["object"]);
+  auto object = ReadObject(aValue["object"], aEra);
   if (!object) {
     return tl::make_unexpected(object.error());
   }
@@ -189,7 +220,8 @@
 
 tl::expected<Object, ReadError> DecodeObject(base::HttpResponse const& aResponse)
 {
-  return DecodeBody(aResponse).and_then(ReadObject);
+  return DecodeBody(aResponse).and_then(
+    [&](Json::Value const& aValue) { return ReadObject(aValue, EraOf(aResponse)); });
 }
 
 tl::expected<ObjectList, ReadError> DecodeList(base::HttpResponse const& aResponse)
@@ -202,9 +234,9 @@
     return Malformed("a list needs the number \"version\" and the array \"items\"");
   }
   ObjectList list;
-  list.m_version = base::ObjectVersion((*body)["version"].asUInt64());
+  list.m_version = { EraOf(aResponse), (*body)["version"].asUInt64() };
   for (auto const& item : (*body)["items"]) {
-    auto object = ReadObject(item);
+    auto object = ReadObject(item, list.m_version.Era());
     if (!object) {
       return tl::make_unexpected(object.error());
     }
@@ -223,9 +255,9 @@
     return Malformed("a watch needs the number \"version\" and the array \"events\"");
   }
   ObjectChanges changes;
-  changes.m_version = base::ObjectVersion((*body)["version"].asUInt64());
+  changes.m_version = { EraOf(aResponse), (*body)["version"].asUInt64() };
   for (auto const& event : (*body)["events"]) {
-    auto change = ReadChange(event);
+    auto change = ReadChange(event, changes.m_version.Era());
     if (!change) {
       return tl::make_unexpected(change.error());
     }
@@ -262,14 +294,10 @@
     return tl::make_unexpected(WriteError{ aKind, "status " + std::to_string(status) });
   };
   if (status == 200 || status == 204) {
-    auto const tag = aResponse.m_headers.Find("ETag").value_or("");
-    std::uint64_t version = 0;
-    if (tag.size() > 2) {
-      std::from_chars(tag.data() + 1, tag.data() + tag.size() - 1, version);
-    }
-    return version == 0 && status == 200
+    auto const version = ParseVersionTag(aResponse.m_headers.Find("ETag").value_or(""));
+    return version.Value() == 0 && status == 200
              ? tl::expected<base::ObjectVersion, WriteError>(fail(Kind::Unknown))
-             : base::ObjectVersion(version);
+             : version;
   }
   if (status == 412) {
     return fail(Kind::Conflict);
--- a/StandIns/Platform/ObjectTable.cpp
+++ b/StandIns/Platform/ObjectTable.cpp
@@ -66,7 +66,7 @@
 tl::expected<std::vector<StoredChange>, TableError> ObjectTable::ChangesAfter(
   std::string const& aKind, std::string_view aPrefix, base::ObjectVersion aAfter) const
 {
-  if (aAfter < m_compacted) {
+  if (aAfter < m_compacted || aAfter > m_latest) {
     return tl::make_unexpected(TableError::Compacted);
   }
   std::vector<StoredChange> changes;
@@ -81,6 +81,24 @@
   return std::vector<StoredChange>(changes.rbegin(), changes.rend());
 }
 
+void ObjectTable::RestoreFrom(ObjectTable const& aCopy)
+{
+  auto const era = m_latest.Era().Next();
+  auto copy = aCopy;
+  *this = std::move(copy);
+  auto const moveToEra = [era](base::ObjectVersion& aVersion) {
+    aVersion = { era, aVersion.Value() };
+  };
+  for (auto& [path, object] : m_objects) {
+    moveToEra(object.m_version);
+  }
+  for (auto& change : m_changes) {
+    moveToEra(change.m_object.m_version);
+  }
+  moveToEra(m_latest);
+  moveToEra(m_compacted);
+}
+
 void ObjectTable::Compact()
 {
   m_compacted = m_latest;
--- a/StandIns/Platform/ObjectTable.h
+++ b/StandIns/Platform/ObjectTable.h
@@ -55,6 +55,8 @@
   tl::expected<std::vector<StoredChange>, TableError> ChangesAfter(
     std::string const& aKind, std::string_view aPrefix, base::ObjectVersion aAfter) const;
 
+  /// Returns to an earlier copy of the table, in the next era.
+  void RestoreFrom(ObjectTable const& aCopy);
   /// Discards all changes recorded so far.
   void Compact();
   base::ObjectVersion LatestVersion() const { return m_latest; }
--- a/StandIns/Platform/PlatformStandIn.cpp
+++ b/StandIns/Platform/PlatformStandIn.cpp
@@ -47,8 +47,25 @@
   if (!tag || tag->size() < 3 || tag->front() != '"' || tag->back() != '"') {
     return std::nullopt;
   }
-  auto const version = ParseNumber(tag->substr(1, tag->size() - 2));
-  return version ? std::optional(base::ObjectVersion(*version)) : std::nullopt;
+  auto const text = tag->substr(1, tag->size() - 2);
+  auto const dot = text.find('.');
+  if (dot == std::string_view::npos) {
+    auto const version = ParseNumber(text);
+    return version ? std::optional(base::ObjectVersion(*version)) : std::nullopt;
+  }
+  auto const era = ParseNumber(text.substr(0, dot));
+  auto const number = ParseNumber(text.substr(dot + 1));
+  return era && number ? std::optional(base::ObjectVersion(base::StoreEra(*era), *number))
+                       : std::nullopt;
+}
+
+/// Versions of the first era have no era in their tag.
+std::string VersionTag(base::ObjectVersion aVersion)
+{
+  auto const era = aVersion.Era() == base::StoreEra()
+                     ? std::string()
+                     : std::to_string(aVersion.Era().Value()) + ".";
+  return "\"" + era + std::to_string(aVersion.Value()) + "\"";
 }
 
 Json::Value RenderObject(StoredObject const& aObject)
@@ -85,7 +102,7 @@
   Json::Value body;
   body["version"] = Json::Value::UInt64(aResult->Value());
   auto response = JsonValueResponse(aStatus, body);
-  response.m_headers.Add("ETag", "\"" + std::to_string(aResult->Value()) + "\"");
+  response.m_headers.Add("ETag", VersionTag(*aResult));
   if (aStatus == 204) {
     response.m_body.clear();
   }
@@ -157,6 +174,12 @@
   , m_reads(aReadsPerSecond)
   , m_changed(aLoop.Context())
 {
+  m_faultInjector.SetFinisher([this](base::HttpResponse& aResponse) {
+    auto const era = m_objects.LatestVersion().Era();
+    if (era != base::StoreEra()) {
+      aResponse.m_headers.Add("Objects-Era", std::to_string(era.Value()));
+    }
+  });
   m_faultInjector.Faults().AddMilliseconds("host_lag_ms", m_hosts.Lag());
   m_faultInjector.Faults().AddFlag("hosts_frozen", m_hosts.IsFrozen());
   m_faultInjector.Faults().AddAction("compact", [this] {
@@ -240,7 +263,7 @@
     return ErrorResponse(404, "not_found", "no such object");
   }
   auto response = JsonValueResponse(200, RenderObject(*object));
-  response.m_headers.Add("ETag", "\"" + std::to_string(object->m_version.Value()) + "\"");
+  response.m_headers.Add("ETag", VersionTag(object->m_version));
   return response;
 }
 
@@ -291,12 +314,14 @@
   }
   auto const end =
     m_loop.Now() + std::min<base::Duration>(std::chrono::milliseconds(*limit), kMaximumWatchTime);
-  auto changes = m_objects.ChangesAfter(aPath.m_kind, prefix, base::ObjectVersion(*after));
+  auto changes = m_objects.ChangesAfter(
+    aPath.m_kind, prefix, base::ObjectVersion(m_objects.LatestVersion().Era(), *after));
   ++m_waitingWatches;
   aExchange.OnPeerDisconnected([this] { m_changed.Notify(); });
   while (changes && changes->empty() && m_loop.Now() < end && !aExchange.IsPeerDisconnected()) {
     co_await m_changed.Wait(end - m_loop.Now());
-    changes = m_objects.ChangesAfter(aPath.m_kind, prefix, base::ObjectVersion(*after));
+    changes = m_objects.ChangesAfter(aPath.m_kind, prefix,
+                                     base::ObjectVersion(m_objects.LatestVersion().Era(), *after));
   }
   --m_waitingWatches;
   if (aExchange.IsPeerDisconnected()) {
--- a/Tests/PlatformClientTest.cpp
+++ b/Tests/PlatformClientTest.cpp
@@ -83,6 +83,37 @@
 
 } // namespace
 
+// After a restoration another value of the object gets the number of the condition.
+BOOST_FIXTURE_TEST_CASE(AConditionOfAnEarlierEraHoldsForNoLaterVersion, ClientFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto const purpose = CallPurpose::Claim;
+    auto create = MakeWrite("m1", IfAbsent{}, "first");
+    auto const first = co_await m_client->Write(create, kCallTimeout, purpose);
+    auto const copy = m_standIn.Objects();
+    auto update = MakeWrite("m1", IfVersion{ *first }, "lost");
+    auto const lost = co_await m_client->Write(update, kCallTimeout, purpose);
+    m_standIn.Objects().RestoreFrom(copy);
+    auto key = Key("m1");
+    auto const restored = co_await m_client->Get(key, kCallTimeout, purpose);
+    BOOST_REQUIRE(restored);
+    BOOST_TEST(restored->m_version.Value() == first->Value());
+    auto other = MakeWrite("m1", IfVersion{ restored->m_version }, "other");
+    auto const written = co_await m_client->Write(other, kCallTimeout, purpose);
+    BOOST_REQUIRE(written);
+    BOOST_TEST(written->Value() == lost->Value());
+    auto late = MakeWrite("m1", IfVersion{ *lost }, "late");
+    auto const refused = co_await m_client->Write(late, kCallTimeout, purpose);
+    BOOST_TEST((!refused && refused.error().m_kind == WriteError::Kind::Conflict));
+    auto const kept = co_await m_client->Delete(key, *lost, kCallTimeout, purpose);
+    BOOST_TEST((!kept && kept.error().m_kind == WriteError::Kind::Conflict));
+    auto const object = co_await m_client->Get(key, kCallTimeout, purpose);
+    BOOST_REQUIRE(object);
+    BOOST_TEST(object->m_value == "other");
+    BOOST_TEST((object->m_version > *lost));
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(WritesReadsAndRefusesConflicts, ClientFixture)
 {
   Run([&]() -> awaitable<void> {
