Service: Don't run a resend whose first claim the store has lost

A request that may not be repeated ran a second time when its resend came to the same agent after the store had come back from a copy without its claim: the claim was created anew, as if there had been none.

The agent keeps the versions of the claims that it wrote or listed, until they are deleted. A creation that succeeds in a later era than such a claim now answers "unknown" and doesn't run. The claim stays in the store, so that resends elsewhere get unknown, too.

Evidence: ClaimTest/AResendDoesNotRunWhenTheStoreHasLostTheFirstClaim failed with the check off (the resend got RunRequest).

--- a/Service/ClaimAttempt.cpp
+++ b/Service/ClaimAttempt.cpp
@@ -146,6 +146,11 @@
   m_pollInterval = std::min(2 * m_pollInterval, kMaximumPollInterval);
 }
 
+void ClaimAttempt::OnEarlierClaimLost()
+{
+  Refuse(ClaimRefusal::EarlierUnknown, base::Unknown{ "earlier_claim_lost" });
+}
+
 void ClaimAttempt::OnRunEnded(RunResult aEnd)
 {
   m_phase = Phase::Record;
--- a/Service/ClaimAttempt.h
+++ b/Service/ClaimAttempt.h
@@ -97,6 +97,9 @@
   void OnRead(tl::expected<VersionedClaim, objectstore::ReadError> const& aResult,
               bool aIsOwnerAbandoned, base::Instant aNow);
   void OnRunEnded(RunResult aEnd);
+  /// Called when a claim of this key was known before and the store has lost it. An
+  /// earlier request may have run, so that this one does not.
+  void OnEarlierClaimLost();
 
   /// Whether the attempt ended without knowing that its claim was not written.
   /// It will not run, so OnRead() may be told that its owner id is abandoned.
--- a/Service/ClaimRetention.cpp
+++ b/Service/ClaimRetention.cpp
@@ -14,6 +14,13 @@
   m_due.emplace(aNow + age, aName);
 }
 
+std::optional<base::ObjectVersion> ClaimRetention::Version(
+  objectstore::ObjectName const& aName) const
+{
+  auto const found = m_claims.find(aName);
+  return found != m_claims.end() ? std::optional(found->second.m_version) : std::nullopt;
+}
+
 std::vector<ClaimDeletion> ClaimRetention::TakeDue(base::Instant aNow)
 {
   std::vector<ClaimDeletion> deletions;
--- a/Service/ClaimRetention.h
+++ b/Service/ClaimRetention.h
@@ -5,6 +5,7 @@
 #include "Service/Claim.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace sardinefold::service {
@@ -42,6 +43,10 @@
   /// Removes and returns the claims that are due for deletion.
   std::vector<ClaimDeletion> TakeDue(base::Instant aNow);
 
+  /// The latest version that was recorded of a claim and is not deleted; none if the
+  /// claim is not known.
+  std::optional<base::ObjectVersion> Version(objectstore::ObjectName const& aName) const;
+
   std::size_t Size() const { return m_claims.size(); }
 
 private:
--- a/Service/ClaimSession.h
+++ b/Service/ClaimSession.h
@@ -102,6 +102,9 @@
                                     objectstore::NewWriteNonce() };
     auto const result = co_await objectstore::WriteUntilKnown(
       m_store, m_loop, std::move(write), aLimit, objectstore::CallPurpose::Claim);
+    bool const isCreation = std::holds_alternative<objectstore::IfAbsent>(aStep.m_condition);
+    auto const known = m_retention.Version(aTicket.m_key.m_name);
+    bool const isLost = result && isCreation && known && known->Era() < result->Era();
     if (result) {
       m_retention.Record(aTicket.m_key.m_name, *result, aStep.m_claim.m_state, m_loop.Now());
     } else {
@@ -110,6 +113,11 @@
                            { "error", std::string(objectstore::ToText(result.error().m_kind)) } });
     }
     aTicket.m_attempt.OnWritten(result);
+    if (isLost) {
+      base::log::Warning("the store has lost the claim of an earlier request",
+                         { { "claim", aTicket.m_key.m_name.Text() } });
+      aTicket.m_attempt.OnEarlierClaimLost();
+    }
   }
 
   boost::asio::awaitable<void> Read(ClaimTicket& aTicket, base::Duration aLimit)
--- a/Tests/ClaimTest.cpp
+++ b/Tests/ClaimTest.cpp
@@ -1,7 +1,10 @@
 #define BOOST_TEST_MODULE Claim
+#include "Programs/SystemClock.h"
 #include "Service/ClaimAttempt.h"
 #include "Service/ClaimCodec.h"
 #include "Service/ClaimRetention.h"
+#include "Service/ClaimSession.h"
+#include "Tests/Fakes/FakeObjectStore.h"
 #include "Tests/Support/AtMostOnceSimulation.h"
 
 #include <boost/test/unit_test.hpp>
@@ -170,6 +173,34 @@
   }
 }
 
+// The copy is from before the first request, so that the store has lost its claim.
+BOOST_AUTO_TEST_CASE(AResendDoesNotRunWhenTheStoreHasLostTheFirstClaim)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  tests::FakeObjectStore store(loop);
+  service::ClaimSession<tests::FakeObjectStore> claims(
+    store, loop, base::IncarnationId::FromValidated("i1"), {});
+  auto const claim = base::ClaimId::FromValidated("aa01");
+  auto const content = service::ContentHash::FromValidated("c1");
+  auto body = [&]() -> boost::asio::awaitable<void> {
+    auto const copy = store.Objects();
+    auto first = claims.Open(claim, content, loop.Now() + 1s);
+    auto const run = co_await claims.Advance(first, 1s);
+    BOOST_TEST(std::holds_alternative<service::RunRequest>(run));
+    first.m_attempt.OnRunEnded(service::StoredResponse{});
+    co_await claims.Advance(first, 1s);
+    store.Objects().RestoreFrom(copy);
+    auto resend = claims.Open(claim, content, loop.Now() + 1s);
+    auto const step = co_await claims.Advance(resend, 1s);
+    auto const* const refused = std::get_if<service::RefuseClaimed>(&step);
+    BOOST_REQUIRE(refused);
+    BOOST_TEST(std::holds_alternative<base::Unknown>(refused->m_outcome));
+    loop.Stop();
+  };
+  loop.Start(body());
+  loop.Run();
+}
+
 BOOST_AUTO_TEST_CASE(KeyReusedForAnotherRequestIsNotRun)
 {
   auto attempt = AfterConflict();
