Tests: Check that a write takes no object of a later era for unchanged

A write without an answer is repeated while the object has the version it expects. After a restoration another value may have that number; since versions order by era first, the write ends as Superseded, from which each caller reads again. The test guards that; it passes on the code as it is and was not seen to fail.

--- a/Tests/PlatformDecisionsTest.cpp
+++ b/Tests/PlatformDecisionsTest.cpp
@@ -177,6 +177,22 @@
   BOOST_TEST((std::get<WriteEnded>(step).m_result == base::ObjectVersion(5)));
 }
 
+// After a restoration another value may have the number that the write expects.
+BOOST_AUTO_TEST_CASE(AnObjectOfALaterEraIsNotTakenForUnchanged)
+{
+  ObjectWrite const write{ Key("one"), IfVersion{ { base::StoreEra(1), 4 } }, "value",
+                           WriteNonce::FromValidated("mine") };
+  WriteResolution resolution(write, kStart + seconds(2), {}, 1);
+  resolution.OnWriteResponse(tl::make_unexpected(WriteError{}), kStart);
+  auto object = MakeObject("one", 4);
+  object.m_version = { base::StoreEra(2), 4 };
+  resolution.OnReadResponse(object, kStart + milliseconds(200));
+  auto const step = resolution.Next(kStart + milliseconds(200));
+  BOOST_REQUIRE(std::holds_alternative<WriteEnded>(step));
+  auto const& result = std::get<WriteEnded>(step).m_result;
+  BOOST_TEST((!result && result.error().m_kind == WriteError::Kind::Superseded));
+}
+
 BOOST_AUTO_TEST_CASE(WriteUnresolvedAtItsDeadlineIsUnknown)
 {
   ObjectWrite const write{ Key("one"), IfAbsent{}, "value", WriteNonce::FromValidated("mine") };
