Tests: Bound the time until all know a restored store

To the circuit breaker a restoration is an outage, if there was one, and then a success, as a 410 is an answer; to the backoff of the watch it is no failure. The processes of the random restorations now have the gateway's circuit breaker, too, and must know the store's objects within 2.0 seconds of its return, late answers of before included.

--- a/Tests/RestoredStoreRelayTest.cpp
+++ b/Tests/RestoredStoreRelayTest.cpp
@@ -5,6 +5,8 @@
 #include "ObjectStore/ObjectStoreClient.h"
 #include "ObjectStore/ObjectWatch.h"
 #include "ObjectStore/VersionGap.h"
+#include "platform/StoreCodec.h"
+#include "Programs/StoreAccess.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -26,9 +28,11 @@
 constexpr base::Duration kWatchTime = milliseconds(1'500);
 constexpr base::Duration kUpdateInterval = milliseconds(200);
 /// After the store's return every process knows its objects within this time.
-constexpr base::Duration kBound = milliseconds(2'500);
+constexpr base::Duration kBound = milliseconds(2'000);
 constexpr std::size_t kPeers = 5;
 
+using Access = programs::StoreAccess<platform::StoreClient>;
+
 using Objects = std::map<ObjectKey, std::string>;
 
 class Random
@@ -164,6 +168,7 @@
     : m_host(HostOf(aNumber))
     , m_watch({ milliseconds(50), milliseconds(400) }, aSeed)
     , m_gap(milliseconds(200), aSeed)
+    , m_breaker(Access::Circuit(), aSeed)
     , m_role({}, m_host)
   {
   }
@@ -197,6 +202,10 @@
     if (auto const* const watch = std::get_if<WatchAfter>(&step)) {
       call.m_after = watch->m_version;
     }
+    if (!m_breaker.Allow(aNow)) {
+      m_watch.OnChanges(tl::make_unexpected(ReadError{ ReadError::Kind::CircuitOpen, "" }), aNow);
+      return std::nullopt;
+    }
     call.m_reachesAt = aNow + aRandom.Delay(5);
     call.m_watchEnd = aNow + kWatchTime;
     call.m_wayBack = aRandom.Delay(5);
@@ -216,6 +225,13 @@
       changes = m_watch.OnChanges(*aCall.m_changes, aNow);
     }
     bool const hasFailed = aCall.m_list ? !*aCall.m_list : !*aCall.m_changes;
+    bool const isOutage =
+      hasFailed && (aCall.m_list || aCall.m_changes->error().m_kind != ReadError::Kind::Compacted);
+    if (isOutage) {
+      m_breaker.OnFailure(aNow);
+    } else {
+      m_breaker.OnSuccess(aNow);
+    }
     m_isBehind = (m_isBehind && hasFailed) || m_watch.IsOutdated();
     m_gap.OnVersion(m_watch.Version());
     Apply(changes);
@@ -281,6 +297,7 @@
   base::HostId m_host;
   ObjectWatch m_watch;
   VersionGap m_gap;
+  CircuitBreaker m_breaker;
   entry::WatchRole m_role;
   agent::StoreUpdateAssembler m_parts;
   Objects m_objects;
