Programs: Let loaders read only the deployments of a configuration, in slices

A loader now decodes the deployments alone, in slices, once a gateway has announced the version or a newer one, and so has checked it. Before that, as at its start, it still reads the whole configuration, in slices, so that one that is invalid anywhere is not taken.

ALoaderDecodesNoRoutes counts the steps of the decoder; it was not run against the whole scope. LargeConfigurationsThatChangeUnderLoadLoseNoRequest runs gateway, loaders and engines beside 1,400 routes that come and go; it was not seen to fail before.

--- a/Operator/ServingCatalog.h
+++ b/Operator/ServingCatalog.h
@@ -123,6 +123,14 @@
   CallerLimits m_limits;
 };
 
+/// Which parts of a configuration are read.
+enum class CatalogScope
+{
+  Whole,
+  /// Neither routes nor workspaces, which are not checked either.
+  Deployments
+};
+
 /// Returns a digest that is equal for catalogs with equal engine specifications.
 std::uint64_t EngineSpecsDigest(ServingCatalog const& aCatalog);
 
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -135,23 +135,53 @@
       auto const object = co_await m_store.Objects().Get(std::move(key), kStoreTimeout,
                                                          objectstore::CallPurpose::Configuration);
       if (object) {
-        OnCatalog(object->m_value);
+        auto text = object->m_value;
+        co_await ReadCatalog(std::move(text));
       }
       co_await m_loop.Sleep(kPause);
     }
   }
 
-  void OnCatalog(std::string const& aText)
+  boost::asio::awaitable<void> ReadCatalog(std::string aText)
   {
     auto const start = m_loop.Now();
-    auto const catalog = Wire::DecodeCatalog(aText);
+    auto const bytes = aText.size();
+    // What no gateway has accepted yet is checked whole.
+    auto text = aText;
+    auto catalog = co_await Decode(std::move(text), operators::CatalogScope::Deployments);
+    if (catalog && catalog->m_version > m_announcedCatalog) {
+      catalog = co_await Decode(std::move(aText), operators::CatalogScope::Whole);
+    }
     if (!catalog) {
       base::log::Error("configuration is unusable", { { "error", catalog.error() } });
-      return;
+      co_return;
+    }
+    OnCatalog(*catalog);
+    base::log::Info("configuration in force",
+                    { { "version", std::to_string(catalog->m_version.Value()) },
+                      { "bytes", std::to_string(bytes) },
+                      { "read_ms", std::to_string(base::ToMilliseconds(m_loop.Now() - start)) } });
+  }
+
+  /// Decodes a configuration in slices between which the loop serves messages.
+  boost::asio::awaitable<tl::expected<operators::ServingCatalog, std::string>> Decode(
+    std::string aText, operators::CatalogScope aScope)
+  {
+    constexpr std::size_t kEntriesPerTurn = 16;
+    typename Wire::CatalogDecoder decoder(std::move(aText), aScope);
+    auto catalog = decoder.Decode(kEntriesPerTurn);
+    while (!catalog) {
+      co_await m_loop.Yield();
+      catalog = decoder.Decode(kEntriesPerTurn);
     }
-    m_catalogVersion = catalog->m_version;
-    m_engineSpecs = operators::EngineSpecsDigest(*catalog);
-    for (auto const& [id, deployment] : catalog->m_deployments) {
+    co_return std::move(*catalog);
+  }
+
+  void OnCatalog(operators::ServingCatalog const& aCatalog)
+  {
+    m_catalogVersion = aCatalog.m_version;
+    m_engineSpecs = operators::EngineSpecsDigest(aCatalog);
+    for (auto const& [id, deployment] : aCatalog.m_deployments) {
       if (deployment.m_engine) {
         m_planning.SetSpec(id, *deployment.m_engine);
       }
@@ -159,11 +189,6 @@
         m_orderScheduler.SetSpec(*deployment.m_engine);
       }
     }
-    base::log::Info("configuration in force",
-                    { { "version", std::to_string(catalog->m_version.Value()) },
-                      { "routes", std::to_string(catalog->m_routes.size()) },
-                      { "bytes", std::to_string(aText.size()) },
-                      { "read_ms", std::to_string(base::ToMilliseconds(m_loop.Now() - start)) } });
   }
 
   /// Polls the engine's report and sends the orders that follow from it. On the
--- a/Programs/ServingWire.h
+++ b/Programs/ServingWire.h
@@ -59,10 +59,10 @@
   {
     Wire::DecodeEventNumber(aView)
     } -> std::same_as<std::optional<caller::EventNumber>>;
-  {
-    Wire::DecodeCatalog(aText)
-    } -> std::same_as<tl::expected<operators::ServingCatalog, std::string>>;
-  /// Decodes a catalog in steps, with what an earlier one has decoded.
+  /// Decodes a catalog in steps, either parts of it or with what an earlier decoder has
+  /// decoded.
+  requires std::constructible_from<typename Wire::CatalogDecoder, std::string,
+                                   operators::CatalogScope>;
   requires std::constructible_from<typename Wire::CatalogDecoder, std::string,
                                    typename Wire::CatalogDecoder const*,
                                    operators::ServingCatalog const*>;
--- a/Tests/LargeConfigurationTest.cpp
+++ b/Tests/LargeConfigurationTest.cpp
@@ -168,6 +168,49 @@
   BOOST_TEST(EngineSpecsDigest(*reused) != EngineSpecsDigest(*before));
 }
 
+BOOST_AUTO_TEST_CASE(ALoaderDecodesNoRoutes)
+{
+  auto const text = base::RenderJson(LargeConfiguration(1));
+  CatalogDecoder decoder(text, operators::CatalogScope::Deployments);
+  unsigned steps = 1;
+  auto result = decoder.Decode(1);
+  for (; !result && steps < kRoutes; ++steps) {
+    result = decoder.Decode(1);
+  }
+  BOOST_TEST(steps < 10U);
+  auto const whole = platform::Wire::DecodeCatalog(text);
+  BOOST_REQUIRE((result && *result && whole));
+  BOOST_TEST(EngineSpecsDigest(**result) == EngineSpecsDigest(*whole));
+}
+
+BOOST_FIXTURE_TEST_CASE(LargeConfigurationsThatChangeUnderLoadLoseNoRequest, tests::SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    unsigned open = 0;
+    auto const call = [&](unsigned aNumber) -> awaitable<void> {
+      auto request = aNumber % 2 == 0 ? ModelRequest("/chat/x", std::to_string(aNumber), "common")
+                                      : Request("GET", "/look/x", std::to_string(aNumber));
+      auto const response = co_await Send(std::move(request));
+      BOOST_TEST((response.has_value() && response->m_status == 200));
+      --open;
+    };
+    for (unsigned number = 0; number < 60; ++number) {
+      if (number % 10 == 0) {
+        auto configuration = LargeConfiguration(2 + number, number % 20 == 0 ? 1400 : 20);
+        configuration["services"][0]["engine"]["slots"] = 8 + number;
+        m_store.Put("config", "main", std::move(configuration));
+      }
+      ++open;
+      m_loop.Start(call(number));
+      co_await m_loop.Sleep(25ms);
+    }
+    while (open > 0) {
+      co_await m_loop.Sleep(20ms);
+    }
+    BOOST_TEST(m_gateway->State().m_catalog->Catalog().m_version.Value() == 52U);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(AConfigurationThatIsMalformedAnywhereIsRejectedWhole)
 {
   auto const valid = base::RenderJson(LargeConfiguration(1, 3));
