Engine: End doubts and lapses only by a store that responds

A removed upstream that a restored list names was used again after a time on the clock, also if the store was silent all the while and could not have dropped it; and an upstream that lapsed beside a silent store counted as gone, so that a later copy that named it was not believed, with all engines healthy.

Both ends now need a response of the store about the list at or after the time. ARemovedUpstreamStaysUnusedWhileTheStoreIsSilent and AnUpstreamThatLapsedBesideASilentStoreIsBelievedInALaterCopy fail with the clock in place of the store's response (three checks).

--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -138,6 +138,7 @@
   }
   bool const isLapse = aLapseEnd && IsListed(found->second);
   found->second.m_usableUntil = isLapse ? *aLapseEnd : aNow;
+  found->second.m_hasLapsed = isLapse;
   if (!isLapse) {
     m_left.OnRemoved(StartOf(found->second.m_entry), aNow);
   }
@@ -339,7 +340,7 @@
 bool UpstreamDirectory::IsAvailable(Upstream const& aUpstream, base::Instant aNow)
 {
   bool const isListed = !aUpstream.m_usableUntil || aNow < *aUpstream.m_usableUntil;
-  bool const isDoubted = aUpstream.m_doubtedUntil && aNow < *aUpstream.m_doubtedUntil;
+  bool const isDoubted = aUpstream.m_doubtedUntil.has_value();
   return isListed && !isDoubted && !aUpstream.m_entry.m_isDraining &&
          aUpstream.m_pausedUntil <= aNow;
 }
@@ -560,10 +561,10 @@
   }
 }
 
-void UpstreamDirectory::ExpireDoubts(base::Instant aNow)
+void UpstreamDirectory::ExpireDoubts(base::Instant aListedAt, base::Instant aNow)
 {
   for (auto& [instance, upstream] : m_upstreams) {
-    if (upstream.m_doubtedUntil && aNow >= *upstream.m_doubtedUntil) {
+    if (upstream.m_doubtedUntil && aListedAt >= *upstream.m_doubtedUntil) {
       upstream.m_doubtedUntil.reset();
       m_left.Forget(StartOf(upstream.m_entry));
     }
@@ -571,12 +572,14 @@
   m_left.Expire(aNow);
 }
 
-void UpstreamDirectory::Expire(base::Instant aNow)
+void UpstreamDirectory::Expire(base::Instant aListedAt, base::Instant aNow)
 {
-  ExpireDoubts(aNow);
+  ExpireDoubts(aListedAt, aNow);
   std::erase_if(m_upstreams, [&](auto const& aItem) {
     auto const& usableUntil = aItem.second.m_usableUntil;
-    bool const isOutOfUse = usableUntil && aNow >= *usableUntil;
+    // A lapsed upstream may register for as long as the store is silent.
+    bool const isOutOfUse = usableUntil && aNow >= *usableUntil &&
+                            (!aItem.second.m_hasLapsed || aListedAt >= *usableUntil);
     if (isOutOfUse) {
       m_left.OnRemoved(StartOf(aItem.second.m_entry), aNow);
     }
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -256,8 +256,9 @@
   /// The engine does not hold a model that it was assumed to hold.
   void OnModelMissing(InstanceId const& aInstance, base::ModelId const& aModel, base::Instant aNow);
 
-  /// Removes upstreams that are out of use and have no requests in flight.
-  void Expire(base::Instant aNow);
+  /// Removes upstreams that are out of use and have no requests in flight. aListedAt
+  /// is when the store last responded about the list.
+  void Expire(base::Instant aListedAt, base::Instant aNow);
   /// The entries of all known upstreams, including unlisted ones that are still
   /// in use; used to contact their loaders.
   std::vector<UpstreamEntry> Entries() const;
@@ -276,7 +277,11 @@
     UpstreamEntry m_entry;
     /// Until when an upstream that is no longer listed may be used.
     std::optional<base::Instant> m_usableUntil;
-    /// Until when an entry of a restored list is not believed.
+    /// Whether the entry may only have lapsed, so that the upstream is gone once the
+    /// store responds without it.
+    bool m_hasLapsed = false;
+    /// An entry of a restored list is not believed before the store lists it at this
+    /// time or later.
     std::optional<base::Instant> m_doubtedUntil;
     std::optional<LoaderStatus> m_loaderStatus;
     base::Instant m_loaderStatusAt{};
@@ -296,7 +301,7 @@
   static bool IsListed(Upstream const& aUpstream);
   static UpstreamStart StartOf(UpstreamEntry const& aEntry);
   ListingOutcome Judge(UpstreamEntry const& aEntry, EntrySource aSource, base::Instant aNow);
-  void ExpireDoubts(base::Instant aNow);
+  void ExpireDoubts(base::Instant aListedAt, base::Instant aNow);
   bool IsLeaving(Upstream const& aUpstream) const;
   bool IsCurrentTrial(UpstreamChoice const& aChoice) const;
   void OnStartEnded(UpstreamEntry const& aEntry, bool aIsRestart);
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -260,7 +260,7 @@
         LogMalformedNotice(m_state);
       }
       m_store.Tick(now);
-      m_state.m_directory.Expire(now);
+      m_state.m_directory.Expire(now - m_store.ListAge(now), now);
       LogEndedNotices(m_state, now);
       m_state.ExpireSuspects();
       m_fleet.Report(m_store.Age(now), m_store.Era(), now);
--- a/Tests/RestoredListTest.cpp
+++ b/Tests/RestoredListTest.cpp
@@ -35,16 +35,17 @@
 {
   Fixture() { m_directory.OnListed(Entry(), kStart); }
 
-  bool IsUsed(base::Instant aNow)
+  bool IsUsed(base::Instant aNow) { return IsUsed(aNow, aNow); }
+  bool IsUsed(base::Instant aListedAt, base::Instant aNow)
   {
-    m_directory.Expire(aNow);
+    m_directory.Expire(aListedAt, aNow);
     auto const found = m_directory.Find({ kDeployment, std::nullopt, std::nullopt, {} }, aNow);
     return std::holds_alternative<UpstreamChoice>(found);
   }
   void Remove(base::Instant aNow)
   {
     m_directory.OnRemoved(kInstance, std::nullopt, aNow);
-    m_directory.Expire(aNow);
+    m_directory.Expire(aNow, aNow);
   }
   ListingOutcome Restore(UpstreamEntry aEntry, base::Instant aNow)
   {
@@ -135,6 +136,22 @@
   BOOST_TEST(IsUsed(kStart + 5s));
 }
 
+BOOST_FIXTURE_TEST_CASE(ARemovedUpstreamStaysUnusedWhileTheStoreIsSilent, Fixture)
+{
+  Remove(kStart + 1s);
+  Restore(Entry(), kStart + 2s);
+  BOOST_TEST(!IsUsed(kStart + 3s, kStart + 60s));
+  BOOST_TEST(IsUsed(kStart + 60s, kStart + 60s));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUpstreamThatLapsedBesideASilentStoreIsBelievedInALaterCopy, Fixture)
+{
+  m_directory.OnRemoved(kInstance, kStart + 3s, kStart + 1s);
+  BOOST_TEST(!IsUsed(kStart + 2s, kStart + 4s));
+  BOOST_TEST((Restore(Entry(), kStart + 5s) == ListingOutcome::Believed));
+  BOOST_TEST(IsUsed(kStart + 5s));
+}
+
 BOOST_AUTO_TEST_CASE(TheEndsRememberedAreBounded)
 {
   LeftUpstreams left;
--- a/Tests/UpstreamDirectoryTest.cpp
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -115,7 +115,7 @@
   m_directory.OnRemoved(Instance("one"), kStart + milliseconds(2'200), kStart);
   BOOST_TEST(Find(std::nullopt, kStart + milliseconds(2'000)).has_value());
   BOOST_TEST(!Find(std::nullopt, kStart + milliseconds(2'500)).has_value());
-  m_directory.Expire(kStart + milliseconds(2'500));
+  m_directory.Expire(kStart + milliseconds(2'500), kStart + milliseconds(2'500));
   BOOST_TEST(m_directory.Size() == 0U);
 }
 
@@ -257,7 +257,7 @@
   m_directory.OnListed(entry, later);
   BOOST_TEST(!Find(std::nullopt, later).has_value());
   m_directory.OnRemoved(entry.m_instance, later + seconds(1), later);
-  m_directory.Expire(later + seconds(2));
+  m_directory.Expire(later + seconds(2), later + seconds(2));
   BOOST_TEST(m_directory.TakeLeavingEnds().size() == 1U);
   m_directory.OnListed(entry, later + seconds(3));
   BOOST_TEST(!Find(std::nullopt, later + seconds(3)).has_value());
@@ -267,7 +267,7 @@
   m_directory.OnListed(older, later + seconds(3));
   m_directory.OnListed(entry, later + seconds(3));
   BOOST_TEST(!Find(std::nullopt, later + seconds(3)).has_value());
-  m_directory.Expire(later + seconds(7'200));
+  m_directory.Expire(later + seconds(7'200), later + seconds(7'200));
   BOOST_TEST(!Find(std::nullopt, later + seconds(7'200)).has_value());
   for (bool const isSameAddress : { true, false }) {
     auto restarted = entry;
@@ -381,7 +381,7 @@
   m_directory.OnListed(Entry("one", 1), kStart);
   BOOST_TEST(!IsOpen(kStart));
   m_directory.OnRemoved(Instance("one"), kStart + seconds(1), kStart);
-  m_directory.Expire(kStart + seconds(2));
+  m_directory.Expire(kStart + seconds(2), kStart + seconds(2));
   m_directory.OnListed(Entry("one", 1), kStart + seconds(3));
   BOOST_TEST(!IsOpen(kStart + seconds(3)));
   auto restarted = Entry("one", 1);
