ObjectStore: Pause between lists that stay in an earlier era

A process that has heard of an era which the store does not name, such as from a wrong message, listed without a pause.

--- a/ObjectStore/ObjectWatch.cpp
+++ b/ObjectStore/ObjectWatch.cpp
@@ -49,15 +49,18 @@
 ObjectChanges ObjectWatch::OnList(tl::expected<ObjectList, ReadError> const& aResponse,
                                   base::Instant aNow)
 {
-  ObjectChanges changes{ m_version, {} };
   if (!aResponse || aResponse->m_version < m_version) {
     PauseAfterFailure(aNow);
-    return changes;
+    return { m_version, {} };
   }
   RecordContact(aNow);
   m_mustList = false;
   m_listedAt = aNow;
-  return ApplyAll(aResponse->m_objects, aResponse->m_version);
+  auto changes = ApplyAll(aResponse->m_objects, aResponse->m_version);
+  if (IsOutdated()) {
+    PauseAfterFailure(aNow);
+  }
+  return changes;
 }
 
 ObjectChanges ObjectWatch::OnChanges(tl::expected<ObjectChanges, ReadError> const& aResponse,
