Service: Don't take over a claim whose answer the store has lost

A claim was released, taken over by a resend that ran, and the store came back with the released one: the next resend took it over once more and the request ran twice. The check of 'Don't run a resend whose first claim the store has lost' looked at creations only. It now holds for each write that follows an earlier era, unless the store still has the latest claim known here.

--- a/Service/ClaimSession.h
+++ b/Service/ClaimSession.h
@@ -102,9 +102,11 @@
                                     objectstore::NewWriteNonce() };
     auto const result = co_await objectstore::WriteUntilKnown(
       m_store, m_loop, std::move(write), aLimit, objectstore::CallPurpose::Claim);
-    bool const isCreation = std::holds_alternative<objectstore::IfAbsent>(aStep.m_condition);
+    auto const* const expected = std::get_if<objectstore::IfVersion>(&aStep.m_condition);
     auto const known = m_retention.Version(aTicket.m_key.m_name);
-    bool const isLost = result && isCreation && known && known->Era() < result->Era();
+    // The store's copy holds the latest claim known here only under the same number.
+    bool const isLost = result && known && known->Era() < result->Era() &&
+                        !(expected && expected->m_version.Value() == known->Value());
     if (result) {
       m_retention.Record(aTicket.m_key.m_name, *result, aStep.m_claim.m_state, m_loop.Now());
     } else {
--- a/Tests/ClaimTest.cpp
+++ b/Tests/ClaimTest.cpp
@@ -201,6 +201,35 @@
   loop.Run();
 }
 
+BOOST_AUTO_TEST_CASE(AResendDoesNotTakeOverAClaimWhoseAnswerTheStoreHasLost)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  tests::FakeObjectStore store(loop);
+  service::ClaimSession<tests::FakeObjectStore> claims(
+    store, loop, base::IncarnationId::FromValidated("i1"), {});
+  auto const claim = base::ClaimId::FromValidated("aa01");
+  auto const content = service::ContentHash::FromValidated("c1");
+  auto body = [&]() -> boost::asio::awaitable<void> {
+    auto first = claims.Open(claim, content, loop.Now() + 1s);
+    co_await claims.Advance(first, 1s);
+    first.m_attempt.OnRunEnded(base::NotRun::BeforeSending("not begun"));
+    co_await claims.Advance(first, 1s);
+    auto const copy = store.Objects();
+    auto second = claims.Open(claim, content, loop.Now() + 1s);
+    auto const run = co_await claims.Advance(second, 1s);
+    BOOST_TEST(std::holds_alternative<service::RunRequest>(run));
+    second.m_attempt.OnRunEnded(service::StoredResponse{});
+    co_await claims.Advance(second, 1s);
+    store.Objects().RestoreFrom(copy);
+    auto third = claims.Open(claim, content, loop.Now() + 1s);
+    auto const step = co_await claims.Advance(third, 1s);
+    BOOST_TEST(std::holds_alternative<service::RefuseClaimed>(step));
+    loop.Stop();
+  };
+  loop.Start(body());
+  loop.Run();
+}
+
 BOOST_AUTO_TEST_CASE(KeyReusedForAnotherRequestIsNotRun)
 {
   auto attempt = AfterConflict();
