Gateway: Let the last answers of a stop reach their callers

If only connections were left whose callers were still sending, the process ended at once, and closing with unread input may discard the answer that was written last. The second drain now waits for them as well, until the process has to end.

--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -80,7 +80,8 @@
     co_await m_loop.Sleep(times.m_waitEnd - m_loop.Now());
     auto open = co_await m_callers.Drain(times.m_end - m_loop.Now());
     auto const ended = m_state.m_openRequests.EndAll();
-    if (open > 0) {
+    // Also waits for callers that have yet to receive a response that was written.
+    if (m_callers.OpenExchanges() > 0) {
       m_callers.EndReads();
       open = co_await m_callers.Drain(times.m_exit - m_loop.Now());
     }
