Gateway: Read the last of several waiting configurations first

Configurations that arrived while one was being read were all read, in their order: on a slow host the newest one waited behind all the others, and their texts took memory without bound. The last one is read first now, and replaces the others of its era if it is usable.

The case of a configuration that arrives during another now also has one of a later era, with the copy's older version; it comes into force before the newer one that waits, and nothing is lost. ConfigurationsInQuickSuccession DoNotDelayTheLastOne counts turns and versions; by its definition the former queue put all thirty in force.

--- a/Programs/Gateway/CatalogReader.h
+++ b/Programs/Gateway/CatalogReader.h
@@ -2,21 +2,25 @@
 
 #include "Base/EventLoop.h"
 #include "Base/Log.h"
+#include "Base/ObjectVersion.h"
 #include "Caller/CatalogIndexBuilder.h"
 #include "Programs/ServingWire.h"
 
 #include <boost/asio/awaitable.hpp>
 
-#include <deque>
+#include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace sardinefold::programs {
 
-/// Reads configurations in their order, in slices between which the loop serves
-/// requests. The catalog in force stays so until a newer one is complete.
+/// Reads configurations in slices between which the loop serves requests. The catalog
+/// in force stays so until a newer one is complete. Of those that wait, the one that
+/// arrived last is read first, and replaces the others of its era if it is usable.
 template<ServingWire Wire>
 class CatalogReader
 {
@@ -33,9 +37,10 @@
   CatalogReader(CatalogReader const&) = delete;
   CatalogReader& operator=(CatalogReader const&) = delete;
 
-  void Read(std::string aText)
+  /// aEra is the era in which the store held the configuration.
+  void Read(std::string aText, base::StoreEra aEra)
   {
-    m_waiting.push_back({ std::move(aText), m_loop.Now() });
+    m_waiting.push_back({ std::move(aText), aEra, m_loop.Now() });
     if (!m_isReading) {
       m_isReading = true;
       m_loop.Start(ReadWaiting());
@@ -50,6 +55,7 @@
   struct Configuration
   {
     std::string m_text;
+    base::StoreEra m_era;
     base::Instant m_receivedAt;
   };
 
@@ -58,14 +64,29 @@
   boost::asio::awaitable<void> ReadWaiting()
   {
     while (!m_waiting.empty()) {
-      auto next = std::move(m_waiting.front());
-      m_waiting.pop_front();
-      co_await ReadOne(std::move(next));
+      auto next = std::move(m_waiting.back());
+      m_waiting.pop_back();
+      auto const era = next.m_era;
+      auto const olderCount = m_waiting.size();
+      bool const isUsable = co_await ReadOne(std::move(next));
+      if (isUsable) {
+        DiscardOlder(olderCount, era);
+      }
     }
     m_isReading = false;
   }
 
-  boost::asio::awaitable<void> ReadOne(Configuration aConfiguration)
+  /// Discards those of the first aCount configurations that are of the era.
+  void DiscardOlder(std::size_t aCount, base::StoreEra aEra)
+  {
+    auto const end = m_waiting.begin() + static_cast<std::ptrdiff_t>(aCount);
+    auto const kept = std::remove_if(m_waiting.begin(), end,
+                                     [aEra](auto const& aOther) { return aOther.m_era == aEra; });
+    m_waiting.erase(kept, end);
+  }
+
+  /// Returns whether the configuration could be decoded.
+  boost::asio::awaitable<bool> ReadOne(Configuration aConfiguration)
   {
     auto const bytes = aConfiguration.m_text.size();
     auto decoder = std::make_unique<Decoder>(std::move(aConfiguration.m_text), m_decoder.get(),
@@ -77,10 +98,10 @@
     }
     if (!*catalog) {
       base::log::Error("configuration is unusable", { { "error", catalog->error() } });
-      co_return;
+      co_return false;
     }
     if (m_inForce && m_inForce->Catalog().m_version >= (*catalog)->m_version) {
-      co_return;
+      co_return true;
     }
     caller::CatalogIndexBuilder builder(std::move(**catalog));
     while (!builder.Add(kEntriesPerTurn)) {
@@ -90,6 +111,7 @@
     auto const replacedDecoder = std::exchange(m_decoder, std::move(decoder));
     LogInForce(bytes, m_loop.Now() - aConfiguration.m_receivedAt);
     m_onCatalog();
+    co_return true;
   }
 
   void LogInForce(std::size_t aBytes, base::Duration aTime) const
@@ -107,7 +129,7 @@
   std::function<void()> m_onCatalog;
   /// The decoder of the catalog in force.
   std::unique_ptr<Decoder> m_decoder;
-  std::deque<Configuration> m_waiting;
+  std::vector<Configuration> m_waiting;
   bool m_isReading = false;
 };
 
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -140,7 +140,7 @@
       if (!put || put->m_object.m_key.m_name != Wire::CatalogName()) {
         continue;
       }
-      m_catalogReader.Read(put->m_object.m_value);
+      m_catalogReader.Read(put->m_object.m_value, put->m_object.m_version.Era());
     }
   }
 
--- a/Tests/LargeConfigurationTest.cpp
+++ b/Tests/LargeConfigurationTest.cpp
@@ -39,7 +39,10 @@
     m_loop, m_inForce, [this] { m_versions.push_back(m_inForce->Catalog().m_version.Value()); }
   };
 
-  void Read(Json::Value const& aConfiguration) { m_reader.Read(base::RenderJson(aConfiguration)); }
+  void Read(Json::Value const& aConfiguration, std::uint64_t aEra = 0)
+  {
+    m_reader.Read(base::RenderJson(aConfiguration), base::StoreEra(aEra));
+  }
 
   /// Returns the number of turns of the loop that the reading takes.
   awaitable<unsigned> CountTurns()
@@ -117,9 +120,10 @@
     auto invalid = LargeConfiguration(6);
     invalid["routes"][kRoutes]["kind"] = "other";
     Read(invalid);
-    Read(LargeConfiguration(4, 10));
+    // The copy that a store came back from.
+    Read(LargeConfiguration(4, 10), 1);
     co_await CountTurns();
-    BOOST_TEST((m_versions == std::vector<std::uint64_t>{ 3, 5 }));
+    BOOST_TEST((m_versions == std::vector<std::uint64_t>{ 3, 4, 5 }));
     Read(LargeConfiguration(7, 10));
     co_await CountTurns();
     BOOST_TEST(m_inForce->Catalog().m_version.Value() == 7U);
@@ -128,6 +132,20 @@
   Run(body());
 }
 
+BOOST_FIXTURE_TEST_CASE(ConfigurationsInQuickSuccessionDoNotDelayTheLastOne, ReaderFixture)
+{
+  auto const body = [&]() -> awaitable<void> {
+    Read(LargeConfiguration(1));
+    co_await m_loop.Yield();
+    for (std::uint64_t version = 2; version <= 30; ++version) {
+      Read(LargeConfiguration(version));
+    }
+    BOOST_TEST(co_await CountTurns() < 4 * kRoutes / 8);
+    BOOST_TEST((m_versions == std::vector<std::uint64_t>{ 1, 30 }));
+  };
+  Run(body());
+}
+
 BOOST_AUTO_TEST_CASE(ReusedEntriesMakeTheSameCatalogAsParsedOnes)
 {
   auto const whole = [](CatalogDecoder& aDecoder) {
