Loader: Decode a configuration from a text that stays in place

The linter found that the text is moved from in a loop as it sees the coroutine. The decoder copies it, so that both decodings take it by reference.

--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -181,10 +181,9 @@
     auto const start = m_loop.Now();
     auto const bytes = aText.size();
     // What no gateway has accepted yet is checked whole.
-    auto text = aText;
-    auto catalog = co_await Decode(std::move(text), operators::CatalogScope::Deployments);
+    auto catalog = co_await Decode(aText, operators::CatalogScope::Deployments);
     if (catalog && catalog->m_version > m_catalog.Newest()) {
-      catalog = co_await Decode(std::move(aText), operators::CatalogScope::Whole);
+      catalog = co_await Decode(aText, operators::CatalogScope::Whole);
     }
     if (!catalog) {
       base::log::Error("configuration is unusable", { { "error", catalog.error() } });
@@ -200,12 +199,13 @@
                       { "read_ms", std::to_string(base::ToMilliseconds(m_loop.Now() - start)) } });
   }
 
-  /// Decodes a configuration in slices between which the loop serves messages.
+  /// Decodes a configuration in slices between which the loop serves messages. The text
+  /// must outlive the call.
   boost::asio::awaitable<tl::expected<operators::ServingCatalog, std::string>> Decode(
-    std::string aText, operators::CatalogScope aScope)
+    std::string const& aText, operators::CatalogScope aScope)
   {
     constexpr std::size_t kEntriesPerTurn = 16;
-    typename Wire::CatalogDecoder decoder(std::move(aText), aScope);
+    typename Wire::CatalogDecoder decoder(std::string(aText), aScope);
     auto catalog = decoder.Decode(kEntriesPerTurn);
     while (!catalog) {
       co_await m_loop.Yield();
