--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -69,6 +69,14 @@
   return aValue.asBool();
 }
 
+double Number(Json::Value const& aValue)
+{
+  if (!aValue.isNumeric()) {
+    throw FieldError{ "a number is expected" };
+  }
+  return aValue.asDouble();
+}
+
 base::Endpoint Address(Json::Value const& aValue)
 {
   auto endpoint = base::Endpoint::Parse(Text(aValue));
@@ -170,6 +178,13 @@
   return acquittals;
 }
 
+/// A loader of the former build names no incarnation.
+base::IncarnationId LoaderIncarnation(Json::Value const& aValue)
+{
+  bool const isAbsent = aValue.isNull() || (aValue.isString() && aValue.asString().empty());
+  return isAbsent ? base::IncarnationId() : Name<base::IncarnationId>(aValue);
+}
+
 EngineStatus ToEngineStatus(Json::Value const& aParams)
 {
   EngineStatus status;
@@ -201,6 +216,7 @@
     status.m_leavingStart = Integer(aParams["leaving_start"]);
   }
   status.m_gatewaysPresent = Count(Member(aParams, "gateways"));
+  status.m_incarnation = LoaderIncarnation(aParams["incarnation"]);
   status.m_number = UnsignedInteger(Member(aParams, "number"));
   return status;
 }
@@ -208,9 +224,85 @@
 EngineHeartbeat ToEngineHeartbeat(Json::Value const& aParams)
 {
   return { Name<base::HostId>(Member(aParams, "host")), Address(Member(aParams, "engine")),
-           UnsignedInteger(Member(aParams, "number")),  Count(Member(aParams, "running")),
-           Count(Member(aParams, "waiting")),           Flag(Member(aParams, "can_order")),
-           Count(Member(aParams, "gateways")) };
+           LoaderIncarnation(aParams["incarnation"]),   UnsignedInteger(Member(aParams, "number")),
+           Count(Member(aParams, "running")),           Count(Member(aParams, "waiting")),
+           Flag(Member(aParams, "can_order")),          Count(Member(aParams, "gateways")) };
+}
+
+EngineHeartbeat ToDigestHeartbeat(Json::Value const& aEntry)
+{
+  constexpr Json::ArrayIndex kFields = 8;
+  if (!aEntry.isArray() || aEntry.size() != kFields) {
+    throw FieldError{ "a digest's heartbeat must be an array of eight fields" };
+  }
+  return { Name<base::HostId>(aEntry[0]),
+           Address(aEntry[1]),
+           LoaderIncarnation(aEntry[2]),
+           UnsignedInteger(aEntry[3]),
+           Count(aEntry[4]),
+           Count(aEntry[5]),
+           Flag(aEntry[6]),
+           Count(aEntry[7]) };
+}
+
+EngineDigest ToEngineDigest(Json::Value const& aParams)
+{
+  EngineDigest digest;
+  digest.m_failureDomain = Name<base::FailureDomainId>(Member(aParams, "failure_domain"));
+  for (auto const& entry : Member(aParams, "statuses")) {
+    digest.m_statuses.push_back(ToEngineStatus(entry));
+  }
+  for (auto const& entry : Member(aParams, "alive")) {
+    digest.m_heartbeats.push_back(ToDigestHeartbeat(entry));
+  }
+  return digest;
+}
+
+std::vector<base::Endpoint> ToEndpoints(Json::Value const& aList)
+{
+  std::vector<base::Endpoint> endpoints;
+  for (auto const& entry : aList) {
+    endpoints.push_back(Address(entry));
+  }
+  return endpoints;
+}
+
+std::map<base::Endpoint, EngineIdentity> ToEngines(Json::Value const& aList)
+{
+  std::map<base::Endpoint, EngineIdentity> engines;
+  for (auto const& entry : aList) {
+    constexpr Json::ArrayIndex kFields = 3;
+    if (!entry.isArray() || entry.size() != kFields) {
+      throw FieldError{ "an engine must be an array of three fields" };
+    }
+    engines.insert_or_assign(
+      Address(entry[0]), EngineIdentity{ Name<engine::InstanceId>(entry[1]), Integer(entry[2]) });
+  }
+  return engines;
+}
+
+DomainPresence ToDomainPresence(Json::Value const& aParams)
+{
+  DomainPresence domain;
+  domain.m_failureDomain = Name<base::FailureDomainId>(Member(aParams, "failure_domain"));
+  for (auto const& entry : Member(aParams, "gateways")) {
+    constexpr Json::ArrayIndex kFields = 7;
+    if (!entry.isArray() || entry.size() != kFields) {
+      throw FieldError{ "a gateway must be an array of seven fields" };
+    }
+    GatewayPresence presence;
+    presence.m_host = Name<base::HostId>(entry[1]);
+    presence.m_incarnation = Name<base::IncarnationId>(entry[2]);
+    presence.m_failureDomain = domain.m_failureDomain;
+    presence.m_planner = Address(entry[3]);
+    presence.m_catalog = base::CatalogVersion(UnsignedInteger(entry[4]));
+    presence.m_engineSpecs = UnsignedInteger(entry[5]);
+    presence.m_storeEra = base::StoreEra(UnsignedInteger(entry[6]));
+    domain.m_gateways.push_back({ Address(entry[0]), std::move(presence) });
+  }
+  domain.m_aggregators = ToEndpoints(Member(aParams, "aggregators"));
+  domain.m_engines = ToEngines(Member(aParams, "engines"));
+  return domain;
 }
 
 GatewayPresence ToGatewayPresence(Json::Value const& aParams)
@@ -225,14 +317,7 @@
   if (aParams.isMember("store_era")) {
     presence.m_storeEra = base::StoreEra(UnsignedInteger(Member(aParams, "store_era")));
   }
-  for (auto const& entry : Member(aParams, "engines")) {
-    constexpr Json::ArrayIndex kFields = 3;
-    if (!entry.isArray() || entry.size() != kFields) {
-      throw FieldError{ "an engine must be an array of three fields" };
-    }
-    presence.m_engines.insert_or_assign(
-      Address(entry[0]), EngineIdentity{ Name<engine::InstanceId>(entry[1]), Integer(entry[2]) });
-  }
+  presence.m_engines = ToEngines(Member(aParams, "engines"));
   return presence;
 }
 
@@ -258,6 +343,9 @@
     report.m_demand.push_back(std::move(demand));
   }
   report.m_failureDomain = Name<base::FailureDomainId>(Member(aParams, "failure_domain"));
+  if (aParams.isMember("processor_share")) {
+    report.m_processorShare = Number(aParams["processor_share"]);
+  }
   report.m_isComplete = Flag(Member(aParams, "complete"));
   report.m_granted = ToGrants(Member(aParams, "granted"));
   report.m_crashes = ToCrashes(aParams);
@@ -277,6 +365,7 @@
                           ToForecasts(Member(aParams, "outlooks")),
                           ToCrashes(aParams),
                           {},
+                          {},
                           std::nullopt,
                           ToLeaving(aParams),
                           ToPartCrashes(aParams),
@@ -295,6 +384,14 @@
   for (auto const& host : neighbours.getMemberNames()) {
     summary.m_neighbours.emplace(Name<base::HostId>(Json::Value(host)), Address(neighbours[host]));
   }
+  auto const& aggregators = aParams["aggregators"];
+  if (!aggregators.isNull() && !aggregators.isObject()) {
+    throw FieldError{ "aggregators must be an object" };
+  }
+  for (auto const& domain : aggregators.getMemberNames()) {
+    summary.m_aggregators.emplace(Name<base::FailureDomainId>(Json::Value(domain)),
+                                  ToEndpoints(aggregators[domain]));
+  }
   return summary;
 }
 
@@ -343,6 +440,12 @@
   if (aMethod == "engine.alive") {
     return ToEngineHeartbeat(aParams);
   }
+  if (aMethod == "engine.digest") {
+    return ToEngineDigest(aParams);
+  }
+  if (aMethod == "domain.presence") {
+    return ToDomainPresence(aParams);
+  }
   if (aMethod == "engine.status_wanted") {
     return StatusRequest{ Name<base::HostId>(Member(aParams, "host")) };
   }
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -77,6 +77,112 @@
   return list;
 }
 
+Json::Value FromEndpoints(std::vector<base::Endpoint> const& aEndpoints)
+{
+  Json::Value list(Json::arrayValue);
+  for (auto const& endpoint : aEndpoints) {
+    list.append(endpoint.Text());
+  }
+  return list;
+}
+
+Json::Value FromEngines(std::map<base::Endpoint, EngineIdentity> const& aEngines)
+{
+  Json::Value list(Json::arrayValue);
+  for (auto const& [endpoint, engine] : aEngines) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(endpoint.Text());
+    entry.append(engine.m_instance.Text());
+    entry.append(Json::Int64(engine.m_startedAt));
+    list.append(std::move(entry));
+  }
+  return list;
+}
+
+void AddStatus(Json::Value& aParams, EngineStatus const& aStatus)
+{
+  aParams["host"] = aStatus.m_host.Text();
+  aParams["engine"] = aStatus.m_engine.Text();
+  aParams["deployment"] = aStatus.m_deployment.Text();
+  aParams["failure_domain"] = aStatus.m_failureDomain.Text();
+  aParams["models"] = Json::Value(Json::arrayValue);
+  for (auto const& held : aStatus.m_models) {
+    Json::Value model;
+    model["name"] = held.m_model.Text();
+    model["adapters"] = FromNames(held.m_adapters);
+    aParams["models"].append(std::move(model));
+  }
+  if (!aStatus.m_copies.m_inMemory.empty() || !aStatus.m_copies.m_onDisk.empty()) {
+    aParams["in_memory"] = FromNames(aStatus.m_copies.m_inMemory);
+    aParams["on_disk"] = FromNames(aStatus.m_copies.m_onDisk);
+  }
+  if (aStatus.m_change.m_loading) {
+    aParams["loading"] = aStatus.m_change.m_loading->Text();
+    aParams["ready_in_ms"] = FromMilliseconds(aStatus.m_change.m_readyIn);
+  }
+  if (aStatus.m_change.m_unloading) {
+    aParams["unloading"] = aStatus.m_change.m_unloading->Text();
+  }
+  aParams["running"] = aStatus.m_running;
+  aParams["waiting"] = aStatus.m_waiting;
+  aParams["cache_used"] = Json::Int64(aStatus.m_cacheUsed.Value());
+  aParams["cache_total"] = Json::Int64(aStatus.m_cacheTotal.Value());
+  aParams["can_order"] = aStatus.m_canOrder;
+  if (aStatus.m_leavingStart) {
+    aParams["leaving_start"] = Json::Int64(*aStatus.m_leavingStart);
+  }
+  aParams["gateways"] = aStatus.m_gatewaysPresent;
+  if (!aStatus.m_incarnation.Text().empty()) {
+    aParams["incarnation"] = aStatus.m_incarnation.Text();
+  }
+  aParams["number"] = Json::UInt64(aStatus.m_number);
+}
+
+void AddHeartbeat(Json::Value& aParams, EngineHeartbeat const& aHeartbeat)
+{
+  aParams["host"] = aHeartbeat.m_host.Text();
+  aParams["engine"] = aHeartbeat.m_engine.Text();
+  if (!aHeartbeat.m_incarnation.Text().empty()) {
+    aParams["incarnation"] = aHeartbeat.m_incarnation.Text();
+  }
+  aParams["number"] = Json::UInt64(aHeartbeat.m_number);
+  aParams["running"] = aHeartbeat.m_running;
+  aParams["waiting"] = aHeartbeat.m_waiting;
+  aParams["can_order"] = aHeartbeat.m_canOrder;
+  aParams["gateways"] = aHeartbeat.m_gatewaysPresent;
+}
+
+/// Encodes a heartbeat of a digest, which holds many, without field names.
+Json::Value FromHeartbeat(EngineHeartbeat const& aHeartbeat)
+{
+  Json::Value entry(Json::arrayValue);
+  entry.append(aHeartbeat.m_host.Text());
+  entry.append(aHeartbeat.m_engine.Text());
+  entry.append(aHeartbeat.m_incarnation.Text());
+  entry.append(Json::UInt64(aHeartbeat.m_number));
+  entry.append(aHeartbeat.m_running);
+  entry.append(aHeartbeat.m_waiting);
+  entry.append(aHeartbeat.m_canOrder);
+  entry.append(aHeartbeat.m_gatewaysPresent);
+  return entry;
+}
+
+/// Encodes a gateway of a domain's presence; the failure domain is that of the
+/// message.
+Json::Value FromDomainGateway(DomainPresence::Gateway const& aGateway)
+{
+  auto const& presence = aGateway.m_presence;
+  Json::Value entry(Json::arrayValue);
+  entry.append(aGateway.m_endpoint.Text());
+  entry.append(presence.m_host.Text());
+  entry.append(presence.m_incarnation.Text());
+  entry.append(presence.m_planner.Text());
+  entry.append(Json::UInt64(presence.m_catalog.Value()));
+  entry.append(Json::UInt64(presence.m_engineSpecs));
+  entry.append(Json::UInt64(presence.m_storeEra.Value()));
+  return entry;
+}
+
 /// Encodes a change; a deletion has no value.
 Json::Value FromChange(objectstore::ObjectChange const& aChange)
 {
@@ -104,53 +210,37 @@
     return m_root["params"];
   }
 
-  void operator()(EngineStatus const& aStatus)
+  void operator()(EngineStatus const& aStatus) { AddStatus(Start("engine.status"), aStatus); }
+
+  void operator()(EngineHeartbeat const& aHeartbeat)
+  {
+    AddHeartbeat(Start("engine.alive"), aHeartbeat);
+  }
+
+  void operator()(EngineDigest const& aDigest)
   {
-    auto& params = Start("engine.status");
-    params["host"] = aStatus.m_host.Text();
-    params["engine"] = aStatus.m_engine.Text();
-    params["deployment"] = aStatus.m_deployment.Text();
-    params["failure_domain"] = aStatus.m_failureDomain.Text();
-    params["models"] = Json::Value(Json::arrayValue);
-    for (auto const& held : aStatus.m_models) {
-      Json::Value model;
-      model["name"] = held.m_model.Text();
-      model["adapters"] = FromNames(held.m_adapters);
-      params["models"].append(std::move(model));
-    }
-    if (!aStatus.m_copies.m_inMemory.empty() || !aStatus.m_copies.m_onDisk.empty()) {
-      params["in_memory"] = FromNames(aStatus.m_copies.m_inMemory);
-      params["on_disk"] = FromNames(aStatus.m_copies.m_onDisk);
+    auto& params = Start("engine.digest");
+    params["failure_domain"] = aDigest.m_failureDomain.Text();
+    params["statuses"] = Json::Value(Json::arrayValue);
+    for (auto const& status : aDigest.m_statuses) {
+      AddStatus(params["statuses"].append(Json::Value()), status);
     }
-    if (aStatus.m_change.m_loading) {
-      params["loading"] = aStatus.m_change.m_loading->Text();
-      params["ready_in_ms"] = FromMilliseconds(aStatus.m_change.m_readyIn);
+    params["alive"] = Json::Value(Json::arrayValue);
+    for (auto const& heartbeat : aDigest.m_heartbeats) {
+      params["alive"].append(FromHeartbeat(heartbeat));
     }
-    if (aStatus.m_change.m_unloading) {
-      params["unloading"] = aStatus.m_change.m_unloading->Text();
-    }
-    params["running"] = aStatus.m_running;
-    params["waiting"] = aStatus.m_waiting;
-    params["cache_used"] = Json::Int64(aStatus.m_cacheUsed.Value());
-    params["cache_total"] = Json::Int64(aStatus.m_cacheTotal.Value());
-    params["can_order"] = aStatus.m_canOrder;
-    if (aStatus.m_leavingStart) {
-      params["leaving_start"] = Json::Int64(*aStatus.m_leavingStart);
-    }
-    params["gateways"] = aStatus.m_gatewaysPresent;
-    params["number"] = Json::UInt64(aStatus.m_number);
   }
 
-  void operator()(EngineHeartbeat const& aHeartbeat)
+  void operator()(DomainPresence const& aPresence)
   {
-    auto& params = Start("engine.alive");
-    params["host"] = aHeartbeat.m_host.Text();
-    params["engine"] = aHeartbeat.m_engine.Text();
-    params["number"] = Json::UInt64(aHeartbeat.m_number);
-    params["running"] = aHeartbeat.m_running;
-    params["waiting"] = aHeartbeat.m_waiting;
-    params["can_order"] = aHeartbeat.m_canOrder;
-    params["gateways"] = aHeartbeat.m_gatewaysPresent;
+    auto& params = Start("domain.presence");
+    params["failure_domain"] = aPresence.m_failureDomain.Text();
+    params["gateways"] = Json::Value(Json::arrayValue);
+    for (auto const& gateway : aPresence.m_gateways) {
+      params["gateways"].append(FromDomainGateway(gateway));
+    }
+    params["aggregators"] = FromEndpoints(aPresence.m_aggregators);
+    params["engines"] = FromEngines(aPresence.m_engines);
   }
 
   void operator()(StatusRequest const& aRequest)
@@ -170,14 +260,7 @@
     if (aPresence.m_storeEra != base::StoreEra()) {
       params["store_era"] = Json::UInt64(aPresence.m_storeEra.Value());
     }
-    params["engines"] = Json::Value(Json::arrayValue);
-    for (auto const& [endpoint, engine] : aPresence.m_engines) {
-      Json::Value entry(Json::arrayValue);
-      entry.append(endpoint.Text());
-      entry.append(engine.m_instance.Text());
-      entry.append(Json::Int64(engine.m_startedAt));
-      params["engines"].append(std::move(entry));
-    }
+    params["engines"] = FromEngines(aPresence.m_engines);
   }
 
   void operator()(GatewayReport const& aReport)
@@ -186,6 +269,9 @@
     params["host"] = aReport.m_host.Text();
     params["incarnation"] = aReport.m_incarnation.Text();
     params["failure_domain"] = aReport.m_failureDomain.Text();
+    if (aReport.m_processorShare > 0) {
+      params["processor_share"] = aReport.m_processorShare;
+    }
     params["demand"] = Json::Value(Json::arrayValue);
     for (auto const& demand : aReport.m_demand) {
       // An array without field names keeps the message small, since gateways
@@ -241,6 +327,9 @@
     for (auto const& [host, endpoint] : aSummary.m_neighbours) {
       params["neighbours"][host.Text()] = endpoint.Text();
     }
+    for (auto const& [domain, endpoints] : aSummary.m_aggregators) {
+      params["aggregators"][domain.Text()] = FromEndpoints(endpoints);
+    }
   }
 
   void operator()(StoreUpdate const& aUpdate)
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Agent/Fleet/AggregatorRole.h"
 #include "Agent/SuspectPartRegistry.h"
 #include "Agent/SuspectRegistry.h"
 #include "Base/Endpoint.h"
@@ -51,8 +52,10 @@
   /// The start of the engine that has announced that it leaves, in Unix
   /// milliseconds.
   std::optional<std::int64_t> m_leavingStart;
-  /// Number of gateways that the loader receives messages from.
+  /// Number of gateways that the loader knows to be running.
   unsigned m_gatewaysPresent = 0;
+  /// The run of the loader, whose statuses are numbered from its start.
+  base::IncarnationId m_incarnation;
   /// Number of status changes that the loader has sent since its start.
   std::uint64_t m_number = 0;
 };
@@ -62,6 +65,7 @@
 {
   base::HostId m_host;
   base::Endpoint m_engine;
+  base::IncarnationId m_incarnation;
   /// Number of the status that is still valid.
   std::uint64_t m_number = 0;
   unsigned m_running = 0;
@@ -70,6 +74,15 @@
   unsigned m_gatewaysPresent = 0;
 };
 
+/// From the aggregator of a failure domain to gateways: what the loaders of that
+/// domain have sent since its last digest.
+struct EngineDigest
+{
+  base::FailureDomainId m_failureDomain;
+  std::vector<EngineStatus> m_statuses;
+  std::vector<EngineHeartbeat> m_heartbeats;
+};
+
 /// To a loader from a process that missed its status: requests that the loader
 /// send it again.
 struct StatusRequest
@@ -87,8 +100,9 @@
   friend bool operator==(EngineIdentity const&, EngineIdentity const&) = default;
 };
 
-/// From a gateway to loaders: that the gateway is running, and which process it
-/// considers the planner.
+/// From a gateway: that it is running, and which process it considers the
+/// planner. It goes to the aggregator of the gateway's failure domain, or to all
+/// loaders where there is none.
 struct GatewayPresence
 {
   base::HostId m_host;
@@ -98,12 +112,31 @@
   base::CatalogVersion m_catalog;
   /// Digest of the engine specifications in that catalog.
   std::uint64_t m_engineSpecs = 0;
-  /// The engines of the loaders that this message is sent to.
+  /// The engines of the loaders that this message is sent to; none if it is sent
+  /// to an aggregator.
   std::map<base::Endpoint, EngineIdentity> m_engines;
   /// The latest era of the store that the gateway knows of.
   base::StoreEra m_storeEra;
 };
 
+/// From the aggregator of a failure domain to loaders: the gateways of that domain.
+struct DomainPresence
+{
+  struct Gateway
+  {
+    base::Endpoint m_endpoint;
+    /// Its engines are those of the whole message.
+    GatewayPresence m_presence;
+  };
+
+  base::FailureDomainId m_failureDomain;
+  std::vector<Gateway> m_gateways;
+  /// The aggregator of the domain and its deputy.
+  std::vector<base::Endpoint> m_aggregators;
+  /// The engines of the loaders that this message is sent to.
+  std::map<base::Endpoint, EngineIdentity> m_engines;
+};
+
 /// From a gateway to the loader that it considers the planner: its demand and
 /// the allowances used.
 struct GatewayReport
@@ -111,8 +144,10 @@
   base::HostId m_host;
   base::IncarnationId m_incarnation;
   base::FailureDomainId m_failureDomain;
-  /// Whether the demand lists every requested model; otherwise it lists only
-  /// those that changed since the previous report.
+  /// Part of a core that the gateway's process may use.
+  double m_processorShare = 0;
+  /// Whether the report lists every requested model and all tokens granted;
+  /// otherwise it lists only what changed since the previous report.
   bool m_isComplete = true;
   std::vector<engine::WaitingDemand> m_demand;
   /// Tokens granted since the gateway started.
@@ -150,6 +185,8 @@
   /// Gateways of the receiver's failure domain that report to this planner,
   /// including the receiver, by host.
   std::map<base::HostId, base::Endpoint> m_neighbours;
+  /// The aggregator and its deputy of each failure domain that has them.
+  DomainAggregators m_aggregators;
   /// Time since the object store last responded to any other gateway.
   std::optional<base::Duration> m_storeAge;
   /// Upstreams that recently announced to other gateways that they leave.
@@ -194,9 +231,9 @@
   base::AdapterId m_adapter;
 };
 
-using FleetMessage =
-  std::variant<EngineStatus, EngineHeartbeat, StatusRequest, GatewayPresence, GatewayReport,
-               PlannerSummary, StoreUpdate, SwapRequest, AdapterRequest>;
+using FleetMessage = std::variant<EngineStatus, EngineHeartbeat, StatusRequest, GatewayPresence,
+                                  GatewayReport, PlannerSummary, StoreUpdate, SwapRequest,
+                                  AdapterRequest, EngineDigest, DomainPresence>;
 
 /// A message with its routing information.
 struct FleetEnvelope
--- a/Base/ProcessProfile.h
+++ b/Base/ProcessProfile.h
@@ -49,6 +49,8 @@
   std::optional<Endpoint> m_engine;
   std::optional<DeploymentId> m_engineDeployment;
   SiteBounds m_bounds;
+  /// Part of a core that the process may use.
+  double m_processorShare = 1;
   /// A process that uses more memory is killed.
   Bytes m_memoryLimit{ 256 * 1024 * 1024 };
 };
--- a/Engine/LeavingUpstreams.h
+++ b/Engine/LeavingUpstreams.h
@@ -27,6 +27,7 @@
   /// process has read itself.
   bool OnNotice(UpstreamStart const& aStart, NoticeSource aSource, base::Instant aNow);
 
+  bool IsEmpty() const { return m_notices.empty(); }
   LeavingNotice const* Find(UpstreamStart const& aStart) const;
   /// Whether the upstream may get no further requests, even if no other upstream
   /// can serve them. aDrainDelay is the longest time for which a leaving
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -115,7 +115,12 @@
     upstream.m_failures = 0;
     upstream.m_pausedUntil = aNow;
   }
+  if (!isNew) {
+    RemoveFromIndex(upstream);
+  }
   upstream.m_entry = std::move(aEntry);
+  m_byEndpoint.emplace(upstream.m_entry.m_endpoint, &upstream);
+  ++m_revision;
   upstream.m_usableUntil.reset();
   upstream.m_doubtedUntil.reset();
   if (outcome == ListingOutcome::Removed) {
@@ -145,6 +150,17 @@
   return isLapse ? RemovalCause::Lapsed : RemovalCause::Left;
 }
 
+void UpstreamDirectory::RemoveFromIndex(Upstream const& aUpstream)
+{
+  auto const range = m_byEndpoint.equal_range(aUpstream.m_entry.m_endpoint);
+  auto const found = std::find_if(range.first, range.second, [&aUpstream](auto const& aItem) {
+    return aItem.second == &aUpstream;
+  });
+  if (found != range.second) {
+    m_byEndpoint.erase(found);
+  }
+}
+
 bool UpstreamDirectory::IsListed(Upstream const& aUpstream)
 {
   return !aUpstream.m_usableUntil && !aUpstream.m_doubtedUntil && !aUpstream.m_entry.m_isDraining;
@@ -189,10 +205,10 @@
 std::optional<UpstreamStart> UpstreamDirectory::FindStart(base::Endpoint const& aEndpoint,
                                                           std::int64_t aStartedAt) const
 {
-  for (auto const& [instance, upstream] : m_upstreams) {
-    auto const& entry = upstream.m_entry;
-    if (entry.m_endpoint == aEndpoint && entry.m_startedAt == aStartedAt) {
-      return StartOf(entry);
+  auto const range = m_byEndpoint.equal_range(aEndpoint);
+  for (auto item = range.first; item != range.second; ++item) {
+    if (item->second->m_entry.m_startedAt == aStartedAt) {
+      return StartOf(item->second->m_entry);
     }
   }
   return std::nullopt;
@@ -284,9 +300,10 @@
 bool UpstreamDirectory::OnLoaderStatus(LoaderStatus aStatus, base::Instant aNow)
 {
   bool hasNewModels = false;
-  for (auto& item : m_upstreams) {
-    auto& upstream = item.second;
-    if (upstream.m_entry.m_endpoint != aStatus.m_engine) {
+  auto const range = m_byEndpoint.equal_range(aStatus.m_engine);
+  for (auto item = range.first; item != range.second; ++item) {
+    auto& upstream = *item->second;
+    if (upstream.m_loaderStatus && aStatus.m_number.IsBefore(upstream.m_loaderStatus->m_number)) {
       continue;
     }
     auto const known = [&](HeldModel const& aHeld) {
@@ -301,20 +318,23 @@
   return hasNewModels;
 }
 
-bool UpstreamDirectory::OnStatusUnchanged(base::Endpoint const& aEngine, std::uint64_t aNumber,
-                                          unsigned aRunning, unsigned aWaiting, base::Instant aNow)
+bool UpstreamDirectory::OnStatusUnchanged(base::Endpoint const& aEngine,
+                                          LoaderStatusNumber const& aNumber, unsigned aRunning,
+                                          unsigned aWaiting, base::Instant aNow)
 {
   bool isKnown = true;
-  for (auto& [instance, upstream] : m_upstreams) {
-    if (upstream.m_entry.m_endpoint != aEngine) {
-      continue;
-    }
+  auto const range = m_byEndpoint.equal_range(aEngine);
+  for (auto item = range.first; item != range.second; ++item) {
+    auto& upstream = *item->second;
     if (upstream.m_loaderStatus && upstream.m_loaderStatus->m_number == aNumber) {
       UpdateOthersLoad(upstream, aRunning, aWaiting);
       upstream.m_loaderStatusAt = aNow;
-    } else {
-      isKnown = false;
+      continue;
     }
+    // A heartbeat may be overtaken by a later status.
+    bool const isOvertaken =
+      upstream.m_loaderStatus && aNumber.IsBefore(upstream.m_loaderStatus->m_number);
+    isKnown = isKnown && isOvertaken;
   }
   return isKnown;
 }
@@ -348,7 +368,8 @@
 bool UpstreamDirectory::IsUsable(Upstream const& aUpstream, base::Instant aNow) const
 {
   return IsAvailable(aUpstream, aNow) &&
-         !m_leaving.IsExcluded(StartOf(aUpstream.m_entry), m_limits.m_maximumDrainDelay, aNow);
+         (m_leaving.IsEmpty() ||
+          !m_leaving.IsExcluded(StartOf(aUpstream.m_entry), m_limits.m_maximumDrainDelay, aNow));
 }
 
 HeldModel const* UpstreamDirectory::FindModel(Upstream const& aUpstream,
@@ -586,6 +607,8 @@
     bool const isExpired = isOutOfUse && aItem.second.m_inFlight == 0;
     if (isExpired) {
       OnStartEnded(aItem.second.m_entry, false);
+      RemoveFromIndex(aItem.second);
+      ++m_revision;
     }
     return isExpired;
   });
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -167,6 +167,20 @@
   Reason m_reason = Reason::Gone;
 };
 
+/// Numbers the status reports of one run of a loader.
+struct LoaderStatusNumber
+{
+  base::IncarnationId m_incarnation;
+  std::uint64_t m_number = 0;
+
+  /// Whether both are of one run and this one is the earlier.
+  bool IsBefore(LoaderStatusNumber const& aOther) const
+  {
+    return m_incarnation == aOther.m_incarnation && m_number < aOther.m_number;
+  }
+  friend bool operator==(LoaderStatusNumber const&, LoaderStatusNumber const&) = default;
+};
+
 /// A loader's status report about its engine.
 struct LoaderStatus
 {
@@ -176,8 +190,7 @@
   std::optional<base::ModelId> m_unloading;
   unsigned m_running = 0;
   unsigned m_waiting = 0;
-  /// Sequence number of the report since the loader's start.
-  std::uint64_t m_number = 0;
+  LoaderStatusNumber m_number;
 };
 
 /// Tracks the engines and services, the models that they hold and their load,
@@ -201,12 +214,13 @@
   /// the upstream has left.
   RemovalCause OnRemoved(InstanceId const& aInstance, std::optional<base::Instant> aLapseEnd,
                          base::Instant aNow);
-  /// Returns whether models became available.
+  /// Returns whether models became available. A report that is older than the known
+  /// one changes nothing.
   bool OnLoaderStatus(LoaderStatus aStatus, base::Instant aNow);
   /// The loader's status report with that number is still current. Returns
   /// false if this process does not have that report.
-  bool OnStatusUnchanged(base::Endpoint const& aEngine, std::uint64_t aNumber, unsigned aRunning,
-                         unsigned aWaiting, base::Instant aNow);
+  bool OnStatusUnchanged(base::Endpoint const& aEngine, LoaderStatusNumber const& aNumber,
+                         unsigned aRunning, unsigned aWaiting, base::Instant aNow);
   /// A response reported how many requests run and wait at the upstream.
   void OnLoadReported(InstanceId const& aInstance, unsigned aRunning, unsigned aWaiting);
 
@@ -262,6 +276,8 @@
   /// The entries of all known upstreams, including unlisted ones that are still
   /// in use; used to contact their loaders.
   std::vector<UpstreamEntry> Entries() const;
+  /// Changes whenever Entries() may have changed.
+  std::uint64_t Revision() const { return m_revision; }
   std::size_t Size() const { return m_upstreams.size(); }
   /// Whether the upstream is listed and not draining.
   bool IsListed(InstanceId const& aInstance) const;
@@ -298,6 +314,7 @@
     std::map<base::ModelId, base::Instant> m_missing;
   };
 
+  void RemoveFromIndex(Upstream const& aUpstream);
   static bool IsListed(Upstream const& aUpstream);
   static UpstreamStart StartOf(UpstreamEntry const& aEntry);
   ListingOutcome Judge(UpstreamEntry const& aEntry, EntrySource aSource, base::Instant aNow);
@@ -321,6 +338,9 @@
   base::FailureDomainId m_localFailureDomain;
   std::mt19937_64 m_random;
   std::map<InstanceId, Upstream> m_upstreams;
+  /// The upstreams by their address.
+  std::multimap<base::Endpoint, Upstream*> m_byEndpoint;
+  std::uint64_t m_revision = 0;
   LeavingUpstreams m_leaving;
   LeftUpstreams m_left;
   std::vector<LeavingEnd> m_leavingEnds;
--- a/Entry/Allowance/GrantLedger.cpp
+++ b/Entry/Allowance/GrantLedger.cpp
@@ -3,8 +3,11 @@
 namespace sardinefold::entry {
 
 void GrantLedger::OnReport(base::HostId const& aProcess, base::IncarnationId const& aIncarnation,
-                           GrantedTokens const& aGranted)
+                           GrantedTokens const& aGranted, bool aIsComplete)
 {
+  if (!aIsComplete && !m_processes.contains(aProcess)) {
+    return;
+  }
   auto const [found, isNew] = m_processes.try_emplace(aProcess);
   auto& process = found->second;
   if (process.m_incarnation != aIncarnation) {
--- a/Entry/Allowance/GrantLedger.h
+++ b/Entry/Allowance/GrantLedger.h
@@ -16,8 +16,11 @@
 class GrantLedger
 {
 public:
+  /// Takes a process's totals: all of them if aIsComplete, otherwise those that have
+  /// changed. An incomplete report of an unknown process is ignored, since what it
+  /// lacks may have been granted long ago.
   void OnReport(base::HostId const& aProcess, base::IncarnationId const& aIncarnation,
-                GrantedTokens const& aGranted);
+                GrantedTokens const& aGranted, bool aIsComplete);
   /// Removes a process's last report; its counted grants stay in the sums.
   void Remove(base::HostId const& aProcess) { m_processes.erase(aProcess); }
   /// Returns what all processes but the given one have granted since the ledger
--- a/Programs/FleetMessenger.h
+++ b/Programs/FleetMessenger.h
@@ -40,16 +40,35 @@
     m_datagrams.Send(aReceiver, agent::EncodeFleetMessage(aMessage));
   }
 
+  /// Sends a message to each of the receivers.
+  void SendToEach(std::vector<base::Endpoint> const& aReceivers,
+                  agent::FleetMessage const& aMessage)
+  {
+    if (aReceivers.empty()) {
+      return;
+    }
+    auto const text = agent::EncodeFleetMessage(aMessage);
+    for (auto const& receiver : aReceivers) {
+      m_datagrams.Send(receiver, text);
+    }
+  }
+
   /// Sends a message to several receivers as agent::PlanMulticast() says.
   void Multicast(base::FailureDomainId const& aLocalFailureDomain,
                  std::vector<agent::MulticastReceiver> const& aReceivers,
                  agent::FleetMessage const& aMessage)
   {
+    std::vector<base::Endpoint> direct;
     for (auto const& datagram :
          agent::PlanMulticast(aLocalFailureDomain, aReceivers, m_multicastRound++)) {
+      if (datagram.m_forwardTo.empty()) {
+        direct.push_back(datagram.m_receiver);
+        continue;
+      }
       m_datagrams.Send(datagram.m_receiver, agent::EncodeFleetMessage(agent::FleetEnvelope{
                                               aMessage, std::nullopt, datagram.m_forwardTo }));
     }
+    SendToEach(direct, aMessage);
   }
 
 private:
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Agent/Fleet/DomainPresenceBoard.h"
+#include "Programs/Gateway/DomainExchange.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/PlannerSelector.h"
 
@@ -10,13 +12,16 @@
 
 namespace sardinefold::programs {
 
-/// Reports a gateway's presence to the loaders, and its demand and the tokens that
-/// it has granted to the planner, which is one of the loaders.
+/// Reports a gateway's presence to the loaders, by itself or through the aggregator
+/// of its failure domain, and its demand and the tokens that it has granted to the
+/// planner, which is one of the loaders.
 class FleetReporter
 {
 public:
-  FleetReporter(GatewayState& aState, base::IncarnationId aIncarnation)
+  FleetReporter(GatewayState& aState, DomainExchange<FleetMessenger> const& aDomain,
+                base::IncarnationId aIncarnation)
     : m_state(aState)
+    , m_domain(aDomain)
     , m_incarnation(std::move(aIncarnation))
   {
   }
@@ -46,6 +51,13 @@
     m_mustAnnounceToAll = true;
   }
 
+  /// A gateway of the failure domain announced itself to this one.
+  void OnMember(agent::GatewayPresence const& aPresence, base::Endpoint const& aOrigin,
+                base::Instant aNow)
+  {
+    m_hasMemberNews = m_members.OnPresence(aPresence, aOrigin, aNow) || m_hasMemberNews;
+  }
+
   base::Duration PlannerAge(base::Instant aNow) const { return aNow - m_summaryAt; }
 
   /// To be called ten times a second. aStoreAge is the time since the store last
@@ -63,7 +75,7 @@
     m_lastPlanner = planner;
     bool const isForAll = m_ticks++ % kPresenceTicks == 0 || isNewPlanner || m_mustAnnounceToAll;
     m_mustAnnounceToAll = false;
-    SendPresence(isForAll);
+    Announce(isForAll, aNow);
     if (planner) {
       SendReport(*planner, isNewPlanner, aStoreAge, aNow);
     }
@@ -72,18 +84,21 @@
 private:
   using Engines = std::map<base::Endpoint, agent::EngineIdentity>;
 
-  /// Reports all demand once a second, and only changes in between.
+  /// Reports all demand and grants once a second, and only changes in between.
   void SendReport(base::Endpoint const& aPlanner, bool aIsFirst, base::Duration aStoreAge,
                   base::Instant aNow)
   {
     constexpr unsigned kCompleteReportTicks = 10;
-    bool const isComplete = m_ticks % kCompleteReportTicks == 0 || aIsFirst;
+    m_completeReportsDue = aIsFirst ? kFirstCompleteReports : m_completeReportsDue;
+    bool const isComplete = m_ticks % kCompleteReportTicks == 0 || m_completeReportsDue > 0;
+    m_completeReportsDue -= m_completeReportsDue > 0 ? 1 : 0;
     agent::GatewayReport report{ m_state.m_profile.m_host,
                                  m_incarnation,
                                  m_state.m_profile.m_failureDomain,
+                                 m_state.m_profile.m_processorShare,
                                  isComplete,
                                  {},
-                                 m_state.m_allowance.Granted(),
+                                 GrantsToReport(isComplete),
                                  m_state.CrashesToReport(aNow),
                                  aStoreAge,
                                  m_state.LeavingToReport(aNow),
@@ -103,9 +118,75 @@
     m_state.m_messenger.Send(aPlanner, report);
   }
 
-  /// Announces this gateway to the loaders of new engines at once, and to all
-  /// loaders if aIsForAll.
-  void SendPresence(bool aIsForAll)
+  /// Returns the totals that have changed lately, as messages may be lost, or all.
+  entry::GrantedTokens GrantsToReport(bool aIsComplete)
+  {
+    auto const& granted = m_state.m_allowance.Granted();
+    entry::GrantedTokens changed;
+    for (auto const& [workspace, tokens] : granted) {
+      auto& reported = m_reportedGrants[workspace];
+      if (reported.m_tokens != tokens) {
+        reported = { tokens, kGrantRepeats };
+      }
+      if (aIsComplete || reported.m_repeats > 0) {
+        changed.emplace(workspace, tokens);
+        reported.m_repeats -= reported.m_repeats > 0 ? 1 : 0;
+      }
+    }
+    return changed;
+  }
+
+  agent::GatewayPresence MakePresence() const
+  {
+    agent::GatewayPresence presence;
+    presence.m_host = m_state.m_profile.m_host;
+    presence.m_incarnation = m_incarnation;
+    presence.m_failureDomain = m_state.m_profile.m_failureDomain;
+    presence.m_planner = m_lastPlanner.value_or(base::Endpoint{ m_state.m_profile.m_address, 0 });
+    presence.m_engineSpecs = m_engineSpecs;
+    if (m_state.m_catalog) {
+      presence.m_catalog = m_state.m_catalog->Catalog().m_version;
+    }
+    presence.m_storeEra = m_storeEra;
+    return presence;
+  }
+
+  /// Announces this gateway to the aggregators of its failure domain, and the gateways
+  /// of the domain to the loaders if this gateway does so; without an aggregator, this
+  /// gateway alone to the loaders. Loaders of new engines learn of it at once.
+  void Announce(bool aIsForAll, base::Instant aNow)
+  {
+    bool const isAlone = m_domain.Duty(aNow) == agent::DomainDuty::Alone;
+    if (!isAlone) {
+      base::Endpoint const self{ m_state.m_profile.m_address, m_state.m_profile.m_peerPort };
+      OnMember(MakePresence(), self, aNow);
+      if (aIsForAll) {
+        auto receivers = m_domain.Aggregators();
+        std::erase(receivers, self);
+        m_state.m_messenger.SendToEach(receivers, MakePresence());
+      }
+    }
+    bool const isSpeaking = isAlone || m_domain.IsSending(aNow);
+    bool const isDueForAll = aIsForAll || std::exchange(m_hasMemberNews, false) ||
+                             isSpeaking != std::exchange(m_wasSpeaking, isSpeaking);
+    auto const revision = m_state.m_directory.Revision();
+    bool const isListNew = revision != std::exchange(m_announcedRevision, revision);
+    if (!isSpeaking || (!isDueForAll && !isListNew)) {
+      return;
+    }
+    for (auto& [domain, engines] : EnginesToAnnounceTo(isDueForAll)) {
+      std::vector<agent::MulticastReceiver> receivers;
+      for (auto const& [endpoint, identity] : engines) {
+        receivers.push_back({ { endpoint.m_address, m_state.m_profile.m_peerPort }, domain });
+      }
+      Multicast(receivers, isAlone ? PresenceAlone(std::move(engines))
+                                   : PresenceOfDomain(std::move(engines), aNow));
+    }
+  }
+
+  /// Returns all engines by failure domain, or those whose loaders have not been told
+  /// of their present start.
+  std::map<base::FailureDomainId, Engines> EnginesToAnnounceTo(bool aIsForAll)
   {
     Engines known;
     std::map<base::FailureDomainId, Engines> announcements;
@@ -126,29 +207,26 @@
       }
     }
     m_announced = std::move(known);
-    for (auto& [domain, engines] : announcements) {
-      SendPresence(domain, std::move(engines));
-    }
+    return announcements;
   }
 
-  void SendPresence(base::FailureDomainId const& aDomain, Engines aEngines)
+  agent::FleetMessage PresenceAlone(Engines aEngines) const
   {
-    agent::GatewayPresence presence;
-    presence.m_host = m_state.m_profile.m_host;
-    presence.m_incarnation = m_incarnation;
-    presence.m_failureDomain = m_state.m_profile.m_failureDomain;
-    presence.m_planner = m_lastPlanner.value_or(base::Endpoint{ m_state.m_profile.m_address, 0 });
-    presence.m_engineSpecs = m_engineSpecs;
-    if (m_state.m_catalog) {
-      presence.m_catalog = m_state.m_catalog->Catalog().m_version;
-    }
-    std::vector<agent::MulticastReceiver> receivers;
-    for (auto const& [endpoint, identity] : aEngines) {
-      receivers.push_back({ { endpoint.m_address, m_state.m_profile.m_peerPort }, aDomain });
-    }
+    auto presence = MakePresence();
     presence.m_engines = std::move(aEngines);
-    presence.m_storeEra = m_storeEra;
-    m_state.m_messenger.Multicast(m_state.m_profile.m_failureDomain, receivers, presence);
+    return presence;
+  }
+
+  agent::FleetMessage PresenceOfDomain(Engines aEngines, base::Instant aNow)
+  {
+    return agent::DomainPresence{ m_state.m_profile.m_failureDomain, m_members.Gateways(aNow),
+                                  m_domain.Aggregators(), std::move(aEngines) };
+  }
+
+  void Multicast(std::vector<agent::MulticastReceiver> const& aReceivers,
+                 agent::FleetMessage const& aMessage)
+  {
+    m_state.m_messenger.Multicast(m_state.m_profile.m_failureDomain, aReceivers, aMessage);
   }
 
   bool IsEngine(base::DeploymentId const& aDeployment) const
@@ -158,12 +236,32 @@
     return deployment && deployment->m_engine;
   }
 
+  struct ReportedGrant
+  {
+    base::Tokens m_tokens;
+    /// In how many further reports the total is listed.
+    unsigned m_repeats = 0;
+  };
+
+  /// A report may be lost, so a change is reported more than once.
+  static constexpr unsigned kGrantRepeats = 2;
+  /// A new planner knows nothing of this gateway before a complete report.
+  static constexpr unsigned kFirstCompleteReports = 2;
+
   GatewayState& m_state;
+  DomainExchange<FleetMessenger> const& m_domain;
   base::IncarnationId m_incarnation;
   PlannerSelector m_planner;
   std::optional<base::Endpoint> m_lastPlanner;
   base::Instant m_summaryAt{};
   std::map<base::ModelId, unsigned> m_reportedWaiting;
+  std::map<base::WorkspaceId, ReportedGrant> m_reportedGrants;
+  unsigned m_completeReportsDue = 0;
+  /// The gateways of the failure domain that announce themselves to this one.
+  agent::DomainPresenceBoard m_members;
+  bool m_hasMemberNews = false;
+  bool m_wasSpeaking = false;
+  std::uint64_t m_announcedRevision = 0;
   Engines m_announced;
   std::uint64_t m_engineSpecs = 0;
   base::StoreEra m_storeEra;
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Http/HttpServer.h"
+#include "Programs/Gateway/DomainExchange.h"
 #include "Programs/Gateway/FleetReporter.h"
 #include "Programs/Gateway/ForwardSession.h"
 #include "Programs/Gateway/StoreFollower.h"
@@ -28,7 +29,9 @@
     , m_readiness(
         aLoop, {}, [this](base::HttpExchange& aExchange) { return HandleReadiness(aExchange); },
         RenderError)
-    , m_fleet(m_state, base::IncarnationId::FromValidated(base::RandomHex(8)))
+    , m_domain(m_state.m_messenger, m_state.m_profile.m_failureDomain,
+               { m_state.m_profile.m_address, m_state.m_profile.m_peerPort })
+    , m_fleet(m_state, m_domain, base::IncarnationId::FromValidated(base::RandomHex(8)))
     , m_store(m_state)
     , m_loopMonitor(m_state.m_metrics, kTickInterval)
   {
@@ -173,14 +176,15 @@
   {
     auto const now = m_loop.Now();
     if (auto const* const status = std::get_if<agent::EngineStatus>(&aMessage)) {
-      m_fleet.OnLoader(status->m_host, aOrigin, status->m_canOrder, status->m_gatewaysPresent, now);
-      OnLoaderStatus(*status, now);
+      m_domain.OnStatus(*status, now);
+      OnLoaderStatus(*status, aOrigin, now);
     } else if (auto const* const alive = std::get_if<agent::EngineHeartbeat>(&aMessage)) {
-      m_fleet.OnLoader(alive->m_host, aOrigin, alive->m_canOrder, alive->m_gatewaysPresent, now);
-      if (!m_state.m_directory.OnStatusUnchanged(alive->m_engine, alive->m_number, alive->m_running,
-                                                 alive->m_waiting, now)) {
-        m_state.m_messenger.Send(aOrigin, agent::StatusRequest{ m_state.m_profile.m_host });
-      }
+      m_domain.OnHeartbeat(*alive, now);
+      OnLoaderHeartbeat(*alive, aOrigin, now);
+    } else if (auto const* const digest = std::get_if<agent::EngineDigest>(&aMessage)) {
+      OnDigest(*digest, aOrigin, now);
+    } else if (auto const* const presence = std::get_if<agent::GatewayPresence>(&aMessage)) {
+      m_fleet.OnMember(*presence, aOrigin, now);
     } else if (auto const* const summary = std::get_if<agent::PlannerSummary>(&aMessage)) {
       OnSummary(*summary, aOrigin, now);
     } else if (auto const* const news = std::get_if<agent::StoreUpdate>(&aMessage)) {
@@ -188,8 +192,41 @@
     }
   }
 
-  void OnLoaderStatus(agent::EngineStatus const& aStatus, base::Instant aNow)
+  /// Takes what the loaders of a failure domain sent to its aggregator.
+  void OnDigest(agent::EngineDigest const& aDigest, base::Endpoint const& aSender,
+                base::Instant aNow)
+  {
+    for (auto const& status : aDigest.m_statuses) {
+      OnLoaderStatus(status, LoaderOf(status.m_engine), aNow);
+    }
+    for (auto const& heartbeat : aDigest.m_heartbeats) {
+      OnLoaderHeartbeat(heartbeat, LoaderOf(heartbeat.m_engine), aNow);
+    }
+    m_domain.OnDigest(aDigest, aSender, aNow);
+  }
+
+  /// The loader runs on the host of its engine.
+  base::Endpoint LoaderOf(base::Endpoint const& aEngine) const
+  {
+    return { aEngine.m_address, m_state.m_profile.m_peerPort };
+  }
+
+  void OnLoaderHeartbeat(agent::EngineHeartbeat const& aHeartbeat, base::Endpoint const& aLoader,
+                         base::Instant aNow)
+  {
+    m_fleet.OnLoader(aHeartbeat.m_host, aLoader, aHeartbeat.m_canOrder,
+                     aHeartbeat.m_gatewaysPresent, aNow);
+    engine::LoaderStatusNumber const number{ aHeartbeat.m_incarnation, aHeartbeat.m_number };
+    if (!m_state.m_directory.OnStatusUnchanged(aHeartbeat.m_engine, number, aHeartbeat.m_running,
+                                               aHeartbeat.m_waiting, aNow)) {
+      m_state.m_messenger.Send(aLoader, agent::StatusRequest{ m_state.m_profile.m_host });
+    }
+  }
+
+  void OnLoaderStatus(agent::EngineStatus const& aStatus, base::Endpoint const& aLoader,
+                      base::Instant aNow)
   {
+    m_fleet.OnLoader(aStatus.m_host, aLoader, aStatus.m_canOrder, aStatus.m_gatewaysPresent, aNow);
     auto const leaving =
       aStatus.m_leavingStart
         ? m_state.m_directory.FindStart(aStatus.m_engine, *aStatus.m_leavingStart)
@@ -199,7 +236,7 @@
     }
     engine::LoaderStatus account{
       aStatus.m_engine,  aStatus.m_models,  aStatus.m_change.m_unloading,
-      aStatus.m_running, aStatus.m_waiting, aStatus.m_number
+      aStatus.m_running, aStatus.m_waiting, { aStatus.m_incarnation, aStatus.m_number }
     };
     if (m_state.m_directory.OnLoaderStatus(std::move(account), aNow)) {
       for (auto const& held : aStatus.m_models) {
@@ -215,6 +252,7 @@
     m_state.OnGatewaysPresent(aSummary.m_gatewaysPresent);
     if (!aSummary.m_neighbours.empty()) {
       m_store.OnNeighbours(aSummary.m_neighbours, aNow);
+      m_domain.OnNamed(aSummary.m_neighbours, aSummary.m_aggregators, aNow);
     }
     if (aSummary.m_storeAge) {
       m_store.OnStoreResponseElsewhere(aNow - *aSummary.m_storeAge);
@@ -264,6 +302,7 @@
       m_state.m_directory.Expire(now - m_store.ListAge(now), now);
       LogEndedNotices(m_state, now);
       m_state.ExpireSuspects();
+      m_domain.Tick(now);
       m_fleet.Report(m_store.Age(now), m_store.Era(), now);
       co_await m_loop.Sleep(kTickInterval);
     }
@@ -289,6 +328,7 @@
   GatewayState m_state;
   base::HttpServer m_callers;
   base::HttpServer m_readiness;
+  DomainExchange<FleetMessenger> m_domain;
   FleetReporter m_fleet;
   StoreFollower<Wire> m_store;
   LoopMonitor m_loopMonitor;
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -44,10 +44,11 @@
                              base::Instant aNow)
 {
   auto& gateway = m_gateways[aReport.m_host];
-  m_grants.OnReport(aReport.m_host, aReport.m_incarnation, aReport.m_granted);
+  m_grants.OnReport(aReport.m_host, aReport.m_incarnation, aReport.m_granted, aReport.m_isComplete);
   gateway.m_isNew = gateway.m_isNew || gateway.m_incarnation != aReport.m_incarnation ||
                     !IsReporting(gateway, aNow);
   gateway.m_incarnation = aReport.m_incarnation;
+  gateway.m_processorShare = aReport.m_processorShare;
   m_partNews.OnReport(aReport.m_partCrashes, aReport.m_partAcquittals, aNow);
   gateway.m_endpoint = aSender;
   gateway.m_failureDomain = aReport.m_failureDomain;
@@ -68,7 +69,11 @@
 void FleetPlanning::OnStatus(agent::EngineStatus const& aStatus, base::Endpoint const& aSender,
                              base::Instant aNow)
 {
-  m_loaders[aStatus.m_host] = { aSender, aNow, aStatus.m_number };
+  auto& loader = m_loaders[aStatus.m_host];
+  if (loader.m_incarnation == aStatus.m_incarnation && loader.m_number > aStatus.m_number) {
+    return;
+  }
+  loader = { aSender, aNow, aStatus.m_incarnation, aStatus.m_number };
   if (!aStatus.m_canOrder) {
     m_planner.RemoveEngine(aStatus.m_host);
     return;
@@ -82,7 +87,8 @@
 bool FleetPlanning::OnHeartbeat(agent::EngineHeartbeat const& aHeartbeat, base::Instant aNow)
 {
   auto const found = m_loaders.find(aHeartbeat.m_host);
-  if (found == m_loaders.end() || found->second.m_number != aHeartbeat.m_number) {
+  if (found == m_loaders.end() || found->second.m_incarnation != aHeartbeat.m_incarnation ||
+      found->second.m_number < aHeartbeat.m_number) {
     return false;
   }
   found->second.m_lastContactAt = aNow;
@@ -101,6 +107,18 @@
   return neighbours;
 }
 
+agent::DomainAggregators FleetPlanning::Aggregators(base::Instant aNow) const
+{
+  std::vector<agent::AggregatorCandidate> candidates;
+  for (auto const& [host, gateway] : m_gateways) {
+    if (IsReporting(gateway, aNow)) {
+      candidates.push_back(
+        { host, gateway.m_endpoint, gateway.m_failureDomain, gateway.m_processorShare });
+    }
+  }
+  return agent::ChooseAggregators(std::move(candidates));
+}
+
 void FleetPlanning::Expire(base::Instant aNow)
 {
   for (auto const& [host, gateway] : m_gateways) {
@@ -131,6 +149,8 @@
   auto const reporting = std::ranges::count_if(
     m_gateways, [&](auto const& aItem) { return IsReporting(aItem.second, aNow); });
   auto const partNews = m_partNews.TakeDue(aNow);
+  bool const listsNeighbours = m_ticks % kTicksPerNeighbourList == 0;
+  auto const aggregators = listsNeighbours ? Aggregators(aNow) : agent::DomainAggregators();
   for (auto& [host, gateway] : m_gateways) {
     if (!IsReporting(gateway, aNow)) {
       continue;
@@ -143,12 +163,13 @@
                                    m_planner.ForecastsFor(host, aNow),
                                    {},
                                    {},
+                                   aggregators,
                                    std::nullopt,
                                    {},
                                    isNew ? m_partNews.AllCrashes(aNow) : partNews.m_crashes,
                                    partNews.m_acquittals,
                                    m_newestCatalog };
-    if (m_ticks % kTicksPerNeighbourList == 0) {
+    if (listsNeighbours) {
       summary.m_neighbours = NeighboursIn(gateway.m_failureDomain, aNow);
     }
     std::set<engine::UpstreamStart> leaving;
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -40,6 +40,7 @@
     base::Endpoint m_endpoint;
     base::FailureDomainId m_failureDomain;
     base::IncarnationId m_incarnation;
+    double m_processorShare = 0;
     /// Whether it has started, or chosen this planner, since the last summary.
     bool m_isNew = true;
     std::vector<agent::CrashReport> m_crashes;
@@ -52,12 +53,14 @@
   {
     base::Endpoint m_endpoint;
     base::Instant m_lastContactAt{};
+    base::IncarnationId m_incarnation;
     /// Number of the loader's last status.
     std::uint64_t m_number = 0;
   };
 
   std::map<base::HostId, base::Endpoint> NeighboursIn(base::FailureDomainId const& aDomain,
                                                       base::Instant aNow) const;
+  agent::DomainAggregators Aggregators(base::Instant aNow) const;
   void Expire(base::Instant aNow);
   void SendSummaries(base::Instant aNow);
   static bool IsReporting(Gateway const& aGateway, base::Instant aNow);
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -42,8 +42,9 @@
     , m_loadMetrics(m_metrics)
     , m_planning(m_profile, m_messenger)
     , m_registration(m_profile.m_address)
-    , m_gatewayStatus(m_messenger, m_profile.m_failureDomain)
-    , m_plannerStatus(m_messenger, m_profile.m_failureDomain)
+    , m_incarnation(base::IncarnationId::FromValidated(base::RandomHex(kIncarnationBytes)))
+    , m_gatewayStatus(m_messenger, m_profile.m_failureDomain, m_incarnation)
+    , m_plannerStatus(m_messenger, m_profile.m_failureDomain, m_incarnation)
     , m_loopMonitor(m_metrics, kTickInterval)
   {
   }
@@ -89,6 +90,7 @@
 private:
   static constexpr base::Duration kStoreTimeout = std::chrono::milliseconds(1500);
   static constexpr base::Duration kTickInterval = std::chrono::milliseconds(100);
+  static constexpr std::size_t kIncarnationBytes = 4;
 
   /// Registers this loader in the host's object, from which it has its fencing
   /// number, and registers again when the store may have lost that.
@@ -412,7 +414,8 @@
   {
     auto const status = MakeStatus();
     auto const forGateways = ForGateways(status);
-    m_gatewayStatus.Send(m_gateways.Gateways(), forGateways, aIsHeartbeatDue);
+    m_gatewayStatus.Send(m_gateways.Receivers(m_profile.m_failureDomain, m_loop.Now()), forGateways,
+                         aIsHeartbeatDue);
     m_plannerStatus.Send(m_gateways.Planners(m_profile.m_failureDomain), status, aIsHeartbeatDue);
   }
 
@@ -421,6 +424,8 @@
     auto const now = m_loop.Now();
     if (auto const* const presence = std::get_if<agent::GatewayPresence>(&aMessage)) {
       OnPresence(*presence, aOrigin, now);
+    } else if (auto const* const domain = std::get_if<agent::DomainPresence>(&aMessage)) {
+      OnDomainPresence(*domain, now);
     } else if (auto const* const report = std::get_if<agent::GatewayReport>(&aMessage)) {
       m_planning.OnReport(*report, aOrigin, now);
     } else if (auto const* const status = std::get_if<agent::EngineStatus>(&aMessage)) {
@@ -456,20 +461,42 @@
                   base::Instant aNow)
   {
     m_gateways.OnPresence(aPresence, aOrigin, aNow);
+    OnGateway(aPresence, aNow);
+    OnEngines(aPresence.m_engines);
+    // A gateway that has just started has no status of this engine.
+    SendStatus(false);
+  }
+
+  void OnDomainPresence(agent::DomainPresence const& aDomain, base::Instant aNow)
+  {
+    m_gateways.OnDomainPresence(aDomain, m_profile.m_failureDomain, aNow);
+    for (auto const& gateway : aDomain.m_gateways) {
+      OnGateway(gateway.m_presence, aNow);
+    }
+    OnEngines(aDomain.m_engines);
+    SendStatus(false);
+  }
+
+  void OnGateway(agent::GatewayPresence const& aPresence, base::Instant aNow)
+  {
     OnStoreEra(aPresence.m_storeEra);
     OnCatalogAnnounced(aPresence);
-    auto const engine = aPresence.m_engines.find(*m_profile.m_engine);
-    if (engine != aPresence.m_engines.end()) {
-      if (m_instance && m_instance->m_startedAt < engine->second.m_startedAt) {
-        // What an earlier start of the engine asked for does not hold for this one.
-        m_backoffEnd = {};
-        m_wake.Notify();
-      }
-      m_instance = engine->second;
-    }
     m_planning.OnPresence(aPresence, aNow);
-    // A gateway that has just started has no status of this engine.
-    SendStatus(false);
+  }
+
+  /// Takes which start of this host's engine is listed.
+  void OnEngines(std::map<base::Endpoint, agent::EngineIdentity> const& aEngines)
+  {
+    auto const engine = aEngines.find(*m_profile.m_engine);
+    if (engine == aEngines.end()) {
+      return;
+    }
+    if (m_instance && m_instance->m_startedAt < engine->second.m_startedAt) {
+      // What an earlier start of the engine asked for does not hold for this one.
+      m_backoffEnd = {};
+      m_wake.Notify();
+    }
+    m_instance = engine->second;
   }
 
   /// Has a newer catalog read only if it changes what engines may hold.
@@ -518,8 +545,9 @@
   entry::CatalogProgress m_catalog;
   /// Digest of the engine specs in the catalog that was read last.
   std::uint64_t m_engineSpecs = 0;
-  StatusSender m_gatewayStatus;
-  StatusSender m_plannerStatus;
+  base::IncarnationId m_incarnation;
+  StatusSender<FleetMessenger> m_gatewayStatus;
+  StatusSender<FleetMessenger> m_plannerStatus;
   LoopMonitor m_loopMonitor;
   bool m_hasReport = false;
   /// Whether the engine has announced since its start that it leaves.
--- a/Programs/Loader/StatusSender.h
+++ b/Programs/Loader/StatusSender.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "Programs/FleetMessenger.h"
+#include "Agent/Fleet/FleetCodec.h"
+#include "Programs/StatusMessenger.h"
 
 #include <algorithm>
 #include <string>
@@ -11,12 +12,15 @@
 /// Sends an engine's status to one kind of receivers. The complete status goes to
 /// all when something has changed that they act on, and to new receivers at once.
 /// Otherwise a heartbeat confirms that the last status still applies.
+template<StatusMessenger Messenger>
 class StatusSender
 {
 public:
-  StatusSender(FleetMessenger& aMessenger, base::FailureDomainId aLocalFailureDomain)
+  StatusSender(Messenger& aMessenger, base::FailureDomainId aLocalFailureDomain,
+               base::IncarnationId aIncarnation)
     : m_messenger(aMessenger)
     , m_localFailureDomain(std::move(aLocalFailureDomain))
+    , m_incarnation(std::move(aIncarnation))
   {
   }
 
@@ -29,6 +33,7 @@
       m_lastStableText = std::move(stableText);
       ++m_number;
     }
+    aStatus.m_incarnation = m_incarnation;
     aStatus.m_number = m_number;
     if (hasChanged) {
       m_messenger.Multicast(m_localFailureDomain, aReceivers, aStatus);
@@ -44,6 +49,7 @@
   /// Sends the status to a receiver that has missed the last one.
   void Resend(base::Endpoint const& aReceiver, agent::EngineStatus aStatus)
   {
+    aStatus.m_incarnation = m_incarnation;
     aStatus.m_number = m_number;
     m_messenger.Send(aReceiver, aStatus);
   }
@@ -63,8 +69,10 @@
 
   static agent::EngineHeartbeat MakeHeartbeat(agent::EngineStatus const& aStatus)
   {
-    return { aStatus.m_host,    aStatus.m_engine,   aStatus.m_number,         aStatus.m_running,
-             aStatus.m_waiting, aStatus.m_canOrder, aStatus.m_gatewaysPresent };
+    return {
+      aStatus.m_host,    aStatus.m_engine,  aStatus.m_incarnation, aStatus.m_number,
+      aStatus.m_running, aStatus.m_waiting, aStatus.m_canOrder,    aStatus.m_gatewaysPresent
+    };
   }
 
   std::vector<agent::MulticastReceiver> NewReceivers(
@@ -83,8 +91,9 @@
     return found;
   }
 
-  FleetMessenger& m_messenger;
+  Messenger& m_messenger;
   base::FailureDomainId m_localFailureDomain;
+  base::IncarnationId m_incarnation;
   std::string m_lastStableText;
   std::uint64_t m_number = 0;
   std::vector<agent::MulticastReceiver> m_lastReceivers;
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -97,7 +97,13 @@
   CheckRoundTrip(report);
   BOOST_TEST(EncodeFleetMessage(report).find(R"("leaving":[["i-1","10.0.0.1:80",123]])") !=
              std::string::npos);
-  CheckRoundTrip(EngineHeartbeat{ status.m_host, status.m_engine, 7, 1, 2, true, 4 });
+  status.m_incarnation = base::IncarnationId::FromValidated("77ab");
+  EngineHeartbeat const heartbeat{
+    status.m_host, status.m_engine, status.m_incarnation, 7, 1, 2, true, 4
+  };
+  CheckRoundTrip(heartbeat);
+  CheckRoundTrip(EngineDigest{ kDomain, { status }, { heartbeat, heartbeat } });
+  CheckRoundTrip(EngineDigest{ kDomain, {}, {} });
   CheckRoundTrip(StatusRequest{ status.m_host });
   CheckRoundTrip(
     GatewayPresence{ report.m_host,
@@ -115,11 +121,25 @@
                                  { { kModel, milliseconds(70) } },
                                  report.m_crashes,
                                  { { report.m_host, { "10.0.0.2", 7600 } } },
+                                 { { kDomain, { { "10.0.0.2", 7600 }, { "10.0.0.3", 7600 } } } },
                                  milliseconds(30),
                                  report.m_leaving,
                                  report.m_partCrashes,
                                  report.m_partAcquittals,
                                  base::CatalogVersion(9) });
+  GatewayPresence const member{ report.m_host,
+                                report.m_incarnation,
+                                kDomain,
+                                { "10.0.0.2", 7600 },
+                                base::CatalogVersion(9),
+                                77,
+                                {},
+                                base::StoreEra(3) };
+  CheckRoundTrip(
+    DomainPresence{ kDomain,
+                    { { { "10.0.0.4", 7600 }, member } },
+                    { { "10.0.0.4", 7600 } },
+                    { { status.m_engine, { engine::InstanceId::FromValidated("i-1"), 123 } } } });
   CheckRoundTrip(MakeUpdate(2));
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
@@ -154,11 +174,31 @@
       R"({"method":"engine.swap","params":{"load":"m","unload":[""]}})",
       R"({"method":"gateway.report","params":{"host":"h","incarnation":"i","complete":true,"demand":[7],"granted":{}}})",
       R"({"method":"planner.summary","params":{"epoch":"e","present":-1,"reporting":1,"granted":{},"outlooks":{}}})",
+      R"({"method":"engine.digest","params":{"failure_domain":"a","statuses":[],"alive":[[1]]}})",
+      R"({"method":"engine.digest","params":{"failure_domain":"a","statuses":[{}],"alive":[]}})",
+      R"({"method":"domain.presence","params":{"failure_domain":"a","gateways":[["10.0.0.1:80"]],"aggregators":[],"engines":[]}})",
+      R"({"method":"domain.presence","params":{"failure_domain":"a","gateways":[],"aggregators":[7],"engines":[]}})",
+      R"({"method":"planner.summary","params":{"epoch":"e","present":1,"reporting":1,"granted":{},"outlooks":{},"neighbours":{},"aggregators":[]}})",
       R"({"method":"unheard.of","params":{}})" }) {
     BOOST_TEST(!DecodeFleetMessage(text).has_value(), text);
   }
 }
 
+/// A loader of the former build names no incarnation. An aggregator that passes its
+/// heartbeat on must not make the whole digest unreadable.
+BOOST_AUTO_TEST_CASE(AHeartbeatWithoutIncarnationIsReadAndPassedOn)
+{
+  auto const decoded = DecodeFleetMessage(
+    R"({"method":"engine.alive","params":{"host":"h","engine":"10.0.0.1:80","number":3,"running":1,"waiting":0,"can_order":true,"gateways":2}})");
+  BOOST_REQUIRE(decoded.has_value());
+  auto const heartbeat = std::get<EngineHeartbeat>(decoded->m_message);
+  BOOST_TEST(heartbeat.m_number == 3U);
+  auto const digest =
+    DecodeFleetMessage(EncodeFleetMessage(EngineDigest{ kDomain, {}, { heartbeat } }));
+  BOOST_REQUIRE(digest.has_value());
+  BOOST_REQUIRE(std::get<EngineDigest>(digest->m_message).m_heartbeats.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(EnvelopesCarryOriginAndReceivers)
 {
   FleetEnvelope const envelope{ StatusRequest{ base::HostId::FromValidated("h") },
--- a/Tests/SharedAllowanceTest.cpp
+++ b/Tests/SharedAllowanceTest.cpp
@@ -297,19 +297,39 @@
     return ledger.GrantedByOthers(aHost)[kWorkspace].Value();
   };
   // The first report of a process only sets its baseline.
-  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'000) } });
-  ledger.OnReport(two, first, {});
+  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'000) } }, true);
+  ledger.OnReport(two, first, {}, true);
   BOOST_TEST(othersOf(two) == 0);
-  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'300) } });
-  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'300) } });
+  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'300) } }, false);
+  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'300) } }, false);
   BOOST_TEST(othersOf(two) == 300);
   BOOST_TEST(othersOf(one) == 0);
   // A restarted process counts from zero; its earlier grants remain counted.
-  ledger.OnReport(one, second, { { kWorkspace, base::Tokens(200) } });
+  ledger.OnReport(one, second, { { kWorkspace, base::Tokens(200) } }, true);
   BOOST_TEST(othersOf(two) == 500);
-  ledger.OnReport(two, first, { { kWorkspace, base::Tokens(70) } });
+  ledger.OnReport(two, first, { { kWorkspace, base::Tokens(70) } }, false);
   BOOST_TEST(othersOf(one) == 70);
   BOOST_TEST(othersOf(two) == 500);
   ledger.Remove(one);
   BOOST_TEST(othersOf(two) == 500);
 }
+
+/// A ledger that began with an incomplete report would later take the grants that the
+/// report lacked for new ones, and refuse others' requests for them.
+BOOST_AUTO_TEST_CASE(AnIncompleteReportDoesNotBeginALedger)
+{
+  auto const one = base::HostId::FromValidated("one");
+  auto const incarnation = base::IncarnationId::FromValidated("first");
+  auto const other = base::WorkspaceId::FromValidated("other");
+  GrantLedger ledger;
+  ledger.OnReport(one, incarnation, { { other, base::Tokens(10) } }, false);
+  ledger.OnReport(one, incarnation,
+                  { { kWorkspace, base::Tokens(5'000) }, { other, base::Tokens(10) } }, true);
+  auto const none = ledger.GrantedByOthers(base::HostId::FromValidated("two"));
+  BOOST_TEST((!none.contains(kWorkspace) || none.at(kWorkspace) == base::Tokens()));
+  ledger.OnReport(one, incarnation, { { other, base::Tokens(25) } }, false);
+  ledger.OnReport(one, incarnation, { { kWorkspace, base::Tokens(5'300) } }, false);
+  auto const granted = ledger.GrantedByOthers(base::HostId::FromValidated("two"));
+  BOOST_TEST(granted.at(kWorkspace).Value() == 300);
+  BOOST_TEST(granted.at(other).Value() == 15);
+}
