Gateway: Don't take an own pause for the planner's silence

Cause: the planner was left when no summary had been read for 450 ms, also when the gateway itself had not run in that time and the summaries waited in its socket.

Change: after a gap of over 250 ms between two ticks, a gateway keeps its planner for 150 ms, in which it reads what arrived.

Test: AGatewayThatWasPausedKeepsItsPlanner; with the former rule the second planner is chosen at the first tick after the pause.

--- a/Programs/Gateway/PlannerSelector.h
+++ b/Programs/Gateway/PlannerSelector.h
@@ -45,6 +45,11 @@
     static constexpr base::Duration kPlannerTimeout = std::chrono::milliseconds(450);
     // Time until a loader that did not respond as the planner is tried again.
     static constexpr base::Duration kRetryPause = std::chrono::seconds(3);
+    bool const isKnown = std::ranges::any_of(
+      m_loaders, [this](auto const& aItem) { return aItem.second.m_endpoint == m_planner; });
+    if (IsCatchingUp(aNow) && isKnown) {
+      return m_planner;
+    }
     std::erase_if(m_loaders, [aNow](auto const& aItem) {
       return aNow - aItem.second.m_lastContactAt > kLoaderTimeout;
     });
@@ -66,6 +71,20 @@
   }
 
 private:
+  /// Whether this process has been paused and may not have read yet what arrived
+  /// meanwhile. Its own pause is no silence of others.
+  bool IsCatchingUp(base::Instant aNow)
+  {
+    // Planner() is called ten times a second.
+    static constexpr base::Duration kPause = std::chrono::milliseconds(250);
+    static constexpr base::Duration kReadingTime = std::chrono::milliseconds(150);
+    if (m_lastCallAt != base::Instant() && aNow - m_lastCallAt > kPause) {
+      m_catchingUpUntil = aNow + kReadingTime;
+    }
+    m_lastCallAt = aNow;
+    return aNow < m_catchingUpUntil;
+  }
+
   struct Loader
   {
     base::Endpoint m_endpoint;
@@ -76,6 +95,8 @@
   std::map<base::HostId, Loader> m_loaders;
   std::optional<base::Endpoint> m_planner;
   base::Instant m_lastResponseAt{};
+  base::Instant m_lastCallAt{};
+  base::Instant m_catchingUpUntil{};
 };
 
 } // namespace sardinefold::programs
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -317,6 +317,33 @@
   choice.OnLoader(base::HostId::FromValidated("b"), two, false, kStart + milliseconds(1'500));
   BOOST_TEST(!choice.Planner(kStart + milliseconds(1'500)).has_value());
 }
+/// A gateway that wakes from a pause has summaries waiting in its socket. If it took its
+/// own pause for the planner's silence, it would be alone at another planner, with the
+/// allowance of one gateway, for seconds.
+BOOST_AUTO_TEST_CASE(AGatewayThatWasPausedKeepsItsPlanner)
+{
+  programs::PlannerSelector choice;
+  base::Endpoint const one{ "10.0.0.1", 7600 };
+  base::Endpoint const two{ "10.0.0.2", 7600 };
+  auto now = kStart;
+  choice.OnLoader(base::HostId::FromValidated("a"), one, true, now);
+  choice.OnLoader(base::HostId::FromValidated("b"), two, true, now);
+  BOOST_TEST((choice.Planner(now) == one));
+  now += milliseconds(2'800);
+  BOOST_TEST((choice.Planner(now) == one));
+  // Then it reads what arrived.
+  choice.OnLoader(base::HostId::FromValidated("a"), one, true, now);
+  choice.OnLoader(base::HostId::FromValidated("b"), two, true, now);
+  choice.OnSummary(one, now);
+  for (int tick = 0; tick < 4; ++tick) {
+    now += milliseconds(100);
+    BOOST_TEST((choice.Planner(now) == one));
+  }
+  // One that is silent indeed is still replaced.
+  now += milliseconds(100);
+  BOOST_TEST((choice.Planner(now) == two));
+}
+
 
 BOOST_AUTO_TEST_CASE(StreamsAreSplitAfterCompleteEvents)
 {
