Entry: Let the gateways that aggregate watch the store

Cause: the first two gateways of a domain by name watched the store and passed each change on to all others of the domain.

Change: the aggregator and its deputy, which have the largest processor share, watch; where the planner names none, the first two by name as before.

Test: PreferredProcessesWatchInsteadOfTheFirstByName (fails by design with the former rule, which knew no preference).

--- a/Entry/Relay/WatchRole.cpp
+++ b/Entry/Relay/WatchRole.cpp
@@ -5,8 +5,10 @@
 
 namespace sardinefold::entry {
 
-void WatchRole::OnNeighbours(std::map<base::HostId, base::Endpoint> aNeighbours, base::Instant aNow)
+void WatchRole::OnNeighbours(std::map<base::HostId, base::Endpoint> aNeighbours,
+                             std::vector<base::Endpoint> aPreferred, base::Instant aNow)
 {
+  m_preferred = std::move(aPreferred);
   m_neighbours = std::move(aNeighbours);
   m_neighboursReceivedAt = aNow;
   std::erase_if(m_watchers, [&](auto const& aItem) { return !m_neighbours.contains(aItem.first); });
@@ -32,6 +34,11 @@
   if (!HasRecentNeighbours(aNow)) {
     return true;
   }
+  if (!m_preferred.empty()) {
+    auto const rank = std::ranges::find(m_preferred, m_neighbours.at(m_self)) - m_preferred.begin();
+    return rank < std::ranges::ssize(m_preferred) &&
+           rank < static_cast<std::ptrdiff_t>(m_limits.m_watchers);
+  }
   auto const rank = std::distance(m_neighbours.begin(), m_neighbours.find(m_self));
   return rank < static_cast<std::ptrdiff_t>(m_limits.m_watchers);
 }
--- a/Entry/Relay/WatchRole.h
+++ b/Entry/Relay/WatchRole.h
@@ -26,8 +26,8 @@
 
 /// Decides whether a process watches the object store itself or relies on others
 /// of its failure domain that do, so that the number of calls to the store does
-/// not grow with the fleet. The first processes by name watch, and so does any
-/// process without fresh updates from them.
+/// not grow with the fleet. The processes that the planner prefers watch, without any
+/// the first by name, and so does any process without fresh updates from them.
 class WatchRole
 {
 public:
@@ -37,8 +37,10 @@
   {
   }
 
-  /// Replaces the processes of the failure domain, including this one.
-  void OnNeighbours(std::map<base::HostId, base::Endpoint> aNeighbours, base::Instant aNow);
+  /// Replaces the processes of the failure domain, including this one. The preferred
+  /// ones watch before the others.
+  void OnNeighbours(std::map<base::HostId, base::Endpoint> aNeighbours,
+                    std::vector<base::Endpoint> aPreferred, base::Instant aNow);
   /// Records how long ago the store last responded to a watcher, by its own
   /// report, and the era that the watcher knows.
   void OnUpdate(base::HostId const& aWatcher, base::StoreEra aEra, base::Duration aListAge,
@@ -71,6 +73,7 @@
   WatchRoleLimits m_limits;
   base::HostId m_self;
   std::map<base::HostId, base::Endpoint> m_neighbours;
+  std::vector<base::Endpoint> m_preferred;
   base::Instant m_neighboursReceivedAt{};
   std::map<base::HostId, Watcher> m_watchers;
   base::StoreEra m_era;
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -251,7 +251,12 @@
     m_fleet.OnSummary(aOrigin, aNow);
     m_state.OnGatewaysPresent(aSummary.m_gatewaysPresent);
     if (!aSummary.m_neighbours.empty()) {
-      m_store.OnNeighbours(aSummary.m_neighbours, aNow);
+      auto const aggregators = aSummary.m_aggregators.find(m_state.m_profile.m_failureDomain);
+      m_store.OnNeighbours(aSummary.m_neighbours,
+                           aggregators == aSummary.m_aggregators.end()
+                             ? std::vector<base::Endpoint>()
+                             : aggregators->second,
+                           aNow);
       m_domain.OnNamed(aSummary.m_neighbours, aSummary.m_aggregators, aNow);
     }
     if (aSummary.m_storeAge) {
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -63,9 +63,11 @@
 
   void SetEndpoint(base::Endpoint aStore) { m_store.SetEndpoint(std::move(aStore)); }
 
-  void OnNeighbours(std::map<base::HostId, base::Endpoint> aNeighbours, base::Instant aNow)
+  /// Takes the gateways of the failure domain, and which of them aggregate there.
+  void OnNeighbours(std::map<base::HostId, base::Endpoint> aNeighbours,
+                    std::vector<base::Endpoint> aAggregators, base::Instant aNow)
   {
-    m_role.OnNeighbours(std::move(aNeighbours), aNow);
+    m_role.OnNeighbours(std::move(aNeighbours), std::move(aAggregators), aNow);
   }
 
   /// Handles an update from a neighbour that watches the store.
--- a/Tests/RestoredStoreRelayTest.cpp
+++ b/Tests/RestoredStoreRelayTest.cpp
@@ -184,7 +184,7 @@
     for (std::size_t number = 0; number < kPeers; ++number) {
       neighbours.emplace(HostOf(number), base::Endpoint{ "10.0.0.1", std::uint16_t(number + 1) });
     }
-    m_role.OnNeighbours(std::move(neighbours), aNow);
+    m_role.OnNeighbours(std::move(neighbours), {}, aNow);
   }
 
   std::optional<Call> NextCall(base::Instant aNow, Random& aRandom)
--- a/Tests/StoreRelayTest.cpp
+++ b/Tests/StoreRelayTest.cpp
@@ -78,8 +78,8 @@
   // A process without known neighbours watches.
   BOOST_TEST(third.IsWatcher(kStart));
   BOOST_TEST(!third.MaySuspendListWatch(kStart));
-  first.OnNeighbours(Neighbours(), kStart);
-  third.OnNeighbours(Neighbours(), kStart);
+  first.OnNeighbours(Neighbours(), {}, kStart);
+  third.OnNeighbours(Neighbours(), {}, kStart);
   BOOST_TEST(first.IsWatcher(kStart));
   BOOST_TEST(!third.IsWatcher(kStart));
   // Watchers update each other, too.
@@ -96,7 +96,7 @@
   limits.m_listAge = milliseconds(1500);
   limits.m_catalogAge = milliseconds(1900);
   WatchRole role(limits, Host("d"));
-  role.OnNeighbours(Neighbours(), kStart);
+  role.OnNeighbours(Neighbours(), {}, kStart);
   BOOST_TEST(!role.MaySuspendListWatch(kStart));
   role.OnUpdate(Host("a"), base::StoreEra(), milliseconds(200), milliseconds(600), kStart);
   BOOST_TEST(role.MaySuspendListWatch(kStart));
@@ -119,7 +119,7 @@
 BOOST_AUTO_TEST_CASE(AFollowerReliesOnNoWatcherOfAnEarlierEra)
 {
   WatchRole role({}, Host("d"));
-  role.OnNeighbours(Neighbours(), kStart);
+  role.OnNeighbours(Neighbours(), {}, kStart);
   role.OnUpdate(Host("a"), base::StoreEra(1), milliseconds(0), milliseconds(0), kStart);
   BOOST_TEST(role.MaySuspendListWatch(kStart));
   role.OnEra(base::StoreEra(2));
@@ -470,3 +470,22 @@
   }
   domain.CheckEnd();
 }
+
+/// Watching and passing on takes a host's link and processor: on the smallest ones a
+/// site's first by name fell behind, and their neighbours with them.
+BOOST_AUTO_TEST_CASE(PreferredProcessesWatchInsteadOfTheFirstByName)
+{
+  WatchRole first({}, Host("a"));
+  WatchRole third({}, Host("c"));
+  std::vector<base::Endpoint> const preferred{ Neighbours().at(Host("c")),
+                                               Neighbours().at(Host("d")) };
+  first.OnNeighbours(Neighbours(), preferred, kStart);
+  third.OnNeighbours(Neighbours(), preferred, kStart);
+  BOOST_TEST(!first.IsWatcher(kStart));
+  BOOST_TEST(third.IsWatcher(kStart));
+  BOOST_TEST(first.UpdateRecipients(kStart).empty());
+  BOOST_TEST(third.UpdateRecipients(kStart).size() == Neighbours().size() - 1);
+  // Without updates, and without neighbours, each watches for itself.
+  BOOST_TEST(!first.MaySuspendListWatch(kStart));
+  BOOST_TEST(first.IsWatcher(kStart + std::chrono::seconds(10)));
+}
