--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -172,6 +172,14 @@
   return found != m_upstreams.end() && IsListed(found->second);
 }
 
+bool UpstreamDirectory::Knows(UpstreamEntry const& aEntry) const
+{
+  auto const found = m_upstreams.find(aEntry.m_instance);
+  return found != m_upstreams.end() && !found->second.m_usableUntil &&
+         StartOf(found->second.m_entry) == StartOf(aEntry) &&
+         found->second.m_entry.m_isDraining == aEntry.m_isDraining;
+}
+
 bool UpstreamDirectory::MaySend(UpstreamChoice const& aChoice, base::Instant aNow) const
 {
   auto const found = m_upstreams.find(aChoice.m_instance);
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -279,6 +279,8 @@
   /// Changes whenever Entries() may have changed.
   std::uint64_t Revision() const { return m_revision; }
   std::size_t Size() const { return m_upstreams.size(); }
+  /// Whether that start of the upstream is listed already, draining as in the entry.
+  bool Knows(UpstreamEntry const& aEntry) const;
   /// Whether the upstream is listed and not draining.
   bool IsListed(InstanceId const& aInstance) const;
   std::size_t CountListed() const;
--- a/Programs/Gateway/UpstreamListing.h
+++ b/Programs/Gateway/UpstreamListing.h
@@ -15,12 +15,16 @@
   auto const upstream = aEntry.m_instance;
   auto const deployment = aEntry.m_deployment;
   bool const isDraining = aEntry.m_isDraining;
+  // Engines write their entries anew with each model that they load.
+  bool const isNews = !aState.m_directory.Knows(aEntry);
   auto const outcome = aState.m_directory.OnListed(std::move(aEntry), aNow, aSource);
   std::string const reading(ToText(outcome));
-  base::log::Info("upstream listed", { { "upstream", upstream.Text() },
-                                       { "deployment", deployment.Text() },
-                                       { "leaving", isDraining ? "true" : "false" },
-                                       { "taken_for", reading } });
+  if (isNews || outcome != engine::ListingOutcome::Believed) {
+    base::log::Info("upstream listed", { { "upstream", upstream.Text() },
+                                         { "deployment", deployment.Text() },
+                                         { "leaving", isDraining ? "true" : "false" },
+                                         { "taken_for", reading } });
+  }
   if (outcome != engine::ListingOutcome::Believed) {
     aState.m_metrics
       .Counter("sardinefold_gateway_upstream_entries_doubted_total",
