Engine: Keep the load of a loader that is silent for some seconds

With one lost datagram and a late one, the load that the engine was carrying out no longer counted, and the same model was ordered from another engine: a second load of 7.8 s from the weight store for one wait.

Change: after 1.5 s an engine gets nothing new, but what it holds and loads counts until 6 s have passed.

Tests: ALoadAtAnEngineThatIsSilentIsNotBegunAgainElsewhere, and with the planner's messages ASilentLoadersLoadIsNotOrderedFromAnother; with the former time-out the second one sees the model ordered again after 1.5 s.

--- a/Engine/SwapPlanner.cpp
+++ b/Engine/SwapPlanner.cpp
@@ -60,11 +60,28 @@
   }
   engine.m_status = std::move(aEngine);
   engine.m_reportedAt = aNow;
+  engine.m_isSilent = false;
   if (hasChanged) {
     CountLocalCopies(engine, 1);
   }
 }
 
+void SwapPlanner::SetSilent(base::HostId const& aLoader)
+{
+  auto const found = m_engines.find(aLoader);
+  if (found != m_engines.end()) {
+    found->second.m_isSilent = true;
+  }
+}
+
+void SwapPlanner::SetReporting(base::HostId const& aLoader)
+{
+  auto const found = m_engines.find(aLoader);
+  if (found != m_engines.end()) {
+    found->second.m_isSilent = false;
+  }
+}
+
 void SwapPlanner::RemoveEngine(base::HostId const& aLoader)
 {
   auto const found = m_engines.find(aLoader);
@@ -150,8 +167,9 @@
 
 bool SwapPlanner::IsFree(Engine const& aEngine) const
 {
-  return !aEngine.m_status.m_isLeaving && !aEngine.m_assigned && !aEngine.m_status.m_loading &&
-         !aEngine.m_status.m_unloading && m_specs.contains(aEngine.m_status.m_deployment);
+  return !aEngine.m_status.m_isLeaving && !aEngine.m_isSilent && !aEngine.m_assigned &&
+         !aEngine.m_status.m_loading && !aEngine.m_status.m_unloading &&
+         m_specs.contains(aEngine.m_status.m_deployment);
 }
 
 void SwapPlanner::CountLoads()
--- a/Engine/SwapPlanner.h
+++ b/Engine/SwapPlanner.h
@@ -72,6 +72,11 @@
 
   void SetSpec(base::DeploymentId const& aDeployment, operators::EngineSpec aSpec);
   void OnEngine(PlannedEngine aEngine, base::Instant aNow);
+  /// The loader has not reported for some time. Its engine gets no new swaps, but what
+  /// it holds and loads still counts, as it may only be unable to report.
+  void SetSilent(base::HostId const& aLoader);
+  /// The loader's last status still holds.
+  void SetReporting(base::HostId const& aLoader);
   void RemoveEngine(base::HostId const& aLoader);
   /// Takes the demand at one gateway. A complete report replaces all its
   /// earlier reports; a partial one replaces only the entries of the models
@@ -113,6 +118,7 @@
     std::optional<PlannedSwap> m_assigned;
     base::Instant m_assignedAt{};
     std::map<base::ModelId, base::Instant> m_loadedAt;
+    bool m_isSilent = false;
     /// Computed when a plan first looks at the engine.
     std::optional<Room> m_room;
   };
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -18,8 +18,20 @@
 constexpr base::Duration kGatewayTimeout = std::chrono::seconds(4);
 /// How long the grants already counted for an unresponsive gateway are kept.
 constexpr base::Duration kGrantRetention = std::chrono::seconds(60);
-/// Loaders send a status or a heartbeat more often than this.
-constexpr base::Duration kLoaderTimeout = std::chrono::milliseconds(1500);
+/// Loaders send a heartbeat every 0.8 s. One that is silent for this long is given
+/// nothing new to do.
+constexpr base::Duration kLoaderSilence = std::chrono::milliseconds(1500);
+/// After this time without any message its engine is taken to be gone. A load from the
+/// weight store takes about as long, so that little is gained by loading elsewhere
+/// earlier.
+constexpr base::Duration kLoaderTimeout = std::chrono::seconds(6);
+
+/// A crash is passed on several times, since messages may be lost. Gateways report it
+/// for half a second; it is kept for longer, so that it counts as new only once.
+constexpr unsigned kCrashRepeats = 3;
+constexpr base::Duration kCrashRetention = std::chrono::seconds(2);
+/// Keeps the news well below the size of a datagram; the others follow in the next one.
+constexpr std::size_t kMaximumCrashes = 200;
 
 constexpr std::size_t kEpochBytes = 6;
 /// Only one summary in this many carries the list of neighbours.
@@ -95,6 +107,7 @@
   return true;
 }
 
+  m_planner.SetReporting(aHeartbeat.m_host);
 std::map<base::HostId, base::Endpoint> FleetPlanning::NeighboursIn(
   base::FailureDomainId const& aDomain, base::Instant aNow) const
 {
@@ -136,7 +149,11 @@
   std::erase_if(m_lastPresence,
                 [&](auto const& aItem) { return aNow - aItem.second > kGatewayTimeout; });
   std::erase_if(m_loaders, [&](auto const& aItem) {
-    if (aNow - aItem.second.m_lastContactAt <= kLoaderTimeout) {
+    auto const silence = aNow - aItem.second.m_lastContactAt;
+    if (silence > kLoaderSilence) {
+      m_planner.SetSilent(aItem.first);
+    }
+    if (silence <= kLoaderTimeout) {
       return false;
     }
     m_planner.RemoveEngine(aItem.first);
--- a/Tests/FleetPlanningTest.cpp
+++ b/Tests/FleetPlanningTest.cpp
@@ -141,6 +141,137 @@
   BOOST_TEST(summaries[1].m_partCrashes.empty());
   BOOST_REQUIRE(summaries[2].m_partCrashes.size() == 2U);
   // The planner adds the time that has passed since the first report.
-  BOOST_TEST((summaries[2].m_partCrashes[0].m_age == 800ms));
-  BOOST_TEST(summaries[3].m_partCrashes.empty());
+  BOOST_TEST((afterRestart->m_partCrashes[0].m_age == 800ms));
+}
+
+/// With hundreds of crashes reported five times each, summaries that list them for each
+/// gateway take the planner longer than its tick.
+BOOST_AUTO_TEST_CASE(ACrashIsPassedOnAFewTimesHoweverOftenItIsReported)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  programs::FleetMessenger messenger(loop);
+  std::vector<agent::CrashReport> crashes;
+  auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
+    if (auto const* const message = std::get_if<agent::PlannerNews>(&aMessage)) {
+      crashes.insert(crashes.end(), message->m_crashes.begin(), message->m_crashes.end());
+    }
+  };
+  BOOST_REQUIRE(messenger.Listen(kListening, onMessage).has_value());
+  base::ProcessProfile const profile;
+  programs::FleetPlanning planning(profile, messenger);
+  auto const start = loop.Now();
+  auto run = [&]() -> awaitable<void> {
+    for (int tick = 0; tick < 10; ++tick) {
+      auto const now = start + tick * 100ms;
+      auto other = Report("front-2", 40ms);
+      other.m_crashes = { { base::FingerprintId::FromValidated("77"),
+                            base::UpstreamId::FromValidated("i-1"), tick * 100ms + 10ms } };
+      planning.OnReport(Report("front-1", 40ms), kListening, now);
+      planning.OnReport(other, kOther, now);
+      planning.Tick(now);
+      co_await loop.Sleep(10ms);
+    }
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  BOOST_REQUIRE(crashes.size() == 3U);
+  BOOST_TEST((crashes[0].m_age == 10ms));
+  BOOST_TEST((crashes[2].m_age == 210ms));
+}
+
+/// Two gateways of the largest processor share of a domain are named to all.
+BOOST_AUTO_TEST_CASE(ThePlannerNamesTheAggregatorsOfADomain)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  programs::FleetMessenger messenger(loop);
+  agent::DomainAggregators named;
+  auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
+    if (auto const* const summary = std::get_if<agent::PlannerSummary>(&aMessage)) {
+      named = summary->m_aggregators;
+    }
+  };
+  BOOST_REQUIRE(messenger.Listen(kListening, onMessage).has_value());
+  base::ProcessProfile const profile;
+  programs::FleetPlanning planning(profile, messenger);
+  auto const start = loop.Now();
+  auto run = [&]() -> awaitable<void> {
+    planning.OnReport(Report("front-1", 40ms), kListening, start);
+    for (unsigned number = 2; number <= 5; ++number) {
+      auto report = Report(("front-" + std::to_string(number)).c_str(), 40ms);
+      report.m_processorShare = number >= 4 ? 0.5 : 0.09;
+      planning.OnReport(report, { "127.0.5." + std::to_string(number), 27'611 }, start);
+    }
+    planning.Tick(start);
+    co_await loop.Sleep(20ms);
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  std::vector<base::Endpoint> const expected{ { "127.0.5.4", 27'611 }, { "127.0.5.5", 27'611 } };
+  BOOST_REQUIRE(named.size() == 1U);
+  BOOST_TEST((named.begin()->second == expected));
+}
+
+/// Three of a loader's heartbeats lost, or a link that is down for some seconds, must not
+/// have its engine's load begun again at another.
+BOOST_AUTO_TEST_CASE(ASilentLoadersLoadIsNotOrderedFromAnother)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  programs::FleetMessenger messenger(loop);
+  std::vector<base::ModelId> ordered;
+  auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
+    if (auto const* const swap = std::get_if<agent::SwapRequest>(&aMessage)) {
+      ordered.push_back(swap->m_load);
+    }
+  };
+  BOOST_REQUIRE(messenger.Listen(kListening, onMessage).has_value());
+  base::ProcessProfile const profile;
+  programs::FleetPlanning planning(profile, messenger);
+  auto const model = base::ModelId::FromValidated("rare");
+  auto const deployment = base::DeploymentId::FromValidated("assistant");
+  operators::EngineSpec spec;
+  spec.m_weights = base::Megabytes(200);
+  operators::ModelSpec facts;
+  facts.m_id = model;
+  facts.m_weights = base::Megabytes(70);
+  facts.m_loadFromStore = 8s;
+  spec.m_models.emplace(model, facts);
+  planning.SetSpec(deployment, spec);
+  auto const start = loop.Now();
+  auto const status = [&](char const* aHost) {
+    agent::EngineStatus result;
+    result.m_host = base::HostId::FromValidated(aHost);
+    result.m_deployment = deployment;
+    result.m_canOrder = true;
+    return result;
+  };
+  auto run = [&]() -> awaitable<void> {
+    auto loading = status("side-1");
+    loading.m_change = { model, 8s, std::nullopt };
+    planning.OnStatus(loading, kOther, start);
+    // The other loader reports on.
+    for (auto after = 0ms; after <= 7000ms; after += 500ms) {
+      auto const now = start + after;
+      auto report = Report("front-1", 40ms);
+      engine::WaitingDemand demand;
+      demand.m_model = model;
+      demand.m_waiting = 3;
+      demand.m_worth = 9;
+      demand.m_timeToGoal = 3s;
+      report.m_demand = { demand };
+      planning.OnReport(report, kOther, now);
+      planning.OnStatus(status("side-2"), kListening, now);
+      planning.Tick(now);
+      co_await loop.Sleep(5ms);
+      if (after == 5500ms) {
+        BOOST_TEST(ordered.empty());
+      }
+    }
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  // By then the engine counts as gone.
+  BOOST_TEST(!ordered.empty());
 }
--- a/Tests/SwapPlannerTest.cpp
+++ b/Tests/SwapPlannerTest.cpp
@@ -313,6 +313,29 @@
   BOOST_TEST(FindSwap(swaps, "a")->m_loader == Loader("two"));
 }
 
+/// A loader whose messages are lost or late for two seconds goes on loading. A planner
+/// that forgot it would have the same model loaded at a second engine.
+BOOST_FIXTURE_TEST_CASE(ALoadAtAnEngineThatIsSilentIsNotBegunAgainElsewhere, Fixture)
+{
+  auto loading = EngineWith("one", { "a" });
+  loading.m_loading = Model("c");
+  loading.m_readyIn = seconds(5);
+  m_planner.OnEngine(loading, kStart);
+  m_planner.OnEngine(EngineWith("two", { "b" }), kStart);
+  m_planner.OnDemand(kGateway, { MakeWaitingDemand("c", 5, 5, seconds(3)) }, true);
+  m_planner.SetSilent(Loader("one"));
+  auto const now = kStart + seconds(2);
+  BOOST_TEST(!FindSwap(m_planner.Plan(now), "c").has_value());
+  // It gets nothing new meanwhile.
+  for (auto const& swap : m_planner.Plan(now)) {
+    BOOST_TEST(swap.m_loader != Loader("one"));
+  }
+  m_planner.SetReporting(Loader("one"));
+  BOOST_TEST(!FindSwap(m_planner.Plan(now), "c").has_value());
+  m_planner.RemoveEngine(Loader("one"));
+  BOOST_TEST(FindSwap(m_planner.Plan(now), "c").has_value());
+}
+
 /// A planner that needs longer than its loader's share of a tick falls behind, and the
 /// gateways' allowances with it. Before its counts were kept for the whole plan, the
 /// forecasts alone took half a second.
