Loader: Pass reports of failures on once for all gateways

Cause: each summary listed the crashes that all other gateways had reported in the last half second, put together and encoded for each gateway: with 103 gateways and hundreds of answers that are lost, that is gateways squared times crashes, ten times a second, on 0.2 of a core.

Change: failures and leavings travel in a message of their own, encoded once for all; a crash is passed on three times however often it is reported, with its age. Receivers take their own reports as known. A loader compares statuses instead of their text.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -358,19 +358,12 @@
 
 PlannerSummary ToPlannerSummary(Json::Value const& aParams)
 {
-  PlannerSummary summary{ Text(Member(aParams, "epoch")),
-                          Count(Member(aParams, "present")),
-                          Count(Member(aParams, "reporting")),
-                          ToGrants(Member(aParams, "granted")),
-                          ToForecasts(Member(aParams, "outlooks")),
-                          ToCrashes(aParams),
-                          {},
-                          {},
-                          std::nullopt,
-                          ToLeaving(aParams),
-                          ToPartCrashes(aParams),
-                          ToPartAcquittals(aParams),
-                          {} };
+  PlannerSummary summary;
+  summary.m_epoch = Text(Member(aParams, "epoch"));
+  summary.m_gatewaysPresent = Count(Member(aParams, "present"));
+  summary.m_gatewaysReporting = Count(Member(aParams, "reporting"));
+  summary.m_grantedByOthers = ToGrants(Member(aParams, "granted"));
+  summary.m_forecasts = ToForecasts(Member(aParams, "outlooks"));
   if (aParams.isMember("catalog")) {
     summary.m_catalog = base::CatalogVersion(UnsignedInteger(aParams["catalog"]));
   }
@@ -395,6 +388,12 @@
   return summary;
 }
 
+PlannerNews ToPlannerNews(Json::Value const& aParams)
+{
+  return { ToCrashes(aParams), ToLeaving(aParams), ToPartCrashes(aParams),
+           ToPartAcquittals(aParams) };
+}
+
 objectstore::ObjectChange ToChange(Json::Value const& aEntry, base::StoreEra aEra)
 {
   constexpr Json::ArrayIndex kPutFields = 3;
@@ -458,6 +457,9 @@
   if (aMethod == "planner.summary") {
     return ToPlannerSummary(aParams);
   }
+  if (aMethod == "planner.news") {
+    return ToPlannerNews(aParams);
+  }
   if (aMethod == "store.news") {
     return ToStoreUpdate(aParams);
   }
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -310,13 +310,6 @@
     params["present"] = aSummary.m_gatewaysPresent;
     params["reporting"] = aSummary.m_gatewaysReporting;
     params["granted"] = FromGrants(aSummary.m_grantedByOthers);
-    if (!aSummary.m_crashes.empty()) {
-      params["deaths"] = FromCrashes(aSummary.m_crashes);
-    }
-    if (!aSummary.m_leaving.empty()) {
-      params["leaving"] = FromStarts(aSummary.m_leaving);
-    }
-    AddPartNews(params, aSummary);
     if (aSummary.m_catalog != base::CatalogVersion()) {
       params["catalog"] = Json::UInt64(aSummary.m_catalog.Value());
     }
@@ -332,6 +325,14 @@
     }
   }
 
+  void operator()(PlannerNews const& aNews)
+  {
+    auto& params = Start("planner.news");
+    params["deaths"] = FromCrashes(aNews.m_crashes);
+    params["leaving"] = FromStarts(aNews.m_leaving);
+    AddPartNews(params, aNews);
+  }
+
   void operator()(StoreUpdate const& aUpdate)
   {
     auto& params = Start("store.news");
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -29,6 +29,8 @@
   /// Expected time until the model can be used.
   base::Duration m_readyIn{};
   std::optional<base::ModelId> m_unloading;
+
+  friend bool operator==(ModelChange const&, ModelChange const&) = default;
 };
 
 /// From the loader of an engine to gateways and to the planner: the models that
@@ -58,6 +60,8 @@
   base::IncarnationId m_incarnation;
   /// Number of status changes that the loader has sent since its start.
   std::uint64_t m_number = 0;
+
+  friend bool operator==(EngineStatus const&, EngineStatus const&) = default;
 };
 
 /// From a loader, between status messages: its last status is still valid.
@@ -180,8 +184,6 @@
   unsigned m_gatewaysReporting = 1;
   entry::GrantedTokens m_grantedByOthers;
   ModelForecasts m_forecasts;
-  /// Recent crash reports of the other gateways.
-  std::vector<CrashReport> m_crashes;
   /// Gateways of the receiver's failure domain that report to this planner,
   /// including the receiver, by host.
   std::map<base::HostId, base::Endpoint> m_neighbours;
@@ -189,13 +191,26 @@
   DomainAggregators m_aggregators;
   /// Time since the object store last responded to any other gateway.
   std::optional<base::Duration> m_storeAge;
-  /// Upstreams that recently announced to other gateways that they leave.
+  /// The newest catalog that any gateway has had in force, as far as known.
+  base::CatalogVersion m_catalog;
+};
+
+/// From the planner to all gateways: what gateways have reported of failures and
+/// leavings, their own reports included.
+struct PlannerNews
+{
+  std::vector<CrashReport> m_crashes;
+  /// Upstreams that recently announced that they leave.
   std::vector<engine::UpstreamStart> m_leaving;
   /// News on prompt parts, as in GatewayReport.
   std::vector<PartCrashReport> m_partCrashes;
   std::vector<PartAcquittal> m_partAcquittals;
-  /// The newest catalog that any gateway has had in force, as far as known.
-  base::CatalogVersion m_catalog;
+
+  bool IsEmpty() const
+  {
+    return m_crashes.empty() && m_leaving.empty() && m_partCrashes.empty() &&
+           m_partAcquittals.empty();
+  }
 };
 
 /// From a gateway that watches the object store to others of its failure
@@ -232,8 +247,8 @@
 };
 
 using FleetMessage = std::variant<EngineStatus, EngineHeartbeat, StatusRequest, GatewayPresence,
-                                  GatewayReport, PlannerSummary, StoreUpdate, SwapRequest,
-                                  AdapterRequest, EngineDigest, DomainPresence>;
+                                  GatewayReport, PlannerSummary, PlannerNews, StoreUpdate,
+                                  SwapRequest, AdapterRequest, EngineDigest, DomainPresence>;
 
 /// A message with its routing information.
 struct FleetEnvelope
--- a/Engine/EngineTypes.h
+++ b/Engine/EngineTypes.h
@@ -20,6 +20,8 @@
 {
   base::ModelId m_model;
   std::set<base::AdapterId> m_adapters;
+
+  friend bool operator==(HeldModel const&, HeldModel const&) = default;
 };
 
 /// Weights that are cached at an engine, so that loading them is fast.
@@ -27,6 +29,8 @@
 {
   std::set<base::ModelId> m_inMemory;
   std::set<base::ModelId> m_onDisk;
+
+  friend bool operator==(WeightCopies const&, WeightCopies const&) = default;
 };
 
 /// An entry of the platform's list of engines and services.
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -187,8 +187,10 @@
       m_fleet.OnMember(*presence, aOrigin, now);
     } else if (auto const* const summary = std::get_if<agent::PlannerSummary>(&aMessage)) {
       OnSummary(*summary, aOrigin, now);
-    } else if (auto const* const news = std::get_if<agent::StoreUpdate>(&aMessage)) {
-      m_store.OnStoreUpdate(*news, now);
+    } else if (auto const* const news = std::get_if<agent::PlannerNews>(&aMessage)) {
+      OnNews(*news, aOrigin, now);
+    } else if (auto const* const update = std::get_if<agent::StoreUpdate>(&aMessage)) {
+      m_store.OnStoreUpdate(*update, now);
     }
   }
 
@@ -264,10 +266,17 @@
     }
     m_store.OnCatalogAnnounced(aSummary.m_catalog, aNow);
     OnForecasts(aSummary.m_forecasts, aNow);
-    for (auto const& start : aSummary.m_leaving) {
+    m_state.m_allowance.OnPeerGrants(aSummary.m_epoch,
+                                     { aSummary.m_gatewaysPresent, aSummary.m_gatewaysReporting },
+                                     aSummary.m_grantedByOthers, aNow);
+  }
+
+  void OnNews(agent::PlannerNews const& aNews, base::Endpoint const& aOrigin, base::Instant aNow)
+  {
+    for (auto const& start : aNews.m_leaving) {
       RecordLeaving(m_state, start, engine::NoticeSource::Gateway);
     }
-    for (auto const& crash : aSummary.m_crashes) {
+    for (auto const& crash : aNews.m_crashes) {
       if (m_state.m_suspects.OnCrashReport(crash, aNow)) {
         base::log::Warning("request may have ended its upstream",
                            { { "fingerprint", crash.m_fingerprint.Text() },
@@ -275,10 +284,7 @@
                              { "told_by", aOrigin.Text() } });
       }
     }
-    m_state.OnPartNews(aSummary.m_partCrashes, aSummary.m_partAcquittals, aOrigin);
-    m_state.m_allowance.OnPeerGrants(aSummary.m_epoch,
-                                     { aSummary.m_gatewaysPresent, aSummary.m_gatewaysReporting },
-                                     aSummary.m_grantedByOthers, aNow);
+    m_state.OnPartNews(aNews.m_partCrashes, aNews.m_partAcquittals, aOrigin);
   }
 
   /// Wakes the requests that wait for a model, so that they check whether it will
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -64,7 +64,10 @@
   m_partNews.OnReport(aReport.m_partCrashes, aReport.m_partAcquittals, aNow);
   gateway.m_endpoint = aSender;
   gateway.m_failureDomain = aReport.m_failureDomain;
-  gateway.m_crashes = aReport.m_crashes;
+  for (auto const& crash : aReport.m_crashes) {
+    m_crashes.try_emplace({ crash.m_fingerprint, crash.m_upstream },
+                          Crash{ aNow - crash.m_age, aNow });
+  }
   gateway.m_leaving = aReport.m_leaving;
   gateway.m_storeLastContactAt = aNow - aReport.m_storeAge;
   gateway.m_lastContactAt = aNow;
@@ -104,10 +107,10 @@
     return false;
   }
   found->second.m_lastContactAt = aNow;
+  m_planner.SetReporting(aHeartbeat.m_host);
   return true;
 }
 
-  m_planner.SetReporting(aHeartbeat.m_host);
 std::map<base::HostId, base::Endpoint> FleetPlanning::NeighboursIn(
   base::FailureDomainId const& aDomain, base::Instant aNow) const
 {
@@ -161,45 +164,77 @@
   });
 }
 
-void FleetPlanning::SendSummaries(base::Instant aNow)
+std::vector<agent::CrashReport> FleetPlanning::TakeCrashes(base::Instant aNow)
 {
-  auto const reporting = std::ranges::count_if(
-    m_gateways, [&](auto const& aItem) { return IsReporting(aItem.second, aNow); });
-  auto const partNews = m_partNews.TakeDue(aNow);
-  bool const listsNeighbours = m_ticks % kTicksPerNeighbourList == 0;
-  auto const aggregators = listsNeighbours ? Aggregators(aNow) : agent::DomainAggregators();
+  std::erase_if(m_crashes, [aNow](auto const& aItem) {
+    return aNow - aItem.second.m_firstReportedAt > kCrashRetention;
+  });
+  std::vector<agent::CrashReport> due;
+  for (auto& [key, crash] : m_crashes) {
+    if (crash.m_passedOn < kCrashRepeats && due.size() < kMaximumCrashes) {
+      ++crash.m_passedOn;
+      due.push_back({ key.first, key.second, aNow - crash.m_at });
+    }
+  }
+  return due;
+}
+
+void FleetPlanning::SendNews(base::Instant aNow)
+{
+  auto partNews = m_partNews.TakeDue(aNow);
+  agent::PlannerNews news{
+    TakeCrashes(aNow), {}, std::move(partNews.m_crashes), std::move(partNews.m_acquittals)
+  };
+  std::set<engine::UpstreamStart> leaving;
+  std::vector<base::Endpoint> receivers;
+  std::vector<base::Endpoint> newReceivers;
   for (auto& [host, gateway] : m_gateways) {
     if (!IsReporting(gateway, aNow)) {
       continue;
     }
+    leaving.insert(gateway.m_leaving.begin(), gateway.m_leaving.end());
     bool const isNew = std::exchange(gateway.m_isNew, false);
-    agent::PlannerSummary summary{ m_epoch,
-                                   static_cast<unsigned>(m_lastPresence.size()),
-                                   static_cast<unsigned>(reporting),
-                                   m_grants.GrantedByOthers(host),
-                                   m_planner.ForecastsFor(host, aNow),
-                                   {},
-                                   {},
-                                   aggregators,
-                                   std::nullopt,
-                                   {},
-                                   isNew ? m_partNews.AllCrashes(aNow) : partNews.m_crashes,
-                                   partNews.m_acquittals,
-                                   m_newestCatalog };
+    (isNew ? newReceivers : receivers).push_back(gateway.m_endpoint);
+  }
+  news.m_leaving.assign(leaving.begin(), leaving.end());
+  if (!news.IsEmpty()) {
+    m_messenger.SendToEach(receivers, news);
+  }
+  news.m_partCrashes = m_partNews.AllCrashes(aNow);
+  if (!news.IsEmpty()) {
+    m_messenger.SendToEach(newReceivers, news);
+  }
+}
+
+void FleetPlanning::SendSummaries(base::Instant aNow)
+{
+  std::vector<std::pair<base::HostId const*, Gateway const*>> reporting;
+  for (auto const& [host, gateway] : m_gateways) {
+    if (IsReporting(gateway, aNow)) {
+      reporting.emplace_back(&host, &gateway);
+    }
+  }
+  bool const listsNeighbours = m_ticks % kTicksPerNeighbourList == 0;
+  auto const aggregators = listsNeighbours ? Aggregators(aNow) : agent::DomainAggregators();
+  for (auto const& [host, gateway] : reporting) {
+    agent::PlannerSummary summary;
+    summary.m_epoch = m_epoch;
+    summary.m_gatewaysPresent = static_cast<unsigned>(m_lastPresence.size());
+    summary.m_gatewaysReporting = static_cast<unsigned>(reporting.size());
+    summary.m_grantedByOthers = m_grants.GrantedByOthers(*host);
+    summary.m_forecasts = m_planner.ForecastsFor(*host, aNow);
+    summary.m_aggregators = aggregators;
+    summary.m_catalog = m_newestCatalog;
     if (listsNeighbours) {
-      summary.m_neighbours = NeighboursIn(gateway.m_failureDomain, aNow);
+      summary.m_neighbours = NeighboursIn(gateway->m_failureDomain, aNow);
     }
-    std::set<engine::UpstreamStart> leaving;
-    for (auto const& [otherHost, other] : m_gateways) {
-      if (otherHost != host && IsReporting(other, aNow)) {
-        std::ranges::copy(other.m_crashes, std::back_inserter(summary.m_crashes));
-        leaving.insert(other.m_leaving.begin(), other.m_leaving.end());
-        auto const age = aNow - other.m_storeLastContactAt;
+    for (auto const& [otherHost, other] : reporting) {
+      if (otherHost != host) {
+        auto const age = aNow - other->m_storeLastContactAt;
         summary.m_storeAge = std::min(summary.m_storeAge.value_or(age), age);
       }
     }
-    summary.m_leaving.assign(leaving.begin(), leaving.end());
-    m_messenger.Send(gateway.m_endpoint, summary);
+    m_messenger.Send(gateway->m_endpoint, summary);
   }
 }
 
@@ -218,6 +253,7 @@
   }
   auto const swaps = m_planner.Plan(aNow);
   SendSummaries(aNow);
+  SendNews(aNow);
   ++m_ticks;
   for (auto const& swap : swaps) {
     auto const loader = m_loaders.find(swap.m_loader);
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -9,6 +9,8 @@
 #include "Programs/FleetMessenger.h"
 
 #include <map>
+#include <utility>
+#include <vector>
 
 namespace sardinefold::programs {
 
@@ -43,7 +45,6 @@
     double m_processorShare = 0;
     /// Whether it has started, or chosen this planner, since the last summary.
     bool m_isNew = true;
-    std::vector<agent::CrashReport> m_crashes;
     std::vector<engine::UpstreamStart> m_leaving;
     /// When the object store last responded to this gateway.
     base::Instant m_storeLastContactAt{};
@@ -63,6 +64,10 @@
   agent::DomainAggregators Aggregators(base::Instant aNow) const;
   void Expire(base::Instant aNow);
   void SendSummaries(base::Instant aNow);
+  void SendNews(base::Instant aNow);
+  /// Returns the crashes that have yet to be passed on, and counts them as passed on
+  /// once more.
+  std::vector<agent::CrashReport> TakeCrashes(base::Instant aNow);
   static bool IsReporting(Gateway const& aGateway, base::Instant aNow);
 
   base::ProcessProfile const& m_profile;
@@ -74,6 +79,14 @@
   /// The newest catalog that any gateway has had in force.
   base::CatalogVersion m_newestCatalog;
   entry::GrantLedger m_grants;
+  struct Crash
+  {
+    base::Instant m_at{};
+    base::Instant m_firstReportedAt{};
+    unsigned m_passedOn = 0;
+  };
+  /// By the request's fingerprint and the upstream's start.
+  std::map<std::pair<base::FingerprintId, base::UpstreamId>, Crash> m_crashes;
   agent::PartNewsBoard m_partNews;
   /// Identifies the grant totals of this planner; another planner's totals start
   /// from different values and can't be compared with them.
--- a/Programs/Loader/StatusSender.h
+++ b/Programs/Loader/StatusSender.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "Agent/Fleet/FleetCodec.h"
 #include "Programs/StatusMessenger.h"
 
 #include <algorithm>
-#include <string>
+#include <optional>
 #include <vector>
 
 namespace sardinefold::programs {
@@ -27,10 +26,10 @@
   void Send(std::vector<agent::MulticastReceiver> aReceivers, agent::EngineStatus aStatus,
             bool aIsHeartbeatDue)
   {
-    auto stableText = agent::EncodeFleetMessage(WithoutVolatileFields(aStatus));
-    bool const hasChanged = stableText != m_lastStableText;
+    auto stable = WithoutVolatileFields(aStatus);
+    bool const hasChanged = stable != m_lastStable;
     if (hasChanged) {
-      m_lastStableText = std::move(stableText);
+      m_lastStable = std::move(stable);
       ++m_number;
     }
     aStatus.m_incarnation = m_incarnation;
@@ -94,7 +93,7 @@
   Messenger& m_messenger;
   base::FailureDomainId m_localFailureDomain;
   base::IncarnationId m_incarnation;
-  std::string m_lastStableText;
+  std::optional<agent::EngineStatus> m_lastStable;
   std::uint64_t m_number = 0;
   std::vector<agent::MulticastReceiver> m_lastReceivers;
 };
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -114,19 +114,19 @@
                      77,
                      { { status.m_engine, { engine::InstanceId::FromValidated("i-1"), 123 } } },
                      base::StoreEra(3) });
-  CheckRoundTrip(PlannerSummary{ "epoch",
-                                 4,
-                                 3,
-                                 report.m_granted,
-                                 { { kModel, milliseconds(70) } },
-                                 report.m_crashes,
-                                 { { report.m_host, { "10.0.0.2", 7600 } } },
-                                 { { kDomain, { { "10.0.0.2", 7600 }, { "10.0.0.3", 7600 } } } },
-                                 milliseconds(30),
-                                 report.m_leaving,
-                                 report.m_partCrashes,
-                                 report.m_partAcquittals,
-                                 base::CatalogVersion(9) });
+  PlannerSummary summary;
+  summary.m_epoch = "epoch";
+  summary.m_gatewaysPresent = 4;
+  summary.m_gatewaysReporting = 3;
+  summary.m_grantedByOthers = report.m_granted;
+  summary.m_forecasts = { { kModel, milliseconds(70) } };
+  summary.m_neighbours = { { report.m_host, { "10.0.0.2", 7600 } } };
+  summary.m_aggregators = { { kDomain, { { "10.0.0.2", 7600 }, { "10.0.0.3", 7600 } } } };
+  summary.m_storeAge = milliseconds(30);
+  summary.m_catalog = base::CatalogVersion(9);
+  CheckRoundTrip(summary);
+  CheckRoundTrip(PlannerNews{ report.m_crashes, report.m_leaving, report.m_partCrashes,
+                              report.m_partAcquittals });
   GatewayPresence const member{ report.m_host,
                                 report.m_incarnation,
                                 kDomain,
@@ -147,21 +147,20 @@
 
 BOOST_AUTO_TEST_CASE(NewsOnPromptPartsIsOptionalAndComplete)
 {
-  std::string const start =
-    R"({"method":"planner.summary","params":{"epoch":"e","present":1,"reporting":1,"granted":{},"outlooks":{},"neighbours":{})";
+  std::string const start = R"({"method":"planner.news","params":{"deaths":[],"leaving":[])";
   auto const earlier = DecodeFleetMessage(start + "}}");
   BOOST_REQUIRE(earlier.has_value());
-  BOOST_TEST(std::get<PlannerSummary>(earlier->m_message).m_partCrashes.empty());
+  BOOST_TEST(std::get<PlannerNews>(earlier->m_message).m_partCrashes.empty());
   auto const decoded = DecodeFleetMessage(
     start +
     R"(,"part_deaths":[{"part":"9","upstream":"i-1","age_ms":3,"sent_age_ms":5}],"part_beginnings":[{"part":"7","age_ms":2}]}})");
   BOOST_REQUIRE(decoded.has_value());
-  auto const& summary = std::get<PlannerSummary>(decoded->m_message);
-  BOOST_REQUIRE(summary.m_partCrashes.size() == 1U);
-  BOOST_TEST((summary.m_partCrashes[0].m_age == milliseconds(3)));
-  BOOST_TEST((summary.m_partCrashes[0].m_sentAge == milliseconds(5)));
-  BOOST_REQUIRE(summary.m_partAcquittals.size() == 1U);
-  BOOST_TEST((summary.m_partAcquittals[0].m_age == milliseconds(2)));
+  auto const& news = std::get<PlannerNews>(decoded->m_message);
+  BOOST_REQUIRE(news.m_partCrashes.size() == 1U);
+  BOOST_TEST((news.m_partCrashes[0].m_age == milliseconds(3)));
+  BOOST_TEST((news.m_partCrashes[0].m_sentAge == milliseconds(5)));
+  BOOST_REQUIRE(news.m_partAcquittals.size() == 1U);
+  BOOST_TEST((news.m_partAcquittals[0].m_age == milliseconds(2)));
   BOOST_TEST(!DecodeFleetMessage(start + R"(,"part_deaths":[{"part":"9"}]}})").has_value());
 }
 
@@ -317,6 +316,7 @@
   choice.OnLoader(base::HostId::FromValidated("b"), two, false, kStart + milliseconds(1'500));
   BOOST_TEST(!choice.Planner(kStart + milliseconds(1'500)).has_value());
 }
+
 /// A gateway that wakes from a pause has summaries waiting in its socket. If it took its
 /// own pause for the planner's silence, it would be alone at another planner, with the
 /// allowance of one gateway, for seconds.
@@ -344,7 +344,6 @@
   BOOST_TEST((choice.Planner(now) == two));
 }
 
-
 BOOST_AUTO_TEST_CASE(StreamsAreSplitAfterCompleteEvents)
 {
   programs::EventBuffer buffer;
--- a/Tests/FleetPlanningTest.cpp
+++ b/Tests/FleetPlanningTest.cpp
@@ -99,10 +99,12 @@
 {
   base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
   programs::FleetMessenger messenger(loop);
-  std::vector<agent::PlannerSummary> summaries;
+  std::vector<agent::PlannerNews> newsOfTick;
+  std::vector<agent::PlannerNews> news;
+  std::vector<std::size_t> crashesInTick;
   auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
-    if (auto const* const summary = std::get_if<agent::PlannerSummary>(&aMessage)) {
-      summaries.push_back(*summary);
+    if (auto const* const message = std::get_if<agent::PlannerNews>(&aMessage)) {
+      newsOfTick.push_back(*message);
     }
   };
   BOOST_REQUIRE(messenger.Listen(kListening, onMessage).has_value());
@@ -121,6 +123,12 @@
     planning.OnReport(third, kOther, now);
     planning.Tick(now);
     co_await loop.Sleep(20ms);
+    std::size_t crashes = 0;
+    for (auto const& message : std::exchange(newsOfTick, {})) {
+      crashes += message.m_partCrashes.size();
+      news.push_back(message);
+    }
+    crashesInTick.push_back(crashes);
   };
   auto run = [&]() -> awaitable<void> {
     auto const listener = Report("front-1", 5s);
@@ -134,12 +142,11 @@
   };
   loop.Start(run());
   loop.Run();
-  BOOST_REQUIRE(summaries.size() == 4U);
-  BOOST_REQUIRE(summaries[0].m_partCrashes.size() == 2U);
-  BOOST_TEST(summaries[0].m_partAcquittals.size() == 1U);
-  BOOST_TEST((summaries[0].m_partCrashes[0].m_sentAge == 300ms));
-  BOOST_TEST(summaries[1].m_partCrashes.empty());
-  BOOST_REQUIRE(summaries[2].m_partCrashes.size() == 2U);
+  BOOST_REQUIRE((crashesInTick == std::vector<std::size_t>{ 2, 0, 2, 0 }));
+  BOOST_TEST(news.front().m_partAcquittals.size() == 1U);
+  BOOST_TEST((news.front().m_partCrashes[0].m_sentAge == 300ms));
+  auto const afterRestart = std::ranges::find_if(
+    news.begin() + 1, news.end(), [](auto const& aNews) { return !aNews.m_partCrashes.empty(); });
   // The planner adds the time that has passed since the first report.
   BOOST_TEST((afterRestart->m_partCrashes[0].m_age == 800ms));
 }
