Engine: Tell gateways that start which listed upstreams have drained

Change: complete reports name such starts, the planner passes them on once a second and to a gateway that starts with its first news; they count as drained before the restoration, also when the list names them later.

Tests: AStartedGatewayLearnsFromOthersWhatDrained, AStartToldToHaveDrainedIsNotUsedWhenItIsListedLater, AStartedGatewayIsToldAtOnceWhatDrained. On the former code nothing is passed on (the messages have no field for it). Left: the time from the first list to that news, and entries that were only removed.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -143,13 +143,13 @@
   return crashes;
 }
 
-std::vector<engine::UpstreamStart> ToLeaving(Json::Value const& aParams)
+std::vector<engine::UpstreamStart> ToStarts(Json::Value const& aList)
 {
   std::vector<engine::UpstreamStart> starts;
-  for (auto const& entry : aParams["leaving"]) {
+  for (auto const& entry : aList) {
     constexpr Json::ArrayIndex kFields = 3;
     if (!entry.isArray() || entry.size() != kFields) {
-      throw FieldError{ "a leaving upstream must be an array of three fields" };
+      throw FieldError{ "an upstream's start must be an array of three fields" };
     }
     starts.push_back({ Name<engine::InstanceId>(entry[0]), Address(entry[1]), Integer(entry[2]) });
   }
@@ -349,7 +349,8 @@
   report.m_isComplete = Flag(Member(aParams, "complete"));
   report.m_granted = ToGrants(Member(aParams, "granted"));
   report.m_crashes = ToCrashes(aParams);
-  report.m_leaving = ToLeaving(aParams);
+  report.m_leaving = ToStarts(aParams["leaving"]);
+  report.m_drained = ToStarts(aParams["drained"]);
   report.m_storeAge = Milliseconds(Member(aParams, "store_age_ms"));
   report.m_partCrashes = ToPartCrashes(aParams);
   report.m_partAcquittals = ToPartAcquittals(aParams);
@@ -390,8 +391,8 @@
 
 PlannerNews ToPlannerNews(Json::Value const& aParams)
 {
-  return { ToCrashes(aParams), ToLeaving(aParams), ToPartCrashes(aParams),
-           ToPartAcquittals(aParams) };
+  return { ToCrashes(aParams), ToStarts(aParams["leaving"]), ToStarts(aParams["drained"]),
+           ToPartCrashes(aParams), ToPartAcquittals(aParams) };
 }
 
 objectstore::ObjectChange ToChange(Json::Value const& aEntry, base::StoreEra aEra)
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -296,6 +296,9 @@
     if (!aReport.m_leaving.empty()) {
       params["leaving"] = FromStarts(aReport.m_leaving);
     }
+    if (!aReport.m_drained.empty()) {
+      params["drained"] = FromStarts(aReport.m_drained);
+    }
     AddPartNews(params, aReport);
   }
 
@@ -330,6 +333,9 @@
     auto& params = Start("planner.news");
     params["deaths"] = FromCrashes(aNews.m_crashes);
     params["leaving"] = FromStarts(aNews.m_leaving);
+    if (!aNews.m_drained.empty()) {
+      params["drained"] = FromStarts(aNews.m_drained);
+    }
     AddPartNews(params, aNews);
   }
 
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -163,6 +163,9 @@
   base::Duration m_storeAge{};
   /// Upstreams that recently announced to this gateway that they leave.
   std::vector<engine::UpstreamStart> m_leaving;
+  /// Upstreams that drained and that a restored list names as ready; in complete
+  /// reports.
+  std::vector<engine::UpstreamStart> m_drained;
   /// Prompt parts accused here or refused here, and accused parts that an
   /// upstream began to answer here.
   std::vector<PartCrashReport> m_partCrashes;
@@ -202,13 +205,15 @@
   std::vector<CrashReport> m_crashes;
   /// Upstreams that recently announced that they leave.
   std::vector<engine::UpstreamStart> m_leaving;
+  /// As in GatewayReport.
+  std::vector<engine::UpstreamStart> m_drained;
   /// News on prompt parts, as in GatewayReport.
   std::vector<PartCrashReport> m_partCrashes;
   std::vector<PartAcquittal> m_partAcquittals;
 
   bool IsEmpty() const
   {
-    return m_crashes.empty() && m_leaving.empty() && m_partCrashes.empty() &&
+    return m_crashes.empty() && m_leaving.empty() && m_drained.empty() && m_partCrashes.empty() &&
            m_partAcquittals.empty();
   }
 };
--- a/Engine/LeftUpstreams.cpp
+++ b/Engine/LeftUpstreams.cpp
@@ -37,10 +37,19 @@
   }
 }
 
+void LeftUpstreams::OnDrainedBefore(UpstreamStart const& aStart, base::Instant aNow)
+{
+  if (FindLost(aStart) != ListedEnd::Drained) {
+    Record(aStart, ListedEnd::Drained, aNow);
+    m_ends.at(aStart).m_isOfOtherProcess = true;
+  }
+}
+
 std::optional<ListedEnd> LeftUpstreams::FindLost(UpstreamStart const& aStart) const
 {
   auto const found = m_ends.find(aStart);
-  bool const isLost = found != m_ends.end() && found->second.m_restorations < m_restorations;
+  bool const isLost = found != m_ends.end() && (found->second.m_isOfOtherProcess ||
+                                                found->second.m_restorations < m_restorations);
   return isLost ? std::optional(found->second.m_end) : std::nullopt;
 }
 
--- a/Engine/LeftUpstreams.h
+++ b/Engine/LeftUpstreams.h
@@ -25,6 +25,8 @@
 public:
   void OnDrained(UpstreamStart const& aStart, base::Instant aNow);
   void OnRemoved(UpstreamStart const& aStart, base::Instant aNow);
+  /// Another process knows that the start drained before the list came from a copy.
+  void OnDrainedBefore(UpstreamStart const& aStart, base::Instant aNow);
   /// The list that follows comes from a copy.
   void OnStoreRestored() { ++m_restorations; }
   /// The upstream is alive.
@@ -43,6 +45,8 @@
     /// Number of restorations before it.
     unsigned m_restorations = 0;
     base::Instant m_at{};
+    /// Whether the restoration before which it was acknowledged was seen elsewhere.
+    bool m_isOfOtherProcess = false;
   };
 
   void Record(UpstreamStart const& aStart, ListedEnd aEnd, base::Instant aNow);
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -123,12 +123,37 @@
   ++m_revision;
   upstream.m_usableUntil.reset();
   upstream.m_doubtedUntil.reset();
+  upstream.m_isDrainedDespiteList = outcome == ListingOutcome::Drained;
   if (outcome == ListingOutcome::Removed) {
     upstream.m_doubtedUntil = aNow + m_limits.m_silenceTime;
   }
   return outcome;
 }
 
+std::vector<UpstreamStart> UpstreamDirectory::DrainedDespiteList() const
+{
+  std::vector<UpstreamStart> starts;
+  for (auto const& [instance, upstream] : m_upstreams) {
+    if (upstream.m_isDrainedDespiteList) {
+      starts.push_back(StartOf(upstream.m_entry));
+    }
+  }
+  return starts;
+}
+
+bool UpstreamDirectory::OnDrainedBefore(UpstreamStart const& aStart, base::Instant aNow)
+{
+  m_left.OnDrainedBefore(aStart, aNow);
+  auto const found = m_upstreams.find(aStart.m_instance);
+  bool const isNews = found != m_upstreams.end() && StartOf(found->second.m_entry) == aStart &&
+                      !found->second.m_entry.m_isDraining;
+  if (isNews) {
+    found->second.m_entry.m_isDraining = true;
+    found->second.m_isDrainedDespiteList = true;
+  }
+  return isNews;
+}
+
 RemovalCause UpstreamDirectory::OnRemoved(InstanceId const& aInstance,
                                           std::optional<base::Instant> aLapseEnd,
                                           base::Instant aNow)
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -208,6 +208,11 @@
                           EntrySource aSource = EntrySource::Change);
   /// To be called before the first list after the store came back from a copy.
   void OnStoreRestored() { m_left.OnStoreRestored(); }
+  /// The starts that drained before the list came from a copy that names them as
+  /// ready. Other processes may have started since and not know it.
+  std::vector<UpstreamStart> DrainedDespiteList() const;
+  /// Another process knows that the start drained. Returns whether that is news.
+  bool OnDrainedBefore(UpstreamStart const& aStart, base::Instant aNow);
   /// Handles the removal of an entry from the list. With aLapseEnd, the entry
   /// may have lapsed because the store did not accept heartbeats, and the
   /// upstream stays in use until that time unless it was draining; without it,
@@ -298,6 +303,8 @@
     /// Whether the entry may only have lapsed, so that the upstream is gone once the
     /// store responds without it.
     bool m_hasLapsed = false;
+    /// Whether the list names the start as ready although it drained before.
+    bool m_isDrainedDespiteList = false;
     /// An entry of a restored list is not believed before the store lists it at this
     /// time or later.
     std::optional<base::Instant> m_doubtedUntil;
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -102,6 +102,8 @@
                                  m_state.CrashesToReport(aNow),
                                  aStoreAge,
                                  m_state.LeavingToReport(aNow),
+                                 isComplete ? m_state.m_directory.DrainedDespiteList()
+                                            : std::vector<engine::UpstreamStart>(),
                                  m_state.m_suspectParts.CrashesToReport(isComplete, aNow),
                                  m_state.m_suspectParts.AcquittalsToReport(aNow) };
     std::map<base::ModelId, unsigned> waiting;
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -276,6 +276,14 @@
     for (auto const& start : aNews.m_leaving) {
       RecordLeaving(m_state, start, engine::NoticeSource::Gateway);
     }
+    for (auto const& start : aNews.m_drained) {
+      if (m_state.m_directory.OnDrainedBefore(start, aNow)) {
+        base::log::Warning("listed upstream has drained before",
+                           { { "upstream", start.m_instance.Text() },
+                             { "started_at", std::to_string(start.m_startedAt) },
+                             { "told_by", aOrigin.Text() } });
+      }
+    }
     for (auto const& crash : aNews.m_crashes) {
       if (m_state.m_suspects.OnCrashReport(crash, aNow)) {
         base::log::Warning("request may have ended its upstream",
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -36,6 +36,7 @@
 constexpr std::size_t kEpochBytes = 6;
 /// Only one summary in this many carries the list of neighbours.
 constexpr unsigned kTicksPerNeighbourList = 5;
+constexpr unsigned kTicksPerDrainedList = 10;
 
 } // namespace
 
@@ -69,6 +70,9 @@
                           Crash{ aNow - crash.m_age, aNow });
   }
   gateway.m_leaving = aReport.m_leaving;
+  if (aReport.m_isComplete) {
+    gateway.m_drained = aReport.m_drained;
+  }
   gateway.m_storeLastContactAt = aNow - aReport.m_storeAge;
   gateway.m_lastContactAt = aNow;
   m_lastPresence[aReport.m_host] = aNow;
@@ -183,9 +187,10 @@
 {
   auto partNews = m_partNews.TakeDue(aNow);
   agent::PlannerNews news{
-    TakeCrashes(aNow), {}, std::move(partNews.m_crashes), std::move(partNews.m_acquittals)
+    TakeCrashes(aNow), {}, {}, std::move(partNews.m_crashes), std::move(partNews.m_acquittals)
   };
   std::set<engine::UpstreamStart> leaving;
+  std::set<engine::UpstreamStart> drained;
   std::vector<base::Endpoint> receivers;
   std::vector<base::Endpoint> newReceivers;
   for (auto& [host, gateway] : m_gateways) {
@@ -193,13 +198,19 @@
       continue;
     }
     leaving.insert(gateway.m_leaving.begin(), gateway.m_leaving.end());
+    drained.insert(gateway.m_drained.begin(), gateway.m_drained.end());
     bool const isNew = std::exchange(gateway.m_isNew, false);
     (isNew ? newReceivers : receivers).push_back(gateway.m_endpoint);
   }
   news.m_leaving.assign(leaving.begin(), leaving.end());
+  if (m_ticks % kTicksPerDrainedList == 0) {
+    news.m_drained.assign(drained.begin(), drained.end());
+  }
   if (!news.IsEmpty()) {
     m_messenger.SendToEach(receivers, news);
   }
+  // A gateway that has started knows nothing of what was before.
+  news.m_drained.assign(drained.begin(), drained.end());
   news.m_partCrashes = m_partNews.AllCrashes(aNow);
   if (!news.IsEmpty()) {
     m_messenger.SendToEach(newReceivers, news);
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -46,6 +46,8 @@
     /// Whether it has started, or chosen this planner, since the last summary.
     bool m_isNew = true;
     std::vector<engine::UpstreamStart> m_leaving;
+    /// As in its last complete report.
+    std::vector<engine::UpstreamStart> m_drained;
     /// When the object store last responded to this gateway.
     base::Instant m_storeLastContactAt{};
     base::Instant m_lastContactAt{};
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -125,8 +125,10 @@
   summary.m_storeAge = milliseconds(30);
   summary.m_catalog = base::CatalogVersion(9);
   CheckRoundTrip(summary);
-  CheckRoundTrip(PlannerNews{ report.m_crashes, report.m_leaving, report.m_partCrashes,
-                              report.m_partAcquittals });
+  report.m_drained = report.m_leaving;
+  CheckRoundTrip(report);
+  CheckRoundTrip(PlannerNews{ report.m_crashes, report.m_leaving, report.m_drained,
+                              report.m_partCrashes, report.m_partAcquittals });
   GatewayPresence const member{ report.m_host,
                                 report.m_incarnation,
                                 kDomain,
--- a/Tests/FleetPlanningTest.cpp
+++ b/Tests/FleetPlanningTest.cpp
@@ -282,3 +282,38 @@
   // By then the engine counts as gone.
   BOOST_TEST(!ordered.empty());
 }
+
+/// One that starts while the others know of a drained upstream is told with its first
+/// news, not after the next interval.
+BOOST_AUTO_TEST_CASE(AStartedGatewayIsToldAtOnceWhatDrained)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  programs::FleetMessenger messenger(loop);
+  std::size_t told = 0;
+  auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
+    if (auto const* const news = std::get_if<agent::PlannerNews>(&aMessage)) {
+      told += news->m_drained.size();
+    }
+  };
+  BOOST_REQUIRE(messenger.Listen(kListening, onMessage).has_value());
+  base::ProcessProfile const profile;
+  programs::FleetPlanning planning(profile, messenger);
+  auto const start = loop.Now();
+  auto run = [&]() -> awaitable<void> {
+    auto knowing = Report("front-2", 40ms);
+    knowing.m_drained = { { engine::InstanceId::FromValidated("i-1"), { "10.0.0.1", 80 }, 123 } };
+    planning.OnReport(knowing, kOther, start);
+    planning.Tick(start);
+    // What changes in between leaves it out.
+    auto partial = Report("front-2", 40ms);
+    partial.m_isComplete = false;
+    planning.OnReport(partial, kOther, start + 100ms);
+    planning.OnReport(Report("front-1", 40ms), kListening, start + 100ms);
+    planning.Tick(start + 100ms);
+    co_await loop.Sleep(20ms);
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  BOOST_TEST(told == 1U);
+}
--- a/Tests/RestoredListTest.cpp
+++ b/Tests/RestoredListTest.cpp
@@ -164,3 +164,39 @@
   left.Expire(kStart + 24h);
   BOOST_TEST(left.Size() == 0U);
 }
+
+/// A gateway that starts after a restoration has only the copy's word, while the others
+/// remember that the upstream drained.
+BOOST_FIXTURE_TEST_CASE(AStartedGatewayLearnsFromOthersWhatDrained, Fixture)
+{
+  m_directory.OnListed(Draining(), kStart + 1s);
+  Restore(Entry(), kStart + 2s);
+  auto const told = m_directory.DrainedDespiteList();
+  BOOST_REQUIRE(told.size() == 1U);
+
+  Fixture started;
+  BOOST_TEST(started.IsUsed(kStart + 3s));
+  BOOST_TEST(started.m_directory.OnDrainedBefore(told.front(), kStart + 3s));
+  BOOST_TEST(!started.IsUsed(kStart + 3s));
+  // Told again, and written again by the list: it stays out of use, and is passed on.
+  BOOST_TEST(!started.m_directory.OnDrainedBefore(told.front(), kStart + 4s));
+  started.m_directory.OnListed(Entry(), kStart + 5s);
+  BOOST_TEST(!started.IsUsed(kStart + 5s));
+  BOOST_TEST(started.m_directory.DrainedDespiteList().size() == 1U);
+  // Another start of the upstream is not meant.
+  started.m_directory.OnListed(Entry(6), kStart + 6s);
+  BOOST_TEST(started.IsUsed(kStart + 6s));
+  BOOST_TEST(started.m_directory.DrainedDespiteList().empty());
+}
+
+/// The others may be heard before the list is.
+BOOST_AUTO_TEST_CASE(AStartToldToHaveDrainedIsNotUsedWhenItIsListedLater)
+{
+  UpstreamDirectory directory{ {}, base::FailureDomainId::FromValidated("a"), 1 };
+  UpstreamStart const start{ kInstance, Entry().m_endpoint, Entry().m_startedAt };
+  BOOST_TEST(!directory.OnDrainedBefore(start, kStart));
+  BOOST_TEST(
+    (directory.OnListed(Entry(), kStart + 1s, EntrySource::Change) == ListingOutcome::Drained));
+  auto const found = directory.Find({ kDeployment, std::nullopt, std::nullopt, {} }, kStart + 1s);
+  BOOST_TEST(std::holds_alternative<UpstreamAbsence>(found));
+}
