Engine: Let the planner's room for a swap be a type of its own

clang 14 takes a nested class with member initializers for not constructible inside its enclosing class, so the linter rejected the optional of it. No other change.

--- a/Engine/SwapPlanner.cpp
+++ b/Engine/SwapPlanner.cpp
@@ -348,7 +348,7 @@
   return isNew ? loss + 1 : loss;
 }
 
-SwapPlanner::Room const& SwapPlanner::RoomAt(Engine& aEngine, base::Instant aNow) const
+EngineRoom const& SwapPlanner::RoomAt(Engine& aEngine, base::Instant aNow) const
 {
   if (aEngine.m_room) {
     return *aEngine.m_room;
@@ -367,7 +367,7 @@
     room.m_victims.push_back(
       { EvictionCost(aEngine, held.m_model, aNow), held.m_model, model->second.m_weights });
   }
-  std::ranges::sort(room.m_victims, {}, &Room::Victim::m_cost);
+  std::ranges::sort(room.m_victims, {}, &EngineRoom::Victim::m_cost);
   return room;
 }
 
--- a/Engine/SwapPlanner.h
+++ b/Engine/SwapPlanner.h
@@ -56,6 +56,23 @@
   WeightTier m_tier = WeightTier::Remote;
 };
 
+/// What an engine can make room for.
+struct EngineRoom
+{
+  struct Victim
+  {
+    double m_cost = 0;
+    base::ModelId m_model;
+    base::Megabytes m_weights;
+  };
+
+  /// False if the engine holds a model whose size is unknown.
+  bool m_isKnown = true;
+  base::Megabytes m_free;
+  /// By rising cost of their eviction.
+  std::vector<Victim> m_victims;
+};
+
 /// Decides for all engines which models to load next. Waiting requests come
 /// first, those whose goal can still be met before the others. Engines that
 /// have the weights in memory or on disk are preferred to engines that must
@@ -95,22 +112,6 @@
                                                        base::Instant aNow) const;
 
 private:
-  /// What an engine can make room for.
-  struct Room
-  {
-    struct Victim
-    {
-      double m_cost = 0;
-      base::ModelId m_model;
-      base::Megabytes m_weights;
-    };
-
-    /// False if the engine holds a model whose size is unknown.
-    bool m_isKnown = true;
-    base::Megabytes m_free;
-    /// By rising cost of their eviction.
-    std::vector<Victim> m_victims;
-  };
   struct Engine
   {
     PlannedEngine m_status;
@@ -120,7 +121,7 @@
     std::map<base::ModelId, base::Instant> m_loadedAt;
     bool m_isSilent = false;
     /// Computed when a plan first looks at the engine.
-    std::optional<Room> m_room;
+    std::optional<EngineRoom> m_room;
   };
   struct TotalDemand
   {
@@ -161,7 +162,7 @@
   TotalDemand const& DemandOf(base::ModelId const& aModel) const;
   /// Number of copies needed to serve the demand for a model.
   double RequiredCopies(base::ModelId const& aModel) const;
-  Room const& RoomAt(Engine& aEngine, base::Instant aNow) const;
+  EngineRoom const& RoomAt(Engine& aEngine, base::Instant aNow) const;
   double EvictionCost(Engine const& aEngine, base::ModelId const& aModel, base::Instant aNow) const;
   std::optional<Option> OptionAt(Engine& aEngine, base::ModelId const& aModel, bool aMayFetch,
                                  base::Instant aNow) const;
