--- a/Agent/Fleet/AggregatorRole.cpp
+++ b/Agent/Fleet/AggregatorRole.cpp
@@ -69,7 +69,7 @@
 {
   m_lastDigestAt = aNow;
   if (!Own().empty() && Own().front() == aSender) {
-    m_firstAggregatorAt = aNow;
+    m_lastAggregatorDigestAt = aNow;
   }
 }
 
@@ -105,7 +105,7 @@
   auto const duty = Duty(aNow);
   bool const isReplacing =
     duty == DomainDuty::Deputy &&
-    aNow - std::max(m_firstAggregatorAt, m_namedSince) >= m_limits.m_deputyPatience;
+    aNow - std::max(m_lastAggregatorDigestAt, m_namedSince) >= m_limits.m_deputyPatience;
   return duty == DomainDuty::Aggregator || isReplacing;
 }
 
--- a/Agent/Fleet/AggregatorRole.h
+++ b/Agent/Fleet/AggregatorRole.h
@@ -91,11 +91,14 @@
   base::FailureDomainId m_domain;
   base::Endpoint m_self;
   DomainAggregators m_aggregators;
+  /// When the planner last named aggregators, and since when it has named the present
+  /// ones of the own failure domain, whose silence counts from then on.
   base::Instant m_namedAt{};
-  /// When the first naming since this gateway had none arrived.
   base::Instant m_namedSince{};
-  base::Instant m_firstAggregatorAt{};
+  /// When a digest of the own failure domain last arrived, and one of its aggregator
+  /// and not of the deputy.
   base::Instant m_lastDigestAt{};
+  base::Instant m_lastAggregatorDigestAt{};
 };
 
 } // namespace sardinefold::agent
