Gateway: Report changed grants for a second, not twice

A change was listed in two reports; a planner whose socket overflows loses more than two in a row and learns of it a second later. Each change is now in all reports of the next second.

--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -245,8 +245,9 @@
     unsigned m_repeats = 0;
   };
 
-  /// A report may be lost, so a change is reported more than once.
-  static constexpr unsigned kGrantRepeats = 2;
+  /// A planner that is late loses several reports in a row; any one of those of the
+  /// next second tells it of a change.
+  static constexpr unsigned kGrantRepeats = 10;
   /// A new planner knows nothing of this gateway before a complete report.
   static constexpr unsigned kFirstCompleteReports = 2;
 
