Read a gateway's memory only once its program runs

The driver of the memory case had counted its own memory in the time between fork and exec of a gateway that it started, and ended it for that.

--- a/review/Tools/Bodies.cpp
+++ b/review/Tools/Bodies.cpp
@@ -119,7 +119,8 @@
     m_loop.After(10ms, [this] { WatchMemory(); });
   }
 
-  /// For some time, callers send a request in each period, by turns.
+  /// For some time, callers send a request in each period, by turns. One that misses its
+  /// turn, as its request is still under way or the gateway is down, waits for the next.
   void Drive(std::size_t aCallers, base::Duration aTime)
   {
     auto const start = m_loop.Now();
@@ -135,15 +136,16 @@
         }
         for (std::size_t number = 0; number < host.m_callers.size(); ++number) {
           auto& caller = *host.m_callers[number];
-          if (caller.State() == review::Client::End::Pending) {
-            continue;
-          }
-          if (!host.m_isRecorded[number]) {
+          bool const isPending = caller.State() == review::Client::End::Pending;
+          if (!isPending && !host.m_isRecorded[number]) {
             host.m_isRecorded[number] = true;
             Record(host, caller);
           }
-          if (number < aCallers && now >= host.m_next[number] && host.m_gateway->IsRunning()) {
-            host.m_next[number] = std::max(host.m_next[number] + kPeriod, now);
+          bool const isDue = now >= host.m_next[number];
+          while (host.m_next[number] <= now) {
+            host.m_next[number] += kPeriod;
+          }
+          if (isDue && !isPending && number < aCallers && host.m_gateway->IsRunning()) {
             host.m_isRecorded[number] = false;
             caller.Send("q" + std::to_string(++m_requests), m_body, kTimeoutMs);
           }
--- a/review/Tools/Site.h
+++ b/review/Tools/Site.h
@@ -287,8 +287,19 @@
   void Start()
   {
     auto const environment = "SARDINEFOLD_NODE_FILE=" + m_folder + "/" + m_name + ".yaml";
+    // The pipe closes when the program has replaced this one in the child, so that the
+    // memory seen from then on is the gateway's own.
+    int pipe[2] = { -1, -1 };
+    if (::pipe2(pipe, O_CLOEXEC) != 0) {
+      std::abort();
+    }
     m_process = ::fork();
     if (m_process != 0) {
+      ::close(pipe[1]);
+      char none = 0;
+      while (::read(pipe[0], &none, 1) < 0 && errno == EINTR) {
+      }
+      ::close(pipe[0]);
       return;
     }
     int const log =
