Replace half of a service of two engines in the descriptors case

The case claims as before that sockets of engines that are gone use up a gateway's descriptors. The service now has two engines, of which each release replaces one, as its limits ask; the record names the requests of each round.

--- a/review/Tools/Descriptors.cpp
+++ b/review/Tools/Descriptors.cpp
@@ -12,7 +12,9 @@
 using namespace std::chrono_literals;
 
 constexpr int kRounds = 68;
-constexpr std::size_t kCallers = 64;
+/// A release replaces one of two, which is half of the service.
+constexpr int kEngines = 2;
+constexpr std::size_t kCallers = 128;
 constexpr std::size_t kNewCallers = 40;
 constexpr int kTimeoutMs = 1500;
 
@@ -28,6 +30,8 @@
   std::size_t m_served = 0;
   std::size_t m_refused = 0;
   std::size_t m_unanswered = 0;
+  /// Requests that engines ran.
+  std::size_t m_run = 0;
 };
 
 class Run
@@ -48,7 +52,9 @@
       return 2;
     }
     m_store.Put("config", "main", review::Configuration(kTimeoutMs));
-    StartEngine();
+    for (int number = 0; number < kEngines; ++number) {
+      StartEngine();
+    }
     m_gateway.Start();
     if (!review::AwaitReady(m_loop, m_gateway)) {
       m_record << "the gateway did not become ready\n";
@@ -65,9 +71,8 @@
     for (int round = 0; round < kRounds; ++round) {
       auto const end = m_loop.Now() + 1s;
       auto const counts = SendAll();
-      m_record << "round " << round << ": served " << counts.m_served << ", refused "
-               << counts.m_refused << ", unanswered " << counts.m_unanswered
-               << "; descriptors of the gateway " << m_gateway.Descriptors() << "\n";
+      Record("round " + std::to_string(round), counts);
+      m_record << "descriptors of the gateway: " << m_gateway.Descriptors() << "\n";
       if (m_hasTrouble) {
         ReplaceEngine();
       }
@@ -77,8 +82,7 @@
     // the time that the rules ask for.
     m_loop.RunFor(6s);
     auto const kept = SendAll();
-    m_record << "after the releases, callers with a connection: served " << kept.m_served
-             << ", refused " << kept.m_refused << ", unanswered " << kept.m_unanswered << "\n";
+    Record("after the releases", kept);
     int const verdict = SendNew();
     m_record << "latest readiness on the balancer's connection: " << m_readiness
              << "; process running: " << (m_gateway.IsRunning() ? "yes" : "no")
@@ -106,11 +110,11 @@
     m_store.Put("servers", m_engines.back()->Name(), m_engines.back()->Entry("ready"));
   }
 
-  /// Starts a new engine; the former reports that it drains and ends after the time that
+  /// Starts a new engine; the oldest one reports that it drains and ends after the time that
   /// the pages give it.
   void ReplaceEngine()
   {
-    auto* const former = m_engines.back().get();
+    auto* const former = m_engines[m_replaced++].get();
     StartEngine();
     m_store.Put("servers", former->Name(), former->Entry("draining"));
     m_loop.After(2300ms, [this, former] {
@@ -128,18 +132,27 @@
     });
   }
 
-  static Counts Count(std::vector<std::unique_ptr<review::Client>> const& aClients)
+  Counts Count(std::vector<std::unique_ptr<review::Client>> const& aClients) const
   {
     Counts counts;
     for (auto const& client : aClients) {
       bool const isAnswered = client->State() == review::Client::End::Answered;
       counts.m_unanswered += isAnswered ? 0 : 1;
+      counts.m_run += m_runs.contains(client->Request()) ? 1 : 0;
       counts.m_served += isAnswered && client->Status() == 200 ? 1 : 0;
       counts.m_refused += isAnswered && client->Status() != 200 ? 1 : 0;
     }
     return counts;
   }
 
+  void Record(std::string const& aWhen, Counts const& aCounts)
+  {
+    m_record << aWhen << ", " << m_callers.size() << " requests on kept connections, "
+             << m_callers.front()->Request() << " to " << m_callers.back()->Request() << ": served "
+             << aCounts.m_served << ", refused " << aCounts.m_refused << ", unanswered "
+             << aCounts.m_unanswered << "; run by engines " << aCounts.m_run << "\n";
+  }
+
   Counts SendAll()
   {
     for (auto const& caller : m_callers) {
@@ -193,6 +206,8 @@
   std::set<std::string> m_runs;
   std::vector<std::unique_ptr<review::Engine>> m_engines;
   std::vector<std::unique_ptr<review::Client>> m_callers;
+  /// The first engines, which have been replaced.
+  std::size_t m_replaced = 0;
   int m_requests = 0;
   std::shared_ptr<review::Connection> m_balancer;
   int m_readiness = 0;
