End a gateway that was to be started again as the memory case ends

One process had been left running by an early run of the driver: it was started again after the others had been stopped.

--- a/review/Tools/Bodies.cpp
+++ b/review/Tools/Bodies.cpp
@@ -84,6 +84,7 @@
       Drive(m_hasTrouble ? kBurstCallers : kUsualCallers, 6s);
       Drive(kUsualCallers, 6s);
     }
+    m_isOver = true;
     bool isBroken = m_lost > 3;
     m_record << "requests from kept connections that engines ran and that ended without an answer: "
              << m_lost << "\n";
@@ -106,6 +107,9 @@
   /// a short delay. Bytes that have not been read are not even counted here.
   void WatchMemory()
   {
+    if (m_isOver) {
+      return;
+    }
     for (auto& host : m_hosts) {
       auto const memory = host.m_gateway->IsRunning() ? host.m_gateway->Memory() : 0;
       host.m_peak = std::max(host.m_peak, memory);
@@ -113,7 +117,11 @@
         m_record << host.m_gateway->Name() << " ended with " << memory << " MB\n";
         ++host.m_ends;
         host.m_gateway->Kill();
-        m_loop.After(500ms, [&host] { host.m_gateway->Start(); });
+        m_loop.After(500ms, [this, &host] {
+          if (!m_isOver) {
+            host.m_gateway->Start();
+          }
+        });
       }
     }
     m_loop.After(10ms, [this] { WatchMemory(); });
@@ -178,6 +186,8 @@
   std::set<std::string> m_runs;
   std::vector<std::unique_ptr<review::Engine>> m_engines;
   std::list<Host> m_hosts;
+  /// Whether the processes are being stopped for good.
+  bool m_isOver = false;
   int m_requests = 0;
   int m_served = 0;
   int m_refused = 0;
--- a/review/Tools/Site.h
+++ b/review/Tools/Site.h
@@ -283,6 +283,15 @@
          << aStore << "\", form: objects}\n";
   }
 
+  ~Gateway()
+  {
+    if (m_process > 0) {
+      Kill();
+    }
+  }
+  Gateway(Gateway const&) = delete;
+  Gateway& operator=(Gateway const&) = delete;
+
   /// Starts the process with the number of descriptors that the settings give it.
   void Start()
   {
