--- a/Base/ProcessProfile.h
+++ b/Base/ProcessProfile.h
@@ -5,6 +5,8 @@
 #include "Base/Time.h"
 #include "Base/Units.h"
 
+#include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -29,6 +31,13 @@
   Duration m_leaseTime = std::chrono::seconds(3);
   /// Number of concurrent loads from the weight store that run at full speed.
   unsigned m_parallelLoads = 4;
+  /// Longest time for which the upstreams of an evacuated failure domain may still
+  /// receive new requests.
+  Duration m_maximumEvacuationDelay = std::chrono::seconds(5);
+  /// An upstream that is warming up may get this many times its own rate of requests,
+  /// and m_warmUpAllowance more, in any second, from all processes together.
+  double m_warmUpOverage = 1;
+  double m_warmUpAllowance = 0;
 };
 
 /// The host's configuration of one process: its location, endpoints and limits.
@@ -36,6 +45,9 @@
 {
   HostId m_host;
   FailureDomainId m_failureDomain;
+  RegionId m_region;
+  /// The regions of the site's failure domains, as far as the settings name them.
+  std::map<FailureDomainId, RegionId> m_regions;
   std::string m_address;
   /// Endpoint for callers. Absent on hosts with an engine.
   std::optional<Endpoint> m_callers;
@@ -53,6 +65,8 @@
   double m_processorShare = 1;
   /// A process that uses more memory is killed.
   Bytes m_memoryLimit{ 256 * 1024 * 1024 };
+  /// Most descriptors that the process may have open.
+  std::size_t m_descriptorLimit = 4096;
 };
 
 } // namespace sardinefold::base
--- a/Caller/ForwardRequest.h
+++ b/Caller/ForwardRequest.h
@@ -75,6 +75,9 @@
 {
   unsigned m_running = 0;
   unsigned m_waiting = 0;
+  /// How long work takes on the upstream's host at that moment; 1 is as usual. Absent
+  /// if the response does not tell.
+  std::optional<double> m_slowdown;
 };
 
 /// The contents of the head of an engine's response.
--- a/Engine/EngineTypes.h
+++ b/Engine/EngineTypes.h
@@ -45,6 +45,8 @@
   /// Start of the engine in Unix milliseconds; distinguishes a restart under
   /// the same instance.
   std::int64_t m_startedAt = 0;
+  /// How much longer the upstream is warming up, as of the entry's last change.
+  base::Duration m_warmUpLeft{};
   std::vector<HeldModel> m_models;
   WeightCopies m_copies;
 };
--- a/Operator/ServingCatalog.h
+++ b/Operator/ServingCatalog.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
   unsigned m_maximumAttempts = 1;
   bool m_isPublic = false;
   bool m_isResumable = false;
+  /// The regions that its requests may be served in; all if it names none.
+  std::set<base::RegionId> m_homes;
 
   bool MayRepeat() const
   {
@@ -72,6 +75,8 @@
   base::Tokens m_burst;
   /// Tokens charged for a request that does not state its own.
   base::Tokens m_defaultRequestTokens{ 1 };
+  /// As in RouteRule; where both have homes, both hold.
+  std::set<base::RegionId> m_homes;
 };
 
 struct ModelSpec
@@ -95,6 +100,14 @@
   std::map<base::ModelId, ModelSpec> m_models;
 };
 
+/// The time after its start in which an upstream bears few requests.
+struct WarmUpSpec
+{
+  base::Duration m_time{};
+  /// Requests per second that it bears meanwhile, from all processes together.
+  double m_requestsPerSecond = 0;
+};
+
 struct DeploymentSpec
 {
   base::DeploymentId m_id;
@@ -102,6 +115,8 @@
   unsigned m_maximumConnections = 0;
   /// Absent for plain services.
   std::optional<EngineSpec> m_engine;
+  /// Absent where upstreams bear their full load from the start.
+  std::optional<WarmUpSpec> m_warmUp;
 };
 
 /// Bounds on what a caller may send.
