--- a/Base/Json.cpp
+++ b/Base/Json.cpp
@@ -47,9 +47,8 @@
         aOutput += "\\t";
         break;
       default:
-        if (static_cast<unsigned char>(character) < ' ') {
+        if (auto const code = static_cast<unsigned char>(character); code < ' ') {
           constexpr std::string_view kDigits = "0123456789abcdef";
-          auto const code = static_cast<std::size_t>(character);
           aOutput += "\\u00";
           aOutput += kDigits[code / kDigits.size()];
           aOutput += kDigits[code % kDigits.size()];
