Base, Engine, Programs: Close idle connections that nobody will use, and send bodies uncopied

Cause: an idle connection was closed only when a request asked for the same endpoint again, so that the sockets of upstreams that had gone stayed open until no descriptor was left; and a request's body was copied by its encoding for an engine and once more to be written behind its head.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Http/HttpConnection.h"
 #include "Base/Http/HttpHead.h"
+#include "Base/Http/HttpIdlePool.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -39,14 +40,14 @@
 
 /// Requests without a body carry a Content-Length only if their method expects a
 /// body.
-HttpFraming FramingOf(HttpRequest const& aRequest)
+HttpFraming FramingOf(HttpRequest const& aRequest, std::string const& aBody)
 {
   bool const expectsBody =
     aRequest.m_method == "POST" || aRequest.m_method == "PUT" || aRequest.m_method == "PATCH";
-  if (aRequest.m_body.empty() && !expectsBody) {
+  if (aBody.empty() && !expectsBody) {
     return {};
   }
-  return { aRequest.m_body.size(), false };
+  return { aBody.size(), false };
 }
 
 /// Parses the idle timeout in a Keep-Alive field such as "timeout=5, max=100".
@@ -182,9 +183,15 @@
   co_return data;
 }
 
+struct HttpClient::Idle : HttpIdlePool<HttpConnection>
+{
+  using HttpIdlePool::HttpIdlePool;
+};
+
 HttpClient::HttpClient(EventLoop& aLoop, HttpClientLimits aLimits)
   : m_loop(aLoop)
   , m_limits(std::move(aLimits))
+  , m_idle(std::make_unique<Idle>(m_limits.m_idle))
 {
 }
 
@@ -193,14 +200,7 @@
 std::unique_ptr<HttpConnection> HttpClient::TakeIdle(Endpoint const& aEndpoint,
                                                      Duration aMaximumIdleTime)
 {
-  auto const found = m_idle.find(aEndpoint);
-  if (found == m_idle.end()) {
-    return nullptr;
-  }
-  auto& connections = found->second;
-  while (!connections.empty()) {
-    auto connection = std::move(connections.back());
-    connections.pop_back();
+  while (auto connection = m_idle->Take(aEndpoint)) {
     // Half of the server's timeout leaves a margin for the request's latency.
     auto const limit =
       std::min(aMaximumIdleTime, connection->m_serverIdleTimeout.value_or(aMaximumIdleTime) / 2);
@@ -230,23 +230,32 @@
 
 void HttpClient::Return(std::unique_ptr<HttpConnection> aConnection)
 {
-  auto& connections = m_idle[aConnection->m_endpoint];
-  if (connections.size() >= m_limits.m_idlePerEndpoint || aConnection->m_buffer.size() > 0) {
-    return;
+  if (aConnection->m_buffer.size() == 0) {
+    m_idle->Put(std::move(aConnection), m_loop.Now());
   }
-  aConnection->m_idleSince = m_loop.Now();
-  connections.push_back(std::move(aConnection));
 }
 
 void HttpClient::CloseIdle(Endpoint const& aEndpoint)
 {
-  m_idle.erase(aEndpoint);
+  m_idle->Close(aEndpoint);
+}
+
+void HttpClient::SweepIdle(Instant aNow)
+{
+  m_idle->CloseExpired(aNow);
+  auto const unusable = FindUnusable(m_idle->Connections());
+  m_idle->CloseIf(
+    [&](HttpConnection const& aConnection) { return unusable.contains(&aConnection); });
 }
 
 std::size_t HttpClient::IdleConnections(Endpoint const& aEndpoint) const
 {
-  auto const found = m_idle.find(aEndpoint);
-  return found == m_idle.end() ? 0 : found->second.size();
+  return m_idle->Size(aEndpoint);
+}
+
+std::size_t HttpClient::IdleConnections() const
+{
+  return m_idle->Size();
 }
 
 asio::awaitable<tl::expected<HttpReply, HttpFailure>> HttpClient::Send(Endpoint aEndpoint,
@@ -301,7 +310,7 @@
                                                          HttpSendOptions const& aOptions)
 {
   auto const end = m_loop.Now() + aOptions.m_headTimeout;
-  auto const maximumIdleTime = aOptions.m_maximumIdleTime.value_or(m_limits.m_idleTimeout);
+  auto const maximumIdleTime = aOptions.m_maximumIdleTime.value_or(m_limits.m_idle.m_timeout);
   auto connection = co_await TakeProbed(aEndpoint, maximumIdleTime);
   bool isNew = false;
   while (true) {
@@ -347,9 +356,10 @@
   auto connection = std::move(*opened);
   AbortOnCancellation(cancellation, *connection);
   connection->m_stream.expires_after(end - m_loop.Now());
-  StartWriting(*connection,
-               RenderRequestHead(aRequest, connection->m_endpoint, FramingOf(aRequest)) +
-                 aRequest.m_body);
+  auto body = aOptions.m_body ? std::move(aOptions.m_body)
+                              : std::make_shared<std::string const>(std::move(aRequest.m_body));
+  auto head = RenderRequestHead(aRequest, connection->m_endpoint, FramingOf(aRequest, *body));
+  StartWriting(*connection, std::move(head), std::move(body));
   bool const isHead = aRequest.m_method == "HEAD";
   auto const readError =
     co_await ReadHead(m_loop, *connection, isHead, m_limits.m_headerBytes, end, aOptions.m_echo);
--- a/Base/Http/HttpClient.h
+++ b/Base/Http/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include "Base/Cancellation.h"
 #include "Base/EventLoop.h"
+#include "Base/Http/HttpIdleLimits.h"
 #include "Base/Http/HttpMessage.h"
 #include "Base/Units.h"
 
@@ -11,11 +12,9 @@
 
 #include <cstddef>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace sardinefold::base {
 
@@ -60,11 +59,9 @@
 struct HttpClientLimits
 {
   Duration m_connectTimeout = std::chrono::seconds(1);
-  /// A connection that was idle for longer is closed and not reused. The timeout is
-  /// shorter than the servers' idle timeout, so that a request rarely races with
-  /// the server's close.
-  Duration m_idleTimeout = std::chrono::seconds(20);
-  std::size_t m_idlePerEndpoint = 64;
+  /// A connection that was idle for longer is not reused. The timeout is shorter than
+  /// the servers' idle timeout, so that a request rarely races with the server's close.
+  HttpIdleLimits m_idle;
   /// Maximum size of a response head; at most 64 KiB, the size of a connection's
   /// read buffer.
   Bytes m_headerBytes{ 32 * 1024 };
@@ -93,6 +90,9 @@
   /// Called when a connection is ready, before the first byte is written. If it
   /// returns false, the request is not sent.
   std::function<bool()> m_mayStillSend;
+  /// Sent instead of the request's own body, if present. It is kept until it is written,
+  /// also if the sender is gone by then.
+  std::shared_ptr<std::string const> m_body = nullptr;
 };
 
 class HttpClient;
@@ -177,10 +177,16 @@
   /// Closes the idle connections to an endpoint, for use after one of them was
   /// found unresponsive.
   void CloseIdle(Endpoint const& aEndpoint);
+  /// Closes the idle connections that their peers have closed or sent something on, and
+  /// those that were idle for too long. To be called from time to time: nothing else
+  /// closes the connections to an endpoint that no request is sent to.
+  void SweepIdle(Instant aNow);
   std::size_t IdleConnections(Endpoint const& aEndpoint) const;
+  std::size_t IdleConnections() const;
 
 private:
   friend class HttpReply;
+  struct Idle;
   using OpenResult = tl::expected<std::unique_ptr<HttpConnection>, HttpFailure>;
 
   /// Returns a connection on which a request may be sent without further delay. A
@@ -202,7 +208,7 @@
 
   EventLoop& m_loop;
   HttpClientLimits m_limits;
-  std::map<Endpoint, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
+  std::unique_ptr<Idle> m_idle;
 };
 
 } // namespace sardinefold::base
--- a/Base/Http/HttpConnection.cpp
+++ b/Base/Http/HttpConnection.cpp
@@ -6,9 +6,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <vector>
 
 namespace sardinefold::base {
 
@@ -132,6 +134,27 @@
   return isWaiting ? HttpIdleInput::None : HttpIdleInput::Closed;
 }
 
+std::set<HttpConnection const*> FindUnusable(
+  std::list<std::unique_ptr<HttpConnection>> const& aConnections)
+{
+  std::vector<::pollfd> polled;
+  std::vector<HttpConnection const*> connections;
+  for (auto const& connection : aConnections) {
+    polled.push_back({ connection->m_stream.socket().native_handle(), POLLIN, 0 });
+    connections.push_back(connection.get());
+  }
+  std::set<HttpConnection const*> unusable;
+  if (polled.empty() || ::poll(polled.data(), polled.size(), 0) <= 0) {
+    return unusable;
+  }
+  for (std::size_t number = 0; number < polled.size(); ++number) {
+    if (polled[number].revents != 0) {
+      unusable.insert(connections[number]);
+    }
+  }
+  return unusable;
+}
+
 asio::awaitable<bool> Probe(HttpConnection& aConnection, HttpProbe const& aProbe)
 {
   HttpRequest request;
@@ -151,17 +174,19 @@
   co_return !readError && response.keep_alive();
 }
 
-void StartWriting(HttpConnection& aConnection, std::string aMessage)
+void StartWriting(HttpConnection& aConnection, std::string aHead,
+                  std::shared_ptr<std::string const> aBody)
 {
-  // The buffer has to live until the write's handler has run, which may be after
+  // The buffers have to live until the write's handler has run, which may be after
   // the connection was closed.
-  auto const message = std::make_shared<std::string const>(std::move(aMessage));
+  auto const head = std::make_shared<std::string const>(std::move(aHead));
+  std::array const buffers = { asio::buffer(*head), asio::buffer(*aBody) };
   *aConnection.m_write = {};
-  asio::async_write(
-    aConnection.m_stream, asio::buffer(*message),
-    [message, state = aConnection.m_write](boost::system::error_code aError, std::size_t) {
-      *state = { !aError, aError };
-    });
+  asio::async_write(aConnection.m_stream, buffers,
+                    [head, body = std::move(aBody),
+                     state = aConnection.m_write](boost::system::error_code aError, std::size_t) {
+                      *state = { !aError, aError };
+                    });
 }
 
 asio::awaitable<boost::system::error_code> ReadHead(EventLoop const& aLoop,
--- a/Base/Http/HttpConnection.h
+++ b/Base/Http/HttpConnection.h
@@ -9,8 +9,10 @@
 #include <boost/beast/http.hpp>
 
 #include <cstddef>
+#include <list>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace sardinefold::base {
@@ -71,12 +73,18 @@
 
 HttpIdleInput CheckIdleInput(HttpConnection& aConnection);
 
+/// Returns those of the idle connections that have received something or were closed by
+/// their peers, with one call to the operating system.
+std::set<HttpConnection const*> FindUnusable(
+  std::list<std::unique_ptr<HttpConnection>> const& aConnections);
+
 /// Sends the probe and returns whether a response arrives within its timeout.
 boost::asio::awaitable<bool> Probe(HttpConnection& aConnection, HttpProbe const& aProbe);
 
 /// Starts to write a request without waiting for the end of the write, since a
 /// server may respond before it has read a long body.
-void StartWriting(HttpConnection& aConnection, std::string aMessage);
+void StartWriting(HttpConnection& aConnection, std::string aHead,
+                  std::shared_ptr<std::string const> aBody);
 
 /// Reads the head of the final response. Interim responses are skipped, as are
 /// responses that echo another value of the given field, which belong to earlier
--- a/Base/Http/HttpExchange.cpp
+++ b/Base/Http/HttpExchange.cpp
@@ -24,11 +24,11 @@
 HttpExchange::HttpExchange(AnyStream aStream, HttpRequest aRequest, bool aKeepAlive, bool aMayChunk,
                            Duration aWriteTimeout)
   : m_stream(aStream)
-  , m_request(std::move(aRequest))
+  , m_request(std::make_shared<HttpRequest>(std::move(aRequest)))
   , m_writeTimeout(aWriteTimeout)
   , m_keepAlive(aKeepAlive)
   , m_mayChunk(aMayChunk)
-  , m_isHead(m_request.m_method == "HEAD")
+  , m_isHead(m_request->m_method == "HEAD")
 {
 }
 
--- a/Base/Http/HttpExchange.h
+++ b/Base/Http/HttpExchange.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -35,7 +36,12 @@
   HttpExchange(AnyStream aStream, HttpRequest aRequest, bool aKeepAlive, bool aMayChunk,
                Duration aWriteTimeout);
 
-  HttpRequest& Request() { return m_request; }
+  HttpRequest& Request() { return *m_request; }
+  /// The request's body, which outlives the exchange for as long as it is held.
+  std::shared_ptr<std::string const> SharedBody() const
+  {
+    return { m_request, &m_request->m_body };
+  }
   /// Returns the connection's sequence number on its server, starting with 1.
   std::uint64_t ConnectionNumber() const { return m_connectionNumber; }
   void SetConnectionNumber(std::uint64_t aNumber) { m_connectionNumber = aNumber; }
@@ -76,7 +82,7 @@
   Result Check(boost::system::error_code aError);
 
   AnyStream m_stream;
-  HttpRequest m_request;
+  std::shared_ptr<HttpRequest> m_request;
   Duration m_writeTimeout;
   std::function<void()> m_onPeerDisconnected;
   std::uint64_t m_connectionNumber = 0;
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -106,8 +106,8 @@
   bool const isRestart = upstream.m_entry.m_startedAt != aEntry.m_startedAt ||
                          upstream.m_entry.m_endpoint != aEntry.m_endpoint;
   if (isRestart) {
-    OnStartEnded(upstream.m_entry, true);
     if (!isNew) {
+      OnStartEnded(upstream.m_entry, true);
       m_left.OnRemoved(StartOf(upstream.m_entry), aNow);
     }
     upstream.m_loaderStatus.reset();
@@ -250,6 +250,7 @@
 void UpstreamDirectory::OnStartEnded(UpstreamEntry const& aEntry, bool aIsRestart)
 {
   auto const start = StartOf(aEntry);
+  m_endedEndpoints.push_back(aEntry.m_endpoint);
   if (auto const* const notice = m_leaving.Find(start)) {
     m_leavingEnds.push_back({ start, *notice, aIsRestart });
   }
@@ -319,6 +320,11 @@
   return std::exchange(m_backoffEnds, {});
 }
 
+std::vector<base::Endpoint> UpstreamDirectory::TakeEndedEndpoints()
+{
+  return std::exchange(m_endedEndpoints, {});
+}
+
 std::vector<LeavingEnd> UpstreamDirectory::TakeLeavingEnds()
 {
   return std::exchange(m_leavingEnds, {});
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -251,6 +251,9 @@
   void OnTrialAnswered(UpstreamChoice const& aChoice, bool aIsFull);
   void OnTrialEnded(UpstreamChoice const& aChoice);
   std::vector<BackoffEnd> TakeBackoffEnds();
+  /// The endpoints of starts that ended since the last call: their upstreams are out of
+  /// use or have started again.
+  std::vector<base::Endpoint> TakeEndedEndpoints();
   void SetMaximumDrainDelay(base::Duration aDelay) { m_limits.m_maximumDrainDelay = aDelay; }
 
   std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
@@ -353,6 +356,7 @@
   LeavingUpstreams m_leaving;
   LeftUpstreams m_left;
   std::vector<LeavingEnd> m_leavingEnds;
+  std::vector<base::Endpoint> m_endedEndpoints;
   BackoffTable m_backoffs;
   std::vector<BackoffEnd> m_backoffEnds;
 };
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -203,6 +203,7 @@
     if (hosts) {
       ApplyHosts(*hosts);
     }
+    m_http.SweepIdle(m_loop.Now());
     co_await m_loop.Sleep(kHostPollInterval);
   }
 }
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -59,9 +59,6 @@
   /// run twice. If the server closes an idle connection while the request is
   /// being sent, the outcome of the request is unknown.
   static constexpr base::Duration kNonRepeatableIdle = std::chrono::milliseconds(400);
-  /// Maximum idle time of a connection that is reused for a repeatable request.
-  /// Shorter than the idle time-out of every server in the fleet.
-  static constexpr base::Duration kRepeatableIdle = std::chrono::seconds(4);
 
   base::Instant Now() const { return m_state.m_loop.Now(); }
 
@@ -321,10 +318,11 @@
     auto request = Wire::EncodeForEngine(m_exchange.Request(), terms);
     base::HttpSendOptions options{
       m_context.m_end - Now() + ResponseRelay<Wire>::kResponseGrace, &m_cancellation,
-      m_context.m_route.MayRepeat() ? kRepeatableIdle : kNonRepeatableIdle,
+      m_context.m_route.MayRepeat() ? std::nullopt : std::optional(kNonRepeatableIdle),
       base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_context.m_request.m_id.Text() },
       // The upstream may have become unusable while the connection was set up.
-      [this, &aChoice] { return m_state.m_directory.MaySend(aChoice, Now()) && !IsRefused(); }
+      [this, &aChoice] { return m_state.m_directory.MaySend(aChoice, Now()) && !IsRefused(); },
+      m_exchange.SharedBody()
     };
     auto endpoint = aChoice.m_endpoint;
     auto reply =
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -316,9 +316,11 @@
         base::log::StartInterval();
         UpdateGauges(now);
         LogMalformedNotice(m_state);
+        m_state.m_http.SweepIdle(now);
       }
       m_store.Tick(now);
       m_state.m_directory.Expire(now - m_store.ListAge(now), now);
+      m_state.CloseUnusedConnections();
       LogEndedNotices(m_state, now);
       m_state.ExpireSuspects();
       m_domain.Tick(now);
@@ -341,6 +343,10 @@
     setAge("planner", m_fleet.PlannerAge(aNow));
     m_state.m_metrics.Gauge("sardinefold_gateway_upstreams", "Upstreams known.")
       .Set(static_cast<double>(m_state.m_directory.Size()));
+    m_state.m_metrics
+      .Gauge("sardinefold_gateway_idle_upstream_connections",
+             "Connections to upstreams that are kept for the next request.")
+      .Set(static_cast<double>(m_state.m_http.IdleConnections()));
   }
 
   base::EventLoop& m_loop;
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -33,7 +33,7 @@
   GatewayState(base::EventLoop& aLoop, base::ProcessProfile aProfile, std::uint64_t aSeed)
     : m_loop(aLoop)
     , m_profile(std::move(aProfile))
-    , m_http(aLoop, EngineClientLimits())
+    , m_http(aLoop, EngineClientLimits(m_profile.m_descriptorLimit))
     , m_responseMemory(ResponseMemoryOf(m_profile.m_memoryLimit))
     , m_directory(DirectoryPolicy(m_profile.m_bounds), m_profile.m_failureDomain, aSeed)
     , m_demand(aLoop.Now())
@@ -63,9 +63,14 @@
     return limits;
   }
 
-  static base::HttpClientLimits EngineClientLimits()
+  static base::HttpClientLimits EngineClientLimits(std::size_t aDescriptors)
   {
+    // Callers, requests under way, the store and files need the larger part.
+    constexpr std::size_t kIdleShare = 4;
     base::HttpClientLimits limits;
+    limits.m_idle.m_total = aDescriptors / kIdleShare;
+    // Shorter than the idle timeout of every server in the fleet.
+    limits.m_idle.m_timeout = std::chrono::seconds(4);
     // Connecting within a site takes a few milliseconds; a lost packet is
     // retransmitted within a second.
     limits.m_connectTimeout = std::chrono::milliseconds(600);
@@ -173,6 +178,14 @@
     LogPause(aUpstream, aReason, m_directory.OnFailed(aUpstream.m_instance, m_loop.Now()));
   }
 
+  /// Closes the idle connections to upstreams that are out of use or have started again.
+  void CloseUnusedConnections()
+  {
+    for (auto const& endpoint : m_directory.TakeEndedEndpoints()) {
+      m_http.CloseIdle(endpoint);
+    }
+  }
+
   /// Records that an upstream did not respond, or did not complete its response,
   /// in time.
   void RecordUnresponsive(engine::UpstreamChoice const& aUpstream, std::string_view aReason)
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -100,6 +100,7 @@
       StoreFollowerTiming::kUpdateInterval / std::chrono::milliseconds(100);
     UpdateAvailability(aNow);
     RecordHold(aNow);
+    m_store.SweepIdle(aNow);
     if (m_ticks++ % kUpdateTicks == 0) {
       auto const version = m_upstreamWatch.State().Version();
       NotifyNeighbours({ version, { version, {} } });
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -519,6 +519,8 @@
       m_gateways.Expire(now);
       if (tick % kTicksPerLogInterval == 0) {
         base::log::StartInterval();
+        m_http.SweepIdle(now);
+        m_store.SweepIdle(now);
       }
       if (tick % kTicksPerHeartbeat == 0) {
         SendStatus(true);
--- a/Programs/ServingWire.h
+++ b/Programs/ServingWire.h
@@ -39,6 +39,7 @@
   {
     Wire::DecodeRequest(aRequest)
     } -> std::same_as<tl::expected<caller::ForwardRequest, std::string>>;
+  /// The request without its body.
   {
     Wire::EncodeForEngine(aRequest, aTerms)
     } -> std::same_as<base::HttpRequest>;
--- a/Programs/StoreAccess.h
+++ b/Programs/StoreAccess.h
@@ -26,6 +26,8 @@
   Client& Objects() { return m_client; }
   void SetEndpoint(base::Endpoint aStore) { m_client.SetEndpoint(std::move(aStore)); }
 
+  void SweepIdle(base::Instant aNow) { m_http.SweepIdle(aNow); }
+
   static objectstore::CircuitLimits Circuit()
   {
     objectstore::CircuitLimits limits;
@@ -43,7 +45,7 @@
     // The store responds within milliseconds; a lost packet takes up to a second.
     limits.m_connectTimeout = std::chrono::milliseconds(800);
     // An idle connection may have failed unnoticed, so it is not reused for long.
-    limits.m_idleTimeout = std::chrono::seconds(4);
+    limits.m_idle.m_timeout = std::chrono::seconds(4);
     // A watch may receive nothing for longer than a configuration may take to be
     // in force.
     limits.m_acknowledgeTimeout = std::chrono::milliseconds(1000);
