--- a/Tests/HttpIdleTest.cpp
+++ b/Tests/HttpIdleTest.cpp
@@ -1,5 +1,3 @@
-// A client that closes an idle connection only when its endpoint is used again keeps the
-// sockets of all peers that have gone, until no descriptor is left for new ones.
 #define BOOST_TEST_MODULE HttpIdle
 #include "Base/Http/HttpClient.h"
 #include "Base/Http/HttpIdlePool.h"
@@ -9,6 +7,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+// A client that closes an idle connection only when its endpoint is used again keeps the
+// sockets of all peers that have gone, until no descriptor is left for new ones.
+
 using namespace sardinefold;
 using namespace std::chrono_literals;
 using boost::asio::awaitable;
--- a/Tests/RequestBodyTest.cpp
+++ b/Tests/RequestBodyTest.cpp
@@ -1,6 +1,3 @@
-// A process that holds the body of each request several times exceeds its memory in a
-// burst of requests, each of which is within the limits. The body of a request that waits
-// for its answer exists once, so neither encoding nor sending it allocates another one.
 #define BOOST_TEST_MODULE RequestBody
 #include "Base/Http/HttpClient.h"
 #include "Base/Http/HttpServer.h"
@@ -12,6 +9,10 @@
 #include <cstdlib>
 #include <new>
 
+// A process that holds the body of each request several times exceeds its memory in a
+// burst of requests, each of which is within the limits. The body of a request that waits
+// for its answer exists once, so neither encoding nor sending it allocates another one.
+
 using namespace sardinefold;
 using boost::asio::awaitable;
 
