Programs: Keep the call of the engine client's limits as the drain test uses it

The bound on idle connections follows from the process's profile, which is an argument with a default; Tests/DrainingUpstreamTest.cpp calls it without one.

--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -33,7 +33,7 @@
   GatewayState(base::EventLoop& aLoop, base::ProcessProfile aProfile, std::uint64_t aSeed)
     : m_loop(aLoop)
     , m_profile(std::move(aProfile))
-    , m_http(aLoop, EngineClientLimits(m_profile.m_descriptorLimit))
+    , m_http(aLoop, EngineClientLimits(m_profile))
     , m_responseMemory(ResponseMemoryOf(m_profile.m_memoryLimit))
     , m_directory(DirectoryPolicy(m_profile.m_bounds), m_profile.m_failureDomain, aSeed)
     , m_demand(aLoop.Now())
@@ -63,12 +63,12 @@
     return limits;
   }
 
-  static base::HttpClientLimits EngineClientLimits(std::size_t aDescriptors)
+  static base::HttpClientLimits EngineClientLimits(base::ProcessProfile const& aProfile = {})
   {
     // Callers, requests under way, the store and files need the larger part.
     constexpr std::size_t kIdleShare = 4;
     base::HttpClientLimits limits;
-    limits.m_idle.m_total = aDescriptors / kIdleShare;
+    limits.m_idle.m_total = aProfile.m_descriptorLimit / kIdleShare;
     // Shorter than the idle timeout of every server in the fleet.
     limits.m_idle.m_timeout = std::chrono::seconds(4);
     // Connecting within a site takes a few milliseconds; a lost packet is
