Operator, Programs, platform: Check a configuration before it is sent

Operators could check and compare documents of the product's own interface only, and saw what a configuration of the users' platform does once it was in force. sardinefold-check reads such a configuration, reports errors, entries that never match and limits that contradict each other, and what differs from the one in force.

--- a/Meta/settings.sh
+++ b/Meta/settings.sh
@@ -8,7 +8,7 @@
   echo '# Settings'
   echo
   echo 'Each setting is a flag and an environment variable; the flag wins. A value that cannot be used ends the program at its start with status 2 and an error that names both. `Meta/settings.sh` writes this page from the programs'"'"' tables.'
-  for program in sardinefold-entry sardinefold-agent sardinefoldctl sardinefold-load sardinefold-gateway sardinefold-loader; do
+  for program in sardinefold-entry sardinefold-agent sardinefoldctl sardinefold-load sardinefold-gateway sardinefold-loader sardinefold-check; do
     printf '\n## %s\n\n' "$program"
     "$build/$program" --help-markdown
   done
--- a/Operator/DocumentDifference.cpp
+++ b/Operator/DocumentDifference.cpp
@@ -30,19 +30,6 @@
 
 } // namespace
 
-std::string_view ToText(ChangeKind aKind)
-{
-  switch (aKind) {
-    case ChangeKind::Added:
-      return "added";
-    case ChangeKind::Removed:
-      return "removed";
-    case ChangeKind::Changed:
-      return "changed";
-  }
-  return "changed";
-}
-
 std::vector<DocumentChange> CompareDocuments(Document const& aBefore, Document const& aAfter)
 {
   std::vector<DocumentChange> changes;
--- a/Operator/DocumentDifference.h
+++ b/Operator/DocumentDifference.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Operator/ChangeKind.h"
 #include "Operator/Document.h"
 
 #include <string>
@@ -7,15 +8,6 @@
 
 namespace sardinefold::operators {
 
-enum class ChangeKind
-{
-  Added,
-  Removed,
-  Changed
-};
-
-std::string_view ToText(ChangeKind aKind);
-
 /// One entry in which two documents differ.
 struct DocumentChange
 {
