--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -59,6 +59,8 @@
   m_faultInjector.Faults().AddText("leaving_header", m_leavingHeader);
   m_faultInjector.Faults().AddAction("restart", [this] { Restart(); });
   m_faultInjector.Faults().AddMilliseconds("event_ms", m_settings.m_eventTime);
+  m_faultInjector.Faults().AddCount("events", m_settings.m_events);
+  m_faultInjector.Faults().AddCount("event_bytes", m_paddingBytes);
   m_faultInjector.Faults().AddMilliseconds("load_ms", m_settings.m_loadTime);
   for (auto const& model : m_settings.m_models) {
     m_models[model];
@@ -375,6 +377,7 @@
     co_await m_loop.Sleep(m_settings.m_eventTime);
     Restart();
   }
+  std::string const padding(m_paddingBytes, 'x');
   for (unsigned event = first; event <= m_settings.m_events; ++event) {
     co_await m_loop.Sleep(m_settings.m_eventTime);
     if (restarts != m_restarts) {
@@ -386,7 +389,7 @@
     }
     auto const text = "id: " + std::to_string(event) +
                       "\ndata: " + HeaderText(request, "Request-Id") + "." + std::to_string(event) +
-                      "\n\n";
+                      padding + "\n\n";
     auto const written = co_await aExchange.Write(text);
     if (!written) {
       co_return;
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -34,7 +34,7 @@
   std::size_t m_capacity = 2;
   base::Duration m_loadTime = std::chrono::milliseconds(150);
   base::Duration m_eventTime = std::chrono::milliseconds(10);
-  unsigned m_events = 8;
+  std::uint64_t m_events = 8;
   std::int64_t m_startedAt = 1;
 };
 
@@ -129,6 +129,8 @@
   /// connection, or properly.
   std::uint64_t m_streamsToCut = 0;
   std::uint64_t m_streamsToEmpty = 0;
+  /// Appended to the data of each event.
+  std::uint64_t m_paddingBytes = 0;
   /// A request with this part of a prompt crashes the engine before its first event;
   /// zero for none.
   std::uint64_t m_crashingPart = 0;
