Base, Programs: Bound what callers' connections hold together

Cause: nothing bounded the sum of heads, bodies, parsers' buffers and connections of a process's servers.

Change: base::HttpBudget decides for all servers of a process who is admitted, refused or cut, by memory and by descriptors; it knows no socket. A session counts its buffer, head and body as they come (a body's memory no longer grows to the announced length at once), refuses with 503 and Retry-After a request that has not run and closes what is of no use. Lingering connections share one buffer. Readiness and metrics take bodies of 16 kB at most.

Not yet run: the unit tests of the budget and the rest of the tests.

--- a/Base/Http/HttpConnectionClose.h
+++ b/Base/Http/HttpConnectionClose.h
@@ -23,8 +23,10 @@
   RequestRefused,
   /// A request was read and its response was not sent completely.
   ResponseIncomplete,
-  /// The server is over its connection limit.
-  ConnectionLimit
+  /// The server is over its connection limit, or the process has no room.
+  ConnectionLimit,
+  /// Others needed its room.
+  Cut
 };
 
 constexpr std::string_view ToText(HttpCloseReason aReason)
@@ -44,6 +46,8 @@
       return "response incomplete";
     case HttpCloseReason::ConnectionLimit:
       return "connection limit";
+    case HttpCloseReason::Cut:
+      return "cut";
   }
   return "unknown";
 }
--- a/Base/Http/HttpExchange.cpp
+++ b/Base/Http/HttpExchange.cpp
@@ -61,6 +61,9 @@
 
 asio::awaitable<HttpExchange::Result> HttpExchange::WriteBuffers(Buffers aBuffers)
 {
+  if (m_share) {
+    m_share->HoldResponse(Bytes(static_cast<std::int64_t>(asio::buffer_size(aBuffers))));
+  }
   LowestLayer().expires_after(m_writeTimeout);
   boost::system::error_code error;
   if (auto* const* plain = std::get_if<boost::beast::tcp_stream*>(&m_stream)) {
@@ -71,6 +74,9 @@
     auto const [writeError, size] = co_await asio::async_write(tls, aBuffers, kAwait);
     error = writeError;
   }
+  if (m_share) {
+    m_share->HoldResponse(Bytes());
+  }
   co_return Check(error);
 }
 
--- a/Base/Http/HttpExchange.h
+++ b/Base/Http/HttpExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Http/HttpBudgetShare.h"
 #include "Base/Http/HttpMessage.h"
 #include "Base/Time.h"
 
@@ -42,6 +43,9 @@
   /// Returns the peer's IP address, or an empty text if it is not known.
   std::string PeerAddress() const;
 
+  /// Counts the responses that are being written.
+  void UseBudget(HttpBudgetShare& aShare) { m_share = &aShare; }
+
   /// Sends a complete response.
   boost::asio::awaitable<Result> Respond(HttpResponse aResponse);
   /// Sends the head of a response whose body follows by Write().
@@ -76,6 +80,7 @@
   Result Check(boost::system::error_code aError);
 
   AnyStream m_stream;
+  HttpBudgetShare* m_share = nullptr;
   HttpRequest m_request;
   Duration m_writeTimeout;
   std::function<void()> m_onPeerDisconnected;
--- a/Base/Http/HttpServer.cpp
+++ b/Base/Http/HttpServer.cpp
@@ -29,6 +29,11 @@
 
 HttpRequestError ToRequestError(boost::system::error_code aError)
 {
+  if (aError == kNoRoom) {
+    // Large requests end, or are given up, within some seconds.
+    constexpr Duration kRetryAfter = std::chrono::seconds(1);
+    return { 503, "no room for the request", kRetryAfter };
+  }
   if (aError == http::error::header_limit) {
     return { 431, "the headers are larger than the limit" };
   }
@@ -56,7 +61,7 @@
   return ::recv(aSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-HttpRequest ToRequest(http::request<http::string_body>& aMessage)
+HttpRequest ToRequest(http::request<HttpRequestBody>& aMessage)
 {
   HttpRequest request;
   request.m_method = std::string(aMessage.method_string());
@@ -132,10 +137,10 @@
       co_return;
     }
     if (error || m_connections >= m_limits.m_connections) {
-      if (!error) {
-        HttpConnectionClose close;
-        close.m_reason = HttpCloseReason::ConnectionLimit;
-        ReportClose(close);
+      if (error) {
+        m_budget->OnDescriptorsExhausted(m_loop.Now());
+      } else {
+        ReportTurnedAway();
       }
       // The process is out of file descriptors or over its connection limit. Close
       // the connection and pause, so that the loop does not spin.
@@ -148,6 +153,13 @@
   }
 }
 
+void HttpServer::ReportTurnedAway() const
+{
+  HttpConnectionClose close;
+  close.m_reason = HttpCloseReason::ConnectionLimit;
+  ReportClose(close);
+}
+
 void HttpServer::StartSession(tcp::socket aSocket)
 {
   boost::system::error_code ignored;
@@ -177,8 +189,13 @@
 asio::awaitable<void> HttpServer::ServePlain(tcp::socket aSocket)
 {
   detail::CountGuard const guard(m_connections);
+  HttpBudgetShare share(m_loop, m_budget);
+  if (!share.IsAdmitted()) {
+    ReportTurnedAway();
+    co_return;
+  }
   boost::beast::tcp_stream stream(std::move(aSocket));
-  Session<boost::beast::tcp_stream> session(*this, stream);
+  Session<boost::beast::tcp_stream> session(*this, stream, share);
   co_await session.Run();
 }
 
--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/EventLoop.h"
+#include "Base/Http/HttpBudget.h"
 #include "Base/Http/HttpConnectionClose.h"
 #include "Base/Http/HttpExchange.h"
 #include "Base/Http/HttpMessage.h"
@@ -11,11 +12,13 @@
 #include <boost/asio/ssl/context.hpp>
 #include <tl/expected.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sardinefold::base {
@@ -41,6 +44,8 @@
 {
   unsigned m_status;
   std::string m_message;
+  /// When a retry may succeed, if the refusal is for want of room.
+  std::optional<Duration> m_retryAfter{};
 };
 
 class IdleWait;
@@ -62,6 +67,10 @@
   /// Uses TLS for new connections. Open connections keep their certificate.
   void UseTls(std::shared_ptr<boost::asio::ssl::context> aContext);
 
+  /// Shares a budget with the other servers of the process. Has to be called before
+  /// Listen().
+  void UseBudget(std::shared_ptr<HttpBudget> aBudget) { m_budget = std::move(aBudget); }
+
   /// Sets a callback that is called at the end of each connection.
   void OnConnectionClosed(CloseObserver aObserver) { m_closeObserver = std::move(aObserver); }
 
@@ -109,6 +118,7 @@
 
   boost::asio::awaitable<void> Accept();
   void StartSession(boost::asio::ip::tcp::socket aSocket);
+  void ReportTurnedAway() const;
   void AcceptPending();
   boost::asio::awaitable<void> ServePlain(boost::asio::ip::tcp::socket aSocket);
   boost::asio::awaitable<void> ServeTls(boost::asio::ip::tcp::socket aSocket,
@@ -117,6 +127,7 @@
   EventLoop& m_loop;
   HttpServerLimits m_limits;
   IdleLimit m_idleLimit;
+  std::shared_ptr<HttpBudget> m_budget = std::make_shared<HttpBudget>(HttpBudgetLimits{});
   Handler m_handler;
   ErrorRenderer m_errorRenderer;
   CloseObserver m_closeObserver;
@@ -126,6 +137,8 @@
   std::list<IdleWait*> m_idle;
   std::list<ReadDeadline*> m_reads;
   std::list<HttpExchange*> m_open;
+  /// What connections that linger have received, and nobody reads.
+  std::array<char, 16UL * 1024> m_discarded{};
   std::size_t m_connections = 0;
   std::size_t m_exchanges = 0;
   /// Exchanges that have been answered, and whose peers are still sending.
--- a/Base/Http/HttpServerTls.cpp
+++ b/Base/Http/HttpServerTls.cpp
@@ -22,14 +22,27 @@
                                            std::shared_ptr<asio::ssl::context> aContext)
 {
   detail::CountGuard const guard(m_connections);
+  HttpBudgetShare share(m_loop, m_budget);
+  if (!share.IsAdmitted()) {
+    ReportTurnedAway();
+    co_return;
+  }
   HttpExchange::TlsStream stream(boost::beast::tcp_stream(std::move(aSocket)), *aContext);
   stream.next_layer().expires_after(m_limits.m_headerTimeout);
+  share.OnCut([&stream] {
+    boost::system::error_code ignored;
+    stream.next_layer().socket().close(ignored);
+  });
   auto const [error] = co_await stream.async_handshake(asio::ssl::stream_base::server, kAwait);
   if (error) {
     co_return;
   }
-  Session<HttpExchange::TlsStream> session(*this, stream);
+  Session<HttpExchange::TlsStream> session(*this, stream, share);
   co_await session.Run();
+  share.OnCut([&stream] {
+    boost::system::error_code ignored;
+    stream.next_layer().socket().close(ignored);
+  });
   stream.next_layer().expires_after(std::chrono::seconds(1));
   co_await stream.async_shutdown(kAwait);
 }
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Base/Http/HttpBudgetShare.h"
+#include "Base/Http/HttpRequestBody.h"
 #include "Base/Http/HttpServer.h"
 #include "Base/Http/IdleWait.h"
 #include "Base/Http/ReadDeadline.h"
@@ -11,6 +13,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <new>
 #include <optional>
 #include <string>
@@ -21,6 +24,10 @@
 
 inline constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
 
+/// The budget of the process has no room for the request.
+inline boost::system::error_code const kNoRoom =
+  boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+
 HttpRequestError ToRequestError(boost::system::error_code aError);
 bool IsPeerClosed(boost::asio::ip::tcp::socket& aSocket);
 bool HasInput(boost::asio::ip::tcp::socket& aSocket);
@@ -30,7 +37,7 @@
   return false;
 }
 bool HasDecryptedInput(HttpExchange::TlsStream& aStream);
-HttpRequest ToRequest(boost::beast::http::request<boost::beast::http::string_body>& aMessage);
+HttpRequest ToRequest(boost::beast::http::request<HttpRequestBody>& aMessage);
 
 /// Increments a counter for the lifetime of the guard.
 class CountGuard
@@ -56,21 +63,53 @@
 class HttpServer::Session
 {
 public:
-  Session(HttpServer& aServer, Stream& aStream)
+  Session(HttpServer& aServer, Stream& aStream, HttpBudgetShare& aShare)
     : m_server(aServer)
     , m_stream(aStream)
+    , m_share(aShare)
     , m_number(++aServer.m_accepted)
   {
   }
 
   boost::asio::awaitable<void> Run()
   {
+    m_share.OnCut([this] { Cut(); });
     co_await ServeAll();
     ReportClose();
     co_await StopWatching();
+    m_share.OnCut([] {});
   }
 
 private:
+  using Parser = boost::beast::http::request_parser<detail::HttpRequestBody>;
+
+  /// Ends the connection, as others need its room. A request that is being read is still
+  /// refused with a response.
+  void Cut()
+  {
+    m_isCut = true;
+    if (m_idleWait) {
+      m_idleWait->Cancel();
+    } else if (m_parser) {
+      std::string().swap(m_parser->get().body());
+      if (m_read) {
+        m_read->Expire();
+      }
+    } else {
+      boost::system::error_code ignored;
+      Socket().close(ignored);
+    }
+  }
+
+  /// Counts what the request holds. Returns false if there is no room for it.
+  bool HoldRequest()
+  {
+    // The parser holds a head twice: as it came, and as fields.
+    auto const head = m_parser ? 2 * m_headBytes : 0;
+    auto const body = m_parser ? m_parser->get().body().capacity() : 0;
+    return m_share.HoldRequest(Bytes(static_cast<std::int64_t>(m_buffer.capacity() + head + body)));
+  }
+
   void ReportClose()
   {
     boost::system::error_code ignored;
@@ -97,6 +136,7 @@
         co_return;
       }
       bool const isReusable = co_await Serve(std::move(*request));
+      HoldRequest();
       if (!isReusable) {
         bool const isFinished = m_closeReason == HttpCloseReason::AfterResponse;
         if (isFinished && detail::HasInput(Socket())) {
@@ -126,6 +166,7 @@
   {
     m_waitBegan = m_server.m_loop.Now();
     m_closeReason = HttpCloseReason::PeerClosed;
+    m_isCut = false;
     if (m_buffer.size() > 0) {
       co_return true;
     }
@@ -142,6 +183,9 @@
       co_return true;
     }
     m_closeReason = m_server.m_draining ? HttpCloseReason::Drain : HttpCloseReason::IdleLimit;
+    if (m_isCut) {
+      m_closeReason = HttpCloseReason::Cut;
+    }
     co_return false;
   }
 
@@ -150,11 +194,14 @@
   boost::asio::awaitable<bool> WaitForInput(IdleLimit const& aLimit)
   {
     boost::beast::get_lowest_layer(m_stream).expires_never();
+    m_share.SetActivity(m_requests > 0 ? HttpActivity::Idle : HttpActivity::Silent);
     IdleWait wait(m_server.m_loop, Socket(), aLimit);
+    m_idleWait = &wait;
     auto const position = m_server.m_idle.insert(m_server.m_idle.end(), &wait);
     auto const prepared = m_buffer.prepare(4096);
     auto const [error, size] = co_await m_stream.async_read_some(prepared, detail::kAwait);
     m_buffer.commit(size);
+    m_idleWait = nullptr;
     co_await wait.Stop();
     // Nothing suspends the session between here and the count of its exchange, so that
     // a drain always finds it in one of the two.
@@ -167,17 +214,17 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.m_headerBytes.Value()));
     m_parser->body_limit(static_cast<std::uint64_t>(m_server.m_limits.m_bodyBytes.Value()));
+    m_headBytes = 0;
+    m_isCut = false;
+    m_share.SetActivity(HttpActivity::ReadingHead);
     boost::beast::get_lowest_layer(m_stream).expires_never();
-    auto const readHead = [this]() -> boost::asio::awaitable<boost::system::error_code> {
-      auto const [error, size] = co_await boost::beast::http::async_read_header(
-        m_stream, m_buffer, *m_parser, detail::kAwait);
-      co_return error;
-    };
+    auto const readHead = [this] { return ReadUntil(&Parser::is_header_done); };
     auto const headerError = co_await ReadWithin(m_server.m_limits.m_headerTimeout, readHead);
-    if (headerError) {
-      co_await Reject(headerError);
+    if (headerError || m_isCut) {
+      co_await Reject(headerError ? headerError : detail::kNoRoom);
       co_return std::nullopt;
     }
+    m_share.SetActivity(HttpActivity::ReadingBody);
     if (boost::beast::iequals(m_parser->get()[boost::beast::http::field::expect], "100-continue")) {
       boost::beast::http::response<boost::beast::http::empty_body> continueResponse{
         boost::beast::http::status::continue_, 11
@@ -188,14 +235,11 @@
         co_return std::nullopt;
       }
     }
-    auto const readBody = [this]() -> boost::asio::awaitable<boost::system::error_code> {
-      auto const [error, size] =
-        co_await boost::beast::http::async_read(m_stream, m_buffer, *m_parser, detail::kAwait);
-      co_return error;
-    };
+    m_parser->eager(true);
+    auto const readBody = [this] { return ReadUntil(&Parser::is_done); };
     auto const bodyError = co_await ReadWithin(m_server.m_limits.m_bodyTimeout, readBody);
-    if (bodyError) {
-      co_await Reject(bodyError);
+    if (bodyError || m_isCut || !m_share.Serve()) {
+      co_await Reject(bodyError ? bodyError : detail::kNoRoom);
       co_return std::nullopt;
     }
     m_keepAlive = m_parser->get().keep_alive();
@@ -205,6 +249,46 @@
     co_return request;
   }
 
+  /// Reads until the parser has the part, or there is no room for more. The parser keeps
+  /// what it has, so that another call goes on.
+  boost::asio::awaitable<boost::system::error_code> ReadUntil(bool (Parser::*aHasPart)() const)
+  {
+    constexpr std::size_t kLeastReadBytes = 512;
+    boost::system::error_code error;
+    while (true) {
+      if (m_buffer.size() > 0 && !((*m_parser).*aHasPart)()) {
+        auto const used = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(used);
+        m_headBytes += m_parser->is_header_done() ? 0 : used;
+        if (error && error != boost::beast::http::error::need_more) {
+          co_return error;
+        }
+      }
+      if (m_isCut || !HoldRequest()) {
+        co_return detail::kNoRoom;
+      }
+      if (((*m_parser).*aHasPart)()) {
+        co_return boost::system::error_code();
+      }
+      auto const room = m_buffer.max_size() - m_buffer.size();
+      if (room == 0) {
+        co_return boost::beast::http::error::buffer_overflow;
+      }
+      auto const free = m_buffer.capacity() - m_buffer.size();
+      auto const prepared = m_buffer.prepare(std::min(std::max(free, kLeastReadBytes), room));
+      auto const [readError, size] = co_await m_stream.async_read_some(prepared, detail::kAwait);
+      m_buffer.commit(size);
+      if (readError == boost::asio::error::eof && m_parser->got_some()) {
+        m_parser->put_eof(error);
+        co_return error ? error : boost::beast::http::error::partial_message;
+      }
+      if (readError) {
+        co_return readError == boost::asio::error::eof ? boost::beast::http::error::end_of_stream
+                                                       : readError;
+      }
+    }
+  }
+
   /// Reads a part of a request. At the deadline, input that has arrived is still read.
   template<typename Read>
   boost::asio::awaitable<boost::system::error_code> ReadWithin(Duration aTimeout, Read const& aRead)
@@ -212,10 +296,15 @@
     constexpr Duration kLastLook = std::chrono::milliseconds(10);
     ReadDeadline deadline(Socket());
     deadline.Start(m_server.m_areReadsEnded ? kLastLook : aTimeout);
+    m_read = &deadline;
     auto const position = m_server.m_reads.insert(m_server.m_reads.end(), &deadline);
     boost::system::error_code error = co_await aRead();
     m_server.m_reads.erase(position);
+    m_read = nullptr;
     bool isLate = co_await deadline.Stop();
+    if (m_isCut) {
+      co_return detail::kNoRoom;
+    }
     if (error && isLate && HasPendingInput()) {
       deadline.Start(kLastLook);
       error = co_await aRead();
@@ -231,15 +320,26 @@
         aError == boost::asio::error::operation_aborted || aError == boost::asio::error::eof) {
       co_return;
     }
-    m_closeReason = HttpCloseReason::RequestRefused;
+    m_closeReason = m_isCut ? HttpCloseReason::Cut : HttpCloseReason::RequestRefused;
+    ReleaseRequest();
+    m_share.SetActivity(HttpActivity::Lingering);
     auto response = m_server.m_errorRenderer(detail::ToRequestError(aError));
     HttpRequest noRequest;
     HttpExchange exchange(&m_stream, std::move(noRequest), false, true,
                           m_server.m_limits.m_writeTimeout);
+    exchange.UseBudget(m_share);
     co_await exchange.Respond(std::move(response));
     co_await Linger();
   }
 
+  void ReleaseRequest()
+  {
+    m_parser.reset();
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    HoldRequest();
+  }
+
   /// Performs a lingering close: reads for up to 2 s before closing, so that a peer
   /// that is still sending receives the response and not a reset. A peer that sends
   /// without end is no longer read from after kMaximumLingerBytes.
@@ -247,16 +347,15 @@
   {
     detail::CountGuard const guard(m_server.m_lingering);
     constexpr Duration kLingerTime = std::chrono::seconds(2);
-    constexpr std::size_t kReadBytes = 16UL * 1024;
+    m_share.SetActivity(HttpActivity::Lingering);
     auto& lowest = boost::beast::get_lowest_layer(m_stream);
     boost::system::error_code ignored;
     lowest.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     auto const end = m_server.m_loop.Now() + kLingerTime;
     lowest.expires_after(kLingerTime);
     for (std::size_t total = 0; total < kMaximumLingerBytes;) {
-      m_buffer.clear();
-      auto const prepared = m_buffer.prepare(kReadBytes);
-      auto const [error, size] = co_await lowest.async_read_some(prepared, detail::kAwait);
+      auto const [error, size] =
+        co_await lowest.async_read_some(boost::asio::buffer(m_server.m_discarded), detail::kAwait);
       if (error) {
         co_return;
       }
@@ -272,6 +371,7 @@
     HttpExchange exchange(&m_stream, std::move(aRequest), keepAlive, m_mayChunk,
                           m_server.m_limits.m_writeTimeout);
     exchange.SetConnectionNumber(m_number);
+    exchange.UseBudget(m_share);
     m_current = &exchange;
     auto const position = m_server.m_open.insert(m_server.m_open.end(), &exchange);
     WatchPeer();
@@ -286,6 +386,9 @@
     }
     m_current = nullptr;
     m_server.m_open.erase(position);
+    if (m_buffer.size() == 0 && m_buffer.capacity() > kKeptBufferBytes) {
+      m_buffer.shrink_to_fit();
+    }
     exchange.OnPeerDisconnected(nullptr);
     if (failure) {
       co_await FailExchange(exchange, *failure);
@@ -352,13 +455,20 @@
 
   HttpServer& m_server;
   Stream& m_stream;
+  HttpBudgetShare& m_share;
   std::uint64_t m_number;
   /// Limits each part that the parser needs in one piece, such as a chunk extension,
   /// and the data that a caller sends ahead.
   static constexpr std::size_t kMaximumBufferedBytes = 256UL * 1024;
+  /// An empty buffer above this size is released.
+  static constexpr std::size_t kKeptBufferBytes = 16UL * 1024;
   static constexpr std::size_t kMaximumLingerBytes = 16UL * 1024 * 1024;
   boost::beast::flat_buffer m_buffer{ kMaximumBufferedBytes };
-  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+  std::optional<Parser> m_parser;
+  std::size_t m_headBytes = 0;
+  IdleWait* m_idleWait = nullptr;
+  ReadDeadline* m_read = nullptr;
+  bool m_isCut = false;
   boost::asio::steady_timer m_watchEnded{ m_server.m_loop.Context() };
   /// How long a draining connection waits for a request that follows a response: some
   /// round trips.
--- a/Programs/Agent/AgentConfiguration.cpp
+++ b/Programs/Agent/AgentConfiguration.cpp
@@ -1,5 +1,7 @@
 #include "Programs/Agent/AgentConfiguration.h"
 
+#include "Programs/ProcessLimits.h"
+
 namespace sardinefold::programs {
 
 namespace {
@@ -24,29 +26,30 @@
 
 base::SettingsTable AgentConfiguration::Table()
 {
+  std::vector<base::SettingSpec> specs = {
+    { "listen", SettingKind::Address, "Where entries reach this agent", std::nullopt },
+    { "upstream-address", SettingKind::Address, "The upstream beside it", std::nullopt },
+    { "upstream-kind", SettingKind::Text, "engine or service", std::nullopt },
+    { "upstream", SettingKind::Text, "Upstream's id in the operator's document", std::nullopt },
+    { "host", SettingKind::Text, "Host's name in the platform's list", std::nullopt },
+    { "failure-domain", SettingKind::Text, "Failure domain of the host", std::nullopt },
+    { "platform", SettingKind::Addresses, "Addresses of the platform's object API", std::nullopt },
+    { "fleet-secret", SettingKind::Secret, "Secret that the system's processes sign with",
+      std::nullopt },
+    { "fleet-entries", SettingKind::Count, "Entries that share the platform's rates", "4" },
+    { "fleet-engine-agents", SettingKind::Count, "Agents of engines that share them", "20" },
+    { "fleet-service-agents", SettingKind::Count, "Agents of services that share them", "4" },
+    { "concurrency", SettingKind::Count, "Most requests that the upstream is given at once", "64" },
+    { "maximum-waiting", SettingKind::Count, "Most requests that wait for the upstream", "1024" },
+    { "drain-ms", SettingKind::Milliseconds, "Longest time for open requests at shutdown",
+      "60000" },
+    { "log-level", SettingKind::Text, "debug, info, warning or error", "info" },
+  };
+  auto const limits = ProcessLimitSettings();
+  specs.insert(specs.end() - 1, limits.begin(), limits.end());
   return base::SettingsTable(
     "sardinefold-agent", "Runs in the slot beside one upstream: the only writer to that upstream.",
-    {
-      { "listen", SettingKind::Address, "Where entries reach this agent", std::nullopt },
-      { "upstream-address", SettingKind::Address, "The upstream beside it", std::nullopt },
-      { "upstream-kind", SettingKind::Text, "engine or service", std::nullopt },
-      { "upstream", SettingKind::Text, "Upstream's id in the operator's document", std::nullopt },
-      { "host", SettingKind::Text, "Host's name in the platform's list", std::nullopt },
-      { "failure-domain", SettingKind::Text, "Failure domain of the host", std::nullopt },
-      { "platform", SettingKind::Addresses, "Addresses of the platform's object API",
-        std::nullopt },
-      { "fleet-secret", SettingKind::Secret, "Secret that the system's processes sign with",
-        std::nullopt },
-      { "fleet-entries", SettingKind::Count, "Entries that share the platform's rates", "4" },
-      { "fleet-engine-agents", SettingKind::Count, "Agents of engines that share them", "20" },
-      { "fleet-service-agents", SettingKind::Count, "Agents of services that share them", "4" },
-      { "concurrency", SettingKind::Count, "Most requests that the upstream is given at once",
-        "64" },
-      { "maximum-waiting", SettingKind::Count, "Most requests that wait for the upstream", "1024" },
-      { "drain-ms", SettingKind::Milliseconds, "Longest time for open requests at shutdown",
-        "60000" },
-      { "log-level", SettingKind::Text, "debug, info, warning or error", "info" },
-    });
+    std::move(specs));
 }
 
 tl::expected<AgentConfiguration, base::SettingsError> AgentConfiguration::Create(
@@ -90,6 +93,7 @@
   configuration.m_fleetSecret = aSettings.Text("fleet-secret");
   configuration.m_concurrency = static_cast<std::size_t>(aSettings.Count("concurrency"));
   configuration.m_maximumWaiting = static_cast<std::size_t>(aSettings.Count("maximum-waiting"));
+  configuration.m_budget = ReadBudget(aSettings);
   configuration.m_drainTimeout = aSettings.Milliseconds("drain-ms");
   return configuration;
 }
--- a/Programs/Agent/AgentConfiguration.h
+++ b/Programs/Agent/AgentConfiguration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Http/HttpBudgetLimits.h"
 #include "Base/Http/HttpMessage.h"
 #include "Base/Identifiers.h"
 #include "Base/Settings.h"
@@ -30,6 +31,7 @@
   std::size_t m_concurrency = 1;
   std::size_t m_maximumWaiting = 0;
   base::Duration m_drainTimeout{};
+  base::HttpBudgetLimits m_budget;
 
   static base::SettingsTable Table();
   /// Parses the settings. An error names the setting that is invalid.
--- a/Programs/Agent/AgentProgram.cpp
+++ b/Programs/Agent/AgentProgram.cpp
@@ -3,6 +3,8 @@
 #include "Agent/AgentStatusCodec.h"
 #include "Base/Digest.h"
 #include "Base/Log.h"
+#include "Programs/DoorMetrics.h"
+#include "Programs/RetryAfter.h"
 
 namespace sardinefold::programs {
 
@@ -31,7 +33,11 @@
 
 base::HttpResponse RenderRequestError(base::HttpRequestError const& aError)
 {
-  return base::JsonResponse(aError.m_status, R"({"error":{"code":"bad_request"}})");
+  auto response = base::JsonResponse(aError.m_status, aError.m_status == 503
+                                                        ? R"({"error":{"code":"overloaded"}})"
+                                                        : R"({"error":{"code":"bad_request"}})");
+  AddRetryAfter(response, aError);
+  return response;
 }
 
 objectstore::CallRates PlatformRates(AgentConfiguration const& aConfiguration)
@@ -86,6 +92,7 @@
   , m_context{ aLoop,      m_configuration, m_incarnation,  m_http,  m_metrics,
                m_registry, m_gate,          m_loader.get(), m_claims }
   , m_rpc(m_authentication)
+  , m_door(std::make_shared<base::HttpBudget>(m_configuration.m_budget))
   , m_server(
       aLoop, ServerLimits(), [this](base::HttpExchange& aExchange) { return Handle(aExchange); },
       RenderRequestError)
@@ -116,6 +123,12 @@
 
 tl::expected<void, std::string> AgentProgram::Start()
 {
+  m_server.UseBudget(m_door);
+  if (!m_door->Fits(kRequestBytes)) {
+    base::log::Error("memory is too small for one request with the largest body",
+                     { { "body_bytes", std::to_string(kRequestBytes.Value()) },
+                       { "budget_bytes", std::to_string(m_door->Limits().m_memory.Value()) } });
+  }
   auto listening = m_server.Listen(m_configuration.m_listen);
   if (!listening) {
     return listening;
@@ -170,6 +183,7 @@
   bool const isSigned = request.m_headers.Find(base::kSignatureHeader).has_value();
   if (!isSigned && request.m_method == "GET") {
     if (request.m_target == "/metrics") {
+      UpdateDoorMetrics(m_metrics, *m_door);
       response = TextResponse(200, m_metrics.Render());
     } else if (request.m_target == "/healthz") {
       response = TextResponse(200, "ok\n");
--- a/Programs/Agent/AgentProgram.h
+++ b/Programs/Agent/AgentProgram.h
@@ -45,6 +45,7 @@
   service::ClaimSession<objectstore::ObjectClient> m_claims;
   ExchangeContext m_context;
   base::RpcServer m_rpc;
+  std::shared_ptr<base::HttpBudget> m_door;
   base::HttpServer m_server;
 };
 
--- a/Programs/Entry/EntryProgram.cpp
+++ b/Programs/Entry/EntryProgram.cpp
@@ -2,6 +2,9 @@
 
 #include "Base/Json.h"
 #include "Operator/DocumentCodec.h"
+#include "Programs/DoorMetrics.h"
+#include "Programs/ProcessLimits.h"
+#include "Programs/RetryAfter.h"
 
 #include <boost/asio/ssl/context.hpp>
 
@@ -51,12 +54,14 @@
 
 base::HttpResponse RenderProtocolError(base::HttpRequestError const& aError)
 {
-  auto const code = aError.m_status == 413 ? caller::RefusalCode::BodyTooLarge
-                                           : caller::RefusalCode::InvalidRequest;
+  auto const code = aError.m_status == 413   ? caller::RefusalCode::BodyTooLarge
+                    : aError.m_status == 503 ? caller::RefusalCode::Overloaded
+                                             : caller::RefusalCode::InvalidRequest;
   auto const refusal = caller::RefuseBeforeSending(code, aError.m_message);
   auto const request = base::RequestId::FromValidated(base::RandomHex(kRequestIdBytes));
   auto response = caller::RenderRefusal(refusal, request);
   response.m_status = aError.m_status;
+  AddRetryAfter(response, aError);
   return response;
 }
 
@@ -111,6 +116,7 @@
                     m_platform, base::RpcClient(m_http, m_authentication), m_backend, RandomSeed())
   , m_operators(aLoop, m_platform, aSettings.Text("operator-token"),
                 [this] { return RenderStatus(); })
+  , m_door(std::make_shared<base::HttpBudget>(ReadBudget(aSettings)))
   , m_server(
       aLoop, ServerLimits(aSettings),
       [this](base::HttpExchange& aExchange) { return Handle(aExchange); }, RenderProtocolError)
@@ -127,6 +133,12 @@
   if (auto loaded = LoadCertificate(); !loaded) {
     return loaded;
   }
+  m_server.UseBudget(m_door);
+  if (auto const body = base::Bytes(m_settings.Count("maximum-body-bytes")); !m_door->Fits(body)) {
+    base::log::Error("memory is too small for one request with the largest body",
+                     { { "body_bytes", std::to_string(body.Value()) },
+                       { "budget_bytes", std::to_string(m_door->Limits().m_memory.Value()) } });
+  }
   if (auto listening = m_server.Listen(m_settings.Address("listen")); !listening) {
     return listening;
   }
@@ -246,6 +258,7 @@
     response = ReadyResponse();
   } else if (path == "/metrics") {
     response.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
+    UpdateDoorMetrics(m_metrics, *m_door);
     response.m_body = m_metrics.Render();
   } else {
     co_await m_callers.Serve(aExchange);
--- a/Programs/Entry/EntryProgram.h
+++ b/Programs/Entry/EntryProgram.h
@@ -15,6 +15,7 @@
 #include "Programs/Entry/EntryBackend.h"
 #include "Programs/Entry/HostViews.h"
 
+#include <memory>
 #include <string>
 
 namespace sardinefold::programs {
@@ -63,6 +64,7 @@
   caller::CallerEndpoint<EntryBackend> m_callers;
   entry::ConfigurationEndpoint<objectstore::ObjectClient, EntryBackend> m_configuration;
   operators::OperatorEndpoint<objectstore::ObjectClient> m_operators;
+  std::shared_ptr<base::HttpBudget> m_door;
   base::HttpServer m_server;
   bool m_hasHosts = false;
 };
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -6,10 +6,12 @@
 #include "Programs/Gateway/ForwardSession.h"
 #include "Programs/Gateway/StoreFollower.h"
 #include "Programs/LoopMonitor.h"
+#include "Programs/MetricsEndpoint.h"
 #include "Programs/SettingsFollower.h"
 
 #include <boost/asio/awaitable.hpp>
 
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -24,11 +26,13 @@
   GatewayProgram(base::EventLoop& aLoop, base::ProcessProfile aProfile)
     : m_loop(aLoop)
     , m_state(aLoop, std::move(aProfile), base::RandomNumber())
+    , m_door(std::make_shared<base::HttpBudget>(base::HttpBudgetLimits::Of(
+        m_state.m_profile.m_memoryLimit, m_state.m_profile.m_descriptorLimit)))
     , m_callers(
         aLoop, {}, [this](base::HttpExchange& aExchange) { return Handle(aExchange); }, RenderError)
     , m_readiness(
-        aLoop, {}, [this](base::HttpExchange& aExchange) { return HandleReadiness(aExchange); },
-        RenderError)
+        aLoop, MetricsEndpoint::Limits(),
+        [this](base::HttpExchange& aExchange) { return HandleReadiness(aExchange); }, RenderError)
     , m_domain(m_state.m_messenger, m_state.m_profile.m_failureDomain,
                { m_state.m_profile.m_address, m_state.m_profile.m_peerPort })
     , m_fleet(m_state, m_domain, base::IncarnationId::FromValidated(base::RandomHex(8)))
@@ -43,6 +47,8 @@
     if (!profile.m_callers || !profile.m_readiness) {
       return tl::make_unexpected("the settings give no address for callers or for readiness");
     }
+    m_callers.UseBudget(m_door);
+    m_readiness.UseBudget(m_door);
     m_callers.OnConnectionClosed(
       [this](base::HttpConnectionClose const& aClose) { RecordConnectionClose(aClose); });
     if (auto bound = m_callers.Listen(*profile.m_callers); !bound) {
@@ -104,7 +110,9 @@
     m_state.m_directory.SetMaximumDrainDelay(m_state.m_profile.m_bounds.m_maximumDrainDelay);
   }
 
-  base::Metrics const& Metrics() const { return m_state.m_metrics; }
+  base::Metrics& Metrics() { return m_state.m_metrics; }
+  /// What the servers of the process may hold together.
+  std::shared_ptr<base::HttpBudget> Door() const { return m_door; }
   /// The connections that were open with a request as the process stopped.
   std::size_t CutOffByStop() const { return m_cutOffByStop; }
   GatewayState& State() { return m_state; }
@@ -114,7 +122,8 @@
 
   static base::HttpResponse RenderError(base::HttpRequestError const& aError)
   {
-    return Wire::EncodeRefusal(aError.m_status, aError.m_message, std::nullopt, std::nullopt);
+    return Wire::EncodeRefusal(aError.m_status, aError.m_message, std::nullopt,
+                               aError.m_retryAfter);
   }
 
   boost::asio::awaitable<void> Handle(base::HttpExchange& aExchange)
@@ -163,6 +172,11 @@
     serverLimits.m_headerTimeout = limits.m_headerTimeout;
     serverLimits.m_idleTimeout = limits.m_idleTimeout;
     m_callers.SetLimits(serverLimits, m_loop.Now());
+    if (!m_door->Fits(serverLimits.m_bodyBytes)) {
+      base::log::Error("memory is too small for one request with the largest body",
+                       { { "body_bytes", std::to_string(serverLimits.m_bodyBytes.Value()) },
+                         { "budget_bytes", std::to_string(m_door->Limits().m_memory.Value()) } });
+    }
     base::log::Info(
       "connection limits in force",
       { { "version", std::to_string(m_state.m_catalog->Catalog().m_version.Value()) },
@@ -345,6 +359,7 @@
 
   base::EventLoop& m_loop;
   GatewayState m_state;
+  std::shared_ptr<base::HttpBudget> m_door;
   base::HttpServer m_callers;
   base::HttpServer m_readiness;
   DomainExchange<FleetMessenger> m_domain;
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/EventLoop.h"
+#include "Base/Http/HttpBudget.h"
 #include "Base/Http/HttpClient.h"
 #include "Base/Log.h"
 #include "Base/Metrics.h"
@@ -21,6 +22,7 @@
 #include "Programs/StoreAccess.h"
 
 #include <algorithm>
+#include <memory>
 #include <optional>
 
 namespace sardinefold::programs {
@@ -35,6 +37,8 @@
   LoaderProgram(base::EventLoop& aLoop, base::ProcessProfile aProfile)
     : m_loop(aLoop)
     , m_profile(std::move(aProfile))
+    , m_door(std::make_shared<base::HttpBudget>(
+        base::HttpBudgetLimits::Of(m_profile.m_memoryLimit, m_profile.m_descriptorLimit)))
     , m_store(aLoop, m_profile.m_objectStore, m_metrics)
     , m_http(aLoop, {})
     , m_messenger(aLoop)
@@ -83,7 +87,9 @@
     m_store.SetEndpoint(m_profile.m_objectStore);
   }
 
-  base::Metrics const& Metrics() const { return m_metrics; }
+  base::Metrics& Metrics() { return m_metrics; }
+  /// What the servers of the process may hold together.
+  std::shared_ptr<base::HttpBudget> Door() const { return m_door; }
   /// The number that orders carry; none before the first registration.
   std::optional<base::FencingNumber> FencingNumber() const { return m_registration.Number(); }
 
@@ -531,6 +537,7 @@
   base::EventLoop& m_loop;
   base::ProcessProfile m_profile;
   base::Metrics m_metrics;
+  std::shared_ptr<base::HttpBudget> m_door;
   StoreAccess<typename Wire::StoreClient> m_store;
   base::HttpClient m_http;
   FleetMessenger m_messenger;
--- a/Programs/MetricsEndpoint.h
+++ b/Programs/MetricsEndpoint.h
@@ -2,11 +2,15 @@
 
 #include "Base/Http/HttpServer.h"
 #include "Base/Metrics.h"
+#include "Programs/DoorMetrics.h"
+#include "Programs/RetryAfter.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <tl/expected.hpp>
 
+#include <memory>
 #include <string>
+#include <utility>
 
 namespace sardinefold::programs {
 
@@ -14,11 +18,23 @@
 class MetricsEndpoint
 {
 public:
-  MetricsEndpoint(base::EventLoop& aLoop, base::Metrics const& aMetrics)
+  MetricsEndpoint(base::EventLoop& aLoop, base::Metrics& aMetrics,
+                  std::shared_ptr<base::HttpBudget> aBudget)
     : m_metrics(aMetrics)
+    , m_budget(std::move(aBudget))
     , m_server(
-        aLoop, {}, [this](base::HttpExchange& aExchange) { return Serve(aExchange); }, RenderError)
+        aLoop, Limits(), [this](base::HttpExchange& aExchange) { return Serve(aExchange); },
+        RenderError)
   {
+    m_server.UseBudget(m_budget);
+  }
+
+  /// Limits of servers whose requests have no body.
+  static base::HttpServerLimits Limits()
+  {
+    base::HttpServerLimits limits;
+    limits.m_bodyBytes = base::Bytes(16LL * 1024);
+    return limits;
   }
 
   tl::expected<void, std::string> Listen(base::Endpoint const& aEndpoint)
@@ -32,6 +48,7 @@
     base::HttpResponse response;
     response.m_status = aError.m_status;
     response.m_body = aError.m_message;
+    AddRetryAfter(response, aError);
     return response;
   }
 
@@ -41,13 +58,15 @@
     response.m_status = 404;
     if (aExchange.Request().Path() == "/metrics") {
       response.m_status = 200;
+      UpdateDoorMetrics(m_metrics, *m_budget);
       response.m_headers.Add("Content-Type", "text/plain; version=0.0.4");
       response.m_body = m_metrics.Render();
     }
     co_await aExchange.Respond(std::move(response));
   }
 
-  base::Metrics const& m_metrics;
+  base::Metrics& m_metrics;
+  std::shared_ptr<base::HttpBudget> m_budget;
   base::HttpServer m_server;
 };
 
