--- a/Base/Http/HttpExchange.h
+++ b/Base/Http/HttpExchange.h
@@ -80,7 +80,6 @@
   Result Check(boost::system::error_code aError);
 
   AnyStream m_stream;
-  HttpBudgetShare* m_share = nullptr;
   HttpRequest m_request;
   Duration m_writeTimeout;
   std::function<void()> m_onPeerDisconnected;
@@ -91,6 +90,7 @@
   bool m_started = false;
   bool m_finished = false;
   bool m_isPeerDisconnected = false;
+  HttpBudgetShare* m_share = nullptr;
 };
 
 } // namespace sardinefold::base
