Base: Cut no connection in vain

Cause: a large request that was short of memory ended answered, silent and idle connections, 12 KiB each, before it was refused anyway; refusals on their way were lost.

Change: the largest request being read gives way first. The small ones do only if they hold enough together. Beast's names in HttpRequestBody are marked for the linter.

--- a/Base/Http/HttpBudget.cpp
+++ b/Base/Http/HttpBudget.cpp
@@ -133,15 +133,9 @@
   auto const limit = isLarge ? m_limits.m_memory - Bytes(m_limits.m_memory.Value() / kSmallShare)
                              : m_limits.m_memory;
   while (m_held + aGrowth > limit) {
-    auto victim = FindUseless(aFor, aNow);
-    if (victim == m_entries.end()) {
-      victim = FindLargestRead(aFor, held);
-    }
-    if (victim == m_entries.end()) {
-      victim = FindOldest(HttpActivity::Idle, aFor);
-    }
-    if (victim == m_entries.end()) {
-      victim = FindStalled(aFor, aNow);
+    auto victim = FindLargestRead(aFor, held);
+    if (victim == m_entries.end() && m_held + aGrowth - limit <= SpareMemory(aFor, aNow)) {
+      victim = FindSpare(aFor, aNow);
     }
     if (victim == m_entries.end()) {
       ++m_counts.m_refusedForMemory;
@@ -200,15 +194,46 @@
   return victim == m_entries.end() ? FindStalled(aFor, aNow) : victim;
 }
 
-HttpBudget::Handle HttpBudget::FindUseless(Handle aFor, Instant aNow)
+bool HttpBudget::IsSpare(Entry const& aEntry, Instant aNow) const
 {
-  auto const lingering = FindOldest(HttpActivity::Lingering, aFor);
-  if (lingering != m_entries.end()) {
-    return lingering;
+  auto const age = aNow - aEntry.m_since;
+  switch (aEntry.m_activity) {
+    case HttpActivity::Lingering:
+    case HttpActivity::Idle:
+      return true;
+    case HttpActivity::Silent:
+      return age >= kFirstBytesTime;
+    case HttpActivity::Writing:
+      return age >= m_limits.m_stalledWrite;
+    case HttpActivity::ReadingHead:
+    case HttpActivity::ReadingBody:
+    case HttpActivity::Serving:
+      return false;
+  }
+  return false;
+}
+
+Bytes HttpBudget::SpareMemory(Handle aFor, Instant aNow)
+{
+  Bytes spare;
+  for (auto entry = m_entries.begin(); entry != m_entries.end(); ++entry) {
+    if (entry != aFor && !entry->m_isLeaving && IsSpare(*entry, aNow)) {
+      spare += entry->Held();
+    }
+  }
+  return spare;
+}
+
+HttpBudget::Handle HttpBudget::FindSpare(Handle aFor, Instant aNow)
+{
+  for (auto const activity : { HttpActivity::Lingering, HttpActivity::Silent, HttpActivity::Idle,
+                               HttpActivity::Writing }) {
+    auto const oldest = FindOldest(activity, aFor);
+    if (oldest != m_entries.end() && IsSpare(*oldest, aNow)) {
+      return oldest;
+    }
   }
-  auto const silent = FindOldest(HttpActivity::Silent, aFor);
-  bool const isNew = silent != m_entries.end() && aNow - silent->m_since < kFirstBytesTime;
-  return isNew ? m_entries.end() : silent;
+  return m_entries.end();
 }
 
 HttpBudget::Handle HttpBudget::FindLargestRead(Handle aFor, Bytes aHeld)
--- a/Base/Http/HttpBudget.h
+++ b/Base/Http/HttpBudget.h
@@ -12,9 +12,9 @@
 namespace sardinefold::base {
 
 /// Decides which connections the servers of one process admit, refuse and cut, so that
-/// memory and descriptors suffice. When room runs out, connections end that are of no
-/// use, then requests that are being read, the largest first, and then idle
-/// connections; a request that is smaller than those gets in. A request that may run is
+/// memory and descriptors suffice. When room runs out, requests that are being read end,
+/// the largest first, or connections that are of little use; a request that is smaller
+/// than those being read gets in. Nobody is cut in vain. A request that may run is
 /// never cut, nor is a response that is being read.
 class HttpBudget
 {
@@ -81,7 +81,11 @@
   bool MakeMemory(Handle aFor, Bytes aGrowth, Instant aNow);
   bool MakeDescriptor(Handle aFor, Instant aNow);
   Handle FindLeastUseful(Handle aFor, Instant aNow);
-  Handle FindUseless(Handle aFor, Instant aNow);
+  /// Whether the connection may be cut for the memory of a request that is smaller than
+  /// all being read.
+  bool IsSpare(Entry const& aEntry, Instant aNow) const;
+  Bytes SpareMemory(Handle aFor, Instant aNow);
+  Handle FindSpare(Handle aFor, Instant aNow);
   Handle FindLargestRead(Handle aFor, Bytes aHeld);
   Handle FindOldest(HttpActivity aActivity, Handle aFor);
   Handle FindStalled(Handle aFor, Instant aNow);
--- a/Base/Http/HttpRequestBody.h
+++ b/Base/Http/HttpRequestBody.h
@@ -14,6 +14,8 @@
 /// with what is announced.
 struct HttpRequestBody
 {
+  // Names that Beast requires.
+  // NOLINTBEGIN(readability-identifier-naming)
   using value_type = std::string;
 
   class reader
@@ -53,6 +55,7 @@
     value_type& m_body;
     std::optional<std::size_t> m_announced;
   };
+  // NOLINTEND(readability-identifier-naming)
 };
 
 } // namespace sardinefold::base::detail
--- a/Tests/HttpBudgetTest.cpp
+++ b/Tests/HttpBudgetTest.cpp
@@ -125,6 +125,29 @@
   BOOST_TEST(IsCut(idle));
 }
 
+BOOST_FIXTURE_TEST_CASE(NobodyIsCutInVain, BudgetFixture)
+{
+  for (auto const activity :
+       { HttpActivity::Lingering, HttpActivity::Idle, HttpActivity::Idle, HttpActivity::Idle }) {
+    In(activity);
+  }
+  auto const serving = In(HttpActivity::ReadingBody, 850 * kUnit);
+  BOOST_TEST(m_budget.Serve(serving, m_now));
+  auto const asking = In(HttpActivity::ReadingBody);
+  BOOST_TEST(!Hold(asking, 100 * kUnit));
+  BOOST_TEST(m_cut.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnswerMayArriveWhileALargeRequestCanGiveWay, BudgetFixture)
+{
+  auto const answered = In(HttpActivity::Lingering);
+  auto const large = In(HttpActivity::ReadingBody, 880 * kUnit);
+  auto const asking = In(HttpActivity::ReadingBody);
+  BOOST_TEST(Hold(asking, 50 * kUnit));
+  BOOST_TEST(!IsCut(answered));
+  BOOST_TEST(IsCut(large));
+}
+
 BOOST_FIXTURE_TEST_CASE(ResponsesThatNobodyReadsGiveWayAfterTheirBound, BudgetFixture)
 {
   auto const unread = In(HttpActivity::ReadingBody);
