--- a/Base/Http/HttpExchange.h
+++ b/Base/Http/HttpExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Http/HttpBudgetShare.h"
 #include "Base/Http/HttpMessage.h"
 #include "Base/Time.h"
 
@@ -48,6 +49,9 @@
   /// Returns the peer's IP address, or an empty text if it is not known.
   std::string PeerAddress() const;
 
+  /// Counts the responses that are being written.
+  void UseBudget(HttpBudgetShare& aShare) { m_share = &aShare; }
+
   /// Sends a complete response.
   boost::asio::awaitable<Result> Respond(HttpResponse aResponse);
   /// Sends the head of a response whose body follows by Write().
@@ -92,6 +96,7 @@
   bool m_started = false;
   bool m_finished = false;
   bool m_isPeerDisconnected = false;
+  HttpBudgetShare* m_share = nullptr;
 };
 
 } // namespace sardinefold::base
