--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -321,6 +321,26 @@
   return presence;
 }
 
+std::optional<entry::EvacuationState> ToEvacuations(Json::Value const& aParams)
+{
+  if (!aParams.isMember("evacuations")) {
+    return std::nullopt;
+  }
+  auto const& object = aParams["evacuations"];
+  entry::EvacuationState state;
+  auto const version = UnsignedInteger(Member(object, "version"));
+  base::StoreEra const era(object.isMember("era") ? UnsignedInteger(object["era"]) : 0);
+  state.m_version = { era, version };
+  auto const& domains = Member(object, "domains");
+  if (!domains.isArray()) {
+    throw FieldError{ "domains must be an array" };
+  }
+  for (auto const& domain : domains) {
+    state.m_domains.insert(Name<base::FailureDomainId>(domain));
+  }
+  return state;
+}
+
 GatewayReport ToGatewayReport(Json::Value const& aParams)
 {
   GatewayReport report;
@@ -354,6 +374,7 @@
   report.m_storeAge = Milliseconds(Member(aParams, "store_age_ms"));
   report.m_partCrashes = ToPartCrashes(aParams);
   report.m_partAcquittals = ToPartAcquittals(aParams);
+  report.m_evacuations = ToEvacuations(aParams);
   return report;
 }
 
@@ -386,6 +407,7 @@
     summary.m_aggregators.emplace(Name<base::FailureDomainId>(Json::Value(domain)),
                                   ToEndpoints(aggregators[domain]));
   }
+  summary.m_evacuations = ToEvacuations(aParams);
   return summary;
 }
 
@@ -426,6 +448,10 @@
   update.m_catalog = base::CatalogVersion(UnsignedInteger(Member(aParams, "catalog")));
   update.m_listAge = Milliseconds(Member(aParams, "list_age_ms"));
   update.m_catalogAge = Milliseconds(Member(aParams, "catalog_age_ms"));
+  if (auto evacuations = ToEvacuations(aParams)) {
+    update.m_evacuations = { std::move(*evacuations),
+                             Milliseconds(Member(aParams, "evacuations_age_ms")) };
+  }
   for (auto const& entry : Member(aParams, "changes")) {
     update.m_changes.m_changes.push_back(ToChange(entry, era));
   }
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -31,6 +31,17 @@
   return object;
 }
 
+Json::Value FromEvacuations(entry::EvacuationState const& aState)
+{
+  Json::Value object;
+  object["version"] = Json::UInt64(aState.m_version.Value());
+  if (auto const era = aState.m_version.Era(); era != base::StoreEra()) {
+    object["era"] = Json::UInt64(era.Value());
+  }
+  object["domains"] = FromNames(aState.m_domains);
+  return object;
+}
+
 /// Adds the news on prompt parts, if there is any.
 template<typename Message>
 void AddPartNews(Json::Value& aParams, Message const& aMessage)
@@ -300,6 +311,9 @@
       params["drained"] = FromStarts(aReport.m_drained);
     }
     AddPartNews(params, aReport);
+    if (aReport.m_evacuations) {
+      params["evacuations"] = FromEvacuations(*aReport.m_evacuations);
+    }
   }
 
   void operator()(PlannerSummary const& aSummary)
@@ -326,6 +340,9 @@
     for (auto const& [domain, endpoints] : aSummary.m_aggregators) {
       params["aggregators"][domain.Text()] = FromEndpoints(endpoints);
     }
+    if (aSummary.m_evacuations) {
+      params["evacuations"] = FromEvacuations(*aSummary.m_evacuations);
+    }
   }
 
   void operator()(PlannerNews const& aNews)
@@ -359,6 +376,10 @@
     params["catalog"] = Json::UInt64(aUpdate.m_catalog.Value());
     params["list_age_ms"] = FromMilliseconds(aUpdate.m_listAge);
     params["catalog_age_ms"] = FromMilliseconds(aUpdate.m_catalogAge);
+    if (aUpdate.m_evacuations) {
+      params["evacuations"] = FromEvacuations(aUpdate.m_evacuations->m_state);
+      params["evacuations_age_ms"] = FromMilliseconds(aUpdate.m_evacuations->m_age);
+    }
     params["changes"] = Json::Value(Json::arrayValue);
     for (auto const& change : aUpdate.m_changes.m_changes) {
       params["changes"].append(FromChange(change));
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -11,6 +11,7 @@
 #include "Engine/EngineTypes.h"
 #include "Engine/UpstreamNotice.h"
 #include "Entry/Allowance/GrantLedger.h"
+#include "Entry/Relay/EvacuationState.h"
 #include "ObjectStore/PlatformObject.h"
 
 #include <cstdint>
@@ -170,6 +171,9 @@
   /// upstream began to answer here.
   std::vector<PartCrashReport> m_partCrashes;
   std::vector<PartAcquittal> m_partAcquittals;
+  /// The evacuations that the gateway knows; absent where there are none to know, and in
+  /// most reports.
+  std::optional<entry::EvacuationState> m_evacuations;
 };
 
 /// Expected time until the models that a gateway's requests wait for are ready.
@@ -196,6 +200,9 @@
   std::optional<base::Duration> m_storeAge;
   /// The newest catalog that any gateway has had in force, as far as known.
   base::CatalogVersion m_catalog;
+  /// Set if another gateway knows of evacuations that the receiver does not know of, or
+  /// of their end.
+  std::optional<entry::EvacuationState> m_evacuations;
 };
 
 /// From the planner to all gateways: what gateways have reported of failures and
@@ -235,6 +242,14 @@
   /// the catalog.
   base::Duration m_listAge{};
   base::Duration m_catalogAge{};
+  /// All evacuations, and the time since the store last responded to the sender about
+  /// them.
+  struct Evacuations
+  {
+    entry::EvacuationState m_state;
+    base::Duration m_age{};
+  };
+  std::optional<Evacuations> m_evacuations;
 };
 
 /// From the planner to a loader: load one model and unload others.
--- a/Base/ProcessProfile.h
+++ b/Base/ProcessProfile.h
@@ -32,8 +32,8 @@
   /// Number of concurrent loads from the weight store that run at full speed.
   unsigned m_parallelLoads = 4;
   /// Longest time for which the upstreams of an evacuated failure domain may still
-  /// receive new requests.
-  Duration m_maximumEvacuationDelay = std::chrono::seconds(5);
+  /// receive new requests. Absent where failure domains are not evacuated.
+  std::optional<Duration> m_maximumEvacuationDelay;
   /// An upstream that is warming up may get this many times its own rate of requests,
   /// and m_warmUpAllowance more, in any second, from all processes together.
   double m_warmUpOverage = 1;
--- a/Engine/SwapPlanner.cpp
+++ b/Engine/SwapPlanner.cpp
@@ -21,7 +21,7 @@
 
 bool HoldsTheSame(PlannedEngine const& aOne, PlannedEngine const& aOther)
 {
-  return aOne.m_isLeaving == aOther.m_isLeaving &&
+  return aOne.m_isLeaving == aOther.m_isLeaving && aOne.m_failureDomain == aOther.m_failureDomain &&
          aOne.m_copies.m_inMemory == aOther.m_copies.m_inMemory &&
          aOne.m_copies.m_onDisk == aOther.m_copies.m_onDisk &&
          std::ranges::equal(aOne.m_models, aOther.m_models, {}, &HeldModel::m_model,
@@ -54,7 +54,7 @@
     if (isAccepted) {
       engine.m_assignedAt = aNow;
     }
-    if (isLoaded || aEngine.m_isLeaving) {
+    if (isLoaded || IsGoing(aEngine)) {
       engine.m_assigned.reset();
     }
   }
@@ -91,9 +91,31 @@
   }
 }
 
+void SwapPlanner::SetEvacuated(std::set<base::FailureDomainId> aDomains)
+{
+  if (aDomains == m_evacuated) {
+    return;
+  }
+  for (auto const& [loader, engine] : m_engines) {
+    CountLocalCopies(engine, -1);
+  }
+  m_evacuated = std::move(aDomains);
+  for (auto& [loader, engine] : m_engines) {
+    CountLocalCopies(engine, 1);
+    if (IsGoing(engine.m_status)) {
+      engine.m_assigned.reset();
+    }
+  }
+}
+
+bool SwapPlanner::IsGoing(PlannedEngine const& aEngine) const
+{
+  return aEngine.m_isLeaving || m_evacuated.contains(aEngine.m_failureDomain);
+}
+
 void SwapPlanner::CountLocalCopies(Engine const& aEngine, int aSign)
 {
-  if (aEngine.m_status.m_isLeaving) {
+  if (IsGoing(aEngine.m_status)) {
     return;
   }
   std::set<base::ModelId> models = aEngine.m_status.m_copies.m_inMemory;
@@ -149,8 +171,7 @@
   m_copies.clear();
   for (auto const& [loader, engine] : m_engines) {
     for (auto const& held : engine.m_status.m_models) {
-      bool const isGoing =
-        engine.m_status.m_isLeaving || engine.m_status.m_unloading == held.m_model;
+      bool const isGoing = IsGoing(engine.m_status) || engine.m_status.m_unloading == held.m_model;
       m_copies[held.m_model] += isGoing ? 0 : 1;
     }
   }
@@ -167,7 +188,7 @@
 
 bool SwapPlanner::IsFree(Engine const& aEngine) const
 {
-  return !aEngine.m_status.m_isLeaving && !aEngine.m_isSilent && !aEngine.m_assigned &&
+  return !IsGoing(aEngine.m_status) && !aEngine.m_isSilent && !aEngine.m_assigned &&
          !aEngine.m_status.m_loading && !aEngine.m_status.m_unloading &&
          m_specs.contains(aEngine.m_status.m_deployment);
 }
@@ -189,7 +210,7 @@
   if (loading && TierAt(aEngine, *loading) == WeightTier::Remote) {
     ++m_storeLoads;
   }
-  if (status.m_isLeaving) {
+  if (IsGoing(status)) {
     return;
   }
   if (status.m_loading) {
@@ -285,7 +306,7 @@
   auto const copies = m_copies.find(aModel);
   return copies != m_copies.end() && copies->second == 0 &&
          std::ranges::any_of(m_engines, [&](auto const& aItem) {
-           return aItem.second.m_status.m_isLeaving && aItem.second.m_loadedAt.contains(aModel);
+           return IsGoing(aItem.second.m_status) && aItem.second.m_loadedAt.contains(aModel);
          });
 }
 
--- a/Engine/SwapPlanner.h
+++ b/Engine/SwapPlanner.h
@@ -44,6 +44,7 @@
   /// Whether the engine will exit soon: it gets no models, and those that it holds
   /// are to be loaded elsewhere.
   bool m_isLeaving = false;
+  base::FailureDomainId m_failureDomain;
 };
 
 /// A model for one engine to load, and the models that it may unload to make
@@ -95,6 +96,9 @@
   /// The loader's last status still holds.
   void SetReporting(base::HostId const& aLoader);
   void RemoveEngine(base::HostId const& aLoader);
+  /// The engines of these failure domains get no models, and those that they hold are to
+  /// be loaded elsewhere.
+  void SetEvacuated(std::set<base::FailureDomainId> aDomains);
   /// Takes the demand at one gateway. A complete report replaces all its
   /// earlier reports; a partial one replaces only the entries of the models
   /// that it contains.
@@ -139,6 +143,9 @@
     double m_cost = 0;
   };
 
+  /// Whether the engine is to be relied on for nothing, as it leaves or its failure
+  /// domain is evacuated.
+  bool IsGoing(PlannedEngine const& aEngine) const;
   void SumDemand();
   void CountCopies();
   /// Records what the engines load, for the plan that begins.
@@ -175,10 +182,11 @@
   PlannerLimits m_limits;
   std::map<base::DeploymentId, operators::EngineSpec> m_specs;
   std::map<base::HostId, Engine> m_engines;
+  std::set<base::FailureDomainId> m_evacuated;
   std::map<base::HostId, std::map<base::ModelId, WaitingDemand>> m_demand;
   std::map<base::ModelId, TotalDemand> m_totals;
   std::map<base::ModelId, unsigned> m_copies;
-  /// Number of engines, leaving ones aside, that hold the model or have its weights
+  /// Number of engines, those aside that are going, that hold the model or have its weights
   /// in memory or on disk.
   std::map<base::ModelId, unsigned> m_localCopies;
 
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -23,6 +23,8 @@
       return "no upstream";
     case UpstreamAbsence::Leaving:
       return "upstreams are leaving";
+    case UpstreamAbsence::Evacuated:
+      return "upstreams are evacuated";
     case UpstreamAbsence::BackingOff:
       return "upstreams want no requests";
     case UpstreamAbsence::ModelNotLoaded:
@@ -267,8 +269,7 @@
 {
   std::optional<base::Instant> earliest;
   for (auto const& [instance, upstream] : m_upstreams) {
-    bool const couldServe = upstream.m_entry.m_deployment == aQuery.m_deployment &&
-                            IsUsable(upstream, aNow) &&
+    bool const couldServe = Matches(upstream, aQuery) && IsUsable(upstream, aNow) &&
                             (!aQuery.m_model || FindModel(upstream, *aQuery.m_model, aNow));
     if (!couldServe) {
       continue;
@@ -400,11 +401,23 @@
 
 bool UpstreamDirectory::IsUsable(Upstream const& aUpstream, base::Instant aNow) const
 {
-  return IsAvailable(aUpstream, aNow) &&
+  return IsAvailable(aUpstream, aNow) && !IsEvacuated(aUpstream) &&
          (m_leaving.IsEmpty() ||
           !m_leaving.IsExcluded(StartOf(aUpstream.m_entry), m_limits.m_maximumDrainDelay, aNow));
 }
 
+bool UpstreamDirectory::IsEvacuated(Upstream const& aUpstream) const
+{
+  return !m_evacuated.empty() && m_evacuated.contains(aUpstream.m_entry.m_failureDomain);
+}
+
+bool UpstreamDirectory::Matches(Upstream const& aUpstream, UpstreamQuery const& aQuery)
+{
+  return aUpstream.m_entry.m_deployment == aQuery.m_deployment &&
+         (!aQuery.m_failureDomains ||
+          aQuery.m_failureDomains->contains(aUpstream.m_entry.m_failureDomain));
+}
+
 HeldModel const* UpstreamDirectory::FindModel(Upstream const& aUpstream,
                                               base::ModelId const& aModel, base::Instant aNow) const
 {
@@ -455,13 +468,17 @@
   std::optional<UpstreamChoice> best;
   double bestCost = 0;
   for (auto const& [instance, upstream] : m_upstreams) {
-    bool const isCandidate = upstream.m_entry.m_deployment == aQuery.m_deployment &&
-                             IsAvailable(upstream, aNow) && !aQuery.m_excluded.contains(instance);
+    bool const isCandidate = Matches(upstream, aQuery) && IsAvailable(upstream, aNow) &&
+                             !aQuery.m_excluded.contains(instance);
     if (!isCandidate) {
       continue;
     }
     if (!IsUsable(upstream, aNow)) {
-      absence = absence == UpstreamAbsence::NoUpstream ? UpstreamAbsence::Leaving : absence;
+      bool const isNews =
+        absence == UpstreamAbsence::NoUpstream || absence == UpstreamAbsence::Leaving;
+      auto const reason =
+        IsEvacuated(upstream) ? UpstreamAbsence::Evacuated : UpstreamAbsence::Leaving;
+      absence = isNews ? reason : absence;
       continue;
     }
     bool lacksAdapter = false;
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -57,6 +57,8 @@
   /// Whether the request is suspected of crashing upstreams, and should run where
   /// no other request awaits its answer.
   bool m_isSuspected = false;
+  /// The failure domains that may serve the request; all if absent.
+  std::optional<std::set<base::FailureDomainId>> m_failureDomains{};
 };
 
 /// An upstream's load, estimated from this process's own requests and from
@@ -136,6 +138,8 @@
   /// All upstreams of the deployment that could be used have announced that they
   /// leave.
   Leaving,
+  /// The same, where some are in failure domains that are evacuated.
+  Evacuated,
   /// All upstreams that could serve the request want no requests for some time.
   BackingOff,
   /// Usable upstreams are known, but none of them holds the model.
@@ -251,6 +255,8 @@
   void OnTrialAnswered(UpstreamChoice const& aChoice, bool aIsFull);
   void OnTrialEnded(UpstreamChoice const& aChoice);
   std::vector<BackoffEnd> TakeBackoffEnds();
+  /// The upstreams of these failure domains get no new requests.
+  void SetEvacuated(std::set<base::FailureDomainId> aDomains) { m_evacuated = std::move(aDomains); }
   void SetMaximumDrainDelay(base::Duration aDelay) { m_limits.m_maximumDrainDelay = aDelay; }
 
   std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
@@ -334,6 +340,10 @@
   /// Whether the list and the upstream's failures allow requests to it.
   static bool IsAvailable(Upstream const& aUpstream, base::Instant aNow);
   bool IsUsable(Upstream const& aUpstream, base::Instant aNow) const;
+  bool IsEvacuated(Upstream const& aUpstream) const;
+  /// Whether the upstream is of the deployment and in a failure domain that the query
+  /// allows.
+  static bool Matches(Upstream const& aUpstream, UpstreamQuery const& aQuery);
   HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
                              base::Instant aNow) const;
   static UpstreamLoadEstimate EstimateLoad(Upstream const& aUpstream, base::Instant aNow);
@@ -346,6 +356,7 @@
   DirectoryLimits m_limits;
   base::FailureDomainId m_localFailureDomain;
   std::mt19937_64 m_random;
+  std::set<base::FailureDomainId> m_evacuated;
   std::map<InstanceId, Upstream> m_upstreams;
   /// The upstreams by their address.
   std::multimap<base::Endpoint, Upstream*> m_byEndpoint;
--- a/Entry/Relay/WatchRole.cpp
+++ b/Entry/Relay/WatchRole.cpp
@@ -30,17 +30,21 @@
 }
 
 bool WatchRole::IsWatcher(base::Instant aNow) const
+{
+  return IsAmongFirst(m_limits.m_watchers, aNow);
+}
+
+bool WatchRole::IsAmongFirst(unsigned aCount, base::Instant aNow) const
 {
   if (!HasRecentNeighbours(aNow)) {
     return true;
   }
   if (!m_preferred.empty()) {
     auto const rank = std::ranges::find(m_preferred, m_neighbours.at(m_self)) - m_preferred.begin();
-    return rank < std::ranges::ssize(m_preferred) &&
-           rank < static_cast<std::ptrdiff_t>(m_limits.m_watchers);
+    return rank < std::ranges::ssize(m_preferred) && rank < static_cast<std::ptrdiff_t>(aCount);
   }
   auto const rank = std::distance(m_neighbours.begin(), m_neighbours.find(m_self));
-  return rank < static_cast<std::ptrdiff_t>(m_limits.m_watchers);
+  return rank < static_cast<std::ptrdiff_t>(aCount);
 }
 
 std::vector<base::Endpoint> WatchRole::UpdateRecipients(base::Instant aNow) const
--- a/Entry/Relay/WatchRole.h
+++ b/Entry/Relay/WatchRole.h
@@ -50,6 +50,9 @@
   void OnEra(base::StoreEra aEra) { m_era = std::max(m_era, aEra); }
 
   bool IsWatcher(base::Instant aNow) const;
+  /// Whether it is the first of the watchers. It alone watches what may arrive late
+  /// enough for others to replace it in time.
+  bool IsFirstWatcher(base::Instant aNow) const { return IsAmongFirst(1, aNow); }
   /// Returns whom a watcher sends its updates: the followers, and the other
   /// watchers, since the store may be unreachable for one of them.
   std::vector<base::Endpoint> UpdateRecipients(base::Instant aNow) const;
@@ -69,6 +72,7 @@
 
   bool IsCurrent(Watcher const& aWatcher) const { return aWatcher.m_era >= m_era; }
   bool HasRecentNeighbours(base::Instant aNow) const;
+  bool IsAmongFirst(unsigned aCount, base::Instant aNow) const;
 
   WatchRoleLimits m_limits;
   base::HostId m_self;
--- a/ObjectStore/ObjectKey.cpp
+++ b/ObjectStore/ObjectKey.cpp
@@ -23,15 +23,19 @@
       return "catalog";
     case ObjectKind::Upstream:
       return "upstream";
+    case ObjectKind::Evacuation:
+      return "evacuation";
   }
   return "";
 }
 
 std::optional<ObjectKind> ParseObjectKind(std::string_view aText)
 {
-  constexpr std::array kKinds = { ObjectKind::Document, ObjectKind::Chunk,   ObjectKind::Placement,
-                                  ObjectKind::Agent,    ObjectKind::Bucket,  ObjectKind::Claim,
-                                  ObjectKind::Catalog,  ObjectKind::Upstream };
+  constexpr std::array kKinds = {
+    ObjectKind::Document, ObjectKind::Chunk,    ObjectKind::Placement,
+    ObjectKind::Agent,    ObjectKind::Bucket,   ObjectKind::Claim,
+    ObjectKind::Catalog,  ObjectKind::Upstream, ObjectKind::Evacuation
+  };
   for (auto const kind : kKinds) {
     if (ToText(kind) == aText) {
       return kind;
--- a/ObjectStore/ObjectKey.h
+++ b/ObjectStore/ObjectKey.h
@@ -28,7 +28,10 @@
   /// The configuration in force, where operators write it to the store themselves.
   Catalog,
   /// An engine or a service, where these register themselves.
-  Upstream
+  Upstream,
+  /// An operator's wish that a failure domain's upstreams get no new requests; one
+  /// object for each domain, named for it.
+  Evacuation
 };
 
 std::string_view ToText(ObjectKind aKind);
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -105,7 +106,8 @@
                                  isComplete ? m_state.m_directory.DrainedDespiteList()
                                             : std::vector<engine::UpstreamStart>(),
                                  m_state.m_suspectParts.CrashesToReport(isComplete, aNow),
-                                 m_state.m_suspectParts.AcquittalsToReport(aNow) };
+                                 m_state.m_suspectParts.AcquittalsToReport(aNow),
+                                 EvacuationsToReport(isComplete) };
     std::map<base::ModelId, unsigned> waiting;
     for (auto& demand : m_state.m_demand.Summary(aNow)) {
       if (demand.m_waiting > 0) {
@@ -138,6 +140,22 @@
     return changed;
   }
 
+  /// Returns the evacuations in complete reports, and for some reports after a change.
+  std::optional<entry::EvacuationState> EvacuationsToReport(bool aIsComplete)
+  {
+    auto const& state = m_state.m_evacuations.State();
+    if (!state) {
+      return std::nullopt;
+    }
+    if (state->m_domains != m_reportedEvacuations) {
+      m_reportedEvacuations = state->m_domains;
+      m_evacuationRepeats = kGrantRepeats;
+    }
+    bool const isDue = aIsComplete || m_evacuationRepeats > 0;
+    m_evacuationRepeats -= m_evacuationRepeats > 0 ? 1 : 0;
+    return isDue ? state : std::nullopt;
+  }
+
   agent::GatewayPresence MakePresence() const
   {
     agent::GatewayPresence presence;
@@ -259,6 +277,9 @@
   base::Instant m_summaryAt{};
   std::map<base::ModelId, unsigned> m_reportedWaiting;
   std::map<base::WorkspaceId, ReportedGrant> m_reportedGrants;
+  std::set<base::FailureDomainId> m_reportedEvacuations;
+  /// In how many further reports the evacuations are listed.
+  unsigned m_evacuationRepeats = 0;
   unsigned m_completeReportsDue = 0;
   /// The gateways of the failure domain that announce themselves to this one.
   agent::DomainPresenceBoard m_members;
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -143,7 +143,7 @@
   bool IsReady() const
   {
     return m_state.m_catalog && !m_state.m_catalogProgress.IsHeld(m_loop.Now()) &&
-           m_state.m_directory.Size() > 0 && !m_state.m_stopEnd;
+           !m_state.AwaitsEvacuations() && m_state.m_directory.Size() > 0 && !m_state.m_stopEnd;
   }
 
   boost::asio::awaitable<void> HandleReadiness(base::HttpExchange& aExchange)
@@ -265,6 +265,9 @@
       m_store.OnStoreResponseElsewhere(aNow - *aSummary.m_storeAge);
     }
     m_store.OnCatalogAnnounced(aSummary.m_catalog, aNow);
+    if (aSummary.m_evacuations) {
+      m_store.OnEvacuations(*aSummary.m_evacuations, aOrigin, aNow);
+    }
     OnForecasts(aSummary.m_forecasts, aNow);
     m_state.m_allowance.OnPeerGrants(aSummary.m_epoch,
                                      { aSummary.m_gatewaysPresent, aSummary.m_gatewaysReporting },
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -17,6 +17,7 @@
 #include "Engine/UpstreamDirectory.h"
 #include "Entry/Allowance/SharedAllowance.h"
 #include "Entry/Relay/CatalogProgress.h"
+#include "Entry/Relay/EvacuationRegister.h"
 #include "Programs/FleetMessenger.h"
 #include "Programs/Gateway/Attempt.h"
 #include "Programs/Gateway/OpenRequests.h"
@@ -33,6 +34,7 @@
   GatewayState(base::EventLoop& aLoop, base::ProcessProfile aProfile, std::uint64_t aSeed)
     : m_loop(aLoop)
     , m_profile(std::move(aProfile))
+    , m_followsEvacuations(m_profile.m_bounds.m_maximumEvacuationDelay.has_value())
     , m_http(aLoop, EngineClientLimits())
     , m_responseMemory(ResponseMemoryOf(m_profile.m_memoryLimit))
     , m_directory(DirectoryPolicy(m_profile.m_bounds), m_profile.m_failureDomain, aSeed)
@@ -342,17 +344,23 @@
     return limits;
   }
 
+  /// Whether the process does not know yet which failure domains are evacuated.
+  bool AwaitsEvacuations() const { return m_followsEvacuations && !m_evacuations.State(); }
+
   /// What the process may still begin, also while it stops.
   caller::StopPolicy Stop() const { return { m_waitDeadline, m_stopEnd }; }
 
   base::EventLoop& m_loop;
   base::ProcessProfile m_profile;
+  /// Whether the site has evacuations, as of the start of the process.
+  bool m_followsEvacuations;
   base::Metrics m_metrics;
   base::HttpClient m_http;
   caller::ResponseMemoryBudget m_responseMemory;
   /// Null until the first catalog has arrived.
   std::unique_ptr<caller::CatalogIndex> m_catalog;
   entry::CatalogProgress m_catalogProgress;
+  entry::EvacuationRegister m_evacuations;
   engine::UpstreamDirectory m_directory;
   engine::DemandTracker m_demand;
   entry::SharedAllowance m_allowance;
--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -3,6 +3,7 @@
 #include "Base/Digest.h"
 #include "Base/Http/HttpMessage.h"
 #include "Base/Log.h"
+#include "Engine/HomeRegions.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/RequestContext.h"
 #include "Programs/Gateway/RequestRecord.h"
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace sardinefold::programs {
@@ -46,6 +48,9 @@
     if (m_state.m_catalogProgress.IsHeld(m_state.m_loop.Now())) {
       return RequestRefusal{ 503, "configuration is outdated", kConfigurationRetryAfter };
     }
+    if (m_state.AwaitsEvacuations()) {
+      return RequestRefusal{ 503, "evacuations are not known yet", kConfigurationRetryAfter };
+    }
     m_context.m_catalog = catalog->Catalog().m_version;
     auto const* const route = catalog->FindRoute(m_context.m_request.m_host, m_request.Path());
     if (!route) {
@@ -79,6 +84,9 @@
       return refusal;
     }
     ChooseUpstreams(*catalog);
+    m_context.m_query.m_failureDomains = engine::HomeDomains(
+      route->m_homes, workspace ? workspace->m_homes : std::set<base::RegionId>(),
+      m_state.m_profile.m_regions);
     return std::nullopt;
   }
 
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -5,6 +5,7 @@
 #include "Base/Log.h"
 #include "ObjectStore/WatchSession.h"
 #include "Programs/Gateway/CatalogReader.h"
+#include "Programs/Gateway/EvacuationFollower.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/StoreFollowerTiming.h"
 #include "Programs/Gateway/UpstreamListing.h"
@@ -37,6 +38,7 @@
                       objectstore::CallPurpose::Membership,
                       StoreFollowerTiming::Upstreams(aState.m_profile.m_bounds),
                       base::RandomNumber())
+    , m_evacuations(aState, m_store.Objects())
     , m_catalogReader(aState.m_loop, aState.m_catalog, [this] { ApplyCatalog(); })
     , m_role(StoreFollowerTiming::RoleLimits(aState.m_profile.m_bounds), aState.m_profile.m_host)
     , m_outages(StoreFollowerTiming::OutageTrackerLimits(aState.m_profile.m_bounds))
@@ -60,6 +62,8 @@
         LogProgress("store", aUpdate);
         NotifyNeighbours(aUpdate);
       }));
+    m_evacuations.Start([this](base::Instant aNow) { return !m_role.IsFirstWatcher(aNow); },
+                        [this] { NotifyNeighboursOfAge(); });
   }
 
   void SetEndpoint(base::Endpoint aStore) { m_store.SetEndpoint(std::move(aStore)); }
@@ -90,6 +94,13 @@
     }
   }
 
+  /// Another gateway knows that the store held these evacuations.
+  void OnEvacuations(entry::EvacuationState const& aState, base::Endpoint const& aToldBy,
+                     base::Instant aNow)
+  {
+    m_evacuations.OnState(aState, aToldBy.Text(), aNow);
+  }
+
   /// Records that the store responded to another gateway at aAt.
   void OnStoreResponseElsewhere(base::Instant aAt) { m_outages.OnResponse(aAt); }
 
@@ -100,9 +111,9 @@
       StoreFollowerTiming::kUpdateInterval / std::chrono::milliseconds(100);
     UpdateAvailability(aNow);
     RecordHold(aNow);
+    m_evacuations.Tick(aNow);
     if (m_ticks++ % kUpdateTicks == 0) {
-      auto const version = m_upstreamWatch.State().Version();
-      NotifyNeighbours({ version, { version, {} } });
+      NotifyNeighboursOfAge();
     }
   }
 
@@ -165,6 +176,7 @@
     auto const now = m_state.m_loop.Now();
     m_role.OnEra(aChanges.m_version.Era());
     m_catalogWatch.OnEra(aChanges.m_version.Era());
+    m_evacuations.OnEra(aChanges.m_version.Era());
     UpdateAvailability(now);
     bool const isRestored = aChanges.m_restoredFrom.has_value();
     if (isRestored) {
@@ -233,11 +245,15 @@
   {
     auto const era = aUpdate.m_changes.m_version.Era();
     m_role.OnUpdate(aUpdate.m_host, era, aUpdate.m_listAge, aUpdate.m_catalogAge, aNow);
+    if (aUpdate.m_evacuations) {
+      m_evacuations.OnRelayed(*aUpdate.m_evacuations, aUpdate.m_host.Text(), aNow);
+    }
     if (era < m_upstreamWatch.State().Version().Era()) {
       // The neighbour has not heard yet that the store came back from a copy.
       return;
     }
     m_catalogWatch.OnEra(era);
+    m_evacuations.OnEra(era);
     m_outages.OnResponse(aNow - std::min(aUpdate.m_listAge, aUpdate.m_catalogAge));
     auto const known = m_upstreamWatch.State().Version();
     objectstore::ObjectUpdate const update{ aUpdate.m_from, aUpdate.m_changes };
@@ -295,6 +311,12 @@
                       { "changes", std::to_string(aUpdate.m_changes.m_changes.size()) } });
   }
 
+  void NotifyNeighboursOfAge()
+  {
+    auto const version = m_upstreamWatch.State().Version();
+    NotifyNeighbours({ version, { version, {} } });
+  }
+
   /// Sends an update to the neighbours that follow this process, or only the age
   /// of its data if the update holds nothing new.
   void NotifyNeighbours(objectstore::ObjectUpdate const& aUpdate)
@@ -312,6 +334,7 @@
       m_state.m_catalog ? m_state.m_catalog->Catalog().m_version : base::CatalogVersion();
     news.m_listAge = now - m_upstreamWatch.State().LastContact();
     news.m_catalogAge = now - m_catalogWatch.State().LastContact();
+    news.m_evacuations = m_evacuations.ToRelay(now);
     bool const isAgeOnly = news.m_from == news.m_changes.m_version;
     if (isAgeOnly && !m_outbox.empty()) {
       // It would name a version whose changes are still to be sent.
@@ -372,6 +395,7 @@
   StoreAccess<typename Wire::StoreClient> m_store;
   objectstore::WatchSession<typename Wire::StoreClient> m_catalogWatch;
   objectstore::WatchSession<typename Wire::StoreClient> m_upstreamWatch;
+  EvacuationFollower<typename Wire::StoreClient> m_evacuations;
   CatalogReader<Wire> m_catalogReader;
   entry::WatchRole m_role;
   agent::StoreUpdateAssembler m_updateAssembler;
--- a/Programs/Gateway/StoreFollowerTiming.h
+++ b/Programs/Gateway/StoreFollowerTiming.h
@@ -71,6 +71,25 @@
     return limits;
   }
 
+  /// A gateway whose knowledge of evacuations is older asks the store itself. What is
+  /// left of the bound covers that call, and requests in flight.
+  static base::Duration EvacuationAge(base::SiteBounds const& aBounds)
+  {
+    constexpr base::Duration kReserve = std::chrono::milliseconds(1500);
+    auto const bound = aBounds.m_maximumEvacuationDelay.value_or(base::Duration::zero());
+    return std::max<base::Duration>(bound - kReserve, kReserve);
+  }
+
+  /// A watch ends early enough for the followers to learn of it before their knowledge
+  /// is too old.
+  static objectstore::WatchLimits Evacuations(base::SiteBounds const& aBounds)
+  {
+    auto limits = Catalog();
+    limits.m_watchTime = EvacuationAge(aBounds) - std::chrono::seconds(1);
+    limits.m_watchTime = std::max(limits.m_watchTime, limits.m_listTime);
+    return limits;
+  }
+
   static objectstore::WatchLimits Upstreams(base::SiteBounds const& aBounds)
   {
     auto limits = Catalog();
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace sardinefold::programs {
@@ -73,12 +74,43 @@
   if (aReport.m_isComplete) {
     gateway.m_drained = aReport.m_drained;
   }
+  if (aReport.m_evacuations) {
+    gateway.m_evacuations = aReport.m_evacuations;
+    OnEvacuations(*aReport.m_evacuations, aReport.m_host);
+  }
   gateway.m_storeLastContactAt = aNow - aReport.m_storeAge;
   gateway.m_lastContactAt = aNow;
   m_lastPresence[aReport.m_host] = aNow;
   m_planner.OnDemand(aReport.m_host, aReport.m_demand, aReport.m_isComplete);
 }
 
+void FleetPlanning::OnEvacuations(entry::EvacuationState const& aState, base::HostId const& aSource)
+{
+  if (m_evacuations && aState.m_version <= m_evacuations->m_version) {
+    return;
+  }
+  auto const before = m_evacuations ? m_evacuations->m_domains : std::set<base::FailureDomainId>();
+  m_evacuations = aState;
+  if (before != aState.m_domains) {
+    std::string domains;
+    for (auto const& domain : aState.m_domains) {
+      domains += (domains.empty() ? "" : " ") + domain.Text();
+    }
+    base::log::Info("evacuated failure domains changed",
+                    { { "failure_domains", domains },
+                      { "version", std::to_string(aState.m_version.Value()) },
+                      { "source", aSource.Text() } });
+    m_planner.SetEvacuated(aState.m_domains);
+  }
+}
+
+bool FleetPlanning::LacksEvacuations(Gateway const& aGateway) const
+{
+  return aGateway.m_evacuations && m_evacuations &&
+         aGateway.m_evacuations->m_version < m_evacuations->m_version &&
+         aGateway.m_evacuations->m_domains != m_evacuations->m_domains;
+}
+
 void FleetPlanning::OnPresence(agent::GatewayPresence const& aPresence, base::Instant aNow)
 {
   m_lastPresence[aPresence.m_host] = aNow;
@@ -99,7 +131,8 @@
   }
   m_planner.OnEngine({ aStatus.m_host, aStatus.m_deployment, aStatus.m_models, aStatus.m_copies,
                        aStatus.m_change.m_loading, aStatus.m_change.m_readyIn,
-                       aStatus.m_change.m_unloading, aStatus.m_leavingStart.has_value() },
+                       aStatus.m_change.m_unloading, aStatus.m_leavingStart.has_value(),
+                       aStatus.m_failureDomain },
                      aNow);
 }
 
@@ -236,6 +269,9 @@
     summary.m_forecasts = m_planner.ForecastsFor(*host, aNow);
     summary.m_aggregators = aggregators;
     summary.m_catalog = m_newestCatalog;
+    if (LacksEvacuations(*gateway)) {
+      summary.m_evacuations = m_evacuations;
+    }
     if (listsNeighbours) {
       summary.m_neighbours = NeighboursIn(gateway->m_failureDomain, aNow);
     }
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -9,6 +9,7 @@
 #include "Programs/FleetMessenger.h"
 
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -51,6 +52,8 @@
     /// When the object store last responded to this gateway.
     base::Instant m_storeLastContactAt{};
     base::Instant m_lastContactAt{};
+    /// As in its latest report that names them.
+    std::optional<entry::EvacuationState> m_evacuations;
   };
   struct Loader
   {
@@ -64,6 +67,10 @@
   std::map<base::HostId, base::Endpoint> NeighboursIn(base::FailureDomainId const& aDomain,
                                                       base::Instant aNow) const;
   agent::DomainAggregators Aggregators(base::Instant aNow) const;
+  void OnEvacuations(entry::EvacuationState const& aState, base::HostId const& aSource);
+  /// Whether the gateway follows evacuations and does not know those that another one
+  /// knows.
+  bool LacksEvacuations(Gateway const& aGateway) const;
   void Expire(base::Instant aNow);
   void SendSummaries(base::Instant aNow);
   void SendNews(base::Instant aNow);
@@ -80,6 +87,8 @@
   std::map<base::HostId, base::Instant> m_lastPresence;
   /// The newest catalog that any gateway has had in force.
   base::CatalogVersion m_newestCatalog;
+  /// The evacuations at the latest version of the store that any gateway has reported.
+  std::optional<entry::EvacuationState> m_evacuations;
   entry::GrantLedger m_grants;
   struct Crash
   {
--- /dev/null
+++ b/Tests/EvacuationTest.cpp
@@ -0,0 +1,302 @@
+#define BOOST_TEST_MODULE Evacuation
+#include "Engine/HomeRegions.h"
+#include "Engine/SwapPlanner.h"
+#include "Engine/UpstreamDirectory.h"
+#include "Entry/Relay/EvacuationRegister.h"
+#include "Entry/Relay/WatchRole.h"
+#include "Programs/Gateway/StoreFollowerTiming.h"
+
+#include <boost/test/unit_test.hpp>
+
+// An operator evacuates a failure domain: its upstreams get no new request until that is
+// taken back, whatever a gateway was about to send, and whatever old or lost message, or
+// silence of the store, comes between.
+
+using namespace sardinefold;
+using namespace sardinefold::engine;
+using entry::EvacuationChange;
+using entry::EvacuationRegister;
+using entry::EvacuationState;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::Instant kStart{ seconds(1000) };
+auto const kDeployment = base::DeploymentId::FromValidated("assistant");
+auto const kModel = base::ModelId::FromValidated("rare");
+using Domains = std::set<base::FailureDomainId>;
+using Changes = std::vector<EvacuationChange>;
+
+base::FailureDomainId Domain(std::string aName)
+{
+  return base::FailureDomainId::FromValidated(std::move(aName));
+}
+
+base::RegionId Region(std::string aName)
+{
+  return base::RegionId::FromValidated(std::move(aName));
+}
+
+EvacuationState State(std::uint64_t aVersion, Domains aDomains, std::uint64_t aEra = 1)
+{
+  return { { base::StoreEra(aEra), aVersion }, std::move(aDomains) };
+}
+
+UpstreamEntry Entry(std::string aName, std::string aDomain, std::vector<HeldModel> aModels = {})
+{
+  UpstreamEntry entry;
+  entry.m_instance = InstanceId::FromValidated(aName);
+  entry.m_deployment = kDeployment;
+  entry.m_endpoint = { "10.0.0." + aName, 1 };
+  entry.m_failureDomain = Domain(std::move(aDomain));
+  entry.m_slots = 8;
+  entry.m_models = std::move(aModels);
+  return entry;
+}
+
+/// Two upstreams: "1" in the failure domain "a", where the gateway is, and "2" in "b".
+struct TwoDomains
+{
+  UpstreamDirectory m_directory{ {}, Domain("a"), 1 };
+  UpstreamQuery m_query{ kDeployment, std::nullopt, std::nullopt, {} };
+
+  TwoDomains()
+  {
+    m_directory.OnListed(Entry("1", "a"), kStart);
+    m_directory.OnListed(Entry("2", "b"), kStart);
+  }
+
+  std::variant<UpstreamChoice, UpstreamAbsence> Find() { return m_directory.Find(m_query, kStart); }
+  std::string Chosen()
+  {
+    auto const found = Find();
+    auto const* const choice = std::get_if<UpstreamChoice>(&found);
+    return choice ? choice->m_instance.Text() : std::string(ToText(std::get<1>(found)));
+  }
+};
+
+PlannedEngine EngineWith(std::string aName, std::string aDomain, std::vector<std::string> aModels,
+                         std::set<base::ModelId> aOnDisk)
+{
+  PlannedEngine engine;
+  engine.m_loader = base::HostId::FromValidated(std::move(aName));
+  engine.m_deployment = kDeployment;
+  engine.m_failureDomain = Domain(std::move(aDomain));
+  for (auto& model : aModels) {
+    engine.m_models.push_back({ base::ModelId::FromValidated(std::move(model)), {} });
+  }
+  engine.m_copies.m_onDisk = std::move(aOnDisk);
+  return engine;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(OnlyALaterVersionOfTheStoreChangesWhatIsInForce)
+{
+  EvacuationRegister evacuations;
+  BOOST_TEST(!evacuations.State().has_value());
+  BOOST_TEST(evacuations.OnState(State(10, {}), kStart).empty());
+  BOOST_TEST(
+    (evacuations.OnState(State(20, { Domain("a") }), kStart) == Changes{ { Domain("a"), true } }));
+  // A message of before, and one of the same version.
+  BOOST_TEST(evacuations.OnState(State(15, {}), kStart).empty());
+  BOOST_TEST(evacuations.OnState(State(20, {}), kStart).empty());
+  // A silent store changes nothing.
+  BOOST_TEST(evacuations.Expire(kStart + seconds(3600)).empty());
+  BOOST_TEST((evacuations.InForce() == Domains{ Domain("a") }));
+  BOOST_TEST((evacuations.OnState(State(30, { Domain("a"), Domain("b") }), kStart) ==
+              Changes{ { Domain("b"), true } }));
+  BOOST_TEST(
+    (evacuations.OnState(State(40, { Domain("b") }), kStart) == Changes{ { Domain("a"), false } }));
+  BOOST_TEST((evacuations.InForce() == Domains{ Domain("b") }));
+}
+
+// The store comes back from a copy that lacks an evacuation that it had acknowledged.
+// Its first list would send requests to the failure domain again.
+BOOST_AUTO_TEST_CASE(ARestoredStoreEndsNoEvacuationBeforeOperatorsCouldRepeatIt)
+{
+  for (bool const isRepeated : { false, true }) {
+    EvacuationRegister evacuations;
+    evacuations.OnState(State(100, { Domain("a") }), kStart);
+    BOOST_TEST(evacuations.OnState(State(50, { Domain("c") }, 2), kStart).size() == 1U);
+    // What was known of the earlier era is no news.
+    BOOST_TEST(evacuations.OnState(State(200, {}), kStart).empty());
+    BOOST_TEST((evacuations.InForce() == Domains{ Domain("a"), Domain("c") }));
+    BOOST_TEST(evacuations.Expire(kStart + seconds(29)).empty());
+    if (isRepeated) {
+      evacuations.OnState(State(60, { Domain("a"), Domain("c") }, 2), kStart + seconds(29));
+      BOOST_TEST(evacuations.Expire(kStart + seconds(90)).empty());
+      BOOST_TEST((evacuations.OnState(State(70, { Domain("c") }, 2), kStart + seconds(91)) ==
+                  Changes{ { Domain("a"), false } }));
+    } else {
+      BOOST_TEST((evacuations.Expire(kStart + seconds(30)) == Changes{ { Domain("a"), false } }));
+    }
+    BOOST_TEST((evacuations.InForce() == Domains{ Domain("c") }));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEvacuatedDomainGetsNoRequestUntilThatIsTakenBack, TwoDomains)
+{
+  BOOST_TEST(Chosen() == "1");
+  m_directory.SetEvacuated({ Domain("a") });
+  BOOST_TEST(Chosen() == "2");
+  // A retry, or the rest of a stream that broke off at the other one.
+  m_query.m_excluded = { InstanceId::FromValidated("2") };
+  BOOST_TEST(Chosen() == "upstreams are evacuated");
+  m_query.m_excluded = {};
+  m_directory.SetEvacuated({ Domain("a"), Domain("b") });
+  BOOST_TEST(Chosen() == "upstreams are evacuated");
+  m_directory.SetEvacuated({ Domain("b") });
+  BOOST_TEST(Chosen() == "1");
+  m_directory.SetEvacuated({});
+  BOOST_TEST(Chosen() == "1");
+}
+
+// The connection to the chosen upstream was still being set up when the evacuation came.
+BOOST_FIXTURE_TEST_CASE(ARequestThatHasNotBeenSentChoosesAgain, TwoDomains)
+{
+  auto const choice = std::get<UpstreamChoice>(Find());
+  BOOST_TEST(m_directory.MaySend(choice, kStart));
+  m_directory.SetEvacuated({ Domain("a") });
+  BOOST_TEST(!m_directory.MaySend(choice, kStart));
+  BOOST_TEST(Chosen() == "2");
+  m_directory.SetEvacuated({});
+  BOOST_TEST(m_directory.MaySend(choice, kStart));
+}
+
+BOOST_FIXTURE_TEST_CASE(AModelHeldOnlyInAnEvacuatedDomainIsNotLoaded, TwoDomains)
+{
+  m_directory.OnListed(Entry("1", "a", { { kModel, {} } }), kStart);
+  m_query.m_model = kModel;
+  BOOST_TEST(Chosen() == "1");
+  m_directory.SetEvacuated({ Domain("a") });
+  // The request waits for a load elsewhere.
+  BOOST_TEST(Chosen() == "model not loaded");
+  m_directory.SetEvacuated({ Domain("a"), Domain("b") });
+  BOOST_TEST(Chosen() == "upstreams are evacuated");
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestStaysInItsHomeRegions, TwoDomains)
+{
+  std::map<base::FailureDomainId, base::RegionId> const regions{ { Domain("a"), Region("north") },
+                                                                 { Domain("b"), Region("south") },
+                                                                 { Domain("c"), Region("south") } };
+  auto const homes = [&](std::set<base::RegionId> aRoute, std::set<base::RegionId> aWorkspace) {
+    return HomeDomains(aRoute, aWorkspace, regions);
+  };
+  BOOST_TEST(!homes({}, {}).has_value());
+  BOOST_TEST((homes({ Region("south") }, {}) == Domains{ Domain("b"), Domain("c") }));
+  BOOST_TEST((homes({}, { Region("north") }) == Domains{ Domain("a") }));
+  // Where both have homes, both hold.
+  BOOST_TEST(
+    (homes({ Region("south"), Region("north") }, { Region("north") }) == Domains{ Domain("a") }));
+  BOOST_TEST((homes({ Region("south") }, { Region("north") }) == Domains{}));
+  BOOST_TEST((homes({ Region("elsewhere") }, {}) == Domains{}));
+
+  m_query.m_failureDomains = homes({ Region("south") }, {});
+  BOOST_TEST(Chosen() == "2");
+  // Also on a retry, and when all upstreams there are gone or evacuated.
+  m_query.m_excluded = { InstanceId::FromValidated("2") };
+  BOOST_TEST(Chosen() == "no upstream");
+  m_query.m_excluded = {};
+  m_directory.SetEvacuated({ Domain("b") });
+  BOOST_TEST(Chosen() == "upstreams are evacuated");
+  m_query.m_failureDomains = Domains{};
+  BOOST_TEST(Chosen() == "no upstream");
+}
+
+// An upstream outside a request's homes says nothing of when those inside will want it.
+BOOST_FIXTURE_TEST_CASE(UpstreamsOutsideTheHomesDoNotCountForABackoff, TwoDomains)
+{
+  m_query.m_failureDomains = Domains{ Domain("b") };
+  auto const choice = std::get<UpstreamChoice>(Find());
+  m_directory.OnBackoff(choice, seconds(3), kStart);
+  BOOST_TEST(m_directory.BackoffEndFor(m_query, kStart).has_value());
+  m_query.m_failureDomains.reset();
+  BOOST_TEST(!m_directory.BackoffEndFor(m_query, kStart).has_value());
+  m_directory.SetEvacuated({ Domain("a") });
+  BOOST_TEST(m_directory.BackoffEndFor(m_query, kStart).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(WhatAnEvacuatedDomainHeldIsLoadedElsewhereAheadOfNeed)
+{
+  operators::EngineSpec spec;
+  spec.m_weights = base::Megabytes(200);
+  for (auto const* const name : { "a", "b" }) {
+    operators::ModelSpec model;
+    model.m_weights = base::Megabytes(90);
+    model.m_loadFromDisk = seconds(1);
+    model.m_loadFromStore = seconds(5);
+    spec.m_models[base::ModelId::FromValidated(name)] = model;
+  }
+  auto const model = base::ModelId::FromValidated("a");
+  SwapPlanner planner({});
+  planner.SetSpec(kDeployment, spec);
+  std::set<base::ModelId> const onDisk{ model };
+  auto const report = [&](base::Instant aNow) {
+    planner.OnEngine(EngineWith("one", "a", { "a" }, onDisk), aNow);
+    planner.OnEngine(EngineWith("two", "a", { "b" }, onDisk), aNow);
+    planner.OnEngine(EngineWith("three", "b", { "b" }, onDisk), aNow);
+  };
+  report(kStart);
+  WaitingDemand demand;
+  demand.m_model = model;
+  demand.m_rate = 1;
+  planner.OnDemand(base::HostId::FromValidated("gateway"), { demand }, true);
+  auto now = kStart + seconds(10);
+  BOOST_TEST(planner.Plan(now).empty());
+  // Nobody waits for the model yet. The other engine of the domain gets nothing.
+  planner.SetEvacuated({ Domain("a") });
+  auto const swaps = planner.Plan(now);
+  BOOST_REQUIRE(swaps.size() == 1U);
+  BOOST_TEST(swaps[0].m_load == model);
+  BOOST_TEST(swaps[0].m_loader == base::HostId::FromValidated("three"));
+  // An assignment that its engine has not taken up ends with an evacuation of its domain.
+  planner.SetEvacuated({ Domain("b") });
+  BOOST_TEST(planner.Plan(now).empty());
+  // Taken back: what the domain holds counts again.
+  planner.SetEvacuated({ Domain("a") });
+  planner.SetEvacuated({});
+  now += seconds(1);
+  report(now);
+  BOOST_TEST(planner.Plan(now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(OneGatewayOfADomainWatchesEvacuations)
+{
+  auto const host = [](char const* aName) { return base::HostId::FromValidated(aName); };
+  std::map<base::HostId, base::Endpoint> const neighbours{ { host("a"), { "10.0.0.1", 1 } },
+                                                           { host("b"), { "10.0.0.2", 1 } },
+                                                           { host("c"), { "10.0.0.3", 1 } } };
+  std::string watchers;
+  for (auto const* const name : { "a", "b", "c" }) {
+    entry::WatchRole role({}, host(name));
+    BOOST_TEST(role.IsFirstWatcher(kStart));
+    role.OnNeighbours(neighbours, { { "10.0.0.2", 1 }, { "10.0.0.1", 1 } }, kStart);
+    watchers += role.IsFirstWatcher(kStart) ? name : "";
+    // Without word of the others each watches for itself.
+    BOOST_TEST(role.IsFirstWatcher(kStart + seconds(4)));
+  }
+  BOOST_TEST(watchers == "b");
+}
+
+BOOST_AUTO_TEST_CASE(TheMaximumDelayOfAnEvacuationIsWithinItsBound)
+{
+  using Timing = programs::StoreFollowerTiming;
+  base::Duration const call = milliseconds(100);
+  base::Duration const connect = milliseconds(600);
+  for (base::Duration const bound :
+       { milliseconds(4000), milliseconds(5000), milliseconds(8000) }) {
+    base::SiteBounds bounds;
+    bounds.m_maximumEvacuationDelay = bound;
+    auto const watch = Timing::Evacuations(bounds).m_watchTime;
+    auto const age = Timing::EvacuationAge(bounds);
+    // While the first watcher responds, its followers make no call.
+    BOOST_TEST((watch + call + Timing::kUpdateInterval + call < age));
+    // The first watcher is gone at the moment of the evacuation: the others ask the store
+    // once what they know is too old, at the second attempt.
+    auto const retry = Timing::Evacuations(bounds).m_backoff.m_maximum;
+    BOOST_TEST((age + call + retry + call + connect <= bound));
+  }
+}
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -33,6 +33,7 @@
   update.m_changes.m_version = base::ObjectVersion(100);
   update.m_catalog = base::CatalogVersion(9);
   update.m_listAge = milliseconds(12);
+  update.m_evacuations = { { base::ObjectVersion(99), { kDomain } }, milliseconds(40) };
   for (unsigned number = 0; number < aObjects; ++number) {
     update.m_changes.m_changes.emplace_back(
       objectstore::ObjectPut{ { Key("i-" + std::to_string(number)),
@@ -125,6 +126,9 @@
   summary.m_storeAge = milliseconds(30);
   summary.m_catalog = base::CatalogVersion(9);
   CheckRoundTrip(summary);
+  summary.m_evacuations = { base::ObjectVersion(base::StoreEra(2), 77), { kDomain } };
+  CheckRoundTrip(summary);
+  report.m_evacuations = { base::ObjectVersion(78), {} };
   report.m_drained = report.m_leaving;
   CheckRoundTrip(report);
   CheckRoundTrip(PlannerNews{ report.m_crashes, report.m_leaving, report.m_drained,
--- a/Tests/FleetPlanningTest.cpp
+++ b/Tests/FleetPlanningTest.cpp
@@ -95,6 +95,60 @@
   BOOST_TEST((*receivedAge < 1s));
 }
 
+// All watchers of a failure domain are cut from the store; a gateway elsewhere knows of the
+// evacuation.
+BOOST_AUTO_TEST_CASE(AGatewayLearnsOfAnEvacuationThatAnotherOneKnows)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  programs::FleetMessenger messenger(loop);
+  std::vector<entry::EvacuationState> received;
+  std::size_t summaries = 0;
+  auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
+    if (auto const* const summary = std::get_if<agent::PlannerSummary>(&aMessage)) {
+      ++summaries;
+      if (summary->m_evacuations) {
+        received.push_back(*summary->m_evacuations);
+      }
+    }
+  };
+  BOOST_REQUIRE(messenger.Listen(kListening, onMessage).has_value());
+  base::ProcessProfile const profile;
+  programs::FleetPlanning planning(profile, messenger);
+  std::set const evacuated{ base::FailureDomainId::FromValidated("b") };
+  auto const tick = [&](std::optional<entry::EvacuationState> aListener,
+                        std::optional<entry::EvacuationState> aOther) -> awaitable<void> {
+    auto listener = Report("front-1", 5s);
+    listener.m_evacuations = std::move(aListener);
+    auto other = Report("front-2", 40ms);
+    other.m_evacuations = std::move(aOther);
+    planning.OnReport(listener, kListening, loop.Now());
+    planning.OnReport(other, kOther, loop.Now());
+    planning.Tick(loop.Now());
+    co_await loop.Sleep(20ms);
+  };
+  auto const state = [](std::uint64_t aVersion, std::set<base::FailureDomainId> aDomains) {
+    return entry::EvacuationState{ base::ObjectVersion(aVersion), std::move(aDomains) };
+  };
+  auto run = [&]() -> awaitable<void> {
+    // A gateway that follows no evacuations gets none.
+    co_await tick(std::nullopt, state(4, evacuated));
+    BOOST_TEST(received.empty());
+    co_await tick(state(3, {}), std::nullopt);
+    BOOST_REQUIRE(received.size() == 1U);
+    BOOST_TEST((received.back() == state(4, evacuated)));
+    // The gateway knows as much, or more.
+    co_await tick(state(3, evacuated), std::nullopt);
+    co_await tick(state(9, {}), std::nullopt);
+    // A late report of the other one takes nothing back.
+    co_await tick(std::nullopt, state(4, evacuated));
+    BOOST_TEST(received.size() == 1U);
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  BOOST_TEST(summaries == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(GatewaysLearnTheCrashesOfPartsOnceAndAStartedOneAtOnce)
 {
   base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
--- a/Tests/Support/SiteFixture.cpp
+++ b/Tests/Support/SiteFixture.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-SiteFixture::SiteFixture()
+SiteFixture::SiteFixture(SiteShape const& aShape)
   : m_port(Hosts())
   , m_peerPort(Hosts())
   , m_readinessPort(Hosts())
@@ -44,6 +44,8 @@
   m_store.Put("config", "main", standins::SiteConfiguration(1));
   base::ProcessProfile profile;
   profile.m_failureDomain = base::FailureDomainId::FromValidated("a");
+  profile.m_bounds = aShape.m_bounds;
+  profile.m_regions = aShape.m_regions;
   profile.m_peerPort = m_peerPort.Port();
   profile.m_objectStore = { kStoreHost, port };
   for (int number = 1; number <= 2; ++number) {
@@ -52,11 +54,13 @@
     settings.m_deployment = "llm";
     settings.m_address = { "127.0.2." + std::to_string(number), port };
     settings.m_models = { "common", "own" + std::to_string(number) };
+    settings.m_failureDomain = number == 2 ? aShape.m_secondDomain : "a";
     m_engines.push_back(std::make_unique<standins::SiteEngine>(m_loop, m_store, settings));
     BOOST_REQUIRE(m_engines.back()->Start().has_value());
     auto side = profile;
     side.m_host = base::HostId::FromValidated("side-" + std::to_string(number));
     side.m_address = settings.m_address.m_address;
+    side.m_failureDomain = base::FailureDomainId::FromValidated(settings.m_failureDomain);
     side.m_engine = settings.m_address;
     side.m_engineDeployment = base::DeploymentId::FromValidated("llm");
     m_loaderProfiles.push_back(side);
--- a/Tests/Support/SiteFixture.h
+++ b/Tests/Support/SiteFixture.h
@@ -9,12 +9,22 @@
 #include "StandIns/Site/SiteEngine.h"
 #include "Tests/Support/PortClaim.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace sardinefold::tests {
 
+/// How a site differs from the usual one.
+struct SiteShape
+{
+  base::SiteBounds m_bounds;
+  /// Failure domain of the second engine; all else is in "a".
+  std::string m_secondDomain = "a";
+  std::map<base::FailureDomainId, base::RegionId> m_regions;
+};
+
 /// A small site on loopback addresses: a store, two engines with loaders, a
 /// service without models and one gateway, all on one event loop.
 class SiteFixture
@@ -23,7 +33,7 @@
   using Gateway = programs::GatewayProgram<platform::Wire>;
   using Loader = programs::LoaderProgram<platform::Wire>;
 
-  SiteFixture();
+  explicit SiteFixture(SiteShape const& aShape = {});
 
   base::EventLoop m_loop{ programs::SystemClock::Monotonic, programs::SystemClock::Wall };
   standins::SiteStore m_store{ m_loop };
