--- a/StandIns/Site/SiteStore.cpp
+++ b/StandIns/Site/SiteStore.cpp
@@ -52,6 +52,7 @@
   faults.AddAction("write_again", [this] { WriteAgain(); });
   faults.AddFlag("hide_era", m_isEraHidden);
   faults.AddFlag("cut_watches", m_cutsWatches);
+  faults.AddText("refused_kind", m_refusedKind);
   m_faultInjector.SetFinisher([this](base::HttpResponse& aResponse) {
     if (!m_isEraHidden) {
       aResponse.m_headers.Set("Store-Era", std::to_string(m_era));
@@ -245,6 +246,11 @@
     co_return;
   }
   auto const path = SplitPath(request.Path());
+  if (!m_refusedKind.empty() && path.m_kind == m_refusedKind) {
+    auto refusal = ErrorResponse(503, "refused", "calls for this kind are refused");
+    co_await m_faultInjector.Respond(aExchange, std::move(refusal));
+    co_return;
+  }
   if (request.m_method == "GET" && path.m_name.empty()) {
     if (request.Query("watch")) {
       co_await Watch(aExchange, path.m_kind);
--- a/StandIns/Site/SiteStore.h
+++ b/StandIns/Site/SiteStore.h
@@ -79,6 +79,8 @@
   std::uint64_t m_era = 1;
   bool m_isEraHidden = false;
   bool m_cutsWatches = false;
+  /// The kind of objects of which calls get 503.
+  std::string m_refusedKind;
   std::uint64_t m_calls = 0;
 };
 
--- a/Tests/EvacuatedSiteTest.cpp
+++ b/Tests/EvacuatedSiteTest.cpp
@@ -183,6 +183,36 @@
   });
 }
 
+// The store has answered a gateway that starts about everything but the evacuations.
+BOOST_FIXTURE_TEST_CASE(AGatewayServesNothingBeforeItKnowsTheEvacuations, EvacuationFixture)
+{
+  Run([&]() -> awaitable<void> {
+    Evacuate("a");
+    co_await m_loop.Sleep(kArrival);
+    Json::Value faults;
+    faults["refused_kind"] = "evacuations";
+    BOOST_REQUIRE(m_store.Faults().Apply(faults).has_value());
+    Gateway second(m_loop, SecondGateway());
+    BOOST_REQUIRE(second.Start().has_value());
+    unsigned refused = 0;
+    for (int attempt = 0; attempt < 200 && !second.State().m_evacuations.State(); ++attempt) {
+      bool const isConfigured = second.State().m_catalog && second.State().m_directory.Size() > 0;
+      auto const answer =
+        co_await SealOf("early" + std::to_string(attempt), "common", SecondGateway().m_callers);
+      BOOST_TEST(answer != "seal-i-1");
+      refused += isConfigured && answer == "503" ? 1 : 0;
+      co_await m_loop.Sleep(20ms);
+    }
+    BOOST_TEST(refused > 0U);
+    // Its neighbour has told it.
+    bool const isReady = co_await AwaitSecond();
+    BOOST_TEST(isReady);
+    auto const seal = co_await SealOf("r1", "common", SecondGateway().m_callers);
+    BOOST_TEST(seal == "seal-i-2");
+    second.State().m_loop.Stop();
+  });
+}
+
 // The gateway is cut from the store before the evacuation, and a neighbour knows of it.
 BOOST_FIXTURE_TEST_CASE(AGatewayCutFromTheStoreLearnsOfAnEvacuationByANeighbour, EvacuationFixture)
 {
