Engine, Entry, Gateway: Let evacuated domains serve what no others can until their bound

Cause: a model that only the evacuated domain held was refused or late from the moment a gateway learned of the evacuation, though the bound leaves seconds in which the planner loads it elsewhere. And each gateway that knew no neighbours watched evacuations by itself.

Change: until the bound less 1.5 s after the store last held no evacuation, the domain's upstreams rank behind all others, like upstreams that leave. A gateway that starts, or learns late, sends nothing there at once. Without known neighbours a gateway asks when what it knows is too old.

--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -218,7 +218,7 @@
   // that no other one can serve, which another choice finds out.
   return upstream.m_entry.m_startedAt == aChoice.m_startedAt && IsUsable(upstream, aNow) &&
          m_backoffs.Revision(aChoice.Start()) == aChoice.m_backoffRevision &&
-         (aChoice.m_isLeaving || !IsLeaving(upstream));
+         (aChoice.m_isLeaving || !IsLastResort(upstream));
 }
 
 UpstreamStart UpstreamDirectory::StartOf(UpstreamEntry const& aEntry)
@@ -401,14 +401,20 @@
 
 bool UpstreamDirectory::IsUsable(Upstream const& aUpstream, base::Instant aNow) const
 {
-  return IsAvailable(aUpstream, aNow) && !IsEvacuated(aUpstream) &&
+  return IsAvailable(aUpstream, aNow) && !IsEvacuated(aUpstream, aNow) &&
          (m_leaving.IsEmpty() ||
           !m_leaving.IsExcluded(StartOf(aUpstream.m_entry), m_limits.m_maximumDrainDelay, aNow));
 }
 
-bool UpstreamDirectory::IsEvacuated(Upstream const& aUpstream) const
+bool UpstreamDirectory::IsEvacuated(Upstream const& aUpstream, base::Instant aNow) const
 {
-  return !m_evacuated.empty() && m_evacuated.contains(aUpstream.m_entry.m_failureDomain);
+  auto const found = m_evacuated.find(aUpstream.m_entry.m_failureDomain);
+  return found != m_evacuated.end() && aNow >= found->second;
+}
+
+bool UpstreamDirectory::IsLastResort(Upstream const& aUpstream) const
+{
+  return IsLeaving(aUpstream) || m_evacuated.contains(aUpstream.m_entry.m_failureDomain);
 }
 
 bool UpstreamDirectory::Matches(Upstream const& aUpstream, UpstreamQuery const& aQuery)
@@ -477,7 +483,7 @@
       bool const isNews =
         absence == UpstreamAbsence::NoUpstream || absence == UpstreamAbsence::Leaving;
       auto const reason =
-        IsEvacuated(upstream) ? UpstreamAbsence::Evacuated : UpstreamAbsence::Leaving;
+        IsEvacuated(upstream, aNow) ? UpstreamAbsence::Evacuated : UpstreamAbsence::Leaving;
       absence = isNews ? reason : absence;
       continue;
     }
@@ -495,7 +501,7 @@
       continue;
     }
     double const cost = CostOf(upstream, lacksAdapter, aQuery.m_isSuspected, aNow);
-    bool const isLeaving = IsLeaving(upstream);
+    bool const isLeaving = IsLastResort(upstream);
     bool const isBetter = !best || (isLeaving == best->m_isLeaving ? cost < bestCost : !isLeaving);
     if (isBetter) {
       best = UpstreamChoice{ instance,
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -120,7 +120,8 @@
   UpstreamStart Start() const { return { m_instance, m_endpoint, m_startedAt }; }
   /// Whether the model is loaded but the adapter is not.
   bool m_lacksAdapter = false;
-  /// Whether the upstream leaves and was chosen for want of another one.
+  /// Whether the upstream leaves, or its failure domain is evacuated, and it was chosen
+  /// for want of another one.
   bool m_isLeaving = false;
   /// Whether the request is a trial after a time without requests.
   bool m_isTrial = false;
@@ -255,8 +256,12 @@
   void OnTrialAnswered(UpstreamChoice const& aChoice, bool aIsFull);
   void OnTrialEnded(UpstreamChoice const& aChoice);
   std::vector<BackoffEnd> TakeBackoffEnds();
-  /// The upstreams of these failure domains get no new requests.
-  void SetEvacuated(std::set<base::FailureDomainId> aDomains) { m_evacuated = std::move(aDomains); }
+  /// The upstreams of these failure domains get no new requests from the given times on,
+  /// and until then only those that no others can serve.
+  void SetEvacuated(std::map<base::FailureDomainId, base::Instant> aDomains)
+  {
+    m_evacuated = std::move(aDomains);
+  }
   void SetMaximumDrainDelay(base::Duration aDelay) { m_limits.m_maximumDrainDelay = aDelay; }
 
   std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
@@ -340,7 +345,9 @@
   /// Whether the list and the upstream's failures allow requests to it.
   static bool IsAvailable(Upstream const& aUpstream, base::Instant aNow);
   bool IsUsable(Upstream const& aUpstream, base::Instant aNow) const;
-  bool IsEvacuated(Upstream const& aUpstream) const;
+  bool IsEvacuated(Upstream const& aUpstream, base::Instant aNow) const;
+  /// Whether the upstream serves only requests that no others can serve.
+  bool IsLastResort(Upstream const& aUpstream) const;
   /// Whether the upstream is of the deployment and in a failure domain that the query
   /// allows.
   static bool Matches(Upstream const& aUpstream, UpstreamQuery const& aQuery);
@@ -356,7 +363,7 @@
   DirectoryLimits m_limits;
   base::FailureDomainId m_localFailureDomain;
   std::mt19937_64 m_random;
-  std::set<base::FailureDomainId> m_evacuated;
+  std::map<base::FailureDomainId, base::Instant> m_evacuated;
   std::map<InstanceId, Upstream> m_upstreams;
   /// The upstreams by their address.
   std::multimap<base::Endpoint, Upstream*> m_byEndpoint;
--- a/Entry/Relay/EvacuationRegister.cpp
+++ b/Entry/Relay/EvacuationRegister.cpp
@@ -1,18 +1,27 @@
 #include "Entry/Relay/EvacuationRegister.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sardinefold::entry {
 
 std::vector<EvacuationChange> EvacuationRegister::OnState(EvacuationState aState,
+                                                          std::optional<base::Instant> aHeldAt,
                                                           base::Instant aNow)
 {
-  if (m_state && aState.m_version <= m_state->m_version) {
+  if (m_state && aState.m_version < m_state->m_version) {
+    return {};
+  }
+  auto const end = m_heldAt ? *m_heldAt + m_limits.m_lastUse : aNow;
+  if (aHeldAt) {
+    m_heldAt = std::max(m_heldAt.value_or(*aHeldAt), *aHeldAt);
+  }
+  if (m_state && aState.m_version == m_state->m_version) {
     return {};
   }
   bool const isRestored = m_state && aState.m_version.Era() > m_state->m_version.Era();
   if (isRestored) {
-    for (auto const& domain : m_inForce) {
+    for (auto const& [domain, domainEnd] : m_inForce) {
       m_held.try_emplace(domain, aNow + m_limits.m_restorationHold);
     }
   }
@@ -21,34 +30,35 @@
     m_held.erase(domain);
   }
   m_state = std::move(aState);
-  return Update();
+  return Update(end);
 }
 
 std::vector<EvacuationChange> EvacuationRegister::Expire(base::Instant aNow)
 {
   auto const expired =
     std::erase_if(m_held, [aNow](auto const& aItem) { return aNow >= aItem.second; });
-  return expired > 0 ? Update() : std::vector<EvacuationChange>();
+  return expired > 0 ? Update(aNow) : std::vector<EvacuationChange>();
 }
 
-std::vector<EvacuationChange> EvacuationRegister::Update()
+std::vector<EvacuationChange> EvacuationRegister::Update(base::Instant aEnd)
 {
-  auto inForce = m_state ? m_state->m_domains : std::set<base::FailureDomainId>();
+  auto domains = m_state ? m_state->m_domains : std::set<base::FailureDomainId>();
   for (auto const& [domain, until] : m_held) {
-    inForce.insert(domain);
+    domains.insert(domain);
   }
   std::vector<EvacuationChange> changes;
-  for (auto const& domain : inForce) {
-    if (!m_inForce.contains(domain)) {
-      changes.push_back({ domain, true });
+  for (auto const& domain : domains) {
+    if (m_inForce.try_emplace(domain, aEnd).second) {
+      changes.push_back({ domain, true, aEnd });
     }
   }
-  for (auto const& domain : m_inForce) {
-    if (!inForce.contains(domain)) {
-      changes.push_back({ domain, false });
+  std::erase_if(m_inForce, [&](auto const& aItem) {
+    bool const hasEnded = !domains.contains(aItem.first);
+    if (hasEnded) {
+      changes.push_back({ aItem.first, false, {} });
     }
-  }
-  m_inForce = std::move(inForce);
+    return hasEnded;
+  });
   return changes;
 }
 
--- a/Entry/Relay/WatchRole.h
+++ b/Entry/Relay/WatchRole.h
@@ -50,9 +50,12 @@
   void OnEra(base::StoreEra aEra) { m_era = std::max(m_era, aEra); }
 
   bool IsWatcher(base::Instant aNow) const;
-  /// Whether it is the first of the watchers. It alone watches what may arrive late
-  /// enough for others to replace it in time.
-  bool IsFirstWatcher(base::Instant aNow) const { return IsAmongFirst(1, aNow); }
+  /// Whether it is the first of the watchers. It alone watches without pause what may
+  /// arrive late enough for the others to ask for it in time.
+  bool IsFirstWatcher(base::Instant aNow) const
+  {
+    return HasRecentNeighbours(aNow) && IsAmongFirst(1, aNow);
+  }
   /// Returns whom a watcher sends its updates: the followers, and the other
   /// watchers, since the store may be unreachable for one of them.
   std::vector<base::Endpoint> UpdateRecipients(base::Instant aNow) const;
--- a/Programs/Gateway/EvacuationFollower.h
+++ b/Programs/Gateway/EvacuationFollower.h
@@ -7,7 +7,9 @@
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/StoreFollowerTiming.h"
 
+#include <algorithm>
 #include <concepts>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <set>
@@ -65,14 +67,14 @@
       }
       OnChanges(m_watch.ApplyRelayed(update, aNow - aEvacuations.m_age), aSource);
     }
-    OnState(aEvacuations.m_state, aSource, aNow);
+    Take(aEvacuations.m_state, aNow - aEvacuations.m_age, aSource, aNow);
   }
 
   /// Takes what the store held at some version, from whichever process knows it.
   void OnState(entry::EvacuationState aState, std::string const& aSource, base::Instant aNow)
   {
     if (m_state.m_followsEvacuations) {
-      Apply(m_state.m_evacuations.OnState(std::move(aState), aNow), aSource);
+      Take(std::move(aState), std::nullopt, aSource, aNow);
     }
   }
 
@@ -89,9 +91,9 @@
   {
     if (m_watch.State().HasListed()) {
       // A watch that ends without changes confirms what is known.
-      OnState({ m_watch.State().Version(), m_listed }, kStore, aNow);
+      TakeWatched(kStore, aNow);
     }
-    Apply(m_state.m_evacuations.Expire(aNow), "end of the hold after a restoration");
+    Apply(m_state.m_evacuations.Expire(aNow), "end of the hold after a restoration", aNow);
   }
 
 private:
@@ -114,7 +116,19 @@
         m_listed.insert(DomainOf(std::get<objectstore::ObjectPut>(change).m_object.m_key));
       }
     }
-    OnState({ m_watch.State().Version(), m_listed }, aSource, m_state.m_loop.Now());
+    TakeWatched(aSource, m_state.m_loop.Now());
+  }
+
+  void TakeWatched(std::string const& aSource, base::Instant aNow)
+  {
+    auto const& watch = m_watch.State();
+    Take({ watch.Version(), m_listed }, watch.LastContact(), aSource, aNow);
+  }
+
+  void Take(entry::EvacuationState aState, std::optional<base::Instant> aHeldAt,
+            std::string const& aSource, base::Instant aNow)
+  {
+    Apply(m_state.m_evacuations.OnState(std::move(aState), aHeldAt, aNow), aSource, aNow);
   }
 
   static base::FailureDomainId DomainOf(objectstore::ObjectKey const& aKey)
@@ -122,18 +136,23 @@
     return base::FailureDomainId::FromValidated(aKey.m_name.Text());
   }
 
-  void Apply(std::vector<entry::EvacuationChange> const& aChanges, std::string const& aSource)
+  void Apply(std::vector<entry::EvacuationChange> const& aChanges, std::string const& aSource,
+             base::Instant aNow)
   {
     if (aChanges.empty()) {
       return;
     }
     auto const& evacuations = m_state.m_evacuations;
     for (auto const& change : aChanges) {
-      base::log::Warning(change.m_isInForce ? "evacuation in force" : "evacuation taken back",
-                         { { "failure_domain", change.m_domain.Text() },
-                           { "version", std::to_string(evacuations.State()->m_version.Value()) },
-                           { "era", std::to_string(evacuations.State()->m_version.Era().Value()) },
-                           { "source", aSource } });
+      auto const timeLeft = base::ToMilliseconds(change.m_end - aNow);
+      base::log::Warning(
+        change.m_isInForce ? "evacuation in force" : "evacuation taken back",
+        { { "failure_domain", change.m_domain.Text() },
+          { "version", std::to_string(evacuations.State()->m_version.Value()) },
+          { "era", std::to_string(evacuations.State()->m_version.Era().Value()) },
+          { "source", aSource },
+          { "last_use_ms",
+            change.m_isInForce ? std::to_string(std::max<std::int64_t>(timeLeft, 0)) : "" } });
     }
     m_state.m_metrics
       .Gauge("sardinefold_gateway_evacuated_domains",
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -21,6 +21,7 @@
 #include "Programs/FleetMessenger.h"
 #include "Programs/Gateway/Attempt.h"
 #include "Programs/Gateway/OpenRequests.h"
+#include "Programs/Gateway/StoreFollowerTiming.h"
 
 #include <map>
 #include <memory>
@@ -37,6 +38,7 @@
     , m_followsEvacuations(m_profile.m_bounds.m_maximumEvacuationDelay.has_value())
     , m_http(aLoop, EngineClientLimits())
     , m_responseMemory(ResponseMemoryOf(m_profile.m_memoryLimit))
+    , m_evacuations(EvacuationPolicy(m_profile.m_bounds))
     , m_directory(DirectoryPolicy(m_profile.m_bounds), m_profile.m_failureDomain, aSeed)
     , m_demand(aLoop.Now())
     , m_allowance({})
@@ -56,6 +58,13 @@
     return limits;
   }
 
+  static entry::EvacuationLimits EvacuationPolicy(base::SiteBounds const& aBounds)
+  {
+    entry::EvacuationLimits limits;
+    limits.m_lastUse = StoreFollowerTiming::EvacuationAge(aBounds);
+    return limits;
+  }
+
   static engine::DirectoryLimits DirectoryPolicy(base::SiteBounds const& aBounds)
   {
     engine::DirectoryLimits limits;
--- a/Programs/Gateway/StoreFollowerTiming.h
+++ b/Programs/Gateway/StoreFollowerTiming.h
@@ -77,7 +77,7 @@
   {
     constexpr base::Duration kReserve = std::chrono::milliseconds(1500);
     auto const bound = aBounds.m_maximumEvacuationDelay.value_or(base::Duration::zero());
-    return std::max<base::Duration>(bound - kReserve, kReserve);
+    return std::max<base::Duration>(bound - kReserve, base::Duration::zero());
   }
 
   /// A watch ends early enough for the followers to learn of it before their knowledge
--- a/Tests/EvacuatedSiteTest.cpp
+++ b/Tests/EvacuatedSiteTest.cpp
@@ -14,15 +14,17 @@
 
 namespace {
 
-/// Longer than a change takes to arrive from the store.
-constexpr auto kArrival = 400ms;
+/// With it the last use of an evacuated failure domain ends one second after the store
+/// last held no evacuation, at the latest.
+constexpr auto kBound = 2'500ms;
+constexpr auto kLastUse = 1s;
 
 tests::SiteShape TwoDomains(bool aHasEvacuations)
 {
   tests::SiteShape shape;
   shape.m_secondDomain = "b";
   if (aHasEvacuations) {
-    shape.m_bounds.m_maximumEvacuationDelay = 5s;
+    shape.m_bounds.m_maximumEvacuationDelay = kBound;
   }
   shape.m_regions = {
     { base::FailureDomainId::FromValidated("a"), base::RegionId::FromValidated("north") },
@@ -68,6 +70,18 @@
     co_return std::string(response->m_headers.Find("Server-Seal").value_or(""));
   }
 
+  /// Waits until the gateway knows of that many evacuations, and their last use is over.
+  awaitable<void> AwaitEvacuated(std::size_t aCount, Gateway* aGateway = nullptr)
+  {
+    auto& state = (aGateway ? *aGateway : *m_gateway).State();
+    for (int attempt = 0; attempt < 60 && state.m_evacuations.InForce().size() != aCount;
+         ++attempt) {
+      co_await m_loop.Sleep(50ms);
+    }
+    BOOST_TEST(state.m_evacuations.InForce().size() == aCount);
+    co_await m_loop.Sleep(aCount > 0 ? kLastUse : 0s);
+  }
+
   awaitable<unsigned> StatusOfOrder(std::string aId)
   {
     auto request = Request("POST", "/order/x", std::move(aId));
@@ -108,14 +122,14 @@
     auto const before = co_await SealOf("r1");
     BOOST_TEST(before == "seal-i-1");
     // A stream that runs there goes on to its end.
-    SetFault(*m_engines[0], "event_ms", 150);
+    SetFault(*m_engines[0], "event_ms", 400);
     std::string running;
     m_loop.Start([](EvacuationFixture* aFixture, std::string& aSeal) -> awaitable<void> {
       aSeal = co_await aFixture->SealOf("r2", "own1");
     }(this, running));
     co_await m_loop.Sleep(100ms);
     Evacuate("a");
-    co_await m_loop.Sleep(kArrival);
+    co_await AwaitEvacuated(1);
     SetFault(*m_engines[0], "event_ms", 1);
     for (auto const* const id : { "r3", "r4", "r5", "r6" }) {
       auto const seal = co_await SealOf(id);
@@ -128,7 +142,7 @@
     co_await m_loop.Sleep(1s);
     BOOST_TEST(running == "seal-i-1");
     TakeBack("a");
-    co_await m_loop.Sleep(kArrival);
+    co_await AwaitEvacuated(0);
     auto const after = co_await SealOf("r8");
     BOOST_TEST(after == "seal-i-1");
     auto const served = co_await StatusOfOrder("r9");
@@ -140,7 +154,7 @@
 {
   Run([&]() -> awaitable<void> {
     Evacuate("a");
-    co_await m_loop.Sleep(kArrival);
+    co_await AwaitEvacuated(1);
     auto const seal = co_await SealOf("r1", "own1");
     BOOST_TEST(seal == "seal-i-2");
   });
@@ -151,11 +165,11 @@
   Run([&]() -> awaitable<void> {
     Evacuate("a");
     Evacuate("b");
-    co_await m_loop.Sleep(kArrival);
+    co_await AwaitEvacuated(2);
     auto const none = co_await SealOf("r1");
     BOOST_TEST(none == "503");
     TakeBack("b");
-    co_await m_loop.Sleep(kArrival);
+    co_await AwaitEvacuated(1);
     auto const second = co_await SealOf("r2");
     BOOST_TEST(second == "seal-i-2");
   });
@@ -188,7 +202,7 @@
 {
   Run([&]() -> awaitable<void> {
     Evacuate("a");
-    co_await m_loop.Sleep(kArrival);
+    co_await AwaitEvacuated(1);
     Json::Value faults;
     faults["refused_kind"] = "evacuations";
     BOOST_REQUIRE(m_store.Faults().Apply(faults).has_value());
@@ -228,13 +242,11 @@
     // Watches that are open end.
     co_await m_loop.Sleep(4'200ms);
     Evacuate("a");
-    co_await m_loop.Sleep(2s);
-    BOOST_TEST(second.State().m_evacuations.InForce().size() == 1U);
+    co_await AwaitEvacuated(1, &second);
     auto const seal = co_await SealOf("r1", "common", SecondGateway().m_callers);
     BOOST_TEST(seal == "seal-i-2");
     TakeBack("a");
-    co_await m_loop.Sleep(2s);
-    BOOST_TEST(second.State().m_evacuations.InForce().empty());
+    co_await AwaitEvacuated(0, &second);
     second.State().m_loop.Stop();
   });
 }
@@ -244,7 +256,7 @@
   Run([&]() -> awaitable<void> {
     m_store.TakeCopy();
     Evacuate("a");
-    co_await m_loop.Sleep(kArrival);
+    co_await AwaitEvacuated(1);
     Json::Value faults;
     faults["outage"] = true;
     BOOST_REQUIRE(m_store.Faults().Apply(faults).has_value());
@@ -259,9 +271,9 @@
     BOOST_TEST(restored == "seal-i-2");
     // The operator repeats the entry, and takes it back.
     Evacuate("a");
-    co_await m_loop.Sleep(kArrival);
+    co_await AwaitEvacuated(1);
     TakeBack("a");
-    co_await m_loop.Sleep(kArrival);
+    co_await AwaitEvacuated(0);
     auto const after = co_await SealOf("r3");
     BOOST_TEST(after == "seal-i-1");
   });
@@ -271,7 +283,7 @@
 {
   Run([&]() -> awaitable<void> {
     Evacuate("a");
-    co_await m_loop.Sleep(kArrival);
+    co_await m_loop.Sleep(1s);
     auto const seal = co_await SealOf("r1");
     BOOST_TEST(seal == "seal-i-1");
     BOOST_TEST(!m_gateway->State().m_evacuations.State().has_value());
--- a/Tests/EvacuationTest.cpp
+++ b/Tests/EvacuationTest.cpp
@@ -4,6 +4,7 @@
 #include "Engine/UpstreamDirectory.h"
 #include "Entry/Relay/EvacuationRegister.h"
 #include "Entry/Relay/WatchRole.h"
+#include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/StoreFollowerTiming.h"
 
 #include <boost/test/unit_test.hpp>
@@ -26,7 +27,6 @@
 auto const kDeployment = base::DeploymentId::FromValidated("assistant");
 auto const kModel = base::ModelId::FromValidated("rare");
 using Domains = std::set<base::FailureDomainId>;
-using Changes = std::vector<EvacuationChange>;
 
 base::FailureDomainId Domain(std::string aName)
 {
@@ -55,6 +55,34 @@
   return entry;
 }
 
+/// Names each failure domain whose evacuation came into force (+) or ended (-).
+struct Register
+{
+  EvacuationRegister m_register;
+
+  static std::string Text(std::vector<EvacuationChange> const& aChanges)
+  {
+    std::string text;
+    for (auto const& change : aChanges) {
+      text += (change.m_isInForce ? "+" : "-") + change.m_domain.Text();
+    }
+    return text;
+  }
+  std::string Take(EvacuationState aState)
+  {
+    return Text(m_register.OnState(std::move(aState), kStart, kStart));
+  }
+  std::string Expire(base::Instant aNow) { return Text(m_register.Expire(aNow)); }
+  std::string InForce() const
+  {
+    std::string text;
+    for (auto const& [domain, end] : m_register.InForce()) {
+      text += domain.Text();
+    }
+    return text;
+  }
+};
+
 /// Two upstreams: "1" in the failure domain "a", where the gateway is, and "2" in "b".
 struct TwoDomains
 {
@@ -67,6 +95,15 @@
     m_directory.OnListed(Entry("2", "b"), kStart);
   }
 
+  /// Evacuates exactly these failure domains, with their last use at kStart.
+  void Evacuate(Domains const& aDomains, base::Instant aEnd = kStart)
+  {
+    std::map<base::FailureDomainId, base::Instant> ends;
+    for (auto const& domain : aDomains) {
+      ends.emplace(domain, aEnd);
+    }
+    m_directory.SetEvacuated(ends);
+  }
   std::variant<UpstreamChoice, UpstreamAbsence> Find() { return m_directory.Find(m_query, kStart); }
   std::string Chosen()
   {
@@ -94,22 +131,51 @@
 
 BOOST_AUTO_TEST_CASE(OnlyALaterVersionOfTheStoreChangesWhatIsInForce)
 {
-  EvacuationRegister evacuations;
-  BOOST_TEST(!evacuations.State().has_value());
-  BOOST_TEST(evacuations.OnState(State(10, {}), kStart).empty());
-  BOOST_TEST(
-    (evacuations.OnState(State(20, { Domain("a") }), kStart) == Changes{ { Domain("a"), true } }));
+  Register evacuations;
+  BOOST_TEST(evacuations.Take(State(10, {})) == "");
+  BOOST_TEST(evacuations.Take(State(20, { Domain("a") })) == "+a");
   // A message of before, and one of the same version.
-  BOOST_TEST(evacuations.OnState(State(15, {}), kStart).empty());
-  BOOST_TEST(evacuations.OnState(State(20, {}), kStart).empty());
+  BOOST_TEST(evacuations.Take(State(15, {})) == "");
+  BOOST_TEST(evacuations.Take(State(20, {})) == "");
   // A silent store changes nothing.
-  BOOST_TEST(evacuations.Expire(kStart + seconds(3600)).empty());
-  BOOST_TEST((evacuations.InForce() == Domains{ Domain("a") }));
-  BOOST_TEST((evacuations.OnState(State(30, { Domain("a"), Domain("b") }), kStart) ==
-              Changes{ { Domain("b"), true } }));
-  BOOST_TEST(
-    (evacuations.OnState(State(40, { Domain("b") }), kStart) == Changes{ { Domain("a"), false } }));
-  BOOST_TEST((evacuations.InForce() == Domains{ Domain("b") }));
+  BOOST_TEST(evacuations.Expire(kStart + seconds(3600)) == "");
+  BOOST_TEST(evacuations.InForce() == "a");
+  BOOST_TEST(evacuations.Take(State(30, { Domain("a"), Domain("b") })) == "+b");
+  BOOST_TEST(evacuations.Take(State(40, { Domain("b") })) == "-a");
+  BOOST_TEST(evacuations.InForce() == "b");
+}
+
+// The bound counts from the evacuation, which came after the store last held none; a
+// gateway that learns of it late has nothing left of that time.
+BOOST_AUTO_TEST_CASE(TheLastUseEndsByWhenTheStoreHeldNoEvacuation)
+{
+  auto const now = kStart + seconds(60);
+  auto const endOf = [&](std::optional<base::Instant> aHeldAt, auto aMeanwhile) {
+    EvacuationRegister evacuations({ .m_lastUse = seconds(3) });
+    evacuations.OnState(State(10, {}), aHeldAt, kStart);
+    aMeanwhile(evacuations);
+    return evacuations.OnState(State(20, { Domain("a") }), now, now).at(0).m_end;
+  };
+  auto const nothing = [](EvacuationRegister&) {};
+  BOOST_TEST((endOf(now - milliseconds(800), nothing) == now + milliseconds(2200)));
+  BOOST_TEST((endOf(now - seconds(9), nothing) == now - seconds(6)));
+  // Nothing is known of when it was held.
+  BOOST_TEST((endOf(std::nullopt, nothing) == now));
+  // The store confirmed the state, by its version or a later one; an older message says
+  // nothing of the time after it.
+  for (std::uint64_t const version : { 10U, 12U }) {
+    auto const confirm = [&](EvacuationRegister& aRegister) {
+      aRegister.OnState(State(version, {}), now - seconds(1), now);
+    };
+    BOOST_TEST((endOf(kStart, confirm) == now + seconds(2)));
+  }
+  auto const old = [&](EvacuationRegister& aRegister) {
+    aRegister.OnState(State(9, {}), now - seconds(1), now);
+  };
+  BOOST_TEST((endOf(kStart, old) == kStart + seconds(3)));
+  // A gateway that starts reads the evacuation first.
+  EvacuationRegister started({ .m_lastUse = seconds(3) });
+  BOOST_TEST((started.OnState(State(20, { Domain("a") }), now, now).at(0).m_end == now));
 }
 
 // The store comes back from a copy that lacks an evacuation that it had acknowledged.
@@ -117,39 +183,38 @@
 BOOST_AUTO_TEST_CASE(ARestoredStoreEndsNoEvacuationBeforeOperatorsCouldRepeatIt)
 {
   for (bool const isRepeated : { false, true }) {
-    EvacuationRegister evacuations;
-    evacuations.OnState(State(100, { Domain("a") }), kStart);
-    BOOST_TEST(evacuations.OnState(State(50, { Domain("c") }, 2), kStart).size() == 1U);
+    Register evacuations;
+    evacuations.Take(State(100, { Domain("a") }));
+    BOOST_TEST(evacuations.Take(State(50, { Domain("c") }, 2)) == "+c");
     // What was known of the earlier era is no news.
-    BOOST_TEST(evacuations.OnState(State(200, {}), kStart).empty());
-    BOOST_TEST((evacuations.InForce() == Domains{ Domain("a"), Domain("c") }));
-    BOOST_TEST(evacuations.Expire(kStart + seconds(29)).empty());
+    BOOST_TEST(evacuations.Take(State(200, {})) == "");
+    BOOST_TEST(evacuations.InForce() == "ac");
+    BOOST_TEST(evacuations.Expire(kStart + seconds(29)) == "");
     if (isRepeated) {
-      evacuations.OnState(State(60, { Domain("a"), Domain("c") }, 2), kStart + seconds(29));
-      BOOST_TEST(evacuations.Expire(kStart + seconds(90)).empty());
-      BOOST_TEST((evacuations.OnState(State(70, { Domain("c") }, 2), kStart + seconds(91)) ==
-                  Changes{ { Domain("a"), false } }));
+      BOOST_TEST(evacuations.Take(State(60, { Domain("a"), Domain("c") }, 2)) == "");
+      BOOST_TEST(evacuations.Expire(kStart + seconds(90)) == "");
+      BOOST_TEST(evacuations.Take(State(70, { Domain("c") }, 2)) == "-a");
     } else {
-      BOOST_TEST((evacuations.Expire(kStart + seconds(30)) == Changes{ { Domain("a"), false } }));
+      BOOST_TEST(evacuations.Expire(kStart + seconds(30)) == "-a");
     }
-    BOOST_TEST((evacuations.InForce() == Domains{ Domain("c") }));
+    BOOST_TEST(evacuations.InForce() == "c");
   }
 }
 
 BOOST_FIXTURE_TEST_CASE(AnEvacuatedDomainGetsNoRequestUntilThatIsTakenBack, TwoDomains)
 {
   BOOST_TEST(Chosen() == "1");
-  m_directory.SetEvacuated({ Domain("a") });
+  Evacuate({ Domain("a") });
   BOOST_TEST(Chosen() == "2");
   // A retry, or the rest of a stream that broke off at the other one.
   m_query.m_excluded = { InstanceId::FromValidated("2") };
   BOOST_TEST(Chosen() == "upstreams are evacuated");
   m_query.m_excluded = {};
-  m_directory.SetEvacuated({ Domain("a"), Domain("b") });
+  Evacuate({ Domain("a"), Domain("b") });
   BOOST_TEST(Chosen() == "upstreams are evacuated");
-  m_directory.SetEvacuated({ Domain("b") });
+  Evacuate({ Domain("b") });
   BOOST_TEST(Chosen() == "1");
-  m_directory.SetEvacuated({});
+  Evacuate({});
   BOOST_TEST(Chosen() == "1");
 }
 
@@ -158,22 +223,39 @@
 {
   auto const choice = std::get<UpstreamChoice>(Find());
   BOOST_TEST(m_directory.MaySend(choice, kStart));
-  m_directory.SetEvacuated({ Domain("a") });
+  Evacuate({ Domain("a") });
   BOOST_TEST(!m_directory.MaySend(choice, kStart));
   BOOST_TEST(Chosen() == "2");
-  m_directory.SetEvacuated({});
+  Evacuate({});
   BOOST_TEST(m_directory.MaySend(choice, kStart));
 }
 
+BOOST_FIXTURE_TEST_CASE(UntilTheLastUseADomainServesOnlyWhatNoOtherCan, TwoDomains)
+{
+  m_directory.OnListed(Entry("1", "a", { { kModel, {} } }), kStart);
+  auto const before = std::get<UpstreamChoice>(Find());
+  Evacuate({ Domain("a") }, kStart + milliseconds(1));
+  BOOST_TEST(Chosen() == "2");
+  // It was chosen while others could be.
+  BOOST_TEST(!m_directory.MaySend(before, kStart));
+  m_query.m_model = kModel;
+  auto const last = std::get<UpstreamChoice>(Find());
+  BOOST_TEST(last.m_instance.Text() == "1");
+  BOOST_TEST(m_directory.MaySend(last, kStart));
+  BOOST_TEST(!m_directory.MaySend(last, kStart + milliseconds(1)));
+  BOOST_TEST((std::get<UpstreamAbsence>(m_directory.Find(m_query, kStart + milliseconds(1))) ==
+              UpstreamAbsence::ModelNotLoaded));
+}
+
 BOOST_FIXTURE_TEST_CASE(AModelHeldOnlyInAnEvacuatedDomainIsNotLoaded, TwoDomains)
 {
   m_directory.OnListed(Entry("1", "a", { { kModel, {} } }), kStart);
   m_query.m_model = kModel;
   BOOST_TEST(Chosen() == "1");
-  m_directory.SetEvacuated({ Domain("a") });
+  Evacuate({ Domain("a") });
   // The request waits for a load elsewhere.
   BOOST_TEST(Chosen() == "model not loaded");
-  m_directory.SetEvacuated({ Domain("a"), Domain("b") });
+  Evacuate({ Domain("a"), Domain("b") });
   BOOST_TEST(Chosen() == "upstreams are evacuated");
 }
 
@@ -200,7 +282,7 @@
   m_query.m_excluded = { InstanceId::FromValidated("2") };
   BOOST_TEST(Chosen() == "no upstream");
   m_query.m_excluded = {};
-  m_directory.SetEvacuated({ Domain("b") });
+  Evacuate({ Domain("b") });
   BOOST_TEST(Chosen() == "upstreams are evacuated");
   m_query.m_failureDomains = Domains{};
   BOOST_TEST(Chosen() == "no upstream");
@@ -215,7 +297,7 @@
   BOOST_TEST(m_directory.BackoffEndFor(m_query, kStart).has_value());
   m_query.m_failureDomains.reset();
   BOOST_TEST(!m_directory.BackoffEndFor(m_query, kStart).has_value());
-  m_directory.SetEvacuated({ Domain("a") });
+  Evacuate({ Domain("a") });
   BOOST_TEST(m_directory.BackoffEndFor(m_query, kStart).has_value());
 }
 
@@ -272,11 +354,11 @@
   std::string watchers;
   for (auto const* const name : { "a", "b", "c" }) {
     entry::WatchRole role({}, host(name));
-    BOOST_TEST(role.IsFirstWatcher(kStart));
+    BOOST_TEST(!role.IsFirstWatcher(kStart));
     role.OnNeighbours(neighbours, { { "10.0.0.2", 1 }, { "10.0.0.1", 1 } }, kStart);
     watchers += role.IsFirstWatcher(kStart) ? name : "";
-    // Without word of the others each watches for itself.
-    BOOST_TEST(role.IsFirstWatcher(kStart + seconds(4)));
+    // Without word of the others each asks only when what it knows is too old.
+    BOOST_TEST(!role.IsFirstWatcher(kStart + seconds(4)));
   }
   BOOST_TEST(watchers == "b");
 }
@@ -298,5 +380,8 @@
     // once what they know is too old, at the second attempt.
     auto const retry = Timing::Evacuations(bounds).m_backoff.m_maximum;
     BOOST_TEST((age + call + retry + call + connect <= bound));
+    // The last use leaves time for a connection, and for a request to arrive.
+    auto const lastUse = programs::GatewayState::EvacuationPolicy(bounds).m_lastUse;
+    BOOST_TEST((lastUse + connect + call <= bound));
   }
 }
