--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -262,6 +262,9 @@
   {
     m_evacuated = std::move(aDomains);
   }
+  /// The endpoints of starts that ended since the last call: their upstreams are out of
+  /// use or have started again.
+  std::vector<base::Endpoint> TakeEndedEndpoints();
   void SetMaximumDrainDelay(base::Duration aDelay) { m_limits.m_maximumDrainDelay = aDelay; }
 
   std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
@@ -371,6 +374,7 @@
   LeavingUpstreams m_leaving;
   LeftUpstreams m_left;
   std::vector<LeavingEnd> m_leavingEnds;
+  std::vector<base::Endpoint> m_endedEndpoints;
   BackoffTable m_backoffs;
   std::vector<BackoffEnd> m_backoffEnds;
 };
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -111,6 +111,7 @@
       StoreFollowerTiming::kUpdateInterval / std::chrono::milliseconds(100);
     UpdateAvailability(aNow);
     RecordHold(aNow);
+    m_store.SweepIdle(aNow);
     m_evacuations.Tick(aNow);
     if (m_ticks++ % kUpdateTicks == 0) {
       NotifyNeighboursOfAge();
