--- a/Tests/EvacuationTest.cpp
+++ b/Tests/EvacuationTest.cpp
@@ -43,7 +43,8 @@
   return { { base::StoreEra(aEra), aVersion }, std::move(aDomains) };
 }
 
-UpstreamEntry Entry(std::string aName, std::string aDomain, std::vector<HeldModel> aModels = {})
+UpstreamEntry Entry(std::string const& aName, std::string aDomain,
+                    std::vector<HeldModel> aModels = {})
 {
   UpstreamEntry entry;
   entry.m_instance = InstanceId::FromValidated(aName);
@@ -264,7 +265,8 @@
   std::map<base::FailureDomainId, base::RegionId> const regions{ { Domain("a"), Region("north") },
                                                                  { Domain("b"), Region("south") },
                                                                  { Domain("c"), Region("south") } };
-  auto const homes = [&](std::set<base::RegionId> aRoute, std::set<base::RegionId> aWorkspace) {
+  auto const homes = [&](std::set<base::RegionId> const& aRoute,
+                         std::set<base::RegionId> const& aWorkspace) {
     return HomeDomains(aRoute, aWorkspace, regions);
   };
   BOOST_TEST(!homes({}, {}).has_value());
