Entry, Gateway: Let an evacuation that is taken back await the list of upstreams

Cause: the upstreams of the domain may have become cold shortly before. The list that tells so is gathered for as long as the bound on draining leaves room (1.6 s at a bound of 3 s), while the end of an evacuation arrives at once; requests would reach upstreams that are not known to be warming up.

Change: the evacuation holds until the list is of the version of the store that took it back or a later one, 10 s at most.

--- a/Entry/Relay/EvacuationRegister.cpp
+++ b/Entry/Relay/EvacuationRegister.cpp
@@ -22,21 +22,33 @@
   bool const isRestored = m_state && aState.m_version.Era() > m_state->m_version.Era();
   if (isRestored) {
     for (auto const& [domain, domainEnd] : m_inForce) {
-      m_held.try_emplace(domain, aNow + m_limits.m_restorationHold);
+      if (!m_ending.contains(domain)) {
+        m_held.try_emplace(domain, aNow + m_limits.m_restorationHold);
+      }
+    }
+  }
+  if (m_state && !isRestored) {
+    for (auto const& domain : m_state->m_domains) {
+      m_ending.try_emplace(domain, Ending{ aState.m_version, aNow + m_limits.m_maximumListLag });
     }
   }
   // What the store lists again is the store's to end.
   for (auto const& domain : aState.m_domains) {
     m_held.erase(domain);
+    m_ending.erase(domain);
   }
   m_state = std::move(aState);
   return Update(end);
 }
 
-std::vector<EvacuationChange> EvacuationRegister::Expire(base::Instant aNow)
+std::vector<EvacuationChange> EvacuationRegister::Expire(base::ObjectVersion aListVersion,
+                                                         base::Instant aNow)
 {
   auto const expired =
-    std::erase_if(m_held, [aNow](auto const& aItem) { return aNow >= aItem.second; });
+    std::erase_if(m_held, [aNow](auto const& aItem) { return aNow >= aItem.second; }) +
+    std::erase_if(m_ending, [&](auto const& aItem) {
+      return aListVersion >= aItem.second.m_version || aNow >= aItem.second.m_until;
+    });
   return expired > 0 ? Update(aNow) : std::vector<EvacuationChange>();
 }
 
@@ -46,6 +58,9 @@
   for (auto const& [domain, until] : m_held) {
     domains.insert(domain);
   }
+  for (auto const& [domain, ending] : m_ending) {
+    domains.insert(domain);
+  }
   std::vector<EvacuationChange> changes;
   for (auto const& domain : domains) {
     if (m_inForce.try_emplace(domain, aEnd).second) {
--- a/Entry/Relay/EvacuationRegister.h
+++ b/Entry/Relay/EvacuationRegister.h
@@ -19,6 +19,9 @@
   /// How long an evacuation stays in force that a store which came back from a copy
   /// lacks. Operators repeat within this time what the copy lacks.
   base::Duration m_restorationHold = std::chrono::seconds(30);
+  /// How long an evacuation that was taken back waits for the list of upstreams, which
+  /// is gathered for longer and may tell that they are warming up.
+  base::Duration m_maximumListLag = std::chrono::seconds(10);
 };
 
 /// When the upstreams of evacuated failure domains get their last requests.
@@ -49,9 +52,10 @@
   /// Takes what the store held, and when, if that is known. Returns what that changes.
   std::vector<EvacuationChange> OnState(EvacuationState aState,
                                         std::optional<base::Instant> aHeldAt, base::Instant aNow);
-  /// Ends the evacuations that the store has lacked for too long since it came back from
-  /// a copy. Returns what that changes.
-  std::vector<EvacuationChange> Expire(base::Instant aNow);
+  /// Ends the evacuations that were taken back by the version of the list of upstreams,
+  /// and those that the store has lacked for too long since it came back from a copy.
+  /// Returns what that changes.
+  std::vector<EvacuationChange> Expire(base::ObjectVersion aListVersion, base::Instant aNow);
 
   /// What the store held at the latest known version; none before the first.
   std::optional<EvacuationState> const& State() const { return m_state; }
@@ -67,6 +71,14 @@
   /// Evacuations that the copy lacks from which the store came back, with the time
   /// until which they hold.
   std::map<base::FailureDomainId, base::Instant> m_held;
+  struct Ending
+  {
+    /// The version of the store by which it was taken back.
+    base::ObjectVersion m_version;
+    base::Instant m_until{};
+  };
+  /// Evacuations that were taken back and await the list of upstreams.
+  std::map<base::FailureDomainId, Ending> m_ending;
   EvacuationEnds m_inForce;
   /// When the store held the state, as far as known.
   std::optional<base::Instant> m_heldAt;
--- a/Programs/Gateway/EvacuationFollower.h
+++ b/Programs/Gateway/EvacuationFollower.h
@@ -86,14 +86,14 @@
                  : std::nullopt;
   }
 
-  /// To be called ten times a second.
-  void Tick(base::Instant aNow)
+  /// To be called ten times a second, with the version of the list of upstreams.
+  void Tick(base::ObjectVersion aListVersion, base::Instant aNow)
   {
     if (m_watch.State().HasListed()) {
       // A watch that ends without changes confirms what is known.
       TakeWatched(kStore, aNow);
     }
-    Apply(m_state.m_evacuations.Expire(aNow), "end of the hold after a restoration", aNow);
+    Apply(m_state.m_evacuations.Expire(aListVersion, aNow), "list of upstreams or time", aNow);
   }
 
 private:
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -112,7 +112,7 @@
     UpdateAvailability(aNow);
     RecordHold(aNow);
     m_store.SweepIdle(aNow);
-    m_evacuations.Tick(aNow);
+    m_evacuations.Tick(m_upstreamWatch.State().Version(), aNow);
     if (m_ticks++ % kUpdateTicks == 0) {
       NotifyNeighboursOfAge();
     }
--- a/Tests/EvacuatedSiteTest.cpp
+++ b/Tests/EvacuatedSiteTest.cpp
@@ -74,7 +74,7 @@
   awaitable<void> AwaitEvacuated(std::size_t aCount, Gateway* aGateway = nullptr)
   {
     auto& state = (aGateway ? *aGateway : *m_gateway).State();
-    for (int attempt = 0; attempt < 60 && state.m_evacuations.InForce().size() != aCount;
+    for (int attempt = 0; attempt < 100 && state.m_evacuations.InForce().size() != aCount;
          ++attempt) {
       co_await m_loop.Sleep(50ms);
     }
--- a/Tests/EvacuationTest.cpp
+++ b/Tests/EvacuationTest.cpp
@@ -73,7 +73,14 @@
   {
     return Text(m_register.OnState(std::move(aState), kStart, kStart));
   }
-  std::string Expire(base::Instant aNow) { return Text(m_register.Expire(aNow)); }
+  std::string Expire(base::Instant aNow, base::ObjectVersion aListVersion = {})
+  {
+    return Text(m_register.Expire(aListVersion, aNow));
+  }
+  std::string OnList(std::uint64_t aVersion)
+  {
+    return Expire(kStart, { base::StoreEra(1), aVersion });
+  }
   std::string InForce() const
   {
     std::string text;
@@ -142,10 +149,35 @@
   BOOST_TEST(evacuations.Expire(kStart + seconds(3600)) == "");
   BOOST_TEST(evacuations.InForce() == "a");
   BOOST_TEST(evacuations.Take(State(30, { Domain("a"), Domain("b") })) == "+b");
-  BOOST_TEST(evacuations.Take(State(40, { Domain("b") })) == "-a");
+  BOOST_TEST(evacuations.Take(State(40, { Domain("b") })) == "");
+  BOOST_TEST(evacuations.OnList(40) == "-a");
   BOOST_TEST(evacuations.InForce() == "b");
 }
 
+// The domain's upstreams became cold shortly before its evacuation was taken back. The
+// list that tells so is gathered for a second or two: requests that come before it would
+// be too many for them.
+BOOST_AUTO_TEST_CASE(AnEvacuationTakenBackAwaitsTheListOfUpstreams)
+{
+  Register evacuations;
+  evacuations.Take(State(20, { Domain("a"), Domain("b") }));
+  BOOST_TEST(evacuations.OnList(25) == "");
+  BOOST_TEST(evacuations.Take(State(30, { Domain("b") })) == "");
+  BOOST_TEST(evacuations.OnList(29) == "");
+  BOOST_TEST(evacuations.InForce() == "ab");
+  // Later versions of the evacuations change nothing in that.
+  BOOST_TEST(evacuations.Take(State(35, { Domain("b") })) == "");
+  BOOST_TEST(evacuations.OnList(30) == "-a");
+  // The domain is evacuated once more, meanwhile.
+  evacuations.Take(State(40, {}));
+  evacuations.Take(State(50, { Domain("b") }));
+  BOOST_TEST(evacuations.OnList(60) == "");
+  // A gateway that is cut from the list waits for a limited time.
+  evacuations.Take(State(70, {}));
+  BOOST_TEST(evacuations.Expire(kStart + milliseconds(9'900)) == "");
+  BOOST_TEST(evacuations.Expire(kStart + seconds(10)) == "-b");
+}
+
 // The bound counts from the evacuation, which came after the store last held none; a
 // gateway that learns of it late has nothing left of that time.
 BOOST_AUTO_TEST_CASE(TheLastUseEndsByWhenTheStoreHeldNoEvacuation)
@@ -194,7 +226,8 @@
     if (isRepeated) {
       BOOST_TEST(evacuations.Take(State(60, { Domain("a"), Domain("c") }, 2)) == "");
       BOOST_TEST(evacuations.Expire(kStart + seconds(90)) == "");
-      BOOST_TEST(evacuations.Take(State(70, { Domain("c") }, 2)) == "-a");
+      BOOST_TEST(evacuations.Take(State(70, { Domain("c") }, 2)) == "");
+      BOOST_TEST(evacuations.Expire(kStart, { base::StoreEra(2), 70 }) == "-a");
     } else {
       BOOST_TEST(evacuations.Expire(kStart + seconds(30)) == "-a");
     }
