--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -57,6 +57,8 @@
   /// Whether the request is suspected of crashing upstreams, and should run where
   /// no other request awaits its answer.
   bool m_isSuspected = false;
+  /// The failure domains that may serve the request; all if absent.
+  std::optional<std::set<base::FailureDomainId>> m_failureDomains{};
 };
 
 /// An upstream's load, estimated from this process's own requests and from
@@ -118,7 +120,8 @@
   UpstreamStart Start() const { return { m_instance, m_endpoint, m_startedAt }; }
   /// Whether the model is loaded but the adapter is not.
   bool m_lacksAdapter = false;
-  /// Whether the upstream leaves and was chosen for want of another one.
+  /// Whether the upstream leaves, or its failure domain is evacuated, and it was chosen
+  /// for want of another one.
   bool m_isLeaving = false;
   /// Whether the request is a trial after a time without requests.
   bool m_isTrial = false;
@@ -136,6 +139,8 @@
   /// All upstreams of the deployment that could be used have announced that they
   /// leave.
   Leaving,
+  /// The same, where some are in failure domains that are evacuated.
+  Evacuated,
   /// All upstreams that could serve the request want no requests for some time.
   BackingOff,
   /// Usable upstreams are known, but none of them holds the model.
@@ -251,6 +256,12 @@
   void OnTrialAnswered(UpstreamChoice const& aChoice, bool aIsFull);
   void OnTrialEnded(UpstreamChoice const& aChoice);
   std::vector<BackoffEnd> TakeBackoffEnds();
+  /// The upstreams of these failure domains get no new requests from the given times on,
+  /// and until then only those that no others can serve.
+  void SetEvacuated(std::map<base::FailureDomainId, base::Instant> aDomains)
+  {
+    m_evacuated = std::move(aDomains);
+  }
   /// The endpoints of starts that ended since the last call: their upstreams are out of
   /// use or have started again.
   std::vector<base::Endpoint> TakeEndedEndpoints();
@@ -337,6 +348,12 @@
   /// Whether the list and the upstream's failures allow requests to it.
   static bool IsAvailable(Upstream const& aUpstream, base::Instant aNow);
   bool IsUsable(Upstream const& aUpstream, base::Instant aNow) const;
+  bool IsEvacuated(Upstream const& aUpstream, base::Instant aNow) const;
+  /// Whether the upstream serves only requests that no others can serve.
+  bool IsLastResort(Upstream const& aUpstream) const;
+  /// Whether the upstream is of the deployment and in a failure domain that the query
+  /// allows.
+  static bool Matches(Upstream const& aUpstream, UpstreamQuery const& aQuery);
   HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
                              base::Instant aNow) const;
   static UpstreamLoadEstimate EstimateLoad(Upstream const& aUpstream, base::Instant aNow);
@@ -349,6 +366,7 @@
   DirectoryLimits m_limits;
   base::FailureDomainId m_localFailureDomain;
   std::mt19937_64 m_random;
+  std::map<base::FailureDomainId, base::Instant> m_evacuated;
   std::map<InstanceId, Upstream> m_upstreams;
   /// The upstreams by their address.
   std::multimap<base::Endpoint, Upstream*> m_byEndpoint;
