Engine, Programs: Hold requests to upstreams that warm up to a share of their rate

Cause: an upstream bears few requests for some time after its start (the configuration names rate and time), and nothing in the product read that.

Statuses of loaders name the start of the engine.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -215,6 +215,9 @@
   if (aParams.isMember("leaving_start")) {
     status.m_leavingStart = Integer(aParams["leaving_start"]);
   }
+  if (aParams.isMember("engine_start")) {
+    status.m_engineStart = Integer(aParams["engine_start"]);
+  }
   status.m_gatewaysPresent = Count(Member(aParams, "gateways"));
   status.m_incarnation = LoaderIncarnation(aParams["incarnation"]);
   status.m_number = UnsignedInteger(Member(aParams, "number"));
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -131,6 +131,9 @@
   if (aStatus.m_leavingStart) {
     aParams["leaving_start"] = Json::Int64(*aStatus.m_leavingStart);
   }
+  if (aStatus.m_engineStart) {
+    aParams["engine_start"] = Json::Int64(*aStatus.m_engineStart);
+  }
   aParams["gateways"] = aStatus.m_gatewaysPresent;
   if (!aStatus.m_incarnation.Text().empty()) {
     aParams["incarnation"] = aStatus.m_incarnation.Text();
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -54,6 +54,8 @@
   /// The start of the engine that has announced that it leaves, in Unix
   /// milliseconds.
   std::optional<std::int64_t> m_leavingStart;
+  /// Start of the engine in Unix milliseconds, once it has reported to the loader.
+  std::optional<std::int64_t> m_engineStart;
   /// Number of gateways that the loader knows to be running.
   unsigned m_gatewaysPresent = 0;
   /// The run of the loader, whose statuses are numbered from its start.
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -25,6 +25,8 @@
       return "upstreams are leaving";
     case UpstreamAbsence::BackingOff:
       return "upstreams want no requests";
+    case UpstreamAbsence::WarmingUp:
+      return "upstreams are warming up";
     case UpstreamAbsence::ModelNotLoaded:
       return "model not loaded";
   }
@@ -64,6 +66,7 @@
   : m_limits(aLimits)
   , m_localFailureDomain(std::move(aLocalFailureDomain))
   , m_random(aSeed)
+  , m_warmUps(aSeed)
 {
 }
 
@@ -101,6 +104,9 @@
     return outcome;
   }
   aEntry.m_isDraining = aEntry.m_isDraining || outcome == ListingOutcome::Drained;
+  m_warmUps.OnListed(
+    aEntry, aSource == EntrySource::FirstList ? StartKnowledge::Earlier : StartKnowledge::New,
+    aNow);
   auto const [found, isNew] = m_upstreams.try_emplace(aEntry.m_instance);
   auto& upstream = found->second;
   bool const isRestart = upstream.m_entry.m_startedAt != aEntry.m_startedAt ||
@@ -262,15 +268,35 @@
   return m_backoffs.OnRefused(aChoice.Start(), aRetryAfter, spread, aNow);
 }
 
+bool UpstreamDirectory::CouldServe(Upstream const& aUpstream, UpstreamQuery const& aQuery,
+                                   base::Instant aNow) const
+{
+  return aUpstream.m_entry.m_deployment == aQuery.m_deployment && IsUsable(aUpstream, aNow) &&
+         (!aQuery.m_model || FindModel(aUpstream, *aQuery.m_model, aNow));
+}
+
+std::optional<base::Instant> UpstreamDirectory::WarmUpOpensAt(UpstreamQuery const& aQuery,
+                                                              base::Instant aNow) const
+{
+  std::optional<base::Instant> earliest;
+  for (auto const& [instance, upstream] : m_upstreams) {
+    bool const isHeldBack = !m_warmUps.IsOpen(instance, aNow) &&
+                            !aQuery.m_excluded.contains(instance) &&
+                            CouldServe(upstream, aQuery, aNow);
+    if (isHeldBack) {
+      auto const opensAt = m_warmUps.OpensAt(instance, aNow);
+      earliest = std::min(earliest.value_or(opensAt), opensAt);
+    }
+  }
+  return earliest;
+}
+
 std::optional<base::Instant> UpstreamDirectory::BackoffEndFor(UpstreamQuery const& aQuery,
                                                               base::Instant aNow) const
 {
   std::optional<base::Instant> earliest;
   for (auto const& [instance, upstream] : m_upstreams) {
-    bool const couldServe = upstream.m_entry.m_deployment == aQuery.m_deployment &&
-                            IsUsable(upstream, aNow) &&
-                            (!aQuery.m_model || FindModel(upstream, *aQuery.m_model, aNow));
-    if (!couldServe) {
+    if (!CouldServe(upstream, aQuery, aNow)) {
       continue;
     }
     auto const start = StartOf(upstream.m_entry);
@@ -345,6 +371,9 @@
     };
     hasNewModels = hasNewModels || !std::ranges::all_of(aStatus.m_models, known);
     UpdateOthersLoad(upstream, aStatus.m_running, aStatus.m_waiting);
+    if (aStatus.m_engineStart) {
+      m_warmUps.OnStartSeen(upstream.m_entry.m_instance, *aStatus.m_engineStart, aNow);
+    }
     upstream.m_loaderStatus = aStatus;
     upstream.m_loaderStatusAt = aNow;
   }
@@ -445,7 +474,10 @@
   bool const isBesideSuspected =
     aUpstream.m_suspected > 0 || (aIsSuspected && aUpstream.m_unanswered > 0);
   double const suspected = isBesideSuspected ? m_limits.m_suspectedCost : 0;
-  return busy + remote + adapter + suspected + std::uniform_real_distribution<>(0, 0.5)(m_random);
+  double const warmUp =
+    m_warmUps.IsWarmingUp(aUpstream.m_entry.m_instance, aNow) ? m_limits.m_warmUpCost : 0;
+  return busy + remote + adapter + suspected + warmUp +
+         std::uniform_real_distribution<>(0, 0.5)(m_random);
 }
 
 std::variant<UpstreamChoice, UpstreamAbsence> UpstreamDirectory::Find(UpstreamQuery const& aQuery,
@@ -454,6 +486,7 @@
   UpstreamAbsence absence = UpstreamAbsence::NoUpstream;
   std::optional<UpstreamChoice> best;
   double bestCost = 0;
+  bool isHeldBack = false;
   for (auto const& [instance, upstream] : m_upstreams) {
     bool const isCandidate = upstream.m_entry.m_deployment == aQuery.m_deployment &&
                              IsAvailable(upstream, aNow) && !aQuery.m_excluded.contains(instance);
@@ -477,6 +510,10 @@
     if (!m_backoffs.IsOpen(start, aNow)) {
       continue;
     }
+    if (!m_warmUps.IsOpen(instance, aNow)) {
+      isHeldBack = true;
+      continue;
+    }
     double const cost = CostOf(upstream, lacksAdapter, aQuery.m_isSuspected, aNow);
     bool const isLeaving = IsLeaving(upstream);
     bool const isBetter = !best || (isLeaving == best->m_isLeaving ? cost < bestCost : !isLeaving);
@@ -495,6 +532,9 @@
   if (best) {
     return *best;
   }
+  if (isHeldBack) {
+    return UpstreamAbsence::WarmingUp;
+  }
   return BackoffEndFor(aQuery, aNow) ? UpstreamAbsence::BackingOff : absence;
 }
 
@@ -504,6 +544,7 @@
   if (found != m_upstreams.end()) {
     ++found->second.m_inFlight;
     ++found->second.m_unanswered;
+    m_warmUps.Reserve(aInstance);
   }
 }
 
@@ -640,6 +681,7 @@
     bool const isExpired = isOutOfUse && aItem.second.m_inFlight == 0;
     if (isExpired) {
       OnStartEnded(aItem.second.m_entry, false);
+      m_warmUps.OnGone(aItem.first, aNow);
       RemoveFromIndex(aItem.second);
       ++m_revision;
     }
@@ -649,6 +691,7 @@
     auto const found = m_upstreams.find(aStart.m_instance);
     return found != m_upstreams.end() && StartOf(found->second.m_entry) == aStart;
   };
+  m_warmUps.Expire(aNow);
   m_leaving.Expire(isKnown, aNow);
   for (auto const& [start, backoff] : m_backoffs.Expire(isKnown, aNow)) {
     m_backoffEnds.push_back({ start, backoff, BackoffEnd::Reason::Gone });
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -4,6 +4,7 @@
 #include "Engine/LeavingUpstreams.h"
 #include "Engine/LeftUpstreams.h"
 #include "Engine/UpstreamBackoff.h"
+#include "Engine/WarmUpLimiter.h"
 
 #include <cstdint>
 #include <map>
@@ -44,6 +45,8 @@
   /// Cost of a running request in the same unit; each running request slows
   /// down every step slightly.
   double m_running = 0.15;
+  /// Cost of an upstream that warms up, as it is slow.
+  double m_warmUpCost = 1.5;
 };
 
 /// What a request needs of an upstream.
@@ -90,6 +93,8 @@
 {
   /// The entry was written while the list was followed.
   Change,
+  /// The first list that this process reads.
+  FirstList,
   /// The first list after the store came back from a copy.
   RestoredList
 };
@@ -138,6 +143,9 @@
   Leaving,
   /// All upstreams that could serve the request want no requests for some time.
   BackingOff,
+  /// Upstreams that could serve the request are warming up and get no further request
+  /// from this process for some time.
+  WarmingUp,
   /// Usable upstreams are known, but none of them holds the model.
   ModelNotLoaded
 };
@@ -191,6 +199,8 @@
   unsigned m_running = 0;
   unsigned m_waiting = 0;
   LoaderStatusNumber m_number;
+  /// Start of the engine in Unix milliseconds, which the list may not tell yet.
+  std::optional<std::int64_t> m_engineStart;
 };
 
 /// Tracks the engines and services, the models that they hold and their load,
@@ -244,6 +254,10 @@
   /// If all upstreams that could serve such a request want no requests, the time
   /// at which the first of them may get one.
   std::optional<base::Instant> BackoffEndFor(UpstreamQuery const& aQuery, base::Instant aNow) const;
+  /// When a request that is held back as upstreams are warming up may be sent at the
+  /// earliest; nothing if no upstream that could serve it holds it back.
+  std::optional<base::Instant> WarmUpOpensAt(UpstreamQuery const& aQuery, base::Instant aNow) const;
+  WarmUpLimiter& WarmUps() { return m_warmUps; }
   Backoff const* FindBackoff(UpstreamStart const& aStart) const { return m_backoffs.Find(aStart); }
   void OnTrialStarted(UpstreamChoice const& aChoice, base::Instant aNow);
   /// The upstream answered a trial request; aIsFull if it refused it again without
@@ -324,6 +338,9 @@
   };
 
   void RemoveFromIndex(Upstream const& aUpstream);
+  /// Whether the upstream is of the deployment and could serve the request now or
+  /// after some time without requests.
+  bool CouldServe(Upstream const& aUpstream, UpstreamQuery const& aQuery, base::Instant aNow) const;
   static bool IsListed(Upstream const& aUpstream);
   static UpstreamStart StartOf(UpstreamEntry const& aEntry);
   ListingOutcome Judge(UpstreamEntry const& aEntry, EntrySource aSource, base::Instant aNow);
@@ -354,6 +371,7 @@
   LeftUpstreams m_left;
   std::vector<LeavingEnd> m_leavingEnds;
   BackoffTable m_backoffs;
+  WarmUpLimiter m_warmUps;
   std::vector<BackoffEnd> m_backoffEnds;
 };
 
--- a/Programs/Gateway/Attempt.h
+++ b/Programs/Gateway/Attempt.h
@@ -4,6 +4,7 @@
 #include "Base/Time.h"
 #include "Engine/UpstreamDirectory.h"
 
+#include <optional>
 #include <vector>
 
 namespace sardinefold::programs {
@@ -18,6 +19,8 @@
   std::vector<base::PromptPartId> m_parts;
   /// Whether one of the parts was suspected when the request was sent.
   bool m_isSuspected = false;
+  /// When the request was last about to be written; see engine::WarmUpLimiter.
+  std::optional<base::Instant> m_permitUsedAt;
 };
 
 } // namespace sardinefold::programs
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -114,8 +114,10 @@
         co_await FailRequest();
         co_return;
       }
-      m_attempt = Attempt{ *choice, Now(), m_context.m_fingerprint, Parts(),
-                           m_context.m_query.m_isSuspected };
+      m_attempt = Attempt{
+        *choice,     Now(), m_context.m_fingerprint, Parts(), m_context.m_query.m_isSuspected,
+        std::nullopt
+      };
       auto const end = co_await CountAttempt(*choice);
       if (end == AttemptEnd::CallerGone) {
         m_record.m_outcome = "caller left";
@@ -213,6 +215,9 @@
   void OnAttemptEnded(engine::UpstreamChoice const& aChoice)
   {
     m_state.m_directory.OnDone(aChoice.m_instance, m_relay.HasResponseStarted());
+    if (!m_attempt.m_permitUsedAt) {
+      m_state.m_directory.WarmUps().Return(aChoice.m_instance);
+    }
     m_state.m_directory.OnTrialEnded(aChoice);
     if (!m_relay.HasResponseStarted()) {
       m_state.RecordAnswered(m_attempt);
@@ -294,18 +299,26 @@
   /// Returns when the caller should retry, as seen from now.
   base::Duration RetryDelay()
   {
-    auto const backoffEnd = m_state.m_directory.BackoffEndFor(m_context.m_query, Now());
-    return backoffEnd ? *backoffEnd - Now()
-                      : caller::WaitPolicy::RetryAfter(
-                          m_state.ForecastFor(m_context.m_query.m_model), Now());
+    auto const opensAt = UpstreamsOpenAt();
+    return opensAt ? *opensAt - Now()
+                   : caller::WaitPolicy::RetryAfter(m_state.ForecastFor(m_context.m_query.m_model),
+                                                    Now());
+  }
+
+  /// When the upstreams that could serve the request may get it at the earliest, if none
+  /// of them may now.
+  std::optional<base::Instant> UpstreamsOpenAt() const
+  {
+    auto const found = m_state.m_directory.WarmUpOpensAt(m_context.m_query, Now());
+    return found ? found : m_state.m_directory.BackoffEndFor(m_context.m_query, Now());
   }
 
   /// Returns when the caller should retry at another gateway: at once, unless the
   /// upstreams themselves want no requests.
   base::Duration RetryDelayElsewhere()
   {
-    auto const backoffEnd = m_state.m_directory.BackoffEndFor(m_context.m_query, Now());
-    return backoffEnd ? std::max(*backoffEnd - Now(), kStopRetryAfter) : kStopRetryAfter;
+    auto const opensAt = UpstreamsOpenAt();
+    return opensAt ? std::max(*opensAt - Now(), kStopRetryAfter) : kStopRetryAfter;
   }
 
   boost::asio::awaitable<AttemptEnd> RunAttempt(engine::UpstreamChoice aChoice)
@@ -324,7 +337,7 @@
       m_context.m_route.MayRepeat() ? kRepeatableIdle : kNonRepeatableIdle,
       base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_context.m_request.m_id.Text() },
       // The upstream may have become unusable while the connection was set up.
-      [this, &aChoice] { return m_state.m_directory.MaySend(aChoice, Now()) && !IsRefused(); }
+      [this, &aChoice] { return MayWrite(aChoice); }
     };
     auto endpoint = aChoice.m_endpoint;
     auto reply =
@@ -347,6 +360,19 @@
     co_return co_await m_relay.Relay(*reply, aChoice);
   }
 
+  /// Whether the request may be written to a connection to the upstream, and takes the
+  /// upstream's permit for it.
+  bool MayWrite(engine::UpstreamChoice const& aChoice)
+  {
+    if (!m_state.m_directory.MaySend(aChoice, Now()) || IsRefused()) {
+      return false;
+    }
+    auto const usedAt =
+      m_state.m_directory.WarmUps().Use(aChoice.m_instance, m_attempt.m_permitUsedAt, Now());
+    m_attempt.m_permitUsedAt = usedAt ? usedAt : m_attempt.m_permitUsedAt;
+    return usedAt.has_value();
+  }
+
   void RecordEnd()
   {
     auto const now = Now();
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -101,6 +101,7 @@
     ApplyReload(m_state.m_profile, aProfile);
     m_store.SetEndpoint(m_state.m_profile.m_objectStore);
     m_state.OnRetryBoundsChanged();
+    m_state.OnWarmUpTermsChanged();
     m_state.m_directory.SetMaximumDrainDelay(m_state.m_profile.m_bounds.m_maximumDrainDelay);
   }
 
@@ -169,6 +170,7 @@
         { "header_ms", std::to_string(base::ToMilliseconds(serverLimits.m_headerTimeout)) },
         { "body_ms", std::to_string(base::ToMilliseconds(serverLimits.m_bodyTimeout)) },
         { "idle_ms", std::to_string(base::ToMilliseconds(serverLimits.m_idleTimeout)) } });
+    m_state.OnWarmUpTermsChanged();
     m_fleet.OnCatalog();
   }
 
@@ -237,8 +239,9 @@
       RecordLeaving(m_state, *leaving, engine::NoticeSource::Loader);
     }
     engine::LoaderStatus account{
-      aStatus.m_engine,  aStatus.m_models,  aStatus.m_change.m_unloading,
-      aStatus.m_running, aStatus.m_waiting, { aStatus.m_incarnation, aStatus.m_number }
+      aStatus.m_engine,     aStatus.m_models,  aStatus.m_change.m_unloading,
+      aStatus.m_running,    aStatus.m_waiting, { aStatus.m_incarnation, aStatus.m_number },
+      aStatus.m_engineStart
     };
     if (m_state.m_directory.OnLoaderStatus(std::move(account), aNow)) {
       for (auto const& held : aStatus.m_models) {
@@ -252,6 +255,7 @@
   {
     m_fleet.OnSummary(aOrigin, aNow);
     m_state.OnGatewaysPresent(aSummary.m_gatewaysPresent);
+    m_state.m_directory.WarmUps().OnProcessCount(aSummary.m_gatewaysPresent, aNow);
     if (!aSummary.m_neighbours.empty()) {
       auto const aggregators = aSummary.m_aggregators.find(m_state.m_profile.m_failureDomain);
       m_store.OnNeighbours(aSummary.m_neighbours,
@@ -320,6 +324,7 @@
       m_store.Tick(now);
       m_state.m_directory.Expire(now - m_store.ListAge(now), now);
       LogEndedNotices(m_state, now);
+      LogWarmUps(m_state, now);
       m_state.ExpireSuspects();
       m_domain.Tick(now);
       m_fleet.Report(m_store.Age(now), m_store.Era(), now);
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -342,6 +342,20 @@
     return limits;
   }
 
+  /// Sets which upstreams warm up, by the catalog and the site's bounds.
+  void OnWarmUpTermsChanged()
+  {
+    std::map<base::DeploymentId, engine::WarmUpTerms> terms;
+    if (m_catalog) {
+      for (auto const& [id, deployment] : m_catalog->Catalog().m_deployments) {
+        if (deployment.m_warmUp) {
+          terms.emplace(id, engine::ToWarmUpTerms(*deployment.m_warmUp, m_profile.m_bounds));
+        }
+      }
+    }
+    m_directory.WarmUps().SetTerms(std::move(terms));
+  }
+
   /// What the process may still begin, also while it stops.
   caller::StopPolicy Stop() const { return { m_waitDeadline, m_stopEnd }; }
 
--- a/Programs/Gateway/StoreFollower.h
+++ b/Programs/Gateway/StoreFollower.h
@@ -171,6 +171,7 @@
       m_outages.OnRestored(now);
       m_state.m_directory.OnStoreRestored();
     }
+    bool const isFirstList = std::exchange(m_awaitsFirstList, false);
     auto const lapseEnd = m_outages.LapseEnd(LossesOf(aChanges), now);
     for (auto const& change : aChanges.m_changes) {
       if (auto const* const deleted = std::get_if<objectstore::ObjectDeleted>(&change)) {
@@ -189,8 +190,9 @@
         RecordRemoval(instance, m_state.m_directory.OnRemoved(instance, std::nullopt, now));
         continue;
       }
-      auto const source =
-        isRestored ? engine::EntrySource::RestoredList : engine::EntrySource::Change;
+      auto const source = isRestored    ? engine::EntrySource::RestoredList
+                          : isFirstList ? engine::EntrySource::FirstList
+                                        : engine::EntrySource::Change;
       auto const outcome = RecordListed(m_state, std::move(*entry), source, now);
       if (outcome == engine::ListingOutcome::Superseded) {
         auto const instance = engine::InstanceId::FromValidated(object.m_key.m_name.Text());
@@ -386,6 +388,7 @@
   base::Duration m_lastOutage{};
   bool m_isStoreUnavailable = false;
   bool m_isCatalogHeld = false;
+  bool m_awaitsFirstList = true;
   unsigned m_ticks = 0;
 };
 
--- a/Programs/Gateway/UpstreamListing.h
+++ b/Programs/Gateway/UpstreamListing.h
@@ -36,4 +36,23 @@
   return outcome;
 }
 
+/// Logs and counts the warm-ups that have begun or ended. To be called regularly.
+inline void LogWarmUps(GatewayState& aState, base::Instant aNow)
+{
+  for (auto const& change : aState.m_directory.WarmUps().TakeChanges(aNow)) {
+    base::log::Info(change.m_hasBegun ? "upstream warms up" : "upstream is warm",
+                    { { "upstream", change.m_start.m_instance.Text() },
+                      { "started_at", std::to_string(change.m_start.m_startedAt) },
+                      { "deployment", change.m_deployment.Text() },
+                      { "left_ms", std::to_string(base::ToMilliseconds(change.m_left)) },
+                      { "permits", std::to_string(change.m_permits) } });
+    if (change.m_hasBegun) {
+      aState.m_metrics
+        .Counter("sardinefold_gateway_warm_ups_total", "Warm-ups of upstreams.",
+                 { { "deployment", change.m_deployment.Text() } })
+        .Increment();
+    }
+  }
+}
+
 } // namespace sardinefold::programs
--- a/Programs/Gateway/UpstreamSelection.h
+++ b/Programs/Gateway/UpstreamSelection.h
@@ -12,12 +12,13 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 
 namespace sardinefold::programs {
 
 /// Selects the upstream for one request, and waits while its model is being
-/// loaded or its adapter fetched.
+/// loaded, its adapter fetched or its upstreams get no further request.
 class UpstreamSelection
 {
 public:
@@ -63,17 +64,21 @@
       }
       auto const absence = std::get<engine::UpstreamAbsence>(found);
       m_record.m_outcome = ToText(absence);
-      if (absence == engine::UpstreamAbsence::BackingOff) {
+      bool const isWarmUp = absence == engine::UpstreamAbsence::WarmingUp;
+      if (isWarmUp) {
+        RecordHeldBack();
+      }
+      if (isWarmUp || absence == engine::UpstreamAbsence::BackingOff) {
         if (ticket) {
           // The model is loaded, so the planner need not load it for this request.
           m_state.m_demand.StopWaiting(*m_context.m_query.m_model, *ticket);
           ticket.reset();
         }
-        auto const waitEnd = BackoffWaitEnd(policy, loadedAt);
+        auto const waitEnd = isWarmUp ? WarmUpWaitEnd(policy) : BackoffWaitEnd(policy, loadedAt);
         if (!waitEnd || Now() >= *waitEnd) {
           break;
         }
-        co_await m_state.ModelSignal(*m_context.m_query.m_model).Wait(*waitEnd - Now());
+        co_await ChangeSignal().Wait(*waitEnd - Now());
         continue;
       }
       if (absence != engine::UpstreamAbsence::ModelNotLoaded || Now() >= WaitEnd(policy) ||
@@ -120,6 +125,51 @@
                    : std::nullopt;
   }
 
+  /// Returns until when to wait although the upstreams that hold the model are warming
+  /// up: one of them may get the request in time, or another one may be loading the
+  /// model.
+  std::optional<base::Instant> WarmUpWaitEnd(caller::WaitPolicy const& aPolicy) const
+  {
+    auto next = m_state.m_directory.WarmUpOpensAt(m_context.m_query, Now());
+    if (!next) {
+      return std::nullopt;
+    }
+    auto const forecast = m_state.ForecastFor(m_context.m_query.m_model);
+    if (forecast && forecast->m_readyAt > Now()) {
+      next = std::min(*next, forecast->m_readyAt);
+    }
+    return *next < WaitEnd(aPolicy) ? next : std::nullopt;
+  }
+
+  /// Logs and counts the request once.
+  void RecordHeldBack()
+  {
+    if (std::exchange(m_isHeldBack, true)) {
+      return;
+    }
+    auto const opensAt = m_state.m_directory.WarmUpOpensAt(m_context.m_query, Now());
+    auto const& deployment = m_context.m_query.m_deployment;
+    auto const& model = m_context.m_query.m_model;
+    base::log::Info(
+      "request is held back as upstreams are warming up",
+      { { "request", m_context.m_request.m_id.Text() },
+        { "deployment", deployment.Text() },
+        { "model", model ? model->Text() : "" },
+        { "opens_in_ms", opensAt ? std::to_string(base::ToMilliseconds(*opensAt - Now())) : "" } });
+    m_state.m_metrics
+      .Counter("sardinefold_gateway_requests_held_back_total",
+               "Requests held back as upstreams that could serve them are warming up.",
+               { { "deployment", deployment.Text() } })
+      .Increment();
+  }
+
+  /// The signal that wakes the request when its upstreams change or it is cancelled.
+  base::Signal& ChangeSignal()
+  {
+    auto const& model = m_context.m_query.m_model;
+    return model ? m_state.ModelSignal(*model) : m_state.m_suspectSignal;
+  }
+
   engine::WaitTicket StartWaiting(caller::WaitPolicy const& aPolicy)
   {
     auto const& model = *m_context.m_query.m_model;
@@ -159,6 +209,7 @@
   RequestContext const& m_context;
   RequestRecord& m_record;
   base::Cancellation const& m_cancellation;
+  bool m_isHeldBack = false;
 };
 
 } // namespace sardinefold::programs
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -386,6 +386,7 @@
       status.m_waiting = report->m_waiting;
       status.m_cacheUsed = report->m_cacheUsed;
       status.m_cacheTotal = report->m_cacheTotal;
+      status.m_engineStart = report->m_startedAt;
     }
     auto const state = m_orderScheduler.State(now);
     status.m_change.m_loading = state.m_loading;
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -72,6 +72,7 @@
   status.m_canOrder = true;
   CheckRoundTrip(status);
   status.m_leavingStart = 123;
+  status.m_engineStart = 124;
   CheckRoundTrip(status);
   BOOST_TEST(EncodeFleetMessage(status).find(R"("leaving_start":123)") != std::string::npos);
   GatewayReport report;
