--- a/Tests/WarmUpTest.cpp
+++ b/Tests/WarmUpTest.cpp
@@ -1,6 +1,3 @@
-// Upstreams that have just started crash if all gateways send them their usual requests.
-// The gateways cannot ask each other before each request, and learn of a start at
-// different times or not at all.
 #define BOOST_TEST_MODULE WarmUp
 #include "Engine/UpstreamDirectory.h"
 
@@ -16,6 +13,10 @@
 using namespace sardinefold::engine;
 using namespace std::chrono_literals;
 
+// Upstreams that have just started crash if all gateways send them their usual requests.
+// The gateways cannot ask each other before each request, and learn of a start at
+// different times or not at all.
+
 namespace {
 
 constexpr base::Instant kStart{ 1000s };
