--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -107,17 +107,90 @@
   return names;
 }
 
-entry::GrantedTokens ToGrants(Json::Value const& aObject)
+/// Keeps sums of tokens within 64 bits.
+constexpr std::int64_t kLargestTokens = 1'000'000'000'000'000;
+
+base::Tokens ToTokens(Json::Value const& aValue)
 {
-  entry::GrantedTokens grants;
-  if (!aObject.isObject()) {
-    throw FieldError{ "granted must be an object" };
+  auto const tokens = Integer(aValue);
+  if (tokens < -kLargestTokens || tokens > kLargestTokens) {
+    throw FieldError{ "a number of tokens is out of range" };
   }
-  for (auto const& name : aObject.getMemberNames()) {
-    grants.emplace(Name<base::WorkspaceId>(Json::Value(name)),
-                   base::Tokens(Integer(aObject[name])));
+  return base::Tokens(tokens);
+}
+
+base::TokensPerSecond ToRate(Json::Value const& aValue)
+{
+  auto const rate = Number(aValue);
+  if (!(rate >= 0 && rate <= static_cast<double>(kLargestTokens))) {
+    throw FieldError{ "a rate of tokens is out of range" };
+  }
+  return base::TokensPerSecond(rate);
+}
+
+Json::Value const& Entries(Json::Value const& aObject, char const* aName)
+{
+  auto const& entries = Member(aObject, aName);
+  if (!entries.isObject()) {
+    throw FieldError{ "workspaces must be an object" };
+  }
+  return entries;
+}
+
+void CheckFields(Json::Value const& aEntry, Json::ArrayIndex aFields)
+{
+  if (!aEntry.isArray() || aEntry.size() != aFields) {
+    throw FieldError{ "a workspace must be an array of the known fields" };
   }
-  return grants;
+}
+
+entry::AllowanceReport ToAllowanceReport(Json::Value const& aObject)
+{
+  entry::AllowanceReport report;
+  report.m_number = entry::AllowanceReportNumber(UnsignedInteger(Member(aObject, "number")));
+  report.m_isJoining = Flag(Member(aObject, "joining"));
+  report.m_isWhole = Flag(Member(aObject, "whole"));
+  report.m_isLast = Flag(Member(aObject, "last"));
+  report.m_age = Milliseconds(Member(aObject, "age_ms"));
+  report.m_fleet = Count(Member(aObject, "fleet"));
+  report.m_catalog = base::CatalogVersion(UnsignedInteger(Member(aObject, "catalog")));
+  auto const& grants = Entries(aObject, "grants");
+  for (auto const& name : grants.getMemberNames()) {
+    constexpr Json::ArrayIndex kFields = 5;
+    auto const& entry = grants[name];
+    CheckFields(entry, kFields);
+    report.m_grants[Name<base::WorkspaceId>(Json::Value(name))] = { { ToRate(entry[0]),
+                                                                      ToTokens(entry[1]) },
+                                                                    ToTokens(entry[2]),
+                                                                    ToRate(entry[3]),
+                                                                    ToTokens(entry[4]) };
+  }
+  return report;
+}
+
+entry::AllowanceSummary ToAllowanceSummary(Json::Value const& aObject)
+{
+  entry::AllowanceSummary summary;
+  summary.m_epoch = Text(Member(aObject, "epoch"));
+  summary.m_number = entry::AllowanceSummaryNumber(UnsignedInteger(Member(aObject, "number")));
+  // Empty for a receiver that is not in the pool.
+  auto const& receiver = Member(aObject, "receiver");
+  if (!Text(receiver).empty()) {
+    summary.m_receiver = Name<base::IncarnationId>(receiver);
+  }
+  summary.m_included = entry::AllowanceReportNumber(UnsignedInteger(Member(aObject, "included")));
+  summary.m_fleet = Count(Member(aObject, "fleet"));
+  summary.m_sharing = Count(Member(aObject, "sharing"));
+  auto const& pools = Entries(aObject, "pools");
+  for (auto const& name : pools.getMemberNames()) {
+    constexpr Json::ArrayIndex kFields = 3;
+    auto const& entry = pools[name];
+    CheckFields(entry, kFields);
+    summary.m_pools[Name<base::WorkspaceId>(Json::Value(name))] = { ToTokens(entry[0]),
+                                                                    ToRate(entry[1]),
+                                                                    ToTokens(entry[2]) };
+  }
+  return summary;
 }
 
 ModelForecasts ToForecasts(Json::Value const& aObject)
@@ -347,7 +420,7 @@
     report.m_processorShare = Number(aParams["processor_share"]);
   }
   report.m_isComplete = Flag(Member(aParams, "complete"));
-  report.m_granted = ToGrants(Member(aParams, "granted"));
+  report.m_allowance = ToAllowanceReport(Member(aParams, "allowance"));
   report.m_crashes = ToCrashes(aParams);
   report.m_leaving = ToStarts(aParams["leaving"]);
   report.m_drained = ToStarts(aParams["drained"]);
@@ -360,10 +433,8 @@
 PlannerSummary ToPlannerSummary(Json::Value const& aParams)
 {
   PlannerSummary summary;
-  summary.m_epoch = Text(Member(aParams, "epoch"));
   summary.m_gatewaysPresent = Count(Member(aParams, "present"));
-  summary.m_gatewaysReporting = Count(Member(aParams, "reporting"));
-  summary.m_grantedByOthers = ToGrants(Member(aParams, "granted"));
+  summary.m_allowance = ToAllowanceSummary(Member(aParams, "allowance"));
   summary.m_forecasts = ToForecasts(Member(aParams, "outlooks"));
   if (aParams.isMember("catalog")) {
     summary.m_catalog = base::CatalogVersion(UnsignedInteger(aParams["catalog"]));
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -22,13 +22,47 @@
   return list;
 }
 
-Json::Value FromGrants(entry::GrantedTokens const& aGrants)
+Json::Value FromAllowanceReport(entry::AllowanceReport const& aReport)
 {
-  Json::Value object(Json::objectValue);
-  for (auto const& [workspace, tokens] : aGrants) {
-    object[workspace.Text()] = Json::Int64(tokens.Value());
+  Json::Value value;
+  value["number"] = Json::UInt64(aReport.m_number.Value());
+  value["joining"] = aReport.m_isJoining;
+  value["whole"] = aReport.m_isWhole;
+  value["last"] = aReport.m_isLast;
+  value["age_ms"] = FromMilliseconds(aReport.m_age);
+  value["fleet"] = aReport.m_fleet;
+  value["catalog"] = Json::UInt64(aReport.m_catalog.Value());
+  value["grants"] = Json::Value(Json::objectValue);
+  for (auto const& [workspace, grants] : aReport.m_grants) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(grants.m_limit.m_rate.Value());
+    entry.append(Json::Int64(grants.m_limit.m_burst.Value()));
+    entry.append(Json::Int64(grants.m_granted.Value()));
+    entry.append(Json::Int64(std::llround(grants.m_asked.Value())));
+    entry.append(Json::Int64(grants.m_slice.Value()));
+    value["grants"][workspace.Text()] = std::move(entry);
+  }
+  return value;
+}
+
+Json::Value FromAllowanceSummary(entry::AllowanceSummary const& aSummary)
+{
+  Json::Value value;
+  value["epoch"] = aSummary.m_epoch;
+  value["number"] = Json::UInt64(aSummary.m_number.Value());
+  value["receiver"] = aSummary.m_receiver.Text();
+  value["included"] = Json::UInt64(aSummary.m_included.Value());
+  value["fleet"] = aSummary.m_fleet;
+  value["sharing"] = aSummary.m_sharing;
+  value["pools"] = Json::Value(Json::objectValue);
+  for (auto const& [workspace, pool] : aSummary.m_pools) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(Json::Int64(pool.m_level.Value()));
+    entry.append(Json::Int64(std::llround(pool.m_asked.Value())));
+    entry.append(Json::Int64(pool.m_ownGranted.Value()));
+    value["pools"][workspace.Text()] = std::move(entry);
   }
-  return object;
+  return value;
 }
 
 /// Adds the news on prompt parts, if there is any.
@@ -288,7 +322,7 @@
       params["demand"].append(std::move(entry));
     }
     params["complete"] = aReport.m_isComplete;
-    params["granted"] = FromGrants(aReport.m_granted);
+    params["allowance"] = FromAllowanceReport(aReport.m_allowance);
     params["store_age_ms"] = FromMilliseconds(aReport.m_storeAge);
     if (!aReport.m_crashes.empty()) {
       params["deaths"] = FromCrashes(aReport.m_crashes);
@@ -309,10 +343,8 @@
     for (auto const& [model, readyIn] : aSummary.m_forecasts) {
       params["outlooks"][model.Text()] = FromMilliseconds(readyIn);
     }
-    params["epoch"] = aSummary.m_epoch;
     params["present"] = aSummary.m_gatewaysPresent;
-    params["reporting"] = aSummary.m_gatewaysReporting;
-    params["granted"] = FromGrants(aSummary.m_grantedByOthers);
+    params["allowance"] = FromAllowanceSummary(aSummary.m_allowance);
     if (aSummary.m_catalog != base::CatalogVersion()) {
       params["catalog"] = Json::UInt64(aSummary.m_catalog.Value());
     }
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -10,7 +10,7 @@
 #include "Engine/DemandTracker.h"
 #include "Engine/EngineTypes.h"
 #include "Engine/UpstreamNotice.h"
-#include "Entry/Allowance/GrantLedger.h"
+#include "Entry/Allowance/AllowanceReport.h"
 #include "ObjectStore/PlatformObject.h"
 
 #include <cstdint>
@@ -150,12 +150,11 @@
   base::FailureDomainId m_failureDomain;
   /// Part of a core that the gateway's process may use.
   double m_processorShare = 0;
-  /// Whether the report lists every requested model and all tokens granted;
-  /// otherwise it lists only what changed since the previous report.
+  /// Whether the report lists every requested model; otherwise it lists only what
+  /// changed since the previous report.
   bool m_isComplete = true;
   std::vector<engine::WaitingDemand> m_demand;
-  /// Tokens granted since the gateway started.
-  entry::GrantedTokens m_granted;
+  entry::AllowanceReport m_allowance;
   /// Requests that were in flight at this gateway when their upstreams crashed
   /// recently.
   std::vector<CrashReport> m_crashes;
@@ -175,17 +174,13 @@
 /// Expected time until the models that a gateway's requests wait for are ready.
 using ModelForecasts = std::map<base::ModelId, base::Duration>;
 
-/// From the planner to a gateway: what all other gateways have granted, and
+/// From the planner to a gateway: the levels of the allowances, and
 /// when the models that the gateway waits for will be ready.
 struct PlannerSummary
 {
-  /// Identifies the base of the sums; sums of different epochs are not
-  /// comparable.
-  std::string m_epoch;
-  /// Number of running gateways, and of those that report to this planner.
+  /// Number of running gateways.
   unsigned m_gatewaysPresent = 1;
-  unsigned m_gatewaysReporting = 1;
-  entry::GrantedTokens m_grantedByOthers;
+  entry::AllowanceSummary m_allowance;
   ModelForecasts m_forecasts;
   /// Gateways of the receiver's failure domain that report to this planner,
   /// including the receiver, by host.
--- a/Entry/Allowance/GrantLedger.cpp
+++ b/Entry/Allowance/GrantLedger.cpp
@@ -1,40 +1,323 @@
 #include "Entry/Allowance/GrantLedger.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace sardinefold::entry {
 
-void GrantLedger::OnReport(base::HostId const& aProcess, base::IncarnationId const& aIncarnation,
-                           GrantedTokens const& aGranted, bool aIsComplete)
+namespace {
+
+/// A clock that steps credits no more than this.
+constexpr base::Duration kLongestFill = std::chrono::seconds(1);
+/// Buckets that were not used for this long are not listed.
+constexpr base::Duration kListedUse = std::chrono::seconds(1);
+/// A full bucket that nobody used for this long is forgotten.
+constexpr base::Duration kPoolRetention = std::chrono::seconds(60);
+/// A bucket is listed when its level differs by this part of its capacity from what
+/// receivers expect of the last one listed.
+constexpr double kListedChange = 0.05;
+/// Buckets above this part of their capacity are otherwise listed once in so many
+/// summaries.
+constexpr double kAmpleLevel = 0.75;
+constexpr std::uint64_t kSummariesPerAmpleList = 10;
+/// Messages may be lost.
+constexpr unsigned kWholeSummaries = 3;
+
+} // namespace
+
+double GrantLedger::Fleet() const
+{
+  bool const isClaimed = m_now - m_claimedAt <= m_limits.m_granterRetention;
+  return static_cast<double>(std::max(
+    { m_heard.size(), m_members.size(),
+      isClaimed ? static_cast<std::size_t>(m_claimedFleet) : std::size_t(0), std::size_t(1) }));
+}
+
+double GrantLedger::Share() const
+{
+  return static_cast<double>(m_members.size()) / Fleet();
+}
+
+double GrantLedger::Capacity(Pool const& aPool) const
+{
+  return static_cast<double>(aPool.m_limit.m_burst.Value()) * Share();
+}
+
+double GrantLedger::UnlistedSlice(Member const& aMember, AllowanceLimit const& aLimit,
+                                  base::Instant aNow) const
+{
+  auto const filled =
+    aLimit.m_rate.Value() * std::max(0.0, base::ToSeconds(aNow - aMember.m_filledSince));
+  return std::min(static_cast<double>(aLimit.m_burst.Value()), filled) / Fleet();
+}
+
+void GrantLedger::Fill(Pool& aPool, base::Instant aNow) const
+{
+  auto const elapsed = std::clamp(aNow - aPool.m_filledAt, base::Duration{}, kLongestFill);
+  aPool.m_level = std::min(Capacity(aPool), aPool.m_level + aPool.m_limit.m_rate.Value() * Share() *
+                                                              base::ToSeconds(elapsed));
+  aPool.m_filledAt = aNow;
+}
+
+void GrantLedger::FillAll(base::Instant aNow)
 {
-  if (!aIsComplete && !m_processes.contains(aProcess)) {
+  m_now = aNow;
+  for (auto& [workspace, pool] : m_pools) {
+    Fill(pool, aNow);
+  }
+}
+
+void GrantLedger::OnPresence(base::HostId const& aHost, base::Instant aNow)
+{
+  if (!m_stopped.contains(aHost)) {
+    m_heard[aHost] = aNow;
+  }
+}
+
+GrantLedger::Pool& GrantLedger::FindOrStart(base::WorkspaceId const& aWorkspace,
+                                            ReportedGrants const& aGrants,
+                                            base::CatalogVersion aCatalog, base::Instant aNow)
+{
+  auto const [found, isNew] = m_pools.try_emplace(aWorkspace);
+  auto& pool = found->second;
+  if (isNew || aCatalog >= pool.m_catalog) {
+    pool.m_limit = aGrants.m_limit;
+    pool.m_catalog = aCatalog;
+  }
+  if (isNew) {
+    for (auto const& [host, member] : m_members) {
+      pool.m_level += UnlistedSlice(member, pool.m_limit, aNow);
+    }
+    pool.m_filledAt = aNow;
+  }
+  pool.m_lastUseAt = aNow;
+  return pool;
+}
+
+bool GrantLedger::IsJoined(base::HostId const& aHost, base::IncarnationId const& aIncarnation,
+                           AllowanceReport const& aReport, base::Instant aNow)
+{
+  auto const found = m_joining.find(aHost);
+  bool const isKnown = found != m_joining.end() && found->second.m_incarnation == aIncarnation;
+  if (isKnown && aReport.m_number <= found->second.m_report.m_number) {
+    return false;
+  }
+  if (!aReport.m_isJoining) {
+    return isKnown;
+  }
+  m_joining[aHost] = { aIncarnation, aReport, aNow };
+  return false;
+}
+
+void GrantLedger::Join(base::HostId const& aHost, Joining const& aJoining, base::Instant aNow)
+{
+  FillAll(aNow);
+  auto const& report = aJoining.m_report;
+  auto const elapsed = base::ToSeconds(aNow - aJoining.m_at);
+  for (auto const& [workspace, grants] : report.m_grants) {
+    auto const refill = grants.m_limit.m_rate.Value() * elapsed / Fleet();
+    FindOrStart(workspace, grants, report.m_catalog, aNow).m_level +=
+      static_cast<double>(grants.m_slice.Value()) + refill;
+  }
+  auto& member = m_members[aHost];
+  member.m_incarnation = aJoining.m_incarnation;
+  member.m_filledSince = aJoining.m_at - report.m_age;
+  member.m_isWhole = report.m_isWhole;
+  member.m_wholeSummariesDue = kWholeSummaries;
+  for (auto& [workspace, pool] : m_pools) {
+    auto const listed = report.m_grants.find(workspace);
+    if (listed != report.m_grants.end()) {
+      member.m_counted[workspace].m_granted = listed->second.m_granted;
+    } else {
+      pool.m_level += UnlistedSlice(member, pool.m_limit, aNow);
+    }
+  }
+}
+
+void GrantLedger::Count(Member& aMember, AllowanceReport const& aReport, base::Instant aNow)
+{
+  for (auto const& [workspace, grants] : aReport.m_grants) {
+    auto& pool = FindOrStart(workspace, grants, aReport.m_catalog, aNow);
+    Fill(pool, aNow);
+    auto const [found, isNew] = aMember.m_counted.try_emplace(workspace);
+    auto& counted = found->second;
+    if (isNew && !aMember.m_isWhole) {
+      counted.m_granted = grants.m_granted;
+    }
+    pool.m_level -= static_cast<double>((grants.m_granted - counted.m_granted).Value());
+    counted = { grants.m_granted, grants.m_asked };
+  }
+}
+
+void GrantLedger::OnReport(base::HostId const& aHost, base::IncarnationId const& aIncarnation,
+                           AllowanceReport const& aReport, base::Instant aNow)
+{
+  m_now = aNow;
+  auto found = m_members.find(aHost);
+  bool const isLate =
+    found != m_members.end() &&
+    (found->second.m_previous == aIncarnation || (found->second.m_incarnation == aIncarnation &&
+                                                  aReport.m_number <= found->second.m_lastReport));
+  auto const stopped = m_stopped.find(aHost);
+  if (isLate || (stopped != m_stopped.end() && stopped->second == aIncarnation)) {
     return;
   }
-  auto const [found, isNew] = m_processes.try_emplace(aProcess);
-  auto& process = found->second;
-  if (process.m_incarnation != aIncarnation) {
-    process.m_lastReport.clear();
-    process.m_incarnation = aIncarnation;
+  m_stopped.erase(aHost);
+  m_heard[aHost] = aNow;
+  if (aReport.m_isLast) {
+    m_heard.erase(aHost);
+    m_stopped[aHost] = aIncarnation;
+  }
+  if (found == m_members.end()) {
+    if (aReport.m_isJoining && aReport.m_fleet > 0) {
+      bool const isClaimed = aNow - m_claimedAt <= m_limits.m_granterRetention;
+      m_claimedFleet = std::max(aReport.m_fleet, isClaimed ? m_claimedFleet : 0U);
+      m_claimedAt = aNow;
+    }
+    if (!IsJoined(aHost, aIncarnation, aReport, aNow)) {
+      return;
+    }
+    Join(aHost, m_joining.at(aHost), aNow);
+    m_joining.erase(aHost);
+    found = m_members.find(aHost);
+  }
+  auto& member = found->second;
+  if (member.m_incarnation != aIncarnation) {
+    // Its part of each level has stayed here, and its totals begin anew.
+    member.m_previous = member.m_incarnation;
+    member.m_incarnation = aIncarnation;
+    member.m_filledSince = aNow - aReport.m_age;
+    member.m_isWhole = true;
+    member.m_wholeSummariesDue = kWholeSummaries;
+    member.m_counted.clear();
+  }
+  Count(member, aReport, aNow);
+  member.m_lastReport = aReport.m_number;
+  member.m_lastContactAt = aNow;
+  if (aReport.m_isLast) {
+    m_members.erase(found);
+  }
+}
+
+void GrantLedger::Advance(base::Instant aNow)
+{
+  FillAll(aNow);
+  std::erase_if(
+    m_heard, [&](auto const& aItem) { return aNow - aItem.second > m_limits.m_granterRetention; });
+  std::erase_if(m_members, [&](auto const& aItem) {
+    if (aNow - aItem.second.m_lastContactAt <= m_limits.m_reportTimeout) {
+      return false;
+    }
+    auto const members = static_cast<double>(m_members.size());
+    for (auto& [workspace, pool] : m_pools) {
+      pool.m_level -= pool.m_level / members;
+    }
+    return true;
+  });
+  std::erase_if(m_joining, [&](auto const& aItem) {
+    return aNow - aItem.second.m_at > m_limits.m_reportTimeout;
+  });
+  std::erase_if(m_pools, [&](auto const& aItem) {
+    auto const& pool = aItem.second;
+    return aNow - pool.m_lastUseAt > kPoolRetention && pool.m_level >= Capacity(pool);
+  });
+  for (auto& [workspace, pool] : m_pools) {
+    pool.m_asked = {};
+  }
+  for (auto const& [host, member] : m_members) {
+    for (auto const& [workspace, counted] : member.m_counted) {
+      auto const pool = m_pools.find(workspace);
+      if (pool != m_pools.end()) {
+        pool->second.m_asked += counted.m_asked;
+      }
+    }
+  }
+  m_number = m_number.Next();
+  for (auto& [workspace, pool] : m_pools) {
+    ChooseListing(pool, aNow);
+  }
+}
+
+void GrantLedger::ChooseListing(Pool& aPool, base::Instant aNow) const
+{
+  auto const capacity = Capacity(aPool);
+  auto const refill =
+    aPool.m_limit.m_rate.Value() * Share() * base::ToSeconds(aNow - aPool.m_listedAt);
+  auto const expected = std::min(capacity, aPool.m_listedLevel + refill);
+  bool const isUsed = aNow - aPool.m_lastUseAt <= kListedUse;
+  bool const hasMoved = std::abs(expected - aPool.m_level) > capacity * kListedChange;
+  bool const isAmple = aPool.m_level > capacity * kAmpleLevel;
+  bool const isTurn = m_number.Value() % kSummariesPerAmpleList == 0;
+  aPool.m_isListed = hasMoved || (isUsed && (!isAmple || isTurn));
+  if (aPool.m_isListed) {
+    aPool.m_listedLevel = aPool.m_level;
+    aPool.m_listedAt = aNow;
   }
-  for (auto const& [workspace, tokens] : aGranted) {
-    auto const added = tokens - process.m_lastReport[workspace];
-    // The grants in a process's first report may have been made long ago.
-    if (!isNew) {
-      process.m_counted[workspace] += added;
-      m_total[workspace] += added;
+}
+
+AllowanceSummary GrantLedger::SummaryFor(Joining const& aJoining) const
+{
+  auto const& report = aJoining.m_report;
+  AllowanceSummary summary;
+  summary.m_epoch = m_epoch;
+  summary.m_number = m_number;
+  summary.m_receiver = aJoining.m_incarnation;
+  summary.m_included = report.m_number;
+  summary.m_fleet = static_cast<unsigned>(Fleet());
+  summary.m_sharing = static_cast<unsigned>(m_members.size()) + 1;
+  Member self;
+  self.m_filledSince = aJoining.m_at - report.m_age;
+  for (auto const& [workspace, pool] : m_pools) {
+    auto const listed = report.m_grants.find(workspace);
+    bool const isListed = listed != report.m_grants.end();
+    auto const own = isListed ? static_cast<double>(listed->second.m_slice.Value())
+                              : UnlistedSlice(self, pool.m_limit, m_now);
+    summary.m_pools[workspace] = { base::Tokens(static_cast<std::int64_t>(pool.m_level + own)),
+                                   pool.m_asked,
+                                   isListed ? listed->second.m_granted : base::Tokens() };
+  }
+  for (auto const& [workspace, grants] : report.m_grants) {
+    if (m_pools.contains(workspace)) {
+      continue;
     }
-    process.m_lastReport[workspace] = tokens;
+    auto level = static_cast<double>(grants.m_slice.Value());
+    for (auto const& [host, member] : m_members) {
+      level += UnlistedSlice(member, grants.m_limit, m_now);
+    }
+    summary.m_pools[workspace] = { base::Tokens(static_cast<std::int64_t>(level)), grants.m_asked,
+                                   grants.m_granted };
   }
+  return summary;
 }
 
-GrantedTokens GrantLedger::GrantedByOthers(base::HostId const& aProcess) const
+AllowanceSummary GrantLedger::SummaryFor(base::HostId const& aHost)
 {
-  auto others = m_total;
-  auto const found = m_processes.find(aProcess);
-  if (found != m_processes.end()) {
-    for (auto const& [workspace, tokens] : found->second.m_counted) {
-      others[workspace] -= tokens;
+  AllowanceSummary summary;
+  summary.m_epoch = m_epoch;
+  summary.m_number = m_number;
+  summary.m_fleet = static_cast<unsigned>(Fleet());
+  summary.m_sharing = static_cast<unsigned>(m_members.size());
+  auto const found = m_members.find(aHost);
+  if (found == m_members.end()) {
+    auto const joining = m_joining.find(aHost);
+    return joining == m_joining.end() ? summary : SummaryFor(joining->second);
+  }
+  auto& member = found->second;
+  summary.m_receiver = member.m_incarnation;
+  summary.m_included = member.m_lastReport;
+  bool const isWhole = member.m_wholeSummariesDue > 0;
+  member.m_wholeSummariesDue -= isWhole ? 1 : 0;
+  for (auto const& [workspace, pool] : m_pools) {
+    if (!isWhole && !pool.m_isListed) {
+      continue;
     }
+    auto const counted = member.m_counted.find(workspace);
+    summary.m_pools[workspace] = { base::Tokens(static_cast<std::int64_t>(pool.m_level)),
+                                   pool.m_asked,
+                                   counted == member.m_counted.end() ? base::Tokens()
+                                                                     : counted->second.m_granted };
   }
-  return others;
+  return summary;
 }
 
 } // namespace sardinefold::entry
--- a/Entry/Allowance/SharedAllowance.h
+++ b/Entry/Allowance/SharedAllowance.h
@@ -3,109 +3,143 @@
 #include "Base/Identifiers.h"
 #include "Base/Time.h"
 #include "Base/Units.h"
+#include "Entry/Allowance/AllowanceReport.h"
 
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace sardinefold::entry {
 
-/// A workspace's rate and burst for all entries together.
-struct AllowanceLimit
-{
-  /// Zero means no limit.
-  base::TokensPerSecond m_rate;
-  base::Tokens m_burst;
-
-  friend bool operator==(AllowanceLimit const&, AllowanceLimit const&) = default;
-};
-
-/// The processes that grant tokens.
-struct GrantingFleet
-{
-  /// Number of live processes.
-  unsigned m_present = 1;
-  /// Number of those, including this one, that know one another's grants.
-  unsigned m_sharing = 1;
-};
-
 struct SharedAllowanceLimits
 {
-  /// After this time without an update on the others' grants, a process stays
-  /// within its own share.
-  base::Duration m_peerTimeout = std::chrono::milliseconds(300);
-  /// Part of the rate that is granted, as a margin for the others' grants that
-  /// are not known here yet.
-  double m_rateFraction = 0.98;
+  /// After this time without a summary that contains a recent report of its own, a process
+  /// stays within its own slice.
+  base::Duration m_summaryTimeout = std::chrono::milliseconds(1'000);
 };
 
-/// Each process grants tokens from its own copy of every workspace's bucket and
-/// deducts the grants that the others report. Processes that receive one
-/// another's reports grant together up to their part of the rate, in proportion
-/// to their number, so that partitioned groups stay within the rate as well. All
-/// together can exceed it by at most what they grant before the reports arrive.
+/// One process's view of every workspace's bucket. With a planner, the level is the one of
+/// the planner's last summary, less what this process granted since the report that the
+/// summary contains: a function of totals, which a lost or late message does not shift for
+/// longer than until the next one. What the others granted meanwhile is not known yet; as
+/// much as their callers ask in that time is kept back. Without a planner the process
+/// grants from its slice: its part of the last level, of the rate and of the burst.
 class SharedAllowance
 {
 public:
-  explicit SharedAllowance(SharedAllowanceLimits aLimits)
+  /// aSeed spreads the times at which processes take turns.
+  explicit SharedAllowance(SharedAllowanceLimits aLimits, std::uint64_t aSeed = 0)
     : m_limits(aLimits)
+    , m_seed(aSeed)
   {
   }
 
-  /// Puts limits in force. A bucket that is new here starts nearly empty, since
-  /// others may have granted from it before, and from then on fills even while it
-  /// has no requests here.
+  /// Puts limits in force. The buckets of the first limits start empty, since others may
+  /// have granted from them before; those of workspaces that are new later start full.
   void SetLimits(std::map<base::WorkspaceId, AllowanceLimit> const& aLimits, base::Instant aNow);
 
-  /// Takes the tokens, or returns the time after which they will be available.
+  /// Takes the tokens, or returns the time after which the caller should come again. Those
+  /// who are refused get times one after another, as the tokens will be there.
   std::optional<base::Duration> Take(base::WorkspaceId const& aWorkspace, base::Tokens aTokens,
                                      base::Instant aNow);
   /// Refunds the tokens of a request that did not run.
   void Refund(base::WorkspaceId const& aWorkspace, base::Tokens aTokens);
 
-  /// Sets the number of granting processes, until the first report of their
-  /// grants arrives.
+  /// Sets the number of granting processes, until the first summary arrives.
   void OnProcessCount(unsigned aProcesses);
-
-  /// Records what all others have granted since the epoch began.
-  void OnPeerGrants(std::string const& aEpoch, GrantingFleet aFleet,
-                    std::map<base::WorkspaceId, base::Tokens> const& aGranted, base::Instant aNow);
+  /// Fills the buckets; to be called ten times a second.
+  void Tick(base::Instant aNow);
+  /// Returns the next report; to be called ten times a second while there is a planner.
+  AllowanceReport MakeReport(bool aIsNewPlanner, base::Instant aNow);
+  /// Takes a planner's summary. Returns false if it is not used: it is late, from a planner
+  /// that this process left, or does not contain this run of the process, aSelf.
+  bool OnSummary(AllowanceSummary const& aSummary, base::IncarnationId const& aSelf,
+                 base::Instant aNow);
 
   /// The values that decide about a workspace's requests now, for the log.
   struct Status
   {
     base::Tokens m_level;
+    base::Tokens m_slice;
+    /// What is kept back for grants of others that are not known yet.
+    base::Tokens m_reserve;
+    /// Granted here since the start, and the part that the last summary contained.
+    base::Tokens m_granted;
+    base::Tokens m_includedGranted;
+    base::TokensPerSecond m_asked;
+    base::TokensPerSecond m_askedByAll;
     /// Part of the allowance that this process may grant.
     double m_share = 1;
+    /// Age of this process's report that the last summary contained.
     std::optional<base::Duration> m_updateAge;
   };
   Status GrantStatusOf(base::WorkspaceId const& aWorkspace, base::Instant aNow) const;
 
+  /// Whether the planner of the pool has answered lately.
+  bool IsFresh(base::Instant aNow) const;
   /// Returns what this process has granted since its start.
   std::map<base::WorkspaceId, base::Tokens> const& Granted() const { return m_granted; }
+  /// Returns the largest difference between a level of the last summary and the one that
+  /// was expected here.
+  base::Tokens LargestCorrection() const { return m_largestCorrection; }
+  /// Returns the age of this process's report that the last summary contained.
+  std::optional<base::Duration> UpdateAge(base::Instant aNow) const;
 
 private:
   struct Bucket
   {
     AllowanceLimit m_limit;
     double m_level = 0;
+    double m_slice = 0;
     base::Instant m_filledAt{};
-    /// Tokens granted here since the last update on the others' grants.
-    double m_grantedSinceUpdate = 0;
+    base::Tokens m_includedGranted;
+    /// Tokens asked for here, decaying.
+    double m_askedHere = 0;
+    base::Instant m_askedAt{};
+    double m_askedByAll = 0;
+    base::Instant m_askedByAllAt{};
+    base::Instant m_lastUseAt{};
+    /// Whether this process or others are known to have granted from it.
+    bool m_isUsed = false;
+    /// When the next caller that is refused may come again.
+    base::Instant m_nextReturnAt{};
   };
 
-  bool HasRecentPeerGrants(base::Instant aNow) const;
-  double ShareAt(base::Instant aNow) const;
+  double OwnShare() const;
+  double PoolShare() const;
+  bool IsLevelUsable(Bucket const& aBucket, base::Instant aNow) const;
+  double AskedHere(Bucket const& aBucket, base::Instant aNow) const;
+  double ExpectedGrants(Bucket const& aBucket, base::Instant aNow) const;
+  bool IsGranted(Bucket const& aBucket, double aTokens, base::Instant aNow) const;
+  base::Duration ReturnAfter(Bucket& aBucket, double aTokens, base::Instant aNow) const;
   void Fill(Bucket& aBucket, base::Instant aNow) const;
+  void Adopt(Bucket& aBucket, PooledAllowance const& aPooled, base::Tokens aGranted,
+             base::Instant aNow);
+  base::Tokens GrantedOf(base::WorkspaceId const& aWorkspace) const;
 
   SharedAllowanceLimits m_limits;
+  std::uint64_t m_seed;
   std::map<base::WorkspaceId, Bucket> m_buckets;
   std::map<base::WorkspaceId, base::Tokens> m_granted;
-  std::string m_epoch;
-  std::map<base::WorkspaceId, base::Tokens> m_grantedByOthers;
-  GrantingFleet m_fleet;
-  std::optional<base::Instant> m_lastUpdate;
+  std::optional<base::Instant> m_startedAt;
+  unsigned m_fleet = 1;
+  unsigned m_sharing = 1;
   bool m_isFleetKnown = false;
+  bool m_hasSummary = false;
+
+  AllowanceReportNumber m_lastReport;
+  /// The first report to the present planner; it contains this process's slices.
+  AllowanceReportNumber m_joiningReport;
+  bool m_isPooled = false;
+  std::deque<std::pair<AllowanceReportNumber, base::Instant>> m_sentAt;
+  std::string m_epoch;
+  AllowanceSummaryNumber m_lastSummary;
+  /// When the report was sent that the last summary contained.
+  std::optional<base::Instant> m_includedSentAt;
+  base::Tokens m_largestCorrection;
 };
 
 } // namespace sardinefold::entry
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -4,6 +4,7 @@
 #include "Programs/Gateway/DomainExchange.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/PlannerSelector.h"
+#include "Programs/Gateway/PoolSelector.h"
 
 #include <map>
 #include <optional>
@@ -38,10 +39,15 @@
     }
   }
 
-  void OnSummary(base::Endpoint const& aPlanner, base::Instant aNow)
+  void OnSummary(base::Endpoint const& aPlanner, entry::AllowanceSummary const& aAllowance,
+                 base::Instant aNow)
   {
     m_planner.OnSummary(aPlanner, aNow);
+    m_pool.OnSummary(aPlanner, aNow);
     m_summaryAt = aNow;
+    if (m_pool.IsPool(aPlanner)) {
+      m_state.m_allowance.OnSummary(aAllowance, m_incarnation, aNow);
+    }
   }
 
   /// Called when a new catalog is in force.
@@ -73,6 +79,7 @@
       base::log::Info("planner chosen", { { "planner", planner ? planner->Text() : "" } });
     }
     m_lastPlanner = planner;
+    m_state.m_allowance.Tick(aNow);
     bool const isForAll = m_ticks++ % kPresenceTicks == 0 || isNewPlanner || m_mustAnnounceToAll;
     m_mustAnnounceToAll = false;
     Announce(isForAll, aNow);
@@ -84,7 +91,7 @@
 private:
   using Engines = std::map<base::Endpoint, agent::EngineIdentity>;
 
-  /// Reports all demand and grants once a second, and only changes in between.
+  /// Reports all demand once a second, and only changes in between.
   void SendReport(base::Endpoint const& aPlanner, bool aIsFirst, base::Duration aStoreAge,
                   base::Instant aNow)
   {
@@ -98,7 +105,7 @@
                                  m_state.m_profile.m_processorShare,
                                  isComplete,
                                  {},
-                                 GrantsToReport(isComplete),
+                                 {},
                                  m_state.CrashesToReport(aNow),
                                  aStoreAge,
                                  m_state.LeavingToReport(aNow),
@@ -117,25 +124,23 @@
       }
     }
     m_reportedWaiting = std::move(waiting);
-    m_state.m_messenger.Send(aPlanner, report);
+    auto const pool = m_pool.Choose(aPlanner, m_state.m_allowance.IsFresh(aNow), aNow);
+    if (pool.m_planner && pool.m_planner != aPlanner) {
+      m_state.m_messenger.Send(aPlanner, report);
+    }
+    if (pool.m_planner) {
+      report.m_allowance = MakeAllowanceReport(pool.m_isNew, aNow);
+      m_state.m_messenger.Send(*pool.m_planner, report);
+    }
   }
 
-  /// Returns the totals that have changed lately, as messages may be lost, or all.
-  entry::GrantedTokens GrantsToReport(bool aIsComplete)
+  entry::AllowanceReport MakeAllowanceReport(bool aIsNewPlanner, base::Instant aNow)
   {
-    auto const& granted = m_state.m_allowance.Granted();
-    entry::GrantedTokens changed;
-    for (auto const& [workspace, tokens] : granted) {
-      auto& reported = m_reportedGrants[workspace];
-      if (reported.m_tokens != tokens) {
-        reported = { tokens, kGrantRepeats };
-      }
-      if (aIsComplete || reported.m_repeats > 0) {
-        changed.emplace(workspace, tokens);
-        reported.m_repeats -= reported.m_repeats > 0 ? 1 : 0;
-      }
-    }
-    return changed;
+    auto report = m_state.m_allowance.MakeReport(aIsNewPlanner, aNow);
+    report.m_isLast = m_state.m_stopEnd.has_value();
+    report.m_catalog =
+      m_state.m_catalog ? m_state.m_catalog->Catalog().m_version : base::CatalogVersion();
+    return report;
   }
 
   agent::GatewayPresence MakePresence() const
@@ -238,16 +243,6 @@
     return deployment && deployment->m_engine;
   }
 
-  struct ReportedGrant
-  {
-    base::Tokens m_tokens;
-    /// In how many further reports the total is listed.
-    unsigned m_repeats = 0;
-  };
-
-  /// A planner that is late loses several reports in a row; any one of those of the
-  /// next second tells it of a change.
-  static constexpr unsigned kGrantRepeats = 10;
   /// A new planner knows nothing of this gateway before a complete report.
   static constexpr unsigned kFirstCompleteReports = 2;
 
@@ -255,10 +250,10 @@
   DomainExchange<FleetMessenger> const& m_domain;
   base::IncarnationId m_incarnation;
   PlannerSelector m_planner;
+  PoolSelector m_pool;
   std::optional<base::Endpoint> m_lastPlanner;
   base::Instant m_summaryAt{};
   std::map<base::ModelId, unsigned> m_reportedWaiting;
-  std::map<base::WorkspaceId, ReportedGrant> m_reportedGrants;
   unsigned m_completeReportsDue = 0;
   /// The gateways of the failure domain that announce themselves to this one.
   agent::DomainPresenceBoard m_members;
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -250,7 +250,7 @@
   void OnSummary(agent::PlannerSummary const& aSummary, base::Endpoint const& aOrigin,
                  base::Instant aNow)
   {
-    m_fleet.OnSummary(aOrigin, aNow);
+    m_fleet.OnSummary(aOrigin, aSummary.m_allowance, aNow);
     m_state.OnGatewaysPresent(aSummary.m_gatewaysPresent);
     if (!aSummary.m_neighbours.empty()) {
       auto const aggregators = aSummary.m_aggregators.find(m_state.m_profile.m_failureDomain);
@@ -266,9 +266,6 @@
     }
     m_store.OnCatalogAnnounced(aSummary.m_catalog, aNow);
     OnForecasts(aSummary.m_forecasts, aNow);
-    m_state.m_allowance.OnPeerGrants(aSummary.m_epoch,
-                                     { aSummary.m_gatewaysPresent, aSummary.m_gatewaysReporting },
-                                     aSummary.m_grantedByOthers, aNow);
   }
 
   void OnNews(agent::PlannerNews const& aNews, base::Endpoint const& aOrigin, base::Instant aNow)
@@ -339,6 +336,12 @@
     setAge("upstream list", m_store.ListAge(aNow));
     setAge("catalog", m_store.CatalogAge(aNow));
     setAge("planner", m_fleet.PlannerAge(aNow));
+    setAge("allowances", m_state.m_allowance.UpdateAge(aNow).value_or(base::Duration{}));
+    m_state.m_metrics
+      .Gauge("sardinefold_gateway_allowance_correction_tokens",
+             "Largest difference between a level of the planner's last summary and the one "
+             "expected here.")
+      .Set(static_cast<double>(m_state.m_allowance.LargestCorrection().Value()));
     m_state.m_metrics.Gauge("sardinefold_gateway_upstreams", "Upstreams known.")
       .Set(static_cast<double>(m_state.m_directory.Size()));
   }
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -37,7 +37,7 @@
     , m_responseMemory(ResponseMemoryOf(m_profile.m_memoryLimit))
     , m_directory(DirectoryPolicy(m_profile.m_bounds), m_profile.m_failureDomain, aSeed)
     , m_demand(aLoop.Now())
-    , m_allowance({})
+    , m_allowance({}, aSeed)
     , m_suspects(SuspectPolicy())
     , m_suspectParts({}, aSeed)
     , m_suspectSignal(aLoop.Context())
--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -115,6 +115,12 @@
                       { "workspace", aWorkspace.Text() },
                       { "tokens", std::to_string(m_context.m_tokens.Value()) },
                       { "level", std::to_string(standing.m_level.Value()) },
+                      { "slice", std::to_string(standing.m_slice.Value()) },
+                      { "reserve", std::to_string(standing.m_reserve.Value()) },
+                      { "granted", std::to_string(standing.m_granted.Value()) },
+                      { "granted_included", std::to_string(standing.m_includedGranted.Value()) },
+                      { "asked_per_s", std::to_string(standing.m_asked.Value()) },
+                      { "asked_by_all_per_s", std::to_string(standing.m_askedByAll.Value()) },
                       { "share", std::to_string(standing.m_share) },
                       { "news_age_ms", standing.m_updateAge ? std::to_string(base::ToMilliseconds(
                                                                 *standing.m_updateAge))
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -14,10 +14,10 @@
 /// Gateways report to their planner ten times a second. One that has not
 /// reported for this long has chosen another planner or is unreachable.
 constexpr base::Duration kReportTimeout = std::chrono::milliseconds(700);
-/// A gateway without any message for this long is assumed to grant nothing.
+/// A gateway without any message for this long does not count as running.
 constexpr base::Duration kGatewayTimeout = std::chrono::seconds(4);
-/// How long the grants already counted for an unresponsive gateway are kept.
-constexpr base::Duration kGrantRetention = std::chrono::seconds(60);
+/// How long what is known of an unresponsive gateway is kept.
+constexpr base::Duration kGatewayRetention = std::chrono::seconds(60);
 /// Loaders send a heartbeat every 0.8 s. One that is silent for this long is given
 /// nothing new to do.
 constexpr base::Duration kLoaderSilence = std::chrono::milliseconds(1500);
@@ -44,7 +44,7 @@
   : m_profile(aProfile)
   , m_messenger(aMessenger)
   , m_planner({ .m_parallelStoreLoads = aProfile.m_bounds.m_parallelLoads })
-  , m_epoch(base::RandomHex(kEpochBytes))
+  , m_grants(base::RandomHex(kEpochBytes))
 {
 }
 
@@ -57,7 +57,7 @@
                              base::Instant aNow)
 {
   auto& gateway = m_gateways[aReport.m_host];
-  m_grants.OnReport(aReport.m_host, aReport.m_incarnation, aReport.m_granted, aReport.m_isComplete);
+  m_grants.OnReport(aReport.m_host, aReport.m_incarnation, aReport.m_allowance, aNow);
   gateway.m_isNew = gateway.m_isNew || gateway.m_incarnation != aReport.m_incarnation ||
                     !IsReporting(gateway, aNow);
   gateway.m_incarnation = aReport.m_incarnation;
@@ -82,6 +82,7 @@
 void FleetPlanning::OnPresence(agent::GatewayPresence const& aPresence, base::Instant aNow)
 {
   m_lastPresence[aPresence.m_host] = aNow;
+  m_grants.OnPresence(aPresence.m_host, aNow);
   m_newestCatalog = std::max(m_newestCatalog, aPresence.m_catalog);
 }
 
@@ -147,11 +148,7 @@
     }
   }
   std::erase_if(m_gateways, [&](auto const& aItem) {
-    bool const isExpired = aNow - aItem.second.m_lastContactAt > kGrantRetention;
-    if (isExpired) {
-      m_grants.Remove(aItem.first);
-    }
-    return isExpired;
+    return aNow - aItem.second.m_lastContactAt > kGatewayRetention;
   });
   std::erase_if(m_lastPresence,
                 [&](auto const& aItem) { return aNow - aItem.second > kGatewayTimeout; });
@@ -219,6 +216,7 @@
 
 void FleetPlanning::SendSummaries(base::Instant aNow)
 {
+  m_grants.Advance(aNow);
   std::vector<std::pair<base::HostId const*, Gateway const*>> reporting;
   for (auto const& [host, gateway] : m_gateways) {
     if (IsReporting(gateway, aNow)) {
@@ -229,10 +227,8 @@
   auto const aggregators = listsNeighbours ? Aggregators(aNow) : agent::DomainAggregators();
   for (auto const& [host, gateway] : reporting) {
     agent::PlannerSummary summary;
-    summary.m_epoch = m_epoch;
     summary.m_gatewaysPresent = static_cast<unsigned>(m_lastPresence.size());
-    summary.m_gatewaysReporting = static_cast<unsigned>(reporting.size());
-    summary.m_grantedByOthers = m_grants.GrantedByOthers(*host);
+    summary.m_allowance = m_grants.SummaryFor(*host);
     summary.m_forecasts = m_planner.ForecastsFor(*host, aNow);
     summary.m_aggregators = aggregators;
     summary.m_catalog = m_newestCatalog;
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -32,8 +32,7 @@
   /// Records that a loader's last status still applies. Returns false if that
   /// status was not received here.
   bool OnHeartbeat(agent::EngineHeartbeat const& aHeartbeat, base::Instant aNow);
-  /// Requests swaps from loaders and sends each gateway the grants of the
-  /// others.
+  /// Requests swaps from loaders and sends each gateway the levels of the allowances.
   void Tick(base::Instant aNow);
 
 private:
@@ -90,9 +89,6 @@
   /// By the request's fingerprint and the upstream's start.
   std::map<std::pair<base::FingerprintId, base::UpstreamId>, Crash> m_crashes;
   agent::PartNewsBoard m_partNews;
-  /// Identifies the grant totals of this planner; another planner's totals start
-  /// from different values and can't be compared with them.
-  std::string m_epoch;
   unsigned m_ticks = 0;
 };
 
--- a/Tests/AllowanceAgreementTest.cpp
+++ b/Tests/AllowanceAgreementTest.cpp
@@ -2,6 +2,7 @@
 #include "Entry/Allowance/GrantLedger.h"
 #include "Entry/Allowance/SharedAllowance.h"
 #include "Programs/Gateway/PlannerSelector.h"
+#include "Programs/Gateway/PoolSelector.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -52,16 +53,10 @@
 {
   base::HostId m_host;
   base::IncarnationId m_incarnation;
-  bool m_isComplete = false;
-  GrantedTokens m_granted;
+  AllowanceReport m_allowance;
 };
 
-struct Summary
-{
-  std::string m_epoch;
-  GrantingFleet m_fleet;
-  GrantedTokens m_grantedByOthers;
-};
+using Summary = AllowanceSummary;
 
 /// A gateway's copy, with the reports that FleetReporter makes of it.
 class GatewayCopy
@@ -71,6 +66,7 @@
               base::Instant aNow)
     : m_host(std::move(aHost))
     , m_incarnation(base::IncarnationId::FromValidated("run-" + std::to_string(aRun)))
+    , m_allowance({}, aRun)
   {
     SetLimit(aLimit, aNow);
     m_allowance.OnProcessCount(aFleet);
@@ -84,67 +80,62 @@
   {
     return !m_allowance.Take(kWorkspace, aTokens, aNow).has_value();
   }
-  double Level(base::Instant aNow)
+  void Tick(base::Instant aNow) { m_allowance.Tick(aNow); }
+  double Level(base::Instant aNow) const
   {
-    m_allowance.Take(kWorkspace, base::Tokens(), aNow);
     return static_cast<double>(m_allowance.GrantStatusOf(kWorkspace, aNow).m_level.Value());
   }
-  Report MakeReport(bool aIsNewPlanner, base::Instant)
+  Report MakeReport(bool aIsNewPlanner, base::Instant aNow)
   {
-    m_completeDue = aIsNewPlanner ? 2 : m_completeDue;
-    bool const isComplete = m_ticks++ % 10 == 0 || m_completeDue > 0;
-    m_completeDue -= m_completeDue > 0 ? 1 : 0;
-    return { m_host, m_incarnation, isComplete, m_allowance.Granted() };
+    return { m_host, m_incarnation, m_allowance.MakeReport(aIsNewPlanner, aNow) };
   }
+  /// Of a gateway that stays in another planner's pool.
+  Report MakeEmptyReport() const { return { m_host, m_incarnation, {} }; }
+  bool IsFresh(base::Instant aNow) const { return m_allowance.IsFresh(aNow); }
   void OnSummary(Summary const& aSummary, base::Instant aNow)
   {
-    m_allowance.OnPeerGrants(aSummary.m_epoch, aSummary.m_fleet, aSummary.m_grantedByOthers, aNow);
+    m_allowance.OnSummary(aSummary, m_incarnation, aNow);
   }
 
 private:
   base::HostId m_host;
   base::IncarnationId m_incarnation;
-  SharedAllowance m_allowance{ {} };
-  unsigned m_ticks = 0;
-  unsigned m_completeDue = 0;
+  SharedAllowance m_allowance;
 };
 
-/// A planner's sums, with the summaries that FleetPlanning makes of them.
+/// A planner's ledger, with the summaries that FleetPlanning makes of it.
 class PlannerCopy
 {
 public:
   explicit PlannerCopy(std::string aEpoch)
-    : m_epoch(std::move(aEpoch))
+    : m_ledger(std::move(aEpoch))
   {
   }
 
-  void OnPresence(base::HostId const& aHost, base::Instant aNow) { m_present[aHost] = aNow; }
+  void OnPresence(base::HostId const& aHost, base::Instant aNow)
+  {
+    m_ledger.OnPresence(aHost, aNow);
+  }
   void OnReport(Report const& aReport, base::Instant aNow)
   {
-    m_ledger.OnReport(aReport.m_host, aReport.m_incarnation, aReport.m_granted,
-                      aReport.m_isComplete);
+    m_ledger.OnReport(aReport.m_host, aReport.m_incarnation, aReport.m_allowance, aNow);
     m_reporting[aReport.m_host] = aNow;
-    m_present[aReport.m_host] = aNow;
   }
   std::vector<std::pair<base::HostId, Summary>> Tick(base::Instant aNow)
   {
     std::erase_if(m_reporting,
                   [&](auto const& aItem) { return aNow - aItem.second > milliseconds(700); });
-    std::erase_if(m_present, [&](auto const& aItem) { return aNow - aItem.second > seconds(4); });
+    m_ledger.Advance(aNow);
     std::vector<std::pair<base::HostId, Summary>> summaries;
     for (auto const& [host, at] : m_reporting) {
-      GrantingFleet const fleet{ static_cast<unsigned>(m_present.size()),
-                                 static_cast<unsigned>(m_reporting.size()) };
-      summaries.emplace_back(host, Summary{ m_epoch, fleet, m_ledger.GrantedByOthers(host) });
+      summaries.emplace_back(host, m_ledger.SummaryFor(host));
     }
     return summaries;
   }
 
 private:
-  std::string m_epoch;
   GrantLedger m_ledger;
   std::map<base::HostId, base::Instant> m_reporting;
-  std::map<base::HostId, base::Instant> m_present;
 };
 
 /// How the links to the planners behave.
@@ -192,7 +183,7 @@
     , m_isCutOff(aGateways)
     , m_isDown(aGateways)
     , m_selectors(aGateways)
-    , m_selected(aGateways)
+    , m_pools(aGateways)
   {
     for (std::size_t index = 0; index < aGateways; ++index) {
       m_gateways.push_back(Start(index));
@@ -214,7 +205,7 @@
     if (!aIsDown) {
       m_gateways[aGateway] = Start(aGateway);
       m_selectors[aGateway] = {};
-      m_selected[aGateway] = std::nullopt;
+      m_pools[aGateway] = {};
     }
   }
   void RestartPlanner(std::size_t aPlanner)
@@ -330,14 +321,22 @@
         m_planners[planner]->OnPresence(HostOf(aIndex), m_now);
       }
     }
+    m_gateways[aIndex]->Tick(Local(aIndex));
     auto const planner = selector.Planner(Local(aIndex));
-    bool const isNew = planner != m_selected[aIndex];
-    m_selected[aIndex] = planner;
-    if (!planner) {
-      return;
+    auto& gateway = *m_gateways[aIndex];
+    auto const pool =
+      m_pools[aIndex].Choose(planner, gateway.IsFresh(Local(aIndex)), Local(aIndex));
+    if (planner && planner != pool.m_planner) {
+      SendReport(aIndex, *planner, gateway.MakeEmptyReport());
     }
-    auto const report = m_gateways[aIndex]->MakeReport(isNew, Local(aIndex));
-    Send([this, aIndex, report, to = planner->m_port - 1U] {
+    if (pool.m_planner) {
+      SendReport(aIndex, *pool.m_planner, gateway.MakeReport(pool.m_isNew, Local(aIndex)));
+    }
+  }
+
+  void SendReport(std::size_t aIndex, base::Endpoint const& aPlanner, Report const& aReport)
+  {
+    Send([this, aIndex, report = aReport, to = aPlanner.m_port - 1U] {
       if (!m_isPlannerDown[to] && !m_isCutOff[aIndex]) {
         m_planners[to]->OnReport(report, m_now);
       }
@@ -351,7 +350,10 @@
       Send([this, index, aPlanner, heard = summary] {
         if (!m_isCutOff[index] && !m_isDown[index]) {
           m_selectors[index].OnSummary(EndpointOf(aPlanner), Local(index));
-          m_gateways[index]->OnSummary(heard, Local(index));
+          m_pools[index].OnSummary(EndpointOf(aPlanner), Local(index));
+          if (m_pools[index].IsPool(EndpointOf(aPlanner))) {
+            m_gateways[index]->OnSummary(heard, Local(index));
+          }
         }
       });
     }
@@ -433,7 +435,7 @@
   std::vector<bool> m_isCutOff;
   std::vector<bool> m_isDown;
   std::vector<programs::PlannerSelector> m_selectors;
-  std::vector<std::optional<base::Endpoint>> m_selected;
+  std::vector<programs::PoolSelector> m_pools;
   std::vector<std::unique_ptr<GatewayCopy>> m_gateways;
   std::array<std::unique_ptr<PlannerCopy>, kPlanners> m_planners;
   std::vector<Message> m_messages;
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -4,12 +4,14 @@
 #include "Agent/Fleet/StoreUpdateAssembler.h"
 #include "Programs/Gateway/EventBuffer.h"
 #include "Programs/Gateway/PlannerSelector.h"
+#include "Programs/Gateway/PoolSelector.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace sardinefold;
 using namespace sardinefold::agent;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -84,7 +86,19 @@
   demand.m_timeToGoal = milliseconds(-20);
   demand.m_running = 4;
   report.m_demand = { demand };
-  report.m_granted = { { base::WorkspaceId::FromValidated("t1"), base::Tokens(77) } };
+  auto const workspace = base::WorkspaceId::FromValidated("t1");
+  report.m_allowance.m_number = entry::AllowanceReportNumber(5);
+  report.m_allowance.m_isJoining = true;
+  report.m_allowance.m_isWhole = false;
+  report.m_allowance.m_isLast = true;
+  report.m_allowance.m_age = milliseconds(90);
+  report.m_allowance.m_fleet = 4;
+  report.m_allowance.m_catalog = base::CatalogVersion(9);
+  report.m_allowance.m_grants = { { workspace,
+                                    { { base::TokensPerSecond(12.5), base::Tokens(50) },
+                                      base::Tokens(77),
+                                      base::TokensPerSecond(30),
+                                      base::Tokens(-4) } } };
   report.m_crashes = { { base::FingerprintId::FromValidated("77"),
                          base::UpstreamId::FromValidated("i-1"), milliseconds(30) } };
   report.m_storeAge = milliseconds(40);
@@ -115,10 +129,16 @@
                      { { status.m_engine, { engine::InstanceId::FromValidated("i-1"), 123 } } },
                      base::StoreEra(3) });
   PlannerSummary summary;
-  summary.m_epoch = "epoch";
   summary.m_gatewaysPresent = 4;
-  summary.m_gatewaysReporting = 3;
-  summary.m_grantedByOthers = report.m_granted;
+  summary.m_allowance = {
+    "epoch",
+    entry::AllowanceSummaryNumber(8),
+    report.m_incarnation,
+    entry::AllowanceReportNumber(5),
+    4,
+    3,
+    { { workspace, { base::Tokens(-9), base::TokensPerSecond(30), base::Tokens(77) } } }
+  };
   summary.m_forecasts = { { kModel, milliseconds(70) } };
   summary.m_neighbours = { { report.m_host, { "10.0.0.2", 7600 } } };
   summary.m_aggregators = { { kDomain, { { "10.0.0.2", 7600 }, { "10.0.0.3", 7600 } } } };
@@ -173,13 +193,13 @@
     { "", "{}", "[]", "7", R"({"method":"engine.swap"})",
       R"({"method":"engine.swap","params":{"load":5,"unload":[]}})",
       R"({"method":"engine.swap","params":{"load":"m","unload":[""]}})",
-      R"({"method":"gateway.report","params":{"host":"h","incarnation":"i","complete":true,"demand":[7],"granted":{}}})",
-      R"({"method":"planner.summary","params":{"epoch":"e","present":-1,"reporting":1,"granted":{},"outlooks":{}}})",
+      R"({"method":"gateway.report","params":{"host":"h","incarnation":"i","complete":true,"demand":[7],"allowance":{}}})",
+      R"({"method":"planner.summary","params":{"present":-1,"allowance":{},"outlooks":{}}})",
       R"({"method":"engine.digest","params":{"failure_domain":"a","statuses":[],"alive":[[1]]}})",
       R"({"method":"engine.digest","params":{"failure_domain":"a","statuses":[{}],"alive":[]}})",
       R"({"method":"domain.presence","params":{"failure_domain":"a","gateways":[["10.0.0.1:80"]],"aggregators":[],"engines":[]}})",
       R"({"method":"domain.presence","params":{"failure_domain":"a","gateways":[],"aggregators":[7],"engines":[]}})",
-      R"({"method":"planner.summary","params":{"epoch":"e","present":1,"reporting":1,"granted":{},"outlooks":{},"neighbours":{},"aggregators":[]}})",
+      R"({"method":"planner.summary","params":{"present":1,"allowance":{"epoch":"e","number":1,"receiver":"","included":0,"fleet":1,"sharing":1,"pools":{}},"outlooks":{},"neighbours":{},"aggregators":[]}})",
       R"({"method":"unheard.of","params":{}})" }) {
     BOOST_TEST(!DecodeFleetMessage(text).has_value(), text);
   }
@@ -385,3 +405,27 @@
   BOOST_TEST(programs::LastEvent("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") == "id: 2\ndata: b");
   BOOST_TEST(programs::LastEvent("id: 1\ndata: a\n\n") == "id: 1\ndata: a");
 }
+
+/// A few lost messages make a gateway choose another planner for some seconds. Alone in
+/// that planner's pool it would have the allowance of one gateway, though the first one
+/// answers again.
+BOOST_AUTO_TEST_CASE(AGatewayStaysInThePoolOfAPlannerThatAnswersAgain)
+{
+  base::Endpoint const one{ "10.0.0.1", 7600 };
+  base::Endpoint const two{ "10.0.0.2", 7600 };
+  programs::PoolSelector pools;
+  BOOST_TEST(!pools.Choose(std::nullopt, false, kStart).m_planner.has_value());
+  BOOST_TEST(pools.Choose(one, false, kStart).m_isNew);
+  pools.OnSummary(one, kStart);
+  auto const later = kStart + milliseconds(500);
+  BOOST_TEST((pools.Choose(two, true, later).m_planner == one));
+  pools.OnSummary(one, later);
+  BOOST_TEST((pools.Choose(two, true, later + seconds(3)).m_planner == one));
+  auto const back = pools.Choose(one, true, later + seconds(3));
+  BOOST_TEST((back.m_planner == one && !back.m_isNew));
+  // One that does not answer again is left, and so is one that answered to the last.
+  pools.Choose(two, true, later + seconds(4));
+  BOOST_TEST((pools.Choose(two, false, later + seconds(5)).m_planner == two));
+  pools.OnSummary(two, later + seconds(6));
+  BOOST_TEST(pools.Choose(one, true, later + seconds(6)).m_isNew);
+}
--- a/Tests/OddEntryTest.cpp
+++ b/Tests/OddEntryTest.cpp
@@ -267,7 +267,7 @@
   report.m_incarnation = incarnation;
   report.m_failureDomain = domain;
   agent::PlannerSummary summary;
-  summary.m_epoch = "e";
+  summary.m_allowance.m_epoch = "e";
   agent::StoreUpdate update;
   update.m_host = host;
   std::vector<std::string> texts;
--- a/Tests/SharedAllowanceTest.cpp
+++ b/Tests/SharedAllowanceTest.cpp
@@ -21,24 +21,42 @@
 auto const kWorkspace = base::WorkspaceId::FromValidated("marshals");
 constexpr AllowanceLimit kLimit{ base::TokensPerSecond(10'000), base::Tokens(10'000) };
 
-/// Returns an allowance whose limit was in force long enough to refill fully.
-SharedAllowance MakeFilledAllowance()
+base::HostId HostOf(std::size_t aIndex)
 {
-  SharedAllowance allowance({});
-  allowance.SetLimits({ { kWorkspace, kLimit } }, kStart - seconds(60));
-  allowance.OnPeerGrants("alone", { 1, 1 }, {}, kStart - seconds(60));
+  return base::HostId::FromValidated("gateway-" + std::to_string(aIndex));
+}
+
+base::IncarnationId RunOf(unsigned aRun)
+{
+  return base::IncarnationId::FromValidated("run-" + std::to_string(aRun));
+}
+
+/// Returns an allowance of a fleet of aProcesses whose limit was in force long enough to
+/// refill fully.
+SharedAllowance MakeFilledAllowance(unsigned aProcesses = 1, std::uint64_t aSeed = 0)
+{
+  SharedAllowance allowance({}, aSeed);
+  allowance.SetLimits({ { kWorkspace, kLimit } }, kStart - seconds(120));
+  allowance.OnProcessCount(aProcesses);
+  for (int second = 120; second > 0; --second) {
+    allowance.Tick(kStart - seconds(second));
+  }
   return allowance;
 }
 
-/// Simulates gateways that exchange their grants through a planner, which sums
-/// them up with a delay as FleetPlanning does.
+/// Simulates gateways that exchange their grants through a planner, without delay.
 class Fleet
 {
 public:
   explicit Fleet(std::size_t aGateways)
-    : m_gateways(aGateways, MakeFilledAllowance())
-    , m_isDisconnected(aGateways, false)
+    : m_isDisconnected(aGateways, false)
+    , m_isNew(aGateways, true)
   {
+    for (std::size_t index = 0; index < aGateways; ++index) {
+      m_gateways.push_back(MakeFilledAllowance(static_cast<unsigned>(aGateways), index));
+    }
+    Exchange(kStart - milliseconds(100));
+    Exchange(kStart - milliseconds(50));
   }
 
   void SetDisconnected(std::size_t aGateway, bool aIsDisconnected)
@@ -46,30 +64,38 @@
     m_isDisconnected[aGateway] = aIsDisconnected;
   }
 
-  /// Starts a new epoch: the next planner's sums are not comparable to earlier ones.
-  void ChangePlanner() { m_epoch += "'"; }
+  /// The next planner knows nothing of the levels of the one before.
+  void ChangePlanner()
+  {
+    m_ledger = GrantLedger("epoch-" + std::to_string(++m_epochs));
+    m_isNew.assign(m_gateways.size(), true);
+  }
 
-  /// Restarts all gateways, which the planner treats as a new epoch.
+  /// Restarts all gateways and the planner.
   void RestartAll(base::Instant aNow)
   {
-    for (auto& gateway : m_gateways) {
-      gateway = SharedAllowance({});
-      gateway.SetLimits({ { kWorkspace, kLimit } }, aNow);
+    ++m_run;
+    for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+      m_gateways[index] = SharedAllowance({}, index);
+      m_gateways[index].SetLimits({ { kWorkspace, kLimit } }, aNow);
     }
-    m_epoch += "'";
+    ChangePlanner();
   }
 
   void Exchange(base::Instant aNow)
   {
-    base::Tokens total;
-    for (auto const& gateway : m_gateways) {
-      total += GrantedBy(gateway);
+    for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+      m_gateways[index].Tick(aNow);
+      if (!m_isDisconnected[index]) {
+        m_ledger.OnReport(HostOf(index), RunOf(m_run),
+                          m_gateways[index].MakeReport(m_isNew[index], aNow), aNow);
+        m_isNew[index] = false;
+      }
     }
+    m_ledger.Advance(aNow);
     for (std::size_t index = 0; index < m_gateways.size(); ++index) {
       if (!m_isDisconnected[index]) {
-        auto const others = total - GrantedBy(m_gateways[index]);
-        auto const all = static_cast<unsigned>(m_gateways.size());
-        m_gateways[index].OnPeerGrants(m_epoch, { all, all }, { { kWorkspace, others } }, aNow);
+        m_gateways[index].OnSummary(m_ledger.SummaryFor(HostOf(index)), RunOf(m_run), aNow);
       }
     }
   }
@@ -102,15 +128,12 @@
   }
 
 private:
-  static base::Tokens GrantedBy(SharedAllowance const& aGateway)
-  {
-    auto const found = aGateway.Granted().find(kWorkspace);
-    return found == aGateway.Granted().end() ? base::Tokens() : found->second;
-  }
-
   std::vector<SharedAllowance> m_gateways;
   std::vector<bool> m_isDisconnected;
-  std::string m_epoch = "epoch";
+  std::vector<bool> m_isNew;
+  GrantLedger m_ledger{ "epoch-0" };
+  unsigned m_run = 0;
+  unsigned m_epochs = 0;
   std::vector<std::pair<base::Instant, std::int64_t>> m_grants;
 };
 
@@ -162,8 +185,7 @@
 
 BOOST_AUTO_TEST_CASE(StaysWithinItsShareWithoutUpdatesOnOthers)
 {
-  auto allowance = MakeFilledAllowance();
-  allowance.OnPeerGrants("epoch", { 4, 4 }, {}, kStart);
+  auto allowance = MakeFilledAllowance(4);
   std::int64_t granted = 0;
   for (int step = 0; step < 1'000; ++step) {
     auto const now = kStart + seconds(10) + step * milliseconds(10);
@@ -176,20 +198,20 @@
 {
   // Two gateways follow one planner and two another, so neither group receives
   // the other's grants.
-  std::array<SharedAllowance, 4> gateways = { MakeFilledAllowance(), MakeFilledAllowance(),
-                                              MakeFilledAllowance(), MakeFilledAllowance() };
-  auto const grantedBy = [&](std::size_t aGateway) {
-    auto const& granted = gateways[aGateway].Granted();
-    auto const found = granted.find(kWorkspace);
-    return found == granted.end() ? base::Tokens() : found->second;
-  };
+  std::vector<SharedAllowance> gateways;
+  for (std::size_t index = 0; index < 4; ++index) {
+    gateways.push_back(MakeFilledAllowance(4, index));
+  }
+  std::array<GrantLedger, 2> planners{ GrantLedger("one"), GrantLedger("two") };
   std::int64_t total = 0;
   for (int step = 0; step < 1'000; ++step) {
     auto const now = kStart + step * milliseconds(10);
     for (std::size_t index = 0; index < gateways.size(); ++index) {
+      auto& planner = planners[index / 2];
       if (step % 10 == 0) {
-        gateways[index].OnPeerGrants(index < 2 ? "one" : "two", { 4, 2 },
-                                     { { kWorkspace, grantedBy(index ^ 1) } }, now);
+        planner.OnReport(HostOf(index), RunOf(0), gateways[index].MakeReport(step == 0, now), now);
+        planner.Advance(now);
+        gateways[index].OnSummary(planner.SummaryFor(HostOf(index)), RunOf(0), now);
       }
       total += gateways[index].Take(kWorkspace, base::Tokens(200), now) ? 0 : 200;
     }
@@ -197,16 +219,40 @@
   BOOST_TEST(total <= (10'000 * 10 + 10'000) * 11 / 10);
 }
 
-BOOST_AUTO_TEST_CASE(SumsOfAnotherEpochOnlySetABaseline)
+/// The level that a new planner begins with is the sum of the parts that the gateways
+/// bring: with the same totals, the copies show the same levels as before.
+BOOST_AUTO_TEST_CASE(AnotherPlannerChangesNoLevel)
 {
-  auto allowance = MakeFilledAllowance();
-  allowance.OnPeerGrants("first", { 2, 2 }, { { kWorkspace, base::Tokens(1'000'000) } }, kStart);
-  BOOST_TEST(!allowance.Take(kWorkspace, base::Tokens(1'000), kStart).has_value());
-  // The other process is assumed to have granted the same amount meanwhile.
-  allowance.OnPeerGrants("second", { 2, 2 }, { { kWorkspace, base::Tokens(5'000'000) } }, kStart);
-  BOOST_TEST(allowance.GrantStatusOf(kWorkspace, kStart).m_level == base::Tokens(8'000));
-  allowance.OnPeerGrants("second", { 2, 2 }, { { kWorkspace, base::Tokens(5'050'000) } }, kStart);
-  BOOST_TEST(allowance.Take(kWorkspace, base::Tokens(1'000), kStart).has_value());
+  std::vector<SharedAllowance> gateways;
+  gateways.push_back(MakeFilledAllowance(2, 0));
+  gateways.push_back(MakeFilledAllowance(2, 1));
+  GrantLedger first("first");
+  GrantLedger second("second");
+  auto const exchange = [&](GrantLedger& aPlanner, bool aIsNew, base::Instant aNow) {
+    for (std::size_t index = 0; index < 2; ++index) {
+      aPlanner.OnReport(HostOf(index), RunOf(0), gateways[index].MakeReport(aIsNew, aNow), aNow);
+    }
+    aPlanner.Advance(aNow);
+    for (std::size_t index = 0; index < 2; ++index) {
+      gateways[index].OnSummary(aPlanner.SummaryFor(HostOf(index)), RunOf(0), aNow);
+    }
+  };
+  auto const levelOf = [&](std::size_t aGateway) {
+    return gateways[aGateway].GrantStatusOf(kWorkspace, kStart).m_level.Value();
+  };
+  exchange(first, true, kStart);
+  exchange(first, false, kStart);
+  BOOST_TEST(!gateways[0].Take(kWorkspace, base::Tokens(6'000), kStart).has_value());
+  exchange(first, false, kStart);
+  BOOST_TEST(levelOf(0) == 4'000);
+  BOOST_TEST(levelOf(1) == 4'000);
+  // One of them grants what the first planner never hears of.
+  BOOST_TEST(!gateways[0].Take(kWorkspace, base::Tokens(1'000), kStart).has_value());
+  exchange(second, true, kStart);
+  exchange(second, false, kStart);
+  BOOST_TEST(levelOf(0) == 3'000);
+  BOOST_TEST(levelOf(1) == 3'000);
+  BOOST_TEST(gateways[1].Take(kWorkspace, base::Tokens(3'500), kStart).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(ReplacedPlannerGrantsNoFurtherBursts)
@@ -236,15 +282,33 @@
 BOOST_AUTO_TEST_CASE(RefusalReturnsTheTimeUntilTheRequestWouldPass)
 {
   auto allowance = MakeFilledAllowance();
-  allowance.OnPeerGrants("epoch", { 1, 1 }, {}, kStart);
   BOOST_TEST(!allowance.Take(kWorkspace, base::Tokens(10'000), kStart).has_value());
   auto const wait = allowance.Take(kWorkspace, base::Tokens(5'000), kStart);
   BOOST_REQUIRE(wait.has_value());
-  allowance.OnPeerGrants("epoch", { 1, 1 }, {}, kStart + seconds(1));
+  allowance.Tick(kStart + *wait / 2);
   BOOST_TEST(
     !allowance.Take(kWorkspace, base::Tokens(5'000), kStart + *wait * 11 / 10).has_value());
 }
 
+/// Callers that are told the same time meet again and are refused again.
+BOOST_AUTO_TEST_CASE(CallersRefusedTogetherReturnOneAfterAnother)
+{
+  auto allowance = MakeFilledAllowance();
+  BOOST_TEST(!allowance.Take(kWorkspace, base::Tokens(10'000), kStart).has_value());
+  std::vector<base::Duration> waits;
+  for (int caller = 0; caller < 4; ++caller) {
+    auto const wait = allowance.Take(kWorkspace, base::Tokens(5'000), kStart);
+    BOOST_REQUIRE(wait.has_value());
+    waits.push_back(*wait);
+  }
+  for (std::size_t caller = 0; caller < waits.size(); ++caller) {
+    allowance.Tick(kStart + waits[caller]);
+    BOOST_TEST(
+      !allowance.Take(kWorkspace, base::Tokens(5'000), kStart + waits[caller] + milliseconds(1))
+         .has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RefundReducesTheGrantedTotal)
 {
   auto allowance = MakeFilledAllowance();
@@ -288,48 +352,70 @@
 
 BOOST_AUTO_TEST_CASE(TheLedgerKeepsGrantsOfProcessesThatRestartOrBecomeUnresponsive)
 {
-  auto const one = base::HostId::FromValidated("one");
-  auto const two = base::HostId::FromValidated("two");
-  auto const first = base::IncarnationId::FromValidated("first");
-  auto const second = base::IncarnationId::FromValidated("second");
-  GrantLedger ledger;
-  auto const othersOf = [&](base::HostId const& aHost) {
-    return ledger.GrantedByOthers(aHost)[kWorkspace].Value();
+  GrantLedger ledger("epoch");
+  AllowanceReport report;
+  auto const send = [&](std::size_t aHost, unsigned aRun, std::uint64_t aNumber, bool aIsJoining,
+                        std::int64_t aGranted, std::int64_t aSlice) {
+    report.m_number = AllowanceReportNumber(aNumber);
+    report.m_isJoining = aIsJoining;
+    report.m_grants = { { kWorkspace,
+                          { kLimit, base::Tokens(aGranted), {}, base::Tokens(aSlice) } } };
+    ledger.OnReport(HostOf(aHost), RunOf(aRun), report, kStart);
+    ledger.Advance(kStart);
+  };
+  auto const levelAt = [&](std::size_t aHost) {
+    return ledger.SummaryFor(HostOf(aHost)).m_pools.at(kWorkspace).m_level.Value();
   };
-  // The first report of a process only sets its baseline.
-  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'000) } }, true);
-  ledger.OnReport(two, first, {}, true);
-  BOOST_TEST(othersOf(two) == 0);
-  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'300) } }, false);
-  ledger.OnReport(one, first, { { kWorkspace, base::Tokens(5'300) } }, false);
-  BOOST_TEST(othersOf(two) == 300);
-  BOOST_TEST(othersOf(one) == 0);
+  // A report that does not join is ignored: its slice is not known.
+  send(0, 1, 1, false, 5'000, 0);
+  BOOST_TEST((ledger.SummaryFor(HostOf(0)).m_included == AllowanceReportNumber()));
+  send(0, 1, 2, true, 5'000, 3'000);
+  send(1, 1, 1, true, 0, 3'000);
+  // Each sees its own part only, until it is known to rely on this pool.
+  BOOST_TEST(levelAt(1) == 3'000);
+  send(1, 1, 2, false, 0, 0);
+  BOOST_TEST(levelAt(1) == 3'000);
+  send(0, 1, 3, false, 5'000, 0);
+  BOOST_TEST(levelAt(1) == 6'000);
+  send(0, 1, 4, false, 5'300, 0);
+  send(0, 1, 4, false, 5'300, 0);
+  BOOST_TEST(levelAt(1) == 5'700);
+  // An earlier report that arrives late changes nothing.
+  send(0, 1, 2, true, 5'000, 3'000);
+  BOOST_TEST(levelAt(1) == 5'700);
   // A restarted process counts from zero; its earlier grants remain counted.
-  ledger.OnReport(one, second, { { kWorkspace, base::Tokens(200) } }, true);
-  BOOST_TEST(othersOf(two) == 500);
-  ledger.OnReport(two, first, { { kWorkspace, base::Tokens(70) } }, false);
-  BOOST_TEST(othersOf(one) == 70);
-  BOOST_TEST(othersOf(two) == 500);
-  ledger.Remove(one);
-  BOOST_TEST(othersOf(two) == 500);
+  send(0, 2, 1, true, 200, 0);
+  BOOST_TEST(levelAt(1) == 5'500);
+  send(0, 1, 5, false, 9'000, 0);
+  BOOST_TEST(levelAt(1) == 5'500);
+  send(1, 1, 3, false, 70, 0);
+  BOOST_TEST(levelAt(0) == 5'430);
+  // One that stops grants nothing further, and leaves its part of the level.
+  report.m_isLast = true;
+  send(1, 1, 4, false, 100, 0);
+  BOOST_TEST(levelAt(0) == 5'400);
 }
 
-/// A ledger that began with an incomplete report would later take the grants that the
-/// report lacked for new ones, and refuse others' requests for them.
-BOOST_AUTO_TEST_CASE(AnIncompleteReportDoesNotBeginALedger)
+/// A gateway that is silent for long may still serve callers: its part of the level and
+/// of the rate is left to it.
+BOOST_AUTO_TEST_CASE(ASilentProcessTakesItsPartWithIt)
 {
-  auto const one = base::HostId::FromValidated("one");
-  auto const incarnation = base::IncarnationId::FromValidated("first");
-  auto const other = base::WorkspaceId::FromValidated("other");
-  GrantLedger ledger;
-  ledger.OnReport(one, incarnation, { { other, base::Tokens(10) } }, false);
-  ledger.OnReport(one, incarnation,
-                  { { kWorkspace, base::Tokens(5'000) }, { other, base::Tokens(10) } }, true);
-  auto const none = ledger.GrantedByOthers(base::HostId::FromValidated("two"));
-  BOOST_TEST((!none.contains(kWorkspace) || none.at(kWorkspace) == base::Tokens()));
-  ledger.OnReport(one, incarnation, { { other, base::Tokens(25) } }, false);
-  ledger.OnReport(one, incarnation, { { kWorkspace, base::Tokens(5'300) } }, false);
-  auto const granted = ledger.GrantedByOthers(base::HostId::FromValidated("two"));
-  BOOST_TEST(granted.at(kWorkspace).Value() == 300);
-  BOOST_TEST(granted.at(other).Value() == 15);
+  GrantLedger ledger("epoch");
+  AllowanceReport report;
+  report.m_grants = { { kWorkspace, { kLimit, {}, {}, base::Tokens(2'000) } } };
+  for (std::uint64_t number = 1; number <= 20; ++number) {
+    auto const now = kStart + number * milliseconds(100);
+    report.m_number = AllowanceReportNumber(number);
+    report.m_isJoining = number == 1;
+    ledger.OnReport(HostOf(0), RunOf(1), report, now);
+    if (number <= 10) {
+      ledger.OnReport(HostOf(1), RunOf(1), report, now);
+    }
+    ledger.Advance(now);
+    auto const summary = ledger.SummaryFor(HostOf(0));
+    BOOST_TEST((summary.m_sharing == 2U) == (number >= 2 && number <= 17), number);
+    BOOST_TEST(summary.m_fleet == 2U);
+  }
+  // Half of a level that was full, and half of the burst.
+  BOOST_TEST(ledger.SummaryFor(HostOf(0)).m_pools.at(kWorkspace).m_level.Value() == 5'000);
 }
