Entry: Leave the part of a gateway that stops to the others

A gateway that says that it stops lowers it. AProcessThatStopsLeavesItsPartOfTheRate failed before (2 for 1).

--- a/Entry/Allowance/GrantLedger.cpp
+++ b/Entry/Allowance/GrantLedger.cpp
@@ -167,6 +167,7 @@
   if (aReport.m_isLast) {
     m_heard.erase(aHost);
     m_stopped[aHost] = aIncarnation;
+    m_claimedFleet -= m_claimedFleet > 0 ? 1 : 0;
   }
   if (found == m_members.end()) {
     if (aReport.m_isJoining && aReport.m_fleet > 0) {
--- a/Tests/SharedAllowanceTest.cpp
+++ b/Tests/SharedAllowanceTest.cpp
@@ -396,6 +396,32 @@
   BOOST_TEST(levelAt(0) == 5'400);
 }
 
+/// Gateways that are stopped in turn would otherwise leave the others with a part of the
+/// rate for a minute.
+BOOST_AUTO_TEST_CASE(AProcessThatStopsLeavesItsPartOfTheRate)
+{
+  GrantLedger ledger("epoch");
+  AllowanceReport report;
+  report.m_fleet = 2;
+  for (std::uint64_t number = 1; number <= 2; ++number) {
+    report.m_number = AllowanceReportNumber(number);
+    report.m_isJoining = number == 1;
+    ledger.OnReport(HostOf(0), RunOf(1), report, kStart);
+    ledger.OnReport(HostOf(1), RunOf(1), report, kStart);
+  }
+  ledger.Advance(kStart);
+  BOOST_TEST(ledger.SummaryFor(HostOf(0)).m_fleet == 2U);
+  report.m_number = AllowanceReportNumber(3);
+  report.m_isLast = true;
+  ledger.OnReport(HostOf(1), RunOf(1), report, kStart);
+  // Those who have not heard of it still announce it.
+  ledger.OnPresence(HostOf(1), kStart);
+  ledger.Advance(kStart);
+  auto const summary = ledger.SummaryFor(HostOf(0));
+  BOOST_TEST(summary.m_fleet == 1U);
+  BOOST_TEST(summary.m_sharing == 1U);
+}
+
 /// A gateway that is silent for long may still serve callers: its part of the level and
 /// of the rate is left to it.
 BOOST_AUTO_TEST_CASE(ASilentProcessTakesItsPartWithIt)
