Programs, Entry: Answer a joining gateway at once, and ask its callers back soon

A gateway that has started refuses what its small slice does not hold until a summary arrives, and told its callers to come back when the slice would be full, seconds later. The planner now answers a joining report at once, and such callers return after 0.2 s, one after another.

--- a/Entry/Allowance/SharedAllowance.cpp
+++ b/Entry/Allowance/SharedAllowance.cpp
@@ -28,6 +28,10 @@
 constexpr std::size_t kSentReports = 128;
 /// Keeps a joining report within one datagram.
 constexpr std::size_t kLargestJoiningReport = 1'000;
+/// A process that has started knows the levels after this time, unless it finds no planner
+/// for longer.
+constexpr base::Duration kJoiningTime = std::chrono::milliseconds(200);
+constexpr base::Duration kStartTime = std::chrono::seconds(1);
 /// Callers that are refused return within this time.
 constexpr base::Duration kLongestReturn = std::chrono::seconds(3);
 
@@ -159,13 +163,17 @@
     isFresh ? std::min(ExpectedGrants(aBucket, aNow), capacity * kLargestReserve) : 0;
   auto const level = isFresh ? aBucket.m_level : aBucket.m_slice;
   auto const missing = std::max(0.0, std::min(aTokens + reserve, capacity) - level);
-  auto const soonest = aNow + base::FromSeconds(std::min(missing / rate, 3'600.0));
+  bool const isStarting = !m_hasSummary && m_startedAt && aNow - *m_startedAt < kStartTime;
+  auto const wait =
+    isStarting ? kJoiningTime : base::FromSeconds(std::min(missing / rate, 3'600.0));
+  auto const soonest = aNow + wait;
   // The tokens that come are granted here in proportion to what is asked here.
   auto const here = AskedHere(aBucket, aNow);
   auto const byAll =
     isFresh ? std::max(here, aBucket.m_askedByAll * Decay(aNow - aBucket.m_askedByAllAt)) : here;
   auto const part = byAll > 0 ? std::clamp(here / byAll, 0.01, 1.0) : 1.0;
-  auto const each = base::FromSeconds(std::min(aTokens / (rate * part), 3'600.0));
+  auto const rateHere = isStarting ? std::max(aBucket.m_limit.m_rate.Value(), 1.0) : rate * part;
+  auto const each = base::FromSeconds(std::min(aTokens / rateHere, 3'600.0));
   bool const isTooLate = aBucket.m_nextReturnAt > aNow + kLongestReturn;
   auto const returnAt = isTooLate ? soonest : std::max(soonest, aBucket.m_nextReturnAt);
   aBucket.m_nextReturnAt = returnAt + each;
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -77,6 +77,14 @@
   gateway.m_lastContactAt = aNow;
   m_lastPresence[aReport.m_host] = aNow;
   m_planner.OnDemand(aReport.m_host, aReport.m_demand, aReport.m_isComplete);
+  if (aReport.m_allowance.m_isJoining) {
+    // A gateway that has started refuses requests until it knows the levels.
+    agent::PlannerSummary summary;
+    summary.m_gatewaysPresent = static_cast<unsigned>(m_lastPresence.size());
+    summary.m_allowance = m_grants.SummaryFor(aReport.m_host);
+    summary.m_catalog = m_newestCatalog;
+    m_messenger.Send(aSender, summary);
+  }
 }
 
 void FleetPlanning::OnPresence(agent::GatewayPresence const& aPresence, base::Instant aNow)
--- a/Tests/SharedAllowanceTest.cpp
+++ b/Tests/SharedAllowanceTest.cpp
@@ -290,6 +290,21 @@
     !allowance.Take(kWorkspace, base::Tokens(5'000), kStart + *wait * 11 / 10).has_value());
 }
 
+/// A gateway that has started refuses what its small slice does not hold, and is in the
+/// planner's pool a moment later: its callers should not wait for the slice to fill.
+BOOST_AUTO_TEST_CASE(AProcessThatHasStartedAsksItsCallersBackSoon)
+{
+  SharedAllowance allowance({});
+  allowance.SetLimits({ { kWorkspace, kLimit } }, kStart);
+  allowance.OnProcessCount(20);
+  auto const first = allowance.Take(kWorkspace, base::Tokens(1'000), kStart + milliseconds(50));
+  auto const second = allowance.Take(kWorkspace, base::Tokens(1'000), kStart + milliseconds(50));
+  BOOST_REQUIRE(first.has_value());
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST((*first == milliseconds(200)));
+  BOOST_TEST((*second == milliseconds(300)));
+}
+
 /// Callers that are told the same time meet again and are refused again.
 BOOST_AUTO_TEST_CASE(CallersRefusedTogetherReturnOneAfterAnother)
 {
