Entry: Give restarted gateways back what their earlier runs left

When all gateways were killed at once and restarted, the planner took their parts for taken along, and each bucket was empty for all callers, also those of workspaces that nobody had used. A run that starts within 2 s of the last report of the one before gets that one's part, less what its callers asked for in between; the planner says for how long the buckets that it doesn't list have filled.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -181,6 +181,7 @@
   summary.m_included = entry::AllowanceReportNumber(UnsignedInteger(Member(aObject, "included")));
   summary.m_fleet = Count(Member(aObject, "fleet"));
   summary.m_sharing = Count(Member(aObject, "sharing"));
+  summary.m_filledFor = Milliseconds(Member(aObject, "filled_for_ms"));
   auto const& pools = Entries(aObject, "pools");
   for (auto const& name : pools.getMemberNames()) {
     constexpr Json::ArrayIndex kFields = 3;
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -54,6 +54,7 @@
   value["included"] = Json::UInt64(aSummary.m_included.Value());
   value["fleet"] = aSummary.m_fleet;
   value["sharing"] = aSummary.m_sharing;
+  value["filled_for_ms"] = FromMilliseconds(aSummary.m_filledFor);
   value["pools"] = Json::Value(Json::objectValue);
   for (auto const& [workspace, pool] : aSummary.m_pools) {
     Json::Value entry(Json::arrayValue);
--- a/Entry/Allowance/AllowanceReport.h
+++ b/Entry/Allowance/AllowanceReport.h
@@ -87,6 +87,8 @@
   /// Number of gateways that may grant tokens, and of those in the pool.
   unsigned m_fleet = 1;
   unsigned m_sharing = 1;
+  /// For how long the receiver's part of the buckets that are not listed has filled.
+  base::Duration m_filledFor{};
   std::map<base::WorkspaceId, PooledAllowance> m_pools;
 
   friend bool operator==(AllowanceSummary const&, AllowanceSummary const&) = default;
--- a/Entry/Allowance/GrantLedger.cpp
+++ b/Entry/Allowance/GrantLedger.cpp
@@ -109,19 +109,58 @@
   return false;
 }
 
+/// Returns what the host's earlier run took with it, if this one followed it closely.
+GrantLedger::Departed const* GrantLedger::FindRestarted(base::HostId const& aHost,
+                                                        Joining const& aJoining) const
+{
+  auto const found = m_departed.find(aHost);
+  if (found == m_departed.end()) {
+    return nullptr;
+  }
+  auto const& member = found->second.m_member;
+  auto const startedAt = aJoining.m_at - aJoining.m_report.m_age;
+  bool const isSameRun = member.m_incarnation == aJoining.m_incarnation;
+  return !isSameRun && startedAt - member.m_lastContactAt <= m_limits.m_restartTime ? &found->second
+                                                                                    : nullptr;
+}
+
+/// Returns the part of a level that a joining gateway brings.
+double GrantLedger::SliceOf(Joining const& aJoining, base::WorkspaceId const& aWorkspace,
+                            ReportedGrants const& aGrants, Departed const* aRestarted) const
+{
+  auto const burst = static_cast<double>(aGrants.m_limit.m_burst.Value()) / Fleet();
+  auto const refill = aGrants.m_limit.m_rate.Value() / Fleet() *
+                      std::max(0.0, base::ToSeconds(m_now - aJoining.m_at));
+  auto const brought = static_cast<double>(aGrants.m_slice.Value()) + refill;
+  if (!aRestarted) {
+    return std::min(burst, brought);
+  }
+  auto const& earlier = aRestarted->m_member;
+  auto const level = aRestarted->m_levels.find(aWorkspace);
+  auto const left = level == aRestarted->m_levels.end()
+                      ? UnlistedSlice(earlier, aGrants.m_limit, earlier.m_lastContactAt)
+                      : level->second;
+  auto const counted = earlier.m_counted.find(aWorkspace);
+  auto const asked = counted == earlier.m_counted.end() ? 0.0 : counted->second.m_asked.Value();
+  auto const silence =
+    base::ToSeconds(aJoining.m_at - aJoining.m_report.m_age - earlier.m_lastContactAt);
+  auto const kept = left - std::min(std::max(left, 0.0), asked * std::max(silence, 0.0));
+  return std::min(burst, brought + kept);
+}
+
 void GrantLedger::Join(base::HostId const& aHost, Joining const& aJoining, base::Instant aNow)
 {
   FillAll(aNow);
   auto const& report = aJoining.m_report;
-  auto const elapsed = base::ToSeconds(aNow - aJoining.m_at);
+  auto const* const restarted = FindRestarted(aHost, aJoining);
   for (auto const& [workspace, grants] : report.m_grants) {
-    auto const refill = grants.m_limit.m_rate.Value() * elapsed / Fleet();
     FindOrStart(workspace, grants, report.m_catalog, aNow).m_level +=
-      static_cast<double>(grants.m_slice.Value()) + refill;
+      SliceOf(aJoining, workspace, grants, restarted);
   }
   auto& member = m_members[aHost];
   member.m_incarnation = aJoining.m_incarnation;
-  member.m_filledSince = aJoining.m_at - report.m_age;
+  member.m_filledSince =
+    restarted ? restarted->m_member.m_filledSince : aJoining.m_at - report.m_age;
   member.m_isWhole = report.m_isWhole;
   member.m_wholeSummariesDue = kWholeSummaries;
   for (auto& [workspace, pool] : m_pools) {
@@ -129,9 +168,12 @@
     if (listed != report.m_grants.end()) {
       member.m_counted[workspace].m_granted = listed->second.m_granted;
     } else {
-      pool.m_level += UnlistedSlice(member, pool.m_limit, aNow);
+      pool.m_level += restarted
+                        ? SliceOf(aJoining, workspace, { pool.m_limit, {}, {}, {} }, restarted)
+                        : UnlistedSlice(member, pool.m_limit, aNow);
     }
   }
+  m_departed.erase(aHost);
 }
 
 void GrantLedger::Count(Member& aMember, AllowanceReport const& aReport, base::Instant aNow)
@@ -187,7 +229,6 @@
     // Its part of each level has stayed here, and its totals begin anew.
     member.m_previous = member.m_incarnation;
     member.m_incarnation = aIncarnation;
-    member.m_filledSince = aNow - aReport.m_age;
     member.m_isWhole = true;
     member.m_wholeSummariesDue = kWholeSummaries;
     member.m_counted.clear();
@@ -205,16 +246,24 @@
   FillAll(aNow);
   std::erase_if(
     m_heard, [&](auto const& aItem) { return aNow - aItem.second > m_limits.m_granterRetention; });
+  auto staying = static_cast<double>(m_members.size());
   std::erase_if(m_members, [&](auto const& aItem) {
     if (aNow - aItem.second.m_lastContactAt <= m_limits.m_reportTimeout) {
       return false;
     }
-    auto const members = static_cast<double>(m_members.size());
+    auto& departed = m_departed[aItem.first];
+    departed = { aItem.second, {} };
     for (auto& [workspace, pool] : m_pools) {
-      pool.m_level -= pool.m_level / members;
+      auto const part = pool.m_level / staying;
+      departed.m_levels[workspace] = part;
+      pool.m_level -= part;
     }
+    staying -= 1;
     return true;
   });
+  std::erase_if(m_departed, [&](auto const& aItem) {
+    return aNow - aItem.second.m_member.m_lastContactAt > m_limits.m_granterRetention;
+  });
   std::erase_if(m_joining, [&](auto const& aItem) {
     return aNow - aItem.second.m_at > m_limits.m_reportTimeout;
   });
@@ -256,7 +305,7 @@
   }
 }
 
-AllowanceSummary GrantLedger::SummaryFor(Joining const& aJoining) const
+AllowanceSummary GrantLedger::SummaryFor(base::HostId const& aHost, Joining const& aJoining) const
 {
   auto const& report = aJoining.m_report;
   AllowanceSummary summary;
@@ -266,13 +315,18 @@
   summary.m_included = report.m_number;
   summary.m_fleet = static_cast<unsigned>(Fleet());
   summary.m_sharing = static_cast<unsigned>(m_members.size()) + 1;
+  auto const* const restarted = FindRestarted(aHost, aJoining);
   Member self;
-  self.m_filledSince = aJoining.m_at - report.m_age;
+  self.m_filledSince = restarted ? restarted->m_member.m_filledSince : aJoining.m_at - report.m_age;
+  summary.m_filledFor = m_now - self.m_filledSince;
   for (auto const& [workspace, pool] : m_pools) {
     auto const listed = report.m_grants.find(workspace);
     bool const isListed = listed != report.m_grants.end();
-    auto const own = isListed ? static_cast<double>(listed->second.m_slice.Value())
-                              : UnlistedSlice(self, pool.m_limit, m_now);
+    auto const own =
+      isListed || restarted
+        ? SliceOf(aJoining, workspace,
+                  isListed ? listed->second : ReportedGrants{ pool.m_limit, {}, {}, {} }, restarted)
+        : UnlistedSlice(self, pool.m_limit, m_now);
     summary.m_pools[workspace] = { base::Tokens(static_cast<std::int64_t>(pool.m_level + own)),
                                    pool.m_asked,
                                    isListed ? listed->second.m_granted : base::Tokens() };
@@ -281,7 +335,7 @@
     if (m_pools.contains(workspace)) {
       continue;
     }
-    auto level = static_cast<double>(grants.m_slice.Value());
+    auto level = SliceOf(aJoining, workspace, grants, restarted);
     for (auto const& [host, member] : m_members) {
       level += UnlistedSlice(member, grants.m_limit, m_now);
     }
@@ -301,11 +355,12 @@
   auto const found = m_members.find(aHost);
   if (found == m_members.end()) {
     auto const joining = m_joining.find(aHost);
-    return joining == m_joining.end() ? summary : SummaryFor(joining->second);
+    return joining == m_joining.end() ? summary : SummaryFor(aHost, joining->second);
   }
   auto& member = found->second;
   summary.m_receiver = member.m_incarnation;
   summary.m_included = member.m_lastReport;
+  summary.m_filledFor = m_now - member.m_filledSince;
   bool const isWhole = member.m_wholeSummariesDue > 0;
   member.m_wholeSummariesDue -= isWhole ? 1 : 0;
   for (auto const& [workspace, pool] : m_pools) {
--- a/Entry/Allowance/GrantLedger.h
+++ b/Entry/Allowance/GrantLedger.h
@@ -19,6 +19,9 @@
   /// A gateway that nobody hears may still serve callers. Its part of the rate is left to
   /// it for this long.
   base::Duration m_granterRetention = std::chrono::seconds(60);
+  /// A gateway that is restarted within this time of its last report gets back the part
+  /// that it took with it, less what its callers asked for meanwhile.
+  base::Duration m_restartTime = std::chrono::seconds(2);
 };
 
 /// The pool of a planner: one level for each workspace, shared by the gateways that report
@@ -72,6 +75,12 @@
     AllowanceReport m_report;
     base::Instant m_at{};
   };
+  /// A member that has been silent.
+  struct Departed
+  {
+    Member m_member;
+    std::map<base::WorkspaceId, double> m_levels;
+  };
   struct Pool
   {
     AllowanceLimit m_limit;
@@ -99,7 +108,10 @@
   /// on this pool.
   bool IsJoined(base::HostId const& aHost, base::IncarnationId const& aIncarnation,
                 AllowanceReport const& aReport, base::Instant aNow);
-  AllowanceSummary SummaryFor(Joining const& aJoining) const;
+  AllowanceSummary SummaryFor(base::HostId const& aHost, Joining const& aJoining) const;
+  Departed const* FindRestarted(base::HostId const& aHost, Joining const& aJoining) const;
+  double SliceOf(Joining const& aJoining, base::WorkspaceId const& aWorkspace,
+                 ReportedGrants const& aGrants, Departed const* aRestarted) const;
   void Count(Member& aMember, AllowanceReport const& aReport, base::Instant aNow);
   Pool& FindOrStart(base::WorkspaceId const& aWorkspace, ReportedGrants const& aGrants,
                     base::CatalogVersion aCatalog, base::Instant aNow);
@@ -110,6 +122,7 @@
   std::map<base::HostId, Member> m_members;
   /// Gateways whose parts are not in the pool yet.
   std::map<base::HostId, Joining> m_joining;
+  std::map<base::HostId, Departed> m_departed;
   std::map<base::WorkspaceId, Pool> m_pools;
   /// When each gateway that may grant tokens was last heard of.
   std::map<base::HostId, base::Instant> m_heard;
--- a/Entry/Allowance/SharedAllowance.cpp
+++ b/Entry/Allowance/SharedAllowance.cpp
@@ -310,7 +310,6 @@
     return false;
   }
   Tick(aNow);
-  bool const isJoining = !m_isPooled;
   m_epoch = aSummary.m_epoch;
   m_lastSummary = aSummary.m_number;
   m_fleet = std::max(aSummary.m_fleet, 1U);
@@ -323,12 +322,19 @@
   }
   m_includedSentAt = m_sentAt.empty() ? aNow : m_sentAt.front().second;
   m_largestCorrection = {};
+  // What an earlier run of this process left has stayed with the planner.
+  if (m_startedAt && aSummary.m_filledFor > aNow - *m_startedAt) {
+    m_startedAt = aNow - aSummary.m_filledFor;
+  }
   for (auto& [workspace, bucket] : m_buckets) {
     auto const pooled = aSummary.m_pools.find(workspace);
     if (pooled != aSummary.m_pools.end()) {
       Adopt(bucket, pooled->second, GrantedOf(workspace), aNow);
-    } else if (isJoining || !bucket.m_isUsed) {
+    } else if (!bucket.m_isUsed) {
       // Nobody has used it; the others' slices are as full as this one.
+      auto const filled = bucket.m_limit.m_rate.Value() * base::ToSeconds(aNow - *m_startedAt);
+      bucket.m_slice =
+        std::max(bucket.m_slice, std::min(ValueOf(bucket.m_limit.m_burst), filled) * OwnShare());
       bucket.m_level = bucket.m_slice * m_sharing;
     }
   }
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -137,6 +137,7 @@
     entry::AllowanceReportNumber(5),
     4,
     3,
+    milliseconds(700),
     { { workspace, { base::Tokens(-9), base::TokensPerSecond(30), base::Tokens(77) } } }
   };
   summary.m_forecasts = { { kModel, milliseconds(70) } };
@@ -199,7 +200,7 @@
       R"({"method":"engine.digest","params":{"failure_domain":"a","statuses":[{}],"alive":[]}})",
       R"({"method":"domain.presence","params":{"failure_domain":"a","gateways":[["10.0.0.1:80"]],"aggregators":[],"engines":[]}})",
       R"({"method":"domain.presence","params":{"failure_domain":"a","gateways":[],"aggregators":[7],"engines":[]}})",
-      R"({"method":"planner.summary","params":{"present":1,"allowance":{"epoch":"e","number":1,"receiver":"","included":0,"fleet":1,"sharing":1,"pools":{}},"outlooks":{},"neighbours":{},"aggregators":[]}})",
+      R"({"method":"planner.summary","params":{"present":1,"allowance":{"epoch":"e","number":1,"receiver":"","included":0,"fleet":1,"sharing":1,"filled_for_ms":1,"pools":{}},"outlooks":{},"neighbours":{},"aggregators":[]}})",
       R"({"method":"unheard.of","params":{}})" }) {
     BOOST_TEST(!DecodeFleetMessage(text).has_value(), text);
   }
--- a/Tests/SharedAllowanceTest.cpp
+++ b/Tests/SharedAllowanceTest.cpp
@@ -411,6 +411,43 @@
   BOOST_TEST(levelAt(0) == 5'400);
 }
 
+/// When all gateways were killed at once and restarted, each bucket was empty for all
+/// callers, also those of workspaces that nobody had used.
+BOOST_AUTO_TEST_CASE(RestartedProcessesGetBackWhatTheirEarlierRunsLeft)
+{
+  for (bool const isQuick : { true, false }) {
+    GrantLedger ledger("epoch");
+    auto const send = [&](unsigned aRun, std::uint64_t aNumber, base::Duration aAge,
+                          base::Duration aAt) {
+      AllowanceReport report;
+      report.m_number = AllowanceReportNumber(aNumber);
+      report.m_isJoining = aNumber == 1;
+      report.m_age = aAge;
+      if (aRun == 1) {
+        report.m_grants = { { kWorkspace,
+                              { kLimit, {}, base::TokensPerSecond(1'000), base::Tokens(4'000) } } };
+      }
+      for (std::size_t host = 0; host < 2; ++host) {
+        ledger.OnReport(HostOf(host), RunOf(aRun), report, kStart + aAt);
+      }
+      ledger.Advance(kStart + aAt);
+    };
+    send(1, 1, seconds(60), {});
+    send(1, 2, seconds(60), {});
+    base::Duration const silence = isQuick ? milliseconds(800) : seconds(5);
+    ledger.Advance(kStart + milliseconds(750));
+    BOOST_TEST(ledger.SummaryFor(HostOf(0)).m_sharing == 0U);
+    send(2, 1, milliseconds(100), silence);
+    auto const joining = ledger.SummaryFor(HostOf(0));
+    BOOST_TEST((joining.m_filledFor > seconds(50)) == isQuick);
+    send(2, 2, milliseconds(200), silence + milliseconds(100));
+    auto const level = ledger.SummaryFor(HostOf(0)).m_pools.at(kWorkspace).m_level.Value();
+    // 8,000 with the refill until they were taken for silent, less what was asked since.
+    BOOST_TEST((level > 6'000) == isQuick, level);
+    BOOST_TEST(level <= 10'000);
+  }
+}
+
 /// Gateways that are stopped in turn would otherwise leave the others with a part of the
 /// rate for a minute.
 BOOST_AUTO_TEST_CASE(AProcessThatStopsLeavesItsPartOfTheRate)
