--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -4,6 +4,7 @@
 #include "Programs/Gateway/DomainExchange.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/PlannerSelector.h"
+#include "Programs/Gateway/PoolSelector.h"
 
 #include <map>
 #include <optional>
@@ -40,10 +41,15 @@
     }
   }
 
-  void OnSummary(base::Endpoint const& aPlanner, base::Instant aNow)
+  void OnSummary(base::Endpoint const& aPlanner, entry::AllowanceSummary const& aAllowance,
+                 base::Instant aNow)
   {
     m_planner.OnSummary(aPlanner, aNow);
+    m_pool.OnSummary(aPlanner, aNow);
     m_summaryAt = aNow;
+    if (m_pool.IsPool(aPlanner)) {
+      m_state.m_allowance.OnSummary(aAllowance, m_incarnation, aNow);
+    }
   }
 
   /// Called when a new catalog is in force.
@@ -75,6 +81,7 @@
       base::log::Info("planner chosen", { { "planner", planner ? planner->Text() : "" } });
     }
     m_lastPlanner = planner;
+    m_state.m_allowance.Tick(aNow);
     bool const isForAll = m_ticks++ % kPresenceTicks == 0 || isNewPlanner || m_mustAnnounceToAll;
     m_mustAnnounceToAll = false;
     Announce(isForAll, aNow);
@@ -86,7 +93,7 @@
 private:
   using Engines = std::map<base::Endpoint, agent::EngineIdentity>;
 
-  /// Reports all demand and grants once a second, and only changes in between.
+  /// Reports all demand once a second, and only changes in between.
   void SendReport(base::Endpoint const& aPlanner, bool aIsFirst, base::Duration aStoreAge,
                   base::Instant aNow)
   {
@@ -100,7 +107,7 @@
                                  m_state.m_profile.m_processorShare,
                                  isComplete,
                                  {},
-                                 GrantsToReport(isComplete),
+                                 {},
                                  m_state.CrashesToReport(aNow),
                                  aStoreAge,
                                  m_state.LeavingToReport(aNow),
@@ -120,25 +127,23 @@
       }
     }
     m_reportedWaiting = std::move(waiting);
-    m_state.m_messenger.Send(aPlanner, report);
+    auto const pool = m_pool.Choose(aPlanner, m_state.m_allowance.IsFresh(aNow), aNow);
+    if (pool.m_planner && pool.m_planner != aPlanner) {
+      m_state.m_messenger.Send(aPlanner, report);
+    }
+    if (pool.m_planner) {
+      report.m_allowance = MakeAllowanceReport(pool.m_isNew, aNow);
+      m_state.m_messenger.Send(*pool.m_planner, report);
+    }
   }
 
-  /// Returns the totals that have changed lately, as messages may be lost, or all.
-  entry::GrantedTokens GrantsToReport(bool aIsComplete)
+  entry::AllowanceReport MakeAllowanceReport(bool aIsNewPlanner, base::Instant aNow)
   {
-    auto const& granted = m_state.m_allowance.Granted();
-    entry::GrantedTokens changed;
-    for (auto const& [workspace, tokens] : granted) {
-      auto& reported = m_reportedGrants[workspace];
-      if (reported.m_tokens != tokens) {
-        reported = { tokens, kGrantRepeats };
-      }
-      if (aIsComplete || reported.m_repeats > 0) {
-        changed.emplace(workspace, tokens);
-        reported.m_repeats -= reported.m_repeats > 0 ? 1 : 0;
-      }
-    }
-    return changed;
+    auto report = m_state.m_allowance.MakeReport(aIsNewPlanner, aNow);
+    report.m_isLast = m_state.m_stopEnd.has_value();
+    report.m_catalog =
+      m_state.m_catalog ? m_state.m_catalog->Catalog().m_version : base::CatalogVersion();
+    return report;
   }
 
   /// Returns the evacuations in complete reports, and for some reports after a change.
@@ -150,7 +155,7 @@
     }
     if (state->m_domains != m_reportedEvacuations) {
       m_reportedEvacuations = state->m_domains;
-      m_evacuationRepeats = kGrantRepeats;
+      m_evacuationRepeats = kEvacuationRepeats;
     }
     bool const isDue = aIsComplete || m_evacuationRepeats > 0;
     m_evacuationRepeats -= m_evacuationRepeats > 0 ? 1 : 0;
@@ -257,16 +262,8 @@
     return deployment && deployment->m_engine;
   }
 
-  struct ReportedGrant
-  {
-    base::Tokens m_tokens;
-    /// In how many further reports the total is listed.
-    unsigned m_repeats = 0;
-  };
-
-  /// A planner that is late loses several reports in a row; any one of those of the
-  /// next second tells it of a change.
-  static constexpr unsigned kGrantRepeats = 10;
+  /// Changed evacuations are listed in this many reports, as messages may be lost.
+  static constexpr unsigned kEvacuationRepeats = 10;
   /// A new planner knows nothing of this gateway before a complete report.
   static constexpr unsigned kFirstCompleteReports = 2;
 
@@ -274,10 +271,10 @@
   DomainExchange<FleetMessenger> const& m_domain;
   base::IncarnationId m_incarnation;
   PlannerSelector m_planner;
+  PoolSelector m_pool;
   std::optional<base::Endpoint> m_lastPlanner;
   base::Instant m_summaryAt{};
   std::map<base::ModelId, unsigned> m_reportedWaiting;
-  std::map<base::WorkspaceId, ReportedGrant> m_reportedGrants;
   std::set<base::FailureDomainId> m_reportedEvacuations;
   /// In how many further reports the evacuations are listed.
   unsigned m_evacuationRepeats = 0;
