--- a/Entry/Allowance/GrantLedger.cpp
+++ b/Entry/Allowance/GrantLedger.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+#include <vector>
 
 namespace sardinefold::entry {
 
@@ -20,6 +22,10 @@
 /// summaries.
 constexpr double kAmpleLevel = 0.75;
 constexpr std::uint64_t kSummariesPerAmpleList = 10;
+/// Keeps a summary within one datagram.
+constexpr std::size_t kLargestSummary = 400;
+/// Time constant of the rate at which callers ask.
+constexpr base::Duration kAskedTime = std::chrono::seconds(1);
 /// Messages may be lost.
 constexpr unsigned kWholeSummaries = 3;
 
@@ -187,7 +193,7 @@
       counted.m_granted = grants.m_granted;
     }
     pool.m_level -= static_cast<double>((grants.m_granted - counted.m_granted).Value());
-    counted = { grants.m_granted, grants.m_asked };
+    counted = { grants.m_granted, grants.m_asked, aNow };
   }
 }
 
@@ -278,16 +284,36 @@
     for (auto const& [workspace, counted] : member.m_counted) {
       auto const pool = m_pools.find(workspace);
       if (pool != m_pools.end()) {
-        pool->second.m_asked += counted.m_asked;
+        auto const age = std::max(0.0, base::ToSeconds(aNow - counted.m_at));
+        pool->second.m_asked += base::TokensPerSecond(counted.m_asked.Value() *
+                                                      std::exp(-age / base::ToSeconds(kAskedTime)));
       }
     }
   }
   m_number = m_number.Next();
+  FindEmptiest();
   for (auto& [workspace, pool] : m_pools) {
     ChooseListing(pool, aNow);
   }
 }
 
+void GrantLedger::FindEmptiest()
+{
+  std::vector<std::pair<double, Pool*>> byLevel;
+  for (auto& [workspace, pool] : m_pools) {
+    pool.m_isAmongEmptiest = true;
+    byLevel.emplace_back(pool.m_level / std::max(1.0, Capacity(pool)), &pool);
+  }
+  if (byLevel.size() <= kLargestSummary) {
+    return;
+  }
+  auto const end = byLevel.begin() + kLargestSummary;
+  std::ranges::nth_element(byLevel, end, {}, &std::pair<double, Pool*>::first);
+  for (auto other = end; other != byLevel.end(); ++other) {
+    other->second->m_isAmongEmptiest = false;
+  }
+}
+
 void GrantLedger::ChooseListing(Pool& aPool, base::Instant aNow) const
 {
   auto const capacity = Capacity(aPool);
@@ -298,7 +324,7 @@
   bool const hasMoved = std::abs(expected - aPool.m_level) > capacity * kListedChange;
   bool const isAmple = aPool.m_level > capacity * kAmpleLevel;
   bool const isTurn = m_number.Value() % kSummariesPerAmpleList == 0;
-  aPool.m_isListed = hasMoved || (isUsed && (!isAmple || isTurn));
+  aPool.m_isListed = aPool.m_isAmongEmptiest && (hasMoved || (isUsed && (!isAmple || isTurn)));
   if (aPool.m_isListed) {
     aPool.m_listedLevel = aPool.m_level;
     aPool.m_listedAt = aNow;
@@ -321,6 +347,9 @@
   summary.m_filledFor = m_now - self.m_filledSince;
   for (auto const& [workspace, pool] : m_pools) {
     auto const listed = report.m_grants.find(workspace);
+    if (!pool.m_isAmongEmptiest && listed == report.m_grants.end()) {
+      continue;
+    }
     bool const isListed = listed != report.m_grants.end();
     auto const own =
       isListed || restarted
@@ -364,7 +393,7 @@
   bool const isWhole = member.m_wholeSummariesDue > 0;
   member.m_wholeSummariesDue -= isWhole ? 1 : 0;
   for (auto const& [workspace, pool] : m_pools) {
-    if (!isWhole && !pool.m_isListed) {
+    if (!pool.m_isListed && !(isWhole && pool.m_isAmongEmptiest)) {
       continue;
     }
     auto const counted = member.m_counted.find(workspace);
--- a/Entry/Allowance/GrantLedger.h
+++ b/Entry/Allowance/GrantLedger.h
@@ -54,6 +54,7 @@
   {
     base::Tokens m_granted;
     base::TokensPerSecond m_asked;
+    base::Instant m_at{};
   };
   struct Member
   {
@@ -91,6 +92,8 @@
     base::TokensPerSecond m_asked;
     /// Whether this round's summaries list it, and its level when it was listed last.
     bool m_isListed = false;
+    /// Whether it is among the emptiest, which fit one summary.
+    bool m_isAmongEmptiest = true;
     double m_listedLevel = 0;
     base::Instant m_listedAt{};
   };
@@ -102,6 +105,7 @@
                        base::Instant aNow) const;
   void Fill(Pool& aPool, base::Instant aNow) const;
   void ChooseListing(Pool& aPool, base::Instant aNow) const;
+  void FindEmptiest();
   void FillAll(base::Instant aNow);
   void Join(base::HostId const& aHost, Joining const& aJoining, base::Instant aNow);
   /// Records a joining report, or returns whether the report shows that the gateway relies
--- a/Entry/Allowance/SharedAllowance.cpp
+++ b/Entry/Allowance/SharedAllowance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace sardinefold::entry {
@@ -16,10 +17,11 @@
 constexpr base::Duration kLongestFill = std::chrono::seconds(1);
 /// Time constant of the rate at which callers ask.
 constexpr base::Duration kAskedTime = std::chrono::seconds(1);
-/// A workspace is reported for this long after its last request, as messages may be lost.
-constexpr base::Duration kListedUse = std::chrono::seconds(2);
-/// Callers who came no later than this count as asking no more.
-constexpr base::Duration kAskedUse = std::chrono::milliseconds(1'500);
+/// Messages may be lost: a workspace is in this many reports after its last request, and
+/// then in one of ten for this long.
+constexpr std::uint64_t kRepeats = 3;
+constexpr std::uint64_t kReportsPerList = 10;
+constexpr base::Duration kListedUse = std::chrono::seconds(3);
 /// Largest part of the pool's capacity that is kept back for grants that are not known yet.
 constexpr double kLargestReserve = 0.5;
 /// Age of a level when no message is lost or late.
@@ -193,6 +195,7 @@
   bucket.m_askedHere = bucket.m_askedHere * Decay(aNow - bucket.m_askedAt) + tokens;
   bucket.m_askedAt = aNow;
   bucket.m_lastUseAt = aNow;
+  bucket.m_hasUnlistedUse = true;
   if (!IsGranted(bucket, tokens, aNow)) {
     return ReturnAfter(bucket, tokens, aNow);
   }
@@ -213,6 +216,7 @@
   bucket.m_level += ValueOf(aTokens);
   bucket.m_slice += ValueOf(aTokens);
   bucket.m_lastUseAt = std::max(bucket.m_lastUseAt, bucket.m_filledAt);
+  bucket.m_hasUnlistedUse = true;
   m_granted[aWorkspace] -= aTokens;
 }
 
@@ -237,6 +241,23 @@
   return found == m_granted.end() ? base::Tokens() : found->second;
 }
 
+bool SharedAllowance::IsListed(Bucket& aBucket, base::Instant aNow) const
+{
+  if (aBucket.m_limit.m_rate.Value() <= 0) {
+    return false;
+  }
+  if (std::exchange(aBucket.m_hasUnlistedUse, false)) {
+    aBucket.m_listedFirst = m_lastReport;
+  }
+  if (!m_isPooled && aBucket.m_isUsed) {
+    return true;
+  }
+  bool const isRecent =
+    aBucket.m_lastUseAt != base::Instant() && aNow - aBucket.m_lastUseAt <= kListedUse;
+  auto const since = m_lastReport.Value() - aBucket.m_listedFirst.Value();
+  return isRecent && (since < kRepeats || m_lastReport.Value() % kReportsPerList == 0);
+}
+
 AllowanceReport SharedAllowance::MakeReport(bool aIsNewPlanner, base::Instant aNow)
 {
   Tick(aNow);
@@ -255,10 +276,8 @@
   report.m_age = m_startedAt ? std::max(base::Duration{}, aNow - *m_startedAt) : base::Duration{};
   report.m_fleet = m_isFleetKnown ? m_fleet : 0;
   std::vector<std::pair<double, base::WorkspaceId>> listed;
-  for (auto const& [workspace, bucket] : m_buckets) {
-    bool const isRecent =
-      bucket.m_lastUseAt != base::Instant() && aNow - bucket.m_lastUseAt <= kListedUse;
-    if (bucket.m_limit.m_rate.Value() > 0 && (isRecent || (!m_isPooled && bucket.m_isUsed))) {
+  for (auto& [workspace, bucket] : m_buckets) {
+    if (IsListed(bucket, aNow)) {
       listed.emplace_back(bucket.m_slice / std::max(1.0, ValueOf(bucket.m_limit.m_burst)),
                           workspace);
     }
@@ -270,10 +289,8 @@
   }
   for (auto const& [part, workspace] : listed) {
     auto const& bucket = m_buckets.at(workspace);
-    bool const isAsked = aNow - bucket.m_lastUseAt <= kAskedUse;
     report.m_grants[workspace] = { bucket.m_limit, GrantedOf(workspace),
-                                   base::TokensPerSecond(
-                                     isAsked ? std::round(AskedHere(bucket, aNow)) : 0),
+                                   base::TokensPerSecond(std::round(AskedHere(bucket, aNow))),
                                    m_isPooled ? base::Tokens() : TokensOf(bucket.m_slice) };
   }
   return report;
--- a/Entry/Allowance/SharedAllowance.h
+++ b/Entry/Allowance/SharedAllowance.h
@@ -102,6 +102,9 @@
     double m_askedByAll = 0;
     base::Instant m_askedByAllAt{};
     base::Instant m_lastUseAt{};
+    /// The report that listed it first after its last use.
+    AllowanceReportNumber m_listedFirst;
+    bool m_hasUnlistedUse = false;
     /// Whether this process or others are known to have granted from it.
     bool m_isUsed = false;
     /// When the next caller that is refused may come again.
@@ -118,6 +121,7 @@
   void Fill(Bucket& aBucket, base::Instant aNow) const;
   void Adopt(Bucket& aBucket, PooledAllowance const& aPooled, base::Tokens aGranted,
              base::Instant aNow);
+  bool IsListed(Bucket& aBucket, base::Instant aNow) const;
   base::Tokens GrantedOf(base::WorkspaceId const& aWorkspace) const;
 
   SharedAllowanceLimits m_limits;
