--- a/Tests/StatusRelayTest.cpp
+++ b/Tests/StatusRelayTest.cpp
@@ -410,7 +410,8 @@
                                           std::nullopt,
                                           0,
                                           0,
-                                          { aStatus.m_incarnation, aStatus.m_number } },
+                                          { aStatus.m_incarnation, aStatus.m_number },
+                                          std::nullopt },
                                         m_now);
   }
 
