--- a/Tests/AdapterTest.cpp
+++ b/Tests/AdapterTest.cpp
@@ -107,6 +107,13 @@
   BOOST_TEST((profile->m_bounds.m_maximumDrainDelay == std::chrono::milliseconds(2500)));
   BOOST_TEST((profile->m_bounds.m_heartbeatInterval == std::chrono::milliseconds(900)));
   BOOST_TEST(profile->m_bounds.m_retryAllowance == 52);
+  // Without the setting the site has no evacuations.
+  BOOST_TEST(!profile->m_bounds.m_maximumEvacuationDelay.has_value());
+  std::string withEvacuations(kSettings);
+  withEvacuations.replace(withEvacuations.find("  retrySlack"), 0, "  evacMs: 4500\n");
+  auto const evacuating = platform::ParseNodeSettings(withEvacuations);
+  BOOST_REQUIRE(evacuating.has_value());
+  BOOST_TEST((evacuating->m_bounds.m_maximumEvacuationDelay == std::chrono::milliseconds(4500)));
 }
 
 BOOST_AUTO_TEST_CASE(NamesTheSettingThatIsMissing)
--- a/Tests/OddEntryTest.cpp
+++ b/Tests/OddEntryTest.cpp
@@ -300,9 +300,11 @@
       settings.append(field).append(": ").append(value).append("\n");
       BOOST_CHECK_NO_THROW(static_cast<void>(platform::ParseNodeSettings(settings)));
     }
-    auto bounds = valid;
-    bounds.append("bounds: {drainMs: ").append(value).append("}\n");
-    BOOST_CHECK_NO_THROW(static_cast<void>(platform::ParseNodeSettings(bounds)));
+    for (std::string const field : { "drainMs", "evacMs" }) {
+      auto bounds = valid;
+      bounds.append("bounds: {").append(field).append(": ").append(value).append("}\n");
+      BOOST_CHECK_NO_THROW(static_cast<void>(platform::ParseNodeSettings(bounds)));
+    }
   }
 }
 
