--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Base/Digest.h"
+#include "Base/FastHasher.h"
 #include "Base/Http/HttpMessage.h"
 #include "Base/Log.h"
 #include "Programs/Gateway/GatewayState.h"
@@ -137,8 +137,10 @@
   base::FingerprintId Fingerprint() const
   {
     auto const workspace = m_context.m_workspace ? m_context.m_workspace->Text() : "";
-    auto const hash =
-      base::FastHash(m_request.m_target + "\n" + workspace + "\n" + m_request.m_body);
+    // The body may be large, so that it is not copied.
+    base::FastHasher hasher;
+    hasher.Add(m_request.m_target).Add("\n").Add(workspace).Add("\n").Add(m_request.m_body);
+    auto const hash = hasher.Value();
     return base::FingerprintId::FromValidated(std::to_string(hash));
   }
 
