--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -55,7 +55,7 @@
   /// milliseconds.
   std::optional<std::int64_t> m_leavingStart;
   /// Start of the engine in Unix milliseconds, once it has reported to the loader.
-  std::optional<std::int64_t> m_engineStart;
+  std::optional<std::int64_t> m_engineStart{};
   /// Number of gateways that the loader knows to be running.
   unsigned m_gatewaysPresent = 0;
   /// The run of the loader, whose statuses are numbered from its start.
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -200,7 +200,7 @@
   unsigned m_waiting = 0;
   LoaderStatusNumber m_number;
   /// Start of the engine in Unix milliseconds, which the list may not tell yet.
-  std::optional<std::int64_t> m_engineStart;
+  std::optional<std::int64_t> m_engineStart{};
 };
 
 /// Tracks the engines and services, the models that they hold and their load,
