Engine, Programs: Choose upstreams so that those who know the same choose differently

Cause: UpstreamDirectory::Find took the least cost as of the last report, so that all gateways chose the same upstream until the next report; the cost knew neither pace nor the size of a prompt. Change: what is known of one upstream's load, the pace, what is usual, what others send and the choice are classes of their own (docs/design/even-load.md); the directory asks them. The line `request sent` has the estimate, two metrics are new.

--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -111,6 +111,7 @@
       m_left.OnRemoved(StartOf(upstream.m_entry), aNow);
     }
     upstream.m_loaderStatus.reset();
+    upstream.m_load.OnRestart();
     upstream.m_missing.clear();
     upstream.m_failures = 0;
     upstream.m_pausedUntil = aNow;
@@ -350,7 +351,7 @@
       return before && std::ranges::includes(before->m_adapters, aHeld.m_adapters);
     };
     hasNewModels = hasNewModels || !std::ranges::all_of(aStatus.m_models, known);
-    UpdateOthersLoad(upstream, aStatus.m_running, aStatus.m_waiting);
+    upstream.m_load.OnReported(aStatus.m_running, aStatus.m_waiting, aNow);
     upstream.m_loaderStatus = aStatus;
     upstream.m_loaderStatusAt = aNow;
   }
@@ -366,7 +367,7 @@
   for (auto item = range.first; item != range.second; ++item) {
     auto& upstream = *item->second;
     if (upstream.m_loaderStatus && upstream.m_loaderStatus->m_number == aNumber) {
-      UpdateOthersLoad(upstream, aRunning, aWaiting);
+      upstream.m_load.OnReported(aRunning, aWaiting, aNow);
       upstream.m_loaderStatusAt = aNow;
       continue;
     }
@@ -379,21 +380,17 @@
 }
 
 void UpstreamDirectory::OnLoadReported(InstanceId const& aInstance, unsigned aRunning,
-                                       unsigned aWaiting)
+                                       unsigned aWaiting, std::optional<double> aSlowdown,
+                                       base::Instant aNow)
 {
   auto const found = m_upstreams.find(aInstance);
   if (found == m_upstreams.end()) {
     return;
   }
-  UpdateOthersLoad(found->second, aRunning, aWaiting);
-}
-
-void UpstreamDirectory::UpdateOthersLoad(Upstream& aUpstream, unsigned aRunning, unsigned aWaiting)
-{
-  unsigned const ownRunning = aUpstream.m_inFlight - aUpstream.m_unanswered;
-  aUpstream.m_othersRunning = aRunning > ownRunning ? aRunning - ownRunning : 0;
-  aUpstream.m_othersWaiting =
-    aWaiting > aUpstream.m_unanswered ? aWaiting - aUpstream.m_unanswered : 0;
+  found->second.m_load.OnReported(aRunning, aWaiting, aNow);
+  if (aSlowdown) {
+    found->second.m_load.OnSlowdown(*aSlowdown, aNow);
+  }
 }
 
 bool UpstreamDirectory::IsAvailable(Upstream const& aUpstream, base::Instant aNow)
@@ -428,38 +425,89 @@
   return found == models.end() ? nullptr : &*found;
 }
 
-UpstreamLoadEstimate UpstreamDirectory::EstimateLoad(Upstream const& aUpstream, base::Instant aNow)
+UpstreamLoadEstimate UpstreamDirectory::EstimateLoad(Upstream const& aUpstream, RequestWork aWork,
+                                                     base::Instant aNow) const
 {
   UpstreamLoadEstimate estimate;
-  estimate.m_unanswered = aUpstream.m_unanswered + aUpstream.m_othersWaiting;
-  estimate.m_running = aUpstream.m_inFlight - aUpstream.m_unanswered + aUpstream.m_othersRunning;
+  estimate.m_unanswered = aUpstream.m_load.Unanswered();
+  estimate.m_running = aUpstream.m_load.Running();
   if (aUpstream.m_loaderStatus) {
     estimate.m_loaderStatusAge = aNow - aUpstream.m_loaderStatusAt;
   }
   estimate.m_isUnlisted = aUpstream.m_usableUntil.has_value();
+  estimate.m_reportAge = aUpstream.m_load.ReportAge(aNow);
+  estimate.m_work = aUpstream.m_load.Ahead(RequestWork(m_limits.m_running)) + aWork;
+  estimate.m_slowness = aUpstream.m_load.Slowness(aNow);
   return estimate;
 }
 
-double UpstreamDirectory::CostOf(Upstream const& aUpstream, bool aLacksAdapter, bool aIsSuspected,
-                                 base::Instant aNow)
+UpstreamCandidate UpstreamDirectory::CostOf(Candidate const& aCandidate, RequestWork aWork,
+                                            bool aIsSuspected, base::Instant aNow) const
 {
-  auto const estimate = EstimateLoad(aUpstream, aNow);
-  double const busy = estimate.m_unanswered + m_limits.m_running * estimate.m_running;
+  auto const& upstream = *aCandidate.m_upstream;
+  auto const estimate = EstimateLoad(upstream, aWork, aNow);
+  auto const busy = estimate.m_work * estimate.m_slowness;
   double const remote =
-    aUpstream.m_entry.m_failureDomain == m_localFailureDomain ? 0 : m_limits.m_remoteDomainCost;
-  double const adapter = aLacksAdapter ? kAdapterCost : 0;
+    upstream.m_entry.m_failureDomain == m_localFailureDomain ? 0 : m_limits.m_remoteDomainCost;
+  double const adapter = aCandidate.m_lacksAdapter ? kAdapterCost : 0;
   bool const isBesideSuspected =
-    aUpstream.m_suspected > 0 || (aIsSuspected && aUpstream.m_unanswered > 0);
+    upstream.m_suspected > 0 || (aIsSuspected && upstream.m_load.OwnUnanswered() > 0);
   double const suspected = isBesideSuspected ? m_limits.m_suspectedCost : 0;
-  return busy + remote + adapter + suspected + std::uniform_real_distribution<>(0, 0.5)(m_random);
+  return { busy + RequestWork(remote + adapter + suspected), RequestWork(estimate.m_slowness) };
+}
+
+/// Returns how many requests other gateways are expected to have sent to these upstreams
+/// since the reports on them.
+double UpstreamDirectory::ExpectedOthers(std::vector<Candidate> const& aCandidates,
+                                         UpstreamQuery const& aQuery, base::Instant aNow) const
+{
+  base::Duration ages{};
+  std::set<base::FailureDomainId> domains;
+  for (auto const& candidate : aCandidates) {
+    auto const age = candidate.m_upstream->m_load.ReportAge(aNow);
+    ages += std::min(age.value_or(m_limits.m_maximumStatusAge), m_limits.m_maximumStatusAge);
+    domains.insert(candidate.m_upstream->m_entry.m_failureDomain);
+  }
+  auto const meanAge = ages / static_cast<std::int64_t>(aCandidates.size());
+  // The gateways of other failure domains prefer the upstreams there.
+  return m_others.Expected({ aQuery.m_deployment, aQuery.m_model }, meanAge, aNow) /
+         static_cast<double>(domains.size());
+}
+
+UpstreamChoice UpstreamDirectory::Choose(std::vector<Candidate> const& aCandidates,
+                                         UpstreamQuery const& aQuery, base::Instant aNow)
+{
+  auto const& usage = m_usage[aQuery.m_deployment];
+  auto const work = usage.WorkOf(aQuery.m_prompt);
+  std::vector<UpstreamCandidate> costs;
+  for (auto const& candidate : aCandidates) {
+    costs.push_back(CostOf(candidate, work, aQuery.m_isSuspected, aNow));
+  }
+  double const others = ExpectedOthers(aCandidates, aQuery, aNow);
+  double const draw = std::uniform_real_distribution<>(0, 1)(m_random);
+  auto const& chosen = aCandidates[m_chooser.Choose(costs, others, draw)];
+  auto const& upstream = *chosen.m_upstream;
+  auto const start = StartOf(upstream.m_entry);
+  auto estimate = EstimateLoad(upstream, work, aNow);
+  estimate.m_others = others;
+  estimate.m_answerTime = usage.TimeOf(estimate.m_work * estimate.m_slowness);
+  return UpstreamChoice{ upstream.m_entry.m_instance,
+                         upstream.m_entry.m_startedAt,
+                         upstream.m_entry.m_endpoint,
+                         chosen.m_lacksAdapter,
+                         chosen.m_isLeaving,
+                         m_backoffs.Find(start) != nullptr,
+                         m_backoffs.Revision(start),
+                         estimate,
+                         work };
 }
 
 std::variant<UpstreamChoice, UpstreamAbsence> UpstreamDirectory::Find(UpstreamQuery const& aQuery,
                                                                       base::Instant aNow)
 {
   UpstreamAbsence absence = UpstreamAbsence::NoUpstream;
-  std::optional<UpstreamChoice> best;
-  double bestCost = 0;
+  std::vector<Candidate> candidates;
+  std::vector<Candidate> leaving;
   for (auto const& [instance, upstream] : m_upstreams) {
     bool const isCandidate = upstream.m_entry.m_deployment == aQuery.m_deployment &&
                              IsAvailable(upstream, aNow) && !aQuery.m_excluded.contains(instance);
@@ -483,33 +531,40 @@
     if (!m_backoffs.IsOpen(start, aNow)) {
       continue;
     }
-    double const cost = CostOf(upstream, lacksAdapter, aQuery.m_isSuspected, aNow);
     bool const isLeaving = IsLeaving(upstream);
-    bool const isBetter = !best || (isLeaving == best->m_isLeaving ? cost < bestCost : !isLeaving);
-    if (isBetter) {
-      best = UpstreamChoice{ instance,
-                             upstream.m_entry.m_startedAt,
-                             upstream.m_entry.m_endpoint,
-                             lacksAdapter,
-                             isLeaving,
-                             m_backoffs.Find(start) != nullptr,
-                             m_backoffs.Revision(start),
-                             EstimateLoad(upstream, aNow) };
-      bestCost = cost;
-    }
+    (isLeaving ? leaving : candidates).push_back({ &upstream, lacksAdapter, isLeaving });
   }
-  if (best) {
-    return *best;
+  auto const& preferred = candidates.empty() ? leaving : candidates;
+  if (!preferred.empty()) {
+    return Choose(preferred, aQuery, aNow);
   }
   return BackoffEndFor(aQuery, aNow) ? UpstreamAbsence::BackingOff : absence;
 }
 
-void UpstreamDirectory::OnSent(InstanceId const& aInstance)
+void UpstreamDirectory::OnDemand(UpstreamQuery const& aQuery, base::Instant aNow)
+{
+  m_usage[aQuery.m_deployment].OnRequest(aQuery.m_prompt);
+  m_others.OnSent({ aQuery.m_deployment, aQuery.m_model }, aNow);
+}
+
+double UpstreamDirectory::OnAnswerTime(UpstreamChoice const& aChoice, base::Duration aTime)
+{
+  auto const found = m_upstreams.find(aChoice.m_instance);
+  if (found == m_upstreams.end() || found->second.m_entry.m_startedAt != aChoice.m_startedAt) {
+    return 1;
+  }
+  auto const& estimate = aChoice.m_loadEstimate;
+  double const ratio = m_usage[found->second.m_entry.m_deployment].OnAnswer(aTime, estimate.m_work,
+                                                                            estimate.m_slowness);
+  found->second.m_load.OnAnswerTime(ratio);
+  return ratio;
+}
+
+void UpstreamDirectory::OnSent(InstanceId const& aInstance, RequestWork aWork)
 {
   auto const found = m_upstreams.find(aInstance);
   if (found != m_upstreams.end()) {
-    ++found->second.m_inFlight;
-    ++found->second.m_unanswered;
+    found->second.m_load.OnSent(aWork);
   }
 }
 
@@ -529,23 +584,24 @@
   }
 }
 
-void UpstreamDirectory::OnResponseStarted(InstanceId const& aInstance)
+void UpstreamDirectory::OnResponseStarted(InstanceId const& aInstance, RequestWork aWork)
 {
   auto const found = m_upstreams.find(aInstance);
-  if (found != m_upstreams.end() && found->second.m_unanswered > 0) {
-    --found->second.m_unanswered;
+  if (found != m_upstreams.end()) {
+    found->second.m_load.OnResponseStarted(aWork);
   }
 }
 
-void UpstreamDirectory::OnDone(InstanceId const& aInstance, bool aHasBegun)
+void UpstreamDirectory::OnDone(InstanceId const& aInstance, bool aHasBegun, RequestWork aWork)
 {
-  if (!aHasBegun) {
-    OnResponseStarted(aInstance);
-  }
   auto const found = m_upstreams.find(aInstance);
-  if (found != m_upstreams.end() && found->second.m_inFlight > 0) {
-    --found->second.m_inFlight;
+  if (found == m_upstreams.end()) {
+    return;
   }
+  if (!aHasBegun) {
+    found->second.m_load.OnResponseStarted(aWork);
+  }
+  found->second.m_load.OnDone();
 }
 
 void UpstreamDirectory::OnServed(InstanceId const& aInstance)
@@ -643,7 +699,7 @@
     if (isOutOfUse) {
       m_left.OnRemoved(StartOf(aItem.second.m_entry), aNow);
     }
-    bool const isExpired = isOutOfUse && aItem.second.m_inFlight == 0;
+    bool const isExpired = isOutOfUse && aItem.second.m_load.InFlight() == 0;
     if (isExpired) {
       OnStartEnded(aItem.second.m_entry, false);
       RemoveFromIndex(aItem.second);
@@ -670,6 +726,34 @@
   return entries;
 }
 
+std::map<base::DeploymentId, double> UpstreamDirectory::BusiestOverMean() const
+{
+  struct Sum
+  {
+    double m_requests = 0;
+    double m_most = 0;
+    double m_upstreams = 0;
+  };
+  std::map<base::DeploymentId, Sum> sums;
+  for (auto const& [instance, upstream] : m_upstreams) {
+    if (!IsListed(upstream)) {
+      continue;
+    }
+    auto& sum = sums[upstream.m_entry.m_deployment];
+    double const requests = upstream.m_load.Unanswered() + upstream.m_load.Running();
+    sum.m_requests += requests;
+    sum.m_most = std::max(sum.m_most, requests);
+    ++sum.m_upstreams;
+  }
+  std::map<base::DeploymentId, double> ratios;
+  for (auto const& [deployment, sum] : sums) {
+    if (sum.m_requests > 0) {
+      ratios[deployment] = sum.m_most * sum.m_upstreams / sum.m_requests;
+    }
+  }
+  return ratios;
+}
+
 bool UpstreamDirectory::HasUpstreamOf(base::DeploymentId const& aDeployment) const
 {
   return std::ranges::any_of(m_upstreams, [&](auto const& aItem) {
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "Engine/DeploymentUsage.h"
 #include "Engine/EngineTypes.h"
 #include "Engine/LeavingUpstreams.h"
 #include "Engine/LeftUpstreams.h"
+#include "Engine/LevelChooser.h"
+#include "Engine/OthersDemand.h"
 #include "Engine/UpstreamBackoff.h"
+#include "Engine/UpstreamLoadModel.h"
 
 #include <cstdint>
 #include <map>
@@ -57,6 +61,7 @@
   /// Whether the request is suspected of crashing upstreams, and should run where
   /// no other request awaits its answer.
   bool m_isSuspected = false;
+  std::optional<base::Tokens> m_prompt = std::nullopt;
 };
 
 /// An upstream's load, estimated from this process's own requests and from
@@ -69,6 +74,16 @@
   unsigned m_running = 0;
   /// Age of the latest status report of the engine's loader, if there is one.
   std::optional<base::Duration> m_loaderStatusAge;
+  /// Age of the latest report of the upstream's load, if there is one.
+  std::optional<base::Duration> m_reportAge;
+  /// The request's own work and what it finds before it.
+  RequestWork m_work;
+  /// See UpstreamLoadModel::Slowness().
+  double m_slowness = 1;
+  /// Requests that other gateways are expected to have sent since the reports.
+  double m_others = 0;
+  /// Expected time to the answer, if any answer of the deployment is known.
+  std::optional<base::Duration> m_answerTime;
   /// Whether the upstream is no longer listed but still used, since its entry
   /// may only have lapsed.
   bool m_isUnlisted = false;
@@ -126,6 +141,8 @@
   std::uint64_t m_backoffRevision = 0;
   /// The load that the choice was based on.
   UpstreamLoadEstimate m_loadEstimate;
+  /// The request's own work.
+  RequestWork m_work{ 1 };
 };
 
 /// Why there is no upstream for a request.
@@ -227,7 +244,11 @@
   bool OnStatusUnchanged(base::Endpoint const& aEngine, LoaderStatusNumber const& aNumber,
                          unsigned aRunning, unsigned aWaiting, base::Instant aNow);
   /// A response reported how many requests run and wait at the upstream.
-  void OnLoadReported(InstanceId const& aInstance, unsigned aRunning, unsigned aWaiting);
+  /// aSlowdown is how long work takes on its host, if it said so; 1 is as usual.
+  void OnLoadReported(InstanceId const& aInstance, unsigned aRunning, unsigned aWaiting,
+                      std::optional<double> aSlowdown, base::Instant aNow);
+  /// The number of gateways that send to the upstreams, including this one.
+  void SetGateways(unsigned aGateways) { m_others.SetGateways(aGateways); }
 
   /// Takes an announcement that a start of an upstream leaves. Returns whether it
   /// is news; see LeavingUpstreams.
@@ -259,14 +280,18 @@
   std::variant<UpstreamChoice, UpstreamAbsence> Find(UpstreamQuery const& aQuery,
                                                      base::Instant aNow);
 
-  void OnSent(InstanceId const& aInstance);
+  void OnSent(InstanceId const& aInstance, RequestWork aWork = RequestWork(1));
+  /// Called when a request is sent to its upstream, for what is known of the demand.
+  void OnDemand(UpstreamQuery const& aQuery, base::Instant aNow);
+  /// An answer began after this time. Returns the time over what was expected.
+  double OnAnswerTime(UpstreamChoice const& aChoice, base::Duration aTime);
   /// Called when a request that is suspected of crashing its upstream is sent, and
   /// when its answer begins or its attempt ends without one.
   void OnSuspectedSent(InstanceId const& aInstance);
   void OnSuspectedAnswered(InstanceId const& aInstance);
   /// The upstream has begun to answer one of the requests.
-  void OnResponseStarted(InstanceId const& aInstance);
-  void OnDone(InstanceId const& aInstance, bool aHasBegun);
+  void OnResponseStarted(InstanceId const& aInstance, RequestWork aWork = RequestWork(1));
+  void OnDone(InstanceId const& aInstance, bool aHasBegun, RequestWork aWork = RequestWork(1));
   void OnServed(InstanceId const& aInstance);
   /// Returns for how long the upstream is paused, if it is from now on.
   std::optional<base::Duration> OnFailed(InstanceId const& aInstance, base::Instant aNow);
@@ -296,6 +321,9 @@
   /// upstream. If not, another one should be chosen.
   bool MaySend(UpstreamChoice const& aChoice, base::Instant aNow) const;
   bool HasUpstreamOf(base::DeploymentId const& aDeployment) const;
+  /// The requests of the busiest upstream of each deployment over the mean, as far as known.
+  /// Deployments without requests are left out.
+  std::map<base::DeploymentId, double> BusiestOverMean() const;
 
 private:
   struct Upstream
@@ -313,12 +341,7 @@
     std::optional<base::Instant> m_doubtedUntil;
     std::optional<LoaderStatus> m_loaderStatus;
     base::Instant m_loaderStatusAt{};
-    /// Requests of this process in flight.
-    unsigned m_inFlight = 0;
-    /// Those of them that the upstream has not begun to answer.
-    unsigned m_unanswered = 0;
-    unsigned m_othersRunning = 0;
-    unsigned m_othersWaiting = 0;
+    UpstreamLoadModel m_load;
     /// Unanswered requests of this process that are suspected of crashing it.
     unsigned m_suspected = 0;
     unsigned m_failures = 0;
@@ -339,11 +362,22 @@
   bool IsUsable(Upstream const& aUpstream, base::Instant aNow) const;
   HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
                              base::Instant aNow) const;
-  static UpstreamLoadEstimate EstimateLoad(Upstream const& aUpstream, base::Instant aNow);
-  double CostOf(Upstream const& aUpstream, bool aLacksAdapter, bool aIsSuspected,
-                base::Instant aNow);
+  /// An upstream that can serve a request.
+  struct Candidate
+  {
+    Upstream const* m_upstream = nullptr;
+    bool m_lacksAdapter = false;
+    bool m_isLeaving = false;
+  };
+  UpstreamLoadEstimate EstimateLoad(Upstream const& aUpstream, RequestWork aWork,
+                                    base::Instant aNow) const;
+  UpstreamCandidate CostOf(Candidate const& aCandidate, RequestWork aWork, bool aIsSuspected,
+                           base::Instant aNow) const;
+  double ExpectedOthers(std::vector<Candidate> const& aCandidates, UpstreamQuery const& aQuery,
+                        base::Instant aNow) const;
+  UpstreamChoice Choose(std::vector<Candidate> const& aCandidates, UpstreamQuery const& aQuery,
+                        base::Instant aNow);
   std::optional<base::Duration> Pause(Upstream& aUpstream, base::Instant aNow);
-  static void UpdateOthersLoad(Upstream& aUpstream, unsigned aRunning, unsigned aWaiting);
   bool MayPause(Upstream const& aUpstream, base::Instant aNow) const;
 
   DirectoryLimits m_limits;
@@ -357,6 +391,9 @@
   LeftUpstreams m_left;
   std::vector<LeavingEnd> m_leavingEnds;
   std::vector<base::Endpoint> m_endedEndpoints;
+  std::map<base::DeploymentId, DeploymentUsage> m_usage;
+  OthersDemand m_others;
+  LevelChooser m_chooser;
   BackoffTable m_backoffs;
   std::vector<BackoffEnd> m_backoffEnds;
 };
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -189,6 +189,7 @@
     m_relay.OnNewAttempt(m_attempt);
     m_state.RecordSent(m_attempt);
     m_state.m_directory.OnTrialStarted(aChoice, Now());
+    m_state.m_directory.OnDemand(m_context.m_query, Now());
     if (m_context.m_query.m_model) {
       m_state.m_demand.StartRunning(*m_context.m_query.m_model);
     }
@@ -203,13 +204,21 @@
         { "account_age_ms", standing.m_loaderStatusAge
                               ? std::to_string(base::ToMilliseconds(*standing.m_loaderStatusAge))
                               : "" },
+        { "load_age_ms",
+          standing.m_reportAge ? std::to_string(base::ToMilliseconds(*standing.m_reportAge)) : "" },
+        { "work", std::to_string(standing.m_work.Value()) },
+        { "slowness", std::to_string(standing.m_slowness) },
+        { "others", std::to_string(standing.m_others) },
+        { "expected_ms", standing.m_answerTime
+                           ? std::to_string(base::ToMilliseconds(*standing.m_answerTime))
+                           : "" },
         { "listed", standing.m_isUnlisted ? "false" : "true" },
         { "time_left_ms", std::to_string(base::ToMilliseconds(m_context.m_end - Now())) } });
   }
 
   void OnAttemptEnded(engine::UpstreamChoice const& aChoice)
   {
-    m_state.m_directory.OnDone(aChoice.m_instance, m_relay.HasResponseStarted());
+    m_state.m_directory.OnDone(aChoice.m_instance, m_relay.HasResponseStarted(), aChoice.m_work);
     m_state.m_directory.OnTrialEnded(aChoice);
     if (!m_relay.HasResponseStarted()) {
       m_state.RecordAnswered(m_attempt);
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -343,6 +343,13 @@
     setAge("planner", m_fleet.PlannerAge(aNow));
     m_state.m_metrics.Gauge("sardinefold_gateway_upstreams", "Upstreams known.")
       .Set(static_cast<double>(m_state.m_directory.Size()));
+    for (auto const& [deployment, ratio] : m_state.m_directory.BusiestOverMean()) {
+      m_state.m_metrics
+        .Gauge("sardinefold_gateway_busiest_upstream_ratio",
+               "Requests of the busiest upstream over the mean, as reported.",
+               { { "deployment", deployment.Text() } })
+        .Set(ratio);
+    }
     m_state.m_metrics
       .Gauge("sardinefold_gateway_idle_upstream_connections",
              "Connections to upstreams that are kept for the next request.")
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -102,7 +102,7 @@
 
   void RecordSent(Attempt const& aAttempt)
   {
-    m_directory.OnSent(aAttempt.m_upstream.m_instance);
+    m_directory.OnSent(aAttempt.m_upstream.m_instance, aAttempt.m_upstream.m_work);
     m_suspectParts.OnSent(aAttempt.m_parts);
     if (aAttempt.m_isSuspected) {
       m_directory.OnSuspectedSent(aAttempt.m_upstream.m_instance);
@@ -123,11 +123,30 @@
   /// Records that an upstream began to answer.
   void RecordBeginning(Attempt const& aAttempt)
   {
+    RecordAnswerTime(aAttempt);
     m_suspectParts.OnBegun(aAttempt.m_parts, IncarnationOf(aAttempt.m_upstream), aAttempt.m_sentAt,
                            m_loop.Now());
     OnPartChanges("own");
   }
 
+  /// Compares the time of an answer with the estimate that its upstream was chosen by.
+  void RecordAnswerTime(Attempt const& aAttempt)
+  {
+    auto const time = m_loop.Now() - aAttempt.m_sentAt;
+    m_directory.OnAnswerTime(aAttempt.m_upstream, time);
+    if (auto const expected = aAttempt.m_upstream.m_loadEstimate.m_answerTime) {
+      bool const isLater = time > 2 * *expected;
+      bool const isEarlier = 2 * time < *expected;
+      m_metrics
+        .Counter("sardinefold_gateway_answer_estimates_total",
+                 "Answers by when they began, beside the estimate at the choice.",
+                 { { "outcome", isLater     ? "later"
+                                : isEarlier ? "earlier"
+                                            : "as expected" } })
+        .Increment();
+    }
+  }
+
   /// Handles the news of other gateways on prompt parts.
   void OnPartNews(std::vector<agent::PartCrashReport> const& aCrashes,
                   std::vector<agent::PartAcquittal> const& aAcquittals,
@@ -327,6 +346,7 @@
       return;
     }
     m_gatewaysPresent = aGateways;
+    m_directory.SetGateways(aGateways);
     OnRetryBoundsChanged();
   }
 
--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -127,6 +127,9 @@
     query.m_deployment = ChooseDeployment();
     auto const* const deployment = aCatalog.FindDeployment(query.m_deployment);
     auto const& model = m_context.m_request.m_model;
+    if (m_context.m_request.m_tokens) {
+      query.m_prompt = m_context.m_request.m_tokens->m_prompt;
+    }
     if (model && deployment && deployment->m_engine) {
       query.m_model = model->m_model;
       query.m_adapter = model->m_adapter;
--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -62,7 +62,7 @@
     m_state.m_directory.OnTrialAnswered(aChoice, ImpliesNotRun(head.m_status));
     if (head.m_load) {
       m_state.m_directory.OnLoadReported(aChoice.m_instance, head.m_load->m_running,
-                                         head.m_load->m_waiting);
+                                         head.m_load->m_waiting, head.m_load->m_slowdown, Now());
     }
     if (head.m_isNotRun) {
       co_return co_await OnRejection(aReply, head, aChoice, notice.m_retryAfter.has_value());
@@ -362,7 +362,7 @@
     }
     if (!m_hasResponseStarted) {
       m_hasResponseStarted = true;
-      m_state.m_directory.OnResponseStarted(aChoice.m_instance);
+      m_state.m_directory.OnResponseStarted(aChoice.m_instance, aChoice.m_work);
       m_state.RecordAnswered(*m_attempt);
       m_state.RecordBeginning(*m_attempt);
     }
