--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -480,6 +480,7 @@
   auto const& usage = m_usage[aQuery.m_deployment];
   auto const work = usage.WorkOf(aQuery.m_prompt);
   std::vector<UpstreamCandidate> costs;
+  costs.reserve(aCandidates.size());
   for (auto const& candidate : aCandidates) {
     costs.push_back(CostOf(candidate, work, aQuery.m_isSuspected, aNow));
   }
