Operator, Programs, platform: Find what a configuration check passed over

Cause (by a review): a directory as file ended the check with an exception; what the decoder passes over (homes, parts of a split, keys, entries without a name) was not told; several fields were not compared; a rate of zero counted as tightened; a region that is no name turned the check of homes off; sizes overflowed. Change: each is found, and limits where zero means none are compared as such.

--- a/Operator/CatalogCheck.cpp
+++ b/Operator/CatalogCheck.cpp
@@ -12,6 +12,8 @@
 /// Bodies that a gateway can hold at the same time, at the least. One alone would leave
 /// no room for a second caller.
 constexpr std::int64_t kConcurrentBodies = 4;
+/// Rates and bursts above this cannot be counted over the fleet.
+constexpr double kLargestTokens = 1e15;
 
 std::string Quoted(std::string const& aName)
 {
@@ -23,12 +25,17 @@
   return std::to_string(base::ToMilliseconds(aTime)) + " ms";
 }
 
-std::string LowerCase(std::string aText)
+/// The host in lower case without its port, as requests are matched.
+std::string ToMatchedHost(std::string aHost)
 {
-  std::ranges::transform(aText, aText.begin(), [](unsigned char aCharacter) {
+  auto const colon = aHost.rfind(':');
+  if (colon != std::string::npos && aHost.find(']', colon) == std::string::npos) {
+    aHost.resize(colon);
+  }
+  std::ranges::transform(aHost, aHost.begin(), [](unsigned char aCharacter) {
     return static_cast<char>(std::tolower(aCharacter));
   });
-  return aText;
+  return aHost;
 }
 
 bool AreDisjoint(std::set<base::RegionId> const& aOne, std::set<base::RegionId> const& aOther)
@@ -97,7 +104,7 @@
       return;
     }
     auto const [position, isFirst] =
-      m_matches.emplace(std::pair(LowerCase(aRoute.m_host), aRoute.m_pathPrefix), id);
+      m_matches.emplace(std::pair(ToMatchedHost(aRoute.m_host), aRoute.m_pathPrefix), id);
     if (!isFirst) {
       Warn(CatalogSection::Routes, id,
            "it never matches: route " + Quoted(position->second) +
@@ -198,6 +205,10 @@
   {
     auto const& id = aWorkspace.m_id.Text();
     bool const hasRate = aWorkspace.m_rate.Value() > 0;
+    if (aWorkspace.m_rate.Value() > kLargestTokens ||
+        static_cast<double>(aWorkspace.m_burst.Value()) > kLargestTokens) {
+      Fail(CatalogSection::Workspaces, id, "its rate or burst is too large to be counted");
+    }
     if (!hasRate && aWorkspace.m_burst.Value() > 0) {
       Warn(CatalogSection::Workspaces, id,
            "its burst has no effect: without a rate it has no limit");
@@ -244,7 +255,7 @@
       Fail(CatalogSection::Limits, "", "requests of no size are allowed");
     }
     if (m_site.m_gatewayMemory &&
-        limits.m_bodyBytes.Value() * kConcurrentBodies > m_site.m_gatewayMemory->Value()) {
+        limits.m_bodyBytes.Value() > m_site.m_gatewayMemory->Value() / kConcurrentBodies) {
       Warn(CatalogSection::Limits, "",
            "the smallest gateway (" + std::to_string(m_site.m_gatewayMemory->Value()) +
              " bytes) has no room for " + std::to_string(kConcurrentBodies) + " bodies of " +
--- a/Operator/CatalogDifference.cpp
+++ b/Operator/CatalogDifference.cpp
@@ -78,6 +78,17 @@
     }
   }
 
+  /// The same for a limit where zero means none.
+  void CompareLimit(char const* aField, double aBefore, double aAfter)
+  {
+    if (aBefore > 0 && aAfter > 0) {
+      CompareBound(aField, aBefore, aAfter);
+    } else if (aBefore != aAfter) {
+      Add(std::string(aField) +
+          (aAfter > 0 ? " limited to " + ToText(aAfter) : std::string(" no longer limited")));
+    }
+  }
+
   /// The same for a bound, of which a lower one is said to be tightened.
   void CompareBound(char const* aField, double aBefore, double aAfter)
   {
@@ -129,7 +140,7 @@
   if (auto const added = CountMissing(aAfter.m_keys, aBefore.m_keys); added > 0) {
     effects.Add(std::to_string(added) + " keys added");
   }
-  effects.CompareBound("rate", aBefore.m_rate.Value(), aAfter.m_rate.Value());
+  effects.CompareLimit("rate", aBefore.m_rate.Value(), aAfter.m_rate.Value());
   effects.CompareBound("burst", static_cast<double>(aBefore.m_burst.Value()),
                        static_cast<double>(aAfter.m_burst.Value()));
   effects.Compare("tokens of a request that states none",
@@ -143,6 +154,21 @@
   return effects.Take();
 }
 
+void CompareModel(std::string const& aName, ModelSpec const& aBefore, ModelSpec const& aAfter,
+                  EffectList& aEffects)
+{
+  auto const field = [&aName](char const* aField) { return "model " + aName + ": " + aField; };
+  aEffects.CompareBound(field("memory").c_str(), aBefore.m_weights.Value(),
+                        aAfter.m_weights.Value());
+  aEffects.CompareBound(field("memory of an adapter").c_str(), aBefore.m_adapterWeights.Value(),
+                        aAfter.m_adapterWeights.Value());
+  aEffects.Compare(field("load from the store").c_str(), aBefore.m_loadFromStore,
+                   aAfter.m_loadFromStore);
+  aEffects.Compare(field("load from memory").c_str(), aBefore.m_loadFromMemory,
+                   aAfter.m_loadFromMemory);
+  aEffects.Compare(field("load from disk").c_str(), aBefore.m_loadFromDisk, aAfter.m_loadFromDisk);
+}
+
 void CompareModels(EngineSpec const& aBefore, EngineSpec const& aAfter, EffectList& aEffects)
 {
   for (auto const& [id, model] : aBefore.m_models) {
@@ -155,8 +181,7 @@
     if (before == aBefore.m_models.end()) {
       aEffects.Add("model " + id.Text() + " added");
     } else {
-      aEffects.CompareBound(("memory of model " + id.Text()).c_str(),
-                            before->second.m_weights.Value(), model.m_weights.Value());
+      CompareModel(id.Text(), before->second, model, aEffects);
     }
   }
 }
@@ -165,15 +190,22 @@
 {
   EffectList effects;
   effects.Compare("health path", aBefore.m_healthPath, aAfter.m_healthPath);
-  effects.CompareBound("connections", aBefore.m_maximumConnections, aAfter.m_maximumConnections);
+  effects.CompareLimit("connections", aBefore.m_maximumConnections, aAfter.m_maximumConnections);
   auto const rate = [](DeploymentSpec const& aSpec) {
     return aSpec.m_warmUp ? ToText(aSpec.m_warmUp->m_requestsPerSecond) : std::string("unlimited");
   };
   effects.Compare("requests a second while warming up", rate(aBefore), rate(aAfter));
+  auto const time = [](DeploymentSpec const& aSpec) {
+    return aSpec.m_warmUp ? aSpec.m_warmUp->m_time : base::Duration{};
+  };
+  effects.Compare("time to warm up", time(aBefore), time(aAfter));
   effects.Compare("engines", aBefore.m_engine.has_value(), aAfter.m_engine.has_value());
   if (aBefore.m_engine && aAfter.m_engine) {
     effects.CompareBound("concurrency", aBefore.m_engine->m_concurrency,
                          aAfter.m_engine->m_concurrency);
+    effects.CompareBound("memory for prompts, in tokens",
+                         static_cast<double>(aBefore.m_engine->m_cacheTokens.Value()),
+                         static_cast<double>(aAfter.m_engine->m_cacheTokens.Value()));
     effects.CompareBound("memory for weights", aBefore.m_engine->m_weights.Value(),
                          aAfter.m_engine->m_weights.Value());
     effects.CompareBound("adapter slots", aBefore.m_engine->m_adapterSlots,
--- a/Programs/Check/CheckProgram.h
+++ b/Programs/Check/CheckProgram.h
@@ -9,7 +9,6 @@
 #include <concepts>
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -23,6 +22,9 @@
   {
     Format::Decode(aText)
     } -> std::same_as<tl::expected<operators::ServingCatalog, std::string>>;
+  {
+    Format::FindUnread(aText)
+    } -> std::same_as<operators::CatalogFindings>;
   {
     Format::NamePlace(aSection, aText)
     } -> std::same_as<std::string>;
@@ -45,18 +47,26 @@
       return Fail("usage: sardinefold-check [--output text|json] FILE [FILE IN FORCE]",
                   CheckStatus::Usage);
     }
-    auto const catalog = Read(files.front());
+    auto const text = Read(files.front());
+    auto const catalog =
+      text.and_then([&](std::string const& aText) { return Decode(files.front(), aText); });
     if (!catalog) {
       return Fail(catalog.error(), CheckStatus::Unreadable);
     }
-    CheckReport report{ operators::CheckCatalog(*catalog, SiteOf(*start.m_settings)), {} };
+    auto const site = SiteOf(*start.m_settings);
+    if (!site) {
+      return Fail(site.error(), CheckStatus::Usage);
+    }
+    CheckReport report{ Format::FindUnread(*text), {} };
+    Append(operators::CheckCatalog(*catalog, *site), report);
     if (files.size() == 2) {
-      auto const inForce = Read(files.back());
+      auto const former = Read(files.back());
+      auto const inForce =
+        former.and_then([&](std::string const& aText) { return Decode(files.back(), aText); });
       if (!inForce) {
         return Fail(inForce.error(), CheckStatus::Unreadable);
       }
-      auto replacement = operators::CheckReplacement(*inForce, *catalog);
-      report.m_findings.insert(report.m_findings.end(), replacement.begin(), replacement.end());
+      Append(operators::CheckReplacement(*inForce, *catalog), report);
       report.m_changes = operators::CompareCatalogs(*inForce, *catalog);
     }
     std::cout << (output == "json" ? RenderJsonLines(report, Format::NamePlace)
@@ -84,36 +94,51 @@
     };
   }
 
-  static operators::SiteCapacity SiteOf(base::Settings const& aSettings)
+  static tl::expected<operators::SiteCapacity, std::string> SiteOf(base::Settings const& aSettings)
   {
     constexpr std::int64_t kMegabyte = 1024 * 1024;
     operators::SiteCapacity site;
     if (auto const memory = aSettings.Count("gateway-memory-mb"); memory > 0) {
-      site.m_gatewayMemory = base::Bytes(static_cast<std::int64_t>(memory) * kMegabyte);
+      site.m_gatewayMemory = base::Bytes(memory * kMegabyte);
     }
     std::istringstream regions(aSettings.Text("regions"));
-    for (std::string region; std::getline(regions, region, ',');) {
-      if (auto id = base::RegionId::Create(region)) {
-        site.m_regions.insert(std::move(*id));
+    for (std::string region; std::getline(regions >> std::ws, region, ',');) {
+      region.erase(region.find_last_not_of(' ') + 1);
+      auto id = base::RegionId::Create(region);
+      if (!id) {
+        return tl::make_unexpected("--regions: \"" + region + "\" is no name of a region");
       }
+      site.m_regions.insert(std::move(*id));
     }
     return site;
   }
 
-  static tl::expected<operators::ServingCatalog, std::string> Read(std::string const& aPath)
+  static tl::expected<std::string, std::string> Read(std::string const& aPath)
   {
-    std::ifstream file(aPath);
-    std::string const text(std::istreambuf_iterator<char>(file), {});
-    if (!file) {
+    std::ifstream const file(aPath);
+    std::stringstream text;
+    // Fails for a directory, too, and for an empty file.
+    if (!file || !(text << file.rdbuf())) {
       return tl::make_unexpected(aPath + " cannot be read");
     }
-    auto catalog = Format::Decode(text);
+    return text.str();
+  }
+
+  static tl::expected<operators::ServingCatalog, std::string> Decode(std::string const& aPath,
+                                                                     std::string const& aText)
+  {
+    auto catalog = Format::Decode(aText);
     if (!catalog) {
       return tl::make_unexpected(aPath + ": " + catalog.error());
     }
     return catalog;
   }
 
+  static void Append(operators::CatalogFindings const& aFindings, CheckReport& aReport)
+  {
+    aReport.m_findings.insert(aReport.m_findings.end(), aFindings.begin(), aFindings.end());
+  }
+
   static int Fail(std::string const& aMessage, CheckStatus aStatus)
   {
     std::cerr << kName << ": " << aMessage << "\n";
--- a/Tests/CatalogCheckTest.cpp
+++ b/Tests/CatalogCheckTest.cpp
@@ -71,6 +71,15 @@
        aRoot["routes"][1]["host"] = "SITE.example";
      },
       kWarning, Section::Routes, "book", "never matches" },
+    { [](auto& aRoot) {
+       aRoot["routes"][1]["pathPrefix"] = "/chat/";
+       aRoot["routes"][1]["host"] = "site.example:80";
+     },
+      kWarning, Section::Routes, "book", "never matches" },
+    { [](auto& aRoot) { aRoot["tenants"][0]["ratePerS"] = 9e15; }, kError, Section::Workspaces,
+      "t1", "too large" },
+    { [](auto& aRoot) { aRoot["limits"]["bodyBytes"] = Json::Int64(9'000'000'000'000'000'000); },
+      kWarning, Section::Limits, "", "no room" },
     { [](auto& aRoot) { aRoot["routes"][1]["pathPrefix"] = "book/"; }, kError, Section::Routes,
       "book", "no request matches" },
     { [](auto& aRoot) { aRoot["routes"][1]["split"][1]["service"] = "gone"; }, kError,
@@ -164,6 +173,26 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(TheDifferenceNamesEachFieldAndKnowsThatZeroIsNoLimit)
+{
+  auto root = Root();
+  root["version"] = 8;
+  root["tenants"][0]["ratePerS"] = 0;
+  root["tenants"][1]["ratePerS"] = 100;
+  root["tenants"][1]["burst"] = 100;
+  root["services"][0]["engine"]["kvCapacity"] = 1000;
+  root["services"][0]["engine"]["models"][0]["loadS"] = 6;
+  root["services"][1]["coldStartS"] = 3;
+  root["services"][1]["coldPerS"] = 11;
+  auto const changes = CompareCatalogs(ToCatalog(Root()), ToCatalog(root));
+  auto const text = RenderText({ {}, changes }, ConfigurationFile::NamePlace);
+  for (auto const* const effect :
+       { "rate no longer limited", "rate limited to 100", "memory for prompts, in tokens raised",
+         "model m1: load from the store 0 ms -> 6000 ms", "time to warm up 0 ms -> 3000 ms" }) {
+    BOOST_TEST(text.find(effect) != std::string::npos, effect);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnOlderVersionAndAWorkspaceThatLosesAllKeysAreFound)
 {
   auto root = Root();
@@ -183,6 +212,22 @@
   BOOST_TEST(CompareCatalogs(ToCatalog(object), ToCatalog(Root())).empty());
 }
 
+// A part that is passed over would put less in force than the file says.
+BOOST_AUTO_TEST_CASE(WhatTheSystemPassesOverIsFound)
+{
+  auto root = Root();
+  BOOST_TEST(ConfigurationFile::FindUnread(base::RenderJson(root)).empty());
+  root["routes"][0]["homeRegions"][0] = "bad region";
+  root["routes"][1]["split"][0]["service"] = "bad name";
+  root["services"][0]["engine"]["models"][0]["name"] = 5;
+  root["services"][1]["name"] = "llm";
+  root["tenants"][0]["apiKeys"][0] = 5;
+  root["tenants"][1]["name"] = "";
+  auto const findings = ConfigurationFile::FindUnread(base::RenderJson(root));
+  BOOST_TEST(findings.size() == 6U);
+  BOOST_TEST(HasErrors(findings));
+}
+
 // Mutated files must give a result or an error, never a crash or an endless loop.
 BOOST_AUTO_TEST_CASE(MutatedFilesEndTheReaderWithAResultOrAnError)
 {
