Entry, Agent, Programs, platform: Keep figures of callers and stops from breaking allowances

Cause (by a review): a caller's count of tokens had no bound, and receivers drop a report with a figure above 1e15, so that one request silenced its gateway's reports for seconds, demand and failures included; so did a limit above it in the configuration. A gateway said at the start of its stop that it grants nothing further, and granted on for seconds. A gateway that started again after such a stop and reported to another planner did not count. Two planners got the demand of a gateway that stays in a pool.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -107,13 +107,10 @@
   return names;
 }
 
-/// Keeps sums of tokens within 64 bits.
-constexpr std::int64_t kLargestTokens = 1'000'000'000'000'000;
-
 base::Tokens ToTokens(Json::Value const& aValue)
 {
   auto const tokens = Integer(aValue);
-  if (tokens < -kLargestTokens || tokens > kLargestTokens) {
+  if (tokens < -entry::kLargestReportedTokens || tokens > entry::kLargestReportedTokens) {
     throw FieldError{ "a number of tokens is out of range" };
   }
   return base::Tokens(tokens);
@@ -122,7 +119,7 @@
 base::TokensPerSecond ToRate(Json::Value const& aValue)
 {
   auto const rate = Number(aValue);
-  if (!(rate >= 0 && rate <= static_cast<double>(kLargestTokens))) {
+  if (!(rate >= 0 && rate <= static_cast<double>(entry::kLargestReportedTokens))) {
     throw FieldError{ "a rate of tokens is out of range" };
   }
   return base::TokensPerSecond(rate);
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -66,6 +66,7 @@
   bool m_isSuspected = false;
   /// The failure domains that may serve the request; all if absent.
   std::optional<std::set<base::FailureDomainId>> m_failureDomains{};
+  /// Tokens to read, if the request states them.
   std::optional<base::Tokens> m_prompt = std::nullopt;
 };
 
--- a/Entry/Allowance/AllowanceReport.h
+++ b/Entry/Allowance/AllowanceReport.h
@@ -25,6 +25,9 @@
   friend bool operator==(AllowanceLimit const&, AllowanceLimit const&) = default;
 };
 
+/// Numbers of tokens in messages are within this, so that sums of them stay within 64 bits.
+inline constexpr std::int64_t kLargestReportedTokens = 1'000'000'000'000'000;
+
 /// What one gateway reports of one workspace.
 struct ReportedGrants
 {
--- a/Entry/Allowance/GrantLedger.cpp
+++ b/Entry/Allowance/GrantLedger.cpp
@@ -73,9 +73,17 @@
   }
 }
 
-void GrantLedger::OnPresence(base::HostId const& aHost, base::Instant aNow)
+bool GrantLedger::HasStopped(base::HostId const& aHost,
+                             base::IncarnationId const& aIncarnation) const
 {
-  if (!m_stopped.contains(aHost)) {
+  auto const stopped = m_stopped.find(aHost);
+  return stopped != m_stopped.end() && stopped->second.m_incarnation == aIncarnation;
+}
+
+void GrantLedger::OnPresence(base::HostId const& aHost, base::IncarnationId const& aIncarnation,
+                             base::Instant aNow)
+{
+  if (!HasStopped(aHost, aIncarnation)) {
     m_heard[aHost] = aNow;
   }
 }
@@ -206,15 +214,14 @@
     found != m_members.end() &&
     (found->second.m_previous == aIncarnation || (found->second.m_incarnation == aIncarnation &&
                                                   aReport.m_number <= found->second.m_lastReport));
-  auto const stopped = m_stopped.find(aHost);
-  if (isLate || (stopped != m_stopped.end() && stopped->second == aIncarnation)) {
+  if (isLate || HasStopped(aHost, aIncarnation)) {
     return;
   }
   m_stopped.erase(aHost);
   m_heard[aHost] = aNow;
   if (aReport.m_isLast) {
     m_heard.erase(aHost);
-    m_stopped[aHost] = aIncarnation;
+    m_stopped[aHost] = { aIncarnation, aNow };
     m_claimedFleet -= m_claimedFleet > 0 ? 1 : 0;
   }
   if (found == m_members.end()) {
@@ -252,6 +259,9 @@
   FillAll(aNow);
   std::erase_if(
     m_heard, [&](auto const& aItem) { return aNow - aItem.second > m_limits.m_granterRetention; });
+  std::erase_if(m_stopped, [&](auto const& aItem) {
+    return aNow - aItem.second.m_at > m_limits.m_granterRetention;
+  });
   auto staying = static_cast<double>(m_members.size());
   std::erase_if(m_members, [&](auto const& aItem) {
     if (aNow - aItem.second.m_lastContactAt <= m_limits.m_reportTimeout) {
--- a/Entry/Allowance/GrantLedger.h
+++ b/Entry/Allowance/GrantLedger.h
@@ -40,7 +40,8 @@
   }
 
   /// Records that a gateway is running, whichever planner it uses.
-  void OnPresence(base::HostId const& aHost, base::Instant aNow);
+  void OnPresence(base::HostId const& aHost, base::IncarnationId const& aIncarnation,
+                  base::Instant aNow);
   void OnReport(base::HostId const& aHost, base::IncarnationId const& aIncarnation,
                 AllowanceReport const& aReport, base::Instant aNow);
   /// Fills the buckets and removes silent gateways; to be called before the summaries of a
@@ -98,6 +99,7 @@
     base::Instant m_listedAt{};
   };
 
+  bool HasStopped(base::HostId const& aHost, base::IncarnationId const& aIncarnation) const;
   double Fleet() const;
   double Share() const;
   double Capacity(Pool const& aPool) const;
@@ -130,8 +132,13 @@
   std::map<base::WorkspaceId, Pool> m_pools;
   /// When each gateway that may grant tokens was last heard of.
   std::map<base::HostId, base::Instant> m_heard;
+  struct Stopped
+  {
+    base::IncarnationId m_incarnation;
+    base::Instant m_at{};
+  };
   /// Gateways that have said that they stop.
-  std::map<base::HostId, base::IncarnationId> m_stopped;
+  std::map<base::HostId, Stopped> m_stopped;
   /// Number of gateways that those who joined know of.
   unsigned m_claimedFleet = 0;
   base::Instant m_claimedAt{};
--- a/Entry/Allowance/SharedAllowance.cpp
+++ b/Entry/Allowance/SharedAllowance.cpp
@@ -52,6 +52,18 @@
   return std::exp(-std::max(0.0, base::ToSeconds(aElapsed)) / base::ToSeconds(kAskedTime));
 }
 
+/// Keeps a figure within what messages may hold: receivers drop a message with a larger one.
+base::Tokens ToReported(base::Tokens aTokens)
+{
+  return base::Tokens(std::clamp(aTokens.Value(), -kLargestReportedTokens, kLargestReportedTokens));
+}
+
+base::TokensPerSecond ToReported(base::TokensPerSecond aRate)
+{
+  return base::TokensPerSecond(
+    std::clamp(aRate.Value(), 0.0, static_cast<double>(kLargestReportedTokens)));
+}
+
 } // namespace
 
 std::optional<base::Duration> SharedAllowance::UpdateAge(base::Instant aNow) const
@@ -289,9 +301,12 @@
   }
   for (auto const& [part, workspace] : listed) {
     auto const& bucket = m_buckets.at(workspace);
-    report.m_grants[workspace] = { bucket.m_limit, GrantedOf(workspace),
-                                   base::TokensPerSecond(std::round(AskedHere(bucket, aNow))),
-                                   m_isPooled ? base::Tokens() : TokensOf(bucket.m_slice) };
+    report.m_grants[workspace] = {
+      { ToReported(bucket.m_limit.m_rate), ToReported(bucket.m_limit.m_burst) },
+      ToReported(GrantedOf(workspace)),
+      ToReported(base::TokensPerSecond(std::round(AskedHere(bucket, aNow)))),
+      m_isPooled ? base::Tokens() : ToReported(TokensOf(bucket.m_slice))
+    };
   }
   return report;
 }
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -130,6 +130,9 @@
     auto const pool = m_pool.Choose(aPlanner, m_state.m_allowance.IsFresh(aNow), aNow);
     if (pool.m_planner && pool.m_planner != aPlanner) {
       m_state.m_messenger.Send(aPlanner, report);
+      // Only one planner loads models for this gateway's requests.
+      report.m_isComplete = true;
+      report.m_demand.clear();
     }
     if (pool.m_planner) {
       report.m_allowance = MakeAllowanceReport(pool.m_isNew, aNow);
@@ -140,7 +143,7 @@
   entry::AllowanceReport MakeAllowanceReport(bool aIsNewPlanner, base::Instant aNow)
   {
     auto report = m_state.m_allowance.MakeReport(aIsNewPlanner, aNow);
-    report.m_isLast = m_state.m_stopEnd.has_value();
+    report.m_isLast = m_state.m_hasStoppedGranting;
     report.m_catalog =
       m_state.m_catalog ? m_state.m_catalog->Catalog().m_version : base::CatalogVersion();
     return report;
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -94,6 +94,9 @@
       m_callers.EndReads();
       open = co_await m_callers.Drain(times.m_exit - m_loop.Now());
     }
+    // Leaves its part of the allowances to the other gateways.
+    m_state.m_hasStoppedGranting = true;
+    m_fleet.Report(m_store.Age(m_loop.Now()), m_store.Era(), m_loop.Now());
     base::log::Info("stopped", { { "refused", std::to_string(m_state.m_refusedByStop) },
                                  { "ended", std::to_string(ended) },
                                  { "cut_off", std::to_string(open) } });
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -432,6 +432,8 @@
   std::optional<base::Instant> m_waitDeadline;
   /// While the process shuts down, the end of all requests.
   std::optional<base::Instant> m_stopEnd;
+  /// While the process shuts down: it has served its last request.
+  bool m_hasStoppedGranting = false;
   OpenRequests m_openRequests;
   /// Requests that were refused as the process stops.
   std::size_t m_refusedByStop = 0;
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -122,7 +122,7 @@
 void FleetPlanning::OnPresence(agent::GatewayPresence const& aPresence, base::Instant aNow)
 {
   m_lastPresence[aPresence.m_host] = aNow;
-  m_grants.OnPresence(aPresence.m_host, aNow);
+  m_grants.OnPresence(aPresence.m_host, aPresence.m_incarnation, aNow);
   m_newestCatalog = std::max(m_newestCatalog, aPresence.m_catalog);
 }
 
--- a/Tests/AdapterTest.cpp
+++ b/Tests/AdapterTest.cpp
@@ -354,3 +354,16 @@
   BOOST_TEST((platform::StoreCodec::DecodeWrite(response).error().m_kind ==
               objectstore::WriteError::Kind::Unknown));
 }
+
+// A count that overflows in sums would make the gateway's reports unreadable.
+BOOST_AUTO_TEST_CASE(ACountOfTokensIsBounded)
+{
+  base::HttpRequest request;
+  request.m_headers.Add("Host", "site.example");
+  request.m_headers.Add("Request-Id", "r1");
+  request.m_headers.Add("Token-Count", "9000000000000000000,9000000000000000000");
+  auto const decoded = Wire::DecodeRequest(request);
+  BOOST_REQUIRE(decoded);
+  BOOST_REQUIRE(decoded->m_tokens);
+  BOOST_TEST(decoded->m_tokens->Total().Value() == 2'000'000'000);
+}
--- a/Tests/AllowanceAgreementTest.cpp
+++ b/Tests/AllowanceAgreementTest.cpp
@@ -89,6 +89,7 @@
   {
     return { m_host, m_incarnation, m_allowance.MakeReport(aIsNewPlanner, aNow) };
   }
+  base::IncarnationId const& Incarnation() const { return m_incarnation; }
   /// Of a gateway that stays in another planner's pool.
   Report MakeEmptyReport() const { return { m_host, m_incarnation, {} }; }
   bool IsFresh(base::Instant aNow) const { return m_allowance.IsFresh(aNow); }
@@ -112,9 +113,10 @@
   {
   }
 
-  void OnPresence(base::HostId const& aHost, base::Instant aNow)
+  void OnPresence(base::HostId const& aHost, base::IncarnationId const& aIncarnation,
+                  base::Instant aNow)
   {
-    m_ledger.OnPresence(aHost, aNow);
+    m_ledger.OnPresence(aHost, aIncarnation, aNow);
   }
   void OnReport(Report const& aReport, base::Instant aNow)
   {
@@ -318,7 +320,7 @@
       if (isHeard && aStep % (8 * kTickSteps) < kTickSteps) {
         selector.OnLoader(base::HostId::FromValidated("loader-" + std::to_string(planner)),
                           EndpointOf(planner), true, Local(aIndex));
-        m_planners[planner]->OnPresence(HostOf(aIndex), m_now);
+        m_planners[planner]->OnPresence(HostOf(aIndex), m_gateways[aIndex]->Incarnation(), m_now);
       }
     }
     m_gateways[aIndex]->Tick(Local(aIndex));
--- a/Tests/SharedAllowanceTest.cpp
+++ b/Tests/SharedAllowanceTest.cpp
@@ -467,11 +467,36 @@
   report.m_isLast = true;
   ledger.OnReport(HostOf(1), RunOf(1), report, kStart);
   // Those who have not heard of it still announce it.
-  ledger.OnPresence(HostOf(1), kStart);
+  ledger.OnPresence(HostOf(1), RunOf(1), kStart);
   ledger.Advance(kStart);
   auto const summary = ledger.SummaryFor(HostOf(0));
   BOOST_TEST(summary.m_fleet == 1U);
   BOOST_TEST(summary.m_sharing == 1U);
+  // It starts again and reports to another planner.
+  ledger.OnPresence(HostOf(1), RunOf(2), kStart);
+  ledger.Advance(kStart);
+  BOOST_TEST(ledger.SummaryFor(HostOf(0)).m_fleet == 2U);
+}
+
+/// A report with a figure that receivers do not take is dropped as a whole, with the demand
+/// and the failures in it.
+BOOST_AUTO_TEST_CASE(LargeFiguresOfCallersAndLimitsStayWithinWhatReportsMayHold)
+{
+  constexpr std::int64_t kLargest = std::int64_t(1) << 53;
+  SharedAllowance allowance({});
+  allowance.SetLimits(
+    { { kWorkspace, { base::TokensPerSecond(kLargest), base::Tokens(kLargest) } } }, kStart);
+  for (unsigned request = 0; request < 10; ++request) {
+    allowance.Take(kWorkspace, base::Tokens(kLargest), kStart + milliseconds(100));
+  }
+  auto const report = allowance.MakeReport(true, kStart + milliseconds(200));
+  auto const& grants = report.m_grants.at(kWorkspace);
+  for (auto const tokens : { grants.m_limit.m_burst, grants.m_granted, grants.m_slice }) {
+    BOOST_TEST(std::abs(tokens.Value()) <= kLargestReportedTokens);
+  }
+  for (auto const rate : { grants.m_limit.m_rate, grants.m_asked }) {
+    BOOST_TEST(rate.Value() <= static_cast<double>(kLargestReportedTokens));
+  }
 }
 
 /// A gateway that is silent for long may still serve callers: its part of the level and
