--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -334,8 +334,7 @@
       m_context.m_route.MayRepeat() ? std::nullopt : std::optional(kNonRepeatableIdle),
       base::HttpHeaders::Field{ Wire::RequestIdHeader(), m_context.m_request.m_id.Text() },
       // The upstream may have become unusable while the connection was set up.
-      [this, &aChoice] { return MayWrite(aChoice); },
-      m_exchange.SharedBody()
+      [this, &aChoice] { return MayWrite(aChoice); }, m_exchange.SharedBody()
     };
     auto endpoint = aChoice.m_endpoint;
     auto reply =
