--- a/Tests/CatalogCheckTest.cpp
+++ b/Tests/CatalogCheckTest.cpp
@@ -185,7 +185,7 @@
   root["services"][1]["coldStartS"] = 3;
   root["services"][1]["coldPerS"] = 11;
   auto const changes = CompareCatalogs(ToCatalog(Root()), ToCatalog(root));
-  auto const text = RenderText({ {}, changes }, ConfigurationFile::NamePlace);
+  auto const text = programs::RenderText({ {}, changes }, ConfigurationFile::NamePlace);
   for (auto const* const effect :
        { "rate no longer limited", "rate limited to 100", "memory for prompts, in tokens raised",
          "model m1: load from the store 0 ms -> 6000 ms", "time to warm up 0 ms -> 3000 ms" }) {
