Tests: Hold again what two cases of the allowances checked

By a review, AnIncompleteReportDoesNotBeginALedger had gone without a case as strict, and StaysWithinItsShareWithoutUpdatesOnOthers no longer had an update that ended.

--- a/Tests/SharedAllowanceTest.cpp
+++ b/Tests/SharedAllowanceTest.cpp
@@ -194,6 +194,18 @@
   BOOST_TEST(granted <= (10'000 * 10 + 10'000) / 4);
 }
 
+BOOST_AUTO_TEST_CASE(StaysWithinItsShareOnceUpdatesOnOthersHaveEnded)
+{
+  Fleet fleet(4);
+  std::int64_t granted = 0;
+  for (int step = 0; step < 1'000; ++step) {
+    auto const now = kStart + seconds(10) + step * milliseconds(10);
+    granted += fleet.Request(0, base::Tokens(100), now) ? 100 : 0;
+  }
+  BOOST_TEST(granted > 0);
+  BOOST_TEST(granted <= (10'000 * 10 + 10'000) / 4);
+}
+
 BOOST_AUTO_TEST_CASE(GroupsWithPlannersOfTheirOwnStayWithinTheRateTogether)
 {
   // Two gateways follow one planner and two another, so neither group receives
@@ -478,6 +490,39 @@
   BOOST_TEST(ledger.SummaryFor(HostOf(0)).m_fleet == 2U);
 }
 
+/// A ledger that began with an incomplete report would later take the grants that the
+/// report lacked for new ones, and refuse others' requests for them.
+BOOST_AUTO_TEST_CASE(AnIncompleteReportDoesNotBeginALedger)
+{
+  auto const other = base::WorkspaceId::FromValidated("other");
+  GrantLedger ledger("epoch");
+  AllowanceReport report;
+  auto const send = [&](std::uint64_t aNumber, bool aIsJoining) {
+    report.m_number = AllowanceReportNumber(aNumber);
+    report.m_isJoining = aIsJoining;
+    ledger.OnReport(HostOf(0), RunOf(0), report, kStart);
+    ledger.Advance(kStart);
+    return ledger.SummaryFor(HostOf(0));
+  };
+  base::Tokens const full(10'000);
+  report.m_grants = { { other, { kLimit, base::Tokens(10), {}, full } } };
+  auto const incomplete = send(1, false);
+  BOOST_TEST((incomplete.m_included == AllowanceReportNumber()));
+  BOOST_TEST(incomplete.m_pools.empty());
+  report.m_grants = { { kWorkspace, { kLimit, base::Tokens(5'000), {}, full } },
+                      { other, { kLimit, base::Tokens(10), {}, full } } };
+  send(2, true);
+  auto const joined = send(3, false);
+  BOOST_TEST(joined.m_pools.at(kWorkspace).m_level.Value() == 10'000);
+  BOOST_TEST(joined.m_pools.at(other).m_level.Value() == 10'000);
+  report.m_grants = { { other, { kLimit, base::Tokens(25), {}, {} } } };
+  send(4, false);
+  report.m_grants = { { kWorkspace, { kLimit, base::Tokens(5'300), {}, {} } } };
+  auto const later = send(5, false);
+  BOOST_TEST(later.m_pools.at(kWorkspace).m_level.Value() == 9'700);
+  BOOST_TEST(later.m_pools.at(other).m_level.Value() == 9'985);
+}
+
 /// A report with a figure that receivers do not take is dropped as a whole, with the demand
 /// and the failures in it.
 BOOST_AUTO_TEST_CASE(LargeFiguresOfCallersAndLimitsStayWithinWhatReportsMayHold)
