--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -94,6 +94,9 @@
       m_callers.EndReads();
       open = co_await m_callers.Drain(times.m_exit - m_loop.Now());
     }
+    // Leaves its part of the allowances to the other gateways.
+    m_state.m_hasStoppedGranting = true;
+    m_fleet.Report(m_store.Age(m_loop.Now()), m_store.Era(), m_loop.Now());
     base::log::Info("stopped", { { "refused", std::to_string(m_state.m_refusedByStop) },
                                  { "ended", std::to_string(ended) },
                                  { "cut_off", std::to_string(open) } });
@@ -368,6 +371,13 @@
       .Set(static_cast<double>(m_state.m_allowance.LargestCorrection().Value()));
     m_state.m_metrics.Gauge("sardinefold_gateway_upstreams", "Upstreams known.")
       .Set(static_cast<double>(m_state.m_directory.Size()));
+    for (auto const& [deployment, ratio] : m_state.m_directory.BusiestOverMean()) {
+      m_state.m_metrics
+        .Gauge("sardinefold_gateway_busiest_upstream_ratio",
+               "Requests of the busiest upstream over the mean, as reported.",
+               { { "deployment", deployment.Text() } })
+        .Set(ratio);
+    }
     m_state.m_metrics
       .Gauge("sardinefold_gateway_idle_upstream_connections",
              "Connections to upstreams that are kept for the next request.")
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -113,7 +113,7 @@
 
   void RecordSent(Attempt const& aAttempt)
   {
-    m_directory.OnSent(aAttempt.m_upstream.m_instance);
+    m_directory.OnSent(aAttempt.m_upstream.m_instance, aAttempt.m_upstream.m_work);
     m_suspectParts.OnSent(aAttempt.m_parts);
     if (aAttempt.m_isSuspected) {
       m_directory.OnSuspectedSent(aAttempt.m_upstream.m_instance);
@@ -134,11 +134,30 @@
   /// Records that an upstream began to answer.
   void RecordBeginning(Attempt const& aAttempt)
   {
+    RecordAnswerTime(aAttempt);
     m_suspectParts.OnBegun(aAttempt.m_parts, IncarnationOf(aAttempt.m_upstream), aAttempt.m_sentAt,
                            m_loop.Now());
     OnPartChanges("own");
   }
 
+  /// Compares the time of an answer with the estimate that its upstream was chosen by.
+  void RecordAnswerTime(Attempt const& aAttempt)
+  {
+    auto const time = m_loop.Now() - aAttempt.m_sentAt;
+    m_directory.OnAnswerTime(aAttempt.m_upstream, time);
+    if (auto const expected = aAttempt.m_upstream.m_loadEstimate.m_answerTime) {
+      bool const isLater = time > 2 * *expected;
+      bool const isEarlier = 2 * time < *expected;
+      m_metrics
+        .Counter("sardinefold_gateway_answer_estimates_total",
+                 "Answers by when they began, beside the estimate at the choice.",
+                 { { "outcome", isLater     ? "later"
+                                : isEarlier ? "earlier"
+                                            : "as expected" } })
+        .Increment();
+    }
+  }
+
   /// Handles the news of other gateways on prompt parts.
   void OnPartNews(std::vector<agent::PartCrashReport> const& aCrashes,
                   std::vector<agent::PartAcquittal> const& aAcquittals,
@@ -338,6 +357,7 @@
       return;
     }
     m_gatewaysPresent = aGateways;
+    m_directory.SetGateways(aGateways);
     OnRetryBoundsChanged();
   }
 
@@ -412,6 +432,8 @@
   std::optional<base::Instant> m_waitDeadline;
   /// While the process shuts down, the end of all requests.
   std::optional<base::Instant> m_stopEnd;
+  /// While the process shuts down: it has served its last request.
+  bool m_hasStoppedGranting = false;
   OpenRequests m_openRequests;
   /// Requests that were refused as the process stops.
   std::size_t m_refusedByStop = 0;
--- a/Tests/SharedAllowanceTest.cpp
+++ b/Tests/SharedAllowanceTest.cpp
@@ -194,6 +194,18 @@
   BOOST_TEST(granted <= (10'000 * 10 + 10'000) / 4);
 }
 
+BOOST_AUTO_TEST_CASE(StaysWithinItsShareOnceUpdatesOnOthersHaveEnded)
+{
+  Fleet fleet(4);
+  std::int64_t granted = 0;
+  for (int step = 0; step < 1'000; ++step) {
+    auto const now = kStart + seconds(10) + step * milliseconds(10);
+    granted += fleet.Request(0, base::Tokens(100), now) ? 100 : 0;
+  }
+  BOOST_TEST(granted > 0);
+  BOOST_TEST(granted <= (10'000 * 10 + 10'000) / 4);
+}
+
 BOOST_AUTO_TEST_CASE(GroupsWithPlannersOfTheirOwnStayWithinTheRateTogether)
 {
   // Two gateways follow one planner and two another, so neither group receives
@@ -467,11 +479,69 @@
   report.m_isLast = true;
   ledger.OnReport(HostOf(1), RunOf(1), report, kStart);
   // Those who have not heard of it still announce it.
-  ledger.OnPresence(HostOf(1), kStart);
+  ledger.OnPresence(HostOf(1), RunOf(1), kStart);
   ledger.Advance(kStart);
   auto const summary = ledger.SummaryFor(HostOf(0));
   BOOST_TEST(summary.m_fleet == 1U);
   BOOST_TEST(summary.m_sharing == 1U);
+  // It starts again and reports to another planner.
+  ledger.OnPresence(HostOf(1), RunOf(2), kStart);
+  ledger.Advance(kStart);
+  BOOST_TEST(ledger.SummaryFor(HostOf(0)).m_fleet == 2U);
+}
+
+/// A ledger that began with an incomplete report would later take the grants that the
+/// report lacked for new ones, and refuse others' requests for them.
+BOOST_AUTO_TEST_CASE(AnIncompleteReportDoesNotBeginALedger)
+{
+  auto const other = base::WorkspaceId::FromValidated("other");
+  GrantLedger ledger("epoch");
+  AllowanceReport report;
+  auto const send = [&](std::uint64_t aNumber, bool aIsJoining) {
+    report.m_number = AllowanceReportNumber(aNumber);
+    report.m_isJoining = aIsJoining;
+    ledger.OnReport(HostOf(0), RunOf(0), report, kStart);
+    ledger.Advance(kStart);
+    return ledger.SummaryFor(HostOf(0));
+  };
+  base::Tokens const full(10'000);
+  report.m_grants = { { other, { kLimit, base::Tokens(10), {}, full } } };
+  auto const incomplete = send(1, false);
+  BOOST_TEST((incomplete.m_included == AllowanceReportNumber()));
+  BOOST_TEST(incomplete.m_pools.empty());
+  report.m_grants = { { kWorkspace, { kLimit, base::Tokens(5'000), {}, full } },
+                      { other, { kLimit, base::Tokens(10), {}, full } } };
+  send(2, true);
+  auto const joined = send(3, false);
+  BOOST_TEST(joined.m_pools.at(kWorkspace).m_level.Value() == 10'000);
+  BOOST_TEST(joined.m_pools.at(other).m_level.Value() == 10'000);
+  report.m_grants = { { other, { kLimit, base::Tokens(25), {}, {} } } };
+  send(4, false);
+  report.m_grants = { { kWorkspace, { kLimit, base::Tokens(5'300), {}, {} } } };
+  auto const later = send(5, false);
+  BOOST_TEST(later.m_pools.at(kWorkspace).m_level.Value() == 9'700);
+  BOOST_TEST(later.m_pools.at(other).m_level.Value() == 9'985);
+}
+
+/// A report with a figure that receivers do not take is dropped as a whole, with the demand
+/// and the failures in it.
+BOOST_AUTO_TEST_CASE(LargeFiguresOfCallersAndLimitsStayWithinWhatReportsMayHold)
+{
+  constexpr std::int64_t kLargest = std::int64_t(1) << 53;
+  SharedAllowance allowance({});
+  allowance.SetLimits(
+    { { kWorkspace, { base::TokensPerSecond(kLargest), base::Tokens(kLargest) } } }, kStart);
+  for (unsigned request = 0; request < 10; ++request) {
+    allowance.Take(kWorkspace, base::Tokens(kLargest), kStart + milliseconds(100));
+  }
+  auto const report = allowance.MakeReport(true, kStart + milliseconds(200));
+  auto const& grants = report.m_grants.at(kWorkspace);
+  for (auto const tokens : { grants.m_limit.m_burst, grants.m_granted, grants.m_slice }) {
+    BOOST_TEST(std::abs(tokens.Value()) <= kLargestReportedTokens);
+  }
+  for (auto const rate : { grants.m_limit.m_rate, grants.m_asked }) {
+    BOOST_TEST(rate.Value() <= static_cast<double>(kLargestReportedTokens));
+  }
 }
 
 /// A gateway that is silent for long may still serve callers: its part of the level and
