Engine, docs: Spread requests only where upstreams state how slow they are

Cause: even load acted on every deployment, though only some have upstreams whose hosts are shared and that say so. Change: a deployment none of whose upstreams has stated its slowness is served by the least known work, each request counting one, as before. Result: UpstreamDirectoryTest, with a new case, and EvenLoadTest pass.

--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -421,6 +421,7 @@
   found->second.m_load.OnReported(aRunning, aWaiting, aNow);
   if (aSlowdown) {
     found->second.m_load.OnSlowdown(*aSlowdown, aNow);
+    m_unevenDeployments.insert(found->second.m_entry.m_deployment);
   }
 }
 
@@ -486,7 +487,8 @@
   estimate.m_isUnlisted = aUpstream.m_usableUntil.has_value();
   estimate.m_reportAge = aUpstream.m_load.ReportAge(aNow);
   estimate.m_work = aUpstream.m_load.Ahead(RequestWork(m_limits.m_running)) + aWork;
-  estimate.m_slowness = aUpstream.m_load.Slowness(aNow);
+  estimate.m_slowness =
+    IsUneven(aUpstream.m_entry.m_deployment) ? aUpstream.m_load.Slowness(aNow) : 1;
   return estimate;
 }
 
@@ -530,13 +532,14 @@
                                          UpstreamQuery const& aQuery, base::Instant aNow)
 {
   auto const& usage = m_usage[aQuery.m_deployment];
-  auto const work = usage.WorkOf(aQuery.m_prompt);
+  bool const isUneven = IsUneven(aQuery.m_deployment);
+  auto const work = isUneven ? usage.WorkOf(aQuery.m_prompt) : RequestWork(1);
   std::vector<UpstreamCandidate> costs;
   costs.reserve(aCandidates.size());
   for (auto const& candidate : aCandidates) {
     costs.push_back(CostOf(candidate, work, aQuery.m_isSuspected, aNow));
   }
-  double const others = ExpectedOthers(aCandidates, aQuery, aNow);
+  double const others = isUneven ? ExpectedOthers(aCandidates, aQuery, aNow) : 0;
   double const draw = std::uniform_real_distribution<>(0, 1)(m_random);
   auto const& chosen = aCandidates[m_chooser.Choose(costs, others, draw)];
   auto const& upstream = *chosen.m_upstream;
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -412,6 +412,12 @@
                         base::Instant aNow) const;
   UpstreamChoice Choose(std::vector<Candidate> const& aCandidates, UpstreamQuery const& aQuery,
                         base::Instant aNow);
+  /// Whether upstreams of the deployment state how slow their hosts are. Elsewhere they
+  /// are alike, and the one that is known to have the least to do gets the request.
+  bool IsUneven(base::DeploymentId const& aDeployment) const
+  {
+    return m_unevenDeployments.contains(aDeployment);
+  }
   std::optional<base::Duration> Pause(Upstream& aUpstream, base::Instant aNow);
   bool MayPause(Upstream const& aUpstream, base::Instant aNow) const;
 
@@ -419,6 +425,7 @@
   base::FailureDomainId m_localFailureDomain;
   std::mt19937_64 m_random;
   std::map<base::FailureDomainId, base::Instant> m_evacuated;
+  std::set<base::DeploymentId> m_unevenDeployments;
   std::map<InstanceId, Upstream> m_upstreams;
   /// The upstreams by their address.
   std::multimap<base::Endpoint, Upstream*> m_byEndpoint;
--- a/Tests/UpstreamDirectoryTest.cpp
+++ b/Tests/UpstreamDirectoryTest.cpp
@@ -433,3 +433,30 @@
   BOOST_TEST(
     (std::get<UpstreamAbsence>(m_directory.Find(query, kStart)) == UpstreamAbsence::BackingOff));
 }
+
+// Where upstreams are alike, to send requests to a busier or a remote one costs more than
+// it evens out.
+BOOST_FIXTURE_TEST_CASE(RequestsAreSpreadOnlyWhereUpstreamsStateHowSlowTheyAre, Fixture)
+{
+  constexpr unsigned kRequests = 100;
+  auto const now = kStart + seconds(2);
+  m_directory.SetGateways(50);
+  m_directory.OnListed(Entry("idle", 1), kStart);
+  m_directory.OnListed(Entry("busier", 2), kStart);
+  auto const report = [&](std::optional<double> aSlowdown) {
+    m_directory.OnLoadReported(Instance("idle"), 0, 0, aSlowdown, kStart);
+    m_directory.OnLoadReported(Instance("busier"), 0, 2, aSlowdown, kStart);
+  };
+  auto const countIdle = [&] {
+    unsigned count = 0;
+    for (unsigned request = 0; request < kRequests; ++request) {
+      m_directory.OnDemand({ kDeployment, std::nullopt, std::nullopt, {} }, now);
+      count += Find(std::nullopt, now) == Instance("idle") ? 1 : 0;
+    }
+    return count;
+  };
+  report(std::nullopt);
+  BOOST_TEST(countIdle() == kRequests);
+  report(1);
+  BOOST_TEST(countIdle() < kRequests);
+}
