Base: Refuse requests whose transfer coding hides their end

Cause: Beast ignores transfer codings other than chunked, so that the server took such a request for one without a body and the bytes of the body for the next request. The gateway's adapter refuses the coding, but after the end of the request had been decided, and it kept the connection open.

Why it works: the server looks at the coding when it has the head, before it takes anything for a body. Unless the head has no coding, or "chunked" in a single field of HTTP/1.1, the request is refused, the close is announced, and nothing more is read as a request (RFC 9112, sections 6.1 and 6.3).

HostileCallerTest had a last chunk before its inner request, which ended the connection by itself; it now goes without that chunk too.

--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -5,6 +5,7 @@
 #include "Base/Http/HttpServer.h"
 #include "Base/Http/IdleWait.h"
 #include "Base/Http/ReadDeadline.h"
+#include "Base/Http/TransferCoding.h"
 #include "Base/Log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -214,12 +215,7 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.m_headerBytes.Value()));
     m_parser->body_limit(static_cast<std::uint64_t>(m_server.m_limits.m_bodyBytes.Value()));
-    m_headBytes = 0;
-    m_isCut = false;
-    m_share.SetActivity(HttpActivity::ReadingHead);
-    boost::beast::get_lowest_layer(m_stream).expires_never();
-    auto const readHead = [this] { return ReadUntil(&Parser::is_header_done); };
-    auto const headerError = co_await ReadWithin(m_server.m_limits.m_headerTimeout, readHead);
+    auto const headerError = co_await ReadHead();
     if (headerError || m_isCut) {
       co_await Reject(headerError ? headerError : detail::kNoRoom);
       co_return std::nullopt;
@@ -249,6 +245,20 @@
     co_return request;
   }
 
+  boost::asio::awaitable<boost::system::error_code> ReadHead()
+  {
+    m_headBytes = 0;
+    m_isCut = false;
+    m_share.SetActivity(HttpActivity::ReadingHead);
+    boost::beast::get_lowest_layer(m_stream).expires_never();
+    auto const readHead = [this] { return ReadUntil(&Parser::is_header_done); };
+    auto const error = co_await ReadWithin(m_server.m_limits.m_headerTimeout, readHead);
+    if (error || detail::HasSupportedTransferCoding(m_parser->get())) {
+      co_return error;
+    }
+    co_return boost::beast::http::error::bad_transfer_encoding;
+  }
+
   /// Reads until the parser has the part, or there is no room for more. The parser keeps
   /// what it has, so that another call goes on.
   boost::asio::awaitable<boost::system::error_code> ReadUntil(bool (Parser::*aHasPart)() const)
--- a/Meta/hostile_callers.py
+++ b/Meta/hostile_callers.py
@@ -289,6 +289,12 @@
     def entry(self):
         return self.door("entry-1")
 
+    def operator(self):
+        """The operator's path on the entry."""
+        door = self.entry()
+        door.crowd_path = "/operator/v1/documents"
+        return door
+
     def agent(self):
         return self.door("booking-01")
 
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -31,6 +31,7 @@
 step 'soak: seeds that failed once' Meta/soak.py --regression
 step 'soak: a short run' Meta/soak.py --seeds 1-3 --jobs 3 --seconds 6
 step 'callers outside all limits' Meta/hostile_callers.py
+step 'requests inside the bodies of others' Meta/smuggled_requests.py
 step 'answers without end' Meta/endless_answers.py
 step 'bounds that do not depend on the clock' Meta/bench.py --deterministic
 if [ -s KNOWN-RED.txt ]; then
--- a/Tests/HostileCallerTest.cpp
+++ b/Tests/HostileCallerTest.cpp
@@ -136,11 +136,14 @@
          { "Content-Length: 5\r\nContent-Length: 60\r\n",
            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
            "Transfer-Encoding: chunked, identity\r\n", "Transfer-Encoding: xchunked\r\n" }) {
-      RawCaller caller(*this);
-      co_await caller.Connect();
-      co_await caller.Write(Head("outer", framing) + "0\r\n\r\n" + Head("inner", ""));
-      auto const response = co_await caller.ReadToEnd();
-      BOOST_TEST(response.starts_with("HTTP/1.1 400"), framing);
+      // Without the last chunk, the body begins with what may be taken for a request.
+      for (std::string const lastChunk : { "0\r\n\r\n", "" }) {
+        RawCaller caller(*this);
+        co_await caller.Connect();
+        co_await caller.Write(Head("outer", framing) + lastChunk + Head("inner", ""));
+        auto const response = co_await caller.ReadToEnd();
+        BOOST_TEST(response.starts_with("HTTP/1.1 400"), framing);
+      }
     }
     BOOST_TEST(RunsOf("outer") + RunsOf("inner") == 0U);
   });
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -146,6 +146,21 @@
   return "GET " + aTarget + " HTTP/1.1\r\nHost: x\r\n\r\n";
 }
 
+/// The version, fields and first bytes of the body of requests whose end cannot be told.
+std::vector<std::string> const kUnclearEnds = {
+  "1.1\r\nTransfer-Encoding: identity\r\n\r\n",
+  "1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+  "1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n",
+  "1.1\r\nTransfer-Encoding: \"chunked\"\r\n\r\n",
+  "1.1\r\nTransfer-Encoding:\r\n\r\n",
+  "1.1\r\nTransfer-Encoding: identity\r\nContent-Length: 0\r\n\r\n",
+  "1.1\r\nTransfer-Encoding: identity\r\nExpect: 100-continue\r\n\r\n",
+  "1.1\r\nTransfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+  "1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+  "1.1\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n",
+  "1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+};
+
 /// Keeps the loop busy, so that all that becomes due meanwhile is due in its next turn.
 void Block(base::Duration aTime)
 {
@@ -401,3 +416,22 @@
     BOOST_TEST((co_await caller.Receive("")).starts_with("HTTP/1.1 408"));
   });
 }
+
+// Guards against smuggling: the server took such a request for one without a body, and what
+// followed its head for the next request.
+BOOST_FIXTURE_TEST_CASE(ARequestWithAnUnclearEndIsTheLastOnItsConnection, ServerFixture)
+{
+  Run([&]() -> awaitable<void> {
+    for (auto const& end : kUnclearEnds) {
+      RawCaller caller(*this);
+      caller.Send("POST / HTTP/" + end + Get("/inner"));
+      auto const response = co_await caller.Receive("", 500ms);
+      BOOST_TEST_CONTEXT(end)
+      {
+        BOOST_TEST(response.starts_with("HTTP/1.1 400"));
+        BOOST_TEST(response.rfind("HTTP/1.1") == 0U);
+        BOOST_TEST(caller.IsClosed());
+      }
+    }
+  });
+}
