Base: Take no response whose transfer coding is not decoded

What callers saw: an upstream's response with a transfer coding other than chunked was relayed as a success, with the coded bytes as its body and without the field that names the coding.

A body under an unknown coding was read to the end of the connection or to a length that the coding overrides; of two Transfer-Encoding fields the last one counted.

Why it works: the client checks the coding with the function that the server uses, when it has the head, and reports a malformed response. That leaves open whether the request has run.

--- a/Base/Http/HttpConnection.cpp
+++ b/Base/Http/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "Base/Http/HttpConnection.h"
 
 #include "Base/Http/HttpHead.h"
+#include "Base/Http/TransferCoding.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -205,6 +206,9 @@
     if (error) {
       co_return error;
     }
+    if (!detail::HasSupportedTransferCoding(parser.get())) {
+      co_return http::error::bad_transfer_encoding;
+    }
     if (parser.get().result_int() < 200) {
       if (++interim > kMaximumInterimResponses) {
         co_return http::error::header_limit;
--- a/Tests/TruncatedAnswerTest.cpp
+++ b/Tests/TruncatedAnswerTest.cpp
@@ -45,6 +45,15 @@
                                          { "chunks", &kChunked },
                                          { "end of the connection", &kUndelimited } };
 
+std::vector<std::string> const kUnsupportedCodings = {
+  "Transfer-Encoding: identity\r\n",
+  "Transfer-Encoding: gzip\r\nConnection: close\r\n",
+  "Transfer-Encoding: chunked, gzip\r\n",
+  "Transfer-Encoding: gzip, chunked\r\n",
+  "Transfer-Encoding: identity\r\nContent-Length: 15\r\n",
+  "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+};
+
 struct Cut
 {
   std::string const* m_text;
@@ -76,6 +85,16 @@
   { &kUndelimited, "", ScriptedResponse::End::Reset },
 };
 
+awaitable<tl::expected<base::HttpResponse, base::HttpFailure>> Fetch(base::HttpClient& aClient,
+                                                                     base::Endpoint aEndpoint)
+{
+  base::HttpRequest request;
+  request.m_headers.Add("Request-Id", "r1");
+  base::HttpSendOptions options{ 1s, nullptr, std::nullopt,
+                                 base::HttpHeaders::Field{ "Request-Id", "r1" }, nullptr };
+  co_return co_await aClient.Fetch(std::move(aEndpoint), std::move(request), std::move(options));
+}
+
 /// A site in which all routes lead to a scripted server.
 class TruncatedFixture : public SiteFixture
 {
@@ -130,13 +149,7 @@
   base::HttpClient client(loop, {});
   auto run = [&]() -> awaitable<void> {
     for (std::size_t size = 0; size <= cuts; ++size) {
-      base::HttpRequest request;
-      request.m_headers.Add("Request-Id", "r1");
-      base::HttpSendOptions options{ 1s, nullptr, std::nullopt,
-                                     base::HttpHeaders::Field{ "Request-Id", "r1" }, nullptr };
-      auto target = endpoint;
-      auto const response =
-        co_await client.Fetch(std::move(target), std::move(request), std::move(options));
+      auto const response = co_await Fetch(client, endpoint);
       BOOST_TEST_CONTEXT("after " << size << " bytes")
       {
         BOOST_TEST(response.has_value() == (size == cuts));
@@ -151,6 +164,28 @@
   loop.Run();
 }
 
+// Guards against a body that is taken as it came, or to an end that its sender did not mean.
+BOOST_DATA_TEST_CASE(AClientTakesNoBodyWhoseCodingItDoesNotDecode,
+                     boost::unit_test::data::make(kUnsupportedCodings), aCoding)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  tests::PortClaim const port({ "127.0.0.1" });
+  base::Endpoint const endpoint{ "127.0.0.1", port.Port() };
+  ScriptedServer server(
+    loop, { { kHead + aCoding + "\r\n5\r\nevent\r\n0\r\n\r\n", ScriptedResponse::End::Close } });
+  BOOST_REQUIRE(server.Listen(endpoint).has_value());
+  base::HttpClient client(loop, {});
+  auto run = [&]() -> awaitable<void> {
+    auto const response = co_await Fetch(client, endpoint);
+    BOOST_REQUIRE(!response);
+    BOOST_TEST((response.error().m_kind == base::HttpFailure::Kind::MalformedResponse));
+    BOOST_TEST(response.error().m_mayHaveBeenSent);
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+}
+
 BOOST_DATA_TEST_CASE_F(TruncatedFixture, AGatewayRelaysNoPartOfAnAnswerAsTheWhole,
                        boost::unit_test::data::make(kCuts), aCut)
 {
