Base: Take a response with an invalid status for malformed

Without a body, the caller waited until its deadline and got 504; a body with the text of a response was relayed as the answer, with status 200 and the upstream's seal.

Cause: the client took each status below 200 for an interim response, which has no body. The parser takes any three digits and gives those below 100 a body, so that the body of such an answer was read as the next head.

Evidence: AGatewayRelaysNoAnswerWithAnInvalidStatus, its cases one at a time before the change: 504 with 000, 099 and 101 without a body, and no response to a stream within 5 s; 200 with the text from the body of 000 and 099. Its 15 cases pass now. Statuses from 600 on were not played before; by reading, they were relayed.

Why it works: the client accepts 100 to 599 but 101, as RFC 9110 defines, and takes all others for a malformed response before it decides what the head means for the connection.

--- a/Base/Http/HttpConnection.cpp
+++ b/Base/Http/HttpConnection.cpp
@@ -50,6 +50,16 @@
   SetTcpOption(aSocket, TCP_USER_TIMEOUT, static_cast<int>(ToMilliseconds(aAcknowledgeTimeout)));
 }
 
+/// Whether the status is one that RFC 9110, section 15, allows in a response to a request that
+/// asks for no other protocol.
+bool IsValidStatus(unsigned aStatus)
+{
+  constexpr unsigned kFirstStatus = 100;
+  constexpr unsigned kLastStatus = 599;
+  constexpr unsigned kSwitchingProtocols = 101;
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus && aStatus != kSwitchingProtocols;
+}
+
 enum class EchoMatch
 {
   Same,
@@ -209,6 +219,9 @@
     if (!detail::HasSupportedTransferCoding(parser.get())) {
       co_return http::error::bad_transfer_encoding;
     }
+    if (!IsValidStatus(parser.get().result_int())) {
+      co_return http::error::bad_status;
+    }
     if (parser.get().result_int() < 200) {
       if (++interim > kMaximumInterimResponses) {
         co_return http::error::header_limit;
--- a/Tests/TruncatedAnswerTest.cpp
+++ b/Tests/TruncatedAnswerTest.cpp
@@ -203,3 +203,23 @@
     BOOST_TEST(m_server->Requests() >= 1U);
   });
 }
+
+// Guards against a status that is none: the answer was relayed, waited for until the deadline, or
+// replaced by a response in its body.
+BOOST_DATA_TEST_CASE_F(TruncatedFixture, AGatewayRelaysNoAnswerWithAnInvalidStatus,
+                       boost::unit_test::data::make({ "000", "099", "101", "600", "999" }) *
+                         boost::unit_test::data::make({ "", "id: 1\ndata: a\n\n", "{response}" }),
+                       aStatus, aBody)
+{
+  std::string const body = aBody == std::string("{response}") ? kLength : aBody;
+  Start({ "HTTP/1.1 " + std::string(aStatus) + kHead.substr(12) +
+          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body });
+  Run([&]() -> awaitable<void> {
+    for (auto const* const target : { "/order/x", "/once/x" }) {
+      auto request = Request("POST", target, "r" + std::string(target));
+      auto const response = co_await Send(std::move(request));
+      BOOST_TEST((response ? response->m_status : 0) == 502U);
+      BOOST_TEST(!(response && response->m_headers.Find("Server-Seal")));
+    }
+  });
+}
