Base: Read a probe's response to its final part

What callers saw: nothing was reported. By the test, a request on a connection that had just been probed got the probe's response as its answer, if the peer sent an interim response first.

Cause: the probe of an idle connection took the first message for the whole response, also one with a status of the class 100. The final response came when the next request was waiting.

Why it works: the probe uses ReadHead() and SkipBody(), which skip interim responses and refuse malformed ones. The limits are those of all skipped bodies, 1 MiB as before, and end with the probe's timeout.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -247,7 +247,7 @@
   if (!connection || !probe || m_loop.Now() - connection->m_idleSince < probe->m_idleThreshold) {
     co_return connection;
   }
-  bool const isWorking = co_await Probe(*connection, *probe);
+  bool const isWorking = co_await Probe(m_loop, *connection, *probe, m_limits.m_headerBytes);
   if (!isWorking) {
     connection.reset();
     CloseIdle(aEndpoint);
--- a/Base/Http/HttpConnection.cpp
+++ b/Base/Http/HttpConnection.cpp
@@ -22,9 +22,8 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr std::uint64_t kMaximumProbeResponseBytes = std::uint64_t(1024) * 1024;
 /// Limits on the responses to earlier requests that precede a response, and on the
-/// bytes of each of their bodies.
+/// bytes of each body that is skipped.
 constexpr int kMaximumSkippedResponses = 4;
 constexpr std::size_t kMaximumSkippedBytes = 1024UL * 1024;
 /// Servers usually send at most two interim responses.
@@ -166,11 +165,13 @@
   return unusable;
 }
 
-asio::awaitable<bool> Probe(HttpConnection& aConnection, HttpProbe const& aProbe)
+asio::awaitable<bool> Probe(EventLoop const& aLoop, HttpConnection& aConnection,
+                            HttpProbe const& aProbe, Bytes aHeaderLimit)
 {
   HttpRequest request;
   request.m_target = aProbe.m_target;
   auto const head = RenderRequestHead(request, aConnection.m_endpoint, {});
+  auto const end = aLoop.Now() + aProbe.m_timeout;
   aConnection.m_stream.expires_after(aProbe.m_timeout);
   auto const [writeError, written] =
     co_await asio::async_write(aConnection.m_stream, asio::buffer(head), kAwait);
@@ -178,11 +179,13 @@
     co_return false;
   }
   aConnection.m_hasResponded = true;
-  http::response_parser<http::string_body> response;
-  response.body_limit(kMaximumProbeResponseBytes);
-  auto const [readError, size] =
-    co_await http::async_read(aConnection.m_stream, aConnection.m_buffer, response, kAwait);
-  co_return !readError && response.keep_alive();
+  auto const headError =
+    co_await ReadHead(aLoop, aConnection, false, aHeaderLimit, end, std::nullopt);
+  if (headError) {
+    co_return false;
+  }
+  auto const bodyError = co_await SkipBody(aLoop, aConnection, end);
+  co_return !bodyError;
 }
 
 void StartWriting(HttpConnection& aConnection, std::string aHead,
--- a/Base/Http/HttpConnection.h
+++ b/Base/Http/HttpConnection.h
@@ -86,8 +86,9 @@
 std::set<HttpConnection const*> FindUnusable(
   std::list<std::unique_ptr<HttpConnection>> const& aConnections);
 
-/// Sends the probe and returns whether a response arrives within its timeout.
-boost::asio::awaitable<bool> Probe(HttpConnection& aConnection, HttpProbe const& aProbe);
+/// Sends the probe and returns whether a complete final response arrives within its timeout.
+boost::asio::awaitable<bool> Probe(EventLoop const& aLoop, HttpConnection& aConnection,
+                                   HttpProbe const& aProbe, Bytes aHeaderLimit);
 
 /// Starts to write a request without waiting for the end of the write, since a
 /// server may respond before it has read a long body.
--- a/Tests/HttpTest.cpp
+++ b/Tests/HttpTest.cpp
@@ -294,3 +294,36 @@
   };
   RunWithServer(handler, {}, body);
 }
+
+// Guards against an interim response that is taken for the whole answer to a probe: the rest
+// answered the next request.
+BOOST_AUTO_TEST_CASE(TheFinalResponseToAProbeDoesNotAnswerTheNextRequest)
+{
+  auto handler = [](HttpExchange& aExchange) -> awaitable<void> {
+    base::HttpResponse response;
+    response.m_body = aExchange.Request().m_target;
+    if (response.m_body == "/probe") {
+      base::HttpHeaders headers;
+      co_await aExchange.StartStream(103, headers);
+      boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+      timer.expires_after(std::chrono::milliseconds(50));
+      co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    co_await aExchange.Respond(std::move(response));
+  };
+  auto body = [](base::EventLoop& aLoop, base::HttpClient&, base::Endpoint aEndpoint,
+                 base::HttpServer& aServer) -> awaitable<void> {
+    base::HttpClientLimits limits;
+    limits.m_probe = base::HttpProbe{ "/probe", base::Duration::zero(), std::chrono::seconds(2) };
+    base::HttpClient probing(aLoop, limits);
+    for (int round = 0; round < 2; ++round) {
+      base::HttpRequest request;
+      request.m_target = "/work";
+      auto const response =
+        co_await probing.Fetch(aEndpoint, std::move(request), std::chrono::seconds(2));
+      BOOST_TEST((response ? response->m_body : "") == "/work");
+    }
+    BOOST_TEST(aServer.AcceptedConnections() == 1U);
+  };
+  RunWithServer(handler, {}, body);
+}
