Base: Send no body with a status that has none

What callers saw: nothing was reported. A 204 or 304 that an upstream sent without a length went through agent and entry as a stream, with chunks announced and a last chunk after the head. The peer reads no body after these statuses and takes the chunk for the next response.

Cause: HttpExchange knew responses without a body by the request's method only.

Evidence: AResponseWithoutABodyIsFollowedByTheNextOne failed before: chunks after a streamed 204 and 304, the body after one that was sent whole.

Why it works: framing fields, body, chunks and last chunk now depend on the status too, by the rule that the reader goes by (RFC 9112, section 6.3).

--- a/Base/Http/HttpExchange.cpp
+++ b/Base/Http/HttpExchange.cpp
@@ -80,12 +80,21 @@
   co_return Check(error);
 }
 
+bool HttpExchange::HasBody(unsigned aStatus) const
+{
+  return !m_isHead && AllowsBody(aStatus);
+}
+
 asio::awaitable<HttpExchange::Result> HttpExchange::Respond(HttpResponse aResponse)
 {
-  HttpFraming const framing{ aResponse.m_body.size(), false };
+  HttpFraming framing;
+  if (AllowsBody(aResponse.m_status)) {
+    framing.m_contentLength = aResponse.m_body.size();
+  }
   auto const text =
     RenderResponseHead(aResponse.m_status, aResponse.m_headers, framing, m_keepAlive);
-  auto const body = m_isHead ? asio::const_buffer() : asio::buffer(aResponse.m_body);
+  auto const body =
+    HasBody(aResponse.m_status) ? asio::buffer(aResponse.m_body) : asio::const_buffer();
   m_started = true;
   Buffers const buffers{ asio::buffer(text), body, asio::const_buffer() };
   auto const result = co_await WriteBuffers(buffers);
@@ -96,10 +105,11 @@
 asio::awaitable<HttpExchange::Result> HttpExchange::StartStream(unsigned aStatus,
                                                                 HttpHeaders aHeaders)
 {
-  if (!m_mayChunk) {
+  m_hasBody = HasBody(aStatus);
+  if (m_hasBody && !m_mayChunk) {
     m_keepAlive = false;
   }
-  HttpFraming const framing{ std::nullopt, m_mayChunk };
+  HttpFraming const framing{ std::nullopt, m_mayChunk && AllowsBody(aStatus) };
   auto const text = RenderResponseHead(aStatus, aHeaders, framing, m_keepAlive);
   m_started = true;
   Buffers const buffers{ asio::buffer(text), asio::const_buffer(), asio::const_buffer() };
@@ -108,7 +118,7 @@
 
 asio::awaitable<HttpExchange::Result> HttpExchange::Write(std::string_view aData)
 {
-  if (aData.empty() || m_isHead) {
+  if (aData.empty() || !m_hasBody) {
     co_return Result{};
   }
   auto const data = asio::buffer(aData.data(), aData.size());
@@ -126,7 +136,7 @@
 
 asio::awaitable<HttpExchange::Result> HttpExchange::Finish()
 {
-  if (!m_mayChunk || m_isHead) {
+  if (!m_mayChunk || !m_hasBody) {
     m_finished = true;
     co_return Result{};
   }
--- a/Base/Http/HttpExchange.h
+++ b/Base/Http/HttpExchange.h
@@ -84,6 +84,8 @@
   boost::asio::awaitable<Result> WriteBuffers(Buffers aBuffers);
   boost::beast::tcp_stream& LowestLayer();
   Result Check(boost::system::error_code aError);
+  /// Whether the response to the request has a body, which depends on its status.
+  bool HasBody(unsigned aStatus) const;
 
   AnyStream m_stream;
   std::shared_ptr<HttpRequest> m_request;
@@ -93,6 +95,8 @@
   bool m_keepAlive;
   bool m_mayChunk;
   bool m_isHead;
+  /// Whether the response that has been started has a body.
+  bool m_hasBody = true;
   bool m_started = false;
   bool m_finished = false;
   bool m_isPeerDisconnected = false;
--- a/Base/Http/HttpHead.cpp
+++ b/Base/Http/HttpHead.cpp
@@ -51,6 +51,14 @@
   return text;
 }
 
+bool AllowsBody(unsigned aStatus)
+{
+  constexpr unsigned kFirstFinalStatus = 200;
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return aStatus >= kFirstFinalStatus && aStatus != kNoContent && aStatus != kNotModified;
+}
+
 std::string RenderResponseHead(unsigned aStatus, HttpHeaders const& aHeaders, HttpFraming aFraming,
                                bool aKeepAlive)
 {
--- a/Base/Http/HttpHead.h
+++ b/Base/Http/HttpHead.h
@@ -21,6 +21,10 @@
 std::string RenderRequestHead(HttpRequest const& aRequest, Endpoint const& aEndpoint,
                               HttpFraming aFraming);
 
+/// Whether a response with this status has a body, and fields that say where it ends. Peers read
+/// no body after the others, whatever their fields say (RFC 9112, section 6.3).
+bool AllowsBody(unsigned aStatus);
+
 /// Renders the head of an HTTP/1.1 response, with framing fields replaced likewise.
 std::string RenderResponseHead(unsigned aStatus, HttpHeaders const& aHeaders, HttpFraming aFraming,
                                bool aKeepAlive);
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -435,3 +435,29 @@
     }
   });
 }
+
+// Guards against bytes after a response without a body: the peer takes them for the next response.
+BOOST_FIXTURE_TEST_CASE(AResponseWithoutABodyIsFollowedByTheNextOne, ServerFixture)
+{
+  m_handler = [](HttpExchange& aExchange) -> awaitable<void> {
+    base::HttpResponse response;
+    response.m_status = aExchange.Request().m_target == "/204" ? 204 : 304;
+    if (aExchange.Request().m_body.empty()) {
+      co_await aExchange.StartStream(response.m_status, response.m_headers);
+      co_await aExchange.Write("body");
+      co_await aExchange.Finish();
+      co_return;
+    }
+    response.m_body = "body";
+    co_await aExchange.Respond(std::move(response));
+  };
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    for (std::string const target : { "/204", "/304" }) {
+      caller.Send(Get(target) + "POST " + target + " HTTP/1.1\r\nContent-Length: 1\r\n\r\nx");
+    }
+    auto const responses = co_await caller.Receive("", 500ms);
+    BOOST_TEST(responses == "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"
+                            "HTTP/1.1 304 Not Modified\r\n\r\nHTTP/1.1 304 Not Modified\r\n\r\n");
+  });
+}
