Base: Send no interim response to HTTP/1.0

What callers saw: nothing was reported. A request of HTTP/1.0 that expects 100-continue got an interim response, which a peer of that version takes for the final one.

Cause: the server looked at the field only, not at the request's version.

Evidence: APeerOfAnOlderVersionGetsNoInterimResponse failed before.

Why it works: the expectation is ignored in HTTP/1.0 (RFC 9110, section 10.1.1).

--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -221,7 +221,7 @@
       co_return std::nullopt;
     }
     m_share.SetActivity(HttpActivity::ReadingBody);
-    if (boost::beast::iequals(m_parser->get()[boost::beast::http::field::expect], "100-continue")) {
+    if (ExpectsContinue()) {
       boost::beast::http::response<boost::beast::http::empty_body> continueResponse{
         boost::beast::http::status::continue_, 11
       };
@@ -239,12 +239,21 @@
       co_return std::nullopt;
     }
     m_keepAlive = m_parser->get().keep_alive();
-    m_mayChunk = m_parser->get().version() >= 11;
+    m_mayChunk = m_parser->get().version() >= kVersion11;
     std::optional<HttpRequest> request(detail::ToRequest(m_parser->get()));
     m_parser.reset();
     co_return request;
   }
 
+  /// Whether the peer waits for an interim response, which HTTP/1.0 does not know: it would
+  /// take one for the final response.
+  bool ExpectsContinue() const
+  {
+    auto const& head = m_parser->get();
+    return head.version() >= kVersion11 &&
+           boost::beast::iequals(head[boost::beast::http::field::expect], "100-continue");
+  }
+
   boost::asio::awaitable<boost::system::error_code> ReadHead()
   {
     m_headBytes = 0;
@@ -478,6 +487,8 @@
   static constexpr std::size_t kMaximumBufferedBytes = 256UL * 1024;
   /// An empty buffer above this size is released.
   static constexpr std::size_t kKeptBufferBytes = 16UL * 1024;
+  /// HTTP/1.1 as the parser counts versions.
+  static constexpr unsigned kVersion11 = 11;
   static constexpr std::size_t kMaximumLingerBytes = 16UL * 1024 * 1024;
   boost::beast::flat_buffer m_buffer{ kMaximumBufferedBytes };
   std::optional<Parser> m_parser;
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -461,3 +461,13 @@
                             "HTTP/1.1 304 Not Modified\r\n\r\nHTTP/1.1 304 Not Modified\r\n\r\n");
   });
 }
+
+// Guards against an interim response to HTTP/1.0, which its peer takes for the final one.
+BOOST_FIXTURE_TEST_CASE(APeerOfAnOlderVersionGetsNoInterimResponse, ServerFixture)
+{
+  Run([&]() -> awaitable<void> {
+    RawCaller caller(*this);
+    caller.Send("POST / HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\nx");
+    BOOST_TEST((co_await caller.Receive("")).starts_with("HTTP/1.1 200"));
+  });
+}
