Base: Discard the trailer fields of requests

Cause: Beast keeps trailer fields beside the header fields and throws std::length_error for one that its fields cannot hold. Trailers are bounded by the connection's buffer only, 256 KB, and nothing between the parser and the event loop catches the exception.

Evidence: TrailerFieldsAreDiscarded failed before with that exception, out of the loop, for 65,536 bytes; for fewer, the trailer field counted as a header field.

Why it works: the server's parser drops what arrives as a field after the head, so that it keeps nothing of it and passes nothing on. Trailers that are malformed, or that name a length or a coding, are refused as before.

--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Base/Http/HttpBudgetShare.h"
-#include "Base/Http/HttpRequestBody.h"
+#include "Base/Http/HttpRequestParser.h"
 #include "Base/Http/HttpServer.h"
 #include "Base/Http/IdleWait.h"
 #include "Base/Http/ReadDeadline.h"
@@ -82,7 +82,7 @@
   }
 
 private:
-  using Parser = boost::beast::http::request_parser<detail::HttpRequestBody>;
+  using Parser = detail::HttpRequestParser;
 
   /// Ends the connection, as others need its room. A request that is being read is still
   /// refused with a response.
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -471,3 +471,26 @@
     BOOST_TEST((co_await caller.Receive("")).starts_with("HTTP/1.1 200"));
   });
 }
+
+// Guards against a trailer field that is too long for the parser's fields, whose exception ended
+// the process, and against trailer fields that pass for header fields.
+BOOST_FIXTURE_TEST_CASE(TrailerFieldsAreDiscarded, ServerFixture)
+{
+  m_handler = [](HttpExchange& aExchange) -> awaitable<void> {
+    base::HttpResponse response;
+    response.m_body = std::to_string(aExchange.Request().m_headers.Count("Late"));
+    co_await aExchange.Respond(std::move(response));
+  };
+  Run([&]() -> awaitable<void> {
+    for (std::size_t const bytes : { 10UL, 65'535UL, 65'536UL, 200'000UL }) {
+      RawCaller caller(*this);
+      bool const isSent = co_await caller.SendAll(
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nLate: " +
+        std::string(bytes, 'x') + "\r\n\r\n" + Get("/next"));
+      BOOST_TEST(isSent);
+      auto const responses = co_await caller.Receive("", 300ms);
+      BOOST_TEST(responses.starts_with("HTTP/1.1 200"));
+      BOOST_TEST(responses.ends_with("0"));
+    }
+  });
+}
