Base: Look each field up once among the names in Connection

Cause: RemoveHopByHopHeaders() compared each field with each name, in one turn of the loop. The caller chooses both numbers.

Evidence: ManyNamesInConnectionAreLookedUpOnceAField (200,000 names, as many fields, bound 5 s) did not end within 100 s before.

Why it works: the names are put into an ordered set, and each field is looked up once, so that the work grows with n log n.

--- a/Base/Http/HttpMessage.cpp
+++ b/Base/Http/HttpMessage.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 namespace sardinefold::base {
@@ -22,23 +23,32 @@
                                                              "Transfer-Encoding",
                                                              "Upgrade" };
 
-std::vector<std::string> ConnectionTokens(HttpHeaders const& aHeaders)
+/// Names in lower case. An ordered set, as peers can choose names that collide in a hash table.
+using Names = std::set<std::string>;
+
+std::string ToLowerCase(std::string_view aText)
 {
-  std::vector<std::string> tokens;
-  for (auto const& field : aHeaders.Fields()) {
-    if (!EqualIgnoringCase(field.m_name, "Connection")) {
-      continue;
-    }
-    std::string_view rest = field.m_value;
-    while (!rest.empty()) {
-      auto const comma = std::min(rest.find(','), rest.size());
-      std::string token(rest.substr(0, comma));
-      boost::algorithm::trim(token);
-      tokens.push_back(std::move(token));
-      rest.remove_prefix(std::min(comma + 1, rest.size()));
-    }
+  std::string text;
+  AppendLowerCase(aText, text);
+  return text;
+}
+
+bool IsHopByHop(std::string_view aName)
+{
+  return std::ranges::any_of(
+    kHopByHopNames, [&](std::string_view aKnown) { return EqualIgnoringCase(aName, aKnown); });
+}
+
+/// Adds the names in the value of a Connection field.
+void AddConnectionOptions(std::string_view aValue, Names& aNames)
+{
+  while (!aValue.empty()) {
+    auto const comma = std::min(aValue.find(','), aValue.size());
+    auto name = ToLowerCase(aValue.substr(0, comma));
+    boost::algorithm::trim(name);
+    aNames.insert(std::move(name));
+    aValue.remove_prefix(std::min(comma + 1, aValue.size()));
   }
-  return tokens;
 }
 
 } // namespace
@@ -78,12 +88,16 @@
 
 void RemoveHopByHopHeaders(HttpHeaders& aHeaders)
 {
-  for (auto const& token : ConnectionTokens(aHeaders)) {
-    aHeaders.Remove(token);
-  }
-  for (auto const& name : kHopByHopNames) {
-    aHeaders.Remove(name);
+  Names named;
+  for (auto const& field : aHeaders.Fields()) {
+    if (EqualIgnoringCase(field.m_name, "Connection")) {
+      AddConnectionOptions(field.m_value, named);
+    }
   }
+  aHeaders.RemoveIf([&](HttpHeaders::Field const& aField) {
+    return IsHopByHop(aField.m_name) ||
+           (!named.empty() && named.contains(ToLowerCase(aField.m_name)));
+  });
 }
 
 std::string_view HttpRequest::Path() const
--- a/Base/Http/HttpMessage.h
+++ b/Base/Http/HttpMessage.h
@@ -23,6 +23,12 @@
   /// Replaces all fields of this name by one.
   void Set(std::string aName, std::string aValue);
   void Remove(std::string_view aName);
+  /// Removes all fields for which the predicate returns true.
+  template<typename Predicate>
+  void RemoveIf(Predicate const& aPredicate)
+  {
+    std::erase_if(m_fields, aPredicate);
+  }
   /// Returns the value of the first field of this name.
   std::optional<std::string_view> Find(std::string_view aName) const;
   std::size_t Count(std::string_view aName) const;
--- a/Tests/HttpTest.cpp
+++ b/Tests/HttpTest.cpp
@@ -327,3 +327,21 @@
   };
   RunWithServer(handler, {}, body);
 }
+
+// Guards against work that grows with the product of the names in Connection and the fields: such
+// requests hung a gateway.
+BOOST_AUTO_TEST_CASE(ManyNamesInConnectionAreLookedUpOnceAField)
+{
+  constexpr int kNames = 200'000;
+  base::HttpHeaders headers;
+  std::string names;
+  for (int number = 0; number < kNames; ++number) {
+    names += "N" + std::to_string(number) + ", ";
+    headers.Add("n" + std::to_string(2 * number), "");
+  }
+  headers.Add("Connection", names);
+  auto const begin = programs::SystemClock::Monotonic();
+  base::RemoveHopByHopHeaders(headers);
+  BOOST_TEST((programs::SystemClock::Monotonic() - begin < std::chrono::seconds(5)));
+  BOOST_TEST(headers.Fields().size() == kNames / 2U);
+}
