Gateway: Refuse models that the configuration does not list

Cause: admission checked the deployment and not its list of models, while what is kept by model relies on the catalog to bound the number of models.

Evidence: NamesOfModelsThatDoNotExistTakeNoMemory, 8,000 names one after the other, did not end within 60 s before, as each request waited. It passes now, with less than 4 MB more.

Why it works: such a request is refused with 503 and a second's Retry-After before its demand is counted, a signal is made or tokens are taken, so that the catalog bounds all that is kept by model. 503 rather than 404, as a newer configuration may have the model.

--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -80,10 +80,17 @@
       LogRefusedPart(m_context, *refused);
       return RequestRefusal{ 503, kRefusedPartOutcome, refused->m_timeLeft };
     }
+    ChooseUpstreams(*catalog);
+    if (NamesUnknownModel()) {
+      // A configuration that has it may be on its way.
+      return RequestRefusal{ 503, "model is not in the configuration", kConfigurationRetryAfter };
+    }
     if (auto refusal = workspace ? TakeTokens(*workspace) : std::nullopt) {
       return refusal;
     }
-    ChooseUpstreams(*catalog);
+    if (m_context.m_query.m_model) {
+      m_state.m_demand.OnRequest(*m_context.m_query.m_model, m_context.m_start);
+    }
     m_context.m_query.m_failureDomains = engine::HomeDomains(
       route->m_homes, workspace ? workspace->m_homes : std::set<base::RegionId>(),
       m_state.m_profile.m_regions);
@@ -139,18 +146,25 @@
   {
     auto& query = m_context.m_query;
     query.m_deployment = ChooseDeployment();
-    auto const* const deployment = aCatalog.FindDeployment(query.m_deployment);
+    m_deployment = aCatalog.FindDeployment(query.m_deployment);
     auto const& model = m_context.m_request.m_model;
     if (m_context.m_request.m_tokens) {
       query.m_prompt = m_context.m_request.m_tokens->m_prompt;
     }
-    if (model && deployment && deployment->m_engine) {
+    if (model && m_deployment && m_deployment->m_engine) {
       query.m_model = model->m_model;
       query.m_adapter = model->m_adapter;
-      m_state.m_demand.OnRequest(*query.m_model, m_context.m_start);
     }
   }
 
+  /// Whether no upstream of the deployment can have the request's model. What is kept of a model
+  /// stays, so that callers must not make up names of models.
+  bool NamesUnknownModel() const
+  {
+    auto const& model = m_context.m_query.m_model;
+    return model && !m_deployment->m_engine->m_models.contains(*model);
+  }
+
   base::FingerprintId Fingerprint() const
   {
     auto const workspace = m_context.m_workspace ? m_context.m_workspace->Text() : "";
@@ -185,6 +199,8 @@
   GatewayState& m_state;
   base::HttpRequest const& m_request;
   RequestContext& m_context;
+  /// Null if the catalog does not have the request's deployment.
+  operators::DeploymentSpec const* m_deployment = nullptr;
 };
 
 } // namespace sardinefold::programs
--- a/Tests/HostileCallerTest.cpp
+++ b/Tests/HostileCallerTest.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE HostileCaller
+#include "Tests/Support/ProcessMemory.h"
 #include "Tests/Support/SiteFixture.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -186,3 +187,25 @@
     BOOST_TEST(RunsOf("r1") == 0U);
   });
 }
+
+// Guards against names that callers make up: what the gateway kept of each stayed for good.
+BOOST_FIXTURE_TEST_CASE(NamesOfModelsThatDoNotExistTakeNoMemory, SiteFixture)
+{
+  constexpr int kNames = 8'000;
+  constexpr long kKilobytes = 4 * 1024;
+  Run([&]() -> awaitable<void> {
+    long before = 0;
+    for (int number = 0; number < kNames; ++number) {
+      // What is kept once, such as buffers and connections, is there after some requests.
+      before = number == kNames / 8 ? tests::ResidentKilobytes() : before;
+      auto const id = std::to_string(number);
+      auto request = ModelRequest("/chat/x", "r" + id, "unknown-" + id);
+      auto const response = co_await Send(std::move(request));
+      BOOST_TEST_REQUIRE((response ? response->m_status : 0) == 503U);
+    }
+    BOOST_TEST(tests::ResidentKilobytes() - before < kKilobytes);
+    auto request = ModelRequest("/chat/x", "known", "common");
+    auto const response = co_await Send(std::move(request));
+    BOOST_TEST((response ? response->m_status : 0) == 200U);
+  });
+}
