Base: Count the fields of a head in the memory budget

Cause: the budget counted twice the text of a head. A field takes some 200 bytes besides its text, in the parser, the request and the copy for the upstream.

Evidence: FieldsOfAHeadCountWithWhatTheyTake failed before: a request with 2,000 fields counted for less than these alone take.

Why it works: the parser counts the fields, and the session holds 256 bytes for each as the head is read, so that the budget refuses what would not fit before it is there. The request's list of fields no longer grows by doubling.

--- a/Base/Http/HttpMessage.h
+++ b/Base/Http/HttpMessage.h
@@ -19,6 +19,8 @@
     std::string m_value;
   };
 
+  /// Makes room for as many fields, so that more than they need is not taken as they are added.
+  void Reserve(std::size_t aFields) { m_fields.reserve(aFields); }
   void Add(std::string aName, std::string aValue);
   /// Replaces all fields of this name by one.
   void Set(std::string aName, std::string aValue);
--- a/Base/Http/HttpRequestParser.h
+++ b/Base/Http/HttpRequestParser.h
@@ -13,6 +13,10 @@
 /// taken for header fields (RFC 9110, section 6.5.1).
 class HttpRequestParser : public boost::beast::http::request_parser<HttpRequestBody>
 {
+public:
+  /// The number of header fields that have been read.
+  std::size_t FieldCount() const { return m_fieldCount; }
+
 private:
   // Beast throws an exception for a longer name or value.
   static constexpr std::size_t kMaximumFieldBytes = 65'535;
@@ -29,7 +33,10 @@
       return;
     }
     get().insert(aField, aName, aValue);
+    ++m_fieldCount;
   }
+
+  std::size_t m_fieldCount = 0;
 };
 
 } // namespace sardinefold::base::detail
--- a/Base/Http/HttpServer.cpp
+++ b/Base/Http/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 
+#include <iterator>
 #include <optional>
 
 namespace sardinefold::base {
@@ -66,6 +67,8 @@
   HttpRequest request;
   request.m_method = std::string(aMessage.method_string());
   request.m_target = std::string(aMessage.target());
+  request.m_headers.Reserve(
+    static_cast<std::size_t>(std::distance(aMessage.begin(), aMessage.end())));
   for (auto const& field : aMessage) {
     request.m_headers.Add(std::string(field.name_string()), std::string(field.value()));
   }
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -106,7 +106,7 @@
   bool HoldRequest()
   {
     // The parser holds a head twice: as it came, and as fields.
-    auto const head = m_parser ? 2 * m_headBytes : 0;
+    auto const head = m_parser ? 2 * m_headBytes + m_parser->FieldCount() * kFieldBytes : 0;
     auto const body = m_parser ? m_parser->get().body().capacity() : 0;
     return m_share.HoldRequest(Bytes(static_cast<std::int64_t>(m_buffer.capacity() + head + body)));
   }
@@ -487,6 +487,9 @@
   static constexpr std::size_t kMaximumBufferedBytes = 256UL * 1024;
   /// An empty buffer above this size is released.
   static constexpr std::size_t kKeptBufferBytes = 16UL * 1024;
+  /// What a field takes besides its text: a node of the parser, which may hold memory that is not
+  /// reused, and a field each of the request and of the one that is sent to an upstream.
+  static constexpr std::size_t kFieldBytes = 4 * sizeof(HttpHeaders::Field);
   /// HTTP/1.1 as the parser counts versions.
   static constexpr unsigned kVersion11 = 11;
   static constexpr std::size_t kMaximumLingerBytes = 16UL * 1024 * 1024;
--- a/Tests/HttpServerBudgetTest.cpp
+++ b/Tests/HttpServerBudgetTest.cpp
@@ -177,3 +177,23 @@
     BOOST_TEST(again.find("200 OK") != std::string::npos);
   });
 }
+
+// Guards against heads of short fields, which take many times their text: a crowd of them took a
+// gateway over its memory.
+BOOST_FIXTURE_TEST_CASE(FieldsOfAHeadCountWithWhatTheyTake, BudgetFixture)
+{
+  constexpr std::size_t kFields = 2'000;
+  m_workTime = 300ms;
+  Run([&]() -> awaitable<void> {
+    std::string text = "GET / HTTP/1.1\r\n";
+    for (std::size_t number = 0; number < kFields; ++number) {
+      text += "a:\r\n";
+    }
+    auto caller = co_await Connect(text + "\r\n");
+    base::Bytes const fields(kFields * sizeof(base::HttpHeaders::Field));
+    BOOST_TEST((m_budget->Held() >= fields));
+    auto const served = co_await ReadHead(caller);
+    BOOST_TEST(served.starts_with("HTTP/1.1 200"));
+    BOOST_TEST((m_budget->Held() < fields));
+  });
+}
