Base: Let the counts of a server outlive it

Programs end without destroying their servers, so that users saw nothing.

Cause: sessions are coroutines of the loop and count down in members of their server as they are destroyed. In the case, the server is destroyed before the loop of its fixture.

Evidence: the case with address sanitizer on x86-64: stack-use-after-return in ~CountGuard(), below the end of the io_context.

Why it works: the counts are an object that the server and its sessions share. Shared ownership is the exception here: neither the loop nor the server can end the other.

--- a/Base/Http/HttpServer.cpp
+++ b/Base/Http/HttpServer.cpp
@@ -139,7 +139,7 @@
     if (error == asio::error::operation_aborted || (error && m_draining)) {
       co_return;
     }
-    if (error || m_connections >= m_limits.m_connections) {
+    if (error || m_counts->m_connections >= m_limits.m_connections) {
       if (error) {
         m_budget->OnDescriptorsExhausted(m_loop.Now());
       } else {
@@ -180,7 +180,8 @@
 {
   boost::system::error_code error;
   m_acceptor.non_blocking(true, error);
-  for (auto accepted = m_connections; !error && accepted < m_limits.m_connections; ++accepted) {
+  for (auto accepted = m_counts->m_connections; !error && accepted < m_limits.m_connections;
+       ++accepted) {
     tcp::socket socket(m_loop.Context());
     m_acceptor.accept(socket, error);
     if (!error) {
@@ -191,7 +192,7 @@
 
 asio::awaitable<void> HttpServer::ServePlain(tcp::socket aSocket)
 {
-  detail::CountGuard const guard(m_connections);
+  detail::CountGuard const guard(m_counts, &HttpServerCounts::m_connections);
   HttpBudgetShare share(m_loop, m_budget);
   if (!share.IsAdmitted()) {
     ReportTurnedAway();
@@ -234,8 +235,8 @@
   // New sessions and cancelled waits look for a request in the next turns of the loop.
   do {
     co_await m_loop.Sleep(kDrainPollInterval);
-  } while ((m_exchanges > 0 || !m_idle.empty()) && m_loop.Now() < end);
-  co_return m_exchanges - m_lingering;
+  } while ((m_counts->m_exchanges > 0 || !m_idle.empty()) && m_loop.Now() < end);
+  co_return m_counts->m_exchanges - m_counts->m_lingering;
 }
 
 } // namespace sardinefold::base
--- a/Base/Http/HttpServer.h
+++ b/Base/Http/HttpServer.h
@@ -5,6 +5,7 @@
 #include "Base/Http/HttpConnectionClose.h"
 #include "Base/Http/HttpExchange.h"
 #include "Base/Http/HttpMessage.h"
+#include "Base/Http/HttpServerCounts.h"
 #include "Base/Http/IdleLimit.h"
 #include "Base/Units.h"
 
@@ -98,9 +99,9 @@
   /// status 408.
   void EndReads();
 
-  std::size_t OpenConnections() const { return m_connections; }
+  std::size_t OpenConnections() const { return m_counts->m_connections; }
   /// Returns the number of requests that are being read or served.
-  std::size_t OpenExchanges() const { return m_exchanges; }
+  std::size_t OpenExchanges() const { return m_counts->m_exchanges; }
   /// Returns the number of connections accepted so far, which is also the sequence
   /// number of the latest one.
   std::uint64_t AcceptedConnections() const { return m_accepted; }
@@ -139,10 +140,7 @@
   std::list<HttpExchange*> m_open;
   /// What connections that linger have received, and nobody reads.
   std::array<char, 16UL * 1024> m_discarded{};
-  std::size_t m_connections = 0;
-  std::size_t m_exchanges = 0;
-  /// Exchanges that have been answered, and whose peers are still sending.
-  std::size_t m_lingering = 0;
+  std::shared_ptr<HttpServerCounts> m_counts = std::make_shared<HttpServerCounts>();
   std::uint64_t m_accepted = 0;
   bool m_isClosing = false;
   bool m_draining = false;
--- a/Base/Http/HttpServerTls.cpp
+++ b/Base/Http/HttpServerTls.cpp
@@ -21,7 +21,7 @@
 asio::awaitable<void> HttpServer::ServeTls(tcp::socket aSocket,
                                            std::shared_ptr<asio::ssl::context> aContext)
 {
-  detail::CountGuard const guard(m_connections);
+  detail::CountGuard const guard(m_counts, &HttpServerCounts::m_connections);
   HttpBudgetShare share(m_loop, m_budget);
   if (!share.IsAdmitted()) {
     ReportTurnedAway();
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -40,23 +40,6 @@
 bool HasDecryptedInput(HttpExchange::TlsStream& aStream);
 HttpRequest ToRequest(boost::beast::http::request<HttpRequestBody>& aMessage);
 
-/// Increments a counter for the lifetime of the guard.
-class CountGuard
-{
-public:
-  explicit CountGuard(std::size_t& aCount)
-    : m_count(aCount)
-  {
-    ++m_count;
-  }
-  CountGuard(CountGuard const&) = delete;
-  CountGuard& operator=(CountGuard const&) = delete;
-  ~CountGuard() { --m_count; }
-
-private:
-  std::size_t& m_count;
-};
-
 } // namespace detail
 
 /// Reads and serves the requests of one connection, one after the other.
@@ -131,7 +114,7 @@
         co_return;
       }
       // A drain also waits for a request that is being read.
-      detail::CountGuard const guard(m_server.m_exchanges);
+      detail::CountGuard const guard(m_server.m_counts, &HttpServerCounts::m_exchanges);
       auto request = co_await ReadRequest();
       if (!request) {
         co_return;
@@ -365,7 +348,7 @@
   /// without end is no longer read from after kMaximumLingerBytes.
   boost::asio::awaitable<void> Linger()
   {
-    detail::CountGuard const guard(m_server.m_lingering);
+    detail::CountGuard const guard(m_server.m_counts, &HttpServerCounts::m_lingering);
     constexpr Duration kLingerTime = std::chrono::seconds(2);
     m_share.SetActivity(HttpActivity::Lingering);
     auto& lowest = boost::beast::get_lowest_layer(m_stream);
