Base: Refuse the last sizes of fields that the parser cannot hold

What callers saw: nothing yet.

Cause: the bound of the server's parser was the size that its fields can count. They count two bytes more than the name or the value has.

Evidence: AFieldThatTheParserCannotHoldIsRefused failed before with std::length_error out of the loop at 65,534 bytes.

Why it works: the bound is now 65,533 bytes, and the test has both sides of it.

--- a/Base/Http/HttpRequestParser.h
+++ b/Base/Http/HttpRequestParser.h
@@ -18,8 +18,9 @@
   std::size_t FieldCount() const { return m_fieldCount; }
 
 private:
-  // Beast throws an exception for a longer name or value.
-  static constexpr std::size_t kMaximumFieldBytes = 65'535;
+  // Beast throws an exception for a longer name or value, whose size it keeps with a separator in
+  // 16 bits.
+  static constexpr std::size_t kMaximumFieldBytes = 65'533;
 
   // NOLINTNEXTLINE(readability-identifier-naming)
   void on_field_impl(boost::beast::http::field aField, boost::beast::string_view aName,
--- a/Tests/HttpServerCloseTest.cpp
+++ b/Tests/HttpServerCloseTest.cpp
@@ -494,3 +494,19 @@
     }
   });
 }
+
+// Guards against a header field that is within the limit of heads and too long for the parser.
+BOOST_FIXTURE_TEST_CASE(AFieldThatTheParserCannotHoldIsRefused, ServerFixture)
+{
+  m_limits.m_headerBytes = base::Bytes(200 * 1024);
+  Run([&]() -> awaitable<void> {
+    for (std::size_t const bytes : { 65'533UL, 65'534UL, 65'535UL, 100'000UL }) {
+      RawCaller caller(*this);
+      bool const isSent =
+        co_await caller.SendAll("GET / HTTP/1.1\r\nLong: " + std::string(bytes, 'x') + "\r\n\r\n");
+      BOOST_TEST(isSent);
+      auto const response = co_await caller.Receive("", 300ms);
+      BOOST_TEST(response.starts_with(bytes == 65'533 ? "HTTP/1.1 200" : "HTTP/1.1 431"));
+    }
+  });
+}
