Gateway: Serve models that an upstream holds and no catalog lists

Cause: the check of the model looked at the configuration only.

Why it works: a model is unknown only if no upstream of the deployment holds it either. What is kept by model stays bounded, by the catalog and by what upstreams hold.

--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -668,6 +668,15 @@
   return BackoffEndFor(aQuery, aNow) ? UpstreamAbsence::BackingOff : absence;
 }
 
+bool UpstreamDirectory::IsHeld(base::DeploymentId const& aDeployment, base::ModelId const& aModel,
+                               base::Instant aNow) const
+{
+  return std::ranges::any_of(m_upstreams, [&](auto const& aUpstream) {
+    return aUpstream.second.m_entry.m_deployment == aDeployment &&
+           FindModel(aUpstream.second, aModel, aNow);
+  });
+}
+
 void UpstreamDirectory::OnDemand(UpstreamQuery const& aQuery, base::Instant aNow)
 {
   m_usage[aQuery.m_deployment].OnRequest(aQuery.m_prompt);
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -333,6 +333,11 @@
                                                      base::Instant aNow);
 
   void OnSent(InstanceId const& aInstance, RequestWork aWork = RequestWork(1));
+
+  /// Whether an upstream of the deployment holds the model.
+  bool IsHeld(base::DeploymentId const& aDeployment, base::ModelId const& aModel,
+              base::Instant aNow) const;
+
   /// Called when a request is sent to its upstream, for what is known of the demand.
   void OnDemand(UpstreamQuery const& aQuery, base::Instant aNow);
   /// An answer began after this time. Returns the time over what was expected.
--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -157,12 +157,13 @@
     }
   }
 
-  /// Whether no upstream of the deployment can have the request's model. What is kept of a model
-  /// stays, so that callers must not make up names of models.
+  /// Whether no upstream of the deployment has the request's model or may load it. What is kept of
+  /// a model stays, so that callers must not make up names of models.
   bool NamesUnknownModel() const
   {
     auto const& model = m_context.m_query.m_model;
-    return model && !m_deployment->m_engine->m_models.contains(*model);
+    return model && !m_deployment->m_engine->m_models.contains(*model) &&
+           !m_state.m_directory.IsHeld(m_context.m_query.m_deployment, *model, m_context.m_start);
   }
 
   base::FingerprintId Fingerprint() const
