Tests: Share the fixture of an agent before an upstream

Change: the fixture without its upstream is AgentFixture in Tests/Support. The cases and their bounds are as they were.

--- a/Tests/EndlessUpstreamTest.cpp
+++ b/Tests/EndlessUpstreamTest.cpp
@@ -1,13 +1,9 @@
 #define BOOST_TEST_MODULE EndlessUpstream
-#include "Agent/AgentClient.h"
-#include "Programs/Agent/AgentProgram.h"
 #include "Programs/Agent/ReplicaLoader.h"
-#include "Programs/SystemClock.h"
-#include "StandIns/Platform/PlatformStandIn.h"
 #include "StandIns/Site/EndlessServer.h"
 #include "StandIns/Site/ScriptedServer.h"
+#include "Tests/Support/AgentFixture.h"
 #include "Tests/Support/CostlyJson.h"
-#include "Tests/Support/PortClaim.h"
 #include "Tests/Support/ProcessMemory.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -24,58 +20,23 @@
 
 namespace {
 
-constexpr char kSecret[] = "fleet-secret-of-the-test";
-constexpr double kPlatformRate = 1000;
-constexpr char kUpstreamHost[] = "127.0.3.1";
-constexpr base::Duration kResponseTimeout = 1s;
 constexpr base::Duration kTolerance = 500ms;
 
-base::HttpResponse RenderError(base::HttpRequestError const& aError)
-{
-  return base::JsonResponse(aError.m_status, "{}");
-}
-
-class AgentFixture
+/// An agent before an upstream that never ends its response.
+class EndlessUpstreamFixture : public tests::AgentFixture
 {
 public:
-  static constexpr long kMemoryKilobytes = 64 * 1024;
-
-  AgentFixture() { BOOST_REQUIRE(m_platformServer.Listen({ "127.0.0.1", 0 })); }
-
   void Start(EndlessResponse aResponse, std::size_t aConcurrency)
   {
     m_upstream = std::make_unique<standins::EndlessServer>(m_loop, std::move(aResponse));
-    base::Endpoint const upstream{ kUpstreamHost, m_port.Port() };
-    BOOST_REQUIRE(m_upstream->Listen(upstream).has_value());
-    programs::AgentConfiguration configuration;
-    configuration.m_listen = { "127.0.0.1", 0 };
-    configuration.m_upstreamAddress = upstream;
-    configuration.m_upstreamKind = operators::UpstreamKind::Service;
-    configuration.m_upstream = base::UpstreamId::FromValidated("u1");
-    configuration.m_fleetSecret = kSecret;
-    configuration.m_platform = { { "127.0.0.1", m_platformServer.Port() } };
-    configuration.m_concurrency = aConcurrency;
-    configuration.m_maximumWaiting = 2;
-    configuration.m_responseTimeout = kResponseTimeout;
-    configuration.m_memoryLimit = base::Bytes(kMemoryKilobytes * 1024);
-    m_agent = std::make_unique<programs::AgentProgram>(m_loop, std::move(configuration));
-    BOOST_REQUIRE(m_agent->Start());
+    BOOST_REQUIRE(m_upstream->Listen(UpstreamAddress()).has_value());
+    StartAgent(aConcurrency);
   }
 
-  /// Sends a request that must not run twice, and reads its response to its end.
+  /// Sends a request and reads its response to its end.
   awaitable<void> Send(base::ClaimId aClaim, base::Cancellation& aCancellation)
   {
-    agent::ForwardRequest request;
-    request.m_head.m_request = base::RequestId::FromValidated("r1");
-    request.m_head.m_workspace = base::WorkspaceId::FromValidated("w1");
-    request.m_head.m_route = base::RouteId::FromValidated("bookings");
-    request.m_head.m_firstByteLimit = 5s;
-    request.m_head.m_claim = std::move(aClaim);
-    request.m_message.m_method = "POST";
-    request.m_message.m_target = "/bookings";
-    base::Endpoint endpoint{ "127.0.0.1", m_agent->Port() };
-    auto outcome =
-      co_await m_client.Forward(std::move(request), std::move(endpoint), aCancellation);
+    auto outcome = co_await Forward(std::move(aClaim), {}, aCancellation);
     auto* const reply = std::get_if<agent::AgentReply>(&outcome);
     while (reply && !reply->IsComplete()) {
       auto const chunk = co_await reply->Read();
@@ -86,17 +47,6 @@
     ++m_completed;
   }
 
-  template<typename Body>
-  void Run(Body aBody)
-  {
-    auto run = [&]() -> awaitable<void> {
-      co_await aBody();
-      m_loop.Stop();
-    };
-    m_loop.Start(run());
-    m_loop.Run();
-  }
-
   template<typename Predicate>
   awaitable<bool> WaitFor(Predicate aPredicate, base::Duration aLimit)
   {
@@ -107,20 +57,7 @@
     co_return aPredicate();
   }
 
-  base::EventLoop m_loop{ programs::SystemClock::Monotonic, programs::SystemClock::Wall };
-  tests::PortClaim m_port{ { kUpstreamHost } };
-  standins::PlatformStandIn m_platform{ m_loop, kPlatformRate, kPlatformRate };
-  base::HttpServer m_platformServer{ m_loop,
-                                     {},
-                                     [this](base::HttpExchange& aExchange) {
-                                       return m_platform.Serve(aExchange);
-                                     },
-                                     RenderError };
-  base::HttpClient m_http{ m_loop, {} };
-  base::PeerAuthentication m_authentication{ kSecret };
-  agent::AgentClient m_client{ m_loop, m_http, m_authentication, {} };
   std::unique_ptr<standins::EndlessServer> m_upstream;
-  std::unique_ptr<programs::AgentProgram> m_agent;
   int m_completed = 0;
 };
 
@@ -150,7 +87,8 @@
 
 } // namespace
 
-BOOST_DATA_TEST_CASE_F(AgentFixture, AResponseWithoutEndFreesTheAgentsSlotAfterItsCallerHasGone,
+BOOST_DATA_TEST_CASE_F(EndlessUpstreamFixture,
+                       AResponseWithoutEndFreesTheAgentsSlotAfterItsCallerHasGone,
                        boost::unit_test::data::make(kCases), aCase)
 {
   Start(aCase.m_response, 1);
@@ -174,7 +112,8 @@
   });
 }
 
-BOOST_FIXTURE_TEST_CASE(ManyClaimedResponsesWithoutEndStayWithinTheAgentsMemory, AgentFixture)
+BOOST_FIXTURE_TEST_CASE(ManyClaimedResponsesWithoutEndStayWithinTheAgentsMemory,
+                        EndlessUpstreamFixture)
 {
   constexpr int kRequests = 16;
   EndlessResponse response{ EndlessPart::ChunkedBody, 200, "", 2s };
@@ -195,10 +134,10 @@
   });
 }
 
-BOOST_FIXTURE_TEST_CASE(ALargeReportThatIsNoneStaysWithinTheAgentsMemory, AgentFixture)
+BOOST_FIXTURE_TEST_CASE(ALargeReportThatIsNoneStaysWithinTheAgentsMemory, EndlessUpstreamFixture)
 {
   standins::ScriptedServer engine(m_loop, { { tests::CostlyReport() } });
-  base::Endpoint const address{ kUpstreamHost, m_port.Port() };
+  auto const address = UpstreamAddress();
   BOOST_REQUIRE(engine.Listen(address).has_value());
   Run([&]() -> awaitable<void> {
     auto const before = tests::ResidentKilobytes();
