Base: Keep the stream of a request until its write has ended

What callers saw: none has reported it. An upstream that answers a long upload completely while it still reads it could end the gateway's process, and with it all requests there.

Cause: the client writes a request while it reads the response. If the response is complete first, its connection is destroyed. A step of the write that has succeeded by then, and whose handler still waits in the loop, went on with the next step on the stream that was gone. Only buffers and the state of the write were shared with its handler.

Why it works: the write shares the stream. The connection closes it as it is destroyed, so that the next step fails and the stream goes with the handler.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -184,9 +184,9 @@
     std::array<char, kHttpReadBytes> storage;
     parser.get().body().data = storage.data();
     parser.get().body().size = storage.size();
-    connection.m_stream.expires_after(aTimeout);
+    connection.m_stream->expires_after(aTimeout);
     auto const [error, size] =
-      co_await http::async_read_some(connection.m_stream, connection.m_buffer, parser, kAwait);
+      co_await http::async_read_some(*connection.m_stream, connection.m_buffer, parser, kAwait);
     if (error && error != http::error::need_buffer) {
       if (m_cancellation) {
         m_cancellation->ClearAction();
@@ -396,7 +396,7 @@
   }
   auto connection = std::move(*opened);
   AbortOnCancellation(cancellation, *connection);
-  connection->m_stream.expires_after(end - m_loop.Now());
+  connection->m_stream->expires_after(end - m_loop.Now());
   auto body = aOptions.m_body ? std::move(aOptions.m_body)
                               : std::make_shared<std::string const>(std::move(aRequest.m_body));
   auto head = RenderRequestHead(aRequest, connection->m_endpoint, FramingOf(aRequest, *body));
--- a/Base/Http/HttpConnection.cpp
+++ b/Base/Http/HttpConnection.cpp
@@ -94,7 +94,7 @@
     parser.get().body().data = storage.data();
     parser.get().body().size = storage.size();
     auto const [error, size] =
-      co_await http::async_read_some(aConnection.m_stream, aConnection.m_buffer, parser, kAwait);
+      co_await http::async_read_some(*aConnection.m_stream, aConnection.m_buffer, parser, kAwait);
     if (error && error != http::error::need_buffer) {
       co_return error;
     }
@@ -117,13 +117,13 @@
   if (error) {
     co_return error;
   }
-  aConnection.m_stream.expires_after(aTimeout);
-  auto const [connectError] = co_await aConnection.m_stream.async_connect(endpoint, kAwait);
+  aConnection.m_stream->expires_after(aTimeout);
+  auto const [connectError] = co_await aConnection.m_stream->async_connect(endpoint, kAwait);
   if (!connectError) {
     boost::system::error_code ignored;
-    aConnection.m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    aConnection.m_stream->socket().set_option(tcp::no_delay(true), ignored);
     if (aAcknowledgeTimeout) {
-      CloseWhenUnresponsive(aConnection.m_stream.socket(), *aAcknowledgeTimeout);
+      CloseWhenUnresponsive(aConnection.m_stream->socket(), *aAcknowledgeTimeout);
     }
   }
   co_return connectError;
@@ -135,7 +135,7 @@
     return HttpIdleInput::Unsolicited;
   }
   char byte = 0;
-  auto const received = ::recv(aConnection.m_stream.socket().native_handle(), &byte, sizeof(byte),
+  auto const received = ::recv(aConnection.m_stream->socket().native_handle(), &byte, sizeof(byte),
                                MSG_PEEK | MSG_DONTWAIT);
   if (received > 0) {
     return HttpIdleInput::Unsolicited;
@@ -150,7 +150,7 @@
   std::vector<::pollfd> polled;
   std::vector<HttpConnection const*> connections;
   for (auto const& connection : aConnections) {
-    polled.push_back({ connection->m_stream.socket().native_handle(), POLLIN, 0 });
+    polled.push_back({ connection->m_stream->socket().native_handle(), POLLIN, 0 });
     connections.push_back(connection.get());
   }
   std::set<HttpConnection const*> unusable;
@@ -172,9 +172,9 @@
   request.m_target = aProbe.m_target;
   auto const head = RenderRequestHead(request, aConnection.m_endpoint, {});
   auto const end = aLoop.Now() + aProbe.m_timeout;
-  aConnection.m_stream.expires_after(aProbe.m_timeout);
+  aConnection.m_stream->expires_after(aProbe.m_timeout);
   auto const [writeError, written] =
-    co_await asio::async_write(aConnection.m_stream, asio::buffer(head), kAwait);
+    co_await asio::async_write(*aConnection.m_stream, asio::buffer(head), kAwait);
   if (writeError) {
     co_return false;
   }
@@ -196,8 +196,8 @@
   auto const head = std::make_shared<std::string const>(std::move(aHead));
   std::array const buffers = { asio::buffer(*head), asio::buffer(*aBody) };
   *aConnection.m_write = {};
-  asio::async_write(aConnection.m_stream, buffers,
-                    [head, body = std::move(aBody),
+  asio::async_write(*aConnection.m_stream, buffers,
+                    [head, body = std::move(aBody), stream = aConnection.m_stream,
                      state = aConnection.m_write](boost::system::error_code aError, std::size_t) {
                       *state = { !aError, aError };
                     });
@@ -215,7 +215,7 @@
     parser.body_limit(boost::none);
     parser.skip(aIsHead);
     auto const [error, size] =
-      co_await http::async_read_header(aConnection.m_stream, aConnection.m_buffer, parser, kAwait);
+      co_await http::async_read_header(*aConnection.m_stream, aConnection.m_buffer, parser, kAwait);
     if (error) {
       co_return error;
     }
@@ -250,8 +250,8 @@
 void Abort(HttpConnection& aConnection)
 {
   boost::system::error_code ignored;
-  aConnection.m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-  aConnection.m_stream.close();
+  aConnection.m_stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  aConnection.m_stream->close();
 }
 
 } // namespace sardinefold::base
--- a/Base/Http/HttpConnection.h
+++ b/Base/Http/HttpConnection.h
@@ -33,13 +33,18 @@
   /// aBufferLimit limits each part that the parser needs in one piece: a head, a chunk
   /// header or a trailer.
   HttpConnection(boost::asio::io_context& aContext, Endpoint aEndpoint, Bytes aBufferLimit)
-    : m_stream(aContext)
+    : m_stream(std::make_shared<boost::beast::tcp_stream>(aContext))
     , m_buffer(static_cast<std::size_t>(aBufferLimit.Value()))
     , m_endpoint(std::move(aEndpoint))
   {
   }
+  ~HttpConnection() { m_stream->close(); }
+  HttpConnection(HttpConnection const&) = delete;
+  HttpConnection& operator=(HttpConnection const&) = delete;
 
-  boost::beast::tcp_stream m_stream;
+  // Shared with the write of a request, whose next step uses the stream if its last one ended
+  // before the connection was destroyed.
+  std::shared_ptr<boost::beast::tcp_stream> m_stream;
   boost::beast::flat_buffer m_buffer;
   std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
   Endpoint m_endpoint;
--- a/StandIns/Site/ScriptedServer.cpp
+++ b/StandIns/Site/ScriptedServer.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace sardinefold::standins {
@@ -99,16 +100,34 @@
     boost::replace_all(text, "{previous}", m_previousId);
     m_previousId = id;
     co_await asio::async_write(aSocket, asio::buffer(text), kAwait);
-    if (response.m_end == ScriptedResponse::End::Reset) {
-      boost::system::error_code ignored;
-      aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
-      // The socket's destructor would discard the option.
-      aSocket.close(ignored);
+    if (response.m_pause > base::Duration::zero()) {
+      co_await m_loop.Sleep(response.m_pause);
     }
     if (response.m_end != ScriptedResponse::End::KeepOpen) {
+      co_await End(aSocket, response.m_end);
       co_return;
     }
   }
 }
 
+asio::awaitable<void> ScriptedServer::End(asio::ip::tcp::socket& aSocket,
+                                          ScriptedResponse::End aEnd)
+{
+  boost::system::error_code error;
+  if (aEnd == ScriptedResponse::End::Reset) {
+    aSocket.set_option(asio::socket_base::linger(true, 0), error);
+  }
+  if (aEnd == ScriptedResponse::End::HalfClose) {
+    aSocket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    std::array<char, kMaximumRequestBytes> discarded;
+    while (!error) {
+      auto const [readError, size] =
+        co_await aSocket.async_read_some(asio::buffer(discarded), kAwait);
+      error = readError;
+    }
+  }
+  // The socket's destructor would discard the linger option.
+  aSocket.close(error);
+}
+
 } // namespace sardinefold::standins
--- a/StandIns/Site/ScriptedServer.h
+++ b/StandIns/Site/ScriptedServer.h
@@ -20,7 +20,9 @@
   {
     KeepOpen,
     Close,
-    Reset
+    Reset,
+    /// Ends what is sent, and reads on until the peer closes.
+    HalfClose
   };
 
   /// Bytes to send, in which {id} is the request's ID and {previous} that of the
@@ -31,6 +33,8 @@
   bool m_isEarly = false;
   /// Sent before m_text on a connection that has carried a request before.
   std::string m_textIfReused{};
+  /// Time between the last byte and the end.
+  base::Duration m_pause{};
 };
 
 /// Faulty upstream that answers each request with the next text of a script, and
@@ -47,6 +51,8 @@
 private:
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket aSocket);
+  boost::asio::awaitable<void> End(boost::asio::ip::tcp::socket& aSocket,
+                                   ScriptedResponse::End aEnd);
 
   base::EventLoop& m_loop;
   std::vector<ScriptedResponse> m_script;
--- a/Tests/TruncatedAnswerTest.cpp
+++ b/Tests/TruncatedAnswerTest.cpp
@@ -85,10 +85,16 @@
   { &kUndelimited, "", ScriptedResponse::End::Reset },
 };
 
+/// More than the system buffers of a connection hold, so that the upload never ends.
+constexpr std::size_t kLongUpload = 12UL * 1024 * 1024;
+
 awaitable<tl::expected<base::HttpResponse, base::HttpFailure>> Fetch(base::HttpClient& aClient,
-                                                                     base::Endpoint aEndpoint)
+                                                                     base::Endpoint aEndpoint,
+                                                                     std::size_t aUpload = 0)
 {
   base::HttpRequest request;
+  request.m_method = aUpload > 0 ? "POST" : "GET";
+  request.m_body.assign(aUpload, 'x');
   request.m_headers.Add("Request-Id", "r1");
   base::HttpSendOptions options{ 1s, nullptr, std::nullopt,
                                  base::HttpHeaders::Field{ "Request-Id", "r1" }, nullptr };
@@ -164,6 +170,30 @@
   loop.Run();
 }
 
+// Guards against the use of a connection that is gone: its response was complete before the write
+// of its request, of which a step had just ended.
+BOOST_AUTO_TEST_CASE(AClientOutlivesTheEarlyAnswersToLongUploads)
+{
+  constexpr int kRequests = 50;
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  tests::PortClaim const port({ "127.0.0.1" });
+  base::Endpoint const endpoint{ "127.0.0.1", port.Port() };
+  ScriptedServer server(loop, { { kLength, ScriptedResponse::End::HalfClose, true } });
+  BOOST_REQUIRE(server.Listen(endpoint).has_value());
+  base::HttpClient client(loop, {});
+  int complete = 0;
+  auto run = [&]() -> awaitable<void> {
+    for (int request = 0; request < kRequests; ++request) {
+      auto const response = co_await Fetch(client, endpoint, kLongUpload);
+      complete += response.has_value() ? 1 : 0;
+    }
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  BOOST_TEST(complete == kRequests);
+}
+
 // Guards against a body that is taken as it came, or to an end that its sender did not mean.
 BOOST_DATA_TEST_CASE(AClientTakesNoBodyWhoseCodingItDoesNotDecode,
                      boost::unit_test::data::make(kUnsupportedCodings), aCoding)
