Base: Ask the write whether a body ended in order

Cause: the operating system hands the error of a connection to one call. The pending write of the request takes it, and the read that follows returns 0 as after an orderly close, which ends such a body. The client asked the read only. The same holds for the acknowledgement timeout.

Why it works: at such an end the client also asks the write. EPIPE is no such error: the peer has ended its side before. What already held is in the same tables: lengths, chunks, heads, a body that ends in order, whole answers before a reset.

--- a/Base/Http/HttpClient.cpp
+++ b/Base/Http/HttpClient.cpp
@@ -185,9 +185,15 @@
     parser.get().body().data = storage.data();
     parser.get().body().size = storage.size();
     connection.m_stream->expires_after(aTimeout);
-    auto const [error, size] =
+    auto [error, size] =
       co_await http::async_read_some(*connection.m_stream, connection.m_buffer, parser, kAwait);
-    if (error && error != http::error::need_buffer) {
+    if (error == http::error::need_buffer) {
+      error = {};
+    }
+    if (!error && parser.is_done() && m_endsWithConnection) {
+      error = ErrorOfWrite(connection);
+    }
+    if (error) {
       if (m_cancellation) {
         m_cancellation->ClearAction();
       }
--- a/Base/Http/HttpConnection.cpp
+++ b/Base/Http/HttpConnection.cpp
@@ -203,6 +203,14 @@
                     });
 }
 
+boost::system::error_code ErrorOfWrite(HttpConnection const& aConnection)
+{
+  auto const& error = aConnection.m_write->m_error;
+  // The peer had ended its side before it refused the rest of the request.
+  bool const isAfterOrderlyClose = error == asio::error::broken_pipe;
+  return isAfterOrderlyClose ? boost::system::error_code{} : error;
+}
+
 asio::awaitable<boost::system::error_code> ReadHead(EventLoop const& aLoop,
                                                     HttpConnection& aConnection, bool aIsHead,
                                                     Bytes aHeaderLimit, Instant aEnd,
--- a/Tests/TruncatedAnswerTest.cpp
+++ b/Tests/TruncatedAnswerTest.cpp
@@ -88,6 +88,34 @@
 /// More than the system buffers of a connection hold, so that the upload never ends.
 constexpr std::size_t kLongUpload = 12UL * 1024 * 1024;
 
+/// A response that is sent before its request was read.
+struct EarlyResponse
+{
+  char const* m_name;
+  std::string m_text;
+  ScriptedResponse::End m_end;
+  bool m_isWhole;
+};
+
+std::ostream& operator<<(std::ostream& aStream, EarlyResponse const& aResponse)
+{
+  return aStream << aResponse.m_name;
+}
+
+std::vector<EarlyResponse> const kEarlyResponses = {
+  { "no length, reset", kUndelimited, ScriptedResponse::End::Reset, false },
+  { "no length, only a head, reset", kHead + "\r\n", ScriptedResponse::End::Reset, false },
+  { "no length, closed with unread input", kUndelimited, ScriptedResponse::End::Close, false },
+  { "part of a length, reset", kLength.substr(0, kLength.size() - 1), ScriptedResponse::End::Reset,
+    false },
+  { "part of the chunks, reset", kChunked.substr(0, kChunked.rfind("0\r\nTrailer")),
+    ScriptedResponse::End::Reset, false },
+  { "part of a head, reset", kHead, ScriptedResponse::End::Reset, false },
+  { "no length, end of what is sent", kUndelimited, ScriptedResponse::End::HalfClose, true },
+  { "all of a length, reset", kLength, ScriptedResponse::End::Reset, true },
+  { "all chunks, reset", kChunked, ScriptedResponse::End::Reset, true },
+};
+
 awaitable<tl::expected<base::HttpResponse, base::HttpFailure>> Fetch(base::HttpClient& aClient,
                                                                      base::Endpoint aEndpoint,
                                                                      std::size_t aUpload = 0)
@@ -119,6 +147,7 @@
     entry["born"] = 1;
     m_store.Put("servers", "i-scripted", entry);
     auto configuration = standins::SiteConfiguration(2);
+    configuration["limits"]["bodyBytes"] = Json::UInt64(2 * kLongUpload);
     configuration["services"][2]["name"] = "extra";
     for (auto& route : configuration["routes"]) {
       route["service"] = "extra";
@@ -194,6 +223,65 @@
   BOOST_TEST(complete == kRequests);
 }
 
+// Guards against the end of a body that is none: the write of a request takes the error of a
+// connection that was reset, and the read that follows it finds only an end.
+BOOST_DATA_TEST_CASE(AClientTakesNoPartOfAnEarlyAnswerForTheWhole,
+                     boost::unit_test::data::make(kEarlyResponses) *
+                       boost::unit_test::data::make({ 0, 100 }),
+                     aEarly, aPauseMs)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  tests::PortClaim const port({ "127.0.0.1" });
+  base::Endpoint const endpoint{ "127.0.0.1", port.Port() };
+  ScriptedResponse const scripted{
+    aEarly.m_text, aEarly.m_end, true, {}, std::chrono::milliseconds(aPauseMs)
+  };
+  ScriptedServer server(loop, { scripted });
+  BOOST_REQUIRE(server.Listen(endpoint).has_value());
+  base::HttpClient client(loop, {});
+  auto run = [&]() -> awaitable<void> {
+    auto const response = co_await Fetch(client, endpoint, kLongUpload);
+    BOOST_TEST(response.has_value() == aEarly.m_isWhole);
+    if (!response) {
+      BOOST_TEST((response.error().m_kind == base::HttpFailure::Kind::ConnectionClosed));
+      BOOST_TEST(response.error().m_mayHaveBeenSent);
+    }
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+}
+
+// Guards against the same at a connection that the system gives up, as its peer takes no more of
+// the request.
+BOOST_AUTO_TEST_CASE(AClientTakesNoPartOfAnAnswerFromAnUnresponsivePeerForTheWhole)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  tests::PortClaim const port({ "127.0.0.1" });
+  base::Endpoint const endpoint{ "127.0.0.1", port.Port() };
+  ScriptedResponse const scripted{ kUndelimited, ScriptedResponse::End::Close, true, {}, 10s };
+  ScriptedServer server(loop, { scripted });
+  BOOST_REQUIRE(server.Listen(endpoint).has_value());
+  base::HttpClientLimits limits;
+  limits.m_acknowledgeTimeout = 300ms;
+  base::HttpClient client(loop, limits);
+  auto run = [&]() -> awaitable<void> {
+    base::HttpRequest request;
+    request.m_method = "POST";
+    request.m_body.assign(kLongUpload, 'x');
+    auto const response = co_await client.Fetch(endpoint, std::move(request), 5s);
+    BOOST_TEST(!response.has_value());
+    if (!response) {
+      BOOST_TEST((response.error().m_kind == base::HttpFailure::Kind::TimedOut));
+      BOOST_TEST(response.error().m_detail ==
+                 make_error_code(boost::asio::error::timed_out).message());
+    }
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+}
+
 // Guards against a body that is taken as it came, or to an end that its sender did not mean.
 BOOST_DATA_TEST_CASE(AClientTakesNoBodyWhoseCodingItDoesNotDecode,
                      boost::unit_test::data::make(kUnsupportedCodings), aCoding)
@@ -234,6 +322,26 @@
   });
 }
 
+BOOST_DATA_TEST_CASE_F(TruncatedFixture, AGatewayRelaysNoPartOfAnEarlyAnswerAsTheWhole,
+                       boost::unit_test::data::make(kEarlyResponses), aEarly)
+{
+  Start({ aEarly.m_text, aEarly.m_end, true, {}, 100ms });
+  Run([&]() -> awaitable<void> {
+    // The routes answer whole, event by event, and after a second attempt.
+    for (auto const* const target : { "/order/x", "/once/x", "/look/x" }) {
+      auto request = Request("POST", target, "r" + std::string(target));
+      request.m_body.assign(kLongUpload, 'x');
+      auto const response = co_await Send(std::move(request));
+      auto const status = response ? response->m_status : 0;
+      BOOST_TEST_CONTEXT(target << " " << status)
+      {
+        BOOST_TEST((status == 200U) == aEarly.m_isWhole);
+        BOOST_TEST((!response || status == 200U || status == 502U));
+      }
+    }
+  });
+}
+
 // Guards against a status that is none: the answer was relayed, waited for until the deadline, or
 // replaced by a response in its body.
 BOOST_DATA_TEST_CASE_F(TruncatedFixture, AGatewayRelaysNoAnswerWithAnInvalidStatus,
