Base: Reset a connection whose end would complete a part of a body

What callers saw: none has reported it. A stream to HTTP/1.0 whose upstream failed, or whose gateway or entry ended, closed like a whole one.

Cause: such a stream has no chunks, and ends with its connection. The server closed connections in order whatever became of the last response; over TLS with close_notify.

Why it works: from the head of such a stream to its end, SO_LINGER with a time of zero makes each close a reset, also by the operating system for a process that is gone. TLS leaves out the close_notify. Streams with chunks are as before.

--- a/Base/Http/HttpExchange.cpp
+++ b/Base/Http/HttpExchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <sys/socket.h>
 
 #include <charconv>
 
@@ -80,6 +81,15 @@
   co_return Check(error);
 }
 
+void HttpExchange::SetEndOfBodyPending(bool aIsPending)
+{
+  m_isEndOfBodyPending = aIsPending;
+  ::linger const option{ aIsPending ? 1 : 0, 0 };
+  // NOTE: The destructor of an Asio socket takes back an option that was set by Asio.
+  ::setsockopt(LowestLayer().socket().native_handle(), SOL_SOCKET, SO_LINGER, &option,
+               sizeof(option));
+}
+
 bool HttpExchange::HasBody(unsigned aStatus) const
 {
   return !m_isHead && AllowsBody(aStatus);
@@ -108,6 +118,7 @@
   m_hasBody = HasBody(aStatus);
   if (m_hasBody && !m_mayChunk) {
     m_keepAlive = false;
+    SetEndOfBodyPending(true);
   }
   HttpFraming const framing{ std::nullopt, m_mayChunk && AllowsBody(aStatus) };
   auto const text = RenderResponseHead(aStatus, aHeaders, framing, m_keepAlive);
@@ -137,6 +148,9 @@
 asio::awaitable<HttpExchange::Result> HttpExchange::Finish()
 {
   if (!m_mayChunk || !m_hasBody) {
+    if (m_isEndOfBodyPending) {
+      SetEndOfBodyPending(false);
+    }
     m_finished = true;
     co_return Result{};
   }
--- a/Base/Http/HttpExchange.h
+++ b/Base/Http/HttpExchange.h
@@ -71,6 +71,9 @@
   bool IsPeerDisconnected() const { return m_isPeerDisconnected; }
   void HandlePeerDisconnected();
 
+  /// Returns whether a body that ends with its connection has been started and not finished, so
+  /// that an orderly end of the connection would complete it.
+  bool IsEndOfBodyPending() const { return m_isEndOfBodyPending; }
   bool HasStarted() const { return m_started; }
   bool HasFinished() const { return m_finished; }
   /// Returns whether the connection may carry another request.
@@ -84,6 +87,9 @@
   boost::asio::awaitable<Result> WriteBuffers(Buffers aBuffers);
   boost::beast::tcp_stream& LowestLayer();
   Result Check(boost::system::error_code aError);
+  /// Makes any close of the connection a reset, also by the operating system when the process
+  /// ends, as long as the end of the body is pending.
+  void SetEndOfBodyPending(bool aIsPending);
   /// Whether the response to the request has a body, which depends on its status.
   bool HasBody(unsigned aStatus) const;
 
@@ -97,6 +103,7 @@
   bool m_isHead;
   /// Whether the response that has been started has a body.
   bool m_hasBody = true;
+  bool m_isEndOfBodyPending = false;
   bool m_started = false;
   bool m_finished = false;
   bool m_isPeerDisconnected = false;
--- a/Base/Http/HttpServerTls.cpp
+++ b/Base/Http/HttpServerTls.cpp
@@ -38,7 +38,10 @@
     co_return;
   }
   Session<HttpExchange::TlsStream> session(*this, stream, share);
-  co_await session.Run();
+  bool const mayEndInOrder = co_await session.Run();
+  if (!mayEndInOrder) {
+    co_return;
+  }
   share.OnCut([&stream] {
     boost::system::error_code ignored;
     stream.next_layer().socket().close(ignored);
--- a/Base/Http/HttpSession.h
+++ b/Base/Http/HttpSession.h
@@ -55,13 +55,16 @@
   {
   }
 
-  boost::asio::awaitable<void> Run()
+  /// Serves the connection. Returns whether it may end in order, which completes a body that ends
+  /// with its connection.
+  boost::asio::awaitable<bool> Run()
   {
     m_share.OnCut([this] { Cut(); });
     co_await ServeAll();
     ReportClose();
     co_await StopWatching();
     m_share.OnCut([] {});
+    co_return !m_isEndOfBodyPending;
   }
 
 private:
@@ -407,6 +410,7 @@
       m_closeReason = exchange.HasFinished() ? HttpCloseReason::AfterResponse
                                              : HttpCloseReason::ResponseIncomplete;
     }
+    m_isEndOfBodyPending = exchange.IsEndOfBodyPending();
     co_return exchange.IsReusable();
   }
 
@@ -491,6 +495,7 @@
   std::uint64_t m_requests = 0;
   bool m_keepAlive = false;
   bool m_mayChunk = true;
+  bool m_isEndOfBodyPending = false;
   HttpExchange* m_current = nullptr;
   bool m_watching = false;
 };
--- a/Tests/TruncatedAnswerTest.cpp
+++ b/Tests/TruncatedAnswerTest.cpp
@@ -3,10 +3,15 @@
 #include "Tests/Support/PortClaim.h"
 #include "Tests/Support/SiteFixture.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 // An upstream may stop at any byte of its answer. No part of one may be taken for a
 // whole answer.
 
@@ -342,6 +347,31 @@
   });
 }
 
+// Guards against a stream to HTTP/1.0 that ends in order, and so looks whole, after its upstream
+// has failed.
+BOOST_FIXTURE_TEST_CASE(AGatewayResetsAStreamToAnOlderCallerThatItCannotFinish, TruncatedFixture)
+{
+  Start({ kLength.substr(0, kLength.size() - 1), ScriptedResponse::End::Close });
+  Run([&]() -> awaitable<void> {
+    boost::asio::ip::tcp::socket caller(m_loop.Context());
+    caller.connect({ boost::asio::ip::make_address(Callers().m_address), Callers().m_port });
+    boost::asio::write(caller, boost::asio::buffer(std::string(
+                                 "POST /once/x HTTP/1.0\r\nHost: site.example\r\nRequest-Id: r1\r\n"
+                                 "Authorization: Bearer key-1\r\nDeadline-Ms: 5000\r\n\r\n")));
+    std::string received;
+    boost::system::error_code end;
+    while (!end) {
+      std::array<char, 4096> part{};
+      auto const [error, size] = co_await caller.async_read_some(
+        boost::asio::buffer(part), boost::asio::as_tuple(boost::asio::use_awaitable));
+      received.append(part.data(), size);
+      end = error;
+    }
+    BOOST_TEST(received.ends_with("id: 1\ndata: a\n\n"));
+    BOOST_TEST((end == boost::asio::error::connection_reset), end.message());
+  });
+}
+
 // Guards against a status that is none: the answer was relayed, waited for until the deadline, or
 // replaced by a response in its body.
 BOOST_DATA_TEST_CASE_F(TruncatedFixture, AGatewayRelaysNoAnswerWithAnInvalidStatus,
