Base: Take a response with a folded line for malformed

Cause: the parser unfolds a line that begins with whitespace (RFC 9112, section 5.2), and so hides the field in it.

All other names that are none, and the status 000 at the agent, were refused before; their cases guard what holds.

Why it works: the client looks at the bytes of each head before the parser unfolds them. The parser uses a field with all its lines at once, so that a line end and the whitespace after it are always in the same piece. RFC 9112 lets a gateway refuse such a response.

--- a/Base/Http/HttpConnection.cpp
+++ b/Base/Http/HttpConnection.cpp
@@ -10,7 +10,9 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <string_view>
 #include <vector>
 
 namespace sardinefold::base {
@@ -59,6 +61,65 @@
   return aStatus >= kFirstStatus && aStatus <= kLastStatus && aStatus != kSwitchingProtocols;
 }
 
+/// Whether a line begins with whitespace and so continues the field before it, or hides a field
+/// from those who unfold it (RFC 9112, section 5.2).
+bool HasFoldedLine(std::string_view aHead)
+{
+  return aHead.find("\r\n ") != std::string_view::npos ||
+         aHead.find("\r\n\t") != std::string_view::npos;
+}
+
+/// Reads the next bytes into the connection's buffer. An end fails like that of a message that
+/// has begun.
+asio::awaitable<boost::system::error_code> ReadSome(HttpConnection& aConnection)
+{
+  constexpr std::size_t kLeastReadBytes = 512;
+  auto& buffer = aConnection.m_buffer;
+  auto const room = buffer.max_size() - buffer.size();
+  if (room == 0) {
+    co_return http::error::buffer_overflow;
+  }
+  auto const free = buffer.capacity() - buffer.size();
+  auto const prepared = buffer.prepare(std::min(std::max(free, kLeastReadBytes), room));
+  auto const [error, size] = co_await aConnection.m_stream->async_read_some(prepared, kAwait);
+  buffer.commit(size);
+  if (error != asio::error::eof) {
+    co_return error;
+  }
+  co_return aConnection.m_parser->got_some() ? http::error::partial_message
+                                             : http::error::end_of_stream;
+}
+
+/// Reads one head, of which Beast alone would unfold the folded lines.
+asio::awaitable<boost::system::error_code> ReadOneHead(HttpConnection& aConnection)
+{
+  auto& parser = *aConnection.m_parser;
+  auto& buffer = aConnection.m_buffer;
+  while (true) {
+    if (buffer.size() > 0) {
+      boost::system::error_code error;
+      auto const* const head = static_cast<char const*>(buffer.data().data());
+      auto const used = parser.put(buffer.data(), error);
+      // The parser uses a field with all its lines at once.
+      bool const isFolded = HasFoldedLine({ head, used });
+      buffer.consume(used);
+      if (error && error != http::error::need_more) {
+        co_return error;
+      }
+      if (isFolded) {
+        co_return http::error::bad_field;
+      }
+    }
+    if (parser.is_header_done()) {
+      co_return boost::system::error_code{};
+    }
+    auto const error = co_await ReadSome(aConnection);
+    if (error) {
+      co_return error;
+    }
+  }
+}
+
 enum class EchoMatch
 {
   Same,
@@ -222,8 +283,7 @@
     parser.header_limit(static_cast<std::uint32_t>(aHeaderLimit.Value()));
     parser.body_limit(boost::none);
     parser.skip(aIsHead);
-    auto const [error, size] =
-      co_await http::async_read_header(*aConnection.m_stream, aConnection.m_buffer, parser, kAwait);
+    auto const error = co_await ReadOneHead(aConnection);
     if (error) {
       co_return error;
     }
--- a/Tests/ResetUpstreamTest.cpp
+++ b/Tests/BrokenUpstreamTest.cpp
@@ -1,4 +1,4 @@
-#define BOOST_TEST_MODULE ResetUpstream
+#define BOOST_TEST_MODULE BrokenUpstream
 #include "StandIns/Site/ScriptedServer.h"
 #include "Tests/Support/AgentFixture.h"
 
@@ -6,8 +6,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-// An upstream behind an agent that answers a long upload at once and resets the connection in the
-// middle of a body without a length.
+// An upstream behind an agent whose answers are none.
 
 using namespace sardinefold;
 using standins::ScriptedResponse;
@@ -40,6 +39,8 @@
 
 } // namespace
 
+// Guards against an upstream that answers a long upload at once and resets the connection in the
+// middle of a body without a length.
 BOOST_DATA_TEST_CASE_F(tests::AgentFixture, AnAgentRelaysNoPartOfAnEarlyAnswerAsTheWhole,
                        boost::unit_test::data::make({ "", "0a1b2c" }) *
                          boost::unit_test::data::make({ 0, 100 }),
@@ -69,3 +70,24 @@
     BOOST_TEST(upstream.Requests() == 1U);
   });
 }
+
+// Guards against an answer with a status that is none, or with a malformed head.
+BOOST_DATA_TEST_CASE_F(
+  tests::AgentFixture, AnAgentRelaysNoAnswerWithAMalformedHead,
+  boost::unit_test::data::make({ "", "0a1b2c" }) *
+    boost::unit_test::data::make({ "000 No\r\n", "200 OK\r\nA b: c\r\n", "200 OK\r\nA\x01: c\r\n",
+                                   "200 OK\r\nA: b\r\n Content-Length: 4\r\n" }),
+  aClaim, aHead)
+{
+  standins::ScriptedServer upstream(m_loop, { { "HTTP/1.1 " + std::string(aHead) + "\r\nbodymore",
+                                                ScriptedResponse::End::Close } });
+  BOOST_REQUIRE(upstream.Listen(UpstreamAddress()).has_value());
+  StartAgent(1);
+  Run([&]() -> awaitable<void> {
+    base::Cancellation cancellation;
+    auto outcome = co_await Forward(base::ClaimId::FromValidated(aClaim), {}, cancellation);
+    auto const received = co_await ReadOutcome(std::move(outcome));
+    BOOST_TEST(received == "unknown");
+    BOOST_TEST(upstream.Requests() == 1U);
+  });
+}
--- /dev/null
+++ b/Tests/MalformedFieldTest.cpp
@@ -0,0 +1,143 @@
+#define BOOST_TEST_MODULE MalformedField
+#include "Base/Http/HttpClient.h"
+#include "Programs/SystemClock.h"
+#include "StandIns/Site/ScriptedServer.h"
+#include "Tests/Support/PortClaim.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <limits>
+#include <map>
+
+// A field whose name is none may be the one that says where the body ends. A response with one
+// must not be taken for an answer, neither with that line nor without it.
+
+using namespace sardinefold;
+using standins::ScriptedResponse;
+using standins::ScriptedServer;
+using namespace std::chrono_literals;
+using boost::asio::awaitable;
+
+namespace {
+
+std::string const kStatusLine = "HTTP/1.1 200 OK\r\n";
+std::string const kLengthAndBody = "Content-Length: 4\r\n\r\nbody";
+std::string const kChunkedFields = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+
+/// Names of fields, in which '?' stands for any byte.
+std::vector<std::string> const kNames = {
+  "?Foo",        "Fo?o", "Foo?", "?", "Transfer?-Encoding", "Transfer-Encoding?", "?Content-Length",
+  "Server-Seal?"
+};
+
+std::vector<std::string> const kFoldedResponses = {
+  kStatusLine + "A: b\r\n Content-Length: 4\r\n\r\nbodymore",
+  kStatusLine + "A: b\r\n\tTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+  kStatusLine + "A: b\r\n c\r\n" + kLengthAndBody,
+  kStatusLine + "A:\r\n B: c\r\n" + kLengthAndBody,
+  kStatusLine + "A: b\r\n \r\n" + kLengthAndBody,
+  kStatusLine + "Content-Length:\r\n 4\r\n\r\nbodymore",
+  kStatusLine + " A: b\r\n" + kLengthAndBody,
+  "HTTP/1.1 103 Early Hints\r\nA: b\r\n B: c\r\n\r\n" + kStatusLine + kLengthAndBody,
+};
+
+bool IsTokenCharacter(char aCharacter)
+{
+  return std::string_view("!#$%&'*+-.^_`|~0123456789"
+                          "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+           .find(aCharacter) != std::string_view::npos;
+}
+
+/// Fetches the texts one after the other and returns the responses.
+std::vector<tl::expected<base::HttpResponse, base::HttpFailure>> FetchEach(
+  std::vector<ScriptedResponse> const& aScript)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  tests::PortClaim const port({ "127.0.0.1" });
+  base::Endpoint const endpoint{ "127.0.0.1", port.Port() };
+  ScriptedServer server(loop, aScript);
+  BOOST_REQUIRE(server.Listen(endpoint).has_value());
+  base::HttpClient client(loop, {});
+  std::vector<tl::expected<base::HttpResponse, base::HttpFailure>> responses;
+  auto run = [&]() -> awaitable<void> {
+    for (std::size_t number = 0; number < aScript.size(); ++number) {
+      base::HttpRequest request;
+      responses.push_back(co_await client.Fetch(endpoint, std::move(request), 1s));
+    }
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  return responses;
+}
+
+void CheckMalformed(tl::expected<base::HttpResponse, base::HttpFailure> const& aResponse)
+{
+  BOOST_TEST(!aResponse);
+  if (!aResponse) {
+    BOOST_TEST((aResponse.error().m_kind == base::HttpFailure::Kind::MalformedResponse));
+    BOOST_TEST(aResponse.error().m_mayHaveBeenSent);
+  }
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(AClientTakesNoResponseWithAMalformedFieldName,
+                     boost::unit_test::data::make(kNames), aName)
+{
+  for (auto const* const place : { "first", "later", "interim", "trailer" }) {
+    std::vector<ScriptedResponse> script;
+    std::string bytes;
+    for (int byte = 0; byte <= std::numeric_limits<unsigned char>::max(); ++byte) {
+      auto const character = static_cast<char>(byte);
+      // A colon ends the name.
+      if (IsTokenCharacter(character) || character == ':') {
+        continue;
+      }
+      bytes += character;
+      auto line = aName + ": chunked\r\n";
+      line[aName.find('?')] = character;
+      std::map<std::string, std::string> const texts = {
+        { "first", kStatusLine + line + kLengthAndBody },
+        { "later", kStatusLine + "A: b\r\n" + line + kLengthAndBody },
+        { "interim",
+          "HTTP/1.1 103 Early Hints\r\nA: b\r\n" + line + "\r\n" + kStatusLine + kLengthAndBody },
+        { "trailer", kStatusLine + kChunkedFields + line + "\r\n" },
+      };
+      script.push_back({ texts.at(place), ScriptedResponse::End::Close });
+    }
+    auto const responses = FetchEach(script);
+    for (std::size_t number = 0; number < responses.size(); ++number) {
+      BOOST_TEST_CONTEXT(place << " field, byte " << static_cast<int>(bytes[number]))
+      {
+        CheckMalformed(responses[number]);
+      }
+    }
+  }
+}
+
+// The parser unfolds such a line, which hides the field in it.
+BOOST_DATA_TEST_CASE(AClientTakesNoResponseWithAFoldedLine,
+                     boost::unit_test::data::make(kFoldedResponses), aText)
+{
+  CheckMalformed(FetchEach({ { aText, ScriptedResponse::End::Close } }).front());
+}
+
+BOOST_AUTO_TEST_CASE(AClientTakesEveryNameThatIsOne)
+{
+  std::vector<ScriptedResponse> script;
+  for (int byte = 0; byte <= std::numeric_limits<unsigned char>::max(); ++byte) {
+    auto const character = static_cast<char>(byte);
+    if (IsTokenCharacter(character)) {
+      script.push_back({ kStatusLine + "Foo" + character + ": \t b \r\n" + kLengthAndBody,
+                         ScriptedResponse::End::Close });
+    }
+  }
+  for (auto const& response : FetchEach(script)) {
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->m_headers.Fields().front().m_value == "b");
+    BOOST_TEST(response->m_body == "body");
+  }
+}
--- a/Tests/TruncatedAnswerTest.cpp
+++ b/Tests/TruncatedAnswerTest.cpp
@@ -391,3 +391,27 @@
     }
   });
 }
+
+// Guards against a field whose name is none: the line was relayed as part of the field before it,
+// or the body to another end than its upstream meant.
+BOOST_DATA_TEST_CASE_F(TruncatedFixture, AGatewayRelaysNoAnswerWithAMalformedFieldName,
+                       boost::unit_test::data::make({ "X Y: z\r\n", "X : y\r\n", "\x01X: y\r\n",
+                                                      "X\x7f: y\r\n", "A: b\r\n X: y\r\n",
+                                                      "A: b\r\n\tTransfer-Encoding: chunked\r\n" }),
+                       aField)
+{
+  Start({ kHead + aField + "Content-Length: " + std::to_string(kEvents.size()) + "\r\n\r\n" +
+          kEvents });
+  Run([&]() -> awaitable<void> {
+    for (auto const* const target : { "/order/x", "/once/x" }) {
+      auto const sentAt = m_loop.Now();
+      auto request = Request("POST", target, "r" + std::string(target));
+      auto const response = co_await Send(std::move(request));
+      BOOST_TEST((response ? response->m_status : 0) == 502U);
+      BOOST_TEST(!(response && response->m_headers.Find("Server-Seal")));
+      // At once, not at the deadline of the route.
+      BOOST_TEST((m_loop.Now() - sentAt < 1s));
+    }
+    BOOST_TEST(m_server->Requests() == 2U);
+  });
+}
