Meta: Let callers of HTTP/1.0 take part in the soak

Cause: all callers of the soak spoke HTTP/1.1, so that it could not see a part of a stream that ends like a whole one.

Change: one more caller sends requests of HTTP/1.0 on new connections, and takes a stream whose connection ends in order for complete.

--- a/Meta/soak.py
+++ b/Meta/soak.py
@@ -77,13 +77,13 @@
             await self.send_request(client, kind, gateway)
         client.close()
 
-    async def send_request(self, client, kind, gateway, key="key-1"):
+    async def send_request(self, client, kind, gateway, key="key-1", rng=None, is_older=False):
         request = self.next_id(kind)
-        model = self.random.choice(MODELS) if kind in ("chat", "once") else None
+        model = (rng or self.random).choice(MODELS) if kind in ("chat", "once") else None
         deadline = 5.0 if model else 1.5
-        text = render_request(kind, request, key, deadline, model)
+        text = render_request(kind, request, key, deadline, model, "1.0" if is_older else "1.1")
         started_at = time.monotonic()
-        response = await client.send_request(gateway, text, deadline + RESPONSE_GRACE_S)
+        response = await client.send_request(gateway, text, deadline + RESPONSE_GRACE_S, is_older)
         elapsed = time.monotonic() - started_at
         self.status_counts[response.status] = self.status_counts.get(response.status, 0) + 1
         self.responses[request] = response
@@ -145,6 +145,15 @@
                 await asyncio.sleep(rng.uniform(0.5, 0.8) * min(self.site.idle_timeout_ms, 2000) / 1000)
         client.close()
 
+    async def run_older_caller(self):
+        """Sends requests of HTTP/1.0, whose streams end with their connections."""
+        rng = random.Random(f"older callers of {self.seed}")
+        client = Client(self.site)
+        while not self.is_over:
+            await asyncio.sleep(rng.uniform(0.05, 0.2))
+            await self.send_request(client, rng.choice(["chat", "once", "order"]), rng.choice(self.site.gateways),
+                                    rng=rng, is_older=True)
+
     # Configuration changes
 
     async def change_configuration(self):
@@ -212,7 +221,7 @@
         callers = [self.run_caller(kind, interval)
                    for kind, interval in [("chat", 0.15), ("chat", 0.15), ("once", 0.3), ("order", 0.1), ("look", 0.1)]]
         callers += [self.use_withdrawn_keys(), self.exceed_allowance(), self.change_configuration(),
-                    self.reuse_idle_connections()]
+                    self.reuse_idle_connections(), self.run_older_caller()]
         tasks = [asyncio.create_task(caller) for caller in callers]
         await asyncio.gather(self.inject_faults(), self.drain_engines(), self.send_signal_series(),
                              self.copy_refusals())
--- a/Meta/soak_client.py
+++ b/Meta/soak_client.py
@@ -2,8 +2,8 @@
 import asyncio
 
 
-def render_request(path, request, key, deadline, model):
-    lines = [f"POST /{path}/x HTTP/1.1", "Host: site.example", f"Request-Id: {request}",
+def render_request(path, request, key, deadline, model, version="1.1"):
+    lines = [f"POST /{path}/x HTTP/{version}", "Host: site.example", f"Request-Id: {request}",
              f"Deadline-Ms: {int(deadline * 1000)}", f"Authorization: Bearer {key}", "Content-Length: 4"]
     if model:
         lines += [f"Model: {model}", "Token-Count: 100,10"]
@@ -34,10 +34,11 @@
             writer.close()
         self.connections = {}
 
-    async def send_request(self, gateway, text, timeout):
+    async def send_request(self, gateway, text, timeout, is_older=False):
         response = Response()
+        exchange = self.exchange_once if is_older else self.exchange
         try:
-            await asyncio.wait_for(self.exchange(gateway, text, response), timeout)
+            await asyncio.wait_for(exchange(gateway, text, response), timeout)
         except asyncio.TimeoutError:
             response.timed_out = True
             self.close_connection(gateway)
@@ -71,6 +72,24 @@
         if response.headers.get("connection") == "close":
             self.close_connection(gateway)
 
+    async def exchange_once(self, gateway, text, response):
+        """Reads the response to a request of HTTP/1.0, whose body may end with its connection."""
+        reader, writer = await asyncio.open_connection(gateway.address, self.site.ports["front"])
+        try:
+            writer.write(text.encode())
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            lines = head.split("\r\n")
+            response.headers = dict(line.lower().split(": ", 1) for line in lines[1:] if ": " in line)
+            response.status = int(lines[0].split()[1])
+            if length := response.headers.get("content-length"):
+                response.body = (await reader.readexactly(int(length))).decode()
+            else:
+                while data := await reader.read(65536):
+                    response.body += data.decode()
+            response.is_complete = True
+        finally:
+            writer.close()
+
     async def read_chunks(self, reader, response):
         while True:
             size = int((await reader.readuntil(b"\r\n")).strip(), 16)
