Tests: Fold a line at each end of a piece of a head

Cause: that no two pieces of a head share a fold was known by reading the parser's use only.

Change: heads of 80 sizes around the first piece of 512 bytes, each with a folded line. Two comments say what the check relies on.

--- a/Base/Http/HttpConnection.cpp
+++ b/Base/Http/HttpConnection.cpp
@@ -90,7 +90,7 @@
                                              : http::error::end_of_stream;
 }
 
-/// Reads one head, of which Beast alone would unfold the folded lines.
+/// Reads one head. Folded lines are looked for in its bytes, as the parser unfolds them.
 asio::awaitable<boost::system::error_code> ReadOneHead(HttpConnection& aConnection)
 {
   auto& parser = *aConnection.m_parser;
@@ -100,7 +100,7 @@
       boost::system::error_code error;
       auto const* const head = static_cast<char const*>(buffer.data().data());
       auto const used = parser.put(buffer.data(), error);
-      // The parser uses a field with all its lines at once.
+      // The parser uses a field and all its lines at once, so that no two pieces share a fold.
       bool const isFolded = HasFoldedLine({ head, used });
       buffer.consume(used);
       if (error && error != http::error::need_more) {
--- a/Tests/MalformedFieldTest.cpp
+++ b/Tests/MalformedFieldTest.cpp
@@ -138,6 +138,22 @@
   CheckMalformed(FetchEach({ { aText, ScriptedResponse::End::Close } }).front());
 }
 
+// The client reads a head in pieces, of which the first has 512 bytes.
+BOOST_AUTO_TEST_CASE(AClientTakesNoResponseWithALineFoldedWhereAPieceEnds)
+{
+  constexpr std::size_t kFirst = 440;
+  constexpr std::size_t kLast = 520;
+  std::vector<ScriptedResponse> script;
+  for (auto size = kFirst; size < kLast; ++size) {
+    std::string text = kStatusLine;
+    text.append("P: ").append(size, 'x').append("\r\nA: b\r\n B: c\r\n").append(kLengthAndBody);
+    script.push_back({ std::move(text), ScriptedResponse::End::Close });
+  }
+  for (auto const& response : FetchEach(script)) {
+    CheckMalformed(response);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AClientTakesEveryNameThatIsOne)
 {
   std::vector<ScriptedResponse> script;
