--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -33,6 +33,7 @@
 step 'callers outside all limits' Meta/hostile_callers.py
 step 'requests inside the bodies of others' Meta/smuggled_requests.py
 step 'answers without end' Meta/endless_answers.py
+step 'answers that are none' Meta/broken_answers.py
 step 'bounds that do not depend on the clock' Meta/bench.py --deterministic
 if [ -s KNOWN-RED.txt ]; then
   echo "Known faults (not counted):"
