Tests: Put malformed heads before each reader of responses

Cause: the names of fields were tested in the first response on a connection only, and an error between the start of the fleet and that of the entry with TLS left processes of Meta/broken_answers.py behind.

Change: malformed heads after and before an answer to an earlier request, and in the response to a probe; the script stops its fleet.

--- a/Base/Http/HttpConnection.h
+++ b/Base/Http/HttpConnection.h
@@ -100,9 +100,9 @@
 void StartWriting(HttpConnection& aConnection, std::string aHead,
                   std::shared_ptr<std::string const> aBody);
 
-/// Returns the error that has ended the connection, if the write of the request has received it.
-/// The operating system reports such an error to one operation only, and to the others an end
-/// like that of an orderly close.
+/// Returns the error that has ended the connection if the write of the request has received it,
+/// or else no error. The operating system reports such an error to one operation only, and to the
+/// others an end like that of an orderly close.
 boost::system::error_code ErrorOfWrite(HttpConnection const& aConnection);
 
 /// Reads the head of the final response. Interim responses are skipped, as are
--- a/Meta/broken_answers.py
+++ b/Meta/broken_answers.py
@@ -72,6 +72,17 @@
 
     def __init__(self):
         super().__init__()
+        try:
+            self.start_entry_with_tls()
+        except BaseException:
+            self.fleet.stop()
+            raise
+        service = self.fleet.processes["booking-01-upstream"].child
+        service.kill()
+        service.wait()
+        self.service = BrokenService(self.fleet.ports["booking-01-upstream"])
+
+    def start_entry_with_tls(self):
         folder = pathlib.Path(self.fleet.folder.name)
         subprocess.run([ROOT / "Meta/certificate.sh", folder], check=True)
         self.fleet.start_entry("entry-3", "munich", "demo", operator_token=OPERATOR_TOKEN,
@@ -79,10 +90,6 @@
         self.fleet.publish_hosts()
         wait_until(lambda: self.exchange("entry-3", b"GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")[0] == 200,
                    20, "entry-3 ready")
-        service = self.fleet.processes["booking-01-upstream"].child
-        service.kill()
-        service.wait()
-        self.service = BrokenService(self.fleet.ports["booking-01-upstream"])
 
     def exchange(self, entry, request):
         """Returns the status and the body, or 0 if the connection does not end in order."""
--- a/Tests/MalformedFieldTest.cpp
+++ b/Tests/MalformedFieldTest.cpp
@@ -66,6 +66,11 @@
   return { std::move(text), ScriptedResponse::End::Close };
 }
 
+/// Heads that are none, without their first and last line.
+std::vector<std::string> const kMalformedHeads = { "000 No\r\n", "200 OK\r\nA b: c\r\n",
+                                                   "200 OK\r\nA\x01: c\r\n",
+                                                   "200 OK\r\nA: b\r\n c: d\r\n" };
+
 bool IsTokenCharacter(char aCharacter)
 {
   return std::string_view("!#$%&'*+-.^_`|~0123456789"
@@ -83,11 +88,14 @@
   ScriptedServer server(loop, aScript);
   BOOST_REQUIRE(server.Listen(endpoint).has_value());
   base::HttpClient client(loop, {});
+  base::HttpHeaders::Field const echo{ "Request-Id", "r1" };
   std::vector<tl::expected<base::HttpResponse, base::HttpFailure>> responses;
   auto run = [&]() -> awaitable<void> {
     for (std::size_t number = 0; number < aScript.size(); ++number) {
       base::HttpRequest request;
-      responses.push_back(co_await client.Fetch(endpoint, std::move(request), 1s));
+      request.m_headers.Add(echo.m_name, echo.m_value);
+      base::HttpSendOptions options{ 1s, nullptr, std::nullopt, echo, nullptr };
+      responses.push_back(co_await client.Fetch(endpoint, std::move(request), std::move(options)));
     }
     loop.Stop();
   };
@@ -169,3 +177,50 @@
     BOOST_TEST(response->m_body == "body");
   }
 }
+
+BOOST_DATA_TEST_CASE(AMalformedHeadEndsTheSearchForTheResponse,
+                     boost::unit_test::data::make(kMalformedHeads), aHead)
+{
+  std::string const sound = kStatusLine + "Request-Id: {id}\r\n" + kLengthAndBody;
+  std::string const other = kStatusLine + "Request-Id: other\r\n" + kLengthAndBody;
+  std::string const malformed = "HTTP/1.1 " + aHead;
+  auto const responses = FetchEach({
+    { other + malformed + "Request-Id: {id}\r\n" + kLengthAndBody, ScriptedResponse::End::Close },
+    { other + malformed + "Request-Id: other\r\n" + kLengthAndBody + sound,
+      ScriptedResponse::End::Close },
+    { malformed + "Request-Id: other\r\n" + kLengthAndBody + sound, ScriptedResponse::End::Close },
+    { other + sound, ScriptedResponse::End::Close },
+  });
+  for (std::size_t number = 0; number + 1 < responses.size(); ++number) {
+    CheckMalformed(responses[number]);
+  }
+  BOOST_TEST(responses.back().has_value());
+}
+
+// A probe whose response is malformed has failed, so that the request gets a new connection.
+BOOST_DATA_TEST_CASE(AMalformedResponseToAProbeReplacesTheConnection,
+                     boost::unit_test::data::make(kMalformedHeads), aHead)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  tests::PortClaim const port({ "127.0.0.1" });
+  base::Endpoint const endpoint{ "127.0.0.1", port.Port() };
+  ScriptedServer server(loop, { { kStatusLine + kLengthAndBody },
+                                { "HTTP/1.1 " + aHead + kLengthAndBody },
+                                { kStatusLine + kLengthAndBody } });
+  BOOST_REQUIRE(server.Listen(endpoint).has_value());
+  base::HttpClientLimits limits;
+  limits.m_probe = base::HttpProbe{ "/probe", base::Duration::zero() };
+  base::HttpClient client(loop, limits);
+  auto run = [&]() -> awaitable<void> {
+    for (int number = 0; number < 2; ++number) {
+      base::HttpRequest request;
+      auto const response = co_await client.Fetch(endpoint, std::move(request), 1s);
+      BOOST_TEST(response.has_value());
+    }
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  BOOST_TEST(server.Requests() == 3U);
+  BOOST_TEST(server.Connections() == 2U);
+}
