--- a/review/standins-3/CrashSite.cpp
+++ b/review/standins-3/CrashSite.cpp
@@ -246,7 +246,7 @@
       Crash();
       co_return false;
     }
-    co_await m_loop.Sleep(std::chrono::milliseconds(30));
+    co_await m_loop.Sleep(std::chrono::milliseconds(60));
     if (!m_isUp || aStart != m_start) {
       co_return false;
     }
@@ -292,13 +292,15 @@
     for (int gateway = 0; gateway < m_options.m_gateways; ++gateway) {
       m_loop.Start(Watch(gateway));
     }
-    m_loop.Start(Repeat(std::chrono::milliseconds(100), false));
+    m_loop.Start(Repeat(std::chrono::milliseconds(50), false));
     if (m_options.m_hasPoison) {
       m_loop.Start(Repeat(std::chrono::milliseconds(400), true));
     }
   }
 
   std::size_t Served() const { return m_served; }
+  /// Ordinary orders that an engine may have run and that got no answer of it.
+  std::size_t Lost() const { return m_lost; }
 
 private:
   std::string AddressOf(int aGateway) const { return "127.0.4." + std::to_string(aGateway + 1); }
@@ -360,6 +362,8 @@
                                                 base::HttpClient::kDefaultBodyLimit);
     auto const status = response ? std::to_string(response->m_status) : "no answer";
     m_served += response && response->m_status == 200 ? 1 : 0;
+    bool const isUnknown = !response || response->m_status == 502 || response->m_status == 504;
+    m_lost += !aIsPoison && isUnknown ? 1 : 0;
     m_record.Write("request " + id + " through gateway " + std::to_string(aGateway + 1) + ": " +
                    status);
   }
@@ -372,6 +376,7 @@
   std::vector<std::optional<base::Instant>> m_readySince;
   std::size_t m_sent = 0;
   std::size_t m_served = 0;
+  std::size_t m_lost = 0;
 };
 
 base::SettingsTable Table()
@@ -465,8 +470,9 @@
   bool const hasRun =
     clients.Served() > 0 && (!options.m_hasPoison || crashes.m_at.size() >= kAllowedRetries);
   auto const result = !hasRun ? kNotRun : late > kAllowedRetries ? kBroken : kHeld;
-  auto const text = "served " + std::to_string(clients.Served()) + " orders; " +
-                    std::to_string(crashes.m_at.size()) + " crashes, " + std::to_string(late) +
+  auto const text = "served " + std::to_string(clients.Served()) + " orders, lost " +
+                    std::to_string(clients.Lost()) + "; " + std::to_string(crashes.m_at.size()) +
+                    " crashes, " + std::to_string(late) +
                     " of them later than 3 s after the third (3 allowed): " +
                     (result == kBroken ? "broken"
                      : result == kHeld ? "held"
--- a/review/standins-3/lib.sh
+++ b/review/standins-3/lib.sh
@@ -6,6 +6,9 @@
 declare -A pid=()
 gateways=4
 loaders=2
+# memoryMb of front and side machines.
+front_memory=260
+side_memory=192
 
 # Ends all processes that the script started, by their ids.
 finish() {
@@ -39,7 +42,7 @@
   cannot_run "no free ports"
 }
 
-# write_node NAME ADDRESS ZONE EXTRA: the settings file of a process, with the bounds of sites/tungi-marshal.toml.
+# write_node NAME ADDRESS ZONE MEMORY EXTRA: the settings file of a process, with the bounds of sites/tungi-marshal.toml.
 write_node() {
   cat >"$work/$1.yaml" <<EOF
 nodeName: "$1"
@@ -49,14 +52,22 @@
 zones: {a: "one", b: "one", c: "one", d: "one"}
 innerPortRange: [$peer, $((peer + 15))]
 heartbeatMs: 1200
-limits: {cpuShare: 0.19, cores: 1, memoryMb: 260, maxFds: 4100}
+limits: {cpuShare: 0.19, cores: 1, memoryMb: $4, maxFds: 4100}
 bounds: {stableWindowMs: 3000, drainMs: 2000, graceS: 8, configApplyMs: 2000, retryBudgetRatio: 0.2, retryWindowS: 10,
   retrySlack: 52, leaseMs: 3000, thawSlackMs: 300}
 platform: {address: "127.0.1.1:$store"}
-$4
+$5
 EOF
 }
 
+# Prints the resident memory of a process, in MB.
+resident_mb() {
+  local name value
+  { while read -r name value _; do
+    [ "$name" = VmRSS: ] && echo $((value / 1024))
+  done <"/proc/$1/status"; } 2>/dev/null
+}
+
 zone_of() { echo abcd | cut -c$((($1 - 1) % 4 + 1)); }
 
 # start_node NAME PROGRAM: the command of the deploy file, with the settings file in the variable. Another port for the
@@ -70,13 +81,13 @@
 }
 
 start_gateway() {
-  write_node "front-$1" "127.0.4.$1" "$(zone_of "$1")" \
+  write_node "front-$1" "127.0.4.$1" "$(zone_of "$1")" $front_memory \
     "listenAddrs: {front: \"127.0.4.$1:$front\", ready: \"127.0.4.$1:$ready\"}"
   start_node "front-$1" sardinefold-gateway
 }
 
 start_loader() {
-  write_node "side-$1" "127.0.2.$1" "$(zone_of "$1")" \
+  write_node "side-$1" "127.0.2.$1" "$(zone_of "$1")" $side_memory \
     "$(printf 'listenAddrs: {}\napp: "127.0.2.%s:%s"\nservice: "llm"' "$1" "$engine")"
   start_node "side-$1" sardinefold-loader
 }
