--- a/review/standins-3/CrashSite.cpp
+++ b/review/standins-3/CrashSite.cpp
@@ -19,6 +19,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -55,7 +56,8 @@
   bool m_keepsId = false;
   /// How long after its return it registers.
   base::Duration m_registrationDelay{};
-  bool m_hasPoison = true;
+  /// How many different requests crash engines.
+  int m_poisons = 1;
   std::string m_record;
 };
 
@@ -82,19 +84,34 @@
   std::ofstream m_file;
 };
 
-/// Runs of the poisonous request. An engine that has begun to run it crashes.
+/// Runs of the poisonous requests, by their body. An engine that has begun to run one
+/// crashes.
 struct Crashes
 {
-  std::vector<base::Instant> m_at;
+  std::map<std::string, std::vector<base::Instant>> m_at;
 
+  std::size_t Count() const
+  {
+    std::size_t count = 0;
+    for (auto const& [body, times] : m_at) {
+      count += times.size();
+    }
+    return count;
+  }
+
+  /// The most late retries of one request.
   std::size_t LateRetries() const
   {
     constexpr std::size_t kCounted = 3;
-    std::size_t late = 0;
-    for (std::size_t number = kCounted; number < m_at.size(); ++number) {
-      late += m_at[number] > m_at[kCounted - 1] + kStableWindow ? 1 : 0;
+    std::size_t most = 0;
+    for (auto const& [body, times] : m_at) {
+      std::size_t late = 0;
+      for (std::size_t number = kCounted; number < times.size(); ++number) {
+        late += times[number] > times[kCounted - 1] + kStableWindow ? 1 : 0;
+      }
+      most = std::max(most, late);
     }
-    return late;
+    return most;
   }
 };
 
@@ -239,10 +256,10 @@
     aInput.erase(0, headBytes + bodyBytes);
     auto const request = FieldOf(head, "Request-Id: ");
     bool const isForOther = FieldOf(head, "Expect-Instance: ") != m_id;
-    if (!isForOther && body == kPoison) {
-      m_crashes.m_at.push_back(m_loop.Now());
+    if (!isForOther && body.starts_with(kPoison)) {
+      m_crashes.m_at[body].push_back(m_loop.Now());
       m_record.Write("engine " + m_id + " crashed by request " + request + ", crash " +
-                     std::to_string(m_crashes.m_at.size()));
+                     std::to_string(m_crashes.Count()));
       Crash();
       co_return false;
     }
@@ -293,7 +310,7 @@
       m_loop.Start(Watch(gateway));
     }
     m_loop.Start(Repeat(std::chrono::milliseconds(50), false));
-    if (m_options.m_hasPoison) {
+    if (m_options.m_poisons > 0) {
       m_loop.Start(Repeat(std::chrono::milliseconds(400), true));
     }
   }
@@ -337,7 +354,8 @@
     for (int turn = 0;; ++turn) {
       int const gateway = turn % m_options.m_gateways;
       if (IsInTouch(gateway)) {
-        m_loop.Start(Send(gateway, aIsPoison));
+        m_loop.Start(
+          Send(gateway, aIsPoison ? turn / m_options.m_gateways % m_options.m_poisons + 1 : 0));
         co_await m_loop.Sleep(aInterval);
       } else {
         co_await m_loop.Sleep(std::chrono::milliseconds(10));
@@ -345,16 +363,19 @@
     }
   }
 
-  asio::awaitable<void> Send(int aGateway, bool aIsPoison)
+  /// aPoison is the number of a request that crashes engines; zero for an ordinary one.
+  asio::awaitable<void> Send(int aGateway, int aPoison)
   {
-    auto const id = std::string(aIsPoison ? "p" : "o") + std::to_string(++m_sent);
+    bool const isPoison = aPoison > 0;
+    auto const id = std::string(isPoison ? "p" : "o") + std::to_string(++m_sent);
     base::HttpRequest request;
     request.m_method = "POST";
     request.m_target = "/order/book";
     request.m_headers.Add("Host", "site.example");
     request.m_headers.Add(platform::kRequestIdHeader, id);
     request.m_headers.Add("Authorization", "Bearer key-1");
-    request.m_body = aIsPoison ? std::string(kPoison) : "order " + id;
+    request.m_body =
+      isPoison ? std::string(kPoison) + " " + std::to_string(aPoison) : "order " + id;
     base::Endpoint const endpoint{ AddressOf(aGateway), m_options.m_frontPort };
     base::HttpSendOptions options{ std::chrono::milliseconds(2500) };
     options.m_isConnectionExclusive = true;
@@ -363,7 +384,7 @@
     auto const status = response ? std::to_string(response->m_status) : "no answer";
     m_served += response && response->m_status == 200 ? 1 : 0;
     bool const isUnknown = !response || response->m_status == 502 || response->m_status == 504;
-    m_lost += !aIsPoison && isUnknown ? 1 : 0;
+    m_lost += !isPoison && isUnknown ? 1 : 0;
     m_record.Write("request " + id + " through gateway " + std::to_string(aGateway + 1) + ": " +
                    status);
   }
@@ -393,7 +414,7 @@
              { "down-ms", SettingKind::Count, "How long a crashed engine is away", "2000" },
              { "keep-id", SettingKind::Count, "1 if it comes back under its id", "0" },
              { "register-ms", SettingKind::Count, "How long after that it registers", "0" },
-             { "poison", SettingKind::Count, "0 if no request crashes engines", "1" },
+             { "poisons", SettingKind::Count, "Requests that crash engines", "1" },
              { "log-level", SettingKind::Text, "Lowest level logged", "info" },
              { "record", SettingKind::Text, "File for what happened", "record.txt" } } };
 }
@@ -423,7 +444,7 @@
   options.m_downTime = std::chrono::milliseconds(settings->Count("down-ms"));
   options.m_keepsId = settings->Count("keep-id") == 1;
   options.m_registrationDelay = std::chrono::milliseconds(settings->Count("register-ms"));
-  options.m_hasPoison = settings->Count("poison") == 1;
+  options.m_poisons = static_cast<int>(settings->Count("poisons"));
   options.m_record = settings->Text("record");
 
   base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
@@ -468,12 +489,12 @@
 
   auto const late = crashes.LateRetries();
   bool const hasRun =
-    clients.Served() > 0 && (!options.m_hasPoison || crashes.m_at.size() >= kAllowedRetries);
+    clients.Served() > 0 && (options.m_poisons == 0 || crashes.Count() >= kAllowedRetries);
   auto const result = !hasRun ? kNotRun : late > kAllowedRetries ? kBroken : kHeld;
   auto const text = "served " + std::to_string(clients.Served()) + " orders, lost " +
-                    std::to_string(clients.Lost()) + "; " + std::to_string(crashes.m_at.size()) +
+                    std::to_string(clients.Lost()) + "; " + std::to_string(crashes.Count()) +
                     " crashes, " + std::to_string(late) +
-                    " of them later than 3 s after the third (3 allowed): " +
+                    " of them, of one request, later than 3 s after its third (3 allowed): " +
                     (result == kBroken ? "broken"
                      : result == kHeld ? "held"
                                        : "not run");
