Agent: Make the registry of crashes a template over what it counts

SuspectPartRegistry and PartNewsBoard count crashes by prompt part, hand the crashes of refused parts to gateways that start, and take acquittals. Whole requests, counted by SuspectRegistry, need the same. CrashRegistry and CrashNewsBoard are these classes as templates, instantiated for prompt parts only. No behaviour changes; the tests are those of before, under new names.

--- a/Agent/Fleet/PartNewsBoard.cpp
+++ b/Agent/Fleet/CrashNewsBoard.cpp
@@ -1,4 +1,4 @@
-#include "Agent/Fleet/PartNewsBoard.h"
+#include "Agent/Fleet/CrashNewsBoard.h"
 
 #include <algorithm>
 
@@ -9,7 +9,7 @@
 /// For how long news is passed on with each summary.
 constexpr base::Duration kNewTime = std::chrono::milliseconds(500);
 constexpr base::Duration kRepeatInterval = std::chrono::seconds(1);
-/// Gateways repeat the crashes of refused parts once a second.
+/// Gateways repeat the crashes of refused subjects once a second.
 constexpr base::Duration kRetention = std::chrono::seconds(3);
 constexpr std::size_t kMaximumEntries = 4'000;
 /// Keeps a summary well below the size of a datagram.
@@ -17,16 +17,18 @@
 
 } // namespace
 
-void PartNewsBoard::OnReport(std::vector<PartCrashReport> const& aCrashes,
-                             std::vector<PartAcquittal> const& aAcquittals, base::Instant aNow)
+template<typename Subject>
+void CrashNewsBoard<Subject>::OnReport(std::vector<SubjectCrash<Subject>> const& aCrashes,
+                                       std::vector<SubjectAcquittal<Subject>> const& aAcquittals,
+                                       base::Instant aNow)
 {
   for (auto const& acquittal : aAcquittals) {
-    if (m_beginnings.size() >= kMaximumEntries && !m_beginnings.contains(acquittal.m_part)) {
+    if (m_beginnings.size() >= kMaximumEntries && !m_beginnings.contains(acquittal.m_subject)) {
       continue;
     }
     auto const at = aNow - acquittal.m_age;
     auto const [position, isNew] =
-      m_beginnings.try_emplace(acquittal.m_part, Beginning{ at, aNow });
+      m_beginnings.try_emplace(acquittal.m_subject, Beginning{ at, aNow });
     // Reports of one beginning differ by their transit times.
     constexpr base::Duration kTransitTime = std::chrono::milliseconds(50);
     if (!isNew && at > position->second.m_at + kTransitTime) {
@@ -35,13 +37,13 @@
     position->second.m_at = std::max(position->second.m_at, at);
     // The crash must not be passed on after its acquittal.
     std::erase_if(m_crashes, [&](auto const& aItem) {
-      return aItem.first.first == acquittal.m_part && aItem.second.m_at <= at;
+      return aItem.first.first == acquittal.m_subject && aItem.second.m_at <= at;
     });
   }
   for (auto const& report : aCrashes) {
     auto const at = aNow - report.m_age;
-    auto const begun = m_beginnings.find(report.m_part);
-    CrashKey key{ report.m_part, report.m_upstream };
+    auto const begun = m_beginnings.find(report.m_subject);
+    CrashKey key{ report.m_subject, report.m_upstream };
     bool const isOutdated = begun != m_beginnings.end() && begun->second.m_at >= at;
     bool const isFull = m_crashes.size() >= kMaximumEntries && !m_crashes.contains(key);
     if (isOutdated || isFull) {
@@ -53,7 +55,8 @@
   }
 }
 
-PartNews PartNewsBoard::TakeDue(base::Instant aNow)
+template<typename Subject>
+CrashNews<Subject> CrashNewsBoard<Subject>::TakeDue(base::Instant aNow)
 {
   Expire(aNow);
   std::vector<CrashKey> due;
@@ -63,21 +66,22 @@
       due.push_back(key);
     }
   }
-  PartNews news;
+  CrashNews<Subject> news;
   news.m_crashes = Reports(std::move(due), aNow);
   for (auto const& report : news.m_crashes) {
-    m_crashes.at({ report.m_part, report.m_upstream }).m_passedOnAt = aNow;
+    m_crashes.at({ report.m_subject, report.m_upstream }).m_passedOnAt = aNow;
   }
-  for (auto const& [part, beginning] : m_beginnings) {
+  for (auto const& [subject, beginning] : m_beginnings) {
     if (aNow - beginning.m_firstReportedAt < kNewTime &&
         news.m_acquittals.size() < kMaximumReported) {
-      news.m_acquittals.push_back({ part, aNow - beginning.m_at });
+      news.m_acquittals.push_back({ subject, aNow - beginning.m_at });
     }
   }
   return news;
 }
 
-std::vector<PartCrashReport> PartNewsBoard::AllCrashes(base::Instant aNow) const
+template<typename Subject>
+std::vector<SubjectCrash<Subject>> CrashNewsBoard<Subject>::AllCrashes(base::Instant aNow) const
 {
   std::vector<CrashKey> keys;
   for (auto const& [key, crash] : m_crashes) {
@@ -86,17 +90,18 @@
   return Reports(std::move(keys), aNow);
 }
 
-std::vector<PartCrashReport> PartNewsBoard::Reports(std::vector<CrashKey> aKeys,
-                                                    base::Instant aNow) const
+template<typename Subject>
+std::vector<SubjectCrash<Subject>> CrashNewsBoard<Subject>::Reports(std::vector<CrashKey> aKeys,
+                                                                    base::Instant aNow) const
 {
-  std::map<base::PromptPartId, std::size_t> counts;
+  std::map<Subject, std::size_t> counts;
   for (auto const& [key, crash] : m_crashes) {
     ++counts[key.first];
   }
   std::ranges::stable_sort(aKeys, std::ranges::greater{},
                            [&](CrashKey const& aKey) { return counts[aKey.first]; });
   aKeys.resize(std::min(aKeys.size(), kMaximumReported));
-  std::vector<PartCrashReport> reports;
+  std::vector<SubjectCrash<Subject>> reports;
   for (auto const& key : aKeys) {
     auto const& crash = m_crashes.at(key);
     reports.push_back({ key.first, key.second, aNow - crash.m_at, aNow - crash.m_sentAt });
@@ -104,7 +109,8 @@
   return reports;
 }
 
-void PartNewsBoard::Expire(base::Instant aNow)
+template<typename Subject>
+void CrashNewsBoard<Subject>::Expire(base::Instant aNow)
 {
   std::erase_if(m_crashes, [&](auto const& aItem) {
     return aNow - aItem.second.m_lastReportedAt > kRetention;
@@ -114,4 +120,6 @@
   });
 }
 
+template class CrashNewsBoard<base::PromptPartId>;
+
 } // namespace sardinefold::agent
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -85,7 +85,7 @@
 {
   for (auto const& crash : aMessage.m_partCrashes) {
     Json::Value entry;
-    entry["part"] = crash.m_part.Text();
+    entry["part"] = crash.m_subject.Text();
     entry["upstream"] = crash.m_upstream.Text();
     entry["age_ms"] = FromMilliseconds(crash.m_age);
     entry["sent_age_ms"] = FromMilliseconds(crash.m_sentAge);
@@ -93,7 +93,7 @@
   }
   for (auto const& acquittal : aMessage.m_partAcquittals) {
     Json::Value entry;
-    entry["part"] = acquittal.m_part.Text();
+    entry["part"] = acquittal.m_subject.Text();
     entry["age_ms"] = FromMilliseconds(acquittal.m_age);
     aParams["part_beginnings"].append(std::move(entry));
   }
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Agent/Fleet/AggregatorRole.h"
-#include "Agent/SuspectPartRegistry.h"
+#include "Agent/CrashRegistry.h"
 #include "Agent/SuspectRegistry.h"
 #include "Base/Endpoint.h"
 #include "Base/Identifiers.h"
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "Agent/CrashRegistry.h"
 #include "Agent/RetryBudget.h"
-#include "Agent/SuspectPartRegistry.h"
 #include "Agent/SuspectRegistry.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpClient.h"
@@ -188,7 +188,7 @@
         upstreams += (upstreams.empty() ? "" : " ") + upstream.Text();
       }
       std::string const state(ToText(change.m_state));
-      base::log::Warning("prompt part changed its state", { { "part", change.m_part.Text() },
+      base::log::Warning("prompt part changed its state", { { "part", change.m_subject.Text() },
                                                             { "state", state },
                                                             { "upstreams", upstreams },
                                                             { "told_by", aToldBy } });
@@ -425,7 +425,7 @@
   /// The latest upstream with a malformed announcement that has not been logged.
   std::optional<engine::InstanceId> m_malformedNotice;
   agent::SuspectRegistry m_suspects;
-  agent::SuspectPartRegistry m_suspectParts;
+  agent::CrashRegistry<base::PromptPartId> m_suspectParts;
   /// Wakes requests with suspected parts, of which one runs at a time.
   base::Signal m_suspectSignal;
   std::vector<std::pair<base::Instant, agent::CrashReport>> m_recentCrashes;
--- a/Programs/Gateway/RequestRecord.h
+++ b/Programs/Gateway/RequestRecord.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Agent/SuspectPartRegistry.h"
+#include "Agent/CrashRegistry.h"
 #include "Base/Log.h"
 #include "Base/Metrics.h"
 #include "Caller/AttemptHistory.h"
@@ -34,11 +34,12 @@
   std::optional<base::Instant> m_firstEventAt;
 };
 
-inline void LogRefusedPart(RequestContext const& aContext, agent::PartRefusal const& aRefusal)
+inline void LogRefusedPart(RequestContext const& aContext,
+                           agent::SubjectRefusal<base::PromptPartId> const& aRefusal)
 {
   base::log::Info("prompt part is refused",
                   { { "request", aContext.m_request.m_id.Text() },
-                    { "part", aRefusal.m_part.Text() },
+                    { "part", aRefusal.m_subject.Text() },
                     { "left_ms", std::to_string(base::ToMilliseconds(aRefusal.m_timeLeft)) } });
 }
 
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "Agent/Fleet/CrashNewsBoard.h"
 #include "Agent/Fleet/FleetMessages.h"
-#include "Agent/Fleet/PartNewsBoard.h"
 #include "Base/Digest.h"
 #include "Base/ProcessProfile.h"
 #include "Engine/RequestLimitSharing.h"
@@ -101,7 +101,7 @@
   };
   /// By the request's fingerprint and the upstream's start.
   std::map<std::pair<base::FingerprintId, base::UpstreamId>, Crash> m_crashes;
-  agent::PartNewsBoard m_partNews;
+  agent::CrashNewsBoard<base::PromptPartId> m_partNews;
   unsigned m_ticks = 0;
 };
 
--- a/Tests/SuspectPartTest.cpp
+++ b/Tests/CrashRegistryTest.cpp
@@ -1,17 +1,18 @@
-#define BOOST_TEST_MODULE SuspectPart
-#include "Agent/Fleet/PartNewsBoard.h"
-#include "Agent/SuspectPartRegistry.h"
+#define BOOST_TEST_MODULE CrashRegistry
+#include "Agent/CrashRegistry.h"
+
+#include "Agent/Fleet/CrashNewsBoard.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace sardinefold;
 using namespace std::chrono_literals;
-using agent::SuspectPartRegistry;
+using PartRegistry = agent::CrashRegistry<base::PromptPartId>;
 
 namespace {
 
 constexpr base::Instant kStart{ 1000s };
-constexpr agent::SuspectPartLimits kLimits;
+constexpr agent::CrashLimits kLimits;
 
 base::PromptPartId Part(std::string aName)
 {
@@ -27,22 +28,21 @@
 auto const kSound = Part("50d");
 
 /// Crashes an upstream that was sent the parts 100 ms before.
-void Crash(SuspectPartRegistry& aRegistry, std::vector<base::PromptPartId> const& aParts,
-           int aUpstream, base::Instant aAt)
+void Crash(PartRegistry& aRegistry, std::vector<base::PromptPartId> const& aParts, int aUpstream,
+           base::Instant aAt)
 {
   aRegistry.OnCrash(aParts, Upstream(aUpstream), aAt - 100ms, aAt);
 }
 
-bool IsRefused(SuspectPartRegistry const& aRegistry, base::PromptPartId const& aPart,
-               base::Instant aNow)
+bool IsRefused(PartRegistry const& aRegistry, base::PromptPartId const& aPart, base::Instant aNow)
 {
   return aRegistry.FindRefused({ aPart }, aNow).has_value();
 }
 
 /// Returns a registry that refuses kDeadly since kStart + 2s.
-SuspectPartRegistry RegistryWithRefusal()
+PartRegistry RegistryWithRefusal()
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   for (int number = 0; number < 3; ++number) {
     Crash(registry, { kDeadly }, number, kStart + number * 1s);
   }
@@ -53,7 +53,7 @@
 
 BOOST_AUTO_TEST_CASE(APartIsSuspectedAfterTwoCrashesAndRefusedAfterThree)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   Crash(registry, { kSound, kDeadly }, 1, kStart);
   BOOST_TEST(!registry.IsSuspected({ kDeadly }, kStart));
   registry.OnBegun({ kSound }, Upstream(2), kStart, kStart + 100ms);
@@ -73,7 +73,7 @@
 
 BOOST_AUTO_TEST_CASE(CrashesOfOneIncarnationCountOnce)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   for (int number = 0; number < 5; ++number) {
     Crash(registry, { kDeadly }, 1, kStart + number * 1s);
   }
@@ -82,7 +82,7 @@
 
 BOOST_AUTO_TEST_CASE(UpstreamsThatFailTogetherDoNotGetSoundPartsRefused)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   for (int number = 0; number < 9; ++number) {
     registry.OnCrash({ kSound }, Upstream(number), kStart - 300ms, kStart + number * 20ms);
   }
@@ -96,7 +96,7 @@
 
 BOOST_AUTO_TEST_CASE(ResetConnectionsOfUpstreamsThatAnswerDoNotCount)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   for (int number = 0; number < 3; ++number) {
     Crash(registry, { kSound }, number, kStart + number * 1s);
   }
@@ -109,7 +109,7 @@
 
 BOOST_AUTO_TEST_CASE(ARepeatedReportDoesNotRestoreARefutedCrash)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   Crash(registry, { kSound }, 1, kStart);
   auto const repeat = registry.CrashesToReport(true, kStart);
   BOOST_REQUIRE(repeat.size() == 1U);
@@ -123,7 +123,7 @@
 
 BOOST_AUTO_TEST_CASE(AnAnswerAfterARestartRefutesNoCrash)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   Crash(registry, { kDeadly }, 1, kStart);
   registry.OnBegun({}, Upstream(1), kStart + 3s, kStart + 4s);
   BOOST_TEST(registry.Size() == 1U);
@@ -131,7 +131,7 @@
 
 BOOST_AUTO_TEST_CASE(LateReportsOfOneMomentAreNotIndependentCrashes)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   for (int number = 0; number < 3; ++number) {
     registry.OnCrash({ kSound }, Upstream(number), kStart - 40ms, kStart + number * 5ms);
   }
@@ -163,7 +163,7 @@
 
 BOOST_AUTO_TEST_CASE(OfPartsWithTheSameCrashesTheOneThatNeverBeganIsRefused)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   registry.OnAcquittals({ { kSound, 5s } }, kStart);
   for (int number = 0; number < 3; ++number) {
     Crash(registry, { kSound, kDeadly }, number, kStart + number * 1s);
@@ -175,7 +175,7 @@
 
 BOOST_AUTO_TEST_CASE(OneRequestWithASuspectedPartRunsAtATime)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   auto const other = Part("0ther");
   for (int number = 0; number < 2; ++number) {
     Crash(registry, { kDeadly, other }, number, kStart + number * 1s);
@@ -200,7 +200,7 @@
   BOOST_TEST(!IsRefused(registry, kDeadly, trial));
   BOOST_TEST(registry.IsSuspected({ kDeadly }, trial));
   auto const changes = registry.TakeChanges();
-  BOOST_TEST((changes.back().m_state == agent::PartState::HalfOpen));
+  BOOST_TEST((changes.back().m_state == agent::SubjectState::HalfOpen));
   BOOST_TEST(changes.back().m_upstreams.size() == 3U);
   // Another crash, also one at another gateway, refuses the part again.
   registry.OnCrashReports({ { kDeadly, Upstream(9), 0ms, 100ms } }, trial);
@@ -218,7 +218,7 @@
   BOOST_REQUIRE(reports.size() == 3U);
   std::ranges::sort(reports, {}, &agent::PartCrashReport::m_upstream);
   do {
-    SuspectPartRegistry second(kLimits, 2);
+    PartRegistry second(kLimits, 2);
     for (auto const& report : reports) {
       BOOST_TEST(!IsRefused(second, kDeadly, now));
       second.OnCrashReports({ report }, now);
@@ -232,7 +232,7 @@
 
 BOOST_AUTO_TEST_CASE(InvalidReportsAreIgnored)
 {
-  SuspectPartRegistry registry(kLimits, 1);
+  PartRegistry registry(kLimits, 1);
   registry.OnCrashReports({ { kDeadly, Upstream(1), -1ms, 0ms },
                             { kDeadly, Upstream(2), kLimits.m_retention, kLimits.m_retention },
                             { kDeadly, Upstream(3), 10ms, 9ms } },
@@ -245,11 +245,11 @@
 BOOST_AUTO_TEST_CASE(PartsChosenByAHostileCallerTakeLimitedMemory)
 {
   auto limits = kLimits;
-  limits.m_maximumParts = 10;
+  limits.m_maximumSubjects = 10;
   limits.m_maximumBeginnings = 10;
   limits.m_maximumCrashes = 4;
   limits.m_maximumReported = 3;
-  SuspectPartRegistry registry(limits, 1);
+  PartRegistry registry(limits, 1);
   for (int number = 0; number < 3; ++number) {
     Crash(registry, { kDeadly }, number, kStart + number * 1s);
   }
@@ -267,7 +267,7 @@
   // Crashes of the deadly part come first in a report.
   auto const reports = registry.CrashesToReport(true, now + 50s);
   BOOST_REQUIRE(reports.size() == 3U);
-  BOOST_TEST(reports[0].m_part == kDeadly);
+  BOOST_TEST(reports[0].m_subject == kDeadly);
   // A part that keeps beginning is not forgotten.
   registry.OnCrashReports({ { kSound, Upstream(7), 60s, 61s } }, now + 50s);
   BOOST_TEST(!registry.AcquittalsToReport(now + 50s).empty());
@@ -275,7 +275,7 @@
 
 BOOST_AUTO_TEST_CASE(ThePlannerPassesNewsOnOnceAndRepeatsItWhileItLasts)
 {
-  agent::PartNewsBoard board;
+  agent::CrashNewsBoard<base::PromptPartId> board;
   auto const reports = RegistryWithRefusal().CrashesToReport(true, kStart + 3s);
   auto now = kStart + 3s;
   unsigned passedOn = 0;
@@ -296,7 +296,7 @@
   BOOST_TEST(passedOn == 3U * (5 + 3));
   BOOST_TEST(board.AllCrashes(now).size() == 3U);
   // A later beginning counts, also if another one was reported shortly before it.
-  agent::PartNewsBoard other;
+  agent::CrashNewsBoard<base::PromptPartId> other;
   other.OnReport({}, { { kSound, 400ms } }, now);
   other.OnReport({ { kSound, Upstream(1), 200ms, 300ms } }, { { kSound, 0ms } }, now);
   BOOST_TEST(other.AllCrashes(now).empty());
