--- a/Agent/CrashRegistry.cpp
+++ b/Agent/CrashRegistry.cpp
@@ -11,9 +11,6 @@
 /// Reports of one crash differ by the transit times. A later crash under the same
 /// identity is one of a restarted upstream whose new start is not listed yet.
 constexpr base::Duration kSameCrashWindow = std::chrono::seconds(30);
-/// Upstreams need longer than this to restart, so that an answer to a request sent
-/// within this time after a closed connection shows that the upstream has not crashed.
-constexpr base::Duration kMinimumRestartTime = std::chrono::seconds(2);
 /// By how much a crash that another gateway reports may seem later than it was.
 constexpr base::Duration kMaximumTransitTime = std::chrono::milliseconds(500);
 
@@ -26,6 +23,22 @@
 
 } // namespace
 
+CrashLimits CrashLimits::ForRequests()
+{
+  CrashLimits limits;
+  limits.m_refusalTime = limits.m_retention;
+  limits.m_refusalJitter = base::Duration::zero();
+  // The crashes of two upstreams count, however close they are.
+  limits.m_separation = base::Duration::zero();
+  // An answer refutes any crash of its upstream before it.
+  limits.m_minimumRestartTime = limits.m_retention;
+  limits.m_maximumSubjects = 10'000;
+  limits.m_maximumBeginnings = 2'000;
+  // A crash of an upstream accuses all requests that it was running.
+  limits.m_maximumReported = 200;
+  return limits;
+}
+
 std::string_view ToText(SubjectState aState)
 {
   switch (aState) {
@@ -78,9 +91,10 @@
 }
 
 template<typename Subject>
-void CrashRegistry<Subject>::OnCrashReports(std::vector<SubjectCrash<Subject>> const& aReports,
-                                            base::Instant aNow)
+std::vector<SubjectCrash<Subject>> CrashRegistry<Subject>::OnCrashReports(
+  std::vector<SubjectCrash<Subject>> const& aReports, base::Instant aNow)
 {
+  std::vector<SubjectCrash<Subject>> unknown;
   for (auto const& report : aReports) {
     bool const isValid = report.m_age >= base::Duration::zero() &&
                          report.m_age < m_limits.m_retention && report.m_sentAge >= report.m_age &&
@@ -91,20 +105,23 @@
     if (m_beginnings.contains(report.m_subject)) {
       ScheduleAcquittal(report.m_subject, aNow);
     }
-    Record(report.m_subject, report.m_upstream,
-           { aNow - report.m_sentAge, aNow - report.m_age, base::Instant{} });
+    if (Record(report.m_subject, report.m_upstream,
+               { aNow - report.m_sentAge, aNow - report.m_age, base::Instant{} })) {
+      unknown.push_back(report);
+    }
   }
   Evaluate(aNow);
+  return unknown;
 }
 
 template<typename Subject>
-void CrashRegistry<Subject>::Record(Subject const& aSubject, base::UpstreamId const& aUpstream,
+bool CrashRegistry<Subject>::Record(Subject const& aSubject, base::UpstreamId const& aUpstream,
                                     Crash const& aCrash)
 {
   auto const begun = m_beginnings.find(aSubject);
   bool const isOutdated = begun != m_beginnings.end() && begun->second.m_at >= aCrash.m_at;
   if (isOutdated || IsRefuted(aUpstream, aCrash.m_at) || IsExplained(aSubject, aUpstream)) {
-    return;
+    return false;
   }
   if (!m_subjects.contains(aSubject) && m_subjects.size() >= m_limits.m_maximumSubjects) {
     EvictSubject();
@@ -112,7 +129,8 @@
   auto& subject = m_subjects[aSubject];
   auto const [position, isNew] = subject.m_crashes.try_emplace(aUpstream, aCrash);
   auto& crash = position->second;
-  if (!isNew && aCrash.m_at - crash.m_at >= kSameCrashWindow) {
+  bool const isLater = !isNew && aCrash.m_at - crash.m_at >= kSameCrashWindow;
+  if (isLater) {
     crash = aCrash;
   } else if (!isNew) {
     // Both instants of a report are late by its transit time.
@@ -129,6 +147,7 @@
   if (subject.m_isConvicted) {
     Convict({ m_subjects.find(aSubject) });
   }
+  return isNew || isLater;
 }
 
 template<typename Subject>
@@ -165,7 +184,7 @@
     // The upstream answers a request sent soon after, so only the connection had failed.
     auto const crash = subject.m_crashes.find(aUpstream);
     bool const isRefuted = crash != subject.m_crashes.end() && crash->second.m_at < aSentAt &&
-                           aSentAt < crash->second.m_at + kMinimumRestartTime;
+                           aSentAt < crash->second.m_at + m_limits.m_minimumRestartTime;
     if (isRefuted) {
       Refute(aUpstream, crash->second.m_at);
       subject.m_crashes.erase(crash);
@@ -436,7 +455,7 @@
 }
 
 template<typename Subject>
-std::vector<SubjectCrash<Subject>> CrashRegistry<Subject>::CrashesToReport(bool aWithRefused,
+std::vector<SubjectCrash<Subject>> CrashRegistry<Subject>::CrashesToReport(bool aWithSuspected,
                                                                            base::Instant aNow) const
 {
   std::vector<typename SubjectTable::const_iterator> items;
@@ -447,7 +466,7 @@
                            [](auto const& aItem) { return aItem->second.m_crashes.size(); });
   std::vector<SubjectCrash<Subject>> reports;
   for (auto const& item : items) {
-    bool const isComplete = aWithRefused && item->second.m_state == SubjectState::Refused;
+    bool const isComplete = aWithSuspected && item->second.m_state != SubjectState::Sound;
     for (auto const& [upstream, crash] : item->second.m_crashes) {
       if ((isComplete || aNow < crash.m_reportUntil) &&
           reports.size() < m_limits.m_maximumReported) {
@@ -479,6 +498,7 @@
     m_subjects, [](auto const& aItem) { return aItem.second.m_state == SubjectState::Refused; }));
 }
 
+template class CrashRegistry<base::FingerprintId>;
 template class CrashRegistry<base::PromptPartId>;
 
 } // namespace sardinefold::agent
--- a/Agent/CrashRegistry.h
+++ b/Agent/CrashRegistry.h
@@ -27,6 +27,9 @@
   base::Duration m_refusalJitter = std::chrono::minutes(2);
   /// A subject is forgotten this long after its latest crash.
   base::Duration m_retention = std::chrono::minutes(10);
+  /// An answer to a request sent within this time after a closed connection shows
+  /// that the upstream has not crashed.
+  base::Duration m_minimumRestartTime = std::chrono::seconds(2);
   /// For how long news is reported to the other gateways, as messages may be
   /// lost.
   base::Duration m_reportTime = std::chrono::milliseconds(500);
@@ -38,6 +41,9 @@
   std::size_t m_maximumReported = 64;
   /// Maximum number of upstreams of which a refuted crash is remembered.
   std::size_t m_maximumRefuted = 1'000;
+
+  /// The limits for requests as a whole, by their fingerprints.
+  static CrashLimits ForRequests();
 };
 
 /// Report to other gateways that an upstream crashed before it began to answer
@@ -90,7 +96,8 @@
 };
 
 /// Detects what crashes the upstreams that begin to answer it. A subject is
-/// what requests have in common, such as a part of their prompts. A crash accuses
+/// what requests have in common: a part of their prompts, or the fingerprint of a
+/// request that comes again. A crash accuses
 /// all subjects of a request that it left without the beginning of an answer; the
 /// beginning of an answer acquits the subjects of its request.
 /// Crashes are independent if each attempt was sent after the crash before it:
@@ -116,8 +123,10 @@
   /// aSentAt.
   void OnBegun(Subjects const& aSubjects, base::UpstreamId const& aUpstream, base::Instant aSentAt,
                base::Instant aNow);
-  /// Handle the reports of other gateways.
-  void OnCrashReports(std::vector<SubjectCrash<Subject>> const& aReports, base::Instant aNow);
+  /// Handles the reports of other gateways. Returns those of crashes that were not
+  /// known.
+  std::vector<SubjectCrash<Subject>> OnCrashReports(
+    std::vector<SubjectCrash<Subject>> const& aReports, base::Instant aNow);
   void OnAcquittals(std::vector<SubjectAcquittal<Subject>> const& aAcquittals, base::Instant aNow);
   /// To be called several times a second.
   void Tick(base::Instant aNow);
@@ -131,9 +140,9 @@
   /// with a suspected subject may be unanswered beside it.
   bool MaySend(Subjects const& aSubjects, base::Instant aNow) const;
 
-  /// Returns the recent crashes at this gateway and, if aWithRefused, all
-  /// crashes of refused subjects.
-  std::vector<SubjectCrash<Subject>> CrashesToReport(bool aWithRefused, base::Instant aNow) const;
+  /// Returns the recent crashes at this gateway and, if aWithSuspected, all
+  /// crashes of suspected and refused subjects, also those at other gateways.
+  std::vector<SubjectCrash<Subject>> CrashesToReport(bool aWithSuspected, base::Instant aNow) const;
   std::vector<SubjectAcquittal<Subject>> AcquittalsToReport(base::Instant aNow) const;
   /// Returns and clears the changes of state since the last call.
   std::vector<SubjectStateChange<Subject>> TakeChanges() { return std::exchange(m_changes, {}); }
@@ -164,7 +173,8 @@
   };
   using SubjectTable = std::map<Subject, Suspect>;
 
-  void Record(Subject const& aSubject, base::UpstreamId const& aUpstream, Crash const& aCrash);
+  /// Returns whether the crash counts and was not known.
+  bool Record(Subject const& aSubject, base::UpstreamId const& aUpstream, Crash const& aCrash);
   /// Whether the upstream had not crashed at that time.
   bool IsRefuted(base::UpstreamId const& aUpstream, base::Instant aAt) const;
   void Refute(base::UpstreamId const& aUpstream, base::Instant aAt);
@@ -199,9 +209,12 @@
   std::vector<SubjectStateChange<Subject>> m_changes;
 };
 
+using RequestCrashReport = SubjectCrash<base::FingerprintId>;
+using RequestAcquittal = SubjectAcquittal<base::FingerprintId>;
 using PartCrashReport = SubjectCrash<base::PromptPartId>;
 using PartAcquittal = SubjectAcquittal<base::PromptPartId>;
 
+extern template class CrashRegistry<base::FingerprintId>;
 extern template class CrashRegistry<base::PromptPartId>;
 
 } // namespace sardinefold::agent
--- a/Agent/Fleet/CrashNewsBoard.cpp
+++ b/Agent/Fleet/CrashNewsBoard.cpp
@@ -1,19 +1,20 @@
 #include "Agent/Fleet/CrashNewsBoard.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sardinefold::agent {
 
 namespace {
 
-/// For how long news is passed on with each summary.
-constexpr base::Duration kNewTime = std::chrono::milliseconds(500);
 constexpr base::Duration kRepeatInterval = std::chrono::seconds(1);
-/// Gateways repeat the crashes of refused subjects once a second.
-constexpr base::Duration kRetention = std::chrono::seconds(3);
-constexpr std::size_t kMaximumEntries = 4'000;
-/// Keeps a summary well below the size of a datagram.
-constexpr std::size_t kMaximumReported = 128;
+/// Gateways repeat the crashes of suspected and refused subjects every five seconds.
+constexpr base::Duration kReportTimeout = std::chrono::seconds(12);
+/// Gateways report a beginning for half a second.
+constexpr base::Duration kBeginningRetention = std::chrono::seconds(3);
+/// Reports of one crash differ by their transit times. A later crash under the same
+/// identity is one of a restarted upstream whose new start is not listed yet.
+constexpr base::Duration kSameCrashWindow = std::chrono::seconds(30);
 
 } // namespace
 
@@ -23,7 +24,8 @@
                                        base::Instant aNow)
 {
   for (auto const& acquittal : aAcquittals) {
-    if (m_beginnings.size() >= kMaximumEntries && !m_beginnings.contains(acquittal.m_subject)) {
+    if (m_beginnings.size() >= m_limits.m_maximumEntries &&
+        !m_beginnings.contains(acquittal.m_subject)) {
       continue;
     }
     auto const at = aNow - acquittal.m_age;
@@ -36,33 +38,63 @@
     }
     position->second.m_at = std::max(position->second.m_at, at);
     // The crash must not be passed on after its acquittal.
-    std::erase_if(m_crashes, [&](auto const& aItem) {
-      return aItem.first.first == acquittal.m_subject && aItem.second.m_at <= at;
-    });
+    auto crash = m_crashes.lower_bound({ acquittal.m_subject, base::UpstreamId() });
+    while (crash != m_crashes.end() && crash->first.first == acquittal.m_subject) {
+      crash = crash->second.m_at <= at ? m_crashes.erase(crash) : std::next(crash);
+    }
   }
   for (auto const& report : aCrashes) {
-    auto const at = aNow - report.m_age;
-    auto const begun = m_beginnings.find(report.m_subject);
-    CrashKey key{ report.m_subject, report.m_upstream };
-    bool const isOutdated = begun != m_beginnings.end() && begun->second.m_at >= at;
-    bool const isFull = m_crashes.size() >= kMaximumEntries && !m_crashes.contains(key);
-    if (isOutdated || isFull) {
-      continue;
-    }
-    Crash const crash{ at, aNow - report.m_sentAge, aNow, aNow, base::Instant{} };
-    auto const [position, isNew] = m_crashes.try_emplace(std::move(key), crash);
-    position->second.m_lastReportedAt = aNow;
+    OnCrash(report, aNow);
   }
 }
 
+template<typename Subject>
+void CrashNewsBoard<Subject>::OnCrash(SubjectCrash<Subject> const& aReport, base::Instant aNow)
+{
+  auto const at = aNow - aReport.m_age;
+  auto const begun = m_beginnings.find(aReport.m_subject);
+  bool const isOutdated = begun != m_beginnings.end() && begun->second.m_at >= at;
+  if (isOutdated || aReport.m_age >= m_limits.m_retention) {
+    return;
+  }
+  CrashKey key{ aReport.m_subject, aReport.m_upstream };
+  if (m_crashes.size() >= m_limits.m_maximumEntries && !m_crashes.contains(key)) {
+    Evict(aNow);
+  }
+  Crash const crash{ at, aNow - aReport.m_sentAge, aNow, aNow, base::Instant{} };
+  auto const [position, isNew] = m_crashes.try_emplace(std::move(key), crash);
+  if (!isNew && at - position->second.m_at >= kSameCrashWindow) {
+    position->second = crash;
+  }
+  position->second.m_lastReportedAt = aNow;
+}
+
+template<typename Subject>
+void CrashNewsBoard<Subject>::Evict(base::Instant aNow)
+{
+  m_crashes.erase(std::ranges::min_element(m_crashes, {}, [&](auto const& aItem) {
+    return std::pair(IsRepeated(aItem.second, aNow), aItem.second.m_at);
+  }));
+}
+
+template<typename Subject>
+bool CrashNewsBoard<Subject>::IsRepeated(Crash const& aCrash, base::Instant aNow)
+{
+  return aCrash.m_lastReportedAt - aCrash.m_firstReportedAt >= kRepeatInterval &&
+         aNow - aCrash.m_lastReportedAt <= kReportTimeout;
+}
+
 template<typename Subject>
 CrashNews<Subject> CrashNewsBoard<Subject>::TakeDue(base::Instant aNow)
 {
   Expire(aNow);
   std::vector<CrashKey> due;
   for (auto const& [key, crash] : m_crashes) {
-    bool const isNew = aNow - crash.m_firstReportedAt < kNewTime;
-    if (isNew || aNow - crash.m_passedOnAt >= kRepeatInterval) {
+    bool const isNew = aNow - crash.m_firstReportedAt < m_limits.m_newTime;
+    bool const wasPassedOn = crash.m_passedOnAt != base::Instant{};
+    bool const isRepeatDue =
+      IsRepeated(crash, aNow) && aNow - crash.m_passedOnAt >= kRepeatInterval;
+    if (isNew || !wasPassedOn || isRepeatDue) {
       due.push_back(key);
     }
   }
@@ -72,8 +104,8 @@
     m_crashes.at({ report.m_subject, report.m_upstream }).m_passedOnAt = aNow;
   }
   for (auto const& [subject, beginning] : m_beginnings) {
-    if (aNow - beginning.m_firstReportedAt < kNewTime &&
-        news.m_acquittals.size() < kMaximumReported) {
+    if (aNow - beginning.m_firstReportedAt < m_limits.m_newTime &&
+        news.m_acquittals.size() < m_limits.m_maximumReported) {
       news.m_acquittals.push_back({ subject, aNow - beginning.m_at });
     }
   }
@@ -95,12 +127,12 @@
                                                                     base::Instant aNow) const
 {
   std::map<Subject, std::size_t> counts;
-  for (auto const& [key, crash] : m_crashes) {
-    ++counts[key.first];
+  for (auto const& [subject, upstream] : aKeys) {
+    counts.try_emplace(subject, CountCrashes(subject));
   }
   std::ranges::stable_sort(aKeys, std::ranges::greater{},
                            [&](CrashKey const& aKey) { return counts[aKey.first]; });
-  aKeys.resize(std::min(aKeys.size(), kMaximumReported));
+  aKeys.resize(std::min(aKeys.size(), m_limits.m_maximumReported));
   std::vector<SubjectCrash<Subject>> reports;
   for (auto const& key : aKeys) {
     auto const& crash = m_crashes.at(key);
@@ -109,17 +141,28 @@
   return reports;
 }
 
+template<typename Subject>
+std::size_t CrashNewsBoard<Subject>::CountCrashes(Subject const& aSubject) const
+{
+  std::size_t count = 0;
+  for (auto crash = m_crashes.lower_bound({ aSubject, base::UpstreamId() });
+       crash != m_crashes.end() && crash->first.first == aSubject; ++crash) {
+    ++count;
+  }
+  return count;
+}
+
 template<typename Subject>
 void CrashNewsBoard<Subject>::Expire(base::Instant aNow)
 {
-  std::erase_if(m_crashes, [&](auto const& aItem) {
-    return aNow - aItem.second.m_lastReportedAt > kRetention;
-  });
+  std::erase_if(
+    m_crashes, [&](auto const& aItem) { return aNow - aItem.second.m_at >= m_limits.m_retention; });
   std::erase_if(m_beginnings, [&](auto const& aItem) {
-    return aNow - aItem.second.m_firstReportedAt > kRetention;
+    return aNow - aItem.second.m_firstReportedAt > kBeginningRetention;
   });
 }
 
+template class CrashNewsBoard<base::FingerprintId>;
 template class CrashNewsBoard<base::PromptPartId>;
 
 } // namespace sardinefold::agent
--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -203,17 +203,30 @@
   return forecasts;
 }
 
-std::vector<CrashReport> ToCrashes(Json::Value const& aParams)
+std::vector<RequestCrashReport> ToRequestCrashes(Json::Value const& aParams)
 {
-  std::vector<CrashReport> crashes;
+  std::vector<RequestCrashReport> crashes;
   for (auto const& entry : aParams["deaths"]) {
+    auto const age = Milliseconds(Member(entry, "age_ms"));
+    // Processes of a former build do not say when the request was sent.
+    auto const& sentAge = entry["sent_age_ms"];
     crashes.push_back({ Name<base::FingerprintId>(Member(entry, "fingerprint")),
-                        Name<base::UpstreamId>(Member(entry, "upstream")),
-                        Milliseconds(Member(entry, "age_ms")) });
+                        Name<base::UpstreamId>(Member(entry, "upstream")), age,
+                        sentAge.isNull() ? age : Milliseconds(sentAge) });
   }
   return crashes;
 }
 
+std::vector<RequestAcquittal> ToRequestAcquittals(Json::Value const& aParams)
+{
+  std::vector<RequestAcquittal> acquittals;
+  for (auto const& entry : aParams["acquittals"]) {
+    acquittals.push_back({ Name<base::FingerprintId>(Member(entry, "fingerprint")),
+                           Milliseconds(Member(entry, "age_ms")) });
+  }
+  return acquittals;
+}
+
 std::vector<engine::UpstreamStart> ToStarts(Json::Value const& aList)
 {
   std::vector<engine::UpstreamStart> starts;
@@ -514,7 +527,8 @@
   }
   report.m_isComplete = Flag(Member(aParams, "complete"));
   report.m_allowance = ToAllowanceReport(Member(aParams, "allowance"));
-  report.m_crashes = ToCrashes(aParams);
+  report.m_crashes = ToRequestCrashes(aParams);
+  report.m_acquittals = ToRequestAcquittals(aParams);
   report.m_leaving = ToStarts(aParams["leaving"]);
   report.m_drained = ToStarts(aParams["drained"]);
   report.m_storeAge = Milliseconds(Member(aParams, "store_age_ms"));
@@ -559,8 +573,8 @@
 
 PlannerNews ToPlannerNews(Json::Value const& aParams)
 {
-  return { ToCrashes(aParams), ToStarts(aParams["leaving"]), ToStarts(aParams["drained"]),
-           ToPartCrashes(aParams), ToPartAcquittals(aParams) };
+  return { ToRequestCrashes(aParams), ToStarts(aParams["leaving"]), ToStarts(aParams["drained"]),
+           ToPartCrashes(aParams),    ToPartAcquittals(aParams),    ToRequestAcquittals(aParams) };
 }
 
 objectstore::ObjectChange ToChange(Json::Value const& aEntry, base::StoreEra aEra)
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -79,39 +79,51 @@
   return object;
 }
 
-/// Adds the news on prompt parts, if there is any.
-template<typename Message>
-void AddPartNews(Json::Value& aParams, Message const& aMessage)
+/// Encodes crashes; aSubject is the name of the field with the subject.
+template<typename Subject>
+Json::Value FromCrashes(std::vector<SubjectCrash<Subject>> const& aCrashes, char const* aSubject)
 {
-  for (auto const& crash : aMessage.m_partCrashes) {
+  Json::Value list(Json::arrayValue);
+  for (auto const& crash : aCrashes) {
     Json::Value entry;
-    entry["part"] = crash.m_subject.Text();
+    entry[aSubject] = crash.m_subject.Text();
     entry["upstream"] = crash.m_upstream.Text();
     entry["age_ms"] = FromMilliseconds(crash.m_age);
     entry["sent_age_ms"] = FromMilliseconds(crash.m_sentAge);
-    aParams["part_deaths"].append(std::move(entry));
-  }
-  for (auto const& acquittal : aMessage.m_partAcquittals) {
-    Json::Value entry;
-    entry["part"] = acquittal.m_subject.Text();
-    entry["age_ms"] = FromMilliseconds(acquittal.m_age);
-    aParams["part_beginnings"].append(std::move(entry));
+    list.append(std::move(entry));
   }
+  return list;
 }
 
-Json::Value FromCrashes(std::vector<CrashReport> const& aCrashes)
+template<typename Subject>
+Json::Value FromAcquittals(std::vector<SubjectAcquittal<Subject>> const& aAcquittals,
+                           char const* aSubject)
 {
   Json::Value list(Json::arrayValue);
-  for (auto const& crash : aCrashes) {
+  for (auto const& acquittal : aAcquittals) {
     Json::Value entry;
-    entry["fingerprint"] = crash.m_fingerprint.Text();
-    entry["upstream"] = crash.m_upstream.Text();
-    entry["age_ms"] = FromMilliseconds(crash.m_age);
+    entry[aSubject] = acquittal.m_subject.Text();
+    entry["age_ms"] = FromMilliseconds(acquittal.m_age);
     list.append(std::move(entry));
   }
   return list;
 }
 
+/// Adds what there is of the news on prompt parts and on requests that were served.
+template<typename Message>
+void AddCrashNews(Json::Value& aParams, Message const& aMessage)
+{
+  if (!aMessage.m_acquittals.empty()) {
+    aParams["acquittals"] = FromAcquittals(aMessage.m_acquittals, "fingerprint");
+  }
+  if (!aMessage.m_partCrashes.empty()) {
+    aParams["part_deaths"] = FromCrashes(aMessage.m_partCrashes, "part");
+  }
+  if (!aMessage.m_partAcquittals.empty()) {
+    aParams["part_beginnings"] = FromAcquittals(aMessage.m_partAcquittals, "part");
+  }
+}
+
 Json::Value FromStarts(std::vector<engine::UpstreamStart> const& aStarts)
 {
   Json::Value list(Json::arrayValue);
@@ -383,7 +395,7 @@
     params["allowance"] = FromAllowanceReport(aReport.m_allowance);
     params["store_age_ms"] = FromMilliseconds(aReport.m_storeAge);
     if (!aReport.m_crashes.empty()) {
-      params["deaths"] = FromCrashes(aReport.m_crashes);
+      params["deaths"] = FromCrashes(aReport.m_crashes, "fingerprint");
     }
     if (!aReport.m_leaving.empty()) {
       params["leaving"] = FromStarts(aReport.m_leaving);
@@ -391,7 +403,7 @@
     if (!aReport.m_drained.empty()) {
       params["drained"] = FromStarts(aReport.m_drained);
     }
-    AddPartNews(params, aReport);
+    AddCrashNews(params, aReport);
     if (aReport.m_evacuations) {
       params["evacuations"] = FromEvacuations(*aReport.m_evacuations);
     }
@@ -429,12 +441,12 @@
   void operator()(PlannerNews const& aNews)
   {
     auto& params = Start("planner.news");
-    params["deaths"] = FromCrashes(aNews.m_crashes);
+    params["deaths"] = FromCrashes(aNews.m_crashes, "fingerprint");
     params["leaving"] = FromStarts(aNews.m_leaving);
     if (!aNews.m_drained.empty()) {
       params["drained"] = FromStarts(aNews.m_drained);
     }
-    AddPartNews(params, aNews);
+    AddCrashNews(params, aNews);
   }
 
   void operator()(StoreUpdate const& aUpdate)
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "Agent/Fleet/AggregatorRole.h"
 #include "Agent/CrashRegistry.h"
-#include "Agent/SuspectRegistry.h"
+#include "Agent/Fleet/AggregatorRole.h"
 #include "Base/Endpoint.h"
 #include "Base/Identifiers.h"
 #include "Base/Time.h"
@@ -166,9 +165,9 @@
   bool m_isComplete = true;
   std::vector<engine::WaitingDemand> m_demand;
   entry::AllowanceReport m_allowance;
-  /// Requests that were in flight at this gateway when their upstreams crashed
-  /// recently.
-  std::vector<CrashReport> m_crashes;
+  /// Requests that were in flight here when their upstreams crashed, recently or, in some
+  /// reports, if they are suspected or refused here.
+  std::vector<RequestCrashReport> m_crashes;
   /// Time since the object store last responded to this gateway.
   base::Duration m_storeAge{};
   /// Upstreams that recently announced to this gateway that they leave.
@@ -186,6 +185,8 @@
   /// What the gateway knows of request limits and would send, to the planner only;
   /// kMaximumRequestLimits at most.
   std::vector<engine::RequestLimitDemand> m_requestLimits{};
+  /// Requests that an upstream served here after a crash of another one.
+  std::vector<RequestAcquittal> m_acquittals{};
 };
 
 /// Expected time until the models that a gateway's requests wait for are ready.
@@ -220,7 +221,7 @@
 /// leavings, their own reports included.
 struct PlannerNews
 {
-  std::vector<CrashReport> m_crashes;
+  std::vector<RequestCrashReport> m_crashes;
   /// Upstreams that recently announced that they leave.
   std::vector<engine::UpstreamStart> m_leaving;
   /// As in GatewayReport.
@@ -228,11 +229,12 @@
   /// News on prompt parts, as in GatewayReport.
   std::vector<PartCrashReport> m_partCrashes;
   std::vector<PartAcquittal> m_partAcquittals;
+  std::vector<RequestAcquittal> m_acquittals{};
 
   bool IsEmpty() const
   {
     return m_crashes.empty() && m_leaving.empty() && m_drained.empty() && m_partCrashes.empty() &&
-           m_partAcquittals.empty();
+           m_partAcquittals.empty() && m_acquittals.empty();
   }
 };
 
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -110,6 +110,7 @@
     constexpr unsigned kCompleteReportTicks = 10;
     m_completeReportsDue = aIsFirst ? kFirstCompleteReports : m_completeReportsDue;
     bool const isComplete = m_ticks % kCompleteReportTicks == 0 || m_completeReportsDue > 0;
+    bool const repeatsCrashes = m_ticks % kCrashRepeatTicks == 0 || m_completeReportsDue > 0;
     m_completeReportsDue -= m_completeReportsDue > 0 ? 1 : 0;
     agent::GatewayReport report{ m_state.m_profile.m_host,
                                  m_incarnation,
@@ -118,14 +119,15 @@
                                  isComplete,
                                  {},
                                  {},
-                                 m_state.CrashesToReport(aNow),
+                                 m_state.m_suspects.CrashesToReport(repeatsCrashes, aNow),
                                  aStoreAge,
                                  m_state.LeavingToReport(aNow),
                                  isComplete ? m_state.m_directory.DrainedDespiteList()
                                             : std::vector<engine::UpstreamStart>(),
-                                 m_state.m_suspectParts.CrashesToReport(isComplete, aNow),
+                                 m_state.m_suspectParts.CrashesToReport(repeatsCrashes, aNow),
                                  m_state.m_suspectParts.AcquittalsToReport(aNow),
                                  EvacuationsToReport(isComplete) };
+    report.m_acquittals = m_state.m_suspects.AcquittalsToReport(aNow);
     std::map<base::ModelId, unsigned> waiting;
     for (auto& demand : m_state.m_demand.Summary(aNow)) {
       if (demand.m_waiting > 0) {
@@ -280,6 +282,9 @@
 
   /// Changed evacuations are listed in this many reports, as messages may be lost.
   static constexpr unsigned kEvacuationRepeats = 10;
+  /// The planner keeps crashes, so that they are repeated only for one that has started
+  /// or lost a message.
+  static constexpr unsigned kCrashRepeatTicks = 50;
   /// A new planner knows nothing of this gateway before a complete report.
   static constexpr unsigned kFirstCompleteReports = 2;
 
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -306,14 +306,7 @@
                              { "told_by", aOrigin.Text() } });
       }
     }
-    for (auto const& crash : aNews.m_crashes) {
-      if (m_state.m_suspects.OnCrashReport(crash, aNow)) {
-        base::log::Warning("request may have ended its upstream",
-                           { { "fingerprint", crash.m_fingerprint.Text() },
-                             { "upstream", crash.m_upstream.Text() },
-                             { "told_by", aOrigin.Text() } });
-      }
-    }
+    m_state.OnRequestNews(aNews.m_crashes, aNews.m_acquittals, aOrigin);
     m_state.OnPartNews(aNews.m_partCrashes, aNews.m_partAcquittals, aOrigin);
   }
 
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -2,7 +2,6 @@
 
 #include "Agent/CrashRegistry.h"
 #include "Agent/RetryBudget.h"
-#include "Agent/SuspectRegistry.h"
 #include "Base/EventLoop.h"
 #include "Base/Http/HttpClient.h"
 #include "Base/Log.h"
@@ -22,6 +21,7 @@
 #include "Programs/Gateway/Attempt.h"
 #include "Programs/Gateway/OpenRequests.h"
 #include "Programs/Gateway/StoreFollowerTiming.h"
+#include "Programs/Gateway/SubjectStateLog.h"
 
 #include <map>
 #include <memory>
@@ -42,22 +42,13 @@
     , m_directory(DirectoryPolicy(m_profile.m_bounds), m_profile.m_failureDomain, aSeed)
     , m_demand(aLoop.Now())
     , m_allowance({}, aSeed)
-    , m_suspects(SuspectPolicy())
+    , m_suspects(agent::CrashLimits::ForRequests(), aSeed)
     , m_suspectParts({}, aSeed)
     , m_suspectSignal(aLoop.Context())
     , m_messenger(aLoop)
   {
   }
 
-  static agent::SuspectLimits SuspectPolicy()
-  {
-    agent::SuspectLimits limits;
-    // Connections also close for other reasons, so that two are no proof; the
-    // site bounds the crashes after the third.
-    limits.m_upstreams = 3;
-    return limits;
-  }
-
   static entry::EvacuationLimits EvacuationPolicy(base::SiteBounds const& aBounds)
   {
     entry::EvacuationLimits limits;
@@ -102,15 +93,33 @@
     return base::Bytes(aMemory.Value() / kShare);
   }
 
-  /// Records that an upstream closed the connection while the request was in
-  /// flight.
+  /// Records that an upstream closed the connection while a request that was sent at
+  /// aSentAt was in flight.
   void RecordCrash(base::FingerprintId const& aFingerprint, base::UpstreamId const& aUpstream,
-                   base::Instant aNow)
+                   base::Instant aSentAt, base::Instant aNow)
   {
-    agent::CrashReport const news{ aFingerprint, aUpstream, {} };
-    if (m_suspects.OnCrashReport(news, aNow)) {
-      m_recentCrashes.emplace_back(aNow, news);
+    m_suspects.OnCrash({ aFingerprint }, aUpstream, aSentAt, aNow);
+    OnRequestChanges("own");
+  }
+
+  /// Handles the news of other gateways on requests that may crash upstreams.
+  void OnRequestNews(std::vector<agent::RequestCrashReport> const& aCrashes,
+                     std::vector<agent::RequestAcquittal> const& aAcquittals,
+                     base::Endpoint const& aToldBy)
+  {
+    m_suspects.OnAcquittals(aAcquittals, m_loop.Now());
+    for (auto const& crash : m_suspects.OnCrashReports(aCrashes, m_loop.Now())) {
+      base::log::Warning("request may have ended its upstream",
+                         { { "fingerprint", crash.m_subject.Text() },
+                           { "upstream", crash.m_upstream.Text() },
+                           { "told_by", aToldBy.Text() } });
     }
+    OnRequestChanges(aToldBy.Text());
+  }
+
+  void OnRequestChanges(std::string const& aToldBy)
+  {
+    RecordStateChanges(m_suspects, kRequestStateNames, aToldBy, m_metrics);
   }
 
   void RecordSent(Attempt const& aAttempt)
@@ -172,35 +181,16 @@
 
   void ExpireSuspects()
   {
-    m_suspects.DiscardExpired(m_loop.Now());
+    m_suspects.Tick(m_loop.Now());
+    OnRequestChanges("own");
     m_suspectParts.Tick(m_loop.Now());
     OnPartChanges("own");
   }
 
-  /// Logs and counts the changes of state of prompt parts, and wakes the requests
-  /// that wait for one.
+  /// Wakes the requests that wait for a prompt part if one changed its state.
   void OnPartChanges(std::string const& aToldBy)
   {
-    auto const changes = m_suspectParts.TakeChanges();
-    for (auto const& change : changes) {
-      std::string upstreams;
-      for (auto const& upstream : change.m_upstreams) {
-        upstreams += (upstreams.empty() ? "" : " ") + upstream.Text();
-      }
-      std::string const state(ToText(change.m_state));
-      base::log::Warning("prompt part changed its state", { { "part", change.m_subject.Text() },
-                                                            { "state", state },
-                                                            { "upstreams", upstreams },
-                                                            { "told_by", aToldBy } });
-      m_metrics
-        .Counter("sardinefold_gateway_part_changes_total",
-                 "Changes of state of prompt parts that may crash upstreams.",
-                 { { "state", state } })
-        .Increment();
-    }
-    if (!changes.empty()) {
-      m_metrics.Gauge("sardinefold_gateway_parts_refused", "Prompt parts refused.")
-        .Set(static_cast<double>(m_suspectParts.CountRefused()));
+    if (RecordStateChanges(m_suspectParts, kPartStateNames, aToldBy, m_metrics)) {
       NotifyAll();
     }
   }
@@ -271,7 +261,7 @@
     // A connection that closes without a response may mean that the upstream has
     // crashed.
     if (aFailure.m_kind == Kind::ConnectionClosed) {
-      RecordCrash(aAttempt.m_fingerprint, IncarnationOf(upstream), now);
+      RecordCrash(aAttempt.m_fingerprint, IncarnationOf(upstream), aAttempt.m_sentAt, now);
       RecordPartCrash(aAttempt, aHasBegun);
     }
   }
@@ -279,9 +269,13 @@
   /// Records that an upstream responded.
   void RecordResponse(Attempt const& aAttempt, bool aIsServed)
   {
-    m_suspects.OnResponse(IncarnationOf(aAttempt.m_upstream), aAttempt.m_sentAt);
+    std::vector<base::FingerprintId> served;
+    if (aIsServed) {
+      served.push_back(aAttempt.m_fingerprint);
+    }
+    m_suspects.OnBegun(served, IncarnationOf(aAttempt.m_upstream), aAttempt.m_sentAt, m_loop.Now());
+    OnRequestChanges("own");
     if (aIsServed) {
-      m_suspects.OnServed(aAttempt.m_fingerprint);
       m_directory.OnServed(aAttempt.m_upstream.m_instance);
     }
   }
@@ -300,21 +294,6 @@
     return found == m_modelForecasts.end() ? std::nullopt : std::optional(found->second);
   }
 
-  /// Returns the crashes to report to the planner. Each one is reported several
-  /// times, since messages may be lost.
-  std::vector<agent::CrashReport> CrashesToReport(base::Instant aNow)
-  {
-    static constexpr base::Duration kReportTime = std::chrono::milliseconds(500);
-    std::erase_if(m_recentCrashes,
-                  [aNow](auto const& aCrash) { return aNow - aCrash.first > kReportTime; });
-    std::vector<agent::CrashReport> news;
-    for (auto const& [at, crash] : m_recentCrashes) {
-      news.push_back(crash);
-      news.back().m_age = aNow - at;
-    }
-    return news;
-  }
-
   /// Returns the upstreams to report to the planner as leaving. Each one is
   /// reported several times, since messages may be lost.
   std::vector<engine::UpstreamStart> LeavingToReport(base::Instant aNow) const
@@ -424,11 +403,10 @@
   entry::SharedAllowance m_allowance;
   /// The latest upstream with a malformed announcement that has not been logged.
   std::optional<engine::InstanceId> m_malformedNotice;
-  agent::SuspectRegistry m_suspects;
+  agent::CrashRegistry<base::FingerprintId> m_suspects;
   agent::CrashRegistry<base::PromptPartId> m_suspectParts;
   /// Wakes requests with suspected parts, of which one runs at a time.
   base::Signal m_suspectSignal;
-  std::vector<std::pair<base::Instant, agent::CrashReport>> m_recentCrashes;
   FleetMessenger m_messenger;
   /// While the process shuts down, the end of all waits for a model.
   std::optional<base::Instant> m_waitDeadline;
--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -71,9 +71,9 @@
       return RequestRefusal{ 503, kStoppingOutcome, kStopRetryAfter };
     }
     m_context.m_fingerprint = Fingerprint();
-    if (auto const refusedFor =
-          m_state.m_suspects.RefusedFor(m_context.m_fingerprint, m_context.m_start)) {
-      return RequestRefusal{ 503, "request ended its upstreams", *refusedFor };
+    if (auto const refused =
+          m_state.m_suspects.FindRefused({ m_context.m_fingerprint }, m_context.m_start)) {
+      return RequestRefusal{ 503, "request ended its upstreams", refused->m_timeLeft };
     }
     auto const& parts = m_context.m_request.m_sharedParts;
     if (auto const refused = m_state.m_suspectParts.FindRefused(parts, m_context.m_start)) {
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -27,12 +27,10 @@
 /// earlier.
 constexpr base::Duration kLoaderTimeout = std::chrono::seconds(6);
 
-/// A crash is passed on several times, since messages may be lost. Gateways report it
-/// for half a second; it is kept for longer, so that it counts as new only once.
-constexpr unsigned kCrashRepeats = 3;
-constexpr base::Duration kCrashRetention = std::chrono::seconds(2);
-/// Keeps the news well below the size of a datagram; the others follow in the next one.
-constexpr std::size_t kMaximumCrashes = 200;
+/// A crash of an upstream accuses all requests that it was running, so that there are
+/// many at a time.
+constexpr agent::CrashNewsLimits kRequestNewsLimits{ .m_newTime = std::chrono::milliseconds(300),
+                                                     .m_maximumReported = 200 };
 
 constexpr std::size_t kEpochBytes = 6;
 /// Only one summary in this many carries the list of neighbours.
@@ -46,6 +44,7 @@
   , m_messenger(aMessenger)
   , m_planner({ .m_parallelStoreLoads = aProfile.m_bounds.m_parallelLoads })
   , m_grants(base::RandomHex(kEpochBytes))
+  , m_requestNews(kRequestNewsLimits)
 {
 }
 
@@ -63,13 +62,10 @@
                     !IsReporting(gateway, aNow);
   gateway.m_incarnation = aReport.m_incarnation;
   gateway.m_processorShare = aReport.m_processorShare;
+  m_requestNews.OnReport(aReport.m_crashes, aReport.m_acquittals, aNow);
   m_partNews.OnReport(aReport.m_partCrashes, aReport.m_partAcquittals, aNow);
   gateway.m_endpoint = aSender;
   gateway.m_failureDomain = aReport.m_failureDomain;
-  for (auto const& crash : aReport.m_crashes) {
-    m_crashes.try_emplace({ crash.m_fingerprint, crash.m_upstream },
-                          Crash{ aNow - crash.m_age, aNow });
-  }
   gateway.m_leaving = aReport.m_leaving;
   if (aReport.m_isComplete) {
     gateway.m_drained = aReport.m_drained;
@@ -84,7 +80,14 @@
   m_planner.OnDemand(aReport.m_host, aReport.m_demand, aReport.m_isComplete);
   m_requestLimits.OnDemands(aReport.m_host, aReport.m_requestLimits, aNow);
   if (aReport.m_allowance.m_isJoining) {
-    // A gateway that has started refuses requests until it knows the levels.
+    // A gateway that has started refuses requests until it knows the levels; before
+    // that it must know which requests crash upstreams.
+    agent::PlannerNews known;
+    known.m_crashes = m_requestNews.AllCrashes(aNow);
+    known.m_partCrashes = m_partNews.AllCrashes(aNow);
+    if (!known.IsEmpty()) {
+      m_messenger.Send(aSender, known);
+    }
     agent::PlannerSummary summary;
     summary.m_gatewaysPresent = static_cast<unsigned>(m_lastPresence.size());
     summary.m_allowance = m_grants.SummaryFor(aReport.m_host);
@@ -207,27 +210,16 @@
   });
 }
 
-std::vector<agent::CrashReport> FleetPlanning::TakeCrashes(base::Instant aNow)
-{
-  std::erase_if(m_crashes, [aNow](auto const& aItem) {
-    return aNow - aItem.second.m_firstReportedAt > kCrashRetention;
-  });
-  std::vector<agent::CrashReport> due;
-  for (auto& [key, crash] : m_crashes) {
-    if (crash.m_passedOn < kCrashRepeats && due.size() < kMaximumCrashes) {
-      ++crash.m_passedOn;
-      due.push_back({ key.first, key.second, aNow - crash.m_at });
-    }
-  }
-  return due;
-}
-
 void FleetPlanning::SendNews(base::Instant aNow)
 {
+  auto requestNews = m_requestNews.TakeDue(aNow);
   auto partNews = m_partNews.TakeDue(aNow);
-  agent::PlannerNews news{
-    TakeCrashes(aNow), {}, {}, std::move(partNews.m_crashes), std::move(partNews.m_acquittals)
-  };
+  agent::PlannerNews news{ std::move(requestNews.m_crashes),
+                           {},
+                           {},
+                           std::move(partNews.m_crashes),
+                           std::move(partNews.m_acquittals),
+                           std::move(requestNews.m_acquittals) };
   std::set<engine::UpstreamStart> leaving;
   std::set<engine::UpstreamStart> drained;
   std::vector<base::Endpoint> receivers;
@@ -250,6 +242,7 @@
   }
   // A gateway that has started knows nothing of what was before.
   news.m_drained.assign(drained.begin(), drained.end());
+  news.m_crashes = m_requestNews.AllCrashes(aNow);
   news.m_partCrashes = m_partNews.AllCrashes(aNow);
   if (!news.IsEmpty()) {
     m_messenger.SendToEach(newReceivers, news);
--- a/Programs/Loader/FleetPlanning.h
+++ b/Programs/Loader/FleetPlanning.h
@@ -76,9 +76,6 @@
   void SendSummaries(base::Instant aNow);
   void SendNews(base::Instant aNow);
   void UpdateRequestLimits(base::Instant aNow);
-  /// Returns the crashes that have yet to be passed on, and counts them as passed on
-  /// once more.
-  std::vector<agent::CrashReport> TakeCrashes(base::Instant aNow);
   static bool IsReporting(Gateway const& aGateway, base::Instant aNow);
 
   base::ProcessProfile const& m_profile;
@@ -93,14 +90,7 @@
   std::optional<entry::EvacuationState> m_evacuations;
   entry::GrantLedger m_grants;
   engine::RequestLimitSharing m_requestLimits;
-  struct Crash
-  {
-    base::Instant m_at{};
-    base::Instant m_firstReportedAt{};
-    unsigned m_passedOn = 0;
-  };
-  /// By the request's fingerprint and the upstream's start.
-  std::map<std::pair<base::FingerprintId, base::UpstreamId>, Crash> m_crashes;
+  agent::CrashNewsBoard<base::FingerprintId> m_requestNews;
   agent::CrashNewsBoard<base::PromptPartId> m_partNews;
   unsigned m_ticks = 0;
 };
--- a/Tests/CrashRegistryTest.cpp
+++ b/Tests/CrashRegistryTest.cpp
@@ -7,6 +7,7 @@
 
 using namespace sardinefold;
 using namespace std::chrono_literals;
+using RequestRegistry = agent::CrashRegistry<base::FingerprintId>;
 using PartRegistry = agent::CrashRegistry<base::PromptPartId>;
 
 namespace {
@@ -24,6 +25,29 @@
   return base::UpstreamId::FromValidated("i-" + std::to_string(aNumber));
 }
 
+base::FingerprintId Fingerprint(std::string aName)
+{
+  return base::FingerprintId::FromValidated(std::move(aName));
+}
+
+auto const kCrasher = Fingerprint("crasher");
+auto const kNeighbour = Fingerprint("neighbour");
+
+bool IsRefused(RequestRegistry const& aRegistry, base::FingerprintId const& aFingerprint,
+               base::Instant aNow)
+{
+  return aRegistry.FindRefused({ aFingerprint }, aNow).has_value();
+}
+
+/// Limits by which one crash makes a request suspected and two make it refused.
+agent::CrashLimits StrictLimits()
+{
+  auto limits = agent::CrashLimits::ForRequests();
+  limits.m_suspicion = 1;
+  limits.m_refusal = 2;
+  return limits;
+}
+
 auto const kDeadly = Part("dead");
 auto const kSound = Part("50d");
 
@@ -309,3 +333,132 @@
   BOOST_TEST(news.m_crashes.empty());
   BOOST_TEST(board.AllCrashes(now).empty());
 }
+
+BOOST_AUTO_TEST_CASE(CrashingRequestIsRefusedEverywhereAfterTwoUpstreams)
+{
+  RequestRegistry first(StrictLimits(), 1);
+  RequestRegistry second(StrictLimits(), 2);
+  first.OnCrash({ kCrasher }, Upstream(1), kStart, kStart);
+  first.OnCrash({ kNeighbour }, Upstream(1), kStart, kStart);
+  auto reported = first.CrashesToReport(false, kStart);
+  BOOST_TEST(reported.size() == 2U);
+  BOOST_TEST(first.IsSuspected({ kCrasher }, kStart));
+  BOOST_TEST(!IsRefused(first, kCrasher, kStart));
+  BOOST_TEST(second.OnCrashReports(reported, kStart).size() == 2U);
+  // The neighbour's attempt at another upstream ends without a crash.
+  second.OnCrash({ kCrasher }, Upstream(2), kStart, kStart + 1s);
+  reported = second.CrashesToReport(false, kStart + 1s);
+  BOOST_REQUIRE(reported.size() == 1U);
+  BOOST_TEST(first.OnCrashReports(reported, kStart + 1s).size() == 1U);
+  for (auto* const registry : { &first, &second }) {
+    BOOST_TEST(IsRefused(*registry, kCrasher, kStart + 2s));
+    BOOST_TEST(!IsRefused(*registry, kNeighbour, kStart + 2s));
+  }
+  BOOST_TEST(!IsRefused(first, kCrasher, kStart + 11min));
+  first.Tick(kStart + 11min);
+  BOOST_TEST(first.Size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(LaterResponseClearsACrashReport)
+{
+  auto limits = agent::CrashLimits::ForRequests();
+  limits.m_suspicion = 1;
+  RequestRegistry registry(limits, 1);
+  for (int number = 1; number <= 3; ++number) {
+    registry.OnCrashReports({ { kNeighbour, Upstream(number), {}, {} } }, kStart);
+  }
+  BOOST_TEST(IsRefused(registry, kNeighbour, kStart));
+  // Responses to requests sent before the crash do not clear the report.
+  registry.OnBegun({}, Upstream(1), kStart - 1s, kStart + 1s);
+  BOOST_TEST(IsRefused(registry, kNeighbour, kStart));
+  registry.OnBegun({}, Upstream(1), kStart + 1s, kStart + 1s);
+  registry.OnBegun({}, Upstream(2), kStart + 1s, kStart + 1s);
+  BOOST_TEST(!IsRefused(registry, kNeighbour, kStart + 1s));
+  BOOST_TEST(registry.IsSuspected({ kNeighbour }, kStart + 1s));
+  registry.OnBegun({}, Upstream(3), kStart + 1s, kStart + 1s);
+  BOOST_TEST(!registry.IsSuspected({ kNeighbour }, kStart + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatIsServedIsNoSuspect)
+{
+  RequestRegistry registry(StrictLimits(), 1);
+  registry.OnCrashReports({ { kNeighbour, Upstream(1), {}, {} } }, kStart);
+  registry.OnBegun({ kNeighbour }, Upstream(2), kStart, kStart);
+  BOOST_TEST(!registry.IsSuspected({ kNeighbour }, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedCrashesOfOneUpstreamCauseNoRefusal)
+{
+  RequestRegistry registry(StrictLimits(), 1);
+  for (auto const at : { 0s, 60s }) {
+    registry.OnCrash({ kCrasher }, Upstream(1), kStart + at, kStart + at);
+  }
+  BOOST_TEST(!IsRefused(registry, kCrasher, kStart + 61s));
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedAndExpiredCrashReportsAreIgnored)
+{
+  RequestRegistry registry(agent::CrashLimits::ForRequests(), 1);
+  agent::RequestCrashReport const reported{ kCrasher, Upstream(1), 100ms, 200ms };
+  BOOST_TEST(registry.OnCrashReports({ reported }, kStart).size() == 1U);
+  // The same crash is reported over a longer path, with its age rounded down.
+  BOOST_TEST(registry.OnCrashReports({ reported }, kStart + 50ms).empty());
+  agent::RequestCrashReport const old{ kNeighbour, Upstream(1), 1h, 1h };
+  BOOST_TEST(registry.OnCrashReports({ old }, kStart).empty());
+}
+
+BOOST_AUTO_TEST_CASE(SuspectCountIsBounded)
+{
+  auto limits = StrictLimits();
+  limits.m_maximumSubjects = 10;
+  RequestRegistry registry(limits, 1);
+  for (int number = 0; number < 100; ++number) {
+    auto const at = kStart + 1ms * number;
+    registry.OnCrash({ Fingerprint("f" + std::to_string(number)) }, Upstream(1), at, at);
+  }
+  BOOST_TEST(registry.Size() == 10U);
+  BOOST_TEST(registry.CrashesToReport(true, kStart + 1s).size() == 10U);
+  BOOST_TEST(registry.IsSuspected({ Fingerprint("f99") }, kStart + 1s));
+  BOOST_TEST(!registry.IsSuspected({ Fingerprint("f0") }, kStart + 1s));
+}
+
+// A planner that starts knows only what gateways still report.
+BOOST_AUTO_TEST_CASE(SuspectedAndRefusedRequestsAreReportedAsLongAsTheyAreSo)
+{
+  RequestRegistry registry(agent::CrashLimits::ForRequests(), 1);
+  registry.OnCrash({ kNeighbour }, Upstream(9), kStart, kStart);
+  for (int number = 1; number <= 3; ++number) {
+    auto const at = kStart + number * 1s;
+    registry.OnCrashReports({ { kCrasher, Upstream(number), 0ms, 5ms } }, at);
+    BOOST_TEST(registry.CrashesToReport(true, at + 600ms).size() == (number > 1 ? number : 0U));
+  }
+  BOOST_TEST(registry.CrashesToReport(true, kStart + 9min).size() == 3U);
+  BOOST_TEST(registry.CrashesToReport(false, kStart + 9min).empty());
+  registry.Tick(kStart + 11min);
+  BOOST_TEST(registry.CrashesToReport(true, kStart + 11min).empty());
+}
+
+// All know of three crashes beside a sound request. One gateway serves it; the others
+// would refuse it for minutes, and a gateway that starts would be told to.
+BOOST_AUTO_TEST_CASE(ARequestThatOneGatewayServedIsRefusedNowhere)
+{
+  RequestRegistry serving(agent::CrashLimits::ForRequests(), 1);
+  RequestRegistry other(agent::CrashLimits::ForRequests(), 2);
+  agent::CrashNewsBoard<base::FingerprintId> board;
+  for (int number = 1; number <= 3; ++number) {
+    other.OnCrash({ kNeighbour }, Upstream(number), kStart - 10ms, kStart);
+  }
+  BOOST_TEST(IsRefused(other, kNeighbour, kStart));
+  // It is served before the news of the crashes arrives.
+  serving.OnBegun({ kNeighbour }, Upstream(4), kStart, kStart + 50ms);
+  auto now = kStart + 100ms;
+  board.OnReport(other.CrashesToReport(false, now), {}, now);
+  serving.OnCrashReports(board.TakeDue(now).m_crashes, now);
+  BOOST_TEST(!IsRefused(serving, kNeighbour, now));
+  now += 100ms;
+  board.OnReport(other.CrashesToReport(false, now), serving.AcquittalsToReport(now), now);
+  auto const news = board.TakeDue(now);
+  other.OnAcquittals(news.m_acquittals, now);
+  BOOST_TEST(!IsRefused(other, kNeighbour, now));
+  BOOST_TEST(board.AllCrashes(now).empty());
+}
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -103,7 +103,9 @@
                                       base::TokensPerSecond(30),
                                       base::Tokens(-4) } } };
   report.m_crashes = { { base::FingerprintId::FromValidated("77"),
-                         base::UpstreamId::FromValidated("i-1"), milliseconds(30) } };
+                         base::UpstreamId::FromValidated("i-1"), milliseconds(30),
+                         milliseconds(90) } };
+  report.m_acquittals = { { base::FingerprintId::FromValidated("78"), milliseconds(20) } };
   report.m_storeAge = milliseconds(40);
   report.m_partCrashes = { { base::PromptPartId::FromValidated("91bd"),
                              base::UpstreamId::FromValidated("i-1"), milliseconds(30),
@@ -162,7 +164,7 @@
   summary.m_requestLimits = { { limit, 41, 7 } };
   CheckRoundTrip(summary);
   CheckRoundTrip(PlannerNews{ report.m_crashes, report.m_leaving, report.m_drained,
-                              report.m_partCrashes, report.m_partAcquittals });
+                              report.m_partCrashes, report.m_partAcquittals, report.m_acquittals });
   GatewayPresence const member{ report.m_host,
                                 report.m_incarnation,
                                 kDomain,
@@ -200,6 +202,17 @@
   BOOST_TEST(!DecodeFleetMessage(start + R"(,"part_deaths":[{"part":"9"}]}})").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(CrashesReportedByAFormerBuildCount)
+{
+  auto const decoded = DecodeFleetMessage(
+    R"({"method":"planner.news","params":{"deaths":[{"fingerprint":"7","upstream":"i-1","age_ms":3}],"leaving":[]}})");
+  BOOST_REQUIRE(decoded.has_value());
+  auto const& crashes = std::get<PlannerNews>(decoded->m_message).m_crashes;
+  BOOST_REQUIRE(crashes.size() == 1U);
+  CrashRegistry<base::FingerprintId> registry(CrashLimits::ForRequests(), 1);
+  BOOST_TEST(registry.OnCrashReports(crashes, base::Instant(std::chrono::hours(1))).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(RequestLimitsAreOptionalAndBounded)
 {
   PlannerSummary summary;
--- a/Tests/FleetPlanningTest.cpp
+++ b/Tests/FleetPlanningTest.cpp
@@ -258,7 +258,7 @@
 {
   base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
   programs::FleetMessenger messenger(loop);
-  std::vector<agent::CrashReport> crashes;
+  std::vector<agent::RequestCrashReport> crashes;
   auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
     if (auto const* const message = std::get_if<agent::PlannerNews>(&aMessage)) {
       crashes.insert(crashes.end(), message->m_crashes.begin(), message->m_crashes.end());
@@ -273,7 +273,8 @@
       auto const now = start + tick * 100ms;
       auto other = Report("front-2", 40ms);
       other.m_crashes = { { base::FingerprintId::FromValidated("77"),
-                            base::UpstreamId::FromValidated("i-1"), tick * 100ms + 10ms } };
+                            base::UpstreamId::FromValidated("i-1"), tick * 100ms + 10ms,
+                            tick * 100ms + 15ms } };
       planning.OnReport(Report("front-1", 40ms), kListening, now);
       planning.OnReport(other, kOther, now);
       planning.Tick(now);
@@ -288,6 +289,49 @@
   BOOST_TEST((crashes[2].m_age == 210ms));
 }
 
+/// The gateways report a crash for half a second. One that starts later sent the request
+/// that crashed its upstreams to three more.
+BOOST_AUTO_TEST_CASE(AStartedGatewayIsToldWhichRequestsCrashedUpstreamsBeforeItServes)
+{
+  base::EventLoop loop(programs::SystemClock::Monotonic, programs::SystemClock::Wall);
+  programs::FleetMessenger messenger(loop);
+  std::vector<agent::RequestCrashReport> told;
+  bool hasSummary = false;
+  auto const onMessage = [&](agent::FleetMessage const& aMessage, base::Endpoint const&) {
+    hasSummary = hasSummary || std::holds_alternative<agent::PlannerSummary>(aMessage);
+    auto const* const news = std::get_if<agent::PlannerNews>(&aMessage);
+    if (news && !hasSummary) {
+      told = news->m_crashes;
+    }
+  };
+  BOOST_REQUIRE(messenger.Listen(kListening, onMessage).has_value());
+  base::ProcessProfile const profile;
+  programs::FleetPlanning planning(profile, messenger);
+  auto const start = loop.Now();
+  auto run = [&]() -> awaitable<void> {
+    auto knowing = Report("front-2", 40ms);
+    for (auto const* const upstream : { "i-1", "i-2", "i-3" }) {
+      knowing.m_crashes.push_back({ base::FingerprintId::FromValidated("77"),
+                                    base::UpstreamId::FromValidated(upstream), 10ms, 15ms });
+    }
+    planning.OnReport(knowing, kOther, start);
+    planning.Tick(start);
+    auto const later = start + 60s;
+    planning.OnReport(Report("front-2", 40ms), kOther, later);
+    planning.Tick(later);
+    auto starting = Report("front-1", 40ms);
+    starting.m_allowance.m_isJoining = true;
+    planning.OnReport(starting, kListening, later);
+    co_await loop.Sleep(20ms);
+    loop.Stop();
+  };
+  loop.Start(run());
+  loop.Run();
+  BOOST_TEST(hasSummary);
+  BOOST_REQUIRE(told.size() == 3U);
+  BOOST_TEST((told[0].m_age == 60s + 10ms));
+}
+
 /// Two gateways of the largest processor share of a domain are named to all.
 BOOST_AUTO_TEST_CASE(ThePlannerNamesTheAggregatorsOfADomain)
 {
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -224,14 +224,14 @@
       base::FingerprintId::FromValidated(std::to_string(base::FastHash("/order/x\nmarshals\n")));
     for (auto const* const upstream : { "i-1", "i-2" }) {
       m_gateway->State().RecordCrash(fingerprint, base::UpstreamId::FromValidated(upstream),
-                                     m_loop.Now());
+                                     m_loop.Now(), m_loop.Now());
     }
     // A different request, since one that is served is no longer suspected.
     auto second = Request("POST", "/order/y", "r1");
     auto const served = co_await Send(std::move(second));
     BOOST_TEST(served->m_status == 200U);
     m_gateway->State().RecordCrash(fingerprint, base::UpstreamId::FromValidated("i-3"),
-                                   m_loop.Now());
+                                   m_loop.Now(), m_loop.Now());
     auto third = Request("POST", "/order/x", "r2");
     auto const refused = co_await Send(std::move(third));
     BOOST_TEST(refused->m_status == 503U);
@@ -239,6 +239,34 @@
   });
 }
 
+/// Gateways that were restarted knew nothing of the crashes before and sent the request to
+/// three more upstreams each.
+BOOST_FIXTURE_TEST_CASE(AGatewayThatStartsRefusesARequestThatCrashedThreeUpstreams, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto const fingerprint =
+      base::FingerprintId::FromValidated(std::to_string(base::FastHash("/order/x\nmarshals\n")));
+    for (auto const* const upstream : { "i-1", "i-2", "i-3" }) {
+      m_gateway->State().RecordCrash(fingerprint, base::UpstreamId::FromValidated(upstream),
+                                     m_loop.Now(), m_loop.Now());
+    }
+    co_await m_loop.Sleep(3s);
+    Gateway second(m_loop, SecondGateway());
+    BOOST_REQUIRE(second.Start().has_value());
+    co_await m_loop.Sleep(2s);
+    for (auto const& [path, status] :
+         { std::pair("/order/x", 503U), std::pair("/order/y", 200U) }) {
+      auto request = Request("POST", path, path + 1);
+      auto const response =
+        co_await m_client.Fetch(*SecondGateway().m_callers, std::move(request), 5s);
+      BOOST_REQUIRE(response.has_value());
+      BOOST_TEST(response->m_status == status);
+    }
+    BOOST_TEST(RunsOf("order/x") == 0U);
+    second.State().m_loop.Stop();
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(AClosedConnectionToALiveUpstreamMakesNoSuspect, SiteFixture)
 {
   Run([&]() -> awaitable<void> {
@@ -246,7 +274,7 @@
       base::FingerprintId::FromValidated(std::to_string(base::FastHash("/order/x\nmarshals\n")));
     for (auto const* const upstream : { "i-1-1", "i-2-1", "i-desk-1" }) {
       m_gateway->State().RecordCrash(fingerprint, base::UpstreamId::FromValidated(upstream),
-                                     m_loop.Now());
+                                     m_loop.Now(), m_loop.Now());
     }
     auto refused = Request("POST", "/order/x", "r1");
     auto const first = co_await Send(std::move(refused));
