Agent: Let no request that was served explain crashes of others

What callers saw: where several requests crash upstreams, one that had been served before and stood beside each of them reached three crashes first. It was refused for ten minutes, and the crashes of those beside it were cleared as explained, so that they went on to crash upstreams.

Cause: the registry takes a convicted request, or prompt part, for the cause of all crashes that it shares with others, also with others that have never begun to be answered.

Change: a subject that has begun explains no crash of one that has not; one that has not begun explains those of one that has, even if that was convicted first.

Why it works: what crashes upstreams never begins, so that of two subjects with the same crashes the one that never began is the cause.

Evidence: ARequestThatWasServedBeforeDoesNotExplainTheCrashesOfOthers failed before (the crashing request not refused, the sound one refused) and passes. The 23 other cases of the module pass as they were.

--- a/Agent/CrashRegistry.cpp
+++ b/Agent/CrashRegistry.cpp
@@ -161,15 +161,24 @@
 bool CrashRegistry<Subject>::IsExplained(Subject const& aSubject,
                                          base::UpstreamId const& aUpstream) const
 {
-  auto const own = m_subjects.find(aSubject);
-  if (own != m_subjects.end() && own->second.m_isConvicted) {
-    return false;
-  }
   return std::ranges::any_of(m_subjects, [&](auto const& aItem) {
-    return aItem.second.m_isConvicted && aItem.second.m_crashes.contains(aUpstream);
+    return aItem.second.m_isConvicted && aItem.first != aSubject &&
+           aItem.second.m_crashes.contains(aUpstream) && Explains(aItem.first, aSubject);
   });
 }
 
+template<typename Subject>
+bool CrashRegistry<Subject>::Explains(Subject const& aConvict, Subject const& aOther) const
+{
+  bool const hasConvictBegun = m_beginnings.contains(aConvict);
+  bool const hasOtherBegun = m_beginnings.contains(aOther);
+  if (hasConvictBegun != hasOtherBegun) {
+    return hasOtherBegun;
+  }
+  auto const other = m_subjects.find(aOther);
+  return other == m_subjects.end() || !other->second.m_isConvicted;
+}
+
 template<typename Subject>
 void CrashRegistry<Subject>::OnBegun(Subjects const& aSubjects, base::UpstreamId const& aUpstream,
                                      base::Instant aSentAt, base::Instant aNow)
@@ -329,10 +338,10 @@
     item->second.m_isConvicted = true;
   }
   for (auto& [id, other] : m_subjects) {
-    if (other.m_isConvicted) {
-      continue;
-    }
     for (auto const& item : aSubjects) {
+      if (item->first == id || !Explains(item->first, id)) {
+        continue;
+      }
       std::erase_if(other.m_crashes, [&](auto const& aCrash) {
         return item->second.m_crashes.contains(aCrash.first);
       });
--- a/Agent/CrashRegistry.h
+++ b/Agent/CrashRegistry.h
@@ -179,6 +179,9 @@
   bool IsRefuted(base::UpstreamId const& aUpstream, base::Instant aAt) const;
   void Refute(base::UpstreamId const& aUpstream, base::Instant aAt);
   bool IsExplained(Subject const& aSubject, base::UpstreamId const& aUpstream) const;
+  /// Whether the crashes of a convicted subject explain those of another one, which
+  /// stood beside it. One that has begun is the less suspicious of the two.
+  bool Explains(Subject const& aConvict, Subject const& aOther) const;
   void Acquit(Subject const& aSubject, base::Instant aAt);
   void RememberBeginning(Subject const& aSubject, base::Instant aAt);
   void ScheduleAcquittal(Subject const& aSubject, base::Instant aNow);
--- a/Tests/CrashRegistryTest.cpp
+++ b/Tests/CrashRegistryTest.cpp
@@ -462,3 +462,28 @@
   BOOST_TEST(!IsRefused(other, kNeighbour, now));
   BOOST_TEST(board.AllCrashes(now).empty());
 }
+
+// A sound request stands beside several that crash their upstreams, one crash each. It has
+// enough crashes first; those that cause them must not be cleared by that, nor it stay refused.
+BOOST_AUTO_TEST_CASE(ARequestThatWasServedBeforeDoesNotExplainTheCrashesOfOthers)
+{
+  RequestRegistry registry(agent::CrashLimits::ForRequests(), 1);
+  auto const crash = [&](std::vector<base::FingerprintId> const& aRequests, int aUpstream) {
+    auto const at = kStart + aUpstream * 1s;
+    for (auto const& request : aRequests) {
+      registry.OnCrash({ request }, Upstream(aUpstream), at - 10ms, at);
+    }
+    return at;
+  };
+  registry.OnBegun({ kNeighbour }, Upstream(9), kStart - 1s, kStart - 1s);
+  crash({ kCrasher, kNeighbour }, 1);
+  crash({ kCrasher, kNeighbour }, 2);
+  auto now = crash({ Fingerprint("other crasher"), kNeighbour }, 3);
+  BOOST_TEST(!IsRefused(registry, kCrasher, now));
+  now = crash({ kNeighbour, kCrasher }, 4);
+  BOOST_TEST(IsRefused(registry, kCrasher, now));
+  BOOST_TEST(!IsRefused(registry, kNeighbour, now));
+  // A report of a crash that is explained does not restore it.
+  registry.OnCrashReports({ { kNeighbour, Upstream(1), now - kStart - 1s, now - kStart } }, now);
+  BOOST_TEST(!registry.IsSuspected({ kNeighbour }, now));
+}
