Meta: Send requests that crash upstreams in the soak

Cause: no request of the soak crashed its upstreams, so that it could not show a gateway that sends one on after its restart.

Change: a caller sends a request that crashes the service without models, again and again, to gateways that have been undisturbed for the settling time, beside all faults. The soak fails if it reaches upstreams more than three times later than that time after its third crash.

--- a/Meta/soak.py
+++ b/Meta/soak.py
@@ -42,6 +42,9 @@
 LOSS_SLACK_S = 0.2
 GUEST_RATE, GUEST_BURST, GUEST_TOKENS, QUOTA_WINDOW_S = 10, 40, 10, 8
 QUOTA_OVERAGE = 0.1
+# Name of the request that crashes the service without models, the number of crashes
+# that show it, and of further ones, after the settling time, that are allowed.
+CRASH, CRASHES_TO_REFUSE, LATE_CRASHES = "crash", 3, 3
 MODELS = ["common", "own1", "own2", "rare"]
 
 
@@ -77,11 +80,11 @@
             await self.send_request(client, kind, gateway)
         client.close()
 
-    async def send_request(self, client, kind, gateway, key="key-1", rng=None, is_older=False):
-        request = self.next_id(kind)
+    async def send_request(self, client, kind, gateway, key="key-1", rng=None, is_older=False, name="x"):
+        request = self.next_id(kind if name == "x" else f"{kind}-{name}")
         model = (rng or self.random).choice(MODELS) if kind in ("chat", "once") else None
         deadline = 5.0 if model else 1.5
-        text = render_request(kind, request, key, deadline, model, "1.0" if is_older else "1.1")
+        text = render_request(kind, request, key, deadline, model, "1.0" if is_older else "1.1", name)
         started_at = time.monotonic()
         response = await client.send_request(gateway, text, deadline + RESPONSE_GRACE_S, is_older)
         elapsed = time.monotonic() - started_at
@@ -96,7 +99,7 @@
             self.record_violation("no response in time", f"{request} at {gateway.name} after {elapsed:.2f} s")
         if response.status == 200 and model:
             self.check_stream(request, response)
-        if response.status == 200 and not model and response.body != f"done /{kind}/x":
+        if response.status == 200 and not model and response.body != f"done /{kind}/{name}":
             self.record_violation("response is not the service's", f"{request}: {response.body[:60]!r}")
         return response
 
@@ -154,6 +157,19 @@
             await self.send_request(client, rng.choice(["chat", "once", "order"]), rng.choice(self.site.gateways),
                                     rng=rng, is_older=True)
 
+    async def send_crashing_requests(self):
+        """Sends a request that crashes the service without models again and again, to
+        gateways that have settled."""
+        rng = random.Random(f"crashing requests of {self.seed}")
+        client = Client(self.site)
+        while not self.is_over:
+            await asyncio.sleep(rng.uniform(0.05, 0.3))
+            settled = [gateway for gateway in self.site.gateways
+                       if not gateway.was_disturbed(time.monotonic() - SETTLE_TIME_S)]
+            if settled:
+                await self.send_request(client, "order", rng.choice(settled), rng=rng, name=CRASH)
+        client.close()
+
     # Configuration changes
 
     async def change_configuration(self):
@@ -221,7 +237,7 @@
         callers = [self.run_caller(kind, interval)
                    for kind, interval in [("chat", 0.15), ("chat", 0.15), ("once", 0.3), ("order", 0.1), ("look", 0.1)]]
         callers += [self.use_withdrawn_keys(), self.exceed_allowance(), self.change_configuration(),
-                    self.reuse_idle_connections(), self.run_older_caller()]
+                    self.reuse_idle_connections(), self.run_older_caller(), self.send_crashing_requests()]
         tasks = [asyncio.create_task(caller) for caller in callers]
         await asyncio.gather(self.inject_faults(), self.drain_engines(), self.send_signal_series(),
                              self.copy_refusals())
@@ -277,6 +293,15 @@
             if is_aborted and ran > 0 and not last_runs[request]["was_broken_off"]:
                 self.record_violation("a graceful stop aborted a request", f"{request}: {response.status}")
         self.check_allowance([run["at_ms"] / 1000 for run in runs if run["workspace"] == "guests"])
+        self.check_crashes([run for run in runs if run["request"].startswith(f"order-{CRASH}")])
+
+    def check_crashes(self, runs):
+        runs.sort(key=lambda run: run["at_ms"])
+        late = [run["request"] for run in runs[CRASHES_TO_REFUSE:]
+                if run["at_ms"] > runs[CRASHES_TO_REFUSE - 1]["at_ms"] + SETTLE_TIME_S * 1000
+                and self.responses[run["request"]].was_undisturbed]
+        if len(late) > LATE_CRASHES:
+            self.record_violation("a request that crashes its upstreams was sent on", f"{late}")
 
     def check_drains(self, engine, runs):
         for number, drained_at, returned_at in self.site.drains:
--- a/Meta/soak_client.py
+++ b/Meta/soak_client.py
@@ -2,8 +2,8 @@
 import asyncio
 
 
-def render_request(path, request, key, deadline, model, version="1.1"):
-    lines = [f"POST /{path}/x HTTP/{version}", "Host: site.example", f"Request-Id: {request}",
+def render_request(path, request, key, deadline, model, version="1.1", name="x"):
+    lines = [f"POST /{path}/{name} HTTP/{version}", "Host: site.example", f"Request-Id: {request}",
              f"Deadline-Ms: {int(deadline * 1000)}", f"Authorization: Bearer {key}", "Content-Length: 4"]
     if model:
         lines += [f"Model: {model}", "Token-Count: 100,10"]
--- a/Meta/soak_site.py
+++ b/Meta/soak_site.py
@@ -187,6 +187,8 @@
         for node in self.nodes():
             node.start()
         await self.wait_ready(20)
+        for host in (SERVICE, SECOND_SERVICE):
+            await self.set_faults(host, ports["engine"], crash_on_target="/order/crash")
 
     async def wait_ready(self, seconds):
         end = time.monotonic() + seconds
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -29,7 +29,7 @@
 step 'failed requests explained' Meta/explain_failures.py
 step 'faults with real processes' Meta/process_faults.py
 step 'soak: seeds that failed once' Meta/soak.py --regression
-step 'soak: a short run' Meta/soak.py --seeds 1-3 --jobs 3 --seconds 6
+step 'soak: a short run' Meta/soak.py --seeds 1-3 --jobs 3 --seconds 30
 step 'callers outside all limits' Meta/hostile_callers.py
 step 'requests inside the bodies of others' Meta/smuggled_requests.py
 step 'answers without end' Meta/endless_answers.py
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -53,6 +53,7 @@
   m_faultInjector.Faults().AddCount("cut_streams", m_streamsToCut);
   m_faultInjector.Faults().AddCount("empty_streams", m_streamsToEmpty);
   m_faultInjector.Faults().AddCount("crash_on_part", m_crashingPart);
+  m_faultInjector.Faults().AddText("crash_on_target", m_crashingTarget);
   m_faultInjector.Faults().AddFlag("leaving", m_isDraining);
   m_faultInjector.Faults().AddFlag("unlisted", m_isUnlisted);
   m_faultInjector.Faults().AddFlag("torn_entry", m_hasInvalidEntry);
@@ -359,6 +360,11 @@
   base::HttpHeaders headers;
   headers.Add("Request-Id", HeaderText(request, "Request-Id"));
   headers.Add("Server-Seal", "seal-" + m_settings.m_instance);
+  bool const isCrash = !m_crashingTarget.empty() && request.m_target == m_crashingTarget;
+  if (isCrash) {
+    Replace();
+    co_return;
+  }
   ++m_running;
   if (m_settings.m_hasModels) {
     co_await Stream(aExchange, std::move(headers), m_runs.size() - 1);
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -145,6 +145,9 @@
   /// A request with this part of a prompt crashes the engine before its first event;
   /// zero for none.
   std::uint64_t m_crashingPart = 0;
+  /// A request with this target crashes the service without models, which is replaced;
+  /// none if empty.
+  std::string m_crashingTarget;
 };
 
 } // namespace sardinefold::standins
