Agent: Let no answer of the next start clear crashes of requests

Cause: an answer cleared any crash of its upstream recorded before the request was sent, taken for a sign that only the connection had failed. Until the list names the next start, its answers count for the one that crashed.

Change: an answer clears a crash only if its request was sent within two seconds after it, less the 600 ms that a request may wait for its connection. The same for requests and parts.

Why it works: upstreams need longer than two seconds to restart, so that no next start can have answered such a request.

--- a/Agent/CrashRegistry.cpp
+++ b/Agent/CrashRegistry.cpp
@@ -30,8 +30,6 @@
   limits.m_refusalJitter = base::Duration::zero();
   // The crashes of two upstreams count, however close they are.
   limits.m_separation = base::Duration::zero();
-  // An answer refutes any crash of its upstream before it.
-  limits.m_minimumRestartTime = limits.m_retention;
   limits.m_maximumSubjects = 10'000;
   limits.m_maximumBeginnings = 2'000;
   // A crash of an upstream accuses all requests that it was running.
@@ -192,8 +190,9 @@
   for (auto& [id, subject] : m_subjects) {
     // The upstream answers a request sent soon after, so only the connection had failed.
     auto const crash = subject.m_crashes.find(aUpstream);
-    bool const isRefuted = crash != subject.m_crashes.end() && crash->second.m_at < aSentAt &&
-                           aSentAt < crash->second.m_at + m_limits.m_minimumRestartTime;
+    bool const isRefuted =
+      crash != subject.m_crashes.end() && crash->second.m_at < aSentAt &&
+      aSentAt + m_limits.m_connectTimeout < crash->second.m_at + m_limits.m_minimumRestartTime;
     if (isRefuted) {
       Refute(aUpstream, crash->second.m_at);
       subject.m_crashes.erase(crash);
--- a/Agent/CrashRegistry.h
+++ b/Agent/CrashRegistry.h
@@ -27,9 +27,11 @@
   base::Duration m_refusalJitter = std::chrono::minutes(2);
   /// A subject is forgotten this long after its latest crash.
   base::Duration m_retention = std::chrono::minutes(10);
-  /// An answer to a request sent within this time after a closed connection shows
-  /// that the upstream has not crashed.
+  /// Upstreams need longer than the first duration to restart, and a request waits no
+  /// longer than the second for its connection. An answer to one that was sent early
+  /// enough after a closed connection shows that the upstream has not crashed.
   base::Duration m_minimumRestartTime = std::chrono::seconds(2);
+  base::Duration m_connectTimeout = std::chrono::milliseconds(600);
   /// For how long news is reported to the other gateways, as messages may be
   /// lost.
   base::Duration m_reportTime = std::chrono::milliseconds(500);
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -77,7 +77,7 @@
     limits.m_idle.m_timeout = std::chrono::seconds(4);
     // Connecting within a site takes a few milliseconds; a lost packet is
     // retransmitted within a second.
-    limits.m_connectTimeout = std::chrono::milliseconds(600);
+    limits.m_connectTimeout = agent::CrashLimits().m_connectTimeout;
     // Allows for two consecutive lost segments; callers abandon a stream that
     // stalls for two seconds.
     limits.m_acknowledgeTimeout = std::chrono::milliseconds(1000);
--- a/Tests/CrashRegistryTest.cpp
+++ b/Tests/CrashRegistryTest.cpp
@@ -487,3 +487,17 @@
   registry.OnCrashReports({ { kNeighbour, Upstream(1), now - kStart - 1s, now - kStart } }, now);
   BOOST_TEST(!registry.IsSuspected({ kNeighbour }, now));
 }
+
+// An upstream that starts again under its id answers before the list names its new start.
+BOOST_AUTO_TEST_CASE(AnAnswerOfTheNextStartRefutesNoCrashOfARequest)
+{
+  RequestRegistry registry(agent::CrashLimits::ForRequests(), 1);
+  for (int number = 1; number <= 3; ++number) {
+    auto const at = kStart + number * 100ms;
+    registry.OnCrash({ kCrasher }, Upstream(number), at - 10ms, at);
+  }
+  registry.OnBegun({ kNeighbour }, Upstream(1), kStart + 2200ms, kStart + 2300ms);
+  // Sent while the upstream was away; the next start took its connection.
+  registry.OnBegun({ kNeighbour }, Upstream(2), kStart + 2100ms, kStart + 2300ms);
+  BOOST_TEST(IsRefused(registry, kCrasher, kStart + 3s));
+}
