Agent: Let a convict explain only the crashes that it stood beside

Cause: a crash is taken as explained if a convicted request or prompt part crashed the same upstream, whenever that was. Until the list names its next start, an upstream crashes under the identity of the one before, so that crashes by others later on were not counted.

Evidence: AConvictExplainsNoLaterCrashOfItsUpstreams failed before and passes.

--- a/Agent/CrashRegistry.cpp
+++ b/Agent/CrashRegistry.cpp
@@ -118,7 +118,8 @@
 {
   auto const begun = m_beginnings.find(aSubject);
   bool const isOutdated = begun != m_beginnings.end() && begun->second.m_at >= aCrash.m_at;
-  if (isOutdated || IsRefuted(aUpstream, aCrash.m_at) || IsExplained(aSubject, aUpstream)) {
+  if (isOutdated || IsRefuted(aUpstream, aCrash.m_at) ||
+      IsExplained(aSubject, aUpstream, aCrash.m_at)) {
     return false;
   }
   if (!m_subjects.contains(aSubject) && m_subjects.size() >= m_limits.m_maximumSubjects) {
@@ -156,15 +157,24 @@
 }
 
 template<typename Subject>
-bool CrashRegistry<Subject>::IsExplained(Subject const& aSubject,
-                                         base::UpstreamId const& aUpstream) const
+bool CrashRegistry<Subject>::IsExplained(Subject const& aSubject, base::UpstreamId const& aUpstream,
+                                         base::Instant aAt) const
 {
   return std::ranges::any_of(m_subjects, [&](auto const& aItem) {
     return aItem.second.m_isConvicted && aItem.first != aSubject &&
-           aItem.second.m_crashes.contains(aUpstream) && Explains(aItem.first, aSubject);
+           HasCrash(aItem.second, aUpstream, aAt) && Explains(aItem.first, aSubject);
   });
 }
 
+template<typename Subject>
+bool CrashRegistry<Subject>::HasCrash(Suspect const& aSuspect, base::UpstreamId const& aUpstream,
+                                      base::Instant aAt) const
+{
+  auto const crash = aSuspect.m_crashes.find(aUpstream);
+  return crash != aSuspect.m_crashes.end() &&
+         std::chrono::abs(aAt - crash->second.m_at) < m_limits.m_minimumRestartTime;
+}
+
 template<typename Subject>
 bool CrashRegistry<Subject>::Explains(Subject const& aConvict, Subject const& aOther) const
 {
@@ -342,7 +352,7 @@
         continue;
       }
       std::erase_if(other.m_crashes, [&](auto const& aCrash) {
-        return item->second.m_crashes.contains(aCrash.first);
+        return HasCrash(item->second, aCrash.first, aCrash.second.m_at);
       });
     }
   }
--- a/Agent/CrashRegistry.h
+++ b/Agent/CrashRegistry.h
@@ -180,7 +180,12 @@
   /// Whether the upstream had not crashed at that time.
   bool IsRefuted(base::UpstreamId const& aUpstream, base::Instant aAt) const;
   void Refute(base::UpstreamId const& aUpstream, base::Instant aAt);
-  bool IsExplained(Subject const& aSubject, base::UpstreamId const& aUpstream) const;
+  bool IsExplained(Subject const& aSubject, base::UpstreamId const& aUpstream,
+                   base::Instant aAt) const;
+  /// Whether the subject was there when the upstream crashed at that time. Upstreams
+  /// that start again under their ids crash more than once under them.
+  bool HasCrash(Suspect const& aSuspect, base::UpstreamId const& aUpstream,
+                base::Instant aAt) const;
   /// Whether the crashes of a convicted subject explain those of another one, which
   /// stood beside it. One that has begun is the less suspicious of the two.
   bool Explains(Subject const& aConvict, Subject const& aOther) const;
--- a/Tests/CrashRegistryTest.cpp
+++ b/Tests/CrashRegistryTest.cpp
@@ -501,3 +501,23 @@
   registry.OnBegun({ kNeighbour }, Upstream(2), kStart + 2100ms, kStart + 2300ms);
   BOOST_TEST(IsRefused(registry, kCrasher, kStart + 3s));
 }
+
+// Upstreams that start again under their ids, and whose new starts are not listed yet, crash
+// under the identity that a convicted request crashed before.
+BOOST_AUTO_TEST_CASE(AConvictExplainsNoLaterCrashOfItsUpstreams)
+{
+  RequestRegistry registry(agent::CrashLimits::ForRequests(), 1);
+  auto const other = Fingerprint("other crasher");
+  for (int number = 1; number <= 3; ++number) {
+    auto const at = kStart + number * 100ms;
+    registry.OnCrash({ kCrasher }, Upstream(number), at - 10ms, at);
+  }
+  BOOST_TEST(IsRefused(registry, kCrasher, kStart + 1s));
+  registry.OnCrash({ kNeighbour }, Upstream(1), kStart + 90ms, kStart + 110ms);
+  BOOST_TEST(registry.Size() == 1U);
+  for (int number = 1; number <= 3; ++number) {
+    auto const at = kStart + 3s + number * 100ms;
+    registry.OnCrash({ other }, Upstream(number), at - 10ms, at);
+  }
+  BOOST_TEST(IsRefused(registry, other, kStart + 4s));
+}
