Engine: Keep room for late orders of an engine's earlier start

Cause: an order is bound to the count of orders only. An engine that starts again under its id counts from zero, and the loader forgot the order that had no answer. It arrived when the next start stood at its count with its memory full.

Change: the loader remembers each order without an answer for 15 s, as orders may be carried out up to 12 s late. After a restart under the same id it keeps the memory and the adapter places free that these would take; a load that fits only without them waits.

Why it works: whichever of the orders meets its count, what it loads fits beside all that was ordered since.

--- a/Engine/OrderScheduler.cpp
+++ b/Engine/OrderScheduler.cpp
@@ -1,6 +1,8 @@
 #include "Engine/OrderScheduler.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace sardinefold::engine {
 
@@ -17,7 +19,10 @@
   if (isRestart) {
     m_swap.reset();
     m_sent.reset();
+    std::ranges::move(m_unansweredOrders, std::back_inserter(m_strayOrders));
+    m_unansweredOrders.clear();
   }
+  DiscardExpired(aNow);
   if (m_sent && aReport.m_orders > m_sent->m_order.m_expected) {
     m_sent->m_isAccepted = true;
     if (!aReport.m_isBusy) {
@@ -84,6 +89,46 @@
   return Used() + aNeeded <= m_spec->m_weights;
 }
 
+base::Megabytes OrderScheduler::StrayWeights(std::optional<base::ModelId> const& aLoaded) const
+{
+  std::set<base::ModelId> models;
+  base::Megabytes weights;
+  for (auto const& [order, at] : m_strayOrders) {
+    auto const model = m_spec->m_models.find(order.m_model);
+    if (order.m_operation != Operation::Load || model == m_spec->m_models.end()) {
+      continue;
+    }
+    if (order.m_adapter) {
+      weights += model->second.m_adapterWeights;
+    } else if (order.m_model != aLoaded && !Held(order.m_model) &&
+               models.insert(order.m_model).second) {
+      weights += model->second.m_weights;
+    }
+  }
+  return weights;
+}
+
+std::size_t OrderScheduler::StrayAdapters() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(m_strayOrders, [](auto const& aItem) {
+    return aItem.m_order.m_adapter && aItem.m_order.m_operation == Operation::Load;
+  }));
+}
+
+void OrderScheduler::DiscardExpired(base::Instant aNow)
+{
+  for (auto* const orders : { &m_unansweredOrders, &m_strayOrders }) {
+    std::erase_if(*orders,
+                  [&](auto const& aItem) { return aNow - aItem.m_at >= m_limits.m_lateOrderTime; });
+  }
+}
+
+void OrderScheduler::OnReplaced()
+{
+  m_unansweredOrders.clear();
+  m_strayOrders.clear();
+}
+
 base::Duration OrderScheduler::LoadTime(base::ModelId const& aModel) const
 {
   auto const model = m_spec->m_models.find(aModel);
@@ -144,6 +189,9 @@
     return std::nullopt;
   }
   if (Fits(model->second.m_weights)) {
+    if (!Fits(model->second.m_weights + StrayWeights(m_swap->m_load))) {
+      return std::nullopt;
+    }
     return MakeOrder(Operation::Load, m_swap->m_load, std::nullopt);
   }
   for (auto const& victim : m_swap->m_unload) {
@@ -184,6 +232,10 @@
   if (adapters >= m_spec->m_adapterSlots || !Fits(spec->second.m_adapterWeights)) {
     return UnloadOldestAdapter();
   }
+  if (adapters + StrayAdapters() >= m_spec->m_adapterSlots ||
+      !Fits(spec->second.m_adapterWeights + StrayWeights(std::nullopt))) {
+    return std::nullopt;
+  }
   return MakeOrder(Operation::Load, model, adapter);
 }
 
@@ -209,9 +261,13 @@
 }
 
 void OrderScheduler::OnResponse(EngineOrderRequest const& aOrder, OrderResponse aResponse,
-                                base::Instant)
+                                base::Instant aNow)
 {
-  if (!m_sent || m_sent->m_order.m_expected != aOrder.m_expected) {
+  bool const isOfThisStart = m_sent && m_sent->m_order.m_expected == aOrder.m_expected;
+  if (aResponse == OrderResponse::Unknown) {
+    (isOfThisStart ? m_unansweredOrders : m_strayOrders).push_back({ aOrder, aNow });
+  }
+  if (!isOfThisStart) {
     return;
   }
   switch (aResponse) {
--- a/Engine/OrderScheduler.h
+++ b/Engine/OrderScheduler.h
@@ -19,6 +19,8 @@
   /// Requests for adapters expire after this time, as the waiting requests have
   /// been served or abandoned by then.
   base::Duration m_adapterTimeout = std::chrono::seconds(3);
+  /// An order without a response is not carried out later than this.
+  base::Duration m_lateOrderTime = std::chrono::seconds(15);
 };
 
 /// The model changes in progress, for reports of the engine's state.
@@ -32,7 +34,9 @@
 /// Decides the orders to one engine, as its only source of orders. Every order
 /// names the count of accepted orders that it is based on. An order that
 /// arrives late therefore meets a different count and is refused, and the
-/// memory that an order needs is free at its count.
+/// memory that an order needs is free at its count. An engine that starts again
+/// under its id counts anew, so that memory for the orders of its earlier starts
+/// that may still arrive stays free at any count.
 class OrderScheduler
 {
 public:
@@ -54,8 +58,14 @@
   /// fencing number.
   std::optional<EngineOrderRequest> Next(base::Instant aNow);
   void OnResponse(EngineOrderRequest const& aOrder, OrderResponse aResponse, base::Instant aNow);
+  /// Called when the engine has been replaced by one under another id, which refuses
+  /// the orders to the former.
+  void OnReplaced();
 
   OrderSchedulerState State(base::Instant aNow) const;
+  /// Returns the number of orders to earlier starts of the engine that may still
+  /// arrive.
+  std::size_t CountStrayOrders() const { return m_strayOrders.size(); }
   std::optional<EngineReport> const& Report() const { return m_report; }
 
 private:
@@ -71,11 +81,21 @@
     base::Instant m_sentAt;
     bool m_isAccepted = false;
   };
+  struct UnansweredOrder
+  {
+    EngineOrderRequest m_order;
+    base::Instant m_at;
+  };
   using AdapterKey = std::pair<base::ModelId, base::AdapterId>;
 
   HeldModel const* Held(base::ModelId const& aModel) const;
   base::Megabytes Used() const;
   bool Fits(base::Megabytes aNeeded) const;
+  /// Returns the weights that the stray orders load, without those of a model that is
+  /// loaded anyway.
+  base::Megabytes StrayWeights(std::optional<base::ModelId> const& aLoaded) const;
+  std::size_t StrayAdapters() const;
+  void DiscardExpired(base::Instant aNow);
   base::Duration LoadTime(base::ModelId const& aModel) const;
   EngineOrderRequest MakeOrder(EngineOrderRequest::Operation aOperation,
                                base::ModelId const& aModel,
@@ -90,6 +110,10 @@
   std::optional<EngineReport> m_report;
   std::optional<SwapPlan> m_swap;
   std::optional<SentOrder> m_sent;
+  /// Orders without a response to the present start of the engine, and those to
+  /// earlier ones.
+  std::vector<UnansweredOrder> m_unansweredOrders;
+  std::vector<UnansweredOrder> m_strayOrders;
   /// Adapters that requests wait for, with the time of the latest request.
   std::map<AdapterKey, base::Instant> m_requestedAdapters;
   /// When each adapter was last requested at this process.
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -293,7 +293,12 @@
       m_isLeaving = notice.m_isLeaving;
     }
     m_registration.OnEngineOrders(report->m_orders);
+    auto const strayOrders = m_orderScheduler.CountStrayOrders();
     m_orderScheduler.OnReport(std::move(*report), m_loop.Now());
+    if (m_orderScheduler.CountStrayOrders() > strayOrders) {
+      base::log::Info("engine has restarted and may get late orders",
+                      { { "orders", std::to_string(m_orderScheduler.CountStrayOrders()) } });
+    }
     m_loadMetrics.OnReport(*m_orderScheduler.Report(), m_loop.Now());
     SendStatus(false);
   }
@@ -513,6 +518,9 @@
       m_backoffEnd = {};
       m_wake.Notify();
     }
+    if (m_instance && m_instance->m_instance != engine->second.m_instance) {
+      m_orderScheduler.OnReplaced();
+    }
     m_instance = engine->second;
   }
 
--- a/Tests/OrderSchedulerTest.cpp
+++ b/Tests/OrderSchedulerTest.cpp
@@ -149,7 +149,7 @@
 /// Requests random swaps and adapters while orders are lost, lose their response
 /// or are executed late and the engine restarts. Returns whether the engine never
 /// exceeded its capacity.
-bool RunWithFaults(std::uint64_t aSeed)
+bool RunWithFaults(std::uint64_t aSeed, unsigned aStepsPerRestart)
 {
   std::mt19937_64 random(aSeed);
   SimulatedEngine engine;
@@ -165,7 +165,7 @@
       }
       return isDue;
     });
-    if (random() % 1'000 == 0) {
+    if (random() % aStepsPerRestart == 0) {
       engine.Restart();
     }
     scheduler.OnReport(engine.Report(now), now);
@@ -205,10 +205,57 @@
 BOOST_AUTO_TEST_CASE(OrdersNeverExceedEngineCapacity)
 {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    BOOST_TEST(RunWithFaults(seed), "seed " << seed);
+    BOOST_TEST(RunWithFaults(seed, 1'000), "seed " << seed);
   }
 }
 
+// An engine that starts again under its id counts orders anew, so that an order of its
+// earlier start may meet its count when the engine is full.
+BOOST_AUTO_TEST_CASE(OrdersOfEarlierStartsNeverExceedEngineCapacity)
+{
+  for (std::uint64_t seed = 1; seed <= 120; ++seed) {
+    BOOST_TEST(RunWithFaults(seed, 400), "seed " << seed);
+  }
+}
+
+// As before, order by order: the engine is full at the count that the late order expects.
+BOOST_AUTO_TEST_CASE(ALateOrderOfAnEarlierStartDoesNotOverfillTheEngine)
+{
+  SimulatedEngine engine;
+  OrderScheduler scheduler({});
+  scheduler.SetSpec(Spec());
+  auto now = kStart;
+  auto const next = [&](int aModel, std::vector<base::ModelId> aUnload) {
+    now += seconds(2);
+    scheduler.OnReport(engine.Report(now), now);
+    scheduler.RequestSwap(Model(aModel), std::move(aUnload), now);
+    return scheduler.Next(now);
+  };
+  auto const order = [&](int aModel, std::vector<base::ModelId> aUnload = {}) {
+    auto const request = next(aModel, std::move(aUnload));
+    if (request) {
+      scheduler.OnResponse(*request, engine.Execute(*request, now), now);
+    }
+    return request.has_value();
+  };
+  BOOST_TEST(order(0));
+  BOOST_TEST(order(1));
+  BOOST_TEST(order(2, { Model(0) }));
+  BOOST_TEST(order(3, { Model(0) }));
+  auto const late = next(3, {});
+  BOOST_REQUIRE(late.has_value());
+  scheduler.OnResponse(*late, OrderResponse::Unknown, now);
+  engine.Restart();
+  BOOST_TEST(order(4));
+  BOOST_TEST(order(5));
+  BOOST_TEST(!order(6));
+  engine.Restart();
+  now += seconds(15);
+  BOOST_TEST(order(4));
+  BOOST_TEST(order(5));
+  BOOST_TEST(order(6));
+}
+
 BOOST_AUTO_TEST_CASE(SwapsOneModelForAnother)
 {
   SimulatedEngine engine;
