--- a/Tests/AdapterTest.cpp
+++ b/Tests/AdapterTest.cpp
@@ -367,3 +367,38 @@
   BOOST_REQUIRE(decoded->m_tokens);
   BOOST_TEST(decoded->m_tokens->Total().Value() == 2'000'000'000);
 }
+
+// Many HTTP libraries send a list in several field lines. Engines got the first line only.
+BOOST_AUTO_TEST_CASE(AListInSeveralFieldLinesReachesTheEngineWhole)
+{
+  base::HttpRequest request{ "POST", "/chat/x", {}, "" };
+  request.m_headers.Add("Request-Id", "r1");
+  request.m_headers.Add("Model", "m1");
+  request.m_headers.Add("Token-Count", "1460");
+  request.m_headers.Add("Token-Count", "80");
+  request.m_headers.Add("Prompt-Prefix", "5c:800");
+  request.m_headers.Add("X-Other", "1");
+  request.m_headers.Add("prompt-prefix", "91bd:410,e4:250");
+  auto const decoded = Wire::DecodeRequest(request);
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_REQUIRE(decoded->m_tokens.has_value());
+  BOOST_TEST(decoded->m_tokens->Total() == base::Tokens(1540));
+  BOOST_TEST(decoded->m_sharedParts.size() == 2U);
+  auto const sent = Wire::EncodeForEngine(request, {});
+  BOOST_TEST(sent.m_headers.Count("Prompt-Prefix") == 1U);
+  BOOST_TEST(*sent.m_headers.Find("Prompt-Prefix") == "5c:800,91bd:410,e4:250");
+  BOOST_TEST(*sent.m_headers.Find("Token-Count") == "1460,80");
+}
+
+// These are no lists, so that an engine could take another line than the gateway did.
+BOOST_AUTO_TEST_CASE(ARequestWithTwoIdsOrModelsIsMalformed)
+{
+  for (auto const* const name : { "Request-Id", "Model" }) {
+    base::HttpRequest request{ "POST", "/chat/x", {}, "" };
+    request.m_headers.Add("Request-Id", "r1");
+    request.m_headers.Add("Model", "m1");
+    BOOST_TEST(Wire::DecodeRequest(request).has_value());
+    request.m_headers.Add(name, "other");
+    BOOST_TEST(!Wire::DecodeRequest(request).has_value(), name);
+  }
+}
