Engine: Bound what a loader keeps of adapters that callers name

Cause: the time of the last request was kept for each adapter that was ever named.

Change: it is kept for the adapters that the engine holds; requests wait for 1,000 adapters at most, and expire after 3 s as before.

Evidence: NamesOfAdaptersThatDoNotExistTakeLimitedMemory failed before (40,000 entries, 2,000 allowed; 20,050 left after all had expired, 2 expected) and passes.

--- a/Engine/OrderScheduler.cpp
+++ b/Engine/OrderScheduler.cpp
@@ -32,7 +32,9 @@
   if (aReport.m_isBusy && (!m_report || !m_report->m_isBusy)) {
     m_busySince = aNow;
   }
+  bool const isFirstReport = !m_report || isRestart;
   m_report = std::move(aReport);
+  UpdateAdapterUse(isFirstReport, aNow);
   if (m_swap && Held(m_swap->m_load)) {
     m_swap.reset();
   }
@@ -51,8 +53,35 @@
 void OrderScheduler::RequestAdapter(base::ModelId const& aModel, base::AdapterId const& aAdapter,
                                     base::Instant aNow)
 {
-  m_requestedAdapters[{ aModel, aAdapter }] = aNow;
-  m_adapterUse[{ aModel, aAdapter }] = aNow;
+  AdapterKey const key{ aModel, aAdapter };
+  if (auto const use = m_adapterUse.find(key); use != m_adapterUse.end()) {
+    use->second = aNow;
+  }
+  if (m_requestedAdapters.size() < m_limits.m_maximumRequested ||
+      m_requestedAdapters.contains(key)) {
+    m_requestedAdapters[key] = aNow;
+  }
+}
+
+void OrderScheduler::UpdateAdapterUse(bool aIsFirstReport, base::Instant aNow)
+{
+  std::map<AdapterKey, base::Instant> use;
+  for (auto const& held : m_report->m_models) {
+    for (auto const& adapter : held.m_adapters) {
+      AdapterKey const key{ held.m_model, adapter };
+      auto const known = m_adapterUse.find(key);
+      auto const requested = m_requestedAdapters.find(key);
+      if (known != m_adapterUse.end()) {
+        use[key] = known->second;
+      } else if (requested != m_requestedAdapters.end()) {
+        use[key] = requested->second;
+      } else {
+        // One that was loaded later was requested for that.
+        use[key] = aIsFirstReport ? base::Instant{} : aNow;
+      }
+    }
+  }
+  m_adapterUse = std::move(use);
 }
 
 HeldModel const* OrderScheduler::Held(base::ModelId const& aModel) const
--- a/Engine/OrderScheduler.h
+++ b/Engine/OrderScheduler.h
@@ -21,6 +21,8 @@
   base::Duration m_adapterTimeout = std::chrono::seconds(3);
   /// An order without a response is not carried out later than this.
   base::Duration m_lateOrderTime = std::chrono::seconds(15);
+  /// Maximum number of adapters that requests wait for; callers may name any.
+  std::size_t m_maximumRequested = 1'000;
 };
 
 /// The model changes in progress, for reports of the engine's state.
@@ -66,6 +68,11 @@
   /// Returns the number of orders to earlier starts of the engine that may still
   /// arrive.
   std::size_t CountStrayOrders() const { return m_strayOrders.size(); }
+  /// Returns the number of adapters that anything is kept of.
+  std::size_t CountKnownAdapters() const
+  {
+    return m_requestedAdapters.size() + m_adapterUse.size();
+  }
   std::optional<EngineReport> const& Report() const { return m_report; }
 
 private:
@@ -96,6 +103,8 @@
   base::Megabytes StrayWeights(std::optional<base::ModelId> const& aLoaded) const;
   std::size_t StrayAdapters() const;
   void DiscardExpired(base::Instant aNow);
+  /// Keeps the latest use of the adapters that the engine holds.
+  void UpdateAdapterUse(bool aIsFirstReport, base::Instant aNow);
   base::Duration LoadTime(base::ModelId const& aModel) const;
   EngineOrderRequest MakeOrder(EngineOrderRequest::Operation aOperation,
                                base::ModelId const& aModel,
@@ -116,7 +125,7 @@
   std::vector<UnansweredOrder> m_strayOrders;
   /// Adapters that requests wait for, with the time of the latest request.
   std::map<AdapterKey, base::Instant> m_requestedAdapters;
-  /// When each adapter was last requested at this process.
+  /// When each adapter that the engine holds was last requested at this process.
   std::map<AdapterKey, base::Instant> m_adapterUse;
   /// When the engine began to execute its current order.
   base::Instant m_busySince{};
--- a/Tests/OrderSchedulerTest.cpp
+++ b/Tests/OrderSchedulerTest.cpp
@@ -327,3 +327,34 @@
   BOOST_TEST((order->m_operation == Operation::Unload));
   BOOST_TEST((order->m_adapter == Adapter(2)));
 }
+
+// Gateways pass on any name that a caller sends.
+BOOST_AUTO_TEST_CASE(NamesOfAdaptersThatDoNotExistTakeLimitedMemory)
+{
+  OrderScheduler scheduler({});
+  scheduler.SetSpec(Spec());
+  auto now = kStart;
+  for (int number = 0; number < 20'000; ++number) {
+    scheduler.RequestAdapter(Model(0), Adapter(number), now);
+  }
+  BOOST_TEST(scheduler.CountKnownAdapters() <= 2'000U);
+  EngineReport report;
+  report.m_models = { { Model(0), { Adapter(0), Adapter(1) } } };
+  for (int step = 0; step < 50; ++step) {
+    now += milliseconds(100);
+    scheduler.OnReport(report, now);
+    scheduler.RequestAdapter(Model(0), Adapter(100'000 + step), now);
+    scheduler.RequestAdapter(Model(0), Adapter(1), now);
+    scheduler.Next(now);
+  }
+  scheduler.OnReport(report, now + seconds(5));
+  scheduler.Next(now + seconds(5));
+  BOOST_TEST(scheduler.CountKnownAdapters() == 2U);
+  // What is used is known as before.
+  report.m_models[0].m_adapters.insert(Adapter(2));
+  scheduler.OnReport(report, now + seconds(6));
+  scheduler.RequestAdapter(Model(0), Adapter(5), now + seconds(6));
+  auto const order = scheduler.Next(now + seconds(6));
+  BOOST_REQUIRE(order.has_value());
+  BOOST_TEST((order->m_adapter == Adapter(0)));
+}
