Gateway: Pause no engine for a request without a model

What callers saw: one request without Model on a route to engines, and its gateway refused all requests of that service for five seconds.

Cause: engines reject a request for a model that they do not hold with 421. Without a model in the request the gateway took this for another engine at the address, paused it, and went on to the next one with the same result.

Change: on a deployment with models the first such rejection ends the request with 400; nothing is paused and no other engine tried.

Why it works: on such a deployment 421 tells of the model, and no engine serves a request without one.

Evidence: ARequestWithoutAModelDoesNotPauseItsEngines failed before (503 for the request and for ten proper ones after it) and passes.

--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -145,6 +145,10 @@
     if (aIsBackoff) {
       m_record.m_outcome = kBackoffReason;
     }
+    if (aHead.m_isWrongEngine && !model && HasModels() && !m_exchange.HasStarted()) {
+      co_await DiscardBody(aReply, aChoice);
+      co_return co_await RefuseWithoutModel();
+    }
     if (aHead.m_isWrongEngine && model) {
       m_state.m_directory.OnModelMissing(aChoice.m_instance, *model, Now());
     } else if (aHead.m_isWrongEngine) {
@@ -154,6 +158,27 @@
     co_return AttemptEnd::NotRun;
   }
 
+  /// Whether the upstreams of the request's deployment are engines, which reject requests
+  /// that name no model.
+  bool HasModels() const
+  {
+    auto const* const deployment =
+      m_state.m_catalog->FindDeployment(m_context.m_query.m_deployment);
+    return deployment && deployment->m_engine;
+  }
+
+  /// Ends a request that each engine would reject.
+  boost::asio::awaitable<AttemptEnd> RefuseWithoutModel()
+  {
+    constexpr unsigned kBadRequest = 400;
+    m_record.m_outcome = "request names no model";
+    m_record.m_status = kBadRequest;
+    auto response =
+      Wire::EncodeRefusal(kBadRequest, m_record.m_outcome, m_context.m_request.m_id, std::nullopt);
+    auto const sent = co_await m_exchange.Respond(std::move(response));
+    co_return sent ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
+  }
+
   /// Reads the rest of a rejection, which is short, so that the connection can be
   /// reused.
   boost::asio::awaitable<void> DiscardBody(base::HttpReply& aReply,
--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -300,6 +300,30 @@
   });
 }
 
+/// The rejection of such a request was taken for that of another engine at the address, so that
+/// its gateway sent the engines nothing for five seconds.
+BOOST_FIXTURE_TEST_CASE(ARequestWithoutAModelDoesNotPauseItsEngines, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    for (auto const* const model : { "", "no identifier" }) {
+      auto nameless = ModelRequest("/chat/x", "r1", model);
+      if (std::string_view(model).empty()) {
+        nameless.m_headers.Remove("Model");
+      }
+      auto const refused = co_await Send(std::move(nameless));
+      BOOST_REQUIRE(refused.has_value());
+      BOOST_TEST(refused->m_status == 400U);
+      BOOST_TEST(RunsOf("r1") == 0U);
+    }
+    for (int number = 0; number < 10; ++number) {
+      auto proper = ModelRequest("/chat/x", "p" + std::to_string(number), "common");
+      auto const served = co_await Send(std::move(proper));
+      BOOST_REQUIRE(served.has_value());
+      BOOST_TEST(served->m_status == 200U);
+    }
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(ARejectedRequestIsRefusedWithRetryAfter, SiteFixture)
 {
   SetFault(*m_service, "reject_requests", 5);
