Tests: Destroy the tasks of a site before its programs

Cause: cases of SiteFixture ended with tasks suspended on the loop, which is destroyed after the programs that they refer to. A relay's lease then gave memory back to a gateway that was gone: EndlessCrowdTest/AStreamOfEmptyEventsWithoutEndDoesNotHoldUpOtherRequests ended in a memory access violation or a double free. A second gateway in the body of a case went even earlier.

Change: the fixture destroys what is suspended once the body has ended; second gateways of GatewayTest and NamedLimitTest outlive it.

--- a/Tests/GatewayTest.cpp
+++ b/Tests/GatewayTest.cpp
@@ -243,6 +243,7 @@
 /// three more upstreams each.
 BOOST_FIXTURE_TEST_CASE(AGatewayThatStartsRefusesARequestThatCrashedThreeUpstreams, SiteFixture)
 {
+  std::unique_ptr<Gateway> second;
   Run([&]() -> awaitable<void> {
     auto const fingerprint =
       base::FingerprintId::FromValidated(std::to_string(base::FastHash("/order/x\nmarshals\n")));
@@ -251,8 +252,8 @@
                                      m_loop.Now(), m_loop.Now());
     }
     co_await m_loop.Sleep(3s);
-    Gateway second(m_loop, SecondGateway());
-    BOOST_REQUIRE(second.Start().has_value());
+    second = std::make_unique<Gateway>(m_loop, SecondGateway());
+    BOOST_REQUIRE(second->Start().has_value());
     co_await m_loop.Sleep(2s);
     for (auto const& [path, status] :
          { std::pair("/order/x", 503U), std::pair("/order/y", 200U) }) {
@@ -263,7 +264,6 @@
       BOOST_TEST(response->m_status == status);
     }
     BOOST_TEST(RunsOf("order/x") == 0U);
-    second.State().m_loop.Stop();
   });
 }
 
--- a/Tests/NamedLimitTest.cpp
+++ b/Tests/NamedLimitTest.cpp
@@ -65,9 +65,10 @@
 BOOST_FIXTURE_TEST_CASE(TwoGatewaysDoNotSendMoreThanTheLimitThatAnUpstreamNames, LimitFixture)
 {
   Answers answers;
+  std::unique_ptr<Gateway> second;
   Run([&]() -> awaitable<void> {
-    Gateway second(m_loop, SecondGateway());
-    BOOST_REQUIRE(second.Start().has_value());
+    second = std::make_unique<Gateway>(m_loop, SecondGateway());
+    BOOST_REQUIRE(second->Start().has_value());
     co_await m_loop.Sleep(4s);
     SetFault(*m_service, "request_limit_header", std::to_string(kLimit));
     auto const namedAt = m_loop.Now();
@@ -85,7 +86,6 @@
     BOOST_TEST(answers.m_untimed == 0U);
     BOOST_TEST(std::ranges::count_if(m_service->Arrivals(),
                                      [&](auto const& aAt) { return aAt > namedAt + 3s; }) > 0);
-    second.State().m_loop.Stop();
   });
 }
 
--- a/Tests/Support/SiteFixture.cpp
+++ b/Tests/Support/SiteFixture.cpp
@@ -105,6 +105,15 @@
   BOOST_FAIL("the gateway did not become ready");
 }
 
+void SiteFixture::DestroyTasks()
+{
+  struct Access : boost::asio::execution_context
+  {
+    static auto Shutdown() { return &Access::shutdown; }
+  };
+  (m_loop.Context().*Access::Shutdown())();
+}
+
 base::HttpRequest SiteFixture::Request(std::string aMethod, std::string aTarget, std::string aId)
 {
   base::HttpRequest request;
--- a/Tests/Support/SiteFixture.h
+++ b/Tests/Support/SiteFixture.h
@@ -44,7 +44,8 @@
   std::unique_ptr<Gateway> m_gateway;
   base::HttpClient m_client{ m_loop, {} };
 
-  /// Runs the body once the gateway is ready, then stops the loop.
+  /// Runs the body once the gateway is ready, then stops the loop and destroys what
+  /// is suspended on it. Programs that the body starts must outlive the call.
   template<typename Body>
   void Run(Body aBody)
   {
@@ -55,6 +56,7 @@
     };
     m_loop.Start(run());
     m_loop.Run();
+    DestroyTasks();
   }
 
   boost::asio::awaitable<void> WaitUntilReady();
@@ -72,6 +74,10 @@
   base::ProcessProfile const& SecondGateway() const { return m_secondGateway; }
 
 private:
+  /// Destroys the tasks that are suspended on the loop, which refer to the programs of the
+  /// fixture, before these. The loop must not run again.
+  void DestroyTasks();
+
   PortClaim m_port;
   PortClaim m_peerPort;
   PortClaim m_readinessPort;
