Gateway: Leave followers time to read the list themselves

What callers saw: requests to an upstream that had said it was leaving, later than the bound on draining allows, on sites whose failure domains have gateways that follow others.

--- a/Programs/Gateway/StoreFollowerTiming.h
+++ b/Programs/Gateway/StoreFollowerTiming.h
@@ -54,9 +54,9 @@
 
   static entry::WatchRoleLimits RoleLimits(base::SiteBounds const& aBounds)
   {
-    // Leaves a follower time to query the store itself and to learn of a
-    // draining upstream.
-    constexpr base::Duration kReserve = std::chrono::milliseconds(500);
+    // Leaves a follower time to notice, to query the store itself, and for a request
+    // whose connection to the draining upstream is being set up.
+    constexpr base::Duration kReserve = std::chrono::milliseconds(900);
     entry::WatchRoleLimits limits;
     limits.m_listAge = std::max<base::Duration>(aBounds.m_maximumDrainDelay - kReserve, kReserve);
     return limits;
--- a/Tests/DrainingUpstreamTest.cpp
+++ b/Tests/DrainingUpstreamTest.cpp
@@ -47,7 +47,7 @@
   auto const connect = programs::GatewayState::EngineClientLimits().m_connectTimeout;
   // Hosts have to meet the bounds once the store has been available this long.
   base::Duration const healthyTime = 3s;
-  for (base::Duration const drain : { 2s, 3s }) {
+  for (base::Duration const drain : { 2s, 3s, 4s }) {
     base::SiteBounds bounds;
     bounds.m_maximumDrainDelay = drain;
     auto const outages = programs::StoreFollowerTiming::OutageTrackerLimits(bounds);
@@ -66,6 +66,39 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AFollowerWhoseWatchersLoseTheStoreLearnsOfALeavingInTime)
+{
+  constexpr base::Instant kContact{ 1000s };
+  base::Duration const call = 100ms;
+  auto const connect = programs::GatewayState::EngineClientLimits().m_connectTimeout;
+  std::map<base::HostId, base::Endpoint> neighbours;
+  for (auto const* const name : { "a", "b", "c" }) {
+    neighbours.emplace(base::HostId::FromValidated(name), base::Endpoint{ name, 1 });
+  }
+  for (base::Duration const drain : { 2s, 3s, 4s }) {
+    base::SiteBounds bounds;
+    bounds.m_maximumDrainDelay = drain;
+    entry::WatchRole follower(programs::StoreFollowerTiming::RoleLimits(bounds),
+                              base::HostId::FromValidated("c"));
+    // The upstream leaves right after the store responded to the watchers the last time.
+    base::Duration age{};
+    auto const isSuspended = [&] {
+      auto const now = kContact + age;
+      follower.OnNeighbours(neighbours, {}, now);
+      follower.OnUpdate(base::HostId::FromValidated("a"), base::StoreEra(), age, age, now);
+      return follower.MaySuspendListWatch(now);
+    };
+    while (isSuspended()) {
+      age += 100ms;
+    }
+    BOOST_TEST((age + call + connect + call <= drain));
+    // Updates that arrive as usual are relied on.
+    auto const usual = programs::StoreFollowerTiming::BatchTime(bounds) + call +
+                       programs::StoreFollowerTiming::kUpdateInterval;
+    BOOST_TEST((usual < age));
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(AGatewayReconnectedToTheStoreSendsNothingToARemovedUpstream,
                         DrainingFixture)
 {
