Gateway: Resume a stream only at the software version that began it

What callers saw: where engines of two software versions served side by side, a stream that had broken off at one went on at another version within the same response.

Cause: the list names the version of each engine's software, and nothing read it, so that the choice of an engine for the rest of a stream could not depend on it.

Change: the version is part of an upstream's entry and of a choice. Once events of a stream have reached the caller, only engines of the version that sent them are chosen; without one the response is broken off, as before where no engine is left. An entry whose version is present and no identifier names no upstream.

Why it works: every choice goes through UpstreamDirectory::Find(), whose conditions, and those of the waits beside it, share the test for the deployment; the version is tested there.

--- a/Base/Identifiers.h
+++ b/Base/Identifiers.h
@@ -14,6 +14,8 @@
 using RegionId = Identifier<struct RegionTag>;
 /// A back end, which is either a model engine or a plain service.
 using UpstreamId = Identifier<struct UpstreamTag>;
+/// The version of an upstream's software, as the upstream names it.
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
 /// A set of interchangeable upstreams that serve the same routes.
 using DeploymentId = Identifier<struct DeploymentTag>;
 /// A base model.
--- a/Engine/EngineTypes.h
+++ b/Engine/EngineTypes.h
@@ -41,6 +41,8 @@
   base::Endpoint m_endpoint;
   base::FailureDomainId m_failureDomain;
   unsigned m_slots = 1;
+  /// Empty if the upstream states none.
+  base::SoftwareVersion m_version;
   bool m_isDraining = false;
   /// Start of the engine in Unix milliseconds; distinguishes a restart under
   /// the same instance.
--- a/Engine/UpstreamDirectory.cpp
+++ b/Engine/UpstreamDirectory.cpp
@@ -503,6 +503,7 @@
 bool UpstreamDirectory::Matches(Upstream const& aUpstream, UpstreamQuery const& aQuery)
 {
   return aUpstream.m_entry.m_deployment == aQuery.m_deployment &&
+         (!aQuery.m_version || aUpstream.m_entry.m_version == *aQuery.m_version) &&
          (!aQuery.m_failureDomains ||
           aQuery.m_failureDomains->contains(aUpstream.m_entry.m_failureDomain));
 }
@@ -601,6 +602,7 @@
   return UpstreamChoice{ upstream.m_entry.m_instance,
                          upstream.m_entry.m_startedAt,
                          upstream.m_entry.m_endpoint,
+                         upstream.m_entry.m_version,
                          chosen.m_lacksAdapter,
                          chosen.m_isLeaving,
                          m_backoffs.Find(start) != nullptr,
--- a/Engine/UpstreamDirectory.h
+++ b/Engine/UpstreamDirectory.h
@@ -70,6 +70,9 @@
   bool m_isSuspected = false;
   /// The failure domains that may serve the request; all if absent.
   std::optional<std::set<base::FailureDomainId>> m_failureDomains{};
+  /// The only version of the upstreams' software that may serve the request, if it goes
+  /// on with a stream.
+  std::optional<base::SoftwareVersion> m_version{};
   /// Tokens to read, if the request states them.
   std::optional<base::Tokens> m_prompt = std::nullopt;
   /// The request's place in a line for permits, if it waits in one.
@@ -144,6 +147,7 @@
   /// Start of the listed instance; see UpstreamEntry::m_startedAt.
   std::int64_t m_startedAt = 0;
   base::Endpoint m_endpoint;
+  base::SoftwareVersion m_version;
   UpstreamStart Start() const { return { m_instance, m_endpoint, m_startedAt }; }
   /// Whether the model is loaded but the adapter is not.
   bool m_lacksAdapter = false;
@@ -423,8 +427,8 @@
   bool IsEvacuated(Upstream const& aUpstream, base::Instant aNow) const;
   /// Whether the upstream serves only requests that no others can serve.
   bool IsLastResort(Upstream const& aUpstream) const;
-  /// Whether the upstream is of the deployment and in a failure domain that the query
-  /// allows.
+  /// Whether the upstream is of the deployment, and of the software version and in a
+  /// failure domain that the query allows.
   static bool Matches(Upstream const& aUpstream, UpstreamQuery const& aQuery);
   HeldModel const* FindModel(Upstream const& aUpstream, base::ModelId const& aModel,
                              base::Instant aNow) const;
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -135,6 +135,9 @@
       }
       hasRetryToken = false;
       m_context.m_query.m_excluded.insert(choice->m_instance);
+      if (m_history.HasBegun()) {
+        m_context.m_query.m_version = choice->m_version;
+      }
       if (!m_history.MayRetry(m_context.m_route)) {
         co_await FailRequest();
         co_return;
--- a/StandIns/Site/SiteEngine.cpp
+++ b/StandIns/Site/SiteEngine.cpp
@@ -167,7 +167,7 @@
   listed.m_port = m_settings.m_listedPort.value_or(listed.m_port);
   entry["address"] = listed.Text();
   entry["zone"] = m_settings.m_failureDomain;
-  entry["version"] = "v1";
+  entry["version"] = m_settings.m_version;
   entry["slots"] = m_settings.m_slots;
   entry["state"] = m_isDraining ? "draining" : "ready";
   if (m_hasInvalidEntry) {
--- a/StandIns/Site/SiteEngine.h
+++ b/StandIns/Site/SiteEngine.h
@@ -22,6 +22,8 @@
   std::string m_instance;
   std::string m_deployment;
   std::string m_failureDomain = "a";
+  /// Version of the engine's software.
+  std::string m_version = "v1";
   base::Endpoint m_address;
   /// Port in the server list, if it differs from the engine's own because
   /// callers connect through a proxy.
--- a/Tests/AdapterTest.cpp
+++ b/Tests/AdapterTest.cpp
@@ -168,6 +168,7 @@
   BOOST_REQUIRE(entry.has_value());
   BOOST_TEST(entry->m_endpoint.Text() == "10.1.0.9:8080");
   BOOST_TEST(entry->m_startedAt == 123);
+  BOOST_TEST(entry->m_version.Text() == "v1");
   BOOST_TEST(entry->m_models[0].m_adapters.size() == 1U);
   BOOST_TEST(entry->m_copies.m_onDisk.size() == 2U);
 }
@@ -185,7 +186,8 @@
          std::string("not json"), replaced("\"ready\"", "\"waiting\""), replaced("\"ready\"", "5"),
          replaced("\"slots\":64", "\"slots\":\"64\""), replaced("\"slots\":64", "\"slots\":-1"),
          replaced("\"born\":123", "\"born\":1.5"), replaced("10.1.0.9:8080", "10.1.0.9"),
-         replaced("\"service\":\"llm\",", ""), replaced("\"zone\":\"a\"", "\"zone\":7") }) {
+         replaced("\"service\":\"llm\",", ""), replaced("\"zone\":\"a\"", "\"zone\":7"),
+         replaced("\"v1\"", "7"), replaced("\"v1\"", "\"\"") }) {
     BOOST_TEST(!Wire::DecodeUpstream("i-1", text).has_value(), text);
   }
   BOOST_TEST(!Wire::DecodeUpstream("", valid).has_value());
--- a/Tests/Support/SiteFixture.cpp
+++ b/Tests/Support/SiteFixture.cpp
@@ -55,6 +55,7 @@
     settings.m_address = { "127.0.2." + std::to_string(number), port };
     settings.m_models = { "common", "own" + std::to_string(number) };
     settings.m_failureDomain = number == 2 ? aShape.m_secondDomain : "a";
+    settings.m_version = number == 2 ? aShape.m_secondVersion : "v1";
     m_engines.push_back(std::make_unique<standins::SiteEngine>(m_loop, m_store, settings));
     BOOST_REQUIRE(m_engines.back()->Start().has_value());
     auto side = profile;
--- a/Tests/Support/SiteFixture.h
+++ b/Tests/Support/SiteFixture.h
@@ -23,6 +23,8 @@
   /// Failure domain of the second engine; all else is in "a".
   std::string m_secondDomain = "a";
   std::map<base::FailureDomainId, base::RegionId> m_regions;
+  /// Version of the second engine's software; that of the first is "v1".
+  std::string m_secondVersion = "v1";
 };
 
 /// A small site on loopback addresses: a store, two engines with loaders, a
