Gateway: Let callers resume a stream only at the version that began it

What callers saw: a stream that had broken off, and that its caller took up with a new request, went on at an engine of another software version, answered 200 with nothing to show it; at any gateway, and most often after all gateways had been killed at once.

Cause: a gateway knew nothing of streams that began elsewhere or before its start. The request names the one that began the stream, and no process remembered which version had answered that.

Change: a gateway tells three loaders where a stream began before its caller gets the first event, and again once a second while the stream runs. The loaders are those that rank first by a hash of the request's ID and their address, so that any gateway finds them. A gateway that is asked to resume a stream asks six of them, 400 ms at most, and chooses engines of that version only. A stream whose origin nobody knows, or of which two are told, is refused at once and not run; a version of which no engine is left is refused without Retry-After.

Why it works: loaders run beside the engines and outlive the gateways; a loader that restarts, or comes to rank first, has the origins of running streams within a second. Without an answer nothing runs, so that no loss of messages or processes can join two versions.

Tests: AGatewayThatStartedSinceResumesAStreamAtTheVersionThatBeganIt, AStreamOfUnknownOriginIsRefusedAndNotRun and AStreamOfAVersionThatHasLeftIsRefusedAtOnce failed before (10 checks) and pass.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -618,6 +618,26 @@
   return update;
 }
 
+StreamOrigin ToStreamOrigin(Json::Value const& aEntry)
+{
+  StreamOrigin origin{ Name<base::RequestId>(Member(aEntry, "request")),
+                       Name<base::DeploymentId>(Member(aEntry, "deployment")),
+                       {} };
+  if (aEntry.isMember("version")) {
+    origin.m_version = Name<base::SoftwareVersion>(aEntry["version"]);
+  }
+  return origin;
+}
+
+StreamOriginReply ToStreamOriginReply(Json::Value const& aParams)
+{
+  StreamOriginReply reply{ Name<base::RequestId>(Member(aParams, "request")), std::nullopt };
+  if (aParams.isMember("origin")) {
+    reply.m_origin = ToStreamOrigin(aParams["origin"]);
+  }
+  return reply;
+}
+
 FleetMessage ToMessage(std::string const& aMethod, Json::Value const& aParams)
 {
   if (aMethod == "engine.status") {
@@ -659,6 +679,19 @@
     return AdapterRequest{ Name<base::ModelId>(Member(aParams, "model")),
                            Name<base::AdapterId>(Member(aParams, "adapter")) };
   }
+  if (aMethod == "stream.origins") {
+    StreamOrigins origins;
+    for (auto const& origin : Member(aParams, "origins")) {
+      origins.m_origins.push_back(ToStreamOrigin(origin));
+    }
+    return origins;
+  }
+  if (aMethod == "stream.origin_wanted") {
+    return StreamOriginQuery{ Name<base::RequestId>(Member(aParams, "request")) };
+  }
+  if (aMethod == "stream.origin") {
+    return ToStreamOriginReply(aParams);
+  }
   throw FieldError{ "method \"" + aMethod + "\" is unknown" };
 }
 
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -303,6 +303,17 @@
   return entry;
 }
 
+Json::Value FromStreamOrigin(StreamOrigin const& aOrigin)
+{
+  Json::Value entry;
+  entry["request"] = aOrigin.m_request.Text();
+  entry["deployment"] = aOrigin.m_deployment.Text();
+  if (!aOrigin.m_version.IsEmpty()) {
+    entry["version"] = aOrigin.m_version.Text();
+  }
+  return entry;
+}
+
 struct Encoder
 {
   Json::Value& m_root;
@@ -492,6 +503,29 @@
     params["model"] = aRequest.m_model.Text();
     params["adapter"] = aRequest.m_adapter.Text();
   }
+
+  void operator()(StreamOrigins const& aOrigins)
+  {
+    auto& params = Start("stream.origins");
+    params["origins"] = Json::Value(Json::arrayValue);
+    for (auto const& origin : aOrigins.m_origins) {
+      params["origins"].append(FromStreamOrigin(origin));
+    }
+  }
+
+  void operator()(StreamOriginQuery const& aQuery)
+  {
+    Start("stream.origin_wanted")["request"] = aQuery.m_request.Text();
+  }
+
+  void operator()(StreamOriginReply const& aReply)
+  {
+    auto& params = Start("stream.origin");
+    params["request"] = aReply.m_request.Text();
+    if (aReply.m_origin) {
+      params["origin"] = FromStreamOrigin(*aReply.m_origin);
+    }
+  }
 };
 
 } // namespace
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -2,6 +2,7 @@
 
 #include "Agent/CrashRegistry.h"
 #include "Agent/Fleet/AggregatorRole.h"
+#include "Agent/Fleet/StreamOriginTable.h"
 #include "Base/Endpoint.h"
 #include "Base/Identifiers.h"
 #include "Base/Time.h"
@@ -279,9 +280,30 @@
   base::AdapterId m_adapter;
 };
 
-using FleetMessage = std::variant<EngineStatus, EngineHeartbeat, StatusRequest, GatewayPresence,
-                                  GatewayReport, PlannerSummary, PlannerNews, StoreUpdate,
-                                  SwapRequest, AdapterRequest, EngineDigest, DomainPresence>;
+/// From a gateway to loaders: where streams that run there began. It is repeated while
+/// they run.
+struct StreamOrigins
+{
+  std::vector<StreamOrigin> m_origins;
+};
+
+/// From a gateway to loaders: asks where a stream began.
+struct StreamOriginQuery
+{
+  base::RequestId m_request;
+};
+
+/// From a loader: where the stream began, if the loader knows.
+struct StreamOriginReply
+{
+  base::RequestId m_request;
+  std::optional<StreamOrigin> m_origin;
+};
+
+using FleetMessage =
+  std::variant<EngineStatus, EngineHeartbeat, StatusRequest, GatewayPresence, GatewayReport,
+               PlannerSummary, PlannerNews, StoreUpdate, SwapRequest, AdapterRequest, EngineDigest,
+               DomainPresence, StreamOrigins, StreamOriginQuery, StreamOriginReply>;
 
 /// A message with its routing information.
 struct FleetEnvelope
--- a/Caller/ForwardRequest.h
+++ b/Caller/ForwardRequest.h
@@ -55,6 +55,8 @@
   std::vector<base::PromptPartId> m_sharedParts;
   /// The caller resumes a stream after this event.
   std::optional<EventNumber> m_resumeAfter;
+  /// The request whose response held the first event of that stream.
+  std::optional<base::RequestId> m_resumes;
 };
 
 /// The parameters with which a request is sent to one engine.
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -235,7 +235,7 @@
     Engines known;
     std::map<base::FailureDomainId, Engines> announcements;
     for (auto const& entry : m_state.m_directory.Entries()) {
-      if (!IsEngine(entry.m_deployment)) {
+      if (!m_state.IsEngine(entry.m_deployment)) {
         continue;
       }
       agent::EngineIdentity const identity{ entry.m_instance, entry.m_startedAt };
@@ -273,13 +273,6 @@
     m_state.m_messenger.Multicast(m_state.m_profile.m_failureDomain, aReceivers, aMessage);
   }
 
-  bool IsEngine(base::DeploymentId const& aDeployment) const
-  {
-    auto const* const deployment =
-      m_state.m_catalog ? m_state.m_catalog->FindDeployment(aDeployment) : nullptr;
-    return deployment && deployment->m_engine;
-  }
-
   /// Changed evacuations are listed in this many reports, as messages may be lost.
   static constexpr unsigned kEvacuationRepeats = 10;
   /// The planner keeps crashes, so that they are repeated only for one that has started
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -60,6 +60,9 @@
   /// being sent, the outcome of the request is unknown.
   static constexpr base::Duration kNonRepeatableIdle = std::chrono::milliseconds(400);
 
+  /// Retry-After while loaders that may know the origin of a stream do not answer.
+  static constexpr base::Duration kOriginRetryAfter = std::chrono::milliseconds(1000);
+
   base::Instant Now() const { return m_state.m_loop.Now(); }
 
   /// Ends all waits of the request, as its caller has gone or the process stops.
@@ -87,6 +90,16 @@
 
   boost::asio::awaitable<void> Serve()
   {
+    auto const refusal = co_await FindStreamOrigin();
+    if (m_cancellation.IsCancelled()) {
+      co_await FailRequest();
+      co_return;
+    }
+    if (refusal) {
+      auto const reason = *refusal;
+      co_await Refuse(reason);
+      co_return;
+    }
     auto& retries = m_state.RetryBudgetOf(m_context.m_query.m_deployment, m_context.m_start);
     retries.OnRequest(m_context.m_start);
     UpstreamSelection selection(m_state, m_context, m_record, m_cancellation);
@@ -145,6 +158,56 @@
     }
   }
 
+  /// Finds the software that began the stream which the caller resumes; no other may go on
+  /// with it. Returns a refusal if that is not known.
+  boost::asio::awaitable<std::optional<RequestRefusal>> FindStreamOrigin()
+  {
+    using Outcome = StreamOriginExchange::Outcome;
+    auto const& request = m_context.m_request;
+    auto& query = m_context.m_query;
+    if (!request.m_resumeAfter || !m_context.m_route.m_isResumable) {
+      co_return std::nullopt;
+    }
+    StreamOriginExchange::SearchResult result;
+    if (request.m_resumes) {
+      auto begun = *request.m_resumes;
+      result = co_await m_state.StreamOrigins().Find(std::move(begun), m_cancellation);
+    }
+    RecordSearch(result);
+    if (result.m_outcome != Outcome::Found) {
+      co_return RequestRefusal{ 503, "origin of the stream is not known",
+                                result.m_outcome == Outcome::Unanswered
+                                  ? std::optional(kOriginRetryAfter)
+                                  : std::nullopt };
+    }
+    if (result.m_origin->m_deployment != query.m_deployment) {
+      co_return RequestRefusal{ 503, "stream began at another deployment", std::nullopt };
+    }
+    query.m_version = result.m_origin->m_version;
+    m_relay.OnResumed(*std::move(result.m_origin));
+    co_return std::nullopt;
+  }
+
+  void RecordSearch(StreamOriginExchange::SearchResult const& aResult)
+  {
+    using Outcome = StreamOriginExchange::Outcome;
+    auto const& request = m_context.m_request;
+    std::string const outcome = aResult.m_outcome == Outcome::Found     ? "found"
+                                : aResult.m_outcome == Outcome::Unknown ? "unknown"
+                                                                        : "unanswered";
+    base::log::Info("caller resumes a stream",
+                    { { "request", request.m_id.Text() },
+                      { "begun_by", request.m_resumes ? request.m_resumes->Text() : "" },
+                      { "origin", outcome },
+                      { "version", aResult.m_origin ? aResult.m_origin->m_version.Text() : "" },
+                      { "after", std::to_string(request.m_resumeAfter->Value()) } });
+    m_state.m_metrics
+      .Counter("sardinefold_gateway_stream_origins_total",
+               "Streams that callers resume, by whether their origin was found.",
+               { { "outcome", outcome } })
+      .Increment();
+  }
+
   /// Whether the process may begin an attempt. A stream that has begun is resumed until
   /// the process stops, as it can only be broken off instead.
   bool MayBegin() const
@@ -314,6 +377,11 @@
       if (!refused && m_state.m_stopEnd) {
         refusal.m_retryAfter = RetryDelayElsewhere();
       }
+      bool const hasNoSuccessor = m_context.m_query.m_version &&
+                                  m_record.m_outcome == ToText(engine::UpstreamAbsence::NoUpstream);
+      if (hasNoSuccessor) {
+        refusal.m_retryAfter.reset();
+      }
     }
     co_await Refuse(refusal);
   }
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -210,6 +210,8 @@
       OnNews(*news, aOrigin, now);
     } else if (auto const* const update = std::get_if<agent::StoreUpdate>(&aMessage)) {
       m_store.OnStoreUpdate(*update, now);
+    } else if (auto const* const reply = std::get_if<agent::StreamOriginReply>(&aMessage)) {
+      m_state.StreamOrigins().OnReply(*reply, aOrigin);
     }
   }
 
@@ -332,6 +334,7 @@
         UpdateGauges(now);
         LogMalformedNotice(m_state);
         m_state.m_http.SweepIdle(now);
+        m_state.StreamOrigins().Repeat();
       }
       m_store.Tick(now);
       m_state.m_directory.Expire(now - m_store.ListAge(now), now);
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -21,11 +21,15 @@
 #include "Programs/Gateway/Attempt.h"
 #include "Programs/Gateway/OpenRequests.h"
 #include "Programs/Gateway/StoreFollowerTiming.h"
+#include "Programs/Gateway/StreamOriginExchange.h"
 #include "Programs/Gateway/SubjectStateLog.h"
 
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <utility>
+#include <vector>
 
 namespace sardinefold::programs {
 
@@ -46,6 +50,7 @@
     , m_suspectParts({}, aSeed)
     , m_suspectSignal(aLoop.Context())
     , m_messenger(aLoop)
+    , m_streamOrigins(aLoop, m_messenger)
   {
   }
 
@@ -312,6 +317,35 @@
     return *signal;
   }
 
+  /// Whether the upstreams of the deployment are engines, which have loaders.
+  bool IsEngine(base::DeploymentId const& aDeployment) const
+  {
+    auto const* const deployment = m_catalog ? m_catalog->FindDeployment(aDeployment) : nullptr;
+    return deployment && deployment->m_engine;
+  }
+
+  /// Where the origins of streams are kept, at the loaders of all known engines.
+  StreamOriginExchange& StreamOrigins()
+  {
+    std::pair const state(m_directory.Revision(),
+                          m_catalog ? m_catalog->Catalog().m_version : base::CatalogVersion());
+    if (state != std::exchange(m_loadersState, state)) {
+      m_streamOrigins.SetLoaders(Loaders());
+    }
+    return m_streamOrigins;
+  }
+
+  std::vector<base::Endpoint> Loaders() const
+  {
+    std::set<base::Endpoint> loaders;
+    for (auto const& entry : m_directory.Entries()) {
+      if (IsEngine(entry.m_deployment)) {
+        loaders.insert({ entry.m_endpoint.m_address, m_profile.m_peerPort });
+      }
+    }
+    return { loaders.begin(), loaders.end() };
+  }
+
   /// Wakes all requests that wait.
   void NotifyAll()
   {
@@ -408,6 +442,9 @@
   /// Wakes requests with suspected parts, of which one runs at a time.
   base::Signal m_suspectSignal;
   FleetMessenger m_messenger;
+  StreamOriginExchange m_streamOrigins;
+  /// The revision of the list and the catalog that the loaders were taken from.
+  std::pair<std::uint64_t, base::CatalogVersion> m_loadersState;
   /// While the process shuts down, the end of all waits for a model.
   std::optional<base::Instant> m_waitDeadline;
   /// While the process shuts down, the end of all requests.
--- a/Programs/Gateway/RequestAdmission.h
+++ b/Programs/Gateway/RequestAdmission.h
@@ -177,7 +177,8 @@
   }
 
   /// Selects one of the route's deployments by weight. The request id determines
-  /// the choice, so that a repeated request gets the same deployment.
+  /// the choice, so that a repeated request gets the same deployment; a
+  /// resumed stream goes on at the one that began it.
   base::DeploymentId ChooseDeployment() const
   {
     auto const& targets = m_context.m_route.m_targets;
@@ -186,7 +187,9 @@
       total += target.m_weight;
     }
     constexpr std::size_t kWeightSteps = 10'000;
-    auto const hash = std::hash<std::string>()(m_context.m_request.m_id.Text());
+    auto const& request = m_context.m_request;
+    auto const& first = request.m_resumes.value_or(request.m_id);
+    auto const hash = std::hash<std::string>()(first.Text());
     double point = static_cast<double>(hash % kWeightSteps) / kWeightSteps * total;
     for (auto const& target : targets) {
       point -= target.m_weight;
--- a/Programs/Gateway/ResponseRelay.h
+++ b/Programs/Gateway/ResponseRelay.h
@@ -113,6 +113,11 @@
   {
     return std::exchange(m_bufferedFailure, std::nullopt);
   }
+  /// The stream goes on with one that began elsewhere.
+  void OnResumed(agent::StreamOrigin aOrigin)
+  {
+    m_openStream.emplace(m_state.StreamOrigins(), std::move(aOrigin));
+  }
   /// When events were last relayed to the caller.
   std::optional<base::Instant> LastRelayedAt() const { return m_lastRelayedAt; }
 
@@ -392,12 +397,25 @@
     }
     if (!m_hasResponseStarted) {
       m_hasResponseStarted = true;
+      OnStreamBegun(aChoice);
       m_state.m_directory.OnResponseStarted(aChoice.m_instance, aChoice.m_work);
       m_state.RecordAnswered(*m_attempt);
       m_state.RecordBeginning(*m_attempt);
     }
   }
 
+  /// Records the origin of a stream that its caller may resume, before the caller gets the
+  /// first event.
+  void OnStreamBegun(engine::UpstreamChoice const& aChoice)
+  {
+    if (m_context.m_route.m_isResumable && !m_openStream) {
+      m_openStream.emplace(m_state.StreamOrigins(),
+                           agent::StreamOrigin{ m_context.m_request.m_id,
+                                                m_context.m_query.m_deployment,
+                                                aChoice.m_version });
+    }
+  }
+
   GatewayState& m_state;
   base::HttpExchange& m_exchange;
   RequestContext const& m_context;
@@ -412,6 +430,7 @@
   /// The response memory that m_bufferedFailure occupies.
   caller::ResponseMemoryBudget::Lease m_bufferedFailureLease{ m_state.m_responseMemory };
   std::optional<base::Instant> m_lastRelayedAt;
+  std::optional<StreamOriginExchange::OpenStream> m_openStream;
 };
 
 } // namespace sardinefold::programs
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -466,6 +466,13 @@
       m_orderScheduler.RequestAdapter(adapter->m_model, adapter->m_adapter, now);
       m_hasAdapterRequest = true;
       m_wake.Notify();
+    } else if (auto const* const origins = std::get_if<agent::StreamOrigins>(&aMessage)) {
+      for (auto const& origin : origins->m_origins) {
+        m_streamOrigins.Record(origin, now);
+      }
+    } else if (auto const* const query = std::get_if<agent::StreamOriginQuery>(&aMessage)) {
+      m_messenger.Send(aOrigin, agent::StreamOriginReply{
+                                  query->m_request, m_streamOrigins.Find(query->m_request, now) });
     }
   }
 
@@ -568,6 +575,7 @@
   base::Signal m_wake{ m_loop.Context() };
   GatewayRegistry m_gateways;
   HostRegistration m_registration;
+  agent::StreamOriginTable m_streamOrigins;
   base::Signal m_registrationDue{ m_loop.Context() };
   std::optional<agent::EngineIdentity> m_instance;
   entry::CatalogProgress m_catalog;
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -181,6 +181,13 @@
   CheckRoundTrip(MakeUpdate(2));
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
+  auto const request = base::RequestId::FromValidated("r1");
+  StreamOrigin const origin{ request, base::DeploymentId::FromValidated("llm"),
+                             base::SoftwareVersion::FromValidated("v1.1") };
+  CheckRoundTrip(StreamOrigins{ { origin, { request, origin.m_deployment, {} } } });
+  CheckRoundTrip(StreamOriginQuery{ request });
+  CheckRoundTrip(StreamOriginReply{ request, origin });
+  CheckRoundTrip(StreamOriginReply{ request, std::nullopt });
 }
 
 BOOST_AUTO_TEST_CASE(NewsOnPromptPartsIsOptionalAndComplete)
--- a/Tests/StreamVersionTest.cpp
+++ b/Tests/StreamVersionTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <string>
 
 using namespace sardinefold;
@@ -50,11 +51,25 @@
     co_return 0;
   }
 
+  awaitable<unsigned> StatusOfResumption(base::Endpoint aGateway, std::string aId,
+                                         std::string aBegunBy, unsigned aLastEvent)
+  {
+    auto request = ModelRequest("/chat/x", std::move(aId), "common");
+    request.m_headers.Add("Last-Event-Id", std::to_string(aLastEvent));
+    if (!aBegunBy.empty()) {
+      request.m_headers.Add("Resumes", std::move(aBegunBy));
+    }
+    auto const response = co_await m_client.Fetch(std::move(aGateway), std::move(request), 5s);
+    co_return response ? response->m_status : 0U;
+  }
+
   bool HasRun(std::size_t aEngine, std::string const& aId) const
   {
     auto const& runs = m_engines.at(aEngine)->Runs();
     return std::ranges::any_of(runs, [&](auto const& aRun) { return aRun.m_request == aId; });
   }
+
+  std::unique_ptr<Gateway> m_started;
 };
 
 constexpr int kStreams = 8;
@@ -77,3 +92,56 @@
     }
   });
 }
+
+BOOST_FIXTURE_TEST_CASE(AGatewayThatStartedSinceResumesAStreamAtTheVersionThatBeganIt,
+                        VersionFixture)
+{
+  Run([&]() -> awaitable<void> {
+    BreakStreams(true);
+    std::vector<unsigned> events;
+    for (int stream = 0; stream < kStreams; ++stream) {
+      events.push_back(co_await ReadBrokenStream(Name("r", stream)));
+    }
+    BreakStreams(false);
+    m_started = std::make_unique<Gateway>(m_loop, SecondGateway());
+    BOOST_REQUIRE(m_started->Start().has_value());
+    co_await m_loop.Sleep(2s);
+    for (int stream = 0; stream < kStreams; ++stream) {
+      auto const began = Name("r", stream);
+      auto const resumes = Name("c", stream);
+      auto const status = co_await StatusOfResumption(*SecondGateway().m_callers, resumes, began,
+                                                      events.at(std::size_t(stream)));
+      BOOST_TEST(status == 200U);
+      BOOST_TEST(HasRun(0, resumes) == HasRun(0, began));
+      BOOST_TEST(HasRun(1, resumes) == HasRun(1, began));
+    }
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AStreamOfUnknownOriginIsRefusedAndNotRun, VersionFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto const unknown = co_await StatusOfResumption(Callers(), "c1", "never", 3);
+    BOOST_TEST(unknown == 503U);
+    auto const unnamed = co_await StatusOfResumption(Callers(), "c2", "", 3);
+    BOOST_TEST(unnamed == 503U);
+    BOOST_TEST(RunsOf("c1") + RunsOf("c2") == 0U);
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(AStreamOfAVersionThatHasLeftIsRefusedAtOnce, VersionFixture)
+{
+  Run([&]() -> awaitable<void> {
+    BreakStreams(true);
+    auto const events = co_await ReadBrokenStream("r1");
+    BreakStreams(false);
+    std::size_t const began = HasRun(0, "r1") ? 0 : 1;
+    SetFault(*m_engines.at(began), "unlisted", true);
+    co_await m_loop.Sleep(1500ms);
+    auto const startedAt = m_loop.Now();
+    auto const status = co_await StatusOfResumption(Callers(), "c1", "r1", events);
+    BOOST_TEST(status == 503U);
+    BOOST_TEST((m_loop.Now() - startedAt < 500ms));
+    BOOST_TEST(RunsOf("c1") == 0U);
+  });
+}
