Engine: Load models for streams at engines of their version

What callers saw: of the streams that callers resumed while two software versions served, most were refused after half a second, although engines of their version were there and new streams began (LOST).

Cause: the planner counts who waits for a model and which engines hold it, whatever their version. A model that engines of one version hold was not loaded at those of the other, and the forecast told the gateways that it was ready.

Change: streams that wait for a model at engines of their version are reported by themselves. The planner learns each engine's version from its loader, which gateways tell what the list names; it swaps the model in where its weights are in memory or on disk, and forecasts for that version. A load from the weight store would outlast the callers' patience, so that none is begun for them.

Why it works: what the planner weighs for these streams are the engines that may continue them, and no others.

Evidence: AStreamGetsItsModelLoadedAtItsVersionAlthoughAnotherVersionHoldsIt failed before (503 in place of 200) and passes; StreamsGetTheirModelAtAnEngineOfTheirVersion holds the plan.

--- a/Agent/Fleet/FleetCodecDecode.cpp
+++ b/Agent/Fleet/FleetCodecDecode.cpp
@@ -77,6 +77,13 @@
   return aValue.asDouble();
 }
 
+/// Names a version, which is empty where upstreams state none.
+base::SoftwareVersion ToVersion(Json::Value const& aValue)
+{
+  auto const isEmpty = aValue.isNull() || Text(aValue).empty();
+  return isEmpty ? base::SoftwareVersion() : Name<base::SoftwareVersion>(aValue);
+}
+
 base::Endpoint Address(Json::Value const& aValue)
 {
   auto endpoint = base::Endpoint::Parse(Text(aValue));
@@ -374,6 +381,7 @@
   if (aParams.isMember("engine_start")) {
     status.m_engineStart = Integer(aParams["engine_start"]);
   }
+  status.m_version = ToVersion(aParams["version"]);
   status.m_gatewaysPresent = Count(Member(aParams, "gateways"));
   status.m_incarnation = LoaderIncarnation(aParams["incarnation"]);
   status.m_number = UnsignedInteger(Member(aParams, "number"));
@@ -426,16 +434,34 @@
   return endpoints;
 }
 
-std::map<base::Endpoint, EngineIdentity> ToEngines(Json::Value const& aList)
+/// Decodes a list of models at engines of a version, with a value for each.
+template<typename Value>
+std::map<engine::VersionedModel, Value> ToVersioned(Json::Value const& aList,
+                                                    Value (*aToValue)(Json::Value const&))
 {
-  std::map<base::Endpoint, EngineIdentity> engines;
+  std::map<engine::VersionedModel, Value> values;
   for (auto const& entry : aList) {
+    CheckFields(entry, 3);
+    values.emplace(engine::VersionedModel{ Name<base::ModelId>(entry[0]), ToVersion(entry[1]) },
+                   aToValue(entry[2]));
+  }
+  return values;
+}
+
+std::map<base::Endpoint, EngineIdentity> ToEngines(Json::Value const& aParams)
+{
+  auto const& versions = aParams["versions"];
+  std::map<base::Endpoint, EngineIdentity> engines;
+  for (auto const& entry : Member(aParams, "engines")) {
     constexpr Json::ArrayIndex kFields = 3;
     if (!entry.isArray() || entry.size() != kFields) {
       throw FieldError{ "an engine must be an array of three fields" };
     }
+    auto const& version =
+      versions.isObject() ? versions[Text(entry[0])] : Json::Value::nullSingleton();
     engines.insert_or_assign(
-      Address(entry[0]), EngineIdentity{ Name<engine::InstanceId>(entry[1]), Integer(entry[2]) });
+      Address(entry[0]),
+      EngineIdentity{ Name<engine::InstanceId>(entry[1]), Integer(entry[2]), ToVersion(version) });
   }
   return engines;
 }
@@ -460,7 +486,7 @@
     domain.m_gateways.push_back({ Address(entry[0]), std::move(presence) });
   }
   domain.m_aggregators = ToEndpoints(Member(aParams, "aggregators"));
-  domain.m_engines = ToEngines(Member(aParams, "engines"));
+  domain.m_engines = ToEngines(aParams);
   return domain;
 }
 
@@ -476,7 +502,7 @@
   if (aParams.isMember("store_era")) {
     presence.m_storeEra = base::StoreEra(UnsignedInteger(Member(aParams, "store_era")));
   }
-  presence.m_engines = ToEngines(Member(aParams, "engines"));
+  presence.m_engines = ToEngines(aParams);
   return presence;
 }
 
@@ -525,6 +551,7 @@
   if (aParams.isMember("processor_share")) {
     report.m_processorShare = Number(aParams["processor_share"]);
   }
+  report.m_versionedDemand = ToVersioned(aParams["versioned_demand"], Count);
   report.m_isComplete = Flag(Member(aParams, "complete"));
   report.m_allowance = ToAllowanceReport(Member(aParams, "allowance"));
   report.m_crashes = ToRequestCrashes(aParams);
@@ -545,6 +572,7 @@
   summary.m_gatewaysPresent = Count(Member(aParams, "present"));
   summary.m_allowance = ToAllowanceSummary(Member(aParams, "allowance"));
   summary.m_forecasts = ToForecasts(Member(aParams, "outlooks"));
+  summary.m_versionedForecasts = ToVersioned(aParams["versioned_outlooks"], Milliseconds);
   if (aParams.isMember("catalog")) {
     summary.m_catalog = base::CatalogVersion(UnsignedInteger(aParams["catalog"]));
   }
--- a/Agent/Fleet/FleetCodecEncode.cpp
+++ b/Agent/Fleet/FleetCodecEncode.cpp
@@ -200,6 +200,16 @@
   return list;
 }
 
+/// Names the software of the engines; peers of the former build ignore it.
+void AddVersions(Json::Value& aParams, std::map<base::Endpoint, EngineIdentity> const& aEngines)
+{
+  for (auto const& [endpoint, engine] : aEngines) {
+    if (!engine.m_version.IsEmpty()) {
+      aParams["versions"][endpoint.Text()] = engine.m_version.Text();
+    }
+  }
+}
+
 void AddStatus(Json::Value& aParams, EngineStatus const& aStatus)
 {
   aParams["host"] = aStatus.m_host.Text();
@@ -235,6 +245,9 @@
   if (aStatus.m_engineStart) {
     aParams["engine_start"] = Json::Int64(*aStatus.m_engineStart);
   }
+  if (!aStatus.m_version.IsEmpty()) {
+    aParams["version"] = aStatus.m_version.Text();
+  }
   aParams["gateways"] = aStatus.m_gatewaysPresent;
   if (!aStatus.m_incarnation.Text().empty()) {
     aParams["incarnation"] = aStatus.m_incarnation.Text();
@@ -314,6 +327,15 @@
   return entry;
 }
 
+Json::Value FromVersioned(engine::VersionedModel const& aModel, Json::Value aValue)
+{
+  Json::Value entry(Json::arrayValue);
+  entry.append(aModel.m_model.Text());
+  entry.append(aModel.m_version.Text());
+  entry.append(std::move(aValue));
+  return entry;
+}
+
 struct Encoder
 {
   Json::Value& m_root;
@@ -356,6 +378,7 @@
     }
     params["aggregators"] = FromEndpoints(aPresence.m_aggregators);
     params["engines"] = FromEngines(aPresence.m_engines);
+    AddVersions(params, aPresence.m_engines);
   }
 
   void operator()(StatusRequest const& aRequest)
@@ -376,6 +399,7 @@
       params["store_era"] = Json::UInt64(aPresence.m_storeEra.Value());
     }
     params["engines"] = FromEngines(aPresence.m_engines);
+    AddVersions(params, aPresence.m_engines);
   }
 
   void operator()(GatewayReport const& aReport)
@@ -402,6 +426,9 @@
       entry.append(demand.m_running);
       params["demand"].append(std::move(entry));
     }
+    for (auto const& [model, waiting] : aReport.m_versionedDemand) {
+      params["versioned_demand"].append(FromVersioned(model, waiting));
+    }
     params["complete"] = aReport.m_isComplete;
     params["allowance"] = FromAllowanceReport(aReport.m_allowance);
     params["store_age_ms"] = FromMilliseconds(aReport.m_storeAge);
@@ -428,6 +455,9 @@
     for (auto const& [model, readyIn] : aSummary.m_forecasts) {
       params["outlooks"][model.Text()] = FromMilliseconds(readyIn);
     }
+    for (auto const& [model, readyIn] : aSummary.m_versionedForecasts) {
+      params["versioned_outlooks"].append(FromVersioned(model, FromMilliseconds(readyIn)));
+    }
     params["present"] = aSummary.m_gatewaysPresent;
     params["allowance"] = FromAllowanceSummary(aSummary.m_allowance);
     if (aSummary.m_catalog != base::CatalogVersion()) {
--- a/Agent/Fleet/FleetMessages.h
+++ b/Agent/Fleet/FleetMessages.h
@@ -65,6 +65,8 @@
   std::optional<std::int64_t> m_leavingStart;
   /// Start of the engine in Unix milliseconds, once it has reported to the loader.
   std::optional<std::int64_t> m_engineStart{};
+  /// Sent to the planner only.
+  base::SoftwareVersion m_version{};
   /// Number of gateways that the loader knows to be running.
   unsigned m_gatewaysPresent = 0;
   /// The run of the loader, whose statuses are numbered from its start.
@@ -111,6 +113,7 @@
   engine::InstanceId m_instance;
   /// Unix milliseconds.
   std::int64_t m_startedAt = 0;
+  base::SoftwareVersion m_version{};
 
   friend bool operator==(EngineIdentity const&, EngineIdentity const&) = default;
 };
@@ -188,10 +191,12 @@
   std::vector<engine::RequestLimitDemand> m_requestLimits{};
   /// Requests that an upstream served here after a crash of another one.
   std::vector<RequestAcquittal> m_acquittals{};
+  engine::VersionedDemand m_versionedDemand{};
 };
 
 /// Expected time until the models that a gateway's requests wait for are ready.
 using ModelForecasts = std::map<base::ModelId, base::Duration>;
+using VersionedForecasts = std::map<engine::VersionedModel, base::Duration>;
 
 /// From the planner to a gateway: the levels of the allowances, and
 /// when the models that the gateway waits for will be ready.
@@ -201,6 +206,7 @@
   unsigned m_gatewaysPresent = 1;
   entry::AllowanceSummary m_allowance;
   ModelForecasts m_forecasts;
+  VersionedForecasts m_versionedForecasts{};
   /// Gateways of the receiver's failure domain that report to this planner,
   /// including the receiver, by host.
   std::map<base::HostId, base::Endpoint> m_neighbours;
--- a/Engine/EngineTypes.h
+++ b/Engine/EngineTypes.h
@@ -5,6 +5,7 @@
 #include "Base/Time.h"
 #include "Base/Units.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -53,6 +54,18 @@
   WeightCopies m_copies;
 };
 
+/// A model at the engines of one version of their software.
+struct VersionedModel
+{
+  base::ModelId m_model;
+  base::SoftwareVersion m_version;
+
+  friend auto operator<=>(VersionedModel const&, VersionedModel const&) = default;
+};
+
+/// Streams that wait for a model at the engines that may continue them.
+using VersionedDemand = std::map<VersionedModel, unsigned>;
+
 /// The state that an engine reports.
 struct EngineReport
 {
--- a/Engine/SwapPlanner.cpp
+++ b/Engine/SwapPlanner.cpp
@@ -18,6 +18,9 @@
 constexpr double kRunningRequestCost = 0.4;
 /// Cost of each copy that the demand needs and no engine has.
 constexpr double kMissingCopyCost = 1.5;
+/// Time of a swap from memory or disk, including the wait for running requests of the
+/// unloaded model.
+constexpr base::Duration kSwapTime = std::chrono::milliseconds(1500);
 
 bool HoldsTheSame(PlannedEngine const& aOne, PlannedEngine const& aOther)
 {
@@ -142,9 +145,15 @@
   }
 }
 
+void SwapPlanner::OnVersionedDemand(base::HostId const& aGateway, VersionedDemand aDemand)
+{
+  m_versionedDemand[aGateway] = std::move(aDemand);
+}
+
 void SwapPlanner::RemoveGateway(base::HostId const& aGateway)
 {
   m_demand.erase(aGateway);
+  m_versionedDemand.erase(aGateway);
 }
 
 void SwapPlanner::SumDemand()
@@ -264,19 +273,12 @@
   auto const ahead = m_storeLoads + static_cast<unsigned>(m_awaitedFetches.size()) -
                      static_cast<unsigned>(m_awaitedFetches.count(aModel));
   unsigned const rounds = ahead / std::max(m_limits.m_parallelStoreLoads, 1U) + 1;
-  base::Duration load{};
-  for (auto const& [deployment, spec] : m_specs) {
-    load = std::max(load, LoadTime(spec, aModel, WeightTier::Remote));
-  }
-  return load * rounds;
+  return LoadTimeFromStore(aModel) * rounds;
 }
 
 std::map<base::ModelId, base::Duration> SwapPlanner::ForecastsFor(base::HostId const& aGateway,
                                                                   base::Instant aNow) const
 {
-  /// Time of a swap from memory or disk, including the wait for running
-  /// requests of the unloaded model.
-  constexpr base::Duration kSwapTime = std::chrono::milliseconds(1500);
   std::map<base::ModelId, base::Duration> forecasts;
   auto const found = m_demand.find(aGateway);
   if (found == m_demand.end()) {
@@ -424,11 +426,12 @@
 }
 
 std::optional<SwapPlanner::Option> SwapPlanner::BestOption(base::ModelId const& aModel,
-                                                           bool aMayFetch, base::Instant aNow)
+                                                           bool aMayFetch, base::Instant aNow,
+                                                           base::SoftwareVersion const* aVersion)
 {
   std::optional<Option> best;
   for (auto& [loader, engine] : m_engines) {
-    if (!IsFree(engine)) {
+    if (!IsFree(engine) || (aVersion && engine.m_status.m_version != *aVersion)) {
       continue;
     }
     auto option = OptionAt(engine, aModel, aMayFetch, aNow);
@@ -457,6 +460,92 @@
   aSwaps.push_back(std::move(aOption.m_swap));
 }
 
+bool SwapPlanner::IsProvided(VersionedModel const& aModel) const
+{
+  return std::ranges::any_of(m_engines, [&](auto const& aItem) {
+    auto const& engine = aItem.second;
+    auto const& status = engine.m_status;
+    bool const isHeld =
+      engine.m_loadedAt.contains(aModel.m_model) && status.m_unloading != aModel.m_model;
+    bool const isComing = status.m_loading == aModel.m_model ||
+                          (engine.m_assigned && engine.m_assigned->m_load == aModel.m_model);
+    return status.m_version == aModel.m_version && !IsGoing(status) && (isHeld || isComing);
+  });
+}
+
+void SwapPlanner::ServeStreams(std::vector<PlannedSwap>& aSwaps, base::Instant aNow)
+{
+  /// What a stream has brought so far is lost unless it goes on.
+  constexpr double kBegunStreamWorth = 2;
+  std::map<VersionedModel, unsigned> totals;
+  for (auto const& [gateway, demand] : m_versionedDemand) {
+    for (auto const& [model, waiting] : demand) {
+      totals[model] += waiting;
+    }
+  }
+  for (auto const& [model, waiting] : totals) {
+    if (IsProvided(model)) {
+      continue;
+    }
+    // Callers leave before a load from the weight store ends.
+    auto option = BestOption(model.m_model, false, aNow, &model.m_version);
+    if (option && option->m_cost < kBegunStreamWorth * waiting) {
+      Assign(std::move(*option), aSwaps, aNow);
+    }
+  }
+}
+
+std::map<VersionedModel, base::Duration> SwapPlanner::VersionedForecastsFor(
+  base::HostId const& aGateway, base::Instant aNow) const
+{
+  std::map<VersionedModel, base::Duration> forecasts;
+  auto const found = m_versionedDemand.find(aGateway);
+  if (found == m_versionedDemand.end()) {
+    return forecasts;
+  }
+  for (auto const& [model, waiting] : found->second) {
+    auto readyIn = LoadTimeFromStore(model.m_model);
+    for (auto const& [loader, engine] : m_engines) {
+      if (engine.m_status.m_version == model.m_version && !IsGoing(engine.m_status)) {
+        readyIn = std::min(readyIn, TimeToReadyAt(engine, model.m_model, aNow));
+      }
+    }
+    forecasts.emplace(model, readyIn);
+  }
+  return forecasts;
+}
+
+base::Duration SwapPlanner::TimeToReadyAt(Engine const& aEngine, base::ModelId const& aModel,
+                                          base::Instant aNow) const
+{
+  auto const& status = aEngine.m_status;
+  if (aEngine.m_loadedAt.contains(aModel) && status.m_unloading != aModel) {
+    return base::Duration::zero();
+  }
+  if (status.m_loading == aModel) {
+    return std::max<base::Duration>(aEngine.m_reportedAt + status.m_readyIn - aNow,
+                                    base::Duration::zero());
+  }
+  auto const spec = m_specs.find(status.m_deployment);
+  bool const isAssigned = aEngine.m_assigned && aEngine.m_assigned->m_load == aModel;
+  bool const isBusy = status.m_loading || status.m_unloading || (aEngine.m_assigned && !isAssigned);
+  auto const tier = TierAt(aEngine, aModel);
+  if (spec == m_specs.end() || tier == WeightTier::Remote) {
+    return LoadTimeFromStore(aModel);
+  }
+  auto const load = LoadTime(spec->second, aModel, tier);
+  return isBusy ? load + kSwapTime : load;
+}
+
+base::Duration SwapPlanner::LoadTimeFromStore(base::ModelId const& aModel) const
+{
+  base::Duration load{};
+  for (auto const& [deployment, spec] : m_specs) {
+    load = std::max(load, LoadTime(spec, aModel, WeightTier::Remote));
+  }
+  return load;
+}
+
 void SwapPlanner::ServeWaiting(std::vector<PlannedSwap>& aSwaps, base::Instant aNow)
 {
   std::vector<std::pair<double, base::ModelId>> order;
@@ -541,6 +630,7 @@
       swaps.push_back(*engine.m_assigned);
     }
   }
+  ServeStreams(swaps, aNow);
   ServeWaiting(swaps, aNow);
   Replicate(swaps, aNow);
   Prefetch(swaps, aNow);
--- a/Engine/SwapPlanner.h
+++ b/Engine/SwapPlanner.h
@@ -45,6 +45,7 @@
   /// are to be loaded elsewhere.
   bool m_isLeaving = false;
   base::FailureDomainId m_failureDomain;
+  base::SoftwareVersion m_version{};
 };
 
 /// A model for one engine to load, and the models that it may unload to make
@@ -104,6 +105,8 @@
   /// that it contains.
   void OnDemand(base::HostId const& aGateway, std::vector<WaitingDemand> const& aDemand,
                 bool aIsComplete);
+  /// Takes which streams at one gateway wait for a model at engines of their version.
+  void OnVersionedDemand(base::HostId const& aGateway, VersionedDemand aDemand);
   void RemoveGateway(base::HostId const& aGateway);
 
   /// Returns the swaps to request now. A swap in progress is returned again
@@ -115,6 +118,9 @@
   std::map<base::ModelId, base::Duration> ForecastsFor(base::HostId const& aGateway,
                                                        base::Instant aNow) const;
 
+  std::map<VersionedModel, base::Duration> VersionedForecastsFor(base::HostId const& aGateway,
+                                                                 base::Instant aNow) const;
+
 private:
   struct Engine
   {
@@ -159,6 +165,11 @@
   void DropStaleAssignments(base::Instant aNow);
   bool IsFree(Engine const& aEngine) const;
   std::optional<base::Duration> TimeToReady(base::ModelId const& aModel, base::Instant aNow) const;
+  /// Time until the engine holds the model, if it were to load it now.
+  base::Duration TimeToReadyAt(Engine const& aEngine, base::ModelId const& aModel,
+                               base::Instant aNow) const;
+  base::Duration LoadTimeFromStore(base::ModelId const& aModel) const;
+  /// The same, with the loads that are ahead of it.
   base::Duration StoreLoadTime(base::ModelId const& aModel) const;
   bool IsBeingLoaded(base::ModelId const& aModel) const;
   bool IsHeldOnlyByLeaving(base::ModelId const& aModel) const;
@@ -173,7 +184,13 @@
   double EvictionCost(Engine const& aEngine, base::ModelId const& aModel, base::Instant aNow) const;
   std::optional<Option> OptionAt(Engine& aEngine, base::ModelId const& aModel, bool aMayFetch,
                                  base::Instant aNow) const;
-  std::optional<Option> BestOption(base::ModelId const& aModel, bool aMayFetch, base::Instant aNow);
+  /// Only engines of aVersion count, if it is given.
+  std::optional<Option> BestOption(base::ModelId const& aModel, bool aMayFetch, base::Instant aNow,
+                                   base::SoftwareVersion const* aVersion = nullptr);
+  /// Whether an engine of the version holds the model or is about to.
+  bool IsProvided(VersionedModel const& aModel) const;
+  /// Loads what streams wait for that only engines of one version may continue.
+  void ServeStreams(std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
   void Assign(Option aOption, std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
   void ServeWaiting(std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
   void Replicate(std::vector<PlannedSwap>& aSwaps, base::Instant aNow);
@@ -184,6 +201,7 @@
   std::map<base::HostId, Engine> m_engines;
   std::set<base::FailureDomainId> m_evacuated;
   std::map<base::HostId, std::map<base::ModelId, WaitingDemand>> m_demand;
+  std::map<base::HostId, VersionedDemand> m_versionedDemand;
   std::map<base::ModelId, TotalDemand> m_totals;
   std::map<base::ModelId, unsigned> m_copies;
   /// Number of engines, those aside that are going, that hold the model or have its weights
--- a/Programs/Gateway/FleetReporter.h
+++ b/Programs/Gateway/FleetReporter.h
@@ -127,6 +127,7 @@
                                  m_state.m_suspectParts.CrashesToReport(repeatsCrashes, aNow),
                                  m_state.m_suspectParts.AcquittalsToReport(aNow),
                                  EvacuationsToReport(isComplete) };
+    report.m_versionedDemand = m_state.m_versionedDemand;
     report.m_acquittals = m_state.m_suspects.AcquittalsToReport(aNow);
     std::map<base::ModelId, unsigned> waiting;
     for (auto& demand : m_state.m_demand.Summary(aNow)) {
@@ -147,6 +148,7 @@
       // Only one planner loads models for this gateway's requests and grants it permits.
       report.m_isComplete = true;
       report.m_demand.clear();
+      report.m_versionedDemand.clear();
       report.m_requestLimits.clear();
     }
     if (pool.m_planner) {
@@ -238,7 +240,7 @@
       if (!m_state.IsEngine(entry.m_deployment)) {
         continue;
       }
-      agent::EngineIdentity const identity{ entry.m_instance, entry.m_startedAt };
+      agent::EngineIdentity const identity{ entry.m_instance, entry.m_startedAt, entry.m_version };
       // The list may still contain an earlier engine at the same address.
       auto const earlier = known.find(entry.m_endpoint);
       if (earlier != known.end() && earlier->second.m_startedAt >= identity.m_startedAt) {
--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -391,8 +391,7 @@
   {
     auto const opensAt = UpstreamsOpenAt();
     return opensAt ? *opensAt - Now()
-                   : caller::WaitPolicy::RetryAfter(m_state.ForecastFor(m_context.m_query.m_model),
-                                                    Now());
+                   : caller::WaitPolicy::RetryAfter(m_state.ForecastFor(m_context.m_query), Now());
   }
 
   /// When the upstreams that could serve the request may get it at the earliest, if none
--- a/Programs/Gateway/GatewayProgram.h
+++ b/Programs/Gateway/GatewayProgram.h
@@ -292,6 +292,10 @@
     if (aSummary.m_evacuations) {
       m_store.OnEvacuations(*aSummary.m_evacuations, aOrigin, aNow);
     }
+    for (auto const& [model, readyIn] : aSummary.m_versionedForecasts) {
+      m_state.m_versionedForecasts[model] = { aNow + readyIn, aNow };
+      m_state.ModelSignal(model.m_model).Notify();
+    }
     OnForecasts(aSummary.m_forecasts, aNow);
   }
 
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -292,10 +292,18 @@
                                            std::to_string(aUpstream.m_startedAt));
   }
 
-  /// Returns when a model is expected to be loaded, if a forecast is known.
-  std::optional<caller::ModelForecast> ForecastFor(std::optional<base::ModelId> const& aModel) const
+  /// Returns when the model of a request is expected to be loaded where it may run, if a
+  /// forecast is known.
+  std::optional<caller::ModelForecast> ForecastFor(engine::UpstreamQuery const& aQuery) const
   {
-    auto const found = aModel ? m_modelForecasts.find(*aModel) : m_modelForecasts.end();
+    if (!aQuery.m_model) {
+      return std::nullopt;
+    }
+    if (aQuery.m_version) {
+      auto const found = m_versionedForecasts.find({ *aQuery.m_model, *aQuery.m_version });
+      return found == m_versionedForecasts.end() ? std::nullopt : std::optional(found->second);
+    }
+    auto const found = m_modelForecasts.find(*aQuery.m_model);
     return found == m_modelForecasts.end() ? std::nullopt : std::optional(found->second);
   }
 
@@ -457,6 +465,8 @@
   std::map<base::DeploymentId, agent::RetryBudget> m_retryBudgets;
   std::map<base::ModelId, std::unique_ptr<base::Signal>> m_modelSignals;
   std::map<base::ModelId, caller::ModelForecast> m_modelForecasts;
+  std::map<engine::VersionedModel, caller::ModelForecast> m_versionedForecasts;
+  engine::VersionedDemand m_versionedDemand;
   /// Number of gateways in the fleet, including this one; empty until reported.
   std::optional<unsigned> m_gatewaysPresent;
 };
--- a/Programs/Gateway/UpstreamSelection.h
+++ b/Programs/Gateway/UpstreamSelection.h
@@ -5,6 +5,7 @@
 #include "Caller/WaitPolicy.h"
 #include "Programs/Gateway/GatewayState.h"
 #include "Programs/Gateway/LimitLinePlace.h"
+#include "Programs/Gateway/ModelWait.h"
 #include "Programs/Gateway/RequestContext.h"
 #include "Programs/Gateway/RequestRecord.h"
 
@@ -40,7 +41,7 @@
   {
     caller::WaitPolicy const policy(m_context.m_route, aProgressAt, m_context.m_end);
     auto const startedAt = Now();
-    std::optional<engine::WaitTicket> ticket;
+    std::optional<ModelWait> wait;
     std::optional<engine::UpstreamChoice> result;
     // When another load of the model was expected to end at the first refusal.
     std::optional<base::Instant> loadedAt;
@@ -75,10 +76,9 @@
         RecordHeldBack(absence);
       }
       if (isHeldBack || absence == engine::UpstreamAbsence::BackingOff) {
-        if (ticket) {
+        if (wait) {
           // The model is loaded, so the planner need not load it for this request.
-          m_state.m_demand.StopWaiting(*m_context.m_query.m_model, *ticket);
-          ticket.reset();
+          wait.reset();
         }
         auto const waitEnd =
           isHeldBack ? HeldBackWaitEnd(policy, query, place) : BackoffWaitEnd(policy, loadedAt);
@@ -89,17 +89,15 @@
         continue;
       }
       if (absence != engine::UpstreamAbsence::ModelNotLoaded || Now() >= WaitEnd(policy) ||
-          !policy.MayWait(m_state.ForecastFor(m_context.m_query.m_model), Now())) {
+          !policy.MayWait(m_state.ForecastFor(m_context.m_query), Now())) {
         break;
       }
-      if (!ticket) {
-        ticket = StartWaiting(policy);
+      if (!wait) {
+        StartWaiting(policy, wait);
       }
       co_await m_state.ModelSignal(*m_context.m_query.m_model).Wait(WaitEnd(policy) - Now());
     }
-    if (ticket) {
-      m_state.m_demand.StopWaiting(*m_context.m_query.m_model, *ticket);
-    }
+    wait.reset();
     if (place.Leave() && !result) {
       // Those behind it move up.
       m_state.NotifyAll();
@@ -127,7 +125,7 @@
   std::optional<base::Instant> BackoffWaitEnd(caller::WaitPolicy const& aPolicy,
                                               std::optional<base::Instant>& aLoadedAt) const
   {
-    auto const forecast = m_state.ForecastFor(m_context.m_query.m_model);
+    auto const forecast = m_state.ForecastFor(m_context.m_query);
     auto const opensAt = m_state.m_directory.BackoffEndFor(m_context.m_query, Now());
     if (!aLoadedAt) {
       aLoadedAt = forecast && aPolicy.MayWait(forecast, Now()) ? forecast->m_readyAt : Now();
@@ -152,7 +150,7 @@
     } else {
       aPlace.Leave();
     }
-    auto const forecast = m_state.ForecastFor(m_context.m_query.m_model);
+    auto const forecast = m_state.ForecastFor(m_context.m_query);
     if (forecast && forecast->m_readyAt > Now()) {
       next = std::min(next.value_or(forecast->m_readyAt), forecast->m_readyAt);
     }
@@ -198,10 +196,10 @@
     return model ? m_state.ModelSignal(*model) : m_state.m_suspectSignal;
   }
 
-  engine::WaitTicket StartWaiting(caller::WaitPolicy const& aPolicy)
+  void StartWaiting(caller::WaitPolicy const& aPolicy, std::optional<ModelWait>& aWait)
   {
     auto const& model = *m_context.m_query.m_model;
-    auto const forecast = m_state.ForecastFor(model);
+    auto const forecast = m_state.ForecastFor(m_context.m_query);
     auto const millisecondsUntil = [this](base::Instant aTime) {
       return std::to_string(base::ToMilliseconds(aTime - Now()));
     };
@@ -211,8 +209,8 @@
                       { "ready_in_ms", forecast ? millisecondsUntil(forecast->m_readyAt) : "" },
                       { "told_ms", forecast ? millisecondsUntil(forecast->m_reportedAt) : "" },
                       { "given_up_in_ms", millisecondsUntil(WaitEnd(aPolicy)) } });
-    return m_state.m_demand.StartWaiting(model, RequestWeight(),
-                                         m_context.m_start + m_context.m_route.m_goal);
+    aWait.emplace(m_state, m_context.m_query, RequestWeight(),
+                  m_context.m_start + m_context.m_route.m_goal);
   }
 
   /// Weights a waiting request by its size, as longer requests earn more.
--- a/Programs/Loader/FleetPlanning.cpp
+++ b/Programs/Loader/FleetPlanning.cpp
@@ -78,6 +78,7 @@
   gateway.m_lastContactAt = aNow;
   m_lastPresence[aReport.m_host] = aNow;
   m_planner.OnDemand(aReport.m_host, aReport.m_demand, aReport.m_isComplete);
+  m_planner.OnVersionedDemand(aReport.m_host, aReport.m_versionedDemand);
   m_requestLimits.OnDemands(aReport.m_host, aReport.m_requestLimits, aNow);
   if (aReport.m_allowance.m_isJoining) {
     // A gateway that has started refuses requests until it knows the levels; before
@@ -145,7 +146,7 @@
   m_planner.OnEngine({ aStatus.m_host, aStatus.m_deployment, aStatus.m_models, aStatus.m_copies,
                        aStatus.m_change.m_loading, aStatus.m_change.m_readyIn,
                        aStatus.m_change.m_unloading, aStatus.m_leavingStart.has_value(),
-                       aStatus.m_failureDomain },
+                       aStatus.m_failureDomain, aStatus.m_version },
                      aNow);
 }
 
@@ -276,6 +277,7 @@
     summary.m_gatewaysPresent = static_cast<unsigned>(m_lastPresence.size());
     summary.m_allowance = m_grants.SummaryFor(*host);
     summary.m_forecasts = m_planner.ForecastsFor(*host, aNow);
+    summary.m_versionedForecasts = m_planner.VersionedForecastsFor(*host, aNow);
     summary.m_requestLimits = m_requestLimits.GrantsFor(*host, aNow);
     summary.m_aggregators = aggregators;
     summary.m_catalog = m_newestCatalog;
--- a/Programs/Loader/LoaderProgram.h
+++ b/Programs/Loader/LoaderProgram.h
@@ -417,6 +417,7 @@
     if (m_isLeaving && report) {
       status.m_leavingStart = report->m_startedAt;
     }
+    status.m_version = m_instance ? m_instance->m_version : base::SoftwareVersion();
     status.m_gatewaysPresent = static_cast<unsigned>(m_gateways.Size());
     return status;
   }
@@ -425,6 +426,7 @@
   static agent::EngineStatus ForGateways(agent::EngineStatus aStatus)
   {
     aStatus.m_copies = {};
+    aStatus.m_version = {};
     aStatus.m_change.m_loading.reset();
     aStatus.m_change.m_readyIn = {};
     return aStatus;
--- a/Tests/FleetMessagesTest.cpp
+++ b/Tests/FleetMessagesTest.cpp
@@ -173,15 +173,23 @@
                                 77,
                                 {},
                                 base::StoreEra(3) };
-  CheckRoundTrip(
-    DomainPresence{ kDomain,
-                    { { { "10.0.0.4", 7600 }, member } },
-                    { { "10.0.0.4", 7600 } },
-                    { { status.m_engine, { engine::InstanceId::FromValidated("i-1"), 123 } } } });
+  CheckRoundTrip(DomainPresence{ kDomain,
+                                 { { { "10.0.0.4", 7600 }, member } },
+                                 { { "10.0.0.4", 7600 } },
+                                 { { status.m_engine,
+                                     { engine::InstanceId::FromValidated("i-1"), 123,
+                                       base::SoftwareVersion::FromValidated("v1") } } } });
   CheckRoundTrip(MakeUpdate(2));
   CheckRoundTrip(SwapRequest{ kModel, { base::ModelId::FromValidated("m2") } });
   CheckRoundTrip(AdapterRequest{ kModel, base::AdapterId::FromValidated("a1") });
   auto const request = base::RequestId::FromValidated("r1");
+  report.m_versionedDemand = { { { kModel, base::SoftwareVersion::FromValidated("v1") }, 3 } };
+  CheckRoundTrip(report);
+  summary.m_versionedForecasts = { { { kModel, base::SoftwareVersion::FromValidated("v1") },
+                                     milliseconds(800) } };
+  CheckRoundTrip(summary);
+  status.m_version = base::SoftwareVersion::FromValidated("v1");
+  CheckRoundTrip(status);
   StreamOrigin const origin{ request, base::DeploymentId::FromValidated("llm"),
                              base::SoftwareVersion::FromValidated("v1.1") };
   CheckRoundTrip(StreamOrigins{ { origin, { request, origin.m_deployment, {} } } });
--- a/Tests/StreamVersionTest.cpp
+++ b/Tests/StreamVersionTest.cpp
@@ -145,3 +145,24 @@
     BOOST_TEST(RunsOf("c1") == 0U);
   });
 }
+
+BOOST_FIXTURE_TEST_CASE(AStreamGetsItsModelLoadedAtItsVersionAlthoughAnotherVersionHoldsIt,
+                        VersionFixture)
+{
+  Run([&]() -> awaitable<void> {
+    BreakStreams(true);
+    unsigned events = 0;
+    int stream = 0;
+    for (; stream < kStreams && !HasRun(0, Name("r", stream - 1)); ++stream) {
+      events = co_await ReadBrokenStream(Name("r", stream));
+    }
+    auto const began = Name("r", stream - 1);
+    BOOST_REQUIRE(HasRun(0, began));
+    BreakStreams(false);
+    SetFault(*m_engines[0], "restart", true);
+    co_await m_loop.Sleep(1500ms);
+    auto const status = co_await StatusOfResumption(Callers(), "c1", began, events);
+    BOOST_TEST(status == 200U);
+    BOOST_TEST(HasRun(0, "c1"));
+  });
+}
--- a/Tests/SwapPlannerTest.cpp
+++ b/Tests/SwapPlannerTest.cpp
@@ -396,3 +396,32 @@
   BOOST_TEST(forecasts > kTicks * kGateways);
   BOOST_TEST(least <= kMaximumSeconds);
 }
+
+BOOST_FIXTURE_TEST_CASE(StreamsGetTheirModelAtAnEngineOfTheirVersion, Fixture)
+{
+  auto const version = [](char const* aName) {
+    return base::SoftwareVersion::FromValidated(aName);
+  };
+  auto newer = EngineWith("newer", { "a", "b" });
+  newer.m_version = version("v2");
+  auto older = EngineWith("older", { "c", "d" }, { "a" });
+  older.m_version = version("v1");
+  m_planner.OnEngine(newer, kStart);
+  m_planner.OnEngine(older, kStart);
+  m_planner.OnVersionedDemand(kGateway, { { { Model("a"), version("v1") }, 2 },
+                                          { { Model("b"), version("v2") }, 2 },
+                                          { { Model("e"), version("v1") }, 2 } });
+  auto const swaps = m_planner.Plan(m_planTime);
+  auto const loads = [&](char const* aLoader, char const* aModel) {
+    return std::ranges::any_of(swaps, [&](PlannedSwap const& aSwap) {
+      return aSwap.m_loader == Loader(aLoader) && aSwap.m_load == Model(aModel);
+    });
+  };
+  BOOST_TEST(loads("older", "a"));
+  BOOST_TEST(!loads("newer", "a"));
+  auto const forecasts = m_planner.VersionedForecastsFor(kGateway, m_planTime);
+  BOOST_TEST((forecasts.at({ Model("b"), version("v2") }) == base::Duration::zero()));
+  BOOST_TEST((forecasts.at({ Model("a"), version("v1") }) <= milliseconds(1500)));
+  // Nobody waits for a load from the weight store.
+  BOOST_TEST((forecasts.at({ Model("e"), version("v1") }) >= seconds(6)));
+}
