--- a/Programs/Gateway/ForwardSession.h
+++ b/Programs/Gateway/ForwardSession.h
@@ -168,6 +168,9 @@
     if (!request.m_resumeAfter || !m_context.m_route.m_isResumable) {
       co_return std::nullopt;
     }
+    if (!request.m_resumes && m_state.HasOneVersion(query.m_deployment)) {
+      co_return std::nullopt;
+    }
     StreamOriginExchange::SearchResult result;
     if (request.m_resumes) {
       auto begun = *request.m_resumes;
--- a/Programs/Gateway/GatewayState.h
+++ b/Programs/Gateway/GatewayState.h
@@ -332,6 +332,18 @@
     return deployment && deployment->m_engine;
   }
 
+  /// Whether all known upstreams of the deployment run the same software.
+  bool HasOneVersion(base::DeploymentId const& aDeployment) const
+  {
+    std::set<base::SoftwareVersion> versions;
+    for (auto const& entry : m_directory.Entries()) {
+      if (entry.m_deployment == aDeployment) {
+        versions.insert(entry.m_version);
+      }
+    }
+    return versions.size() <= 1;
+  }
+
   /// Where the origins of streams are kept, at the loaders of all known engines.
   StreamOriginExchange& StreamOrigins()
   {
--- a/Tests/ResumedStreamTest.cpp
+++ b/Tests/ResumedStreamTest.cpp
@@ -168,12 +168,9 @@
   // the second event has the same expectations as the gateway's own.
   Start({ aCase.m_second });
   Run([&]() -> awaitable<void> {
-    programs::StreamOriginExchange::OpenStream const begun(
-      m_gateway->State().StreamOrigins(),
-      { base::RequestId::FromValidated("r0"), base::DeploymentId::FromValidated("extra"), {} });
+    auto endpoint = Callers();
     auto request = Request("POST", "/chat/x", "r1");
     request.m_headers.Add("Last-Event-Id", "2");
-    request.m_headers.Add("Resumes", "r0");
     auto const response = co_await Send(std::move(request));
     bool const isSuccess = response && response->m_status == 200;
     BOOST_TEST(isSuccess == aCase.m_isWhole);
--- a/Tests/StreamVersionTest.cpp
+++ b/Tests/StreamVersionTest.cpp
@@ -99,6 +99,7 @@
   Run([&]() -> awaitable<void> {
     BreakStreams(true);
     std::vector<unsigned> events;
+    events.reserve(kStreams);
     for (int stream = 0; stream < kStreams; ++stream) {
       events.push_back(co_await ReadBrokenStream(Name("r", stream)));
     }
@@ -129,6 +130,17 @@
   });
 }
 
+BOOST_FIXTURE_TEST_CASE(WhereOneVersionServesACallerNeedNotNameTheStreamThatItResumes, SiteFixture)
+{
+  Run([&]() -> awaitable<void> {
+    auto request = ModelRequest("/chat/x", "c1", "common");
+    request.m_headers.Add("Last-Event-Id", "3");
+    auto const response = co_await Send(std::move(request));
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->m_status == 200U);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(AStreamOfAVersionThatHasLeftIsRefusedAtOnce, VersionFixture)
 {
   Run([&]() -> awaitable<void> {
